--- /dev/null
+++ b/ragwortmux/Core/ResultCode.h
@@ -0,0 +1,77 @@
+#ifndef RAGWORTMUX_CORE_RESULTCODE_H
+#define RAGWORTMUX_CORE_RESULTCODE_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace ragwortmux {
+
+/// Numbered results that callers, operators and logs see. docs/RESULT_CODES.md
+/// holds the same table.
+enum class ResultCode : std::uint16_t {
+  Ok = 0,
+
+  // 1xx: the request was not run.
+  NotRunNoPrimary = 101,
+  NotRunQueueFull = 102,
+  NotRunDeadline = 103,
+  NotRunNoConnection = 104,
+  NotRunDraining = 105,
+  NotRunTermRefused = 106,
+  NotRunNoLease = 107,
+  NotRunUnknownEntry = 108,
+  NotRunTooOld = 109,
+  NotRunKeyExpired = 110,
+  NotRunLedgerUnavailable = 111,
+  NotRunRolledBack = 112,
+  NotRunNotCovered = 113,
+  NotRunKeyInUse = 114,
+  NotRunBadRequest = 115,
+
+  // 2xx: it is not known whether the request was run.
+  OutcomeUnknown = 201,
+  OutcomeUnknownTermEnded = 202,
+
+  // 3xx: the request was run, but its answer cannot be given whole.
+  RanAnswerTooLarge = 301,
+  RanAnswerLost = 302,
+  RanEarlier = 303,
+
+  // 4xx: operators and settings.
+  BadSetting = 401,
+  BadArgument = 402,
+  CatalogueConflict = 403,
+  CatalogueInvalid = 404,
+  CatalogueNotFound = 405,
+  NotLeader = 406,
+  Unauthorized = 407,
+  Unreachable = 408,
+
+  // 5xx: files and internal state.
+  LogCorrupt = 501,
+  LogWriteFailed = 502,
+  WrongIdentity = 503,
+};
+
+/// One row of the result code table.
+struct ResultCodeInfo final {
+  ResultCode m_Code;           ///< The number.
+  std::string_view m_Name;     ///< The name, as in logs and answers.
+  std::string_view m_SqlState; ///< What a PostgreSQL caller gets as SQLSTATE;
+                               ///< empty where no caller sees it.
+  std::string_view m_Meaning;  ///< One sentence for people.
+};
+
+/// All result codes, in ascending order of their numbers.
+std::span<const ResultCodeInfo> allResultCodes();
+
+/// The row of \p Code.
+const ResultCodeInfo &resultCodeInfo(ResultCode Code);
+
+/// True if \p Code states that the request was not run.
+bool saysNotRun(ResultCode Code);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_CORE_RESULTCODE_H
