Add the server half of the PostgreSQL protocol as a codec

Callers speak protocol 3.0 with simple queries. The codec is pure: bytes in, typed messages out, and the other way round for answers. Lengths are judged before anything is allocated; malformed input ends in an error state.

--- /dev/null
+++ b/ragwortmux/Connection/Codec/PgMessageReader.cpp
@@ -0,0 +1,247 @@
+#include "ragwortmux/Connection/Codec/PgMessageReader.h"
+
+#include <cassert>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t TypeBytes = 1;
+/// Bytes in front of the buffer are moved away once they are this many.
+constexpr std::size_t CompactAfterBytes = 64 * 1024;
+
+constexpr std::uint32_t MajorVersion = 3;
+constexpr std::uint32_t CancelRequestCode = 80877102;
+constexpr std::uint32_t SslRequestCode = 80877103;
+constexpr std::uint32_t GssEncRequestCode = 80877104;
+
+std::uint32_t readUint32(std::string_view Bytes) {
+  assert(Bytes.size() >= LengthBytes);
+  std::uint32_t Value = 0;
+  for (const char Byte : Bytes.substr(0, LengthBytes)) {
+    Value = Value << 8 | static_cast<unsigned char>(Byte);
+  }
+  return Value;
+}
+
+/// Takes a zero-terminated string off the front of \p Bytes.
+std::optional<std::string_view> takeString(std::string_view &Bytes) {
+  const std::size_t End = Bytes.find('\0');
+  if (End == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view Text = Bytes.substr(0, End);
+  Bytes.remove_prefix(End + 1);
+  return Text;
+}
+
+/// Splits \p Options at blanks; a backslash makes the next character literal.
+std::vector<std::string> splitOptions(std::string_view Options) {
+  std::vector<std::string> Words;
+  bool InWord = false;
+  for (std::size_t Index = 0; Index < Options.size(); ++Index) {
+    char Character = Options[Index];
+    if (Character == ' ' || (Character >= '\t' && Character <= '\r')) {
+      InWord = false;
+      continue;
+    }
+    if (Character == '\\' && Index + 1 < Options.size()) {
+      Character = Options[++Index];
+    }
+    if (!InWord) {
+      Words.emplace_back();
+      InWord = true;
+    }
+    Words.back().push_back(Character);
+  }
+  return Words;
+}
+
+} // namespace
+
+std::optional<PgParameters> parsePgOptions(std::string_view Options) {
+  PgParameters Parsed;
+  bool ExpectPair = false;
+  for (const std::string &Word : splitOptions(Options)) {
+    std::string_view Pair = Word;
+    if (!ExpectPair && Pair == "-c") {
+      ExpectPair = true;
+      continue;
+    }
+    if (!ExpectPair && !Pair.starts_with("-c") && !Pair.starts_with("--")) {
+      return std::nullopt;
+    }
+    if (!ExpectPair) {
+      Pair.remove_prefix(2);
+    }
+    const std::size_t Equals = Pair.find('=');
+    if (Equals == std::string_view::npos || Equals == 0) {
+      return std::nullopt;
+    }
+    Parsed[std::string(Pair.substr(0, Equals))] = Pair.substr(Equals + 1);
+    ExpectPair = false;
+  }
+  if (ExpectPair) {
+    return std::nullopt;
+  }
+  return Parsed;
+}
+
+PgMessageReader::PgMessageReader(PgMessageReaderSettings Settings)
+    : m_Settings(Settings) {}
+
+void PgMessageReader::feed(std::span<const std::byte> Bytes) {
+  if (m_Error) {
+    return;
+  }
+  // Checked before the copy, so that the buffer never outgrows its limit.
+  if (Bytes.size() > m_Settings.m_MaxBufferedBytes - bufferedBytes()) {
+    fail("too much data received ahead");
+    return;
+  }
+  m_Buffer.append(reinterpret_cast<const char *>(Bytes.data()), Bytes.size());
+}
+
+std::optional<PgFrontendMessage> PgMessageReader::next() {
+  if (m_Error) {
+    return std::nullopt;
+  }
+  if (m_Ended) {
+    if (bufferedBytes() > 0) {
+      fail("data after the last message");
+    }
+    return std::nullopt;
+  }
+  return m_Started ? nextMessage() : nextStartupPacket();
+}
+
+std::optional<PgFrontendMessage> PgMessageReader::nextStartupPacket() {
+  if (bufferedBytes() < LengthBytes) {
+    return std::nullopt;
+  }
+  // The length is judged before the rest has arrived.
+  const std::size_t Length = readUint32(pending());
+  if (Length < 2 * LengthBytes || Length > m_Settings.m_MaxStartupBytes) {
+    fail("invalid length of start-up packet");
+    return std::nullopt;
+  }
+  if (bufferedBytes() < Length) {
+    return std::nullopt;
+  }
+  const std::string Packet(pending().substr(LengthBytes, Length - LengthBytes));
+  consume(Length);
+
+  const std::uint32_t Code = readUint32(Packet);
+  const std::string_view Body = std::string_view(Packet).substr(LengthBytes);
+  if (Code == SslRequestCode && Body.empty()) {
+    return PgSslRequest{};
+  }
+  if (Code == GssEncRequestCode && Body.empty()) {
+    return PgGssEncRequest{};
+  }
+  if (Code == CancelRequestCode && Body.size() == 2 * LengthBytes) {
+    m_Ended = true;
+    return PgCancelRequest{readUint32(Body),
+                           readUint32(Body.substr(LengthBytes))};
+  }
+  return parseStartup(Code, Body);
+}
+
+std::optional<PgFrontendMessage>
+PgMessageReader::parseStartup(std::uint32_t Version, std::string_view Body) {
+  if (Version >> 16 != MajorVersion) {
+    fail("unsupported protocol version");
+    return std::nullopt;
+  }
+  PgStartup Startup;
+  Startup.m_ProtocolVersion = Version;
+  // The list of names and values ends with an empty name.
+  while (true) {
+    const auto Name = takeString(Body);
+    if (Name && Name->empty() && Body.empty()) {
+      break;
+    }
+    const auto Value = takeString(Body);
+    if (!Name || Name->empty() || !Value) {
+      fail("malformed start-up packet");
+      return std::nullopt;
+    }
+    Startup.m_Parameters[std::string(*Name)] = *Value;
+  }
+  if (const auto Found = Startup.m_Parameters.find("options");
+      Found != Startup.m_Parameters.end()) {
+    auto Options = parsePgOptions(Found->second);
+    if (!Options) {
+      fail("malformed options in start-up packet");
+      return std::nullopt;
+    }
+    Startup.m_Options = std::move(*Options);
+  }
+  m_Started = true;
+  return Startup;
+}
+
+std::optional<PgFrontendMessage> PgMessageReader::nextMessage() {
+  if (bufferedBytes() < TypeBytes + LengthBytes) {
+    return std::nullopt;
+  }
+  const char Type = pending().front();
+  const std::size_t Length = readUint32(pending().substr(TypeBytes));
+  if (Length < LengthBytes || Length > m_Settings.m_MaxMessageBytes) {
+    fail("invalid message length");
+    return std::nullopt;
+  }
+  if (bufferedBytes() < TypeBytes + Length) {
+    return std::nullopt;
+  }
+  const std::string Body(
+      pending().substr(TypeBytes + LengthBytes, Length - LengthBytes));
+  consume(TypeBytes + Length);
+  switch (Type) {
+  case 'Q':
+    return parseQuery(Body);
+  case 'X':
+    m_Ended = true;
+    return PgTerminate{};
+  case 'p':
+    return PgPassword{};
+  default:
+    return PgUnsupported{Type};
+  }
+}
+
+std::optional<PgFrontendMessage>
+PgMessageReader::parseQuery(std::string_view Body) {
+  const auto Sql = takeString(Body);
+  if (!Sql || !Body.empty()) {
+    fail("malformed query message");
+    return std::nullopt;
+  }
+  return PgQuery{std::string(*Sql)};
+}
+
+std::string_view PgMessageReader::pending() const {
+  return std::string_view(m_Buffer).substr(m_Offset);
+}
+
+void PgMessageReader::consume(std::size_t Count) {
+  assert(Count <= bufferedBytes());
+  m_Offset += Count;
+  if (m_Offset == m_Buffer.size() || m_Offset >= CompactAfterBytes) {
+    m_Buffer.erase(0, m_Offset);
+    m_Offset = 0;
+  }
+}
+
+void PgMessageReader::fail(std::string Reason) {
+  m_Error.emplace();
+  m_Error->m_Severity = "FATAL";
+  m_Error->m_SqlState = "08P01";
+  m_Error->m_Message = std::move(Reason);
+  m_Buffer = std::string();
+  m_Offset = 0;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Connection/Codec/PgMessageWriter.h
@@ -0,0 +1,60 @@
+#ifndef RAGWORTMUX_CONNECTION_CODEC_PGMESSAGEWRITER_H
+#define RAGWORTMUX_CONNECTION_CODEC_PGMESSAGEWRITER_H
+
+#include "ragwortmux/Connection/Codec/PgTypes.h"
+
+#include <cstddef>
+#include <span>
+#include <string_view>
+
+namespace ragwortmux {
+
+/// Appends the messages of a server to a buffer.
+class PgMessageWriter final {
+public:
+  /// Appends to \p Output, which must outlive the writer.
+  explicit PgMessageWriter(std::string &Output) : m_Output(Output) {}
+
+  /// Declines an SSLRequest or a GSSENCRequest; a single byte.
+  void encryptionRefused();
+  /// Tells that no password is needed.
+  void authenticationOk();
+  /// Offers minor version \p NewestMinor of protocol 3 and names the protocol
+  /// options that were not recognised.
+  void negotiateProtocolVersion(std::uint32_t NewestMinor,
+                                std::span<const std::string> Unrecognized);
+  /// Reports a setting's current value.
+  void parameterStatus(std::string_view Name, std::string_view Value);
+  /// Hands out what a CancelRequest must name.
+  void backendKeyData(std::uint32_t ProcessId, std::uint32_t SecretKey);
+  /// Ends the answer to a query.
+  void readyForQuery(PgTransactionStatus Status);
+  /// Describes the rows that follow, all in text format.
+  void rowDescription(std::span<const PgColumn> Columns);
+  /// One row.
+  void dataRow(const PgRow &Row);
+  /// Ends the answer of one statement.
+  void commandComplete(std::string_view Tag);
+  /// Answers a query without statements.
+  void emptyQueryResponse();
+  /// Ends the answer of one statement that failed.
+  void errorResponse(const PgError &Error);
+  /// A notice for people.
+  void noticeResponse(const PgError &Notice);
+  /// The whole answer of one statement: rows, if any, and its end.
+  void result(const PgResult &Result);
+
+private:
+  std::size_t beginMessage(char Type);
+  void endMessage(std::size_t LengthOffset);
+  void putUint16(std::uint16_t Value);
+  void putUint32(std::uint32_t Value);
+  void putString(std::string_view Text);
+  void putNotice(char Type, const PgError &Error);
+
+  std::string &m_Output; ///< Receives the messages.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_CONNECTION_CODEC_PGMESSAGEWRITER_H
