Rename two group actions that collided with control commands

ReserveKey and RecordOutcome name commands of the control log (Version/ControlCommand.h). The entry-side actions of the same names are now ReserveRequestKey and RecordKeyOutcome, since both headers meet in the shells.

--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -59,7 +59,7 @@
                             ///< not whole.
 };
 
-/// What the ledger said to ReserveKey.
+/// What the ledger said to ReserveRequestKey.
 enum class ReserveStatus : std::uint8_t {
   Reserved,           ///< A quorum holds the reservation for m_Attempt.
   Recorded,           ///< The key's outcome is m_Code and m_Body.
@@ -69,7 +69,7 @@
   Unavailable,        ///< No quorum answered.
 };
 
-/// Answer to ReserveKey.
+/// Answer to ReserveRequestKey.
 struct ReserveResult final {
   ReserveStatus m_Status = ReserveStatus::Unavailable; ///< What was said.
   AttemptId m_Attempt; ///< With Reserved and HeldByEndedSession.
@@ -139,7 +139,7 @@
 };
 
 /// Reserves a key in the ledger; answered by keyReserved.
-struct ReserveKey final {
+struct ReserveRequestKey final {
   RequestId m_Request; ///< The request.
   RequestKey m_Key;    ///< Its key.
   std::optional<AttemptId>
@@ -149,7 +149,7 @@
 
 /// Records a key's outcome in the ledger; answered by outcomeRecorded unless
 /// m_Request has been answered before.
-struct RecordOutcome final {
+struct RecordKeyOutcome final {
   RequestId m_Request;                ///< The request.
   RequestKey m_Key;                   ///< Its key.
   AttemptId m_Attempt;                ///< The attempt that ran.
@@ -207,7 +207,7 @@
 /// One thing for the shell to do; to be done in order.
 using GroupAction =
     std::variant<OpenConnection, CloseConnection, SendStatement,
-                 CancelStatement, Answer, ReserveKey, RecordOutcome, EndAttempt,
+                 CancelStatement, Answer, ReserveRequestKey, RecordKeyOutcome, EndAttempt,
                  FindSessionPoint, StoreSessionPoint, StartWatch, StopWatch,
                  ReportSuspicion, CloseCaller>;
 
