--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -86,7 +86,7 @@
 };
 
 /// What a proxy noticed about a backend server.
-enum class SuspicionKind : std::uint8_t {
+enum class SuspicionCause : std::uint8_t {
   ConnectRefused, ///< A connection could not be opened.
   Silent,         ///< Neither statements nor new connections are answered.
   WatchFailed,    ///< The watch connection failed.
@@ -195,7 +195,7 @@
 struct ReportSuspicion final {
   ServerId m_Server;                                    ///< The server.
   Term m_Term;                                          ///< Term of the view.
-  SuspicionKind m_Kind = SuspicionKind::ConnectRefused; ///< What was noticed.
+  SuspicionCause m_Kind = SuspicionCause::ConnectRefused; ///< What was noticed.
 };
 
 /// Closes a caller's connection with an error, because its transaction is gone.
