Hold backend connections within the share

Connections per server and term, opened ahead up to a target, never above the share that control granted. A connection counts from the order to open it until its closing is confirmed. After an unanswered statement the free connections of that server are suspect: a new connection tells a dead server from a dead connection, then each suspect is probed. Ruled out: counting open ones only (two openings at once pass the share) and reuse after a time-out without a probe.

--- /dev/null
+++ b/ragwortmux/Connection/ConnectionPool.cpp
@@ -0,0 +1,366 @@
+#include "ragwortmux/Connection/ConnectionPool.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace ragwortmux {
+
+namespace {
+
+bool isFree(ConnectionState State) {
+  return State == ConnectionState::Idle || State == ConnectionState::Suspect ||
+         State == ConnectionState::Probing;
+}
+
+} // namespace
+
+ConnectionPool::ConnectionPool(const ConnectionPoolSettings &Settings)
+    : m_Settings(Settings) {}
+
+void ConnectionPool::setServer(Instant Now, const ServerId &Server,
+                               Term Current, std::uint32_t Share,
+                               PoolOrders &Orders) {
+  ServerPool &Pool = m_Servers[Server];
+  Pool.m_Share = Share;
+  if (Pool.m_Term != Current) {
+    Pool.m_Term = Current;
+    // A new term is a new start: earlier failures say nothing about it.
+    Pool.m_Failures = 0;
+    Pool.m_ReopenAt = Now;
+  }
+  shrink(Now, Server, Orders);
+  fill(Now, Server, Orders);
+}
+
+void ConnectionPool::setDemand(Instant Now, const ServerId &Server,
+                               std::uint32_t Waiting, PoolOrders &Orders) {
+  ServerPool &Pool = m_Servers[Server];
+  if (Pool.m_Waiting == Waiting)
+    return;
+  Pool.m_Waiting = Waiting;
+  fill(Now, Server, Orders);
+}
+
+void ConnectionPool::opened(Instant Now, ConnectionId Id, PoolOrders &Orders) {
+  PooledConnection *Connection = lookUp(Id);
+  if (!Connection || Connection->m_State != ConnectionState::Opening)
+    return;
+  setState(*Connection, ConnectionState::Idle, Now);
+  noteAlive(Now, Connection->m_Server, Orders);
+  shrink(Now, Connection->m_Server, Orders);
+}
+
+void ConnectionPool::failed(Instant Now, ConnectionId Id, bool ServerAnswered,
+                            PoolOrders &Orders) {
+  PooledConnection *Connection = lookUp(Id);
+  if (!Connection)
+    return;
+  const ServerId Server = Connection->m_Server;
+  const bool WasOpening = Connection->m_State == ConnectionState::Opening;
+  m_Connections.erase(Id);
+  if (WasOpening) {
+    if (ServerAnswered)
+      noteAlive(Now, Server, Orders);
+    noteFailure(Now, Server);
+    if (!ServerAnswered)
+      Orders.m_Unreachable.push_back(Server);
+  }
+  fill(Now, Server, Orders);
+}
+
+void ConnectionPool::gone(Instant Now, ConnectionId Id, PoolOrders &Orders) {
+  PooledConnection *Connection = lookUp(Id);
+  if (!Connection)
+    return;
+  const ServerId Server = Connection->m_Server;
+  m_Connections.erase(Id);
+  fill(Now, Server, Orders);
+}
+
+void ConnectionPool::probed(Instant Now, ConnectionId Id, PoolOrders &Orders) {
+  PooledConnection *Connection = lookUp(Id);
+  if (!Connection || Connection->m_State != ConnectionState::Probing)
+    return;
+  setState(*Connection, ConnectionState::Idle, Now);
+  shrink(Now, Connection->m_Server, Orders);
+}
+
+std::optional<ConnectionId> ConnectionPool::take(Instant Now,
+                                                 const ServerId &Server) {
+  const auto Pool = m_Servers.find(Server);
+  if (Pool == m_Servers.end())
+    return std::nullopt;
+  // The one used last is taken first, so that surplus ones grow old and close.
+  PooledConnection *Best = nullptr;
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Connection.m_Server != Server ||
+        Connection.m_State != ConnectionState::Idle ||
+        Connection.m_Term != Pool->second.m_Term)
+      continue;
+    if (!Best || Connection.m_Since >= Best->m_Since)
+      Best = &Connection;
+  }
+  if (!Best)
+    return std::nullopt;
+  setState(*Best, ConnectionState::Busy, Now);
+  return Best->m_Id;
+}
+
+void ConnectionPool::release(Instant Now, ConnectionId Id, PoolOrders &Orders) {
+  PooledConnection *Connection = lookUp(Id);
+  assert(Connection && Connection->m_State == ConnectionState::Busy);
+  setState(*Connection, ConnectionState::Idle, Now);
+  const ServerId Server = Connection->m_Server;
+  // While the server is under suspicion no connection is handed on unprobed;
+  // this one has just answered.
+  shrink(Now, Server, Orders);
+}
+
+void ConnectionPool::drop(Instant Now, ConnectionId Id, PoolOrders &Orders) {
+  PooledConnection *Connection = lookUp(Id);
+  if (!Connection || Connection->m_State == ConnectionState::Closing)
+    return;
+  const ServerId Server = Connection->m_Server;
+  close(*Connection, Now, Orders);
+  fill(Now, Server, Orders);
+}
+
+void ConnectionPool::suspect(Instant Now, const ServerId &Server,
+                             PoolOrders &Orders) {
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Connection.m_Server == Server &&
+        Connection.m_State == ConnectionState::Idle)
+      setState(Connection, ConnectionState::Suspect, Now);
+  }
+  m_Servers[Server].m_ProbeWanted = true;
+  fill(Now, Server, Orders);
+}
+
+void ConnectionPool::tick(Instant Now, PoolOrders &Orders) {
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Now < Connection.m_Since + lifetime(Connection))
+      continue;
+    const ServerId &Server = Connection.m_Server;
+    if (Connection.m_State == ConnectionState::Opening) {
+      close(Connection, Now, Orders);
+      noteFailure(Now, Server);
+      Orders.m_Unreachable.push_back(Server);
+      continue;
+    }
+    if (Connection.m_State == ConnectionState::Probing) {
+      close(Connection, Now, Orders);
+      suspect(Now, Server, Orders);
+      continue;
+    }
+    if (Connection.m_State == ConnectionState::Idle) {
+      // Nobody needed it for long: a surplus one is closed, another one must
+      // show that it still works.
+      if (idle(Server) > m_Settings.m_IdleTarget) {
+        close(Connection, Now, Orders);
+        continue;
+      }
+      probe(Connection, Now, Orders);
+    }
+  }
+  for (const auto &[Server, Pool] : m_Servers)
+    fill(Now, Server, Orders);
+}
+
+const PooledConnection *ConnectionPool::find(ConnectionId Id) const {
+  const auto Found = m_Connections.find(Id);
+  return Found == m_Connections.end() ? nullptr : &Found->second;
+}
+
+std::uint32_t ConnectionPool::held(const ServerId &Server) const {
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Connection] : m_Connections)
+    Count += Connection.m_Server == Server ? 1 : 0;
+  return Count;
+}
+
+std::uint32_t ConnectionPool::idle(const ServerId &Server) const {
+  return count(Server, ConnectionState::Idle);
+}
+
+std::uint32_t ConnectionPool::busy(const ServerId &Server) const {
+  return count(Server, ConnectionState::Busy);
+}
+
+bool ConnectionPool::reachable(const ServerId &Server) const {
+  const auto Pool = m_Servers.find(Server);
+  return Pool != m_Servers.end() && Pool->second.m_Share > 0 &&
+         Pool->second.m_Failures == 0;
+}
+
+std::optional<Instant> ConnectionPool::nextDeadline() const {
+  std::optional<Instant> Next;
+  const auto Consider = [&Next](Instant At) {
+    Next = Next ? std::min(*Next, At) : At;
+  };
+  for (const auto &[Id, Connection] : m_Connections) {
+    const Duration Lifetime = lifetime(Connection);
+    if (Lifetime != Duration::max())
+      Consider(Connection.m_Since + Lifetime);
+  }
+  for (const auto &[Server, Pool] : m_Servers) {
+    if (Pool.m_Failures > 0 && missing(Server, Pool) > 0)
+      Consider(Pool.m_ReopenAt);
+  }
+  return Next;
+}
+
+PooledConnection *ConnectionPool::lookUp(ConnectionId Id) {
+  const auto Found = m_Connections.find(Id);
+  return Found == m_Connections.end() ? nullptr : &Found->second;
+}
+
+Duration ConnectionPool::lifetime(const PooledConnection &Connection) const {
+  switch (Connection.m_State) {
+  case ConnectionState::Opening:
+    return m_Settings.m_OpenTimeout;
+  case ConnectionState::Probing:
+    return m_Settings.m_ProbeTimeout;
+  case ConnectionState::Idle:
+    return m_Settings.m_ProbeAfter;
+  case ConnectionState::Busy:
+  case ConnectionState::Suspect:
+  case ConnectionState::Closing:
+    break;
+  }
+  return Duration::max();
+}
+
+void ConnectionPool::setState(PooledConnection &Connection,
+                              ConnectionState State, Instant Now) const {
+  Connection.m_State = State;
+  Connection.m_Since = Now;
+}
+
+void ConnectionPool::close(PooledConnection &Connection, Instant Now,
+                           PoolOrders &Orders) const {
+  setState(Connection, ConnectionState::Closing, Now);
+  Orders.m_Close.push_back(Connection.m_Id);
+}
+
+void ConnectionPool::probe(PooledConnection &Connection, Instant Now,
+                           PoolOrders &Orders) const {
+  setState(Connection, ConnectionState::Probing, Now);
+  Orders.m_Probe.push_back(Connection.m_Id);
+}
+
+void ConnectionPool::shrink(Instant Now, const ServerId &Server,
+                            PoolOrders &Orders) {
+  const ServerPool &Pool = m_Servers[Server];
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Connection.m_Server != Server || Connection.m_Term == Pool.m_Term)
+      continue;
+    if (isFree(Connection.m_State) ||
+        Connection.m_State == ConnectionState::Opening)
+      close(Connection, Now, Orders);
+  }
+  // Of those above the share, the ones that serve nobody go first; busy ones
+  // go as they end.
+  std::uint32_t Live = held(Server) - count(Server, ConnectionState::Closing);
+  for (const bool OpeningToo : {false, true}) {
+    for (auto &[Id, Connection] : m_Connections) {
+      if (Live <= Pool.m_Share)
+        return;
+      if (Connection.m_Server != Server)
+        continue;
+      if (!isFree(Connection.m_State) &&
+          !(OpeningToo && Connection.m_State == ConnectionState::Opening))
+        continue;
+      close(Connection, Now, Orders);
+      --Live;
+    }
+  }
+}
+
+std::uint32_t ConnectionPool::missing(const ServerId &Server,
+                                      const ServerPool &Pool) const {
+  const std::uint32_t Held = held(Server);
+  if (Held >= Pool.m_Share)
+    return 0;
+  const std::uint32_t Opening = count(Server, ConnectionState::Opening);
+  const std::uint32_t Available = Opening +
+                                  count(Server, ConnectionState::Idle) +
+                                  count(Server, ConnectionState::Suspect) +
+                                  count(Server, ConnectionState::Probing);
+  const std::uint32_t Target =
+      std::max(m_Settings.m_IdleTarget, Pool.m_Waiting);
+  std::uint32_t Wanted = Target > Available ? Target - Available : 0;
+  if (Pool.m_ProbeWanted && Opening == 0)
+    Wanted = std::max(Wanted, 1U);
+  // A server that refuses or is silent gets one attempt at a time.
+  if (Pool.m_Failures > 0 || Pool.m_ProbeWanted)
+    Wanted = Opening > 0 ? 0 : std::min(Wanted, 1U);
+  return std::min(Wanted, Pool.m_Share - Held);
+}
+
+void ConnectionPool::fill(Instant Now, const ServerId &Server,
+                          PoolOrders &Orders) {
+  const ServerPool &Pool = m_Servers[Server];
+  if (Pool.m_ProbeWanted)
+    makeRoomForProbe(Now, Server, Orders);
+  if (Pool.m_Failures > 0 && Now < Pool.m_ReopenAt)
+    return;
+  for (std::uint32_t Left = missing(Server, Pool); Left > 0; --Left) {
+    PooledConnection Connection;
+    Connection.m_Id = ConnectionId(++m_LastId);
+    Connection.m_Server = Server;
+    Connection.m_Term = Pool.m_Term;
+    Connection.m_Since = Now;
+    m_Connections.emplace(Connection.m_Id, Connection);
+    Orders.m_Open.push_back(Connection);
+  }
+}
+
+void ConnectionPool::makeRoomForProbe(Instant Now, const ServerId &Server,
+                                      PoolOrders &Orders) {
+  // The probe needs a new connection; with the share used up, one of the
+  // suspects makes room, unless something is closing already.
+  if (held(Server) < m_Servers[Server].m_Share ||
+      count(Server, ConnectionState::Opening) > 0 ||
+      count(Server, ConnectionState::Closing) > 0)
+    return;
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Connection.m_Server != Server ||
+        Connection.m_State != ConnectionState::Suspect)
+      continue;
+    close(Connection, Now, Orders);
+    return;
+  }
+}
+
+void ConnectionPool::noteAlive(Instant Now, const ServerId &Server,
+                               PoolOrders &Orders) {
+  ServerPool &Pool = m_Servers[Server];
+  Pool.m_Failures = 0;
+  if (!Pool.m_ProbeWanted)
+    return;
+  // The server works, so each suspect connection has to show for itself
+  // whether it does.
+  Pool.m_ProbeWanted = false;
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Connection.m_Server == Server &&
+        Connection.m_State == ConnectionState::Suspect)
+      probe(Connection, Now, Orders);
+  }
+}
+
+void ConnectionPool::noteFailure(Instant Now, const ServerId &Server) {
+  ServerPool &Pool = m_Servers[Server];
+  ++Pool.m_Failures;
+  Pool.m_ReopenAt = Now + m_Settings.m_ReopenPause;
+}
+
+std::uint32_t ConnectionPool::count(const ServerId &Server,
+                                    ConnectionState State) const {
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Connection] : m_Connections)
+    Count +=
+        Connection.m_Server == Server && Connection.m_State == State ? 1 : 0;
+  return Count;
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Connection/ConnectionPool.h
+++ b/ragwortmux/Connection/ConnectionPool.h
@@ -68,7 +68,9 @@
                  PoolOrders &Orders);
 
   void opened(Instant Now, ConnectionId Id, PoolOrders &Orders);
-  void failed(Instant Now, ConnectionId Id, PoolOrders &Orders);
+  /// An opening failed; \p ServerAnswered if the server itself refused it.
+  void failed(Instant Now, ConnectionId Id, bool ServerAnswered,
+              PoolOrders &Orders);
   /// The connection is gone; also confirms a closing.
   void gone(Instant Now, ConnectionId Id, PoolOrders &Orders);
   /// A probed connection answered.
@@ -95,8 +97,8 @@
   std::uint32_t idle(const ServerId &Server) const;
   /// Connections to \p Server in use.
   std::uint32_t busy(const ServerId &Server) const;
-  /// True if a connection to \p Server is open, or being opened without a
-  /// failure in front.
+  /// True if connections to \p Server are allowed and the last opening did not
+  /// fail.
   bool reachable(const ServerId &Server) const;
   /// When tick() has something to do.
   std::optional<Instant> nextDeadline() const;
@@ -113,13 +115,20 @@
   };
 
   PooledConnection *lookUp(ConnectionId Id);
+  Duration lifetime(const PooledConnection &Connection) const;
   void setState(PooledConnection &Connection, ConnectionState State,
                 Instant Now) const;
   void close(PooledConnection &Connection, Instant Now,
              PoolOrders &Orders) const;
+  void probe(PooledConnection &Connection, Instant Now,
+             PoolOrders &Orders) const;
   void shrink(Instant Now, const ServerId &Server, PoolOrders &Orders);
+  std::uint32_t missing(const ServerId &Server, const ServerPool &Pool) const;
   void fill(Instant Now, const ServerId &Server, PoolOrders &Orders);
-  void noteFailure(Instant Now, const ServerId &Server, PoolOrders &Orders);
+  void makeRoomForProbe(Instant Now, const ServerId &Server,
+                        PoolOrders &Orders);
+  void noteAlive(Instant Now, const ServerId &Server, PoolOrders &Orders);
+  void noteFailure(Instant Now, const ServerId &Server);
   std::uint32_t count(const ServerId &Server, ConnectionState State) const;
 
   ConnectionPoolSettings m_Settings;                      ///< The rules.
