Settings of serve and the log of a process

Cause: the daemons need typed settings and a log before anything else runs. Change: one table of settings drives flags, environment names, checks, defaults and help; every fault is collected.

--- /dev/null
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -0,0 +1,215 @@
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+
+#include "ragwortmux/Process/Support/FlagParser.h"
+#include "ragwortmux/Process/Support/SettingTable.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstdlib>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::int64_t PercentPerWhole = 100;
+
+/// Reads and checks one secret.
+Secret loadSecret(const SecretInfo &Info, const EnvironmentHook &Environment,
+                  std::vector<SettingFault> &Faults) {
+  const std::optional<std::string> Text = Environment(Info.m_Variable);
+  if (Text && Secret::isAllowed(*Text))
+    return Secret(*Text);
+  Faults.push_back({ResultCode::BadSetting, Info.m_Variable,
+                    Text ? "***" : "(not set)", secretAllowed()});
+  return Secret();
+}
+
+/// The settings, the text of each and the faults found so far.
+class SettingLoader final {
+public:
+  SettingLoader(const ParsedFlags &Flags, const EnvironmentHook &Environment,
+                std::vector<SettingFault> &Faults)
+      : m_Flags(Flags), m_Environment(Environment), m_Faults(Faults) {}
+
+  /// Loads each setting by itself; flags go before the environment.
+  void loadEach() {
+    for (const SettingInfo &Info : allSettings()) {
+      std::optional<std::string> Text = m_Flags.value(Info.m_Name);
+      if (!Text)
+        Text = m_Environment(environmentName(Info.m_Name));
+      if (!Text && Info.m_IsRequired) {
+        addFault(Info.m_Name, "(not set)", Info.m_Allowed);
+        continue;
+      }
+      if (!Text)
+        Text = Info.m_Default;
+      if (!Info.m_Store(m_Settings, *Text))
+        addFault(Info.m_Name, *Text, Info.m_Allowed);
+    }
+    m_Settings.m_ClusterKey =
+        loadSecret(ClusterKeyInfo, m_Environment, m_Faults);
+    m_Settings.m_OperatorToken =
+        loadSecret(OperatorTokenInfo, m_Environment, m_Faults);
+  }
+
+  /// Checks what concerns several settings at once.
+  void checkTogether() {
+    checkTimes();
+    checkControlRole();
+    checkPorts();
+  }
+
+  ProcessSettings m_Settings; ///< What has been loaded.
+
+private:
+  void addFault(std::string Name, std::string Value, std::string Allowed) {
+    m_Faults.push_back({ResultCode::BadSetting, std::move(Name),
+                        std::move(Value), std::move(Allowed)});
+  }
+
+  void addFault(std::string Name, Duration Value, std::string Allowed) {
+    const auto Count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+    addFault(std::move(Name), std::to_string(Count), std::move(Allowed));
+  }
+
+  /// A setting that is faulty by itself is left out of the checks below.
+  bool areFine(std::initializer_list<std::string_view> Names) const {
+    return std::ranges::none_of(m_Faults, [&](const SettingFault &Fault) {
+      return std::ranges::find(Names, Fault.m_Name) != Names.end();
+    });
+  }
+
+  void checkTimes() {
+    if (areFine({"lease_ms", "renewal_interval_ms"}) &&
+        m_Settings.m_Lease <= 2 * m_Settings.m_RenewalInterval)
+      addFault("lease_ms", m_Settings.m_Lease,
+               "more than twice renewal_interval_ms");
+    if (areFine({"lease_ms", "drift_percent", "drift_ms"}) &&
+        m_Settings.driftBound() >= m_Settings.m_Lease)
+      addFault("drift_ms", m_Settings.m_Drift,
+               "with drift_percent less than lease_ms");
+    if (areFine({"election_timeout_ms", "heartbeat_ms"}) &&
+        m_Settings.m_ElectionTimeout <= 2 * m_Settings.m_Heartbeat)
+      addFault("election_timeout_ms", m_Settings.m_ElectionTimeout,
+               "more than twice heartbeat_ms");
+  }
+
+  void checkControlRole() {
+    if (!areFine({"roles"}))
+      return;
+    if (!m_Settings.m_IsControl) {
+      if (m_Settings.m_Bootstrap)
+        addFault("bootstrap", "true", "false without the control role");
+      return;
+    }
+    if (m_Settings.m_DataFolder.empty() && areFine({"data_folder"}))
+      addFault("data_folder", "", "a folder, since roles has control");
+    if (!areFine({"control_peers", "host", "address", "rpc_port"}))
+      return;
+    const ControlPeer *Own = m_Settings.ownPeer();
+    if (Own == nullptr) {
+      addFault("control_peers", "(without this host)",
+               "a list with this host, since roles has control");
+      return;
+    }
+    const SocketAddress Listening{m_Settings.m_Address, m_Settings.m_RpcPort};
+    if (Own->m_Where != Listening)
+      addFault("control_peers", formatSocketAddress(Own->m_Where),
+               fmt::format("{} for this host, as in address and rpc_port",
+                           formatSocketAddress(Listening)));
+  }
+
+  void checkPorts() {
+    struct NamedPort final {
+      const char *m_Name;
+      std::uint16_t m_Port;
+    };
+    const std::array<NamedPort, 3> Ports = {
+        {{"caller_port", m_Settings.m_CallerPort},
+         {"http_port", m_Settings.m_HttpPort},
+         {"rpc_port", m_Settings.m_RpcPort}}};
+    for (std::size_t Index = 1; Index < Ports.size(); ++Index) {
+      const NamedPort &Later = Ports.at(Index);
+      const bool IsTaken = std::any_of(Ports.begin(), Ports.begin() + Index,
+                                       [&](const NamedPort &Earlier) {
+                                         return Earlier.m_Port == Later.m_Port;
+                                       });
+      if (Later.m_Port != 0 && IsTaken)
+        addFault(Later.m_Name, std::to_string(Later.m_Port),
+                 "a port that no other setting has");
+    }
+  }
+
+  const ParsedFlags &m_Flags;           ///< What the command line gives.
+  const EnvironmentHook &m_Environment; ///< Reads the environment.
+  std::vector<SettingFault> &m_Faults;  ///< Where faults are added.
+};
+
+std::vector<FlagInfo> settingFlags() {
+  std::vector<FlagInfo> Flags;
+  for (const SettingInfo &Info : allSettings())
+    Flags.push_back({Info.m_Name, Info.m_Meaning, Info.m_IsSwitch});
+  return Flags;
+}
+
+} // namespace
+
+Duration ProcessSettings::driftBound() const {
+  return m_Lease * m_DriftPercent / PercentPerWhole + m_Drift;
+}
+
+const ControlPeer *ProcessSettings::ownPeer() const {
+  const auto Found =
+      std::ranges::find(m_ControlPeers, m_Host, &ControlPeer::m_Host);
+  return Found == m_ControlPeers.end() ? nullptr : &*Found;
+}
+
+EnvironmentHook processEnvironment() {
+  return [](const std::string &Name) -> std::optional<std::string> {
+    // NOLINTNEXTLINE(concurrency-mt-unsafe): read before any thread starts
+    const char *Value = std::getenv(Name.c_str());
+    if (Value == nullptr)
+      return std::nullopt;
+    return std::string(Value);
+  };
+}
+
+ProcessSettings defaultSettings() {
+  ProcessSettings Settings;
+  for (const SettingInfo &Info : allSettings()) {
+    if (Info.m_IsRequired)
+      continue;
+    [[maybe_unused]] const bool IsStored =
+        Info.m_Store(Settings, Info.m_Default);
+    assert(IsStored && "a default must be allowed");
+  }
+  return Settings;
+}
+
+std::optional<ProcessSettings>
+loadSettings(std::span<const std::string> Arguments,
+             const EnvironmentHook &Environment,
+             std::vector<SettingFault> &Faults) {
+  const std::size_t Before = Faults.size();
+  const std::vector<FlagInfo> Known = settingFlags();
+  const ParsedFlags Flags =
+      parseFlags(Known, Arguments, ResultCode::BadSetting, Faults);
+  // An argument that is no flag may be the value of a mistyped one, so it is
+  // not shown.
+  if (!Flags.m_Positional.empty())
+    Faults.push_back({ResultCode::BadSetting, "argument", "(not shown)",
+                      "only flags, as --name=value"});
+
+  SettingLoader Loader(Flags, Environment, Faults);
+  Loader.loadEach();
+  Loader.checkTogether();
+  if (Faults.size() != Before)
+    return std::nullopt;
+  return std::move(Loader.m_Settings);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -0,0 +1,85 @@
+#ifndef RAGWORTMUX_PROCESS_SUPPORT_PROCESSSETTINGS_H
+#define RAGWORTMUX_PROCESS_SUPPORT_PROCESSSETTINGS_H
+
+#include "ragwortmux/Core/Ids.h"
+#include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Process/Support/ControlPeer.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Secret.h"
+#include "ragwortmux/Process/Support/SettingFault.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace ragwortmux {
+
+/// All settings of `ragwortmux serve`. docs/CONFIGURATION.md describes each;
+/// the defaults are in SettingTable.cpp.
+struct ProcessSettings final {
+  HostId m_Host;                   ///< This host's id.
+  std::string m_Cluster;           ///< Name of the cluster it belongs to.
+  FailureDomainId m_FailureDomain; ///< The failure domain it is in.
+  bool m_IsEntry = false;          ///< Accepts callers.
+  bool m_IsControl = false;        ///< Is a voter of the replicated log.
+  std::string m_Address;           ///< IP number to bind and to advertise.
+  std::uint16_t m_CallerPort = 0;  ///< Port for callers; 0 = ephemeral.
+  std::uint16_t m_HttpPort = 0;    ///< Port for HTTP; 0 = ephemeral.
+  std::uint16_t m_RpcPort = 0;     ///< Port for RPC; 0 = ephemeral.
+  std::string m_DataFolder;        ///< Folder of the control log; may be empty.
+  std::vector<ControlPeer> m_ControlPeers; ///< All control hosts.
+  bool m_Bootstrap = false;         ///< Starts a new log with m_ControlPeers.
+  Duration m_Lease{0};              ///< Length of a control session's lease.
+  Duration m_RenewalInterval{0};    ///< From one renewal to the next.
+  std::uint32_t m_DriftPercent = 0; ///< Clock drift, percent of the lease.
+  Duration m_Drift{0};              ///< Clock drift, fixed part.
+  Duration m_Heartbeat{0};          ///< From one heartbeat to the next.
+  Duration m_ElectionTimeout{0};    ///< Silence before an election.
+  Duration m_AnnouncementSilence{
+      0};                         ///< Silence before a server counts as lost.
+  std::uint32_t m_MaxCallers = 0; ///< Caller connections at once.
+  std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
+  Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
+  LogLevel m_LogLevel = LogLevel::Info;    ///< Least level that is logged.
+  LogFormat m_LogFormat = LogFormat::Text; ///< Form of the log lines.
+  std::string m_TimelineFolder;  ///< Folder of the time line; empty = off.
+  Duration m_LedgerRetention{0}; ///< How long outcomes are kept.
+  bool m_AllowSingleServerAck = false; ///< Acknowledge on one server alone.
+  Duration m_RequestTimeout{0};  ///< Time-out of a call between processes.
+  std::string m_BackendUser;     ///< User name at backend servers.
+  std::string m_BackendDatabase; ///< Database name at backend servers.
+  Duration m_ConnectTimeout{0};  ///< Time-out of opening a connection.
+  Duration m_MaxLifetime{0};     ///< Ends the process after this; 0 = never.
+  Secret m_ClusterKey;           ///< Authenticates processes to each other.
+  Secret m_OperatorToken;        ///< Authenticates operators.
+
+  /// The bound on clock drift over one lease.
+  Duration driftBound() const;
+  /// This host's own row of m_ControlPeers; null if it is not listed.
+  const ControlPeer *ownPeer() const;
+};
+
+/// Reads one environment variable; none if it is not set.
+using EnvironmentHook =
+    std::function<std::optional<std::string>(const std::string &Name)>;
+
+/// The hook that reads this process's environment.
+EnvironmentHook processEnvironment();
+
+/// Settings with every default of the table applied.
+ProcessSettings defaultSettings();
+
+/// Loads the settings from \p Arguments (those after `serve`) and, for what
+/// they do not give, from the environment. Checks all of them; none is
+/// returned if \p Faults has got any fault.
+std::optional<ProcessSettings>
+loadSettings(std::span<const std::string> Arguments,
+             const EnvironmentHook &Environment,
+             std::vector<SettingFault> &Faults);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_SUPPORT_PROCESSSETTINGS_H
--- /dev/null
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -0,0 +1,320 @@
+#include "ragwortmux/Process/Support/SettingTable.h"
+
+#include "ragwortmux/Process/Support/Numbers.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::size_t MaxTextLength = 255;
+constexpr std::uint64_t MaxPort = 65535;
+
+/// Stores a text of 1 to 255 printable characters, an empty one if allowed.
+SettingInfo textSetting(const char *Name, const char *Default,
+                        std::string ProcessSettings::*Member, bool MayBeEmpty,
+                        const char *Meaning) {
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    const bool IsPrintable = std::ranges::all_of(Text, [](char Character) {
+      return static_cast<unsigned char>(Character) >= ' ';
+    });
+    if (!IsPrintable || Text.size() > MaxTextLength ||
+        (Text.empty() && !MayBeEmpty))
+      return false;
+    Settings.*Member = std::string(Text);
+    return true;
+  };
+  return {Name,
+          Default,
+          fmt::format("{} to {} characters", MayBeEmpty ? 0 : 1, MaxTextLength),
+          Meaning,
+          Store,
+          false,
+          false};
+}
+
+/// Stores a name; required if it has no default.
+SettingInfo
+nameSetting(const char *Name, const char *Default, const char *Meaning,
+            const std::function<void(ProcessSettings &, std::string)> &Assign) {
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    if (!isName(Text))
+      return false;
+    Assign(Settings, std::string(Text));
+    return true;
+  };
+  return {Name,
+          Default,
+          "1 to 63 characters of [a-z0-9_-]",
+          Meaning,
+          Store,
+          false,
+          *Default == '\0'};
+}
+
+/// Stores a whole number.
+template <typename Number>
+SettingInfo numberSetting(const char *Name, const char *Default,
+                          std::uint64_t Min, std::uint64_t Max,
+                          Number ProcessSettings::*Member,
+                          const char *Meaning) {
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    const std::optional<std::uint64_t> Value = parseNumber(Text, Min, Max);
+    if (!Value)
+      return false;
+    Settings.*Member = static_cast<Number>(*Value);
+    return true;
+  };
+  return {Name,  Default, fmt::format("{} to {}", Min, Max), Meaning, Store,
+          false, false};
+}
+
+/// Stores a whole number of \p Unit.
+template <typename Unit>
+SettingInfo durationSetting(const char *Name, const char *Default,
+                            std::uint64_t Min, std::uint64_t Max,
+                            Duration ProcessSettings::*Member,
+                            const char *Meaning) {
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    const std::optional<std::uint64_t> Value = parseNumber(Text, Min, Max);
+    if (!Value)
+      return false;
+    Settings.*Member = Unit(*Value);
+    return true;
+  };
+  return {Name,  Default, fmt::format("{} to {}", Min, Max), Meaning, Store,
+          false, false};
+}
+
+/// Stores true or false.
+SettingInfo switchSetting(const char *Name, bool ProcessSettings::*Member,
+                          const char *Meaning) {
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    if (Text != "true" && Text != "false")
+      return false;
+    Settings.*Member = Text == "true";
+    return true;
+  };
+  return {Name, "false", "true or false", Meaning, Store, true, false};
+}
+
+/// One word that a setting may be, and its value.
+template <typename Value> struct Choice final {
+  std::string_view m_Word; ///< The word.
+  Value m_Value;           ///< What it stands for.
+};
+
+/// Stores one of \p Choices.
+template <typename Value, std::size_t Count>
+SettingInfo choiceSetting(const char *Name, const char *Default,
+                          std::array<Choice<Value>, Count> Choices,
+                          Value ProcessSettings::*Member, const char *Meaning) {
+  std::string Allowed;
+  for (const Choice<Value> &One : Choices)
+    Allowed += fmt::format("{}{}", Allowed.empty() ? "" : ", ", One.m_Word);
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    const auto *Found =
+        std::ranges::find(Choices, Text, &Choice<Value>::m_Word);
+    if (Found == Choices.end())
+      return false;
+    Settings.*Member = Found->m_Value;
+    return true;
+  };
+  return {Name, Default, Allowed, Meaning, Store, false, false};
+}
+
+bool storeRoles(ProcessSettings &Settings, std::string_view Text) {
+  Settings.m_IsEntry =
+      Text == "entry" || Text == "entry,control" || Text == "control,entry";
+  Settings.m_IsControl =
+      Text == "control" || Text == "entry,control" || Text == "control,entry";
+  return Settings.m_IsEntry || Settings.m_IsControl;
+}
+
+bool storeAddress(ProcessSettings &Settings, std::string_view Text) {
+  if (!isIpNumber(Text))
+    return false;
+  Settings.m_Address = std::string(Text);
+  return true;
+}
+
+bool storePeers(ProcessSettings &Settings, std::string_view Text) {
+  std::optional<std::vector<ControlPeer>> Peers = parseControlPeers(Text);
+  if (!Peers)
+    return false;
+  Settings.m_ControlPeers = std::move(*Peers);
+  return true;
+}
+
+/// Who the process is and where it is reached.
+std::vector<SettingInfo> placeSettings() {
+  return {
+      nameSetting("host", "", "Id of this host, unique in the cluster.",
+                  [](ProcessSettings &Settings, std::string Text) {
+                    Settings.m_Host = HostId(std::move(Text));
+                  }),
+      nameSetting("cluster", "ragwortmux",
+                  "Name of the cluster that this host belongs to.",
+                  [](ProcessSettings &Settings, std::string Text) {
+                    Settings.m_Cluster = std::move(Text);
+                  }),
+      nameSetting("failure_domain", "", "Failure domain that this host is in.",
+                  [](ProcessSettings &Settings, std::string Text) {
+                    Settings.m_FailureDomain = FailureDomainId(std::move(Text));
+                  }),
+      {"roles", "entry", "entry, control or entry,control",
+       "Roles of this process.", storeRoles},
+      {"address", "127.0.0.1", "an IPv4 or IPv6 number",
+       "IP number to bind and to advertise.", storeAddress},
+      numberSetting("caller_port", "6432", 0, MaxPort,
+                    &ProcessSettings::m_CallerPort,
+                    "TCP port for callers; 0 takes a free one."),
+      numberSetting("http_port", "8080", 0, MaxPort,
+                    &ProcessSettings::m_HttpPort,
+                    "TCP port for HTTP: operators, announcements, metrics; 0 "
+                    "takes a free one."),
+      numberSetting("rpc_port", "7400", 0, MaxPort, &ProcessSettings::m_RpcPort,
+                    "TCP port for the processes of the cluster; 0 takes a free "
+                    "one."),
+      {"control_peers", "",
+       fmt::format("HOST=ADDR:PORT,... with 1 to {} different hosts and "
+                   "addresses",
+                   MaxControlPeers),
+       "All control hosts with their RPC ports, this one included.", storePeers,
+       false, true},
+  };
+}
+
+/// The control role.
+std::vector<SettingInfo> controlSettings() {
+  using std::chrono::hours;
+  using std::chrono::milliseconds;
+  return {
+      textSetting("data_folder", "", &ProcessSettings::m_DataFolder, true,
+                  "Folder of the control log; the control role needs it."),
+      switchSetting("bootstrap", &ProcessSettings::m_Bootstrap,
+                    "Starts the log of a new cluster with control_peers as "
+                    "its voters, if the data folder holds none."),
+      durationSetting<milliseconds>(
+          "lease_ms", "1200", 100, 60000, &ProcessSettings::m_Lease,
+          "Length of a control session's lease in ms; the same everywhere."),
+      durationSetting<milliseconds>(
+          "renewal_interval_ms", "300", 10, 30000,
+          &ProcessSettings::m_RenewalInterval,
+          "Time from one lease renewal to the next in ms."),
+      numberSetting("drift_percent", "1", 0, 50,
+                    &ProcessSettings::m_DriftPercent,
+                    "Bound on clock drift as a percentage of the lease."),
+      durationSetting<milliseconds>("drift_ms", "10", 0, 10000,
+                                    &ProcessSettings::m_Drift,
+                                    "Fixed part of the drift bound in ms."),
+      durationSetting<milliseconds>(
+          "heartbeat_ms", "50", 5, 5000, &ProcessSettings::m_Heartbeat,
+          "Time from one heartbeat of the control leader to the next in ms."),
+      durationSetting<milliseconds>(
+          "election_timeout_ms", "300", 20, 60000,
+          &ProcessSettings::m_ElectionTimeout,
+          "Silence of the control leader before an election in ms."),
+      durationSetting<milliseconds>(
+          "announcement_silence_ms", "300", 200, 60000,
+          &ProcessSettings::m_AnnouncementSilence,
+          "Silence of a backend server before it counts as lost in ms."),
+      durationSetting<hours>(
+          "ledger_retention_h", "24", 1, 168,
+          &ProcessSettings::m_LedgerRetention,
+          "How long the outcomes of keyed requests are kept in hours."),
+  };
+}
+
+/// The entry role.
+std::vector<SettingInfo> entrySettings() {
+  using std::chrono::milliseconds;
+  return {
+      numberSetting("max_callers", "1000", 1, 100000,
+                    &ProcessSettings::m_MaxCallers,
+                    "Most connections of callers at once."),
+      numberSetting("max_caller_message_bytes", "1048576", 1024, 67108864,
+                    &ProcessSettings::m_MaxCallerMessageBytes,
+                    "Largest message of a caller in bytes."),
+      durationSetting<milliseconds>(
+          "request_timeout_ms", "1000", 10, 60000,
+          &ProcessSettings::m_RequestTimeout,
+          "Time-out of one call to another process of the cluster in ms."),
+      durationSetting<milliseconds>(
+          "connect_timeout_ms", "1000", 10, 60000,
+          &ProcessSettings::m_ConnectTimeout,
+          "Time-out of opening a connection to a backend server in ms."),
+      textSetting("backend_user", "ragwortmux", &ProcessSettings::m_BackendUser,
+                  false, "User name at backend servers."),
+      textSetting("backend_database", "ragwortmux",
+                  &ProcessSettings::m_BackendDatabase, false,
+                  "Database name at backend servers."),
+      switchSetting("allow_single_server_ack",
+                    &ProcessSettings::m_AllowSingleServerAck,
+                    "Acknowledges writes that only one backend server holds; "
+                    "they are lost with it."),
+  };
+}
+
+/// The process itself.
+std::vector<SettingInfo> processSettings() {
+  using std::chrono::seconds;
+  constexpr std::array<Choice<LogLevel>, 5> Levels = {
+      {{"trace", LogLevel::Trace},
+       {"debug", LogLevel::Debug},
+       {"info", LogLevel::Info},
+       {"warn", LogLevel::Warn},
+       {"error", LogLevel::Error}}};
+  constexpr std::array<Choice<LogFormat>, 2> Formats = {
+      {{"text", LogFormat::Text}, {"json", LogFormat::Json}}};
+  return {
+      durationSetting<seconds>(
+          "drain_timeout_s", "30", 1, 3600, &ProcessSettings::m_DrainTimeout,
+          "Longest wait for requests in flight at shutdown in s."),
+      durationSetting<seconds>(
+          "max_lifetime_s", "0", 0, 86400, &ProcessSettings::m_MaxLifetime,
+          "Shuts the process down after this time in s; 0 = never."),
+      choiceSetting("log_level", "info", Levels, &ProcessSettings::m_LogLevel,
+                    "Least level that is logged."),
+      choiceSetting("log_format", "text", Formats,
+                    &ProcessSettings::m_LogFormat, "Form of the log lines."),
+      textSetting("timeline_folder", "", &ProcessSettings::m_TimelineFolder,
+                  true, "Folder of the time line files; empty = none."),
+  };
+}
+
+std::vector<SettingInfo> makeTable() {
+  std::vector<SettingInfo> Table;
+  for (std::vector<SettingInfo> Rows : {placeSettings(), controlSettings(),
+                                        entrySettings(), processSettings()}) {
+    std::ranges::move(Rows, std::back_inserter(Table));
+  }
+  return Table;
+}
+
+} // namespace
+
+std::span<const SettingInfo> allSettings() {
+  static const std::vector<SettingInfo> Table = makeTable();
+  return Table;
+}
+
+std::string secretAllowed() {
+  return fmt::format("{} to {} printable characters without blanks",
+                     Secret::MinLength, Secret::MaxLength);
+}
+
+std::string environmentName(std::string_view Name) {
+  std::string Result = "RAGWORTMUX_";
+  for (const char Character : Name)
+    Result += static_cast<char>(std::toupper(Character));
+  return Result;
+}
+
+} // namespace ragwortmux
