Replicated log: the core

Cause: the control role needs one order of changes that survives the loss of a host. PersistQueue holds back every message that relies on something not yet durable. No test was run yet; the tests follow. Conclusion: fit to build a shell against, not yet proved.

--- a/ragwortmux/Process/Log/LeaderState.h
+++ b/ragwortmux/Process/Log/LeaderState.h
@@ -24,8 +24,9 @@
   PeerMode m_Mode = PeerMode::Probe; ///< How entries are sent.
   LogIndex m_Match;                  ///< Known as durable there.
   LogIndex m_Next;                   ///< The next entry to send.
-  bool m_Paused = false;     ///< Probe: wait for an answer or a heartbeat.
-  Instant m_SnapshotAt;      ///< Snapshot: when it was sent.
+  bool m_Paused = false; ///< Probe: wait for an answer or a heartbeat.
+  Instant m_HeardAt;    ///< Its last answer in this term; the election if none.
+  Instant m_SnapshotAt; ///< Snapshot: when it was sent.
   std::uint64_t m_Round = 0; ///< Newest heartbeat round answered.
   bool m_RoundDue = false;   ///< The current round was not sent to it yet.
 };
@@ -38,12 +39,12 @@
   LeaderState(Instant Now, VoterId Self, LogIndex First);
 
   /// Adds and removes peers so that they are those of \p Members.
-  void setMembers(const LogMembership &Members, LogIndex Next);
+  void setMembers(Instant Now, const LogMembership &Members, LogIndex Next);
 
   /// Starts a heartbeat round.
   void startRound(Instant Now);
   /// \p Peer has answered \p Round.
-  void roundAnswered(PeerProgress &Peer, std::uint64_t Round);
+  void roundAnswered(Instant Now, PeerProgress &Peer, std::uint64_t Round);
 
   /// Confirms \p Token once a round begun later is answered by a quorum and
   /// \p ReadIndex is applied.
@@ -62,6 +63,9 @@
   /// When the newest round that a quorum has answered was begun.
   Instant quorumContact(const LogMembership &Members) const;
 
+  /// True if a quorum of \p Members has answered at or after \p Since.
+  bool quorumHeard(const LogMembership &Members, Instant Since) const;
+
   /// All other members.
   std::map<VoterId, PeerProgress> &peers() { return m_Peers; }
   /// The peer \p Id, or null.
--- a/ragwortmux/Process/Log/PersistQueue.h
+++ b/ragwortmux/Process/Log/PersistQueue.h
@@ -48,6 +48,8 @@
 
   /// The last entry that is durable.
   LogIndex durable() const { return m_Durable; }
+  /// True if the newest term and vote are durable.
+  bool hardStateDurable() const;
 
 private:
   /// A message and the action it waits for.
--- /dev/null
+++ b/ragwortmux/Process/Log/ReplicatedLog.cpp
@@ -0,0 +1,238 @@
+#include "ragwortmux/Process/Log/ReplicatedLog.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+LogIndex durableAtStart(const LogInitialState &Initial) {
+  return Initial.m_Entries.empty() ? Initial.m_Previous.m_Index
+                                   : Initial.m_Entries.back().m_Id.m_Index;
+}
+
+} // namespace
+
+ReplicatedLog::ReplicatedLog(Instant Now, ReplicatedLogSettings Settings,
+                             LogInitialState Initial)
+    : m_Settings(std::move(Settings)), m_Self(Initial.m_Self),
+      m_Hard(Initial.m_HardState), m_Persist(durableAtStart(Initial)),
+      m_Log(std::move(Initial)), m_LeaderHeardAt(Now) {
+  assert(m_Settings.m_Random);
+  assert(!m_Self.value().empty());
+  if (m_Log.snapshot()) {
+    m_Commit = m_Applied = m_Log.snapshot()->m_Last.m_Index;
+    m_Actions.push_back(RestoreSnapshot{m_Log.snapshot()});
+  }
+  resetElectionTimer(Now);
+}
+
+bool ReplicatedLog::bootstrap(Instant Now, const LogMembership &Members) {
+  if (m_Log.last() != EntryId() || m_Hard != LogHardState())
+    return refuse("the data folder is not blank");
+  if (!Members.votes(m_Self))
+    return refuse("this member has no vote in the first configuration");
+
+  // All initial voters make the same entry, as if replicated in term 1.
+  setHardState(LogTerm(1), VoterId());
+  LogEntry First{{LogIndex(1), LogTerm(1)}, LogEntryKind::Membership, {}, {}};
+  First.m_Membership = Members;
+  m_Persist.append(First);
+  m_Log.append(std::move(First));
+  resetElectionTimer(Now);
+  return true;
+}
+
+void ReplicatedLog::receive(Instant Now, const LogEnvelope &Envelope) {
+  if (m_Role == LogRole::Stopped || Envelope.m_To != m_Self ||
+      Envelope.m_From == m_Self)
+    return;
+  std::visit(
+      [&](const auto &Message) {
+        if (adoptTerm(Now, Envelope.m_From, Message))
+          onMessage(Now, Envelope.m_From, Message);
+      },
+      Envelope.m_Message);
+}
+
+void ReplicatedLog::tick(Instant Now) {
+  if (m_Role == LogRole::Stopped)
+    return;
+  if (m_Role == LogRole::Leader) {
+    // A leader that cannot reach a quorum stops before the others elect.
+    if (Now >= m_LeaderState->quorumContact(membership()) +
+                   m_Settings.m_CheckQuorumTimeout)
+      becomeFollower(Now, m_Hard.m_Term);
+    return;
+  }
+  if (Now >= m_ElectionAt)
+    startPreVote(Now);
+}
+
+void ReplicatedLog::persisted(Instant Now, std::uint64_t Sequence) {
+  if (m_Role == LogRole::Stopped || !m_Persist.confirm(Sequence))
+    return;
+  // The own vote counts only now.
+  countVotes(Now);
+}
+
+void ReplicatedLog::persistFailed() {
+  leaveLeadership();
+  m_Role = LogRole::Stopped;
+  m_Leader.reset();
+}
+
+std::optional<EntryId> ReplicatedLog::propose(Instant /*Now*/,
+                                              std::string Payload) {
+  if (!mayAppend())
+    return std::nullopt;
+  if (Payload.size() > m_Settings.m_MaxPayloadBytes) {
+    refuse("the payload is too large");
+    return std::nullopt;
+  }
+  LogEntry Entry;
+  Entry.m_Kind = LogEntryKind::Payload;
+  Entry.m_Payload = std::move(Payload);
+  return appendOwn(std::move(Entry));
+}
+
+bool ReplicatedLog::confirmLeadership(Instant /*Now*/,
+                                      ConfirmationToken Token) {
+  if (m_Role != LogRole::Leader)
+    return refuse("this member does not lead");
+  m_LeaderState->addToken(Token, m_Commit);
+  return true;
+}
+
+bool ReplicatedLog::transferLeadership(Instant /*Now*/, const VoterId &To) {
+  if (m_Role != LogRole::Leader)
+    return refuse("this member does not lead");
+  const PeerProgress *Peer = m_LeaderState->peer(To);
+  if (!Peer || !membership().votes(To))
+    return refuse("the receiver has no vote");
+  if (Peer->m_Match != m_Log.last().m_Index)
+    return refuse("the receiver has not caught up");
+  send(To, TimeoutNowRequest{m_Hard.m_Term});
+  return true;
+}
+
+bool ReplicatedLog::takeSnapshot(Instant /*Now*/, LogIndex Index,
+                                 std::string State) {
+  const LogIndex Newest =
+      m_Log.snapshot() ? m_Log.snapshot()->m_Last.m_Index : LogIndex();
+  if (Index <= Newest || Index > m_Applied)
+    return refuse("the entry is not applied or is covered by a snapshot");
+
+  auto Snapshot = std::make_shared<LogSnapshot>();
+  Snapshot->m_Last = {Index, *m_Log.termAt(Index)};
+  Snapshot->m_Membership = m_Log.membershipAt(Index);
+  Snapshot->m_State = std::move(State);
+  m_Log.compact(Snapshot, m_Settings.m_TrailingEntries);
+  m_Persist.compact(std::move(Snapshot), m_Log.previous());
+  return true;
+}
+
+std::vector<LogAction> ReplicatedLog::takeActions(Instant Now) {
+  if (m_Role == LogRole::Stopped)
+    return std::exchange(m_Actions, {});
+
+  if (m_Role == LogRole::Leader)
+    advanceCommit();
+  advanceApplied();
+  if (m_Role == LogRole::Leader) {
+    checkRemoval(Now);
+    replicate(Now);
+    confirmTokens();
+  }
+
+  // Messages first: the disk works while they travel.
+  for (LogEnvelope &Envelope : m_Persist.takeMessages())
+    m_Actions.push_back(SendMessage{std::move(Envelope)});
+  if (std::optional<PersistLog> Persist = m_Persist.takePersist())
+    m_Actions.push_back(std::move(*Persist));
+  return std::exchange(m_Actions, {});
+}
+
+Instant ReplicatedLog::nextTick() const {
+  if (m_Role == LogRole::Stopped)
+    return Instant::max();
+  if (m_Role != LogRole::Leader)
+    return m_ElectionAt;
+  return std::min(m_LeaderState->roundStart() + m_Settings.m_HeartbeatInterval,
+                  m_LeaderState->quorumContact(membership()) +
+                      m_Settings.m_CheckQuorumTimeout);
+}
+
+void ReplicatedLog::advanceApplied() {
+  // A snapshot that replaced the log stands for all entries up to its last.
+  const LogIndex Durable = m_Persist.durable();
+  if (m_Applied < m_Log.previous().m_Index &&
+      Durable >= m_Log.snapshot()->m_Last.m_Index) {
+    m_Applied = m_Log.snapshot()->m_Last.m_Index;
+    m_Actions.push_back(RestoreSnapshot{m_Log.snapshot()});
+    settleProposals(true);
+  }
+
+  // Only what is durable here is applied, so that no snapshot ever runs ahead
+  // of the files.
+  const LogIndex To = std::min(m_Commit, Durable);
+  if (To > m_Applied && m_Applied >= m_Log.previous().m_Index) {
+    const std::size_t Count = To.value() - m_Applied.value();
+    m_Actions.push_back(ApplyEntries{
+        m_Log.slice(LogIndex(m_Applied.value() + 1), To, Count, SIZE_MAX)});
+    m_Applied = To;
+    settleProposals(false);
+  }
+
+  if (m_Role != LogRole::Leader || m_Ready ||
+      m_Applied < m_LeaderState->firstEntry())
+    return;
+  m_Ready = true;
+  m_Actions.push_back(LeaderReady{m_Hard.m_Term});
+}
+
+void ReplicatedLog::settleProposals(bool BySnapshot) {
+  while (!m_Proposals.empty() && m_Proposals.begin()->first <= m_Applied) {
+    const auto [Index, Term] = *m_Proposals.begin();
+    m_Proposals.erase(m_Proposals.begin());
+    if (BySnapshot)
+      m_Actions.push_back(
+          ProposalDropped{{Index, Term}, ProposalFate::Unknown});
+    else if (m_Log.termAt(Index) != Term)
+      m_Actions.push_back(
+          ProposalDropped{{Index, Term}, ProposalFate::NotCommitted});
+  }
+}
+
+void ReplicatedLog::confirmTokens() {
+  if (m_Role != LogRole::Leader)
+    return;
+  for (ConfirmationToken Token :
+       m_LeaderState->takeConfirmed(membership(), m_Applied))
+    m_Actions.push_back(LeadershipConfirmed{Token});
+}
+
+void ReplicatedLog::send(const VoterId &To, LogMessage Message) {
+  // An accepted append promises that the entries are durable here.
+  const auto *Reply = std::get_if<AppendReply>(&Message);
+  const LogIndex Needed =
+      Reply && Reply->m_Accepted ? Reply->m_Match : LogIndex();
+  m_Persist.send({m_Self, To, std::move(Message)}, Needed);
+}
+
+void ReplicatedLog::setHardState(LogTerm Term, const VoterId &Voted) {
+  assert(Term >= m_Hard.m_Term);
+  if (Term > m_Hard.m_Term)
+    m_Persist.dropAppendReplies();
+  m_Hard = {Term, Voted};
+  m_Persist.hardState(m_Hard);
+}
+
+bool ReplicatedLog::refuse(std::string Reason) {
+  m_LastReason = std::move(Reason);
+  return false;
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -8,7 +8,7 @@
 #include "ragwortmux/Process/Log/PersistQueue.h"
 #include "ragwortmux/Process/Log/ReplicatedLogSettings.h"
 
-#include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -126,7 +126,9 @@
                  const TimeoutNowRequest &Request);
 
   // Election.
-  bool adoptTerm(Instant Now, const LogMessage &Message);
+  template <typename Message>
+  bool adoptTerm(Instant Now, const VoterId &From, const Message &Each);
+  bool leaderAlive(Instant Now) const;
   void becomeFollower(Instant Now, LogTerm Term);
   void startPreVote(Instant Now);
   void startElection(Instant Now, bool Transfer);
@@ -140,17 +142,19 @@
   void resetElectionTimer(Instant Now);
 
   // Replication.
+  bool mayAppend();
+  EntryId appendEntry(LogEntry Entry);
   EntryId appendOwn(LogEntry Entry);
   std::optional<EntryId> appendMembership(Instant Now, LogMembership Members);
-  bool mayChangeMembership();
-  bool acceptEntries(const AppendRequest &Request);
+  bool hasCaughtUp(Instant Now, const VoterId &Id);
+  void acceptEntries(const AppendRequest &Request);
   void replicate(Instant Now);
-  void sendHeartbeats(Instant Now);
-  void sendEntries(PeerProgress &Peer);
-  void sendSnapshot(Instant Now, PeerProgress &Peer);
-  void advanceCommit(Instant Now);
+  void sendEntries(Instant Now, PeerProgress &Peer);
+  std::size_t sendAppend(PeerProgress &Peer, std::size_t MaxEntries);
+  void sendHeartbeat(PeerProgress &Peer);
+  void advanceCommit();
   void advanceApplied();
-  void settleProposals();
+  void settleProposals(bool BySnapshot);
   void confirmTokens();
   void checkRemoval(Instant Now);
 
@@ -162,20 +166,19 @@
   const ReplicatedLogSettings m_Settings; ///< As given.
   const VoterId m_Self;                   ///< This member.
   LogHardState m_Hard;                    ///< Term and vote.
-  EntryLog m_Log;                         ///< Entries and snapshot in memory.
   PersistQueue m_Persist; ///< Changes and messages that wait for disk.
+  EntryLog m_Log;         ///< Entries and snapshot in memory.
   std::vector<LogAction> m_Actions; ///< To be taken by the shell.
 
   LogRole m_Role = LogRole::Follower; ///< What this member does.
   std::optional<VoterId> m_Leader;    ///< Leader of the term, if known.
-  Instant m_LeaderHeardAt;         ///< Last time a leader may have been heard.
-  Instant m_ElectionAt;            ///< When an election is due.
-  std::set<VoterId> m_Votes;       ///< Who granted the current (pre-)vote.
-  bool m_TransferElection = false; ///< The election was asked for by a leader.
-
-  LogIndex m_Commit;               ///< Known as committed.
-  LogIndex m_Applied;              ///< Handed to the shell in ApplyEntries.
-  std::deque<EntryId> m_Proposals; ///< Own proposals not yet applied.
+  Instant m_LeaderHeardAt;   ///< Last time a leader may have been heard.
+  Instant m_ElectionAt;      ///< When an election is due.
+  std::set<VoterId> m_Votes; ///< Who granted the current (pre-)vote.
+
+  LogIndex m_Commit;  ///< Known as committed.
+  LogIndex m_Applied; ///< Handed to the shell in ApplyEntries.
+  std::multimap<LogIndex, LogTerm> m_Proposals; ///< Own, not yet applied.
 
   std::optional<LeaderState> m_LeaderState; ///< Only while leading.
   bool m_Ready = false; ///< The term's first entry is applied; only a leader's.
--- /dev/null
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -0,0 +1,218 @@
+#include "ragwortmux/Process/Log/ReplicatedLog.h"
+
+#include <cassert>
+#include <tuple>
+#include <utility>
+
+/// \file
+/// Terms, votes and leadership of ReplicatedLog.
+
+namespace ragwortmux {
+
+namespace {
+
+/// True if a log that ends with \p Theirs holds at least what one that ends
+/// with \p Ours holds.
+bool upToDate(const EntryId &Theirs, const EntryId &Ours) {
+  return std::tie(Theirs.m_Term, Theirs.m_Index) >=
+         std::tie(Ours.m_Term, Ours.m_Index);
+}
+
+/// True if the term of \p Message is one that its sender is not in yet.
+template <typename Message> bool hasFutureTerm(const Message &Each) {
+  if constexpr (std::is_same_v<Message, VoteRequest>)
+    return Each.m_PreVote;
+  else if constexpr (std::is_same_v<Message, VoteReply>)
+    return Each.m_PreVote && Each.m_Granted;
+  else
+    return false;
+}
+
+} // namespace
+
+template <typename Message>
+bool ReplicatedLog::adoptTerm(Instant Now, const VoterId &From,
+                              const Message &Each) {
+  if (Each.m_Term > m_Hard.m_Term) {
+    if (hasFutureTerm(Each))
+      return true;
+    // A candidate cannot end the term of a leader that is alive.
+    if constexpr (std::is_same_v<Message, VoteRequest>)
+      if (!Each.m_Transfer && leaderAlive(Now))
+        return false;
+    becomeFollower(Now, Each.m_Term);
+    return true;
+  }
+  if (Each.m_Term == m_Hard.m_Term)
+    return true;
+
+  // The sender is behind: tell it the term if it asked something.
+  if constexpr (std::is_same_v<Message, VoteRequest>)
+    send(From, VoteReply{m_Hard.m_Term, Each.m_PreVote, false});
+  else if constexpr (std::is_same_v<Message, AppendRequest> ||
+                     std::is_same_v<Message, SnapshotRequest>)
+    send(From, AppendReply{m_Hard.m_Term, false, {}, {}, {}, Each.m_Round});
+  return false;
+}
+
+// receive() calls it for each kind of message.
+template bool ReplicatedLog::adoptTerm(Instant, const VoterId &,
+                                       const VoteRequest &);
+template bool ReplicatedLog::adoptTerm(Instant, const VoterId &,
+                                       const VoteReply &);
+template bool ReplicatedLog::adoptTerm(Instant, const VoterId &,
+                                       const AppendRequest &);
+template bool ReplicatedLog::adoptTerm(Instant, const VoterId &,
+                                       const SnapshotRequest &);
+template bool ReplicatedLog::adoptTerm(Instant, const VoterId &,
+                                       const AppendReply &);
+template bool ReplicatedLog::adoptTerm(Instant, const VoterId &,
+                                       const TimeoutNowRequest &);
+
+void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
+                              const VoteRequest &Request) {
+  const bool Granted = grantsVote(Now, From, Request);
+  if (Granted && !Request.m_PreVote) {
+    if (m_Hard.m_Voted != From)
+      setHardState(m_Hard.m_Term, From);
+    resetElectionTimer(Now);
+  }
+  const LogTerm Term = Granted ? Request.m_Term : m_Hard.m_Term;
+  send(From, VoteReply{Term, Request.m_PreVote, Granted});
+}
+
+void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
+                              const VoteReply &Reply) {
+  const bool Awaited =
+      Reply.m_PreVote
+          ? m_Role == LogRole::PreCandidate &&
+                Reply.m_Term.value() == m_Hard.m_Term.value() + 1
+          : m_Role == LogRole::Candidate && Reply.m_Term == m_Hard.m_Term;
+  if (!Awaited || !Reply.m_Granted)
+    return;
+  m_Votes.insert(From);
+  countVotes(Now);
+}
+
+void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
+                              const TimeoutNowRequest & /*Request*/) {
+  if (m_Role == LogRole::Follower && m_Leader == From &&
+      membership().votes(m_Self))
+    startElection(Now, true);
+}
+
+bool ReplicatedLog::grantsVote(Instant Now, const VoterId &From,
+                               const VoteRequest &Request) const {
+  if (!upToDate(Request.m_Last, m_Log.last()))
+    return false;
+  if (Request.m_PreVote)
+    return Request.m_Term > m_Hard.m_Term && !leaderAlive(Now);
+  const bool Free = m_Hard.m_Voted == VoterId() && !m_Leader;
+  return Free || m_Hard.m_Voted == From;
+}
+
+bool ReplicatedLog::leaderAlive(Instant Now) const {
+  return m_Role == LogRole::Leader ||
+         Now < m_LeaderHeardAt + m_Settings.m_ElectionTimeoutMin;
+}
+
+void ReplicatedLog::becomeFollower(Instant Now, LogTerm Term) {
+  if (m_Role == LogRole::Leader) {
+    leaveLeadership();
+    resetElectionTimer(Now);
+  }
+  m_Role = LogRole::Follower;
+  m_Leader.reset();
+  if (Term > m_Hard.m_Term)
+    setHardState(Term, VoterId());
+}
+
+void ReplicatedLog::followLeader(Instant Now, const VoterId &From) {
+  assert(m_Role != LogRole::Leader);
+  m_Role = LogRole::Follower;
+  m_Leader = From;
+  m_LeaderHeardAt = Now;
+  resetElectionTimer(Now);
+}
+
+void ReplicatedLog::startPreVote(Instant Now) {
+  resetElectionTimer(Now);
+  m_Leader.reset();
+  if (!membership().votes(m_Self)) {
+    m_Role = LogRole::Follower;
+    return;
+  }
+  m_Role = LogRole::PreCandidate;
+  m_Votes = {m_Self};
+  requestVotes(LogTerm(m_Hard.m_Term.value() + 1), true, false);
+  countVotes(Now);
+}
+
+void ReplicatedLog::startElection(Instant Now, bool Transfer) {
+  resetElectionTimer(Now);
+  m_Leader.reset();
+  m_Role = LogRole::Candidate;
+  m_Votes = {m_Self};
+  setHardState(LogTerm(m_Hard.m_Term.value() + 1), m_Self);
+  requestVotes(m_Hard.m_Term, false, Transfer);
+}
+
+void ReplicatedLog::requestVotes(LogTerm Term, bool PreVote, bool Transfer) {
+  for (const LogMember &Member : membership().m_Members) {
+    if (!Member.m_Votes || Member.m_Id == m_Self)
+      continue;
+    send(Member.m_Id, VoteRequest{Term, PreVote, Transfer, m_Log.last()});
+  }
+}
+
+void ReplicatedLog::countVotes(Instant Now) {
+  std::size_t Voters = 0;
+  std::size_t Granted = 0;
+  for (const LogMember &Member : membership().m_Members) {
+    if (!Member.m_Votes)
+      continue;
+    ++Voters;
+    if (m_Votes.contains(Member.m_Id))
+      ++Granted;
+  }
+  if (Granted < Voters / 2 + 1)
+    return;
+  if (m_Role == LogRole::PreCandidate)
+    startElection(Now, false);
+  else if (m_Role == LogRole::Candidate && m_Persist.hardStateDurable())
+    becomeLeader(Now);
+}
+
+void ReplicatedLog::becomeLeader(Instant Now) {
+  m_Role = LogRole::Leader;
+  m_Leader = m_Self;
+  m_Ready = false;
+  const LogIndex First(m_Log.last().m_Index.value() + 1);
+  m_LeaderState.emplace(Now, m_Self, First);
+  m_LeaderState->setMembers(Now, membership(), First);
+  m_Actions.push_back(BecameLeader{m_Hard.m_Term});
+
+  // Entries of earlier terms are committed through one of the own term.
+  LogEntry NoOp;
+  appendEntry(std::move(NoOp));
+}
+
+void ReplicatedLog::leaveLeadership() {
+  if (m_Role != LogRole::Leader)
+    return;
+  for (ConfirmationToken Token : m_LeaderState->takeAll())
+    m_Actions.push_back(ConfirmationDropped{Token});
+  m_Actions.push_back(LostLeadership{m_Hard.m_Term});
+  m_LeaderState.reset();
+  m_Ready = false;
+}
+
+void ReplicatedLog::resetElectionTimer(Instant Now) {
+  const Duration Min = m_Settings.m_ElectionTimeoutMin;
+  const Duration Spread = m_Settings.m_ElectionTimeoutMax - Min;
+  const auto Span = static_cast<std::uint64_t>(Spread.count()) + 1;
+  const auto Extra = static_cast<Duration::rep>(m_Settings.m_Random() % Span);
+  m_ElectionAt = Now + Min + Duration(Extra);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
@@ -0,0 +1,313 @@
+#include "ragwortmux/Process/Log/ReplicatedLog.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+/// \file
+/// Entries, snapshots and configurations of ReplicatedLog.
+
+namespace ragwortmux {
+
+namespace {
+
+/// Payload bytes of the one entry that a probe may carry.
+constexpr std::size_t ProbePayloadBytes = 4096;
+
+LogIndex next(LogIndex Index) { return LogIndex(Index.value() + 1); }
+
+} // namespace
+
+bool ReplicatedLog::mayAppend() {
+  if (m_Role != LogRole::Leader)
+    return refuse("this member does not lead");
+  if (m_Log.last().m_Index.value() - m_Commit.value() >=
+      m_Settings.m_MaxUncommittedEntries)
+    return refuse("too many entries are not committed yet");
+  return true;
+}
+
+EntryId ReplicatedLog::appendEntry(LogEntry Entry) {
+  assert(m_Role == LogRole::Leader);
+  const EntryId Id{next(m_Log.last().m_Index), m_Hard.m_Term};
+  Entry.m_Id = Id;
+  m_Persist.append(Entry);
+  m_Log.append(std::move(Entry));
+  return Id;
+}
+
+EntryId ReplicatedLog::appendOwn(LogEntry Entry) {
+  const EntryId Id = appendEntry(std::move(Entry));
+  m_Proposals.emplace(Id.m_Index, Id.m_Term);
+  return Id;
+}
+
+std::optional<EntryId> ReplicatedLog::addMember(Instant Now, const VoterId &Id,
+                                                const std::string &Address) {
+  if (Id.value().empty()) {
+    refuse("the id is empty");
+    return std::nullopt;
+  }
+  LogMembership Members = membership();
+  for (LogMember &Member : Members.m_Members) {
+    if (Member.m_Id != Id)
+      continue;
+    Member.m_Address = Address;
+    return appendMembership(Now, std::move(Members));
+  }
+  Members.m_Members.push_back({Id, Address, false});
+  return appendMembership(Now, std::move(Members));
+}
+
+std::optional<EntryId> ReplicatedLog::promoteMember(Instant Now,
+                                                    const VoterId &Id) {
+  LogMembership Members = membership();
+  for (LogMember &Member : Members.m_Members) {
+    if (Member.m_Id != Id)
+      continue;
+    if (Member.m_Votes) {
+      refuse("the member has a vote already");
+      return std::nullopt;
+    }
+    if (!hasCaughtUp(Now, Id)) {
+      refuse("the learner has not caught up");
+      return std::nullopt;
+    }
+    Member.m_Votes = true;
+    return appendMembership(Now, std::move(Members));
+  }
+  refuse("there is no such member");
+  return std::nullopt;
+}
+
+std::optional<EntryId> ReplicatedLog::removeMember(Instant Now,
+                                                   const VoterId &Id) {
+  LogMembership Members = membership();
+  if (std::erase_if(Members.m_Members, [&](const LogMember &Member) {
+        return Member.m_Id == Id;
+      }) == 0) {
+    refuse("there is no such member");
+    return std::nullopt;
+  }
+  return appendMembership(Now, std::move(Members));
+}
+
+bool ReplicatedLog::hasCaughtUp(Instant Now, const VoterId &Id) {
+  if (m_Role != LogRole::Leader)
+    return false;
+  const PeerProgress *Peer = m_LeaderState->peer(Id);
+  return Peer && Peer->m_Mode == PeerMode::Replicate &&
+         Peer->m_HeardAt + m_Settings.m_ElectionTimeoutMin > Now &&
+         Peer->m_Match.value() + m_Settings.m_CatchUpEntries >=
+             m_Log.last().m_Index.value();
+}
+
+std::optional<EntryId> ReplicatedLog::appendMembership(Instant Now,
+                                                       LogMembership Members) {
+  if (!mayAppend())
+    return std::nullopt;
+  // One change at a time, and only after an entry of the own term: two
+  // configurations next to each other then always share a voter.
+  if (m_Commit < m_LeaderState->firstEntry()) {
+    refuse("the leader has not committed an entry of its term yet");
+    return std::nullopt;
+  }
+  if (m_Log.membershipIndex() > m_Commit) {
+    refuse("the previous change is not committed yet");
+    return std::nullopt;
+  }
+  if (!m_LeaderState->quorumHeard(Members,
+                                  Now - m_Settings.m_ElectionTimeoutMin)) {
+    refuse("the new configuration would have no quorum in reach");
+    return std::nullopt;
+  }
+  LogEntry Entry;
+  Entry.m_Kind = LogEntryKind::Membership;
+  Entry.m_Membership = std::move(Members);
+  const EntryId Id = appendOwn(std::move(Entry));
+  m_LeaderState->setMembers(Now, membership(), Id.m_Index);
+  return Id;
+}
+
+void ReplicatedLog::checkRemoval(Instant Now) {
+  if (!membership().votes(m_Self) && m_Log.membershipIndex() <= m_Commit)
+    becomeFollower(Now, m_Hard.m_Term);
+}
+
+void ReplicatedLog::advanceCommit() {
+  const LogIndex Held =
+      m_LeaderState->quorumMatch(membership(), m_Persist.durable());
+  // An entry of an earlier term may still be overwritten by a later leader,
+  // however many hold it; one of the own term may not.
+  if (Held > m_Commit && m_Log.termAt(Held) == m_Hard.m_Term)
+    m_Commit = Held;
+}
+
+void ReplicatedLog::replicate(Instant Now) {
+  if (m_Role != LogRole::Leader)
+    return;
+  if (m_LeaderState->wantsRound() ||
+      Now >= m_LeaderState->roundStart() + m_Settings.m_HeartbeatInterval)
+    m_LeaderState->startRound(Now);
+  for (auto &[Id, Peer] : m_LeaderState->peers()) {
+    sendEntries(Now, Peer);
+    if (Peer.m_RoundDue)
+      sendHeartbeat(Peer);
+  }
+}
+
+void ReplicatedLog::sendEntries(Instant Now, PeerProgress &Peer) {
+  const LogIndex Last = m_Log.last().m_Index;
+  if (!m_Log.termAt(LogIndex(Peer.m_Next.value() - 1))) {
+    // What the member lacks is compacted away.
+    const bool Sent = Peer.m_Mode == PeerMode::Snapshot;
+    if (Sent && Now < Peer.m_SnapshotAt + m_Settings.m_SnapshotRetryInterval)
+      return;
+    Peer.m_Mode = PeerMode::Snapshot;
+    Peer.m_SnapshotAt = Now;
+    send(Peer.m_Id, SnapshotRequest{m_Hard.m_Term, *m_Log.snapshot(),
+                                    m_LeaderState->round()});
+    return;
+  }
+
+  if (Peer.m_Mode == PeerMode::Probe) {
+    if (Peer.m_Paused)
+      return;
+    const bool Small =
+        Peer.m_Next <= Last &&
+        m_Log.at(Peer.m_Next).m_Payload.size() <= ProbePayloadBytes;
+    sendAppend(Peer, Small ? 1 : 0);
+    Peer.m_Paused = true;
+    return;
+  }
+
+  while (Peer.m_Next <= Last && Peer.m_Next.value() - Peer.m_Match.value() <=
+                                    m_Settings.m_MaxInFlightEntries) {
+    const std::size_t Sent = sendAppend(Peer, m_Settings.m_MaxAppendEntries);
+    Peer.m_Next = LogIndex(Peer.m_Next.value() + Sent);
+  }
+}
+
+std::size_t ReplicatedLog::sendAppend(PeerProgress &Peer,
+                                      std::size_t MaxEntries) {
+  const LogIndex Previous(Peer.m_Next.value() - 1);
+  AppendRequest Request;
+  Request.m_Term = m_Hard.m_Term;
+  Request.m_Previous = {Previous, *m_Log.termAt(Previous)};
+  Request.m_Entries = m_Log.slice(Peer.m_Next, m_Log.last().m_Index, MaxEntries,
+                                  m_Settings.m_MaxAppendBytes);
+  Request.m_Commit = m_Commit;
+  Request.m_Round = m_LeaderState->round();
+  Peer.m_RoundDue = false;
+  const std::size_t Sent = Request.m_Entries.size();
+  send(Peer.m_Id, std::move(Request));
+  return Sent;
+}
+
+void ReplicatedLog::sendHeartbeat(PeerProgress &Peer) {
+  if (Peer.m_Mode != PeerMode::Snapshot) {
+    // Also finds out whether earlier messages were lost.
+    sendAppend(Peer, 0);
+    return;
+  }
+  AppendRequest Request;
+  Request.m_Term = m_Hard.m_Term;
+  Request.m_Commit = m_Commit;
+  Request.m_Round = m_LeaderState->round();
+  Peer.m_RoundDue = false;
+  send(Peer.m_Id, std::move(Request));
+}
+
+void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
+                              const AppendRequest &Request) {
+  followLeader(Now, From);
+  const LogIndex Previous = Request.m_Previous.m_Index;
+  AppendReply Reply;
+  Reply.m_Term = m_Hard.m_Term;
+  Reply.m_Round = Request.m_Round;
+
+  // What is committed here is in every later leader's log.
+  if (Previous > m_Commit && !m_Log.contains(Request.m_Previous)) {
+    Reply.m_Rejected = Previous;
+    Reply.m_Hint = Previous > m_Log.last().m_Index
+                       ? m_Log.last().m_Index
+                       : LogIndex(m_Log.firstOfTerm(Previous).value() - 1);
+    send(From, Reply);
+    return;
+  }
+  acceptEntries(Request);
+  const LogIndex Verified(Previous.value() + Request.m_Entries.size());
+  m_Commit = std::max(m_Commit, std::min(Request.m_Commit, Verified));
+  Reply.m_Accepted = true;
+  Reply.m_Match = std::max(m_Commit, Verified);
+  send(From, Reply);
+}
+
+void ReplicatedLog::acceptEntries(const AppendRequest &Request) {
+  for (const LogEntry &Entry : Request.m_Entries) {
+    const LogIndex Index = Entry.m_Id.m_Index;
+    if (Index <= m_Commit || m_Log.contains(Entry.m_Id))
+      continue;
+    if (Index <= m_Log.last().m_Index) {
+      m_Log.truncateFrom(Index);
+      m_Persist.truncateFrom(Index);
+    }
+    m_Persist.append(Entry);
+    m_Log.append(Entry);
+  }
+}
+
+void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
+                              const SnapshotRequest &Request) {
+  followLeader(Now, From);
+  const EntryId &Last = Request.m_Snapshot.m_Last;
+  if (Last.m_Index > m_Commit) {
+    if (!m_Log.contains(Last)) {
+      auto Snapshot = std::make_shared<const LogSnapshot>(Request.m_Snapshot);
+      m_Log.replaceBy(Snapshot);
+      m_Persist.replaceBy(std::move(Snapshot));
+    }
+    m_Commit = Last.m_Index;
+  }
+  AppendReply Reply;
+  Reply.m_Term = m_Hard.m_Term;
+  Reply.m_Accepted = true;
+  Reply.m_Match = m_Commit;
+  Reply.m_Round = Request.m_Round;
+  send(From, Reply);
+}
+
+void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
+                              const AppendReply &Reply) {
+  PeerProgress *Peer =
+      m_Role == LogRole::Leader ? m_LeaderState->peer(From) : nullptr;
+  if (!Peer)
+    return;
+  m_LeaderState->roundAnswered(Now, *Peer, Reply.m_Round);
+
+  if (Reply.m_Accepted) {
+    // Only forwards: answers may come late.
+    Peer->m_Match =
+        std::max(Peer->m_Match, std::min(Reply.m_Match, m_Log.last().m_Index));
+    if (Peer->m_Mode == PeerMode::Replicate)
+      Peer->m_Next = std::max(Peer->m_Next, next(Peer->m_Match));
+    else if (m_Log.termAt(Peer->m_Match)) {
+      Peer->m_Mode = PeerMode::Replicate;
+      Peer->m_Next = next(Peer->m_Match);
+    }
+    return;
+  }
+
+  // The member lacks the previous entry: look for the last common one.
+  const bool Late = Reply.m_Rejected <= Peer->m_Match ||
+                    (Peer->m_Mode != PeerMode::Replicate &&
+                     next(Reply.m_Rejected) != Peer->m_Next);
+  if (Late || Peer->m_Mode == PeerMode::Snapshot)
+    return;
+  Peer->m_Next = std::max(next(Peer->m_Match),
+                          std::min(Reply.m_Rejected, next(Reply.m_Hint)));
+  Peer->m_Mode = PeerMode::Probe;
+  Peer->m_Paused = false;
+}
+
+} // namespace ragwortmux
