Control state: commands, replicated state machine, lease of a proxy

The control log's commands as typed structs, and the state machine that applies them: catalogue, sessions, groups, connection shares, request ledger, session homes. Each refuses a command whose preconditions do not hold.

--- /dev/null
+++ b/ragwortmux/Version/ControlResult.h
@@ -0,0 +1,48 @@
+#ifndef RAGWORTMUX_VERSION_CONTROLRESULT_H
+#define RAGWORTMUX_VERSION_CONTROLRESULT_H
+
+#include "ragwortmux/Core/ResultCode.h"
+#include "ragwortmux/Version/CatalogueRecords.h"
+#include "ragwortmux/Version/LedgerRecord.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace ragwortmux {
+
+/// What applying a command gave.
+struct ControlResult final {
+  ResultCode m_Code = ResultCode::Ok; ///< Ok, or why the command was refused.
+  std::string m_Reason;               ///< One sentence for people if refused.
+  Revision m_Revision; ///< The changed record's revision after the command.
+  ControlSessionId m_Session; ///< OpenSession: the session.
+  std::optional<CatalogueItem>
+      m_Winner; ///< CatalogueConflict: the entry that stands, if it exists.
+  std::optional<LedgerRecord>
+      m_Ledger; ///< Ledger commands: the record that stands, if there is one.
+
+  bool ok() const { return m_Code == ResultCode::Ok; }
+
+  /// A refusal for \p Reason.
+  static ControlResult refused(ResultCode Code, std::string Reason) {
+    ControlResult Result;
+    Result.m_Code = Code;
+    Result.m_Reason = std::move(Reason);
+    return Result;
+  }
+
+  /// A success that made \p Made.
+  static ControlResult made(Revision Made) {
+    ControlResult Result;
+    Result.m_Revision = Made;
+    return Result;
+  }
+
+  friend bool operator==(const ControlResult &,
+                         const ControlResult &) = default;
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_VERSION_CONTROLRESULT_H
--- /dev/null
+++ b/ragwortmux/Version/MakeGroupView.h
@@ -0,0 +1,20 @@
+#ifndef RAGWORTMUX_VERSION_MAKEGROUPVIEW_H
+#define RAGWORTMUX_VERSION_MAKEGROUPVIEW_H
+
+#include "ragwortmux/Version/GroupView.h"
+
+#include <optional>
+
+namespace ragwortmux {
+
+class ControlState;
+
+/// The record of \p Group as \p Session is told it, with its connection
+/// shares; none if the group is unknown.
+std::optional<GroupView> makeGroupView(const ControlState &State,
+                                       const GroupId &Group,
+                                       ControlSessionId Session);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_VERSION_MAKEGROUPVIEW_H
--- /dev/null
+++ b/ragwortmux/Version/RequestLedger.cpp
@@ -0,0 +1,189 @@
+#include "ragwortmux/Version/RequestLedger.h"
+
+#include "ragwortmux/Version/ControlCommand.h"
+#include "ragwortmux/Version/RequestKeyTime.h"
+
+namespace ragwortmux {
+
+namespace {
+
+ControlResult answer(ResultCode Code, const char *Reason,
+                     const LedgerRecord &Record) {
+  ControlResult Result = ControlResult::refused(Code, Reason);
+  Result.m_Ledger = Record;
+  return Result;
+}
+
+ControlResult success(const LedgerRecord &Record) {
+  ControlResult Result;
+  Result.m_Ledger = Record;
+  return Result;
+}
+
+/// True if \p Code says that an attempt ran.
+bool saysRan(ResultCode Code) {
+  return Code == ResultCode::Ok || Code == ResultCode::RanAnswerTooLarge ||
+         Code == ResultCode::RanAnswerLost;
+}
+
+} // namespace
+
+ControlResult RequestLedger::reserve(const ReserveKey &Command, WallTime Now,
+                                     const ControlResult &Permission) {
+  const auto Canonical = canonicalRequestKey(Command.m_Key);
+  if (!Canonical)
+    return ControlResult::refused(ResultCode::NotRunBadRequest,
+                                  "the key is not a UUID of version 7");
+  if (Command.m_Attempt.value().empty() || Command.m_Owner.value().empty())
+    return ControlResult::refused(ResultCode::NotRunBadRequest,
+                                  "the attempt or the owner is empty");
+  if (ControlResult Refusal = checkKeyTime(*Canonical, Now); !Refusal.ok())
+    return Refusal;
+
+  if (const LedgerRecord *Known = find(Command.m_Owner, *Canonical)) {
+    if (Known->m_Group != Command.m_Group)
+      return ControlResult::refused(ResultCode::NotRunBadRequest,
+                                    "the key was used in another group");
+    if (Known->m_Phase == LedgerPhase::Ran)
+      return answer(ResultCode::RanEarlier, "the request has run", *Known);
+    const bool IsSame = Known->m_Attempt == Command.m_Attempt;
+    if (Known->m_Phase == LedgerPhase::Reserved)
+      return IsSame ? success(*Known)
+                    : answer(ResultCode::NotRunKeyInUse,
+                             "another attempt holds the key", *Known);
+    if (IsSame)
+      return answer(ResultCode::NotRunBadRequest, "the attempt has ended",
+                    *Known);
+  } else if (const auto Live = m_KeysOfOwner.find(Command.m_Owner);
+             Live != m_KeysOfOwner.end() &&
+             Live->second >= m_Settings.m_MaxKeysPerOwner) {
+    return ControlResult::refused(ResultCode::NotRunQueueFull,
+                                  "the owner has too many live keys");
+  }
+  if (!Permission.ok())
+    return Permission;
+  LedgerRecord Record;
+  Record.m_Owner = Command.m_Owner;
+  Record.m_Key = *Canonical;
+  Record.m_Attempt = Command.m_Attempt;
+  Record.m_Session = Command.m_Session;
+  Record.m_Group = Command.m_Group;
+  Record.m_Term = Command.m_Term;
+  insert(Record);
+  return success(Record);
+}
+
+ControlResult RequestLedger::checkKeyTime(const RequestKey &Canonical,
+                                          WallTime Now) const {
+  if (Now == WallTime())
+    return ControlResult::refused(ResultCode::NotRunLedgerUnavailable,
+                                  "the log has no time yet");
+  const WallTime Made = *requestKeyTime(Canonical);
+  if (Made < Now - m_Settings.m_Retention)
+    return ControlResult::refused(ResultCode::NotRunKeyExpired,
+                                  "the key is older than the retention");
+  if (Made > Now + m_Settings.m_MaxAhead)
+    return ControlResult::refused(ResultCode::NotRunBadRequest,
+                                  "the key's time is in the future");
+  return {};
+}
+
+ControlResult RequestLedger::record(const RecordOutcome &Command) {
+  LedgerRecord *Known = findMutable(Command.m_Owner, Command.m_Key);
+  if (Known == nullptr)
+    return ControlResult::refused(ResultCode::BadArgument,
+                                  "the key is not in the ledger");
+  const bool Ran = saysRan(Command.m_Code);
+  if (!Ran && !saysNotRun(Command.m_Code))
+    return ControlResult::refused(ResultCode::BadArgument,
+                                  "the code is not an outcome");
+  if (Known->m_Attempt != Command.m_Attempt)
+    return answer(ResultCode::NotRunKeyInUse, "another attempt holds the key",
+                  *Known);
+  // The first outcome stands; a resend of it gets it back.
+  const LedgerPhase Phase = Ran ? LedgerPhase::Ran : LedgerPhase::NotRun;
+  if (Known->m_Phase != LedgerPhase::Reserved)
+    return Known->m_Phase == Phase
+               ? success(*Known)
+               : answer(ResultCode::BadArgument,
+                        "the attempt has another outcome", *Known);
+  Known->m_Phase = Phase;
+  Known->m_Code = Command.m_Code;
+  if (!Ran)
+    return success(*Known);
+  if (Command.m_Answer.size() > m_Settings.m_MaxAnswerBytes)
+    Known->m_Code = ResultCode::RanAnswerTooLarge;
+  else
+    Known->m_Answer = Command.m_Answer;
+  return success(*Known);
+}
+
+ControlResult RequestLedger::resolve(const ResolveAttempt &Command,
+                                     bool HolderEnded) {
+  LedgerRecord *Known = findMutable(Command.m_Owner, Command.m_Key);
+  if (Known == nullptr)
+    return ControlResult::refused(ResultCode::BadArgument,
+                                  "the key is not in the ledger");
+  if (Known->m_Attempt != Command.m_Attempt ||
+      Known->m_Phase != LedgerPhase::Reserved)
+    return answer(ResultCode::NotRunKeyInUse,
+                  "the attempt does not hold the key", *Known);
+  if (!HolderEnded && Command.m_Resolver != Known->m_Session)
+    return answer(ResultCode::NotRunKeyInUse,
+                  "the proxy that runs the attempt is alive", *Known);
+  Known->m_Phase = Command.m_Committed ? LedgerPhase::Ran : LedgerPhase::NotRun;
+  Known->m_Code = Command.m_Committed ? ResultCode::RanAnswerLost
+                                      : ResultCode::NotRunRolledBack;
+  return success(*Known);
+}
+
+void RequestLedger::prune(WallTime Now) {
+  std::erase_if(m_Records, [&](const auto &Entry) {
+    const WallTime Made = *requestKeyTime(Entry.first.m_Key);
+    if (Made >= Now - m_Settings.m_Retention)
+      return false;
+    const auto Live = m_KeysOfOwner.find(Entry.first.m_Owner);
+    if (--Live->second == 0)
+      m_KeysOfOwner.erase(Live);
+    return true;
+  });
+}
+
+void RequestLedger::importData(const std::vector<LedgerRecord> &Records) {
+  m_Records.clear();
+  m_KeysOfOwner.clear();
+  for (const LedgerRecord &Record : Records)
+    insert(Record);
+}
+
+void RequestLedger::insert(LedgerRecord Record) {
+  const Key Place{Record.m_Owner, Record.m_Key};
+  if (m_Records.insert_or_assign(Place, std::move(Record)).second)
+    ++m_KeysOfOwner[Place.m_Owner];
+}
+
+const LedgerRecord *RequestLedger::find(const OwnerId &Owner,
+                                        const RequestKey &Key) const {
+  const auto Canonical = canonicalRequestKey(Key);
+  if (!Canonical)
+    return nullptr;
+  const auto Found = m_Records.find({Owner, *Canonical});
+  return Found == m_Records.end() ? nullptr : &Found->second;
+}
+
+LedgerRecord *RequestLedger::findMutable(const OwnerId &Owner,
+                                         const RequestKey &Key) {
+  const auto Canonical = canonicalRequestKey(Key);
+  if (!Canonical)
+    return nullptr;
+  const auto Found = m_Records.find({Owner, *Canonical});
+  return Found == m_Records.end() ? nullptr : &Found->second;
+}
+
+void RequestLedger::forEachRecord(
+    const std::function<void(const LedgerRecord &)> &Visit) const {
+  for (const auto &[Place, Record] : m_Records)
+    Visit(Record);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/SessionTable.cpp
@@ -0,0 +1,55 @@
+#include "ragwortmux/Version/SessionTable.h"
+
+#include "ragwortmux/Version/ControlCommand.h"
+
+namespace ragwortmux {
+
+ControlResult SessionTable::open(const OpenSession &Command) {
+  if (Command.m_Host.value().empty() || Command.m_Address.empty() ||
+      Command.m_Domain.value().empty())
+    return ControlResult::refused(ResultCode::BadArgument,
+                                  "host, domain or address is empty");
+  ControlResult Result;
+  for (const auto &[Id, Session] : m_Sessions) {
+    if (Session.m_Host != Command.m_Host ||
+        Session.m_Incarnation != Command.m_Incarnation)
+      continue;
+    Result.m_Session = Id;
+    return Result;
+  }
+  m_Last = ControlSessionId(m_Last.value() + 1);
+  m_Sessions[m_Last] = {.m_Session = m_Last,
+                        .m_Host = Command.m_Host,
+                        .m_Incarnation = Command.m_Incarnation,
+                        .m_Domain = Command.m_Domain,
+                        .m_Address = Command.m_Address,
+                        .m_RpcPort = Command.m_RpcPort};
+  Result.m_Session = m_Last;
+  return Result;
+}
+
+ControlResult SessionTable::end(ControlSessionId Session) {
+  m_Sessions.erase(Session);
+  return {};
+}
+
+void SessionTable::importData(ControlSessionId Last,
+                              const std::vector<SessionRecord> &Sessions) {
+  m_Last = Last;
+  m_Sessions.clear();
+  for (const SessionRecord &Session : Sessions)
+    m_Sessions[Session.m_Session] = Session;
+}
+
+const SessionRecord *SessionTable::find(ControlSessionId Session) const {
+  const auto Found = m_Sessions.find(Session);
+  return Found == m_Sessions.end() ? nullptr : &Found->second;
+}
+
+void SessionTable::forEachSession(
+    const std::function<void(const SessionRecord &)> &Visit) const {
+  for (const auto &[Id, Session] : m_Sessions)
+    Visit(Session);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/ShareRecord.h
@@ -0,0 +1,33 @@
+#ifndef RAGWORTMUX_VERSION_SHARERECORD_H
+#define RAGWORTMUX_VERSION_SHARERECORD_H
+
+#include "ragwortmux/Core/Ids.h"
+
+#include <cstdint>
+
+namespace ragwortmux {
+
+/// How many connections one session is granted to one server.
+struct ShareGrant final {
+  ControlSessionId m_Session;      ///< The holder.
+  std::uint32_t m_Connections = 0; ///< Its share.
+
+  friend bool operator==(const ShareGrant &, const ShareGrant &) = default;
+};
+
+/// A session's share of the connections to one server.
+struct ShareRecord final {
+  GroupId m_Group;            ///< The server's group.
+  ServerId m_Server;          ///< The server.
+  ControlSessionId m_Session; ///< The holder.
+  std::uint32_t m_Share = 0;  ///< What the holder is told.
+  std::uint32_t m_Held =
+      0; ///< What it may still have open: counted against the budget.
+  Revision m_ShareRevision; ///< The group's revision that set m_Share.
+
+  friend bool operator==(const ShareRecord &, const ShareRecord &) = default;
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_VERSION_SHARERECORD_H
--- /dev/null
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -0,0 +1,92 @@
+#include "ragwortmux/Version/ShareTable.h"
+
+#include "ragwortmux/Version/ControlCommand.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+ControlResult ShareTable::set(const SetShares &Command,
+                              std::uint32_t ConnectionLimit, Revision Next) {
+  // Work out what would be held, then take all grants or none.
+  std::map<ControlSessionId, std::uint32_t> Grants;
+  std::uint64_t Held = held(Command.m_Group, Command.m_Server);
+  for (const ShareGrant &Grant : Command.m_Grants) {
+    if (!Grants.emplace(Grant.m_Session, Grant.m_Connections).second)
+      return ControlResult::refused(ResultCode::BadArgument,
+                                    "a session is listed twice");
+    const auto Known =
+        m_Shares.find({Command.m_Group, Command.m_Server, Grant.m_Session});
+    const std::uint32_t Before =
+        Known == m_Shares.end() ? 0 : Known->second.m_Held;
+    Held += std::max(Before, Grant.m_Connections) - Before;
+  }
+  if (Held > budget(ConnectionLimit))
+    return ControlResult::refused(ResultCode::BadArgument,
+                                  "the shares pass the server's budget");
+
+  for (const auto &[Session, Connections] : Grants) {
+    ShareRecord &Share = m_Shares[{Command.m_Group, Command.m_Server, Session}];
+    Share.m_Group = Command.m_Group;
+    Share.m_Server = Command.m_Server;
+    Share.m_Session = Session;
+    if (Share.m_Share == Connections)
+      continue;
+    Share.m_Share = Connections;
+    Share.m_Held = std::max(Share.m_Held, Connections);
+    Share.m_ShareRevision = Next;
+  }
+  return ControlResult::made(Next);
+}
+
+ControlResult ShareTable::confirm(const ConfirmShares &Command) {
+  for (auto &[Known, Share] : m_Shares) {
+    if (Share.m_Group != Command.m_Group ||
+        Share.m_Session != Command.m_Session)
+      continue;
+    if (Share.m_ShareRevision <= Command.m_Revision)
+      Share.m_Held = Share.m_Share;
+  }
+  return ControlResult::made(Command.m_Revision);
+}
+
+void ShareTable::endSession(ControlSessionId Session) {
+  std::erase_if(m_Shares, [Session](const auto &Entry) {
+    return Entry.first.m_Session == Session;
+  });
+}
+
+void ShareTable::importData(const std::vector<ShareRecord> &Shares) {
+  m_Shares.clear();
+  for (const ShareRecord &Share : Shares)
+    m_Shares[{Share.m_Group, Share.m_Server, Share.m_Session}] = Share;
+}
+
+std::uint32_t ShareTable::budget(std::uint32_t ConnectionLimit) const {
+  const std::uint32_t Limit = std::min(ConnectionLimit, m_Settings.m_MaxBudget);
+  return Limit - std::min(Limit, m_Settings.m_ControlOwn);
+}
+
+std::uint32_t ShareTable::share(const GroupId &Group, const ServerId &Server,
+                                ControlSessionId Session) const {
+  const auto Known = m_Shares.find({Group, Server, Session});
+  return Known == m_Shares.end() ? 0 : Known->second.m_Share;
+}
+
+std::uint32_t ShareTable::held(const GroupId &Group,
+                               const ServerId &Server) const {
+  std::uint32_t Sum = 0;
+  for (const auto &[Known, Share] : m_Shares) {
+    if (Share.m_Group == Group && Share.m_Server == Server)
+      Sum += Share.m_Held;
+  }
+  return Sum;
+}
+
+void ShareTable::forEachShare(
+    const std::function<void(const ShareRecord &)> &Visit) const {
+  for (const auto &[Known, Share] : m_Shares)
+    Visit(Share);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/ShareTable.h
@@ -0,0 +1,68 @@
+#ifndef RAGWORTMUX_VERSION_SHARETABLE_H
+#define RAGWORTMUX_VERSION_SHARETABLE_H
+
+#include "ragwortmux/Version/ControlResult.h"
+#include "ragwortmux/Version/ShareRecord.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace ragwortmux {
+
+struct ConfirmShares;
+struct SetShares;
+
+/// The connection shares of all servers.
+///
+/// What a holder may have open is counted until it has confirmed a smaller
+/// share or its session has ended; the sum over all holders never passes the
+/// server's budget.
+class ShareTable final {
+public:
+  /// Bounds of the shares.
+  struct Settings final {
+    std::uint32_t m_MaxBudget = 35; ///< Connections per server at most.
+    std::uint32_t m_ControlOwn = 3; ///< Of these, kept for control's calls.
+  };
+
+  explicit ShareTable(const Settings &Bounds) : m_Settings(Bounds) {}
+
+  /// Sets shares that become the group's revision \p Next, if they fit into
+  /// the budget of a server that accepts \p ConnectionLimit connections.
+  ControlResult set(const SetShares &Command, std::uint32_t ConnectionLimit,
+                    Revision Next);
+  /// Counts a holder's connections down to the shares that it has confirmed.
+  ControlResult confirm(const ConfirmShares &Command);
+  /// Drops all shares of an ended session.
+  void endSession(ControlSessionId Session);
+
+  void importData(const std::vector<ShareRecord> &Shares);
+
+  /// What may be handed out for a server that accepts \p ConnectionLimit.
+  std::uint32_t budget(std::uint32_t ConnectionLimit) const;
+  /// The share of \p Session; 0 if it has none.
+  std::uint32_t share(const GroupId &Group, const ServerId &Server,
+                      ControlSessionId Session) const;
+  /// The sum of what holders may have open.
+  std::uint32_t held(const GroupId &Group, const ServerId &Server) const;
+  /// Calls \p Visit for each share by group, server and session.
+  void
+  forEachShare(const std::function<void(const ShareRecord &)> &Visit) const;
+
+private:
+  struct Key final {
+    GroupId m_Group;            ///< The server's group.
+    ServerId m_Server;          ///< The server.
+    ControlSessionId m_Session; ///< The holder.
+    friend auto operator<=>(const Key &, const Key &) = default;
+  };
+
+  Settings m_Settings;                 ///< The bounds.
+  std::map<Key, ShareRecord> m_Shares; ///< All shares.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_VERSION_SHARETABLE_H
