Choose read servers, gate writes, measure ages, queue by class and owner

The parts that GroupCore decides with. Attempt ids now come from the core (prefix from the settings), so that a reservation whose answer was lost is asked for again under the same attempt; ruled out: ids from the shell, where a second one would find the first still holding the key. A recorded outcome carries its commit point, so that a resend gets read-your-writes too.

--- /dev/null
+++ b/ragwortmux/Request/AgeTracker.cpp
@@ -0,0 +1,66 @@
+#include "ragwortmux/Request/AgeTracker.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::size_t MaxSamplesPerTerm = 2048;
+constexpr std::size_t MaxTerms = 3;
+
+} // namespace
+
+void AgeTracker::addSample(const LogPoint &Point, Instant AskedAt) {
+  std::vector<Sample> &Samples = m_Samples[Point.m_Term];
+  if (!Samples.empty()) {
+    Sample &Last = Samples.back();
+    // Answers that overtook each other add nothing.
+    if (Point.m_Position < Last.m_Position || AskedAt < Last.m_AskedAt)
+      return;
+    if (Point.m_Position == Last.m_Position) {
+      Last.m_AskedAt = AskedAt;
+      return;
+    }
+  }
+  Samples.push_back({Point.m_Position, AskedAt});
+  if (Samples.size() > MaxSamplesPerTerm)
+    thinOut(Samples);
+  if (m_Samples.size() > MaxTerms)
+    m_Samples.erase(m_Samples.begin());
+}
+
+std::optional<Duration> AgeTracker::age(const LogPoint &Applied,
+                                        Instant Now) const {
+  std::optional<Duration> Youngest;
+  for (const auto &[SampleTerm, Samples] : m_Samples) {
+    if (Applied.m_Term < SampleTerm)
+      break;
+    // The last sample that this position covers.
+    const auto After =
+        std::upper_bound(Samples.begin(), Samples.end(), Applied.m_Position,
+                         [](LogPosition Position, const Sample &Candidate) {
+                           return Position < Candidate.m_Position;
+                         });
+    if (After == Samples.begin())
+      continue;
+    const Duration Age = Now - std::prev(After)->m_AskedAt;
+    Youngest = Youngest ? std::min(*Youngest, Age) : Age;
+  }
+  return Youngest;
+}
+
+void AgeTracker::thinOut(std::vector<Sample> &Samples) const {
+  // Every second sample of the older half goes; ages only grow by that.
+  const std::size_t Half = Samples.size() / 2;
+  std::size_t Kept = 0;
+  for (std::size_t Index = 0; Index < Samples.size(); ++Index) {
+    if (Index < Half && Index % 2 == 1)
+      continue;
+    Samples[Kept++] = Samples[Index];
+  }
+  Samples.resize(Kept);
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Request/GroupCore.h
+++ b/ragwortmux/Request/GroupCore.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_REQUEST_GROUPCORE_H
 #define RAGWORTMUX_REQUEST_GROUPCORE_H
 
+#include "ragwortmux/Request/GroupCounts.h"
 #include "ragwortmux/Request/GroupEvents.h"
 #include "ragwortmux/Request/GroupSettings.h"
 #include "ragwortmux/Version/GroupView.h"
@@ -18,7 +19,8 @@
 ///
 /// Deterministic: each event takes the current time and appends what is to be
 /// done. Events about connections and requests that are no longer known are
-/// ignored, so late events need no filter.
+/// ignored, so late events need no filter. Connection ids are unique within one
+/// GroupCore, across all its terms.
 class GroupCore final {
 public:
   GroupCore(GroupId Group, const GroupSettings &Settings);
@@ -29,7 +31,7 @@
   /// Takes a request. If its caller has an open transaction here, it runs on
   /// the transaction's connection.
   void submit(Instant Now, GroupRequest Request, GroupActions &Actions);
-  /// The caller's connection has closed or it cancelled its statement.
+  /// The caller's connection has closed.
   void callerGone(Instant Now, CallerConnectionId Caller,
                   GroupActions &Actions);
 
@@ -91,6 +93,8 @@
   std::uint32_t heldConnections(const ServerId &Server) const;
   /// Requests that have not been answered.
   std::size_t pendingRequests() const;
+  /// Counters since the start.
+  const GroupCounts &counts() const;
 
 private:
   std::unique_ptr<GroupContext> m_Context; ///< Everything the group holds.
--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -61,7 +61,7 @@
 
 /// What the ledger said to ReserveRequestKey.
 enum class ReserveStatus : std::uint8_t {
-  Reserved,           ///< A quorum holds the reservation for m_Attempt.
+  Reserved,           ///< A quorum holds the reservation.
   Recorded,           ///< The key's outcome is m_Code and m_Body.
   InUse,              ///< A live session holds the key.
   HeldByEndedSession, ///< m_Attempt, of an ended session, must be ended first.
@@ -72,10 +72,12 @@
 /// Answer to ReserveRequestKey.
 struct ReserveResult final {
   ReserveStatus m_Status = ReserveStatus::Unavailable; ///< What was said.
-  AttemptId m_Attempt; ///< With Reserved and HeldByEndedSession.
+  AttemptId m_Attempt; ///< With HeldByEndedSession: that session's attempt.
   ResultCode m_Code =
       ResultCode::Ok; ///< With Recorded and Refused: the result.
   AnswerBody m_Body;  ///< With Recorded: the answer, if it was kept.
+  std::optional<LogPoint>
+      m_Point; ///< With Recorded: the point that was recorded with it.
 };
 
 /// How an attempt ended, from `ragwortmux_end_attempt`.
@@ -138,23 +140,33 @@
                     ///< written; else the caller gets OutcomeUnknownTermEnded.
 };
 
-/// Reserves a key in the ledger; answered by keyReserved.
+/// Reserves a key in the ledger; answered by keyReserved. Sent again with the
+/// same attempt if the ledger was not available.
 struct ReserveRequestKey final {
   RequestId m_Request; ///< The request.
   RequestKey m_Key;    ///< Its key.
+  OwnerId m_Owner;     ///< Whose key it is.
+  AttemptId m_Attempt; ///< The attempt to reserve it for.
+  Term m_Term;         ///< Current term of the group.
   std::optional<AttemptId>
-      m_EndedAttempt; ///< This attempt of the key is known to have aborted;
-                      ///< the reservation may replace it.
+      m_Aborted; ///< The attempt of an ended session that holds the key; the
+                 ///< primary of m_Term said that it aborted, which is to be
+                 ///< resolved in the ledger first.
 };
 
-/// Records a key's outcome in the ledger; answered by outcomeRecorded unless
-/// m_Request has been answered before.
+/// Records a key's outcome in the ledger; answered by outcomeRecorded. A code
+/// that says not run frees the key.
 struct RecordKeyOutcome final {
   RequestId m_Request;                ///< The request.
   RequestKey m_Key;                   ///< Its key.
-  AttemptId m_Attempt;                ///< The attempt that ran.
+  OwnerId m_Owner;                    ///< Whose key it is.
+  AttemptId m_Attempt;                ///< The attempt that holds the key.
   ResultCode m_Code = ResultCode::Ok; ///< What a resend is told.
   AnswerBody m_Body;                  ///< The answer; null if lost.
+  std::optional<LogPoint> m_Point;    ///< Position of the commit.
+  bool m_OfEndedSession = false; ///< m_Attempt belongs to an ended session; the
+                                 ///< primary of m_Term said that it committed.
+  Term m_Term;                   ///< Term of the primary that said so.
 };
 
 /// Ends an attempt at the primary of \p m_Term; answered by attemptEnded.
@@ -178,6 +190,8 @@
                                       ///< any.
   SessionName m_Session;              ///< The session.
   LogPoint m_Point;                   ///< The point.
+  bool m_Establish = false; ///< The session was unknown at its homes; the point
+                            ///< is to be kept only if it still is.
 };
 
 /// Starts watching a server's position on a connection without a term, which
@@ -193,8 +207,8 @@
 
 /// Tells control that a server does not seem to work.
 struct ReportSuspicion final {
-  ServerId m_Server;                                    ///< The server.
-  Term m_Term;                                          ///< Term of the view.
+  ServerId m_Server;                                      ///< The server.
+  Term m_Term;                                            ///< Term of the view.
   SuspicionCause m_Kind = SuspicionCause::ConnectRefused; ///< What was noticed.
 };
 
@@ -207,9 +221,9 @@
 /// One thing for the shell to do; to be done in order.
 using GroupAction =
     std::variant<OpenConnection, CloseConnection, SendStatement,
-                 CancelStatement, Answer, ReserveRequestKey, RecordKeyOutcome, EndAttempt,
-                 FindSessionPoint, StoreSessionPoint, StartWatch, StopWatch,
-                 ReportSuspicion, CloseCaller>;
+                 CancelStatement, Answer, ReserveRequestKey, RecordKeyOutcome,
+                 EndAttempt, FindSessionPoint, StoreSessionPoint, StartWatch,
+                 StopWatch, ReportSuspicion, CloseCaller>;
 
 /// Actions in the order in which they are to be done.
 using GroupActions = std::vector<GroupAction>;
--- a/ragwortmux/Request/GroupSettings.h
+++ b/ragwortmux/Request/GroupSettings.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Request/RetryBudget.h"
 
 #include <cstdint>
+#include <string>
 
 namespace ragwortmux {
 
@@ -14,6 +15,8 @@
 struct GroupSettings final {
   FailureDomainId
       m_Domain; ///< This proxy's domain; near servers are preferred.
+  std::string m_AttemptPrefix; ///< Unique for each run of each process; attempt
+                               ///< ids start with it.
   Duration m_LeaseMargin = std::chrono::milliseconds(
       50); ///< What a lease must still last for a write to be sent.
   Duration m_CoverWait =
@@ -29,9 +32,12 @@
       250); ///< How long an answer waits for its record in the ledger.
   Duration m_EndAttemptRetry = std::chrono::milliseconds(
       100); ///< Pause before an attempt that could not be ended is tried again.
-  std::uint32_t m_SilentReadDivisor =
-      3; ///< A read without an answer after this fraction of its deadline is
-         ///< retried elsewhere.
+  std::uint32_t m_SilentReadPercent =
+      33; ///< A read that is not answered within this part of its deadline is
+          ///< retried elsewhere.
+  std::uint32_t m_SilentKeyedPercent =
+      67; ///< A keyed write that is not answered within this part of its
+          ///< deadline is ended, so that its outcome is known in time.
   bool m_AllowSingleServer =
       false; ///< A group that has one server only may acknowledge alone.
   RetryBudgetSettings m_Retry;   ///< Limits retries.
--- /dev/null
+++ b/ragwortmux/Request/RequestQueue.cpp
@@ -0,0 +1,131 @@
+#include "ragwortmux/Request/RequestQueue.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Requests of one owner and class offered in one run; bounds the work per
+/// event while many wait that cannot run.
+constexpr std::size_t MaxOffersPerOwner = 64;
+
+/// The keys of \p Map, starting behind \p Last and wrapping around.
+template <typename Key, typename Value>
+std::vector<Key> keysBehind(const std::map<Key, Value> &Map, const Key &Last) {
+  std::vector<Key> Keys;
+  Keys.reserve(Map.size());
+  for (const auto &[Name, Content] : Map)
+    Keys.push_back(Name);
+  std::rotate(Keys.begin(), std::upper_bound(Keys.begin(), Keys.end(), Last),
+              Keys.end());
+  return Keys;
+}
+
+} // namespace
+
+/// What one run has offered of one owner so far.
+struct RequestQueue::Offers final {
+  std::map<EntryName, RequestId> m_Last; ///< Last one offered, by entry.
+  std::set<EntryName> m_Full;            ///< Entries ruled out.
+  std::size_t m_Count = 0;               ///< How many were offered.
+};
+
+void RequestQueue::add(const CatalogueEntry &Entry, RequestId Request) {
+  ClassQueue &Class = m_Classes[static_cast<std::size_t>(Entry.m_Class)];
+  Class.m_Owners[Entry.m_Owner].m_Entries[Entry.m_Name].insert(Request);
+}
+
+void RequestQueue::remove(const CatalogueEntry &Entry, RequestId Request) {
+  ClassQueue &Class = m_Classes[static_cast<std::size_t>(Entry.m_Class)];
+  const auto Owner = Class.m_Owners.find(Entry.m_Owner);
+  if (Owner == Class.m_Owners.end())
+    return;
+  const auto Queue = Owner->second.m_Entries.find(Entry.m_Name);
+  if (Queue == Owner->second.m_Entries.end())
+    return;
+  Queue->second.erase(Request);
+  if (Queue->second.empty())
+    Owner->second.m_Entries.erase(Queue);
+  if (Owner->second.m_Entries.empty())
+    Class.m_Owners.erase(Owner);
+}
+
+void RequestQueue::run(const TryRun &Try) {
+  for (ClassQueue &Class : m_Classes)
+    runClass(Class, Try);
+}
+
+bool RequestQueue::empty() const { return size() == 0; }
+
+std::size_t RequestQueue::size() const {
+  std::size_t Count = 0;
+  for (const ClassQueue &Class : m_Classes) {
+    for (const auto &[Owner, Queue] : Class.m_Owners) {
+      for (const auto &[Entry, Requests] : Queue.m_Entries)
+        Count += Requests.size();
+    }
+  }
+  return Count;
+}
+
+TryResult RequestQueue::offerOne(ClassQueue &Class, const OwnerId &Owner,
+                                 Offers &Made, const TryRun &Try) {
+  const auto Found = Class.m_Owners.find(Owner);
+  if (Found == Class.m_Owners.end())
+    return TryResult::NotYet;
+  OwnerQueue &Queue = Found->second;
+  for (const EntryName &Entry :
+       keysBehind(Queue.m_Entries, Queue.m_LastEntry)) {
+    if (Made.m_Full.contains(Entry))
+      continue;
+    EntryQueue &Requests = Queue.m_Entries[Entry];
+    const auto Last = Made.m_Last.find(Entry);
+    auto Next = Last == Made.m_Last.end() ? Requests.begin()
+                                          : Requests.upper_bound(Last->second);
+    while (Next != Requests.end() && Made.m_Count < MaxOffersPerOwner) {
+      ++Made.m_Count;
+      const RequestId Request = *Next;
+      Made.m_Last[Entry] = Request;
+      const TryResult Result = Try(Request);
+      if (Result == TryResult::NotYet) {
+        ++Next;
+        continue;
+      }
+      if (Result == TryResult::EntryFull) {
+        Made.m_Full.insert(Entry);
+        break;
+      }
+      if (Result == TryResult::Taken) {
+        Requests.erase(Next);
+        Queue.m_LastEntry = Entry;
+        if (Requests.empty())
+          Queue.m_Entries.erase(Entry);
+        if (Queue.m_Entries.empty())
+          Class.m_Owners.erase(Found);
+      }
+      return Result;
+    }
+  }
+  return TryResult::NotYet;
+}
+
+void RequestQueue::runClass(ClassQueue &Class, const TryRun &Try) {
+  std::map<OwnerId, Offers> Made;
+  // One request per owner and turn, until a whole round takes none.
+  for (bool TookOne = true; TookOne;) {
+    TookOne = false;
+    for (const OwnerId &Owner : keysBehind(Class.m_Owners, Class.m_LastOwner)) {
+      const TryResult Result = offerOne(Class, Owner, Made[Owner], Try);
+      if (Result == TryResult::ClassFull)
+        return;
+      if (Result != TryResult::Taken)
+        continue;
+      Class.m_LastOwner = Owner;
+      TookOne = true;
+    }
+  }
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/RequestQueue.h
@@ -0,0 +1,68 @@
+#ifndef RAGWORTMUX_REQUEST_REQUESTQUEUE_H
+#define RAGWORTMUX_REQUEST_REQUESTQUEUE_H
+
+#include "ragwortmux/Core/Ids.h"
+#include "ragwortmux/Version/CatalogueEntry.h"
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace ragwortmux {
+
+/// What came of trying to run a queued request.
+enum class TryResult : std::uint8_t {
+  Taken,     ///< It left the queue.
+  NotYet,    ///< It cannot run now; another one of its entry may.
+  EntryFull, ///< No request of its entry can run now.
+  ClassFull, ///< No request of its class can run now.
+};
+
+/// Requests that wait for a connection: by class of traffic, within a class in
+/// turn between owners, within an owner in turn between entries, within an
+/// entry in order of arrival.
+class RequestQueue final {
+public:
+  using TryRun = std::function<TryResult(RequestId)>;
+
+  /// Adds a request; ids rise with arrival, so one that comes back after a
+  /// retry gets its old place.
+  void add(const CatalogueEntry &Entry, RequestId Request);
+  /// Removes a request if it is there.
+  void remove(const CatalogueEntry &Entry, RequestId Request);
+  /// Offers requests to \p Try in the order above, until each one was offered
+  /// or ruled out by a result. \p Try must not change the queue.
+  void run(const TryRun &Try);
+
+  bool empty() const;
+  std::size_t size() const;
+
+private:
+  using EntryQueue = std::set<RequestId>;
+
+  struct OwnerQueue final {
+    std::map<EntryName, EntryQueue> m_Entries; ///< Never an empty one.
+    EntryName m_LastEntry;                     ///< Whose turn it was.
+  };
+
+  struct ClassQueue final {
+    std::map<OwnerId, OwnerQueue> m_Owners; ///< Never an empty one.
+    OwnerId m_LastOwner;                    ///< Whose turn it was.
+  };
+
+  struct Offers;
+
+  static constexpr std::size_t ClassCount = 4;
+
+  static TryResult offerOne(ClassQueue &Class, const OwnerId &Owner,
+                            Offers &Made, const TryRun &Try);
+  static void runClass(ClassQueue &Class, const TryRun &Try);
+
+  std::array<ClassQueue, ClassCount> m_Classes; ///< By TrafficClass.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_REQUEST_REQUESTQUEUE_H
