--- /dev/null
+++ b/tests/StandIn/ChildProcess.cpp
@@ -0,0 +1,219 @@
+#include "tests/StandIn/ChildProcess.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <thread>
+
+extern char **environ;
+
+namespace ragwortmux {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds PollInterval(2);
+/// Exit status of a child whose program could not be run.
+constexpr int ExecFailedStatus = 127;
+
+int openUnlinkedFile() {
+  std::string Path = "/tmp/ragwortmux-test-XXXXXX";
+  const int File = mkostemp(Path.data(), O_CLOEXEC);
+  if (File >= 0) {
+    unlink(Path.c_str());
+  }
+  return File;
+}
+
+std::string readWhole(int File) {
+  std::string Text;
+  std::array<char, 4096> Block;
+  while (File >= 0) {
+    const ssize_t Count = pread(File, Block.data(), Block.size(),
+                                static_cast<off_t>(Text.size()));
+    if (Count <= 0) {
+      break;
+    }
+    Text.append(Block.data(), static_cast<std::size_t>(Count));
+  }
+  return Text;
+}
+
+/// Pointers to the strings, followed by a null pointer.
+std::vector<char *> pointersTo(std::vector<std::string> &Strings) {
+  std::vector<char *> Pointers;
+  for (std::string &String : Strings) {
+    Pointers.push_back(String.data());
+  }
+  Pointers.push_back(nullptr);
+  return Pointers;
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(ChildProcessSettings Settings)
+    : m_Settings(std::move(Settings)) {}
+
+ChildProcess::~ChildProcess() {
+  kill();
+  for (const int File : {m_OutputFile, m_ErrorFile}) {
+    if (File >= 0) {
+      close(File);
+    }
+  }
+}
+
+bool ChildProcess::start() {
+  if (isRunning()) {
+    m_LastReason = "already running";
+    return false;
+  }
+  for (int *File : {&m_OutputFile, &m_ErrorFile}) {
+    if (*File >= 0) {
+      close(*File);
+    }
+    *File = openUnlinkedFile();
+  }
+  // Everything that allocates comes before the fork.
+  std::vector<std::string> Arguments{m_Settings.m_Program};
+  Arguments.insert(Arguments.end(), m_Settings.m_Arguments.begin(),
+                   m_Settings.m_Arguments.end());
+  std::vector<std::string> Environment;
+  for (char **Variable = environ; *Variable != nullptr; ++Variable) {
+    Environment.emplace_back(*Variable);
+  }
+  for (const auto &[Name, Value] : m_Settings.m_Environment) {
+    std::erase_if(Environment, [&Name](const std::string &Entry) {
+      return Entry.starts_with(Name + "=");
+    });
+    Environment.push_back(Name);
+    Environment.back().append("=").append(Value);
+  }
+  const std::vector<char *> ArgumentPointers = pointersTo(Arguments);
+  const std::vector<char *> EnvironmentPointers = pointersTo(Environment);
+  const pid_t Parent = getpid();
+  const pid_t Child = fork();
+  if (Child < 0) {
+    m_LastReason = std::strerror(errno);
+    return false;
+  }
+  if (Child == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != Parent) {
+      _exit(ExecFailedStatus);
+    }
+    dup2(m_OutputFile, STDOUT_FILENO);
+    dup2(m_ErrorFile, STDERR_FILENO);
+    execve(ArgumentPointers[0], ArgumentPointers.data(),
+           EnvironmentPointers.data());
+    _exit(ExecFailedStatus);
+  }
+  m_ProcessId = Child;
+  m_WaitStatus.reset();
+  return true;
+}
+
+std::optional<std::string>
+ChildProcess::waitForLine(std::string_view Prefix,
+                          std::chrono::milliseconds Timeout) {
+  const auto Deadline = Clock::now() + Timeout;
+  const std::string Marker = "\n" + std::string(Prefix);
+  while (true) {
+    const bool Running = isRunning();
+    const std::string Text = "\n" + output();
+    const std::size_t Begin = Text.find(Marker);
+    const std::size_t End = Begin == std::string::npos
+                                ? std::string::npos
+                                : Text.find('\n', Begin + Marker.size());
+    if (End != std::string::npos) {
+      return Text.substr(Begin + Marker.size(), End - Begin - Marker.size());
+    }
+    if (!Running || Clock::now() >= Deadline) {
+      m_LastReason = (Running ? "no such line in time: " : "ended: ") +
+                     output() + errors();
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(PollInterval);
+  }
+}
+
+std::optional<std::uint16_t>
+ChildProcess::waitForPort(std::chrono::milliseconds Timeout) {
+  const auto Line = waitForLine("listening ", Timeout);
+  if (!Line) {
+    return std::nullopt;
+  }
+  std::uint16_t Port = 0;
+  const char *const End = Line->data() + Line->size();
+  if (std::from_chars(Line->data(), End, Port).ec != std::errc()) {
+    m_LastReason = "not a port: " + *Line;
+    return std::nullopt;
+  }
+  return Port;
+}
+
+std::optional<int>
+ChildProcess::waitForExit(std::chrono::milliseconds Timeout) {
+  const auto Deadline = Clock::now() + Timeout;
+  while (isRunning()) {
+    if (Clock::now() >= Deadline) {
+      m_LastReason = "still running";
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return m_WaitStatus;
+}
+
+void ChildProcess::kill() {
+  signal(SIGKILL);
+  reap(true);
+}
+
+void ChildProcess::terminate() { signal(SIGTERM); }
+
+void ChildProcess::stop() { signal(SIGSTOP); }
+
+void ChildProcess::resume() { signal(SIGCONT); }
+
+bool ChildProcess::isRunning() {
+  reap(false);
+  return m_ProcessId != 0;
+}
+
+std::string ChildProcess::output() const { return readWhole(m_OutputFile); }
+
+std::string ChildProcess::errors() const { return readWhole(m_ErrorFile); }
+
+void ChildProcess::signal(int Number) {
+  // Reaped first: the id of a reaped process may belong to another one.
+  if (isRunning()) {
+    ::kill(m_ProcessId, Number);
+  }
+}
+
+void ChildProcess::reap(bool Block) {
+  if (m_ProcessId == 0) {
+    return;
+  }
+  int Status = 0;
+  pid_t Reaped = 0;
+  do {
+    Reaped = waitpid(m_ProcessId, &Status, Block ? 0 : WNOHANG);
+  } while (Reaped < 0 && errno == EINTR);
+  if (Reaped == m_ProcessId) {
+    m_ProcessId = 0;
+    m_WaitStatus = Status;
+  }
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/tests/StandIn/StandInStore.cpp
@@ -0,0 +1,236 @@
+#include "tests/StandIn/StandInStore.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace ragwortmux::standin {
+
+StandInStore::TransactionId StandInStore::begin() {
+  m_Open.emplace(++m_LastTransaction, Transaction());
+  return m_LastTransaction;
+}
+
+std::optional<LogPoint> StandInStore::commit(TransactionId Id,
+                                             const std::string &Attempt) {
+  const auto Found = m_Open.find(Id);
+  assert(Found != m_Open.end());
+  if (isAborted(Attempt)) {
+    rollback(Id);
+    return std::nullopt;
+  }
+  if (Found->second.m_Writes) {
+    assert(m_Role == StandInRole::Primary);
+    StandInLogEntry Entry;
+    Entry.m_Attempt = Attempt;
+    Entry.m_Statements = Found->second.m_Statements;
+    for (const auto &[Row, Value] : Found->second.m_Changes) {
+      Entry.m_Changes.push_back({Row.first, Row.second, Value});
+    }
+    append(std::move(Entry));
+    m_OnCommit(m_Log.back());
+  }
+  rollback(Id);
+  return point();
+}
+
+void StandInStore::rollback(TransactionId Id) {
+  m_Open.erase(Id);
+  std::erase_if(m_Locks, [Id](const auto &Lock) { return Lock.second == Id; });
+  m_OnChange();
+}
+
+bool StandInStore::lock(TransactionId Id, const std::string &Table,
+                        const std::string &Key) {
+  assert(isOpen(Id));
+  return m_Locks.try_emplace({Table, Key}, Id).first->second == Id;
+}
+
+void StandInStore::write(TransactionId Id, StandInChange Change) {
+  assert(m_Locks.at({Change.m_Table, Change.m_Key}) == Id);
+  m_Open.at(Id).m_Changes[{Change.m_Table, Change.m_Key}] =
+      std::move(Change.m_Value);
+}
+
+void StandInStore::noteStatement(TransactionId Id, const std::string &Text) {
+  Transaction &Open = m_Open.at(Id);
+  Open.m_Writes = true;
+  Open.m_Statements += (Open.m_Statements.empty() ? "" : "; ") + Text;
+}
+
+std::optional<std::string> StandInStore::read(TransactionId Id,
+                                              const std::string &Table,
+                                              const std::string &Key) const {
+  const auto &Changes = m_Open.at(Id).m_Changes;
+  if (const auto Own = Changes.find({Table, Key}); Own != Changes.end()) {
+    return Own->second;
+  }
+  const auto Found = m_Tables.find(Table);
+  if (Found == m_Tables.end()) {
+    return std::nullopt;
+  }
+  const auto Row = Found->second.find(Key);
+  return Row == Found->second.end() ? std::nullopt : std::optional(Row->second);
+}
+
+StandInStore::Rows StandInStore::rows(TransactionId Id,
+                                      const std::string &Table) const {
+  const auto Found = m_Tables.find(Table);
+  Rows Seen = Found == m_Tables.end() ? Rows() : Found->second;
+  for (const auto &[Row, Value] : m_Open.at(Id).m_Changes) {
+    if (Row.first != Table) {
+      continue;
+    }
+    Seen.erase(Row.second);
+    if (Value) {
+      Seen.emplace(Row.second, *Value);
+    }
+  }
+  return Seen;
+}
+
+bool StandInStore::fence(Term NewTerm) {
+  if (NewTerm < m_Term) {
+    return false;
+  }
+  if (NewTerm > m_Term) {
+    m_Term = NewTerm;
+    stepDown();
+  }
+  return true;
+}
+
+std::optional<LogPoint> StandInStore::promote(Term NewTerm) {
+  if (m_Role == StandInRole::Primary && m_Term == NewTerm) {
+    return m_PromotedAt;
+  }
+  if (NewTerm < m_Term || NewTerm == m_FollowedTerm) {
+    return std::nullopt;
+  }
+  stepDown();
+  m_Term = NewTerm;
+  m_HistoryTerm = NewTerm;
+  m_Role = StandInRole::Primary;
+  m_PromotedAt = point();
+  m_OnChange();
+  return m_PromotedAt;
+}
+
+bool StandInStore::follow(Term NewTerm) {
+  if (NewTerm < m_Term ||
+      (NewTerm == m_Term && m_Role == StandInRole::Primary)) {
+    return false;
+  }
+  if (NewTerm != m_FollowedTerm) {
+    m_Term = NewTerm;
+    m_FollowedTerm = NewTerm;
+    stepDown();
+  }
+  return true;
+}
+
+bool StandInStore::endAttempt(const std::string &Attempt) {
+  if (m_Committed.contains(Attempt)) {
+    return true;
+  }
+  if (!isAborted(Attempt)) {
+    StandInLogEntry Entry;
+    Entry.m_Attempt = Attempt;
+    Entry.m_AttemptAborted = true;
+    append(std::move(Entry));
+    m_OnChange();
+  }
+  return false;
+}
+
+bool StandInStore::isAborted(const std::string &Attempt) const {
+  return m_Aborted.contains(Attempt);
+}
+
+LogPosition
+StandInStore::commonPosition(std::span<const StandInTermRun> Runs) const {
+  // Two logs are equal up to the last position at which they have the same
+  // term, since each term has one primary that gives out its positions.
+  LogPosition Common;
+  LogPosition First(1);
+  for (const StandInTermRun &Run : Runs) {
+    const std::uint64_t End =
+        std::min<std::uint64_t>(Run.m_Last.value(), m_Log.size());
+    for (std::uint64_t Position = End; Position >= First.value(); --Position) {
+      if (m_Log[Position - 1].m_Point.m_Term == Run.m_Term) {
+        Common = LogPosition(Position);
+        break;
+      }
+    }
+    First = LogPosition(Run.m_Last.value() + 1);
+  }
+  return Common;
+}
+
+std::vector<StandInTermRun> StandInStore::termRuns() const {
+  std::vector<StandInTermRun> Runs;
+  for (const StandInLogEntry &Entry : m_Log) {
+    if (Runs.empty() || Runs.back().m_Term != Entry.m_Point.m_Term) {
+      Runs.push_back({Entry.m_Point.m_Term, {}});
+    }
+    Runs.back().m_Last = Entry.m_Point.m_Position;
+  }
+  return Runs;
+}
+
+void StandInStore::adopt(Term NewTerm, LogPosition Common) {
+  assert(Common.value() <= m_Log.size());
+  m_HistoryTerm = NewTerm;
+  if (Common.value() < m_Log.size()) {
+    // The tables are made anew from what is left of the log.
+    m_Log.resize(Common.value());
+    m_Tables.clear();
+    m_Committed.clear();
+    m_Aborted.clear();
+    for (const StandInLogEntry &Entry : m_Log) {
+      applyChanges(Entry);
+    }
+  }
+  m_OnChange();
+}
+
+void StandInStore::apply(const StandInLogEntry &Entry) {
+  assert(m_Role == StandInRole::Replica);
+  assert(Entry.m_Point.m_Position.value() == m_Log.size() + 1);
+  m_Log.push_back(Entry);
+  applyChanges(Entry);
+  m_OnChange();
+}
+
+LogPoint StandInStore::point() const {
+  return {m_HistoryTerm, LogPosition(m_Log.size())};
+}
+
+void StandInStore::append(StandInLogEntry Entry) {
+  Entry.m_Point = {m_HistoryTerm, LogPosition(m_Log.size() + 1)};
+  applyChanges(Entry);
+  m_Log.push_back(std::move(Entry));
+}
+
+void StandInStore::applyChanges(const StandInLogEntry &Entry) {
+  for (const StandInChange &Change : Entry.m_Changes) {
+    Rows &Table = m_Tables[Change.m_Table];
+    if (Change.m_Value) {
+      Table[Change.m_Key] = *Change.m_Value;
+    } else {
+      Table.erase(Change.m_Key);
+    }
+  }
+  if (!Entry.m_Attempt.empty()) {
+    (Entry.m_AttemptAborted ? m_Aborted : m_Committed).insert(Entry.m_Attempt);
+  }
+}
+
+void StandInStore::stepDown() {
+  // Whatever was open belongs to the old term.
+  m_Role = StandInRole::Replica;
+  m_Open.clear();
+  m_Locks.clear();
+  m_OnChange();
+}
+
+} // namespace ragwortmux::standin
