Replicated log: files under one data folder

The core counts a granted vote as a sign of a leader, and a leader's time for check-quorum from its campaign on, so that two leaders never overlap while clocks run evenly. No test was run yet.

--- a/ragwortmux/Process/Log/LeaderState.cpp
+++ b/ragwortmux/Process/Log/LeaderState.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-LeaderState::LeaderState(Instant Now, VoterId Self, LogIndex First)
+LeaderState::LeaderState(Instant Campaign, VoterId Self, LogIndex First)
     : m_Self(std::move(Self)), m_First(First) {
-  m_Starts.push_back({m_Round, Now});
+  m_Starts.push_back({m_Round, Campaign});
 }
 
 void LeaderState::setMembers(Instant Now, const LogMembership &Members,
@@ -44,10 +44,12 @@
   }
 }
 
-void LeaderState::startRound(Instant Now) {
+void LeaderState::startRound(Instant Now, Duration Keep) {
   ++m_Round;
   m_WantsRound = false;
   m_Starts.push_back({m_Round, Now});
+  while (m_Starts.size() > 1 && m_Starts[1].m_Start + Keep < Now)
+    m_Starts.pop_front();
   for (auto &[Id, Peer] : m_Peers) {
     Peer.m_RoundDue = true;
     Peer.m_Paused = false;
@@ -68,9 +70,6 @@
 std::vector<ConfirmationToken>
 LeaderState::takeConfirmed(const LogMembership &Members, LogIndex Applied) {
   const std::uint64_t Answered = quorumRound(Members);
-  while (m_Starts.size() > 1 && m_Starts[1].m_Round <= Answered)
-    m_Starts.pop_front();
-
   std::vector<ConfirmationToken> Confirmed;
   while (!m_Tokens.empty() && m_Tokens.front().m_Round <= Answered &&
          m_Tokens.front().m_ReadIndex <= Applied) {
@@ -96,7 +95,6 @@
 }
 
 Instant LeaderState::quorumContact(const LogMembership &Members) const {
-  // The first start kept stands for all rounds before it.
   const std::uint64_t Answered = quorumRound(Members);
   Instant Contact = m_Starts.front().m_Start;
   for (const RoundStart &Each : m_Starts) {
--- a/ragwortmux/Process/Log/LeaderState.h
+++ b/ragwortmux/Process/Log/LeaderState.h
@@ -35,14 +35,15 @@
 /// the confirmations that wait for them.
 class LeaderState final {
 public:
-  /// A leader \p Self, elected at \p Now, whose first own entry is \p First.
-  LeaderState(Instant Now, VoterId Self, LogIndex First);
+  /// A leader \p Self that asked for votes at \p Campaign and whose first own
+  /// entry is \p First.
+  LeaderState(Instant Campaign, VoterId Self, LogIndex First);
 
   /// Adds and removes peers so that they are those of \p Members.
   void setMembers(Instant Now, const LogMembership &Members, LogIndex Next);
 
-  /// Starts a heartbeat round.
-  void startRound(Instant Now);
+  /// Starts a heartbeat round. Starts older than \p Keep need not be known.
+  void startRound(Instant Now, Duration Keep);
   /// \p Peer has answered \p Round.
   void roundAnswered(Instant Now, PeerProgress &Peer, std::uint64_t Round);
 
@@ -60,7 +61,8 @@
   /// The newest index that a quorum of \p Members holds durably, if this member
   /// holds \p OwnDurable.
   LogIndex quorumMatch(const LogMembership &Members, LogIndex OwnDurable) const;
-  /// When the newest round that a quorum has answered was begun.
+  /// When the newest round that a quorum has answered was begun; the votes
+  /// count as answers to the first one.
   Instant quorumContact(const LogMembership &Members) const;
 
   /// True if a quorum of \p Members has answered at or after \p Since.
@@ -72,7 +74,7 @@
   PeerProgress *peer(const VoterId &Id);
   /// The current round.
   std::uint64_t round() const { return m_Round; }
-  /// When the current round was begun.
+  /// When the current round was begun; the first one with the campaign.
   Instant roundStart() const { return m_Starts.back().m_Start; }
   /// The leader's first own entry.
   LogIndex firstEntry() const { return m_First; }
--- /dev/null
+++ b/ragwortmux/Process/Log/PosixFileSystem.cpp
@@ -0,0 +1,210 @@
+#include "ragwortmux/Process/Log/PosixFileSystem.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr const char *LockName = "lock";
+constexpr mode_t FileMode = 0600;
+constexpr mode_t FolderMode = 0700;
+constexpr std::size_t ReadChunkBytes = std::size_t{1} << 16;
+
+/// Calls \p Call again while signals interrupt it.
+template <typename Function> auto retried(const Function &Call) {
+  auto Result = Call();
+  while (Result < 0 && errno == EINTR)
+    Result = Call();
+  return Result;
+}
+
+/// What failed and why, from errno.
+std::string failure(const std::string &What) {
+  return What + ": " + std::generic_category().message(errno);
+}
+
+/// Makes the entries of the folder at \p Path durable.
+bool syncFolderAt(const std::string &Path) {
+  const int Number = ::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (Number < 0)
+    return false;
+  const bool Synced = ::fsync(Number) == 0;
+  ::close(Number);
+  return Synced;
+}
+
+/// A descriptor that is closed at the end of its scope.
+class Descriptor final {
+public:
+  explicit Descriptor(int Number) : m_Number(Number) {}
+  ~Descriptor() {
+    if (m_Number >= 0)
+      ::close(m_Number);
+  }
+  Descriptor(const Descriptor &) = delete;
+  Descriptor &operator=(const Descriptor &) = delete;
+
+  int number() const { return m_Number; }
+  bool valid() const { return m_Number >= 0; }
+
+private:
+  const int m_Number; ///< -1 if opening failed.
+};
+
+class PosixAppendFile final : public AppendFile {
+public:
+  explicit PosixAppendFile(int Number) : m_File(Number) {}
+
+  bool append(std::string_view Bytes) override {
+    while (!Bytes.empty()) {
+      const ssize_t Written = retried(
+          [&] { return ::write(m_File.number(), Bytes.data(), Bytes.size()); });
+      if (Written <= 0)
+        return fail("write");
+      Bytes.remove_prefix(static_cast<std::size_t>(Written));
+    }
+    return true;
+  }
+
+  // Not retried: after a failed sync the kernel may have dropped the pages.
+  bool sync() override {
+    return ::fdatasync(m_File.number()) == 0 || fail("fdatasync");
+  }
+  std::string lastReason() const override { return m_LastReason; }
+
+private:
+  bool fail(const std::string &What) {
+    m_LastReason = failure(What);
+    return false;
+  }
+
+  const Descriptor m_File;  ///< The open file.
+  std::string m_LastReason; ///< See lastReason().
+};
+
+class PosixFolderLock final : public FolderLock {
+public:
+  explicit PosixFolderLock(int Number) : m_File(Number) {}
+  bool take() {
+    return retried([&] {
+             return ::flock(m_File.number(), LOCK_EX | LOCK_NB);
+           }) == 0;
+  }
+  bool valid() const { return m_File.valid(); }
+
+private:
+  const Descriptor m_File; ///< The lock goes when it is closed.
+};
+
+} // namespace
+
+PosixFileSystem::PosixFileSystem(std::string Folder)
+    : m_Folder(std::move(Folder)) {}
+
+std::unique_ptr<FolderLock> PosixFileSystem::lock() {
+  const bool Made = ::mkdir(m_Folder.c_str(), FolderMode) == 0;
+  if ((!Made && errno != EEXIST) || (Made && !syncFolderAt(m_Folder + "/.."))) {
+    fail("mkdir " + m_Folder);
+    return nullptr;
+  }
+  auto Lock = std::make_unique<PosixFolderLock>(
+      ::open(path(LockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  if (!Lock->valid() || !Lock->take()) {
+    fail("lock " + path(LockName));
+    return nullptr;
+  }
+  return Lock;
+}
+
+std::optional<std::vector<std::string>> PosixFileSystem::list() {
+  DIR *Folder = ::opendir(m_Folder.c_str());
+  if (!Folder) {
+    fail("opendir " + m_Folder);
+    return std::nullopt;
+  }
+  std::vector<std::string> Names;
+  while (const dirent *Entry = ::readdir(Folder)) {
+    const std::string Name = Entry->d_name;
+    if (Name != "." && Name != ".." && Name != LockName)
+      Names.push_back(Name);
+  }
+  ::closedir(Folder);
+  std::sort(Names.begin(), Names.end());
+  return Names;
+}
+
+std::optional<std::string> PosixFileSystem::read(const std::string &Name) {
+  const Descriptor File(::open(path(Name).c_str(), O_RDONLY | O_CLOEXEC));
+  if (!File.valid()) {
+    fail("open " + path(Name));
+    return std::nullopt;
+  }
+  std::string Bytes;
+  std::array<char, ReadChunkBytes> Chunk;
+  while (true) {
+    const ssize_t Read = retried(
+        [&] { return ::read(File.number(), Chunk.data(), Chunk.size()); });
+    if (Read < 0) {
+      fail("read " + path(Name));
+      return std::nullopt;
+    }
+    if (Read == 0)
+      return Bytes;
+    Bytes.append(Chunk.data(), static_cast<std::size_t>(Read));
+  }
+}
+
+std::unique_ptr<AppendFile>
+PosixFileSystem::openAppend(const std::string &Name) {
+  const int Number = ::open(
+      path(Name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+  if (Number >= 0)
+    return std::make_unique<PosixAppendFile>(Number);
+  fail("open " + path(Name));
+  return nullptr;
+}
+
+bool PosixFileSystem::truncate(const std::string &Name, std::uint64_t Size) {
+  const Descriptor File(::open(path(Name).c_str(), O_WRONLY | O_CLOEXEC));
+  if (!File.valid() ||
+      retried([&] {
+        return ::ftruncate(File.number(), static_cast<off_t>(Size));
+      }) != 0 ||
+      ::fsync(File.number()) != 0)
+    return fail("truncate " + path(Name));
+  return true;
+}
+
+bool PosixFileSystem::rename(const std::string &From, const std::string &To) {
+  return ::rename(path(From).c_str(), path(To).c_str()) == 0 ||
+         fail("rename " + path(From));
+}
+
+bool PosixFileSystem::remove(const std::string &Name) {
+  return ::unlink(path(Name).c_str()) == 0 || fail("unlink " + path(Name));
+}
+
+bool PosixFileSystem::syncFolder() {
+  return syncFolderAt(m_Folder) || fail("sync " + m_Folder);
+}
+
+std::string PosixFileSystem::path(const std::string &Name) const {
+  return m_Folder + "/" + Name;
+}
+
+bool PosixFileSystem::fail(const std::string &What) {
+  m_LastReason = failure(What);
+  return false;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/Log/PosixFileSystem.h
@@ -0,0 +1,34 @@
+#ifndef RAGWORTMUX_PROCESS_LOG_POSIXFILESYSTEM_H
+#define RAGWORTMUX_PROCESS_LOG_POSIXFILESYSTEM_H
+
+#include "ragwortmux/Process/Log/FileSystem.h"
+
+namespace ragwortmux {
+
+/// FileSystem on one folder of the machine.
+class PosixFileSystem final : public FileSystem {
+public:
+  /// \p Folder is made on lock() if it is not there; its parent must exist.
+  explicit PosixFileSystem(std::string Folder);
+
+  std::unique_ptr<FolderLock> lock() override;
+  std::optional<std::vector<std::string>> list() override;
+  std::optional<std::string> read(const std::string &Name) override;
+  std::unique_ptr<AppendFile> openAppend(const std::string &Name) override;
+  bool truncate(const std::string &Name, std::uint64_t Size) override;
+  bool rename(const std::string &From, const std::string &To) override;
+  bool remove(const std::string &Name) override;
+  bool syncFolder() override;
+  std::string lastReason() const override { return m_LastReason; }
+
+private:
+  std::string path(const std::string &Name) const;
+  bool fail(const std::string &What);
+
+  const std::string m_Folder; ///< Path of the folder.
+  std::string m_LastReason;   ///< See lastReason().
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_LOG_POSIXFILESYSTEM_H
--- a/ragwortmux/Process/Log/ReplicatedLog.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLog.cpp
@@ -74,7 +74,10 @@
 void ReplicatedLog::persisted(Instant Now, std::uint64_t Sequence) {
   if (m_Role == LogRole::Stopped || !m_Persist.confirm(Sequence))
     return;
-  // The own vote counts only now.
+  // The own vote counts, and the others are asked, only now.
+  if (m_Role == LogRole::Candidate && !m_CampaignAt &&
+      m_Persist.hardStateDurable())
+    m_CampaignAt = Now;
   countVotes(Now);
 }
 
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -172,9 +172,10 @@
 
   LogRole m_Role = LogRole::Follower; ///< What this member does.
   std::optional<VoterId> m_Leader;    ///< Leader of the term, if known.
-  Instant m_LeaderHeardAt;   ///< Last time a leader may have been heard.
-  Instant m_ElectionAt;      ///< When an election is due.
-  std::set<VoterId> m_Votes; ///< Who granted the current (pre-)vote.
+  Instant m_LeaderHeardAt; ///< Last time a leader may have been heard.
+  Instant m_ElectionAt;    ///< When an election is due.
+  std::optional<Instant> m_CampaignAt; ///< When votes were asked for.
+  std::set<VoterId> m_Votes;           ///< Who granted the current (pre-)vote.
 
   LogIndex m_Commit;  ///< Known as committed.
   LogIndex m_Applied; ///< Handed to the shell in ApplyEntries.
--- a/ragwortmux/Process/Log/ReplicatedLogElection.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -75,6 +75,8 @@
   if (Granted && !Request.m_PreVote) {
     if (m_Hard.m_Voted != From)
       setHardState(m_Hard.m_Term, From);
+    // The candidate may lead from now on; leave it the time of a leader.
+    m_LeaderHeardAt = Now;
     resetElectionTimer(Now);
   }
   const LogTerm Term = Granted ? Request.m_Term : m_Hard.m_Term;
@@ -153,6 +155,7 @@
   m_Leader.reset();
   m_Role = LogRole::Candidate;
   m_Votes = {m_Self};
+  m_CampaignAt.reset();
   setHardState(LogTerm(m_Hard.m_Term.value() + 1), m_Self);
   requestVotes(m_Hard.m_Term, false, Transfer);
 }
@@ -188,7 +191,7 @@
   m_Leader = m_Self;
   m_Ready = false;
   const LogIndex First(m_Log.last().m_Index.value() + 1);
-  m_LeaderState.emplace(Now, m_Self, First);
+  m_LeaderState.emplace(*m_CampaignAt, m_Self, First);
   m_LeaderState->setMembers(Now, membership(), First);
   m_Actions.push_back(BecameLeader{m_Hard.m_Term});
 
--- a/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
@@ -148,7 +148,7 @@
     return;
   if (m_LeaderState->wantsRound() ||
       Now >= m_LeaderState->roundStart() + m_Settings.m_HeartbeatInterval)
-    m_LeaderState->startRound(Now);
+    m_LeaderState->startRound(Now, m_Settings.m_CheckQuorumTimeout);
   for (auto &[Id, Peer] : m_LeaderState->peers()) {
     sendEntries(Now, Peer);
     if (Peer.m_RoundDue)
