--- /dev/null
+++ b/ragwortmux/Process/Support/CommandLine.cpp
@@ -0,0 +1,359 @@
+#include "ragwortmux/Process/Support/CommandLine.h"
+
+#include "ragwortmux/Process/Support/ArgumentReader.h"
+#include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/ControlPeer.h"
+#include "ragwortmux/Process/Support/SettingTable.h"
+#include "ragwortmux/Process/Support/UuidV7.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *DefaultHttpAddress = "127.0.0.1:8080";
+constexpr const char *DefaultCallerAddress = "127.0.0.1:6432";
+constexpr const char *NameAllowed = "1 to 63 characters of [a-z0-9_-]";
+constexpr const char *TextAllowed = "1 to 128 printable characters";
+constexpr std::uint64_t MaxRevision = std::numeric_limits<std::int64_t>::max();
+
+constexpr FlagInfo AtHttp = {
+    "at",
+    "HTTP port of any entry host as ADDR:PORT; 127.0.0.1:8080 if absent."};
+constexpr FlagInfo ExpectRevision = {
+    "expect_revision",
+    "The entry's revision that the change is based on; 0 for a new entry."};
+constexpr FlagInfo ChangeIdFlag = {
+    "change_id", "Makes a resend of the change idempotent; new if absent."};
+constexpr FlagInfo OperatorFlag = {"operator",
+                                   "Who makes the change, for the history."};
+
+constexpr std::array<FlagInfo, 1> AtFlags = {AtHttp};
+constexpr std::array<FlagInfo, 4> DeleteFlags = {AtHttp, ExpectRevision,
+                                                 ChangeIdFlag, OperatorFlag};
+constexpr std::array<FlagInfo, 13> PutFlags = {
+    {AtHttp,
+     {"name", "Name of the entry, which callers use as their database."},
+     {"group", "The database group that answers."},
+     {"owner", "Whose requests these are."},
+     {"class", "booking, write, session-read or aged-read."},
+     {"max_concurrent", "Requests running at once per entry host."},
+     {"max_queued", "Requests waiting per entry host."},
+     {"deadline_ms", "Time from a request's arrival to its answer in ms."},
+     {"max_answer_bytes", "Size of the whole answer in bytes."},
+     {"max_age_ms", "How old the data may be in ms; aged-read only."},
+     ExpectRevision,
+     ChangeIdFlag,
+     OperatorFlag}};
+constexpr std::array<FlagInfo, 3> TimelineFlags = {
+    {{"request", "Only events of this request."},
+     {"group", "Only events of this group."},
+     {"kind", "Only events of this kind."}}};
+constexpr std::array<FlagInfo, 5> SqlFlags = {
+    {{"at",
+      "Caller port of any entry host as ADDR:PORT; 127.0.0.1:6432 if absent."},
+     {"session", "Name of the caller's session."},
+     {"token", "Token that an earlier answer carried."},
+     {"request_key", "Idempotency key: a UUID of version 7 in lower case."},
+     {"max_age_ms", "How old the data may be in ms."}}};
+
+bool isLine(std::string_view Text) {
+  constexpr std::size_t MaxLineLength = 128;
+  return !Text.empty() && Text.size() <= MaxLineLength &&
+         std::ranges::none_of(Text, [](char Character) {
+           return static_cast<unsigned char>(Character) < ' ';
+         });
+}
+
+template <typename Number>
+Number numberOr(ArgumentReader &Reader, const char *Name, std::uint64_t Min,
+                std::uint64_t Max, Number Default) {
+  const std::optional<std::uint64_t> Given = Reader.number(Name, Min, Max);
+  return Given ? static_cast<Number>(*Given) : Default;
+}
+
+Duration durationOr(ArgumentReader &Reader, const char *Name, std::uint64_t Min,
+                    std::uint64_t Max, Duration Default) {
+  const std::optional<std::uint64_t> Given = Reader.number(Name, Min, Max);
+  return Given ? Duration(milliseconds(*Given)) : Default;
+}
+
+EntryLimits readLimits(ArgumentReader &Reader) {
+  using Bounds = EntryBounds;
+  EntryLimits Limits;
+  Limits.m_MaxConcurrent =
+      numberOr(Reader, "max_concurrent", Bounds::MinConcurrent,
+               Bounds::MaxConcurrent, Limits.m_MaxConcurrent);
+  Limits.m_MaxQueued =
+      numberOr(Reader, "max_queued", 0, Bounds::MaxQueued, Limits.m_MaxQueued);
+  Limits.m_RequestDeadline =
+      durationOr(Reader, "deadline_ms", Bounds::MinDeadlineMs,
+                 Bounds::MaxDeadlineMs, Limits.m_RequestDeadline);
+  Limits.m_MaxAnswerBytes =
+      numberOr(Reader, "max_answer_bytes", Bounds::MinAnswerBytes,
+               Bounds::MaxAnswerBytes, Limits.m_MaxAnswerBytes);
+  Limits.m_MaxAge =
+      durationOr(Reader, "max_age_ms", 0, Bounds::MaxAgeMs, Limits.m_MaxAge);
+  return Limits;
+}
+
+/// What every change of the catalogue carries.
+void readChange(ArgumentReader &Reader, CatalogueCommand &Parsed) {
+  Parsed.m_ExpectRevision = Revision(
+      numberOr<std::uint64_t>(Reader, "expect_revision", 0, MaxRevision, 0));
+  Parsed.m_Change = ChangeId(Reader.text("change_id", isLine, TextAllowed));
+  Parsed.m_Operator = Reader.text("operator", isLine, TextAllowed);
+}
+
+Command readPut(ArgumentReader &Reader) {
+  CatalogueCommand Parsed;
+  Parsed.m_Action = CatalogueAction::Put;
+  Parsed.m_At = Reader.address(DefaultHttpAddress);
+  Parsed.m_Entry.m_Name =
+      EntryName(Reader.requiredText("name", isName, NameAllowed));
+  Parsed.m_Entry.m_Group =
+      GroupId(Reader.requiredText("group", isName, NameAllowed));
+  Parsed.m_Entry.m_Owner =
+      OwnerId(Reader.requiredText("owner", isOwner, OwnerAllowed));
+  const std::string Class = Reader.requiredText(
+      "class",
+      [](std::string_view Word) { return parseTrafficClass(Word).has_value(); },
+      trafficClassesAllowed());
+  Parsed.m_Entry.m_Class =
+      parseTrafficClass(Class).value_or(TrafficClass::Booking);
+  Parsed.m_Entry.m_Limits = readLimits(Reader);
+  if (Parsed.m_Entry.m_Class != TrafficClass::AgedRead &&
+      Parsed.m_Entry.m_Limits.m_MaxAge > Duration(0))
+    Reader.addFault("--max_age_ms", "above 0", "0 unless class is aged-read");
+  readChange(Reader, Parsed);
+  Reader.positional({});
+  return Parsed;
+}
+
+/// The commands that name one entry.
+CatalogueCommand readNamed(ArgumentReader &Reader, CatalogueAction Action) {
+  constexpr std::array Names = {"NAME"};
+  CatalogueCommand Parsed;
+  Parsed.m_Action = Action;
+  Parsed.m_At = Reader.address(DefaultHttpAddress);
+  const std::string Name = Reader.positional(Names).front();
+  if (!Name.empty() && !isName(Name))
+    Reader.addFault("NAME", Name, NameAllowed);
+  Parsed.m_Entry.m_Name = EntryName(Name);
+  return Parsed;
+}
+
+Command readGet(ArgumentReader &Reader) {
+  return readNamed(Reader, CatalogueAction::Get);
+}
+
+Command readHistory(ArgumentReader &Reader) {
+  return readNamed(Reader, CatalogueAction::History);
+}
+
+Command readDelete(ArgumentReader &Reader) {
+  CatalogueCommand Parsed = readNamed(Reader, CatalogueAction::Delete);
+  readChange(Reader, Parsed);
+  if (Parsed.m_ExpectRevision == Revision(0))
+    Reader.addFault("--expect_revision", "0 or missing",
+                    fmt::format("1 to {}", MaxRevision));
+  return Parsed;
+}
+
+Command readList(ArgumentReader &Reader) {
+  CatalogueCommand Parsed;
+  Parsed.m_At = Reader.address(DefaultHttpAddress);
+  Reader.positional({});
+  return Parsed;
+}
+
+template <typename Kind> Command readAt(ArgumentReader &Reader) {
+  Reader.positional({});
+  return Kind{Reader.address(DefaultHttpAddress)};
+}
+
+Command readTimeline(ArgumentReader &Reader) {
+  TimelineCommand Parsed;
+  for (const std::string &Path : Reader.positionalList("DIR"))
+    Parsed.m_Paths.emplace_back(Path);
+  const std::string Request = Reader.text("request", isLine, TextAllowed);
+  if (!Request.empty())
+    Parsed.m_Filter.m_Request = Request;
+  const std::string Group = Reader.text("group", isName, NameAllowed);
+  if (!Group.empty())
+    Parsed.m_Filter.m_Group = GroupId(Group);
+  const std::string Kind = Reader.text(
+      "kind",
+      [](std::string_view Word) { return parseEventKind(Word).has_value(); },
+      "one of the kinds that docs/OPERATIONS.md lists");
+  Parsed.m_Filter.m_Kind = parseEventKind(Kind);
+  return Parsed;
+}
+
+Command readSql(ArgumentReader &Reader) {
+  constexpr std::array Names = {"ENTRY", "TEXT"};
+  SqlCommand Parsed;
+  Parsed.m_At = Reader.address(DefaultCallerAddress);
+  const std::vector<std::string> Given = Reader.positional(Names);
+  if (!Given.front().empty() && !isName(Given.front()))
+    Reader.addFault("ENTRY", Given.front(), NameAllowed);
+  Parsed.m_Entry = EntryName(Given.front());
+  Parsed.m_Text = Given.back();
+  Parsed.m_Session = SessionName(Reader.text("session", isLine, TextAllowed));
+  Parsed.m_Token = Reader.text("token", isLine, TextAllowed);
+  Parsed.m_RequestKey = RequestKey(Reader.text(
+      "request_key",
+      [](std::string_view Text) { return uuidV7Time(Text).has_value(); },
+      "a UUID of version 7 in lower case"));
+  const std::optional<std::uint64_t> AgeMs =
+      Reader.number("max_age_ms", 0, EntryBounds::MaxAgeMs);
+  if (AgeMs)
+    Parsed.m_MaxAge = milliseconds(*AgeMs);
+  return Parsed;
+}
+
+/// One command of the binary.
+struct CommandInfo final {
+  std::string_view m_Name;           ///< The words that name it.
+  std::string_view m_Usage;          ///< Positional arguments, for people.
+  std::string_view m_Summary;        ///< One sentence for people.
+  std::span<const FlagInfo> m_Flags; ///< Its flags.
+  Command (*m_Read)(ArgumentReader &Reader); ///< Null: takes settings.
+};
+
+constexpr std::array<CommandInfo, 11> Commands = {
+    {{"serve", "", "Runs an entry host, a control host or both.", {}, nullptr},
+     {"check-settings",
+      "",
+      "Checks the settings of serve and ends.",
+      {},
+      nullptr},
+     {"catalogue put", "", "Creates or changes a catalogue entry.", PutFlags,
+      readPut},
+     {"catalogue get", "NAME", "Shows a catalogue entry.", AtFlags, readGet},
+     {"catalogue list", "", "Shows all catalogue entries.", AtFlags, readList},
+     {"catalogue delete", "NAME", "Deletes a catalogue entry.", DeleteFlags,
+      readDelete},
+     {"catalogue history", "NAME", "Shows the changes of an entry.", AtFlags,
+      readHistory},
+     {"status", "", "Shows what a process knows of the cluster.", AtFlags,
+      readAt<StatusCommand>},
+     {"drain", "", "Shuts a process down gracefully.", AtFlags,
+      readAt<DrainCommand>},
+     {"timeline", "DIR...", "Prints the merged time line of all processes.",
+      TimelineFlags, readTimeline},
+     {"sql", "ENTRY TEXT", "Runs one SQL text as a caller.", SqlFlags,
+      readSql}}};
+
+std::string commandNames() {
+  std::string Names;
+  for (const CommandInfo &Info : Commands)
+    Names += fmt::format("{}{}", Names.empty() ? "" : ", ", Info.m_Name);
+  return Names;
+}
+
+std::string generalHelp() {
+  std::string Text = "usage: ragwortmux COMMAND [--help] [--version] ...\n\n";
+  for (const CommandInfo &Info : Commands)
+    Text += fmt::format("  {:<18} {}\n", Info.m_Name, Info.m_Summary);
+  return Text;
+}
+
+std::string settingsHelp() {
+  std::string Text = "Each flag may also stand in the environment, as "
+                     "RAGWORTMUX_ and its name in capitals.\n\n";
+  for (const SettingInfo &Info : allSettings()) {
+    const std::string Default =
+        Info.m_IsRequired ? "required" : fmt::format("'{}'", Info.m_Default);
+    Text += fmt::format("  --{}: {}\n      allowed: {}; default: {}\n",
+                        Info.m_Name, Info.m_Meaning, Info.m_Allowed, Default);
+  }
+  Text += "\nOnly in the environment:\n\n";
+  for (const SecretInfo &Info : {ClusterKeyInfo, OperatorTokenInfo})
+    Text += fmt::format("  {}: {}\n      allowed: {}\n", Info.m_Variable,
+                        Info.m_Meaning, secretAllowed());
+  return Text;
+}
+
+std::string commandHelp(const CommandInfo &Info) {
+  std::string Text = fmt::format("usage: ragwortmux {}{}{} [FLAGS]\n{}\n\n",
+                                 Info.m_Name, Info.m_Usage.empty() ? "" : " ",
+                                 Info.m_Usage, Info.m_Summary);
+  if (Info.m_Read == nullptr)
+    return Text + settingsHelp();
+  for (const FlagInfo &Flag : Info.m_Flags)
+    Text += fmt::format("  --{}: {}\n", Flag.m_Name, Flag.m_Help);
+  return Text;
+}
+
+/// True if \p Flag stands among \p Arguments before a lone `--`.
+bool hasFlag(std::span<const std::string> Arguments, std::string_view Flag) {
+  for (const std::string &Argument : Arguments) {
+    if (Argument == "--")
+      return false;
+    if (Argument == Flag)
+      return true;
+  }
+  return false;
+}
+
+/// The command that \p Arguments begin with, and how many words name it.
+const CommandInfo *findCommand(std::span<const std::string> Arguments,
+                               std::size_t &WordCount) {
+  WordCount = Arguments.front() == "catalogue" && Arguments.size() > 1 ? 2 : 1;
+  const std::string Name =
+      WordCount == 1 ? Arguments[0] : Arguments[0] + " " + Arguments[1];
+  const auto *Found = std::ranges::find(Commands, Name, &CommandInfo::m_Name);
+  return Found == Commands.end() ? nullptr : Found;
+}
+
+/// The arguments of serve and check-settings, which are left as they are.
+Command takeSettings(const CommandInfo &Info,
+                     std::span<const std::string> Arguments) {
+  std::vector<std::string> Copy(Arguments.begin(), Arguments.end());
+  if (Info.m_Name == "serve")
+    return ServeCommand{std::move(Copy)};
+  return CheckSettingsCommand{std::move(Copy)};
+}
+
+} // namespace
+
+std::optional<Command> parseCommandLine(std::span<const std::string> Arguments,
+                                        std::vector<SettingFault> &Faults) {
+  if (Arguments.empty()) {
+    Faults.push_back(
+        {ResultCode::BadArgument, "command", "(missing)", commandNames()});
+    return std::nullopt;
+  }
+  std::size_t WordCount = 0;
+  const CommandInfo *Info = findCommand(Arguments, WordCount);
+  if (hasFlag(Arguments, "--version"))
+    return VersionCommand{};
+  if (hasFlag(Arguments, "--help"))
+    return HelpCommand{Info == nullptr ? generalHelp() : commandHelp(*Info)};
+  if (Info == nullptr) {
+    const std::string &First = Arguments.front();
+    Faults.push_back({ResultCode::BadArgument, "command",
+                      First.substr(0, First.find('=')), commandNames()});
+    return std::nullopt;
+  }
+
+  const std::span<const std::string> Rest = Arguments.subspan(WordCount);
+  if (Info->m_Read == nullptr)
+    return takeSettings(*Info, Rest);
+  const std::size_t Before = Faults.size();
+  ArgumentReader Reader(Info->m_Flags, Rest, Faults);
+  Command Parsed = Info->m_Read(Reader);
+  if (Faults.size() != Before)
+    return std::nullopt;
+  return Parsed;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/Support/JsonFields.h
@@ -0,0 +1,64 @@
+#ifndef RAGWORTMUX_PROCESS_SUPPORT_JSONFIELDS_H
+#define RAGWORTMUX_PROCESS_SUPPORT_JSONFIELDS_H
+
+#include "ragwortmux/Process/Support/SettingFault.h"
+
+#include <boost/json/object.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortmux {
+
+/// Parses \p Text as one JSON object of at most \p MaxBytes; none, with a fault
+/// of \p Code added, for anything else.
+std::optional<boost::json::object>
+parseJsonObject(std::string_view Text, std::size_t MaxBytes, ResultCode Code,
+                std::vector<SettingFault> &Faults);
+
+/// Reads typed fields of a JSON object. Every field that is missing, of another
+/// type or out of bounds adds a fault that names it, and reads as its fallback.
+class JsonFields final {
+public:
+  /// Tells whether a text is allowed.
+  using TextCheck = std::function<bool(std::string_view)>;
+
+  JsonFields(const boost::json::object &Object, ResultCode Code,
+             std::vector<SettingFault> &Faults);
+
+  /// A text that \p Check accepts; \p Allowed describes such texts.
+  std::string text(std::string_view Name, const TextCheck &Check,
+                   std::string Allowed);
+  /// A name as isName describes it.
+  std::string name(std::string_view Name);
+  /// A whole number; \p Fallback, if given, stands for a missing field.
+  std::uint64_t number(std::string_view Name, std::uint64_t Min,
+                       std::uint64_t Max,
+                       std::optional<std::uint64_t> Fallback = std::nullopt);
+  /// True or false; \p Fallback stands for a missing field.
+  bool boolean(std::string_view Name, bool Fallback);
+
+  /// Adds a fault for each field that has not been read.
+  void refuseOthers();
+
+private:
+  /// The value of \p Name, null if there is none; notes that it was asked for.
+  const boost::json::value *find(std::string_view Name);
+  void addFault(std::string_view Name, const boost::json::value *Value,
+                std::string Allowed);
+
+  const boost::json::object &m_Object;       ///< The object that is read.
+  ResultCode m_Code;                         ///< The code of every fault.
+  std::vector<SettingFault> &m_Faults;       ///< Where faults are added.
+  std::set<std::string, std::less<>> m_Read; ///< Fields asked for so far.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_SUPPORT_JSONFIELDS_H
--- /dev/null
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -0,0 +1,72 @@
+#ifndef RAGWORTMUX_PROCESS_SUPPORT_METRICTABLE_H
+#define RAGWORTMUX_PROCESS_SUPPORT_METRICTABLE_H
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace ragwortmux {
+
+/// All metrics of a process.
+enum class Metric : std::uint8_t {
+  Requests,
+  RequestSeconds,
+  QueueSeconds,
+  RequestsInFlight,
+  RequestsQueued,
+  Retries,
+  Reads,
+  Callers,
+  CallersTotal,
+  BackendConnections,
+  BackendConnectionsOpened,
+  BackendConnectionsLost,
+  ConnectSeconds,
+  Announcements,
+  LeaseRenewals,
+  LeaseSeconds,
+  GroupTerm,
+  PrimaryChanges,
+  FailoverGapSeconds,
+  CatalogueChanges,
+  CatalogueRevision,
+  ControlLeader,
+  Elections,
+  LogSyncSeconds,
+  Draining,
+};
+
+/// How a metric behaves.
+enum class MetricKind : std::uint8_t {
+  Counter,   ///< Only rises.
+  Gauge,     ///< Is set.
+  Histogram, ///< Distribution of durations.
+};
+
+/// The most labels that a metric has.
+inline constexpr std::size_t MaxMetricLabels = 2;
+
+/// One metric.
+struct MetricInfo final {
+  Metric m_Metric;         ///< Which one.
+  std::string_view m_Name; ///< Name in the Prometheus text.
+  MetricKind m_Kind;       ///< How it behaves.
+  std::string_view m_Unit; ///< Unit, for people.
+  std::string_view m_Help; ///< One sentence for people.
+  std::array<std::string_view, MaxMetricLabels> m_Labels; ///< Label names;
+                                                          ///< empty = unused.
+
+  /// How many labels it has.
+  std::size_t labelCount() const;
+};
+
+/// All metrics, in the order of Metric.
+std::span<const MetricInfo> allMetrics();
+
+/// The row of \p Which.
+const MetricInfo &metricInfo(Metric Which);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_SUPPORT_METRICTABLE_H
--- a/ragwortmux/Process/Support/ProcessSettings.cpp
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -51,8 +51,7 @@
     }
     m_Settings.m_ClusterKey =
         loadSecret(ClusterKeyInfo, m_Environment, m_Faults);
-    m_Settings.m_OperatorToken =
-        loadSecret(OperatorTokenInfo, m_Environment, m_Faults);
+    m_Settings.m_OperatorToken = loadOperatorToken(m_Environment, m_Faults);
   }
 
   /// Checks what concerns several settings at once.
@@ -178,6 +177,11 @@
   };
 }
 
+Secret loadOperatorToken(const EnvironmentHook &Environment,
+                         std::vector<SettingFault> &Faults) {
+  return loadSecret(OperatorTokenInfo, Environment, Faults);
+}
+
 ProcessSettings defaultSettings() {
   ProcessSettings Settings;
   for (const SettingInfo &Info : allSettings()) {
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -69,6 +69,11 @@
 /// The hook that reads this process's environment.
 EnvironmentHook processEnvironment();
 
+/// Reads the operator token as operator commands need it; empty, with a fault
+/// added, if it is missing or not allowed.
+Secret loadOperatorToken(const EnvironmentHook &Environment,
+                         std::vector<SettingFault> &Faults);
+
 /// Settings with every default of the table applied.
 ProcessSettings defaultSettings();
 
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -58,34 +58,17 @@
           *Default == '\0'};
 }
 
-/// Stores a whole number.
-template <typename Number>
+/// Stores a whole number of \p Unit, which is a duration or a plain number.
+template <typename Unit = std::uint64_t, typename Target>
 SettingInfo numberSetting(const char *Name, const char *Default,
                           std::uint64_t Min, std::uint64_t Max,
-                          Number ProcessSettings::*Member,
+                          Target ProcessSettings::*Member,
                           const char *Meaning) {
   auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
     const std::optional<std::uint64_t> Value = parseNumber(Text, Min, Max);
     if (!Value)
       return false;
-    Settings.*Member = static_cast<Number>(*Value);
-    return true;
-  };
-  return {Name,  Default, fmt::format("{} to {}", Min, Max), Meaning, Store,
-          false, false};
-}
-
-/// Stores a whole number of \p Unit.
-template <typename Unit>
-SettingInfo durationSetting(const char *Name, const char *Default,
-                            std::uint64_t Min, std::uint64_t Max,
-                            Duration ProcessSettings::*Member,
-                            const char *Meaning) {
-  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
-    const std::optional<std::uint64_t> Value = parseNumber(Text, Min, Max);
-    if (!Value)
-      return false;
-    Settings.*Member = Unit(*Value);
+    Settings.*Member = static_cast<Target>(Unit(*Value));
     return true;
   };
   return {Name,  Default, fmt::format("{} to {}", Min, Max), Meaning, Store,
@@ -201,31 +184,31 @@
       switchSetting("bootstrap", &ProcessSettings::m_Bootstrap,
                     "Starts the log of a new cluster with control_peers as "
                     "its voters, if the data folder holds none."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>(
           "lease_ms", "1200", 100, 60000, &ProcessSettings::m_Lease,
           "Length of a control session's lease in ms; the same everywhere."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>(
           "renewal_interval_ms", "300", 10, 30000,
           &ProcessSettings::m_RenewalInterval,
           "Time from one lease renewal to the next in ms."),
       numberSetting("drift_percent", "1", 0, 50,
                     &ProcessSettings::m_DriftPercent,
                     "Bound on clock drift as a percentage of the lease."),
-      durationSetting<milliseconds>("drift_ms", "10", 0, 10000,
-                                    &ProcessSettings::m_Drift,
-                                    "Fixed part of the drift bound in ms."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>("drift_ms", "10", 0, 10000,
+                                  &ProcessSettings::m_Drift,
+                                  "Fixed part of the drift bound in ms."),
+      numberSetting<milliseconds>(
           "heartbeat_ms", "50", 5, 5000, &ProcessSettings::m_Heartbeat,
           "Time from one heartbeat of the control leader to the next in ms."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>(
           "election_timeout_ms", "300", 20, 60000,
           &ProcessSettings::m_ElectionTimeout,
           "Silence of the control leader before an election in ms."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>(
           "announcement_silence_ms", "300", 200, 60000,
           &ProcessSettings::m_AnnouncementSilence,
           "Silence of a backend server before it counts as lost in ms."),
-      durationSetting<hours>(
+      numberSetting<hours>(
           "ledger_retention_h", "24", 1, 168,
           &ProcessSettings::m_LedgerRetention,
           "How long the outcomes of keyed requests are kept in hours."),
@@ -242,11 +225,11 @@
       numberSetting("max_caller_message_bytes", "1048576", 1024, 67108864,
                     &ProcessSettings::m_MaxCallerMessageBytes,
                     "Largest message of a caller in bytes."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>(
           "request_timeout_ms", "1000", 10, 60000,
           &ProcessSettings::m_RequestTimeout,
           "Time-out of one call to another process of the cluster in ms."),
-      durationSetting<milliseconds>(
+      numberSetting<milliseconds>(
           "connect_timeout_ms", "1000", 10, 60000,
           &ProcessSettings::m_ConnectTimeout,
           "Time-out of opening a connection to a backend server in ms."),
@@ -274,10 +257,10 @@
   constexpr std::array<Choice<LogFormat>, 2> Formats = {
       {{"text", LogFormat::Text}, {"json", LogFormat::Json}}};
   return {
-      durationSetting<seconds>(
+      numberSetting<seconds>(
           "drain_timeout_s", "30", 1, 3600, &ProcessSettings::m_DrainTimeout,
           "Longest wait for requests in flight at shutdown in s."),
-      durationSetting<seconds>(
+      numberSetting<seconds>(
           "max_lifetime_s", "0", 0, 86400, &ProcessSettings::m_MaxLifetime,
           "Shuts the process down after this time in s; 0 = never."),
       choiceSetting("log_level", "info", Levels, &ProcessSettings::m_LogLevel,
