Control leader: leases, failure detection, changes of primary, shares

One class per duty around LeaderContext: SessionLeases, UpdateTracker, ServerWatch, BackendCalls, PrimaryChange, SyncKeeper, ShareBalancer, HomesKeeper. Each step is worked out from the replicated state on every event, so that a new leader goes on where the previous one stopped.

--- /dev/null
+++ b/ragwortmux/Version/BackendCalls.cpp
@@ -0,0 +1,69 @@
+#include "ragwortmux/Version/BackendCalls.h"
+
+#include "ragwortmux/Version/GroupRecord.h"
+#include "ragwortmux/Version/LeaderContext.h"
+
+namespace ragwortmux {
+
+void BackendCalls::reset() {
+  // Ids go on, so that late results of an earlier leadership match nothing.
+  m_Targets.clear();
+  m_Running.clear();
+}
+
+void BackendCalls::start(BackendCallKind Kind, const GroupId &Group,
+                         const ServerRecord &Server, Term CurrentTerm,
+                         Instant Now, const ServerRecord *Primary) {
+  const Target Place{Group, Server.m_Server, Kind};
+  Status &Known = m_Targets[Place];
+  if (!mayStart(Known, CurrentTerm, Now))
+    return;
+  m_Running.erase(Known.m_Running);
+  Known.m_Running = ++m_LastCall;
+  Known.m_Term = CurrentTerm;
+  Known.m_StartedAt = Now;
+  m_Running.emplace(Known.m_Running, Place);
+
+  CallBackend Action;
+  Action.m_Call = Known.m_Running;
+  Action.m_Group = Group;
+  Action.m_Server = Server.m_Server;
+  Action.m_Address = Server.m_Address;
+  Action.m_Port = Server.m_Port;
+  Action.m_Kind = Kind;
+  Action.m_Term = CurrentTerm;
+  Action.m_Timeout = m_Context.settings().m_CallTimeout;
+  if (Primary != nullptr) {
+    Action.m_PrimaryAddress = Primary->m_Address;
+    Action.m_PrimaryPort = Primary->m_Port;
+  }
+  m_Context.act(std::move(Action));
+}
+
+bool BackendCalls::mayStart(const Status &Known, Term CurrentTerm,
+                            Instant Now) const {
+  // Nothing of an earlier term holds up a call of the current one.
+  if (Known.m_Term != CurrentTerm)
+    return true;
+  if (Known.m_Running != 0)
+    return Now - Known.m_StartedAt >= m_Context.settings().m_CallTimeout;
+  return !Known.m_Failed ||
+         Now - Known.m_FailedAt >= m_Context.settings().m_CallRetry;
+}
+
+std::optional<BackendCalls::Call>
+BackendCalls::complete(const BackendCallResult &Result, Instant Now) {
+  const auto Running = m_Running.find(Result.m_Call);
+  if (Running == m_Running.end())
+    return std::nullopt;
+  const Target Place = Running->second;
+  m_Running.erase(Running);
+  Status &Known = m_Targets[Place];
+  Known.m_Running = 0;
+  Known.m_Failed = !Result.m_Ok;
+  Known.m_FailedAt = Now;
+  return Call{Place.m_Group, Place.m_Server, Place.m_Kind, Known.m_Term,
+              Result.m_Call};
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -0,0 +1,202 @@
+#include "ragwortmux/Version/ControlLeader.h"
+
+#include "ragwortmux/Version/ControlState.h"
+
+#include <variant>
+
+namespace ragwortmux {
+
+ControlLeader::ControlLeader(const ControlState &State,
+                             const ControlLeaderSettings &Settings)
+    : m_State(State), m_Context(State, Settings), m_Updates(m_Context),
+      m_Leases(m_Context, m_Updates), m_Calls(m_Context),
+      m_Servers(m_Context, m_Calls),
+      m_Changes(m_Context, m_Updates, m_Servers, m_Calls),
+      m_Sync(m_Context, m_Updates, m_Servers, m_Calls),
+      m_Shares(m_Context, m_Updates), m_Homes(m_Context, m_Updates) {}
+
+void ControlLeader::becameLeader(Instant Now) {
+  forgetObserved();
+  m_IsLeader = true;
+  m_Leases.becameLeader(Now);
+  m_Servers.becameLeader(Now);
+  m_Context.note("leads the control log");
+  evaluate(Now);
+}
+
+void ControlLeader::lostLeadership(Instant /*Now*/) {
+  if (!m_IsLeader)
+    return;
+  forgetObserved();
+  m_IsLeader = false;
+  m_Context.note("leads the control log no more");
+}
+
+void ControlLeader::forgetObserved() {
+  m_Context.reset();
+  m_Updates.reset();
+  m_Leases.reset();
+  m_Calls.reset();
+  m_Servers.reset();
+  m_Changes.reset();
+  m_Sync.reset();
+  m_Shares.reset();
+  m_Homes.reset();
+  m_TimeAdvancedAt.reset();
+}
+
+void ControlLeader::applied(const ControlCommand &Command,
+                            const ControlResult &Result, Instant Now) {
+  if (!m_IsLeader)
+    return;
+  m_Context.applied(Command);
+  if (std::holds_alternative<OpenSession>(Command) && Result.ok())
+    m_Leases.sessionOpened(Result.m_Session, Now);
+  if (const auto *End = std::get_if<EndSession>(&Command)) {
+    m_Leases.sessionEnded(End->m_Session);
+    m_Updates.sessionEnded(End->m_Session);
+    m_Shares.sessionEnded(End->m_Session);
+  }
+  evaluate(Now);
+}
+
+void ControlLeader::leadershipConfirmed(std::uint64_t Token, Instant Now) {
+  if (m_IsLeader)
+    m_Leases.leadershipConfirmed(Token, Now);
+}
+
+void ControlLeader::renewalReceived(const LeaseRenewal &Renewal, Instant Now) {
+  if (!m_IsLeader)
+    return;
+  m_Updates.renewalReceived(Renewal, Now);
+  m_Shares.renewalReceived(Renewal);
+  m_Leases.renewalReceived(Renewal, Now);
+  evaluate(Now);
+}
+
+void ControlLeader::updateConfirmed(ControlSessionId Session,
+                                    const GroupId &Group, Revision Confirmed,
+                                    Instant Now) {
+  if (!m_IsLeader)
+    return;
+  m_Updates.groupConfirmed(Session, Group, Confirmed, Now);
+  evaluate(Now);
+}
+
+void ControlLeader::catalogueConfirmed(ControlSessionId Session,
+                                       Revision Confirmed, Instant Now) {
+  if (m_IsLeader)
+    m_Updates.catalogueConfirmed(Session, Confirmed, Now);
+}
+
+void ControlLeader::homesConfirmed(ControlSessionId Session, Revision Confirmed,
+                                   Instant Now) {
+  if (!m_IsLeader)
+    return;
+  m_Updates.homesConfirmed(Session, Confirmed, Now);
+  evaluate(Now);
+}
+
+void ControlLeader::announcementReceived(const ServerAnnouncement &Announcement,
+                                         Instant Now) {
+  if (!m_IsLeader)
+    return;
+  if (!isRegistered(Announcement))
+    m_Context.propose(
+        RegisterServer{Announcement.m_Group, Announcement.m_Server,
+                       Announcement.m_Domain, Announcement.m_Address,
+                       Announcement.m_Port, Announcement.m_Slots,
+                       Announcement.m_ConnectionLimit},
+        Now);
+  // Only servers that the log accepted take room.
+  if (m_State.groups().findServer(Announcement.m_Group,
+                                  Announcement.m_Server) == nullptr)
+    return;
+  m_Servers.announcementReceived(Announcement, Now);
+  evaluate(Now);
+}
+
+bool ControlLeader::isRegistered(const ServerAnnouncement &Announcement) const {
+  const ServerRecord *Known =
+      m_State.groups().findServer(Announcement.m_Group, Announcement.m_Server);
+  return Known != nullptr && Known->m_Domain == Announcement.m_Domain &&
+         Known->m_Address == Announcement.m_Address &&
+         Known->m_Port == Announcement.m_Port &&
+         Known->m_Slots == Announcement.m_Slots &&
+         Known->m_ConnectionLimit == Announcement.m_ConnectionLimit;
+}
+
+void ControlLeader::suspicionReported(const ServerSuspicion &Suspicion,
+                                      Instant Now) {
+  if (!m_IsLeader)
+    return;
+  m_Servers.suspicionReported(Suspicion, Now);
+  evaluate(Now);
+}
+
+void ControlLeader::backendCallCompleted(const BackendCallResult &Result,
+                                         Instant Now) {
+  if (!m_IsLeader)
+    return;
+  const auto Call = m_Calls.complete(Result, Now);
+  if (!Call)
+    return;
+  m_Servers.callCompleted(*Call, Result, Now);
+  m_Changes.callCompleted(*Call, Result, Now);
+  m_Sync.callCompleted(*Call, Result);
+  evaluate(Now);
+}
+
+void ControlLeader::tick(Instant Now, WallTime Wall) {
+  if (!m_IsLeader)
+    return;
+  advanceTime(Now, Wall);
+  m_Leases.tick(Now);
+  m_Servers.probeSilent(Now);
+  evaluate(Now);
+}
+
+void ControlLeader::advanceTime(Instant Now, WallTime Wall) {
+  if (m_TimeAdvancedAt &&
+      Now - *m_TimeAdvancedAt < m_Context.settings().m_AdvanceTimeEvery)
+    return;
+  if (Wall <= m_State.time())
+    return;
+  m_TimeAdvancedAt = Now;
+  m_Context.propose(AdvanceTime{Wall}, Now);
+}
+
+void ControlLeader::evaluate(Instant Now) {
+  // Steps of a change come first: callers wait for them.
+  m_Changes.evaluate(Now);
+  m_Updates.pushUpdates(Now);
+  m_Sync.evaluate(Now);
+  proposeServerStates(Now);
+  m_Shares.evaluate(Now);
+  m_Homes.evaluate(Now);
+}
+
+void ControlLeader::proposeServerStates(Instant Now) {
+  m_State.groups().forEachGroup([&](const GroupRecord &Group) {
+    for (const auto &[Id, Server] : Group.m_Servers) {
+      const ServerWatch::Observed *Known = m_Servers.find(Group.m_Group, Id);
+      const bool IsHeard = Known != nullptr && Known->m_LastAnnouncement;
+      const bool IsLeaving = IsHeard ? Known->m_IsLeaving : Server.m_Leaving;
+      const bool IsSilent =
+          m_Servers.announcementSilence(Group.m_Group, Id, Now) >=
+          m_Context.settings().m_SilenceUnannounced;
+      // A server that this leader has not heard yet stays as it is.
+      const bool IsAnnounced = !IsSilent && (IsHeard || Server.m_Announced);
+      if (IsLeaving == Server.m_Leaving && IsAnnounced == Server.m_Announced)
+        continue;
+      m_Context.propose(
+          SetServerState{Group.m_Group, Id, IsLeaving, IsAnnounced}, Now);
+    }
+  });
+}
+
+std::vector<ControlAction> ControlLeader::takeActions() {
+  return m_Context.takeActions();
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Version/GroupRecord.h
+++ b/ragwortmux/Version/GroupRecord.h
@@ -3,12 +3,16 @@
 
 #include "ragwortmux/Version/GroupView.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
 
 namespace ragwortmux {
 
+/// Servers that must hold each acknowledged write of a group with as many.
+inline constexpr std::size_t MinInSyncServers = 2;
+
 /// A backend server as the log knows it.
 struct ServerRecord final {
   ServerId m_Server;                    ///< Its id.
--- a/ragwortmux/Version/GroupTable.cpp
+++ b/ragwortmux/Version/GroupTable.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t MaxGroups = 1024;
 constexpr std::size_t MaxServersPerGroup = 16;
+constexpr std::size_t MaxTextLength = 255;
 
 ControlResult refused(const char *Reason) {
   return ControlResult::refused(ResultCode::BadArgument, Reason);
@@ -28,9 +29,11 @@
 }
 
 bool isComplete(const RegisterServer &Command) {
-  return !Command.m_Group.value().empty() &&
-         !Command.m_Server.value().empty() &&
-         !Command.m_Domain.value().empty() && !Command.m_Address.empty() &&
+  const auto IsText = [](const std::string &Text) {
+    return !Text.empty() && Text.size() <= MaxTextLength;
+  };
+  return IsText(Command.m_Group.value()) && IsText(Command.m_Server.value()) &&
+         IsText(Command.m_Domain.value()) && IsText(Command.m_Address) &&
          Command.m_Port != 0 && Command.m_Slots != 0 &&
          Command.m_ConnectionLimit != 0;
 }
@@ -43,7 +46,7 @@
 
 ControlResult GroupTable::registerServer(const RegisterServer &Command) {
   if (!isComplete(Command))
-    return refused("a field of the server is empty");
+    return refused("a field of the server is empty or too long");
   const GroupRecord *Known = find(Command.m_Group);
   if (Known == nullptr && m_Groups.size() >= MaxGroups)
     return refused("there are too many groups");
--- /dev/null
+++ b/ragwortmux/Version/LeaderContext.cpp
@@ -0,0 +1,44 @@
+#include "ragwortmux/Version/LeaderContext.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Proposals without a result at once; what does not fit is decided again.
+constexpr std::size_t MaxPending = 4096;
+
+} // namespace
+
+void LeaderContext::reset() {
+  m_Actions.clear();
+  m_Pending.clear();
+}
+
+void LeaderContext::propose(const ControlCommand &Command, Instant Now) {
+  const auto Known = std::find_if(
+      m_Pending.begin(), m_Pending.end(),
+      [&](const Pending &Each) { return Each.m_Command == Command; });
+  if (Known == m_Pending.end() && m_Pending.size() >= MaxPending)
+    return;
+  if (Known == m_Pending.end())
+    m_Pending.push_back({Command, Now});
+  else if (Now - Known->m_At < m_Settings.m_ProposeRetry)
+    return;
+  else
+    Known->m_At = Now;
+  act(Propose{Command});
+}
+
+void LeaderContext::applied(const ControlCommand &Command) {
+  std::erase_if(m_Pending,
+                [&](const Pending &Each) { return Each.m_Command == Command; });
+}
+
+std::vector<ControlAction> LeaderContext::takeActions() {
+  return std::exchange(m_Actions, {});
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/ServerWatch.cpp
@@ -0,0 +1,240 @@
+#include "ragwortmux/Version/ServerWatch.h"
+
+#include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/LeaderContext.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Samples of one primary's log that are kept.
+constexpr std::size_t MaxSamples = 64;
+/// One proxy's word is not enough against a server that announces itself.
+constexpr std::size_t MinAgreeingProxies = 2;
+
+} // namespace
+
+void ServerWatch::reset() {
+  m_Servers.clear();
+  m_Samples.clear();
+}
+
+void ServerWatch::becameLeader(Instant Now) {
+  m_Since = Now + m_Context.settings().m_NewLeaderGrace;
+}
+
+void ServerWatch::announcementReceived(const ServerAnnouncement &Announcement,
+                                       Instant Now) {
+  Observed &Known = observe(Announcement.m_Group, Announcement.m_Server);
+  Known.m_LastAnnouncement = Now;
+  Known.m_IsLeaving = Announcement.m_Leaving;
+  notePoint(Announcement.m_Group, Announcement.m_Server, Announcement.m_Point,
+            Announcement.m_Role, Now);
+}
+
+void ServerWatch::suspicionReported(const ServerSuspicion &Suspicion,
+                                    Instant Now) {
+  // Only open sessions and known servers take room here.
+  if (m_Context.state().sessions().find(Suspicion.m_Session) == nullptr ||
+      m_Context.state().groups().findServer(Suspicion.m_Group,
+                                            Suspicion.m_Server) == nullptr)
+    return;
+  observe(Suspicion.m_Group, Suspicion.m_Server)
+      .m_Evidence[Suspicion.m_Session] = Now;
+}
+
+void ServerWatch::callCompleted(const BackendCalls::Call &Call,
+                                const BackendCallResult &Result, Instant Now) {
+  Observed &Known = observe(Call.m_Group, Call.m_Server);
+  if (!Result.m_Ok) {
+    if (Call.m_Kind == BackendCallKind::Position)
+      Known.m_ProbeFailedAt = Now;
+    return;
+  }
+  switch (Call.m_Kind) {
+  case BackendCallKind::Position:
+    Known.m_ProbeFailedAt.reset();
+    notePoint(Call.m_Group, Call.m_Server, Result.m_Point, Result.m_Role, Now);
+    return;
+  case BackendCallKind::Promote:
+    notePoint(Call.m_Group, Call.m_Server,
+              {Call.m_Term, Result.m_Point.m_Position}, BackendRole::Primary,
+              Now);
+    return;
+  case BackendCallKind::Follow:
+    notePoint(Call.m_Group, Call.m_Server,
+              {Call.m_Term, Result.m_Point.m_Position}, BackendRole::Replica,
+              Now);
+    return;
+  case BackendCallKind::Fence:
+    Known.m_LastSign = std::max(Known.m_LastSign, Now);
+    return;
+  }
+}
+
+ServerWatch::Observed &ServerWatch::observe(const GroupId &Group,
+                                            const ServerId &Server) {
+  return m_Servers[{Group, Server}];
+}
+
+void ServerWatch::notePoint(const GroupId &Group, const ServerId &Server,
+                            const LogPoint &Point, BackendRole Role,
+                            Instant Now) {
+  Observed &Known = observe(Group, Server);
+  Known.m_LastSign = std::max(Known.m_LastSign, Now);
+  const bool IsNewTerm = Point.m_Term > Known.m_Point.m_Term;
+  // In one term a log only grows; a change of term may cut it.
+  const bool IsLower = Known.m_HasPoint && !IsNewTerm &&
+                       (Point.m_Term < Known.m_Point.m_Term ||
+                        Point.m_Position < Known.m_Point.m_Position);
+  if (IsLower) {
+    // Announcements may overtake each other, but not for long.
+    if (!Known.m_LowerSince)
+      Known.m_LowerSince = Now;
+    if (Now - *Known.m_LowerSince < m_Context.settings().m_SilenceFailed)
+      return;
+    Known.m_HasRegressed = true;
+  }
+  Known.m_LowerSince.reset();
+  if (!Known.m_HasPoint || IsNewTerm ||
+      Point.m_Position > Known.m_Point.m_Position)
+    Known.m_AdvancedAt = Now;
+  Known.m_HasPoint = true;
+  Known.m_Point = Point;
+  Known.m_Role = Role;
+  if (Role == BackendRole::Primary)
+    noteSample(Group, Server, Point, Now);
+}
+
+void ServerWatch::noteSample(const GroupId &Group, const ServerId &Server,
+                             const LogPoint &Point, Instant Now) {
+  const GroupRecord *Record = m_Context.state().groups().find(Group);
+  if (Record == nullptr || Record->m_Primary != Server ||
+      Record->m_Term != Point.m_Term)
+    return;
+  Samples &Known = m_Samples[Group];
+  if (Known.m_Term != Point.m_Term)
+    Known = {Point.m_Term, {}};
+  Known.m_Samples.push_back({Now, Point.m_Position});
+  if (Known.m_Samples.size() > MaxSamples)
+    Known.m_Samples.pop_front();
+}
+
+void ServerWatch::probeSilent(Instant Now) {
+  m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
+    for (const auto &[Id, Server] : Group.m_Servers) {
+      const bool IsPrimary = Group.m_Primary == Id;
+      if (!IsPrimary && Server.m_Sync == SyncState::Behind)
+        continue;
+      const Observed *Known = find(Group.m_Group, Id);
+      const bool IsDoubted = IsPrimary && Known != nullptr &&
+                             countEvidence(*Known, Now) >= MinAgreeingProxies;
+      if (!IsDoubted &&
+          silence(Group.m_Group, Id, Now) < m_Context.settings().m_ProbeAfter)
+        continue;
+      m_Calls.start(BackendCallKind::Position, Group.m_Group, Server,
+                    Group.m_Term, Now);
+    }
+  });
+}
+
+void ServerWatch::forgiveRegression(const GroupId &Group,
+                                    const ServerId &Server) {
+  observe(Group, Server).m_HasRegressed = false;
+}
+
+const ServerWatch::Observed *ServerWatch::find(const GroupId &Group,
+                                               const ServerId &Server) const {
+  const auto Found = m_Servers.find({Group, Server});
+  return Found == m_Servers.end() ? nullptr : &Found->second;
+}
+
+Duration ServerWatch::silence(const GroupId &Group, const ServerId &Server,
+                              Instant Now) const {
+  const Observed *Known = find(Group, Server);
+  const Instant Last =
+      Known == nullptr ? m_Since : std::max(m_Since, Known->m_LastSign);
+  return std::max(Duration(0), Now - Last);
+}
+
+Duration ServerWatch::announcementSilence(const GroupId &Group,
+                                          const ServerId &Server,
+                                          Instant Now) const {
+  const Observed *Known = find(Group, Server);
+  const Instant Last =
+      Known == nullptr
+          ? m_Since
+          : std::max(m_Since, Known->m_LastAnnouncement.value_or(m_Since));
+  return std::max(Duration(0), Now - Last);
+}
+
+std::size_t ServerWatch::countEvidence(const Observed &Known,
+                                       Instant Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      Known.m_Evidence.begin(), Known.m_Evidence.end(), [&](const auto &Entry) {
+        return Now - Entry.second <= m_Context.settings().m_EvidenceWindow &&
+               m_Context.state().sessions().find(Entry.first) != nullptr;
+      }));
+}
+
+bool ServerWatch::hasFailed(const GroupId &Group, const ServerId &Server,
+                            Instant Now) const {
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  const Duration Silence = silence(Group, Server, Now);
+  if (Silence >= Settings.m_SilenceFailed)
+    return true;
+  const Observed *Known = find(Group, Server);
+  if (Known == nullptr)
+    return false;
+  const std::size_t Evidence = countEvidence(*Known, Now);
+  if (Silence >= Settings.m_SilenceSuspected && Evidence > 0)
+    return true;
+  // While it announces itself, most proxies and this leader must agree.
+  std::size_t Sessions = 0;
+  m_Context.state().sessions().forEachSession(
+      [&](const SessionRecord &) { ++Sessions; });
+  const bool ProbeFailed =
+      Known->m_ProbeFailedAt &&
+      Now - *Known->m_ProbeFailedAt <= Settings.m_EvidenceWindow;
+  return ProbeFailed && Evidence >= MinAgreeingProxies &&
+         Evidence * 2 > Sessions;
+}
+
+Duration ServerWatch::lag(const GroupRecord &Group, const ServerId &Server,
+                          Instant Now) const {
+  const auto Found = m_Samples.find(Group.m_Group);
+  if (Found == m_Samples.end() || Found->second.m_Term != Group.m_Term)
+    return Duration::max();
+  const std::deque<Sample> &Known = Found->second.m_Samples;
+  const Observed *Applied = find(Group.m_Group, Server);
+  if (Applied == nullptr || !Applied->m_HasPoint)
+    return Now - Known.front().m_At;
+  // A server that does not follow yet lacks all of the term.
+  const bool Follows = Applied->m_Point.m_Term == Group.m_Term;
+  for (const Sample &Each : Known) {
+    if (!Follows || Each.m_Position > Applied->m_Point.m_Position)
+      return Now - Each.m_At;
+  }
+  return Duration(0);
+}
+
+bool ServerWatch::isPromoted(const GroupRecord &Group) const {
+  if (!Group.m_Primary)
+    return false;
+  const Observed *Known = find(Group.m_Group, *Group.m_Primary);
+  return Known != nullptr && Known->m_HasPoint &&
+         Known->m_Role == BackendRole::Primary &&
+         Known->m_Point.m_Term == Group.m_Term;
+}
+
+bool ServerWatch::isFollowing(const GroupRecord &Group,
+                              const ServerId &Server) const {
+  const Observed *Known = find(Group.m_Group, Server);
+  return Known != nullptr && Known->m_HasPoint &&
+         Known->m_Role == BackendRole::Replica &&
+         Known->m_Point.m_Term == Group.m_Term;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/SessionLeases.cpp
@@ -0,0 +1,126 @@
+#include "ragwortmux/Version/SessionLeases.h"
+
+#include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/LeaderContext.h"
+#include "ragwortmux/Version/UpdateTracker.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Refusals to sessions that are not open are cheap to lose.
+constexpr std::size_t MaxUnknown = 1024;
+
+} // namespace
+
+void SessionLeases::reset() {
+  m_Leases.clear();
+  m_Unknown.clear();
+  // Tokens go on, so that a late confirmation of an earlier leadership of this
+  // process confirms nothing.
+  m_Confirmed = m_Token;
+}
+
+void SessionLeases::becameLeader(Instant Now) {
+  m_Context.state().sessions().forEachSession(
+      [&](const SessionRecord &Session) {
+        sessionOpened(Session.m_Session, Now);
+      });
+}
+
+void SessionLeases::sessionOpened(ControlSessionId Session, Instant Now) {
+  Lease &Known = m_Leases[Session];
+  Known.m_End = std::max(Known.m_End, endOfLeaseFrom(Now));
+}
+
+void SessionLeases::renewalReceived(const LeaseRenewal &Renewal, Instant Now) {
+  const bool RoundRuns = m_Confirmed < m_Token;
+  const WaitingRenewal Waiting{Renewal.m_Sequence, m_Token + 1, Now};
+  const auto Known = m_Leases.find(Renewal.m_Session);
+  if (Known != m_Leases.end())
+    Known->second.m_Waiting = Waiting;
+  else if (m_Unknown.size() < MaxUnknown)
+    m_Unknown[Renewal.m_Session] = Waiting;
+  // A round that runs already began too early for this renewal; the next one
+  // starts when that has ended, and takes all that have arrived by then.
+  if (!RoundRuns)
+    startRound(Now);
+}
+
+void SessionLeases::startRound(Instant Now) {
+  m_RoundAt = Now;
+  m_Context.act(ConfirmLeadership{++m_Token});
+}
+
+void SessionLeases::leadershipConfirmed(std::uint64_t Token, Instant Now) {
+  if (Token > m_Token || Token <= m_Confirmed)
+    return;
+  m_Confirmed = Token;
+  bool SomeWait = false;
+  for (auto &[Session, Known] : m_Leases) {
+    if (!Known.m_Waiting)
+      continue;
+    if (Known.m_Waiting->m_Token > Token) {
+      SomeWait = true;
+      continue;
+    }
+    const WaitingRenewal Renewal = *Known.m_Waiting;
+    Known.m_Waiting.reset();
+    answer(Session, Renewal, Now);
+  }
+  for (const auto &[Session, Renewal] : m_Unknown) {
+    SomeWait = SomeWait || Renewal.m_Token > Token;
+    if (Renewal.m_Token <= Token)
+      m_Context.act(RefuseRenewal{Session, Renewal.m_Sequence});
+  }
+  std::erase_if(m_Unknown, [Token](const auto &Entry) {
+    return Entry.second.m_Token <= Token;
+  });
+  if (SomeWait && m_Confirmed == m_Token)
+    startRound(Now);
+}
+
+void SessionLeases::answer(ControlSessionId Session,
+                           const WaitingRenewal &Renewal, Instant Now) {
+  Lease &Known = m_Leases[Session];
+  // A session that ignores records must not hold up a change for ever.
+  if (Known.m_IsEnding || m_Updates.isStuck(Session, Now))
+    return;
+  Known.m_End = std::max(Known.m_End, endOfLeaseFrom(Renewal.m_ReceivedAt));
+  const ControlState &State = m_Context.state();
+  GrantRenewal Grant;
+  Grant.m_Session = Session;
+  Grant.m_Sequence = Renewal.m_Sequence;
+  Grant.m_Length = m_Context.settings().m_Lease;
+  Grant.m_Catalogue =
+      State.catalogue().deltaSince(m_Updates.catalogue(Session));
+  Grant.m_Groups = m_Updates.unconfirmedViews(Session);
+  Grant.m_Homes = State.homes();
+  m_Context.act(std::move(Grant));
+}
+
+void SessionLeases::tick(Instant Now) {
+  for (auto &[Session, Known] : m_Leases) {
+    if (Now < Known.m_End)
+      continue;
+    Known.m_IsEnding = true;
+    m_Context.propose(EndSession{Session}, Now);
+  }
+  const bool RoundRuns = m_Confirmed < m_Token;
+  if (RoundRuns && Now - m_RoundAt >= m_Context.settings().m_ConfirmRetry)
+    startRound(Now);
+}
+
+Instant SessionLeases::leaseEnd(ControlSessionId Session) const {
+  const auto Known = m_Leases.find(Session);
+  return Known == m_Leases.end() ? Instant() : Known->second.m_End;
+}
+
+Instant SessionLeases::endOfLeaseFrom(Instant Start) const {
+  const Duration Length = m_Context.settings().m_Lease;
+  return Start + Length + m_Context.settings().m_Drift.of(Length);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/ShareBalancer.cpp
@@ -0,0 +1,154 @@
+#include "ragwortmux/Version/ShareBalancer.h"
+
+#include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/LeaderContext.h"
+#include "ragwortmux/Version/UpdateTracker.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+void ShareBalancer::reset() {
+  m_Demand.clear();
+  m_BalancedAt.clear();
+}
+
+void ShareBalancer::renewalReceived(const LeaseRenewal &Renewal) {
+  if (m_Context.state().sessions().find(Renewal.m_Session) == nullptr)
+    return;
+  std::map<Place, std::uint32_t> Demand;
+  for (const ShareDemand &Each : Renewal.m_Demand)
+    Demand[{Each.m_Group, Each.m_Server}] = Each.m_Connections;
+  m_Demand[Renewal.m_Session] = std::move(Demand);
+}
+
+void ShareBalancer::evaluate(Instant Now) {
+  confirmShrunk(Now);
+  m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
+    for (const auto &[Id, Server] : Group.m_Servers)
+      balance(Group, Server, Now);
+  });
+}
+
+void ShareBalancer::confirmShrunk(Instant Now) {
+  m_Context.state().shares().forEachShare([&](const ShareRecord &Share) {
+    const Revision Confirmed =
+        m_Updates.confirmed(Share.m_Session, Share.m_Group);
+    // The share's own revision keeps the command the same while it is pending.
+    if (Share.m_Held > Share.m_Share && Confirmed >= Share.m_ShareRevision)
+      m_Context.propose(
+          ConfirmShares{Share.m_Group, Share.m_Session, Share.m_ShareRevision},
+          Now);
+  });
+}
+
+void ShareBalancer::balance(const GroupRecord &Group,
+                            const ServerRecord &Server, Instant Now) {
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  const Place Where{Group.m_Group, Server.m_Server};
+  const auto Balanced = m_BalancedAt.find(Where);
+  if (Balanced != m_BalancedAt.end() &&
+      Now - Balanced->second < Settings.m_RebalanceEvery)
+    return;
+  const std::uint32_t Budget =
+      m_Context.state().shares().budget(Server.m_ConnectionLimit);
+  std::vector<Part> Parts = partsOf(Where, Budget);
+  if (Parts.empty())
+    return;
+  const auto Count = static_cast<std::uint32_t>(Parts.size());
+  const std::uint32_t Floor = std::min(Settings.m_ShareFloor, Budget / Count);
+  std::uint32_t Held = 0;
+  for (const Part &Each : Parts)
+    Held += Each.m_Held;
+  const std::uint32_t Free = Budget - std::min(Budget, Held);
+  if (!isNeeded(Parts, Floor, Free))
+    return;
+
+  fillTargets(Parts, Floor, Budget);
+  SetShares Command{Group.m_Group, Server.m_Server, {}};
+  std::uint32_t Left = Free;
+  for (const Part &Each : Parts) {
+    // What a holder may still have open can be given back to it at once.
+    const std::uint32_t Reach = std::max(Each.m_Held, Each.m_Share);
+    const std::uint32_t Share = std::min(Each.m_Target, Reach + Left);
+    Left -= Share - std::min(Share, Reach);
+    if (Share != Each.m_Share)
+      Command.m_Grants.push_back({Each.m_Session, Share});
+  }
+  if (Command.m_Grants.empty())
+    return;
+  m_BalancedAt[Where] = Now;
+  m_Context.propose(Command, Now);
+}
+
+std::vector<ShareBalancer::Part>
+ShareBalancer::partsOf(const Place &Where, std::uint32_t Budget) const {
+  std::map<ControlSessionId, Part> Parts;
+  const ControlState &State = m_Context.state();
+  State.sessions().forEachSession([&](const SessionRecord &Session) {
+    Parts[Session.m_Session].m_Session = Session.m_Session;
+  });
+  State.shares().forEachShare([&](const ShareRecord &Share) {
+    if (Place(Share.m_Group, Share.m_Server) != Where)
+      return;
+    Parts[Share.m_Session].m_Share = Share.m_Share;
+    Parts[Share.m_Session].m_Held = Share.m_Held;
+  });
+  std::vector<Part> List;
+  const auto Count = static_cast<std::uint32_t>(Parts.size());
+  for (auto &[Session, Each] : Parts) {
+    Each.m_Demand = Budget / Count;
+    const auto Known = m_Demand.find(Session);
+    if (Known != m_Demand.end()) {
+      const auto Wanted = Known->second.find(Where);
+      Each.m_Demand = Wanted == Known->second.end() ? 0 : Wanted->second;
+    }
+    List.push_back(Each);
+  }
+  return List;
+}
+
+bool ShareBalancer::isNeeded(const std::vector<Part> &Parts,
+                             std::uint32_t Floor, std::uint32_t Free) {
+  bool SomeStarve = false;
+  bool SomeSpare = Free > 0;
+  for (const Part &Each : Parts) {
+    if (Each.m_Share < Floor)
+      return true;
+    SomeStarve = SomeStarve || Each.m_Share < Each.m_Demand;
+    SomeSpare = SomeSpare || Each.m_Share > std::max(Floor, Each.m_Demand);
+  }
+  if (SomeStarve && SomeSpare)
+    return true;
+  // Demand above everything that there is: the shares must be even.
+  const auto [Least, Most] = std::minmax_element(
+      Parts.begin(), Parts.end(), [](const Part &Left, const Part &Right) {
+        return Left.m_Share < Right.m_Share;
+      });
+  return Least->m_Share < Least->m_Demand && Least->m_Share + 1 < Most->m_Share;
+}
+
+void ShareBalancer::fillTargets(std::vector<Part> &Parts, std::uint32_t Floor,
+                                std::uint32_t Budget) {
+  std::uint32_t Left = Budget;
+  for (Part &Each : Parts) {
+    Each.m_Target = Floor;
+    Left -= Floor;
+  }
+  // One by one to those who want more; then the rest to all alike.
+  for (const bool OnlyWanted : {true, false}) {
+    bool Given = true;
+    while (Left > 0 && Given) {
+      Given = false;
+      for (Part &Each : Parts) {
+        if (Left == 0 || (OnlyWanted && Each.m_Target >= Each.m_Demand))
+          continue;
+        ++Each.m_Target;
+        --Left;
+        Given = true;
+      }
+    }
+  }
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/SyncKeeper.cpp
@@ -0,0 +1,142 @@
+#include "ragwortmux/Version/SyncKeeper.h"
+
+#include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/LeaderContext.h"
+#include "ragwortmux/Version/ServerWatch.h"
+#include "ragwortmux/Version/UpdateTracker.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+void SyncKeeper::reset() {
+  m_Joining.clear();
+  m_DroppedAt.clear();
+}
+
+void SyncKeeper::evaluate(Instant Now) {
+  m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
+    if (!m_Servers.isPromoted(Group))
+      return;
+    for (const auto &[Id, Server] : Group.m_Servers) {
+      if (Group.m_Primary != Id)
+        evaluateServer(Group, Server, Now);
+    }
+  });
+}
+
+void SyncKeeper::evaluateServer(const GroupRecord &Group,
+                                const ServerRecord &Server, Instant Now) {
+  if (Server.m_Sync == SyncState::Behind) {
+    m_Servers.forgiveRegression(Group.m_Group, Server.m_Server);
+    if (mayJoin(Group, Server, Now))
+      propose(Group, Server, SyncState::Joining, Now);
+    return;
+  }
+  if (isUnfit(Group, Server, Now)) {
+    if (!mayDrop(Group, Server))
+      return;
+    m_DroppedAt[{Group.m_Group, Server.m_Server}] = Now;
+    propose(Group, Server, SyncState::Behind, Now);
+    return;
+  }
+  if (Server.m_Sync == SyncState::Joining)
+    advanceJoining(Group, Server, Now);
+}
+
+bool SyncKeeper::isUnfit(const GroupRecord &Group, const ServerRecord &Server,
+                         Instant Now) const {
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  const ServerWatch::Observed *Known =
+      m_Servers.find(Group.m_Group, Server.m_Server);
+  if (Known != nullptr && Known->m_HasRegressed)
+    return true;
+  return Server.m_Leaving ||
+         m_Servers.silence(Group.m_Group, Server.m_Server, Now) >=
+             Settings.m_SilenceFailed ||
+         m_Servers.lag(Group, Server.m_Server, Now) > Settings.m_MaxLag;
+}
+
+bool SyncKeeper::mayDrop(const GroupRecord &Group,
+                         const ServerRecord &Server) const {
+  if (Server.m_Sync == SyncState::Joining)
+    return true;
+  const ServerWatch::Observed *Known =
+      m_Servers.find(Group.m_Group, Server.m_Server);
+  if (Known != nullptr && Known->m_HasRegressed)
+    return true;
+  // Dropping the last replica speeds nothing up, as writers need two copies,
+  // but would leave the primary as the only electable server.
+  const auto InSync = std::count_if(
+      Group.m_Servers.begin(), Group.m_Servers.end(), [](const auto &Entry) {
+        return Entry.second.m_Sync == SyncState::InSync;
+      });
+  return static_cast<std::size_t>(InSync) > MinInSyncServers;
+}
+
+bool SyncKeeper::mayJoin(const GroupRecord &Group, const ServerRecord &Server,
+                         Instant Now) const {
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  if (Server.m_Leaving || !Server.m_Announced ||
+      !m_Servers.isFollowing(Group, Server.m_Server))
+    return false;
+  if (m_Servers.silence(Group.m_Group, Server.m_Server, Now) >=
+          Settings.m_SilenceSuspected ||
+      m_Servers.lag(Group, Server.m_Server, Now) > Settings.m_JoinLag)
+    return false;
+  const auto Dropped = m_DroppedAt.find({Group.m_Group, Server.m_Server});
+  return Dropped == m_DroppedAt.end() ||
+         Now - Dropped->second >= Settings.m_RejoinAfter;
+}
+
+void SyncKeeper::advanceJoining(const GroupRecord &Group,
+                                const ServerRecord &Server, Instant Now) {
+  Joining &Known = m_Joining[{Group.m_Group, Server.m_Server}];
+  if (Known.m_SyncRevision != Server.m_SyncRevision) {
+    Known = Joining();
+    Known.m_SyncRevision = Server.m_SyncRevision;
+  }
+  if (!Known.m_CallsBefore) {
+    if (!m_Updates.allConfirmed(Group.m_Group, Server.m_SyncRevision))
+      return;
+    Known.m_CallsBefore = m_Calls.last();
+  }
+  if (!Known.m_Target || Known.m_Target->m_Term != Group.m_Term) {
+    m_Calls.start(BackendCallKind::Position, Group.m_Group,
+                  Group.m_Servers.at(*Group.m_Primary), Group.m_Term, Now);
+    return;
+  }
+  const ServerWatch::Observed *Observed =
+      m_Servers.find(Group.m_Group, Server.m_Server);
+  if (Observed != nullptr && m_Servers.isFollowing(Group, Server.m_Server) &&
+      Observed->m_Point.m_Position >= Known.m_Target->m_Position)
+    propose(Group, Server, SyncState::InSync, Now);
+}
+
+void SyncKeeper::callCompleted(const BackendCalls::Call &Call,
+                               const BackendCallResult &Result) {
+  const GroupRecord *Group = m_Context.state().groups().find(Call.m_Group);
+  if (Call.m_Kind != BackendCallKind::Position || !Result.m_Ok ||
+      Group == nullptr || Group->m_Primary != Call.m_Server ||
+      Result.m_Role != BackendRole::Primary ||
+      Result.m_Point.m_Term != Group->m_Term)
+    return;
+  // The position counts for a server if it was asked for after the last
+  // confirmation.
+  for (auto &[Where, Known] : m_Joining) {
+    if (Where.first != Call.m_Group || !Known.m_CallsBefore ||
+        Call.m_Number <= *Known.m_CallsBefore)
+      continue;
+    if (!Known.m_Target || Known.m_Target->m_Term != Group->m_Term)
+      Known.m_Target = Result.m_Point;
+  }
+}
+
+void SyncKeeper::propose(const GroupRecord &Group, const ServerRecord &Server,
+                         SyncState Sync, Instant Now) {
+  m_Context.propose(SetInSync{Group.m_Group, Group.m_Term, Server.m_Server,
+                              Server.m_SyncRevision, Sync},
+                    Now);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Version/UpdateTracker.cpp
@@ -0,0 +1,154 @@
+#include "ragwortmux/Version/UpdateTracker.h"
+
+#include "ragwortmux/Version/ControlEvents.h"
+#include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/LeaderContext.h"
+#include "ragwortmux/Version/MakeGroupView.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+void UpdateTracker::Progress::confirm(Revision Confirmed, Instant Now) {
+  if (Confirmed <= m_Confirmed)
+    return;
+  m_Confirmed = Confirmed;
+  m_WaitingSince = Now;
+}
+
+bool UpdateTracker::Progress::startPush(Revision Current, Instant Now,
+                                        Duration Retry) {
+  if (m_Confirmed >= Current)
+    return false;
+  if (m_Pushed >= Current && Now - m_PushedAt < Retry)
+    return false;
+  if (!isWaiting())
+    m_WaitingSince = Now;
+  m_Pushed = Current;
+  m_PushedAt = Now;
+  return true;
+}
+
+void UpdateTracker::renewalReceived(const LeaseRenewal &Renewal, Instant Now) {
+  for (const auto &[Group, Confirmed] : Renewal.m_Confirmed)
+    groupConfirmed(Renewal.m_Session, Group, Confirmed, Now);
+  catalogueConfirmed(Renewal.m_Session, Renewal.m_Catalogue, Now);
+  homesConfirmed(Renewal.m_Session, Renewal.m_Homes, Now);
+}
+
+void UpdateTracker::groupConfirmed(ControlSessionId Session,
+                                   const GroupId &Group, Revision Confirmed,
+                                   Instant Now) {
+  // Only what the log holds can have been confirmed.
+  const GroupRecord *Record = m_Context.state().groups().find(Group);
+  if (Record == nullptr || Confirmed > Record->m_Revision ||
+      m_Context.state().sessions().find(Session) == nullptr)
+    return;
+  m_Sessions[Session].m_Groups[Group].confirm(Confirmed, Now);
+}
+
+void UpdateTracker::catalogueConfirmed(ControlSessionId Session,
+                                       Revision Confirmed, Instant Now) {
+  if (m_Context.state().sessions().find(Session) != nullptr)
+    m_Sessions[Session].m_Catalogue.confirm(Confirmed, Now);
+}
+
+void UpdateTracker::homesConfirmed(ControlSessionId Session, Revision Confirmed,
+                                   Instant Now) {
+  if (m_Context.state().sessions().find(Session) != nullptr)
+    m_Sessions[Session].m_Homes.confirm(Confirmed, Now);
+}
+
+void UpdateTracker::pushUpdates(Instant Now) {
+  const ControlState &State = m_Context.state();
+  const Duration Retry = m_Context.settings().m_PushRetry;
+  State.sessions().forEachSession([&](const SessionRecord &Session) {
+    const ControlSessionId Id = Session.m_Session;
+    SessionProgress &Known = m_Sessions[Id];
+    State.groups().forEachGroup([&](const GroupRecord &Group) {
+      Progress &Each = Known.m_Groups[Group.m_Group];
+      if (Each.startPush(Group.m_Revision, Now, Retry))
+        m_Context.act(
+            PushGroupView{Id, *makeGroupView(State, Group.m_Group, Id)});
+    });
+    const Catalogue &Entries = State.catalogue();
+    if (Known.m_Catalogue.startPush(Entries.revision(), Now, Retry))
+      m_Context.act(
+          PushCatalogue{Id, Entries.deltaSince(Known.m_Catalogue.m_Confirmed)});
+    if (Known.m_Homes.startPush(State.homes().m_Revision, Now, Retry))
+      m_Context.act(PushSessionHomes{Id, State.homes()});
+  });
+}
+
+Revision UpdateTracker::confirmed(ControlSessionId Session,
+                                  const GroupId &Group) const {
+  const SessionProgress *Known = find(Session);
+  if (Known == nullptr)
+    return {};
+  const auto Found = Known->m_Groups.find(Group);
+  return Found == Known->m_Groups.end() ? Revision()
+                                        : Found->second.m_Confirmed;
+}
+
+bool UpdateTracker::allConfirmed(const GroupId &Group, Revision Wanted,
+                                 ControlSessionId Last) const {
+  bool All = true;
+  m_Context.state().sessions().forEachSession(
+      [&](const SessionRecord &Session) {
+        if (Session.m_Session <= Last &&
+            confirmed(Session.m_Session, Group) < Wanted)
+          All = false;
+      });
+  return All;
+}
+
+bool UpdateTracker::allConfirmed(const GroupId &Group, Revision Wanted) const {
+  return allConfirmed(Group, Wanted, m_Context.state().sessions().last());
+}
+
+bool UpdateTracker::allConfirmedHomes(Revision Wanted) const {
+  bool All = true;
+  m_Context.state().sessions().forEachSession(
+      [&](const SessionRecord &Session) {
+        const SessionProgress *Known = find(Session.m_Session);
+        if (Known == nullptr || Known->m_Homes.m_Confirmed < Wanted)
+          All = false;
+      });
+  return All;
+}
+
+std::vector<GroupView>
+UpdateTracker::unconfirmedViews(ControlSessionId Session) const {
+  std::vector<GroupView> Views;
+  const ControlState &State = m_Context.state();
+  State.groups().forEachGroup([&](const GroupRecord &Group) {
+    if (confirmed(Session, Group.m_Group) < Group.m_Revision)
+      Views.push_back(*makeGroupView(State, Group.m_Group, Session));
+  });
+  return Views;
+}
+
+Revision UpdateTracker::catalogue(ControlSessionId Session) const {
+  const SessionProgress *Known = find(Session);
+  return Known == nullptr ? Revision() : Known->m_Catalogue.m_Confirmed;
+}
+
+bool UpdateTracker::isStuck(ControlSessionId Session, Instant Now) const {
+  const SessionProgress *Known = find(Session);
+  if (Known == nullptr)
+    return false;
+  return std::any_of(
+      Known->m_Groups.begin(), Known->m_Groups.end(), [&](const auto &Entry) {
+        const Progress &Each = Entry.second;
+        return Each.isWaiting() &&
+               Now - Each.m_WaitingSince > m_Context.settings().m_Lease;
+      });
+}
+
+const UpdateTracker::SessionProgress *
+UpdateTracker::find(ControlSessionId Session) const {
+  const auto Found = m_Sessions.find(Session);
+  return Found == m_Sessions.end() ? nullptr : &Found->second;
+}
+
+} // namespace ragwortmux
