Decide a group's requests: keys, writes, reads, transactions, connections

GroupCore now does what its header says. One context holds a group's data; each part has one job: Dispatcher (queue to connections), WriteRequests (answer to acknowledgement), KeyedRequests (reservation, ended attempts), ReadRequests (choice and check of the answer), Transactions (pinned connections).

Ruled out: answering NotRun to a keyed request whose reservation has not been confirmed. An earlier send of the same key may have run, through another proxy, so that answer could be false; such a request is answered OutcomeUnknown and the reason text says that this send was not run. Ruled out too: releasing the key of a transaction that was closed from this side without asking the primary, since COMMIT AND CHAIN may have committed a part.

--- a/ragwortmux/Connection/ConnectionPool.cpp
+++ b/ragwortmux/Connection/ConnectionPool.cpp
@@ -144,7 +144,7 @@
     if (Connection.m_State == ConnectionState::Opening) {
       close(Connection, Now, Orders);
       noteFailure(Now, Server);
-      Orders.m_Unreachable.push_back(Server);
+      Orders.m_Silent.push_back(Server);
       continue;
     }
     if (Connection.m_State == ConnectionState::Probing) {
--- a/ragwortmux/Connection/ConnectionPool.h
+++ b/ragwortmux/Connection/ConnectionPool.h
@@ -49,7 +49,8 @@
   std::vector<PooledConnection> m_Open; ///< To be opened.
   std::vector<ConnectionId> m_Close;    ///< To be closed.
   std::vector<ConnectionId> m_Probe;    ///< To be probed.
-  std::vector<ServerId> m_Unreachable;  ///< Did not answer an opening.
+  std::vector<ServerId> m_Unreachable;  ///< Could not be connected to.
+  std::vector<ServerId> m_Silent;       ///< Did not answer an opening in time.
 };
 
 /// The connections of one group's servers, within the shares that control
--- /dev/null
+++ b/ragwortmux/Request/Dispatcher.cpp
@@ -0,0 +1,86 @@
+#include "ragwortmux/Request/Dispatcher.h"
+
+#include "ragwortmux/Request/GroupContext.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace ragwortmux {
+
+void Dispatcher::run() {
+  m_Demand.clear();
+  m_Context.m_Queue.run([this](RequestId Request) { return tryRun(Request); });
+  setDemand();
+}
+
+ResultCode Dispatcher::writeObstacle() const {
+  const GroupView &View = m_Context.m_View;
+  if (!m_Context.m_HasView || !View.m_Primary)
+    return ResultCode::NotRunNoPrimary;
+  const ServerView *Primary = m_Context.server(*View.m_Primary);
+  if (!Primary || !GroupContext::takesRequests(*Primary))
+    return ResultCode::NotRunNoPrimary;
+  // Sent at the very end of the lease, the answer would come after it.
+  if (m_Context.m_Now + m_Context.m_Settings.m_LeaseMargin >=
+      m_Context.m_LeaseUntil)
+    return ResultCode::NotRunNoLease;
+  if (!m_Context.m_Pool.reachable(*View.m_Primary))
+    return ResultCode::NotRunNoConnection;
+  return ResultCode::NotRunDeadline;
+}
+
+TryResult Dispatcher::tryRun(RequestId Request) {
+  RequestState &State = m_Context.m_Requests.at(Request);
+  assert(State.m_Phase == RequestPhase::Queued);
+  const CatalogueEntry &Entry = *State.m_Request.m_Entry;
+  if (m_Context.m_Running[Entry.m_Name] >= Entry.m_Limits.m_MaxConcurrent)
+    return TryResult::EntryFull;
+  if (State.m_RetryAt && m_Context.m_Now < *State.m_RetryAt)
+    return TryResult::NotYet;
+  return isWrite(Entry.m_Class) ? tryWrite(State) : tryRead(State);
+}
+
+TryResult Dispatcher::tryWrite(RequestState &State) {
+  const ResultCode Obstacle = writeObstacle();
+  if (Obstacle != ResultCode::NotRunDeadline &&
+      Obstacle != ResultCode::NotRunNoConnection)
+    return TryResult::ClassFull;
+  const ServerView *Primary = m_Context.server(*m_Context.m_View.m_Primary);
+  if (m_Context.freeAt(*Primary) == 0) {
+    m_Demand[Primary->m_Server] = Primary->m_Slots;
+    return TryResult::ClassFull;
+  }
+  sendTo(State, Primary->m_Server);
+  return TryResult::Taken;
+}
+
+TryResult Dispatcher::tryRead(RequestState &State) {
+  const ReadChoice Choice = m_Context.m_Reads.route(State);
+  if (Choice.m_RunAt) {
+    sendTo(State, *Choice.m_RunAt);
+    return TryResult::Taken;
+  }
+  if (Choice.m_WaitFor)
+    ++m_Demand[*Choice.m_WaitFor];
+  return TryResult::NotYet;
+}
+
+void Dispatcher::sendTo(RequestState &State, const ServerId &Server) {
+  const std::optional<ConnectionId> Connection =
+      m_Context.m_Pool.take(m_Context.m_Now, Server);
+  assert(Connection);
+  m_Context.send(State, *Connection);
+}
+
+void Dispatcher::setDemand() {
+  PoolOrders Orders;
+  for (const ServerView &Server : m_Context.m_View.m_Servers) {
+    const auto Found = m_Demand.find(Server.m_Server);
+    const std::uint32_t Waiting = Found == m_Demand.end() ? 0 : Found->second;
+    m_Context.m_Pool.setDemand(m_Context.m_Now, Server.m_Server,
+                               std::min(Waiting, Server.m_Slots), Orders);
+  }
+  m_Context.apply(Orders);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/Dispatcher.h
@@ -0,0 +1,39 @@
+#ifndef RAGWORTMUX_REQUEST_DISPATCHER_H
+#define RAGWORTMUX_REQUEST_DISPATCHER_H
+
+#include "ragwortmux/Core/Ids.h"
+#include "ragwortmux/Core/ResultCode.h"
+#include "ragwortmux/Request/RequestQueue.h"
+
+#include <cstdint>
+#include <map>
+
+namespace ragwortmux {
+
+struct GroupContext;
+struct RequestState;
+
+/// Sends queued requests on free connections, and tells the pool how many more
+/// would help.
+class Dispatcher final {
+public:
+  explicit Dispatcher(GroupContext &Context) : m_Context(Context) {}
+
+  void run();
+  /// Why a write cannot be sent now; NotRunDeadline if it only waits its turn.
+  ResultCode writeObstacle() const;
+
+private:
+  TryResult tryRun(RequestId Request);
+  TryResult tryWrite(RequestState &State);
+  TryResult tryRead(RequestState &State);
+  void sendTo(RequestState &State, const ServerId &Server);
+  void setDemand();
+
+  GroupContext &m_Context;                    ///< The group.
+  std::map<ServerId, std::uint32_t> m_Demand; ///< Of the run under way.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_REQUEST_DISPATCHER_H
--- /dev/null
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -0,0 +1,254 @@
+#include "ragwortmux/Request/GroupContext.h"
+
+#include <algorithm>
+#include <cassert>
+#include <vector>
+
+/// \file
+/// What GroupCore's events change that touches more than one part.
+
+namespace ragwortmux {
+
+void GroupContext::submit(GroupRequest Request) {
+  ++m_Counts.m_Requests;
+  m_Retries.addRequest();
+  const RequestId Id = Request.m_Id;
+  const CatalogueEntry &Entry = *Request.m_Entry;
+  RequestState &State = m_Requests[Id];
+  State.m_Request = std::move(Request);
+  State.m_Deadline =
+      State.m_Request.m_Arrived + Entry.m_Limits.m_RequestDeadline;
+  m_ByCaller.insert({State.m_Request.m_Caller, Id});
+  m_Touched.insert(Id);
+
+  if (m_Transactions.contains(State.m_Request.m_Caller)) {
+    m_OpenTransactions.submit(State);
+    return;
+  }
+  if (m_Draining) {
+    refuse(State, ResultCode::NotRunDraining);
+    return;
+  }
+  if (m_Now >= State.m_Deadline) {
+    refuse(State, ResultCode::NotRunDeadline);
+    return;
+  }
+  // Overload is answered at once: waiting would only make the deadline's miss
+  // come later.
+  if (m_Waiting[Entry.m_Name] + m_Running[Entry.m_Name] >=
+      Entry.m_Limits.m_MaxConcurrent + Entry.m_Limits.m_MaxQueued) {
+    refuse(State, ResultCode::NotRunQueueFull);
+    return;
+  }
+  if (isWrite(Entry.m_Class))
+    m_Writes.start(State);
+  else
+    m_Reads.start(State);
+}
+
+void GroupContext::forgetCaller(CallerConnectionId Caller) {
+  std::vector<RequestId> Requests;
+  for (auto At = m_ByCaller.lower_bound({Caller, RequestId()});
+       At != m_ByCaller.end() && At->first == Caller; ++At)
+    Requests.push_back(At->second);
+  for (const RequestId Request : Requests) {
+    RequestState *State = find(Request);
+    disown(*State);
+    // Closing its connection rolls an open transaction back.
+    if (State->m_InTransaction)
+      m_OpenTransactions.kill(Caller, std::nullopt);
+    if (isWrite(State->m_Request.m_Entry->m_Class)) {
+      m_Writes.callerGone(*State);
+      continue;
+    }
+    if (State->m_Connection)
+      abandonStatement(*State, false);
+    erase(*State);
+  }
+  m_OpenTransactions.kill(Caller, std::nullopt);
+}
+
+void GroupContext::loseConnection(ConnectionId Connection) {
+  std::optional<RequestId> Running;
+  const auto Use = m_Uses.find(Connection);
+  const bool WasUsed = Use != m_Uses.end();
+  if (WasUsed)
+    Running = Use->second.m_Running;
+  PoolOrders Orders;
+  m_Pool.gone(m_Now, Connection, Orders);
+  apply(Orders);
+  if (!WasUsed)
+    return;
+  if (!Running) {
+    m_OpenTransactions.connectionLost(Connection);
+    return;
+  }
+  RequestState *State = find(*Running);
+  assert(State);
+  endStatement(*State);
+  if (State->m_InTransaction)
+    m_OpenTransactions.kill(State->m_Request.m_Caller,
+                            ResultCode::OutcomeUnknown);
+  else
+    dropConnection(Connection);
+  if (isWrite(State->m_Request.m_Entry->m_Class))
+    m_Writes.lost(*State);
+  else
+    m_Reads.lost(*State);
+}
+
+void GroupContext::takeAnswer(ConnectionId Connection, BackendAnswer Result) {
+  const PooledConnection *Pooled = m_Pool.find(Connection);
+  if (!Pooled)
+    return;
+  if (Pooled->m_State == ConnectionState::Probing) {
+    PoolOrders Orders;
+    if (Result.m_Ok)
+      m_Pool.probed(m_Now, Connection, Orders);
+    else
+      m_Pool.drop(m_Now, Connection, Orders);
+    apply(Orders);
+    return;
+  }
+  // An answer on a connection that was given up belongs to nobody any more.
+  if (Pooled->m_State != ConnectionState::Busy)
+    return;
+  const auto Use = m_Uses.find(Connection);
+  assert(Use != m_Uses.end());
+  if (!Use->second.m_Running) {
+    m_OpenTransactions.connectionLost(Connection);
+    return;
+  }
+  RequestState *State = find(*Use->second.m_Running);
+  assert(State);
+  // A replica's answer is as good as its watch.
+  if (Result.m_Point && m_View.m_Primary != State->m_Server)
+    m_Gate.setApplied(State->m_Server, *Result.m_Point, State->m_SentAt);
+  if (isWrite(State->m_Request.m_Entry->m_Class))
+    m_Writes.answered(*State, std::move(Result));
+  else
+    m_Reads.answered(*State, Result);
+}
+
+void GroupContext::takeView(const GroupView &View) {
+  const bool TermEnded = m_HasView && View.m_Term != m_View.m_Term;
+  const std::vector<ServerView> Before = std::move(m_View.m_Servers);
+  m_View = View;
+  m_HasView = true;
+  setWatches();
+  PoolOrders Orders;
+  for (const ServerView &Server : Before) {
+    if (!server(Server.m_Server))
+      m_Pool.setServer(m_Now, Server.m_Server, View.m_Term, 0, Orders);
+  }
+  for (const ServerView &Server : View.m_Servers) {
+    // One of the share is the watch.
+    const bool Usable = takesRequests(Server) && Server.m_ConnectionShare > 0;
+    m_Pool.setServer(m_Now, Server.m_Server, View.m_Term,
+                     Usable ? Server.m_ConnectionShare - 1 : 0, Orders);
+  }
+  apply(Orders);
+  if (TermEnded)
+    endOldTerms();
+  m_Writes.checkReplicating();
+  retryEndings();
+}
+
+void GroupContext::setWatches() {
+  std::set<ServerId> Wanted;
+  for (const ServerView &Server : m_View.m_Servers) {
+    if (Server.m_ConnectionShare > 0)
+      Wanted.insert(Server.m_Server);
+  }
+  for (const ServerId &Server : m_Watched) {
+    if (!Wanted.contains(Server))
+      act(StopWatch{Server});
+  }
+  for (const ServerId &Server : Wanted) {
+    if (!m_Watched.contains(Server))
+      act(StartWatch{Server});
+  }
+  m_Watched = std::move(Wanted);
+}
+
+void GroupContext::endOldTerms() {
+  for (const RequestId Request : requestIds()) {
+    RequestState *State = find(Request);
+    if (!State || !isWrite(State->m_Request.m_Entry->m_Class) ||
+        State->m_Term == m_View.m_Term || State->m_WasRecorded)
+      continue;
+    switch (State->m_Phase) {
+    case RequestPhase::Sent:
+      // Without a key, the old primary may still say that it refused it. With
+      // one, the next primary knows.
+      if (!isKeyed(*State))
+        break;
+      abandonStatement(*State, false);
+      m_Keyed.endAttempt(*State);
+      break;
+    case RequestPhase::Replicating:
+    case RequestPhase::StoringPoint:
+    case RequestPhase::Recording:
+      if (State->m_Commit)
+        m_Writes.termEnded(*State);
+      break;
+    case RequestPhase::ReservingKey:
+    case RequestPhase::FindingPoint:
+    case RequestPhase::Queued:
+    case RequestPhase::EndingAttempt:
+      break;
+    }
+  }
+  m_OpenTransactions.closeOldTerms();
+}
+
+void GroupContext::retryEndings() {
+  std::vector<RequestId> Waiting;
+  for (const auto &[Request, State] : m_Requests) {
+    if (State.m_Phase == RequestPhase::EndingAttempt && !State.m_AwaitsReply &&
+        !State.m_RetryAt)
+      Waiting.push_back(Request);
+  }
+  for (const RequestId Request : Waiting)
+    m_Keyed.endAttempt(*find(Request));
+}
+
+void GroupContext::wakeRequests() {
+  std::vector<RequestId> Due;
+  for (const auto &[At, Request] : m_Timers) {
+    if (At > m_Now)
+      break;
+    Due.push_back(Request);
+  }
+  for (const RequestId Request : Due) {
+    RequestState *State = find(Request);
+    if (!State)
+      continue;
+    const bool IsWriteRequest = isWrite(State->m_Request.m_Entry->m_Class);
+    const bool CanExpire =
+        !State->m_Answered || State->m_Phase == RequestPhase::Sent;
+    if (CanExpire && m_Now >= State->m_Deadline) {
+      if (IsWriteRequest)
+        m_Writes.expired(*State);
+      else
+        m_Reads.expired(*State);
+      continue;
+    }
+    if (State->m_InTransaction && State->m_Phase == RequestPhase::Queued)
+      m_OpenTransactions.trySend(*State);
+    else if (IsWriteRequest)
+      m_Writes.wake(*State);
+    else
+      m_Reads.silent(*State);
+  }
+}
+
+std::vector<RequestId> GroupContext::requestIds() const {
+  std::vector<RequestId> Ids;
+  Ids.reserve(m_Requests.size());
+  for (const auto &[Request, State] : m_Requests)
+    Ids.push_back(Request);
+  return Ids;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/GroupCore.cpp
@@ -0,0 +1,207 @@
+#include "ragwortmux/Request/GroupCore.h"
+
+#include "ragwortmux/Request/GroupContext.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace ragwortmux {
+
+GroupCore::GroupCore(GroupId Group, const GroupSettings &Settings)
+    : m_Context(std::make_unique<GroupContext>(std::move(Group), Settings)) {}
+
+GroupCore::~GroupCore() = default;
+
+void GroupCore::submit(Instant Now, GroupRequest Request,
+                       GroupActions &Actions) {
+  assert(Request.m_Entry && Request.m_Entry->m_Group == m_Context->m_Group);
+  assert(!m_Context->m_Requests.contains(Request.m_Id));
+  m_Context->beginEvent(Now, Actions);
+  m_Context->submit(std::move(Request));
+  m_Context->endEvent();
+}
+
+void GroupCore::callerGone(Instant Now, CallerConnectionId Caller,
+                           GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->forgetCaller(Caller);
+  m_Context->endEvent();
+}
+
+void GroupCore::connectionOpened(Instant Now, ConnectionId Connection,
+                                 GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  PoolOrders Orders;
+  m_Context->m_Pool.opened(Now, Connection, Orders);
+  m_Context->apply(Orders);
+  m_Context->endEvent();
+}
+
+void GroupCore::connectionFailed(Instant Now, ConnectionId Connection,
+                                 std::string_view SqlState,
+                                 GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  PoolOrders Orders;
+  m_Context->m_Pool.failed(Now, Connection, !SqlState.empty(), Orders);
+  m_Context->apply(Orders);
+  m_Context->endEvent();
+}
+
+void GroupCore::connectionLost(Instant Now, ConnectionId Connection,
+                               GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->loseConnection(Connection);
+  m_Context->endEvent();
+}
+
+void GroupCore::connectionClosed(Instant Now, ConnectionId Connection,
+                                 GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->loseConnection(Connection);
+  m_Context->endEvent();
+}
+
+void GroupCore::statementAnswered(Instant Now, ConnectionId Connection,
+                                  BackendAnswer Result, GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->takeAnswer(Connection, std::move(Result));
+  m_Context->endEvent();
+}
+
+void GroupCore::positionSampled(Instant Now, const ServerId &Server,
+                                const LogPoint &Point, bool IsPrimary,
+                                Instant AskedAt, GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  if (m_Context->server(Server)) {
+    m_Context->m_Gate.setApplied(Server, Point, AskedAt);
+    // What a replaced primary says must not make old data look young.
+    if (IsPrimary && m_Context->m_View.m_Primary == Server &&
+        m_Context->leaseCovers(Point.m_Term))
+      m_Context->m_Ages.addSample(Point, AskedAt);
+    m_Context->m_Writes.checkReplicating();
+  }
+  m_Context->endEvent();
+}
+
+void GroupCore::watchFailed(Instant Now, const ServerId &Server,
+                            GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  if (m_Context->server(Server))
+    m_Context->act(ReportSuspicion{Server, m_Context->m_View.m_Term,
+                                   SuspicionCause::WatchFailed});
+  m_Context->endEvent();
+}
+
+void GroupCore::viewChanged(Instant Now, const GroupView &View,
+                            GroupActions &Actions) {
+  assert(View.m_Group == m_Context->m_Group);
+  m_Context->beginEvent(Now, Actions);
+  if (!m_Context->m_HasView || View.m_Revision > m_Context->m_View.m_Revision)
+    m_Context->takeView(View);
+  m_Context->endEvent();
+}
+
+void GroupCore::leaseExtended(Instant Now, Instant ValidUntil,
+                              GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->m_LeaseUntil = ValidUntil;
+  m_Context->m_Writes.checkReplicating();
+  m_Context->retryEndings();
+  m_Context->endEvent();
+}
+
+void GroupCore::keyReserved(Instant Now, RequestId Request,
+                            const ReserveResult &Result,
+                            GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  if (RequestState *State = m_Context->find(Request))
+    m_Context->m_Keyed.reserved(*State, Result);
+  m_Context->endEvent();
+}
+
+void GroupCore::outcomeRecorded(Instant Now, RequestId Request,
+                                bool /*Recorded*/, GroupActions &Actions) {
+  // A first caller gets its answer also if the ledger could not keep it.
+  m_Context->beginEvent(Now, Actions);
+  if (RequestState *State = m_Context->find(Request))
+    m_Context->m_Writes.outcomeRecorded(*State);
+  m_Context->endEvent();
+}
+
+void GroupCore::attemptEnded(Instant Now, RequestId Request,
+                             AttemptOutcome Outcome,
+                             std::optional<LogPoint> Point,
+                             GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  if (RequestState *State = m_Context->find(Request))
+    m_Context->m_Keyed.attemptEnded(*State, Outcome, Point);
+  m_Context->endEvent();
+}
+
+void GroupCore::sessionPointFound(Instant Now, RequestId Request,
+                                  std::optional<LogPoint> Point, bool Known,
+                                  GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  if (RequestState *State = m_Context->find(Request))
+    m_Context->m_Reads.pointFound(*State, Point, Known);
+  m_Context->endEvent();
+}
+
+void GroupCore::sessionPointStored(Instant Now, RequestId Request, bool Stored,
+                                   GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  if (RequestState *State = m_Context->find(Request))
+    m_Context->m_Writes.pointStored(*State, Stored);
+  m_Context->endEvent();
+}
+
+void GroupCore::drain(Instant Now, GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->m_Draining = true;
+  m_Context->endEvent();
+}
+
+void GroupCore::tick(Instant Now, GroupActions &Actions) {
+  m_Context->beginEvent(Now, Actions);
+  m_Context->wakeRequests();
+  m_Context->m_OpenTransactions.tick();
+  PoolOrders Orders;
+  m_Context->m_Pool.tick(Now, Orders);
+  m_Context->apply(Orders);
+  m_Context->endEvent();
+}
+
+std::optional<Instant> GroupCore::nextDeadline() const {
+  std::optional<Instant> Next = m_Context->m_Pool.nextDeadline();
+  const auto Consider = [&Next](Instant At) {
+    Next = Next ? std::min(*Next, At) : At;
+  };
+  if (!m_Context->m_Timers.empty())
+    Consider(m_Context->m_Timers.begin()->first);
+  if (const auto At = m_Context->m_OpenTransactions.nextDeadline())
+    Consider(*At);
+  return Next;
+}
+
+bool GroupCore::drained() const {
+  return m_Context->m_Draining && m_Context->m_Transactions.empty() &&
+         pendingRequests() == 0;
+}
+
+std::uint32_t GroupCore::heldConnections(const ServerId &Server) const {
+  const std::uint32_t Watches = m_Context->m_Watched.contains(Server) ? 1 : 0;
+  return m_Context->m_Pool.held(Server) + Watches;
+}
+
+std::size_t GroupCore::pendingRequests() const {
+  std::size_t Count = 0;
+  for (const auto &[Request, State] : m_Context->m_Requests)
+    Count += State.m_Answered ? 0 : 1;
+  return Count;
+}
+
+const GroupCounts &GroupCore::counts() const { return m_Context->m_Counts; }
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -0,0 +1,215 @@
+#include "ragwortmux/Request/KeyedRequests.h"
+
+#include "ragwortmux/Request/GroupContext.h"
+
+#include <cassert>
+#include <string>
+#include <utility>
+
+namespace ragwortmux {
+
+void KeyedRequests::reserve(RequestState &State,
+                            const std::optional<AttemptId> &Aborted) {
+  // The same id must never be used for two tries, also not by a later run of
+  // this process or by another host; the prefix sees to that.
+  State.m_Attempt = AttemptId(m_Context.m_Settings.m_AttemptPrefix + "/" +
+                              m_Context.m_Group.value() + "/" +
+                              std::to_string(++m_Context.m_LastAttempt));
+  State.m_Reserved = false;
+  State.m_OfEndedSession = false;
+  State.m_Phase = RequestPhase::ReservingKey;
+  sendReservation(State, Aborted);
+}
+
+void KeyedRequests::reserved(RequestState &State, const ReserveResult &Result) {
+  if (State.m_Phase != RequestPhase::ReservingKey || !State.m_AwaitsReply)
+    return;
+  State.m_AwaitsReply = false;
+  if (State.m_Answered) {
+    // The caller was told already, so the reservation must not stay.
+    if (Result.m_Status == ReserveStatus::Reserved ||
+        Result.m_Status == ReserveStatus::Unavailable)
+      release(State, ResultCode::NotRunDeadline);
+    m_Context.erase(State);
+    return;
+  }
+  switch (Result.m_Status) {
+  case ReserveStatus::Reserved:
+    State.m_Reserved = true;
+    State.m_RetryAt.reset();
+    State.m_LastReason = ResultCode::NotRunDeadline;
+    m_Context.enqueue(State);
+    return;
+  case ReserveStatus::Recorded:
+    recorded(State, Result);
+    return;
+  case ReserveStatus::InUse:
+    pause(State, ResultCode::NotRunKeyInUse);
+    return;
+  case ReserveStatus::Unavailable:
+    pause(State, ResultCode::NotRunLedgerUnavailable);
+    return;
+  case ReserveStatus::HeldByEndedSession:
+    State.m_Attempt = Result.m_Attempt;
+    State.m_OfEndedSession = true;
+    endAttempt(State);
+    return;
+  case ReserveStatus::Refused:
+    // A key that is too old or malformed is refused for good.
+    if (Result.m_Code == ResultCode::NotRunKeyExpired ||
+        Result.m_Code == ResultCode::NotRunBadRequest)
+      m_Context.finish(State, Result.m_Code);
+    else
+      m_Context.refuse(State, Result.m_Code);
+    return;
+  }
+}
+
+void KeyedRequests::leaveReservation(RequestState &State) {
+  // A reservation may still come about; then it is given back.
+  if (State.m_AwaitsReply)
+    return;
+  if (State.m_LastReason == ResultCode::NotRunLedgerUnavailable)
+    release(State, State.m_LastReason);
+  m_Context.erase(State);
+}
+
+void KeyedRequests::endAttempt(RequestState &State) {
+  m_Context.m_Replicating.erase(State.m_Request.m_Id);
+  State.m_Phase = RequestPhase::EndingAttempt;
+  State.m_RetryAt.reset();
+  // The answer of a statement within a transaction says nothing about its end.
+  if (State.m_Answer && State.m_Answer->m_Status != TransactionStatus::Idle)
+    State.m_Answer.reset();
+  const GroupView &View = m_Context.m_View;
+  // Only the primary of the term that the lease covers can tell; another
+  // server's history may lack the commit or lose it.
+  if (State.m_AwaitsReply || !View.m_Primary ||
+      !m_Context.leaseCovers(View.m_Term))
+    return;
+  State.m_AwaitsReply = true;
+  State.m_AskedTerm = View.m_Term;
+  m_Context.act(EndAttempt{State.m_Request.m_Id, *View.m_Primary, View.m_Term,
+                           State.m_Attempt});
+}
+
+void KeyedRequests::attemptEnded(RequestState &State, AttemptOutcome Outcome,
+                                 const std::optional<LogPoint> &Point) {
+  if (State.m_Phase != RequestPhase::EndingAttempt || !State.m_AwaitsReply)
+    return;
+  State.m_AwaitsReply = false;
+  if (State.m_AskedTerm != m_Context.m_View.m_Term) {
+    endAttempt(State);
+    return;
+  }
+  const bool Committed = Outcome == AttemptOutcome::Committed;
+  if (Outcome == AttemptOutcome::Failed ||
+      !m_Context.leaseCovers(State.m_AskedTerm) ||
+      (Committed && (!Point || Point->m_Term != State.m_AskedTerm))) {
+    State.m_RetryAt = m_Context.m_Now + m_Context.m_Settings.m_EndAttemptRetry;
+    return;
+  }
+  if (!Committed) {
+    aborted(State);
+    return;
+  }
+  // The primary has it; whether the other servers do is still to be waited for.
+  State.m_Term = State.m_AskedTerm;
+  State.m_Commit = Point;
+  if (!State.m_Answer)
+    State.m_Code = State.m_OfEndedSession ? ResultCode::RanEarlier
+                                          : ResultCode::RanAnswerLost;
+  m_Context.m_Writes.advance(State);
+}
+
+void KeyedRequests::release(RequestState &State, ResultCode Code) {
+  assert(saysNotRun(Code));
+  RecordKeyOutcome Record;
+  Record.m_Request = State.m_Request.m_Id;
+  Record.m_Key = *State.m_Request.m_Key;
+  Record.m_Owner = State.m_Request.m_Entry->m_Owner;
+  Record.m_Attempt = State.m_Attempt;
+  Record.m_Code = Code;
+  m_Context.act(std::move(Record));
+}
+
+void KeyedRequests::settleTransaction(const TransactionState &Transaction) {
+  const RequestId Request = Transaction.m_First.m_Id;
+  assert(!m_Context.m_Requests.contains(Request));
+  RequestState &State = m_Context.m_Requests[Request];
+  State.m_Request = Transaction.m_First;
+  State.m_Attempt = Transaction.m_Attempt;
+  State.m_Reserved = true;
+  State.m_InTransaction = true;
+  State.m_Answered = true;
+  m_Context.m_Touched.insert(Request);
+  endAttempt(State);
+}
+
+void KeyedRequests::wake(RequestState &State) {
+  State.m_RetryAt.reset();
+  if (State.m_AwaitsReply)
+    return;
+  if (State.m_Phase == RequestPhase::ReservingKey)
+    sendReservation(State, std::nullopt);
+  else if (State.m_Phase == RequestPhase::EndingAttempt)
+    endAttempt(State);
+}
+
+void KeyedRequests::sendReservation(RequestState &State,
+                                    const std::optional<AttemptId> &Aborted) {
+  State.m_AwaitsReply = true;
+  ReserveRequestKey Reserve;
+  Reserve.m_Request = State.m_Request.m_Id;
+  Reserve.m_Key = *State.m_Request.m_Key;
+  Reserve.m_Owner = State.m_Request.m_Entry->m_Owner;
+  Reserve.m_Attempt = State.m_Attempt;
+  Reserve.m_Term = m_Context.m_View.m_Term;
+  Reserve.m_Aborted = Aborted;
+  m_Context.act(std::move(Reserve));
+}
+
+void KeyedRequests::pause(RequestState &State, ResultCode Reason) {
+  State.m_LastReason = Reason;
+  State.m_RetryAt = m_Context.m_Now + m_Context.m_Settings.m_BackoffMax;
+}
+
+void KeyedRequests::recorded(RequestState &State, const ReserveResult &Result) {
+  State.m_Code = Result.m_Code;
+  State.m_Commit = Result.m_Point;
+  State.m_OutcomeRecorded = true;
+  State.m_WasRecorded = true;
+  BackendAnswer Earlier;
+  Earlier.m_Body = Result.m_Body;
+  State.m_Answer = std::move(Earlier);
+  if (State.m_Code == ResultCode::Ok && !Result.m_Body)
+    State.m_Code = ResultCode::RanEarlier;
+  m_Context.m_Writes.advance(State);
+}
+
+void KeyedRequests::aborted(RequestState &State) {
+  State.m_Answer.reset();
+  State.m_Commit.reset();
+  State.m_PointStored = false;
+  State.m_OutcomeRecorded = false;
+  if (State.m_OfEndedSession) {
+    const AttemptId Ended = State.m_Attempt;
+    reserve(State, Ended);
+    return;
+  }
+  release(State, ResultCode::NotRunRolledBack);
+  if (State.m_Answered) {
+    m_Context.erase(State);
+    return;
+  }
+  // The statements before this one of the transaction are gone with it.
+  if (State.m_InTransaction || m_Context.m_Now >= State.m_Deadline ||
+      !m_Context.m_Retries.takeRetry()) {
+    m_Context.finish(State, ResultCode::NotRunRolledBack);
+    return;
+  }
+  ++m_Context.m_Counts.m_Retries;
+  reserve(State, std::nullopt);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/WriteRequests.cpp
@@ -0,0 +1,361 @@
+#include "ragwortmux/Request/WriteRequests.h"
+
+#include "ragwortmux/Request/GroupContext.h"
+
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace ragwortmux {
+
+namespace {
+
+/// True if nothing of the request's unit of work is left open: its transaction
+/// has ended, or an ended attempt was found committed.
+bool endsUnit(const RequestState &State) {
+  return !State.m_Answer || State.m_Answer->m_Status == TransactionStatus::Idle;
+}
+
+} // namespace
+
+void WriteRequests::start(RequestState &State) {
+  if (!isKeyed(State)) {
+    m_Context.enqueue(State);
+    return;
+  }
+  State.m_CountsWaiting = true;
+  ++m_Context.m_Waiting[State.m_Request.m_Entry->m_Name];
+  m_Context.m_Keyed.reserve(State, std::nullopt);
+}
+
+void WriteRequests::answered(RequestState &State, BackendAnswer Result) {
+  if (refusedUnrun(State, Result))
+    return;
+  m_Context.m_OpenTransactions.settleConnection(State, Result.m_Status);
+  State.m_Answer = std::move(Result);
+  const BackendAnswer &Kept = *State.m_Answer;
+  State.m_Code =
+      Kept.m_Truncated ? ResultCode::RanAnswerTooLarge : ResultCode::Ok;
+  if (!Kept.m_Ok) {
+    // The database's own error: rolled back there, so nothing to wait for.
+    advance(State);
+    return;
+  }
+  if (State.m_Term != m_Context.m_View.m_Term) {
+    termEnded(State);
+    return;
+  }
+  if (!Kept.m_Point || Kept.m_Point->m_Term != State.m_Term) {
+    // Where the commit is cannot be told, so neither can who has it.
+    lost(State);
+    return;
+  }
+  State.m_Commit = Kept.m_Point;
+  advance(State);
+}
+
+void WriteRequests::lost(RequestState &State) {
+  if (State.m_InTransaction)
+    m_Context.m_OpenTransactions.kill(State.m_Request.m_Caller,
+                                      ResultCode::OutcomeUnknown);
+  if (isKeyed(State)) {
+    m_Context.m_Keyed.endAttempt(State);
+    return;
+  }
+  m_Context.finish(State, State.m_Term == m_Context.m_View.m_Term
+                              ? ResultCode::OutcomeUnknown
+                              : ResultCode::OutcomeUnknownTermEnded);
+}
+
+void WriteRequests::termEnded(RequestState &State) {
+  if (State.m_InTransaction)
+    m_Context.m_OpenTransactions.kill(State.m_Request.m_Caller,
+                                      ResultCode::OutcomeUnknownTermEnded);
+  if (isKeyed(State)) {
+    m_Context.m_Keyed.endAttempt(State);
+    return;
+  }
+  m_Context.finish(State, ResultCode::OutcomeUnknownTermEnded);
+}
+
+void WriteRequests::advance(RequestState &State) {
+  const RequestId Request = State.m_Request.m_Id;
+  if (!mayBeAcknowledged(State)) {
+    State.m_Phase = RequestPhase::Replicating;
+    m_Context.m_Replicating.insert(Request);
+    return;
+  }
+  m_Context.m_Replicating.erase(Request);
+  const bool Ends = endsUnit(State);
+  if (Ends && State.m_Commit && !State.m_PointStored && !State.m_Answered &&
+      !State.m_Request.m_Session.value().empty()) {
+    storePoint(State);
+    return;
+  }
+  if (Ends && isKeyed(State) && !State.m_OutcomeRecorded) {
+    record(State);
+    return;
+  }
+  acknowledge(State);
+}
+
+void WriteRequests::giveUpTransaction(RequestState &State, ResultCode Code) {
+  m_Context.m_OpenTransactions.kill(State.m_Request.m_Caller, Code);
+  m_Context.tell(State, Code, resultCodeInfo(Code).m_Meaning);
+  if (isKeyed(State))
+    m_Context.m_Keyed.endAttempt(State);
+  else
+    m_Context.erase(State);
+}
+
+void WriteRequests::checkReplicating() {
+  const std::vector<RequestId> Waiting(m_Context.m_Replicating.begin(),
+                                       m_Context.m_Replicating.end());
+  for (const RequestId Request : Waiting) {
+    RequestState *State = m_Context.find(Request);
+    if (State && mayBeAcknowledged(*State))
+      advance(*State);
+  }
+}
+
+void WriteRequests::pointStored(RequestState &State, bool Stored) {
+  if (State.m_Phase != RequestPhase::StoringPoint)
+    return;
+  if (!Stored) {
+    // Its homes may still hold an older point, so there is no way round them.
+    State.m_RetryAt = m_Context.m_Now + m_Context.m_Settings.m_EndAttemptRetry;
+    return;
+  }
+  State.m_PointStored = true;
+  State.m_RetryAt.reset();
+  advance(State);
+}
+
+void WriteRequests::outcomeRecorded(RequestState &State) {
+  if (State.m_Phase != RequestPhase::Recording)
+    return;
+  State.m_OutcomeRecorded = true;
+  State.m_RetryAt.reset();
+  advance(State);
+}
+
+void WriteRequests::callerGone(RequestState &State) {
+  const bool Keyed = isKeyed(State);
+  switch (State.m_Phase) {
+  case RequestPhase::ReservingKey:
+    m_Context.m_Keyed.leaveReservation(State);
+    return;
+  case RequestPhase::Queued:
+    if (Keyed && State.m_InTransaction) {
+      m_Context.m_Keyed.endAttempt(State);
+      return;
+    }
+    if (Keyed)
+      m_Context.m_Keyed.release(State, ResultCode::NotRunDeadline);
+    break;
+  case RequestPhase::Sent:
+    // It runs to its end, so that the connection can be used again.
+    if (State.m_Connection)
+      return;
+    if (Keyed) {
+      m_Context.m_Keyed.endAttempt(State);
+      return;
+    }
+    break;
+  case RequestPhase::FindingPoint:
+  case RequestPhase::EndingAttempt:
+  case RequestPhase::Replicating:
+  case RequestPhase::StoringPoint:
+  case RequestPhase::Recording:
+    break;
+  }
+  const bool IsSettling = State.m_Phase == RequestPhase::EndingAttempt ||
+                          State.m_Phase == RequestPhase::Replicating;
+  if (Keyed && IsSettling && !State.m_OfEndedSession)
+    return;
+  if (Keyed && State.m_Phase == RequestPhase::StoringPoint)
+    advance(State);
+  else
+    m_Context.erase(State);
+}
+
+void WriteRequests::expired(RequestState &State) {
+  switch (State.m_Phase) {
+  case RequestPhase::ReservingKey:
+  case RequestPhase::FindingPoint:
+  case RequestPhase::Queued:
+    expiredUnsent(State);
+    return;
+  case RequestPhase::Sent:
+    m_Context.abandonStatement(State, true);
+    break;
+  case RequestPhase::Recording:
+    outcomeRecorded(State);
+    return;
+  case RequestPhase::EndingAttempt:
+  case RequestPhase::Replicating:
+  case RequestPhase::StoringPoint:
+    break;
+  }
+  if (State.m_InTransaction)
+    m_Context.m_OpenTransactions.kill(State.m_Request.m_Caller,
+                                      ResultCode::OutcomeUnknown);
+  m_Context.tell(State, ResultCode::OutcomeUnknown,
+                 resultCodeInfo(ResultCode::OutcomeUnknown).m_Meaning);
+  // A key is settled also when nobody waits any more, so that a resend is told;
+  // an ended session's attempt is left to the resend.
+  if (!isKeyed(State) || State.m_OfEndedSession)
+    m_Context.erase(State);
+  else if (State.m_Phase == RequestPhase::Sent)
+    m_Context.m_Keyed.endAttempt(State);
+  else if (State.m_Phase == RequestPhase::StoringPoint)
+    advance(State);
+}
+
+void WriteRequests::wake(RequestState &State) {
+  switch (State.m_Phase) {
+  case RequestPhase::ReservingKey:
+  case RequestPhase::EndingAttempt:
+    m_Context.m_Keyed.wake(State);
+    return;
+  case RequestPhase::StoringPoint:
+    storePoint(State);
+    return;
+  case RequestPhase::Recording:
+    outcomeRecorded(State);
+    return;
+  case RequestPhase::Sent:
+    // Ending the attempt now leaves time to tell the caller how it went.
+    if (isKeyed(State) && !State.m_InTransaction) {
+      m_Context.abandonStatement(State, true);
+      m_Context.m_Keyed.endAttempt(State);
+    }
+    return;
+  case RequestPhase::FindingPoint:
+  case RequestPhase::Queued:
+  case RequestPhase::Replicating:
+    return;
+  }
+}
+
+bool WriteRequests::refusedUnrun(RequestState &State,
+                                 const BackendAnswer &Result) {
+  if (Result.m_Ok)
+    return false;
+  const TransactionStatus Before = State.m_InTransaction
+                                       ? TransactionStatus::InTransaction
+                                       : TransactionStatus::Idle;
+  if (Result.m_SqlState == TermRefusedState &&
+      (State.m_InTransaction || Result.m_Status == Before)) {
+    m_Context.act(ReportSuspicion{State.m_Server, m_Context.m_View.m_Term,
+                                  SuspicionCause::TermRefused});
+    if (State.m_InTransaction) {
+      giveUpTransaction(State, ResultCode::NotRunTermRefused);
+      return true;
+    }
+    const ConnectionId Connection = *State.m_Connection;
+    m_Context.endStatement(State);
+    m_Context.dropConnection(Connection);
+    retryUnrun(State, ResultCode::NotRunTermRefused);
+    return true;
+  }
+  if (Result.m_SqlState != ServerFullState || Result.m_Status != Before)
+    return false;
+  ++m_Context.m_Counts.m_ServerFull;
+  m_Context.m_OpenTransactions.settleConnection(State, Result.m_Status);
+  retryUnrun(State, ResultCode::NotRunDeadline);
+  return true;
+}
+
+void WriteRequests::retryUnrun(RequestState &State, ResultCode Reason) {
+  if (!State.m_Answered) {
+    m_Context.enqueueAfterPause(State, Reason);
+    return;
+  }
+  if (isKeyed(State))
+    m_Context.m_Keyed.release(State, Reason);
+  m_Context.erase(State);
+}
+
+bool WriteRequests::mayBeAcknowledged(const RequestState &State) const {
+  if (!State.m_Commit || State.m_WasRecorded)
+    return true;
+  return m_Context.leaseCovers(State.m_Term) &&
+         m_Context.m_Gate.isReplicated(m_Context.m_View, *State.m_Commit);
+}
+
+void WriteRequests::storePoint(RequestState &State) {
+  State.m_Phase = RequestPhase::StoringPoint;
+  State.m_RetryAt.reset();
+  StoreSessionPoint Store;
+  Store.m_Request = State.m_Request.m_Id;
+  Store.m_Session = State.m_Request.m_Session;
+  Store.m_Point = *State.m_Commit;
+  m_Context.act(std::move(Store));
+}
+
+void WriteRequests::record(RequestState &State) {
+  RecordKeyOutcome Record;
+  Record.m_Request = State.m_Request.m_Id;
+  Record.m_Key = *State.m_Request.m_Key;
+  Record.m_Owner = State.m_Request.m_Entry->m_Owner;
+  Record.m_Attempt = State.m_Attempt;
+  Record.m_Code = State.m_Code;
+  if (State.m_Answer && !State.m_Answer->m_Truncated)
+    Record.m_Body = State.m_Answer->m_Body;
+  Record.m_Point = State.m_Commit;
+  Record.m_OfEndedSession = State.m_OfEndedSession;
+  Record.m_Term = State.m_Term;
+  m_Context.act(std::move(Record));
+  if (State.m_Answered) {
+    m_Context.erase(State);
+    return;
+  }
+  State.m_Phase = RequestPhase::Recording;
+  State.m_RetryAt = m_Context.m_Now + m_Context.m_Settings.m_RecordWait;
+}
+
+void WriteRequests::acknowledge(RequestState &State) {
+  if (State.m_Answered) {
+    m_Context.erase(State);
+    return;
+  }
+  Answer Message;
+  Message.m_Request = State.m_Request.m_Id;
+  Message.m_Code = State.m_Code;
+  if (State.m_Code != ResultCode::Ok)
+    Message.m_Reason = resultCodeInfo(State.m_Code).m_Meaning;
+  if (State.m_Answer) {
+    Message.m_Status = State.m_Answer->m_Status;
+    if (!State.m_Answer->m_Truncated)
+      Message.m_Body = State.m_Answer->m_Body;
+  }
+  Message.m_Token = State.m_Commit;
+  if (State.m_Commit && !State.m_WasRecorded)
+    Message.m_NeedsLease = State.m_Term;
+  m_Context.act(std::move(Message));
+  if (State.m_ClosesCaller)
+    m_Context.act(CloseCaller{State.m_Request.m_Caller, State.m_Code});
+  ++m_Context.m_Counts.m_Writes;
+  m_Context.erase(State);
+}
+
+void WriteRequests::expiredUnsent(RequestState &State) {
+  if (State.m_InTransaction) {
+    giveUpTransaction(State, ResultCode::NotRunNoLease);
+    return;
+  }
+  if (State.m_Phase == RequestPhase::ReservingKey) {
+    m_Context.tellRefused(State, State.m_LastReason);
+    m_Context.m_Keyed.leaveReservation(State);
+    return;
+  }
+  ResultCode Reason = m_Context.m_Dispatcher.writeObstacle();
+  if (Reason == ResultCode::NotRunDeadline)
+    Reason = State.m_LastReason;
+  if (isKeyed(State))
+    m_Context.m_Keyed.release(State, Reason);
+  m_Context.refuse(State, Reason);
+}
+
+} // namespace ragwortmux
