--- a/tests/Request/WriteTest.cpp
+++ b/tests/Request/WriteTest.cpp
@@ -1,7 +1,6 @@
 #include "GroupFixture.h"
 
-#include <boost/test/data/monomorphic.hpp>
-#include <boost/test/data/test_case.hpp>
+#include <functional>
 
 namespace ragwortmux {
 
@@ -10,21 +9,424 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-BOOST_FIXTURE_TEST_SUITE(Writes, GroupFixture)
+struct GateCase final {
+  const char *m_Name;
+  SyncState m_S2;
+  SyncState m_S3;
+  std::vector<const char *> m_Applied; ///< Who has the commit.
+  bool m_Acknowledged;
+};
 
-BOOST_AUTO_TEST_CASE(AcknowledgedOnlyWhenAppliedAtTheWholeInSyncSet,
+BOOST_AUTO_TEST_CASE(AcknowledgedOnceAppliedWhereTheViewSays,
                      *boost::unit_test::label("promise-2")) {
+  const GateCase Cases[] = {
+      {"nobody", SyncState::InSync, SyncState::InSync, {}, false},
+      {"one of two", SyncState::InSync, SyncState::InSync, {"s2"}, false},
+      {"both", SyncState::InSync, SyncState::InSync, {"s2", "s3"}, true},
+      {"joining waits", SyncState::InSync, SyncState::Joining, {"s2"}, false},
+      {"behind", SyncState::InSync, SyncState::Behind, {"s2"}, true},
+      {"alone", SyncState::Behind, SyncState::Behind, {}, false},
+      {"second copy", SyncState::Behind, SyncState::Behind, {"s3"}, true},
+  };
+  for (const GateCase &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      GroupFixture Group;
+      Group.m_View.m_Servers[1].m_Sync = Case.m_S2;
+      Group.m_View.m_Servers[2].m_Sync = Case.m_S3;
+      Group.setView(1);
+      Group.sample(1, 9, {"s2", "s3"});
+      const RequestId Id = Group.write();
+      BOOST_TEST(Group.runsAt() == "s1");
+      Group.answer(Group.ok(1, 10));
+      Group.sample(1, 10, Case.m_Applied);
+      BOOST_TEST(Group.answered(Id) == Case.m_Acknowledged);
+      if (!Case.m_Acknowledged)
+        continue;
+      BOOST_TEST((Group.code(Id) == ResultCode::Ok));
+      BOOST_TEST((Group.m_Answers.at(Id).m_Token == Group.point(1, 10)));
+      BOOST_TEST((Group.m_Answers.at(Id).m_NeedsLease == Term(1)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AGroupOfOneServerAcknowledgesOnlyIfTheSettingAllows,
+                     *boost::unit_test::label("promise-2")) {
+  for (const bool Allowed : {false, true}) {
+    GroupSettings Settings;
+    Settings.m_AllowSingleServer = Allowed;
+    GroupFixture Group(Settings);
+    Group.m_View.m_Servers.resize(1);
+    Group.setView(1);
+    const RequestId Id = Group.write();
+    Group.answer(Group.ok(1, 10));
+    BOOST_TEST(Group.answered(Id) == Allowed);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingOfAnEndedTermIsAcknowledged, GroupFixture,
+                        *boost::unit_test::label("promise-2")) {
+  const RequestId InHand = write();
+  answer(ok(1, 10));
+  const RequestId Late = write();
+  changePrimary(2, "s2");
+  BOOST_TEST((code(InHand) == ResultCode::OutcomeUnknownTermEnded));
+  answer(ok(1, 11));
+  sample(1, 11, {"s2", "s3"});
+  sample(2, 11, {"s1", "s3"});
+  BOOST_TEST((code(Late) == ResultCode::OutcomeUnknownTermEnded));
+}
+
+BOOST_FIXTURE_TEST_CASE(TheTermEndsWhileTheSessionPointIsBeingStored,
+                        GroupFixture, *boost::unit_test::label("promise-2")) {
+  m_AutoHomes = false;
+  GroupRequest Request = make(TrafficClass::Booking);
+  Request.m_Session = SessionName("clerk");
+  const RequestId Id = submit(Request);
+  answer(ok(1, 10));
+  sample(1, 10, {"s2", "s3"});
+  BOOST_REQUIRE(m_Stores.size() == 1);
+  BOOST_TEST(!answered(Id));
+  changePrimary(2, nullptr);
+  BOOST_TEST((code(Id) == ResultCode::OutcomeUnknownTermEnded));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerAfterTheLeaseWaitsForTheNextOne, GroupFixture,
+                        *boost::unit_test::label("promise-2")) {
+  lease(milliseconds(100));
+  sample(1, 10, {"s2", "s3"});
   const RequestId Id = write();
-  BOOST_TEST(runsAt() == "s1");
-  sample(1, 9, {"s2", "s3"});
+  wait(milliseconds(100)); // the lease does not cover its own end
   answer(ok(1, 10));
   BOOST_TEST(!answered(Id));
-  sample(1, 10, {"s2"});
+  lease(seconds(1));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+
+  const RequestId Never = write();
+  wait(seconds(2));
+  answer(ok(1, 10));
+  wait(seconds(5));
+  BOOST_TEST((code(Never) == ResultCode::OutcomeUnknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingIsSentOnTheLastOfALease, GroupFixture,
+                        *boost::unit_test::label("promise-2")) {
+  lease(milliseconds(50));
+  const RequestId Id = write();
+  BOOST_TEST(m_Sent == 0U);
+  wait(seconds(5));
+  BOOST_TEST((code(Id) == ResultCode::NotRunNoLease));
+}
+
+struct FailureCase final {
+  const char *m_Name;
+  std::function<void(GroupFixture &)> m_Fail; ///< After the request was sent.
+  ResultCode m_Plain;                         ///< Told without a key.
+  ResultCode m_Keyed; ///< Told with a key, the attempt having aborted.
+  ResultCode m_Found; ///< Told with a key, the attempt having committed.
+};
+
+/// A group whose retry budget is empty, so that what is not run shows.
+GroupSettings withoutRetries() {
+  GroupSettings Settings;
+  Settings.m_Retry.m_MaxSaved = 0;
+  return Settings;
+}
+
+BOOST_AUTO_TEST_CASE(WhatTheCallerIsToldAtEachPointOfFailure,
+                     *boost::unit_test::label("promise-5")) {
+  const auto Wait = [](GroupFixture &Group) { Group.wait(seconds(5)); };
+  const FailureCase Cases[] = {
+      {"connection lost after send",
+       [](GroupFixture &Group) { Group.lose(Group.running()); },
+       ResultCode::OutcomeUnknown, ResultCode::NotRunRolledBack,
+       ResultCode::RanAnswerLost},
+      {"silent until the deadline", Wait, ResultCode::OutcomeUnknown,
+       ResultCode::OutcomeUnknown, ResultCode::OutcomeUnknown},
+      {"term ended before the answer, connection lost",
+       [](GroupFixture &Group) {
+         Group.changePrimary(2, "s2");
+         if (Group.running() != 0)
+           Group.lose(Group.running());
+       },
+       ResultCode::OutcomeUnknownTermEnded, ResultCode::NotRunRolledBack,
+       ResultCode::RanAnswerLost},
+      {"term ended after the answer, before replication",
+       [](GroupFixture &Group) {
+         Group.answer(Group.ok(1, 10));
+         Group.changePrimary(2, "s2");
+       },
+       ResultCode::OutcomeUnknownTermEnded, ResultCode::NotRunRolledBack,
+       ResultCode::Ok},
+      {"answer without a position",
+       [](GroupFixture &Group) { Group.answer(BackendAnswer()); },
+       ResultCode::OutcomeUnknown, ResultCode::NotRunRolledBack,
+       ResultCode::Ok},
+  };
+  for (const FailureCase &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      GroupFixture Plain(withoutRetries());
+      const RequestId Id = Plain.write();
+      Case.m_Fail(Plain);
+      BOOST_TEST((Plain.code(Id) == Case.m_Plain));
+      BOOST_TEST(Plain.m_Sent == 1U);
+
+      for (const bool Committed : {false, true}) {
+        GroupFixture Keyed(withoutRetries());
+        const RequestId KeyedId = Keyed.keyedWrite();
+        Case.m_Fail(Keyed);
+        const std::uint64_t Now = Keyed.m_View.m_Term.value();
+        Keyed.endAttempt(Committed ? AttemptOutcome::Committed
+                                   : AttemptOutcome::Aborted,
+                         Now, 20);
+        if (Committed && Case.m_Found != ResultCode::OutcomeUnknown)
+          BOOST_TEST(!Keyed.answered(KeyedId));
+        Keyed.sample(Now, 20, {"s1", "s2", "s3"});
+        BOOST_TEST(
+            (Keyed.code(KeyedId) == (Committed ? Case.m_Found : Case.m_Keyed)));
+        BOOST_TEST(Keyed.m_Sent == 1U);
+        // A resend finds the key settled either way.
+        BOOST_REQUIRE(Keyed.m_Records.size() == 1);
+        BOOST_TEST(saysNotRun(Keyed.m_Records[0].m_Code) == !Committed);
+      }
+    }
+  }
+}
+
+struct UnsentCase final {
+  const char *m_Name;
+  std::function<void(GroupFixture &)> m_Before;
+  std::function<void(GroupFixture &)> m_After;
+  ResultCode m_Code;
+};
+
+BOOST_AUTO_TEST_CASE(NotRunIsSaidWhereNothingRan,
+                     *boost::unit_test::label("promise-5")) {
+  const auto Nothing = [](GroupFixture &) {};
+  const UnsentCase Cases[] = {
+      {"no primary",
+       [](GroupFixture &Group) { Group.changePrimary(2, nullptr); }, Nothing,
+       ResultCode::NotRunNoPrimary},
+      {"lease over",
+       [](GroupFixture &Group) {
+         Group.lease(milliseconds(1));
+         Group.wait(milliseconds(1));
+       },
+       Nothing, ResultCode::NotRunNoLease},
+      {"term refused", Nothing,
+       [](GroupFixture &Group) { Group.answer(GroupFixture::error("72000")); },
+       ResultCode::NotRunTermRefused},
+      {"no slot until the deadline", Nothing,
+       [](GroupFixture &Group) {
+         for (int Times = 0; Times < 200 && Group.running() != 0; ++Times) {
+           Group.answer(GroupFixture::error("53300"));
+           Group.wait(milliseconds(60));
+         }
+       },
+       ResultCode::NotRunDeadline},
+      {"primary leaves",
+       [](GroupFixture &Group) {
+         Group.m_View.m_Servers[0].m_Leaving = true;
+         Group.setView(1);
+       },
+       Nothing, ResultCode::NotRunNoPrimary},
+  };
+  for (const UnsentCase &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      for (const bool Keyed : {false, true}) {
+        GroupFixture Group;
+        Case.m_Before(Group);
+        const RequestId Id = Keyed ? Group.keyedWrite() : Group.write();
+        Case.m_After(Group);
+        if (Case.m_Code == ResultCode::NotRunTermRefused) {
+          BOOST_TEST(!Group.answered(Id)); // a new term may come
+          Group.changePrimary(2, "s2");
+          Group.wait(milliseconds(100));
+          BOOST_TEST(Group.runsAt() == "s2");
+          continue;
+        }
+        Group.wait(seconds(6));
+        BOOST_TEST((Group.code(Id) == Case.m_Code));
+        if (Keyed)
+          BOOST_TEST((Group.m_Records.back().m_Code == Case.m_Code));
+      }
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ADatabaseErrorIsPassedOn, GroupFixture,
+                        *boost::unit_test::label("promise-5")) {
+  const RequestId Id = write();
+  answer(error("23505"));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  BOOST_TEST(body(Id) == "23505");
+}
+
+BOOST_FIXTURE_TEST_CASE(AWriteIsNotAcknowledgedBeforeItsSessionPointIsStored,
+                        GroupFixture, *boost::unit_test::label("promise-1")) {
+  m_AutoHomes = false;
+  GroupRequest Request = make(TrafficClass::Write);
+  Request.m_Session = SessionName("clerk");
+  const RequestId Id = submit(Request);
+  answer(ok(1, 10));
+  sample(1, 10, {"s2", "s3"});
+  m_Core.sessionPointStored(m_Now, Id, false, m_Actions);
   BOOST_TEST(!answered(Id));
-  sample(1, 10, {"s3"});
+  m_AutoHomes = true;
+  wait(milliseconds(100)); // tried again
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  BOOST_TEST((m_Homes.at(SessionName("clerk")) == point(1, 10)));
+}
+
+BOOST_AUTO_TEST_SUITE(Keys)
+
+BOOST_FIXTURE_TEST_CASE(NothingIsSentBeforeTheReservation, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  m_AutoLedger = false;
+  const RequestId Id = keyedWrite();
+  BOOST_TEST(m_Sent == 0U);
+  reserve(Id, reserveResult(ReserveStatus::Unavailable));
+  wait(milliseconds(50));
+  BOOST_REQUIRE(m_Reserves.size() == 2);
+  // The first try may have been kept: only the same attempt fits it.
+  BOOST_TEST((m_Reserves[0].m_Attempt == m_Reserves[1].m_Attempt));
+  reserve(Id, reserveResult(ReserveStatus::Reserved));
+  BOOST_REQUIRE(m_Statements.size() == 1);
+  BOOST_TEST((m_Statements[0].m_Attempt == m_Reserves[0].m_Attempt));
+}
+
+BOOST_FIXTURE_TEST_CASE(AResendWithoutALedgerIsNotToldNotRun, GroupFixture,
+                        *boost::unit_test::label("promise-5")) {
+  m_AutoLedger = false;
+  const RequestId Id = keyedWrite();
+  reserve(Id, reserveResult(ReserveStatus::Unavailable));
+  wait(seconds(5));
+  BOOST_TEST((code(Id) == ResultCode::OutcomeUnknown));
+  // A reservation that comes about later is given back.
+  reserve(Id, reserveResult(ReserveStatus::Reserved));
+  BOOST_REQUIRE(m_Records.size() == 1);
+  BOOST_TEST(saysNotRun(m_Records[0].m_Code));
+  BOOST_TEST(m_Sent == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARecordedOutcomeIsGivenAgain, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  m_AutoLedger = false;
+  const RequestId Id = keyedWrite();
+  ReserveResult Result = reserveResult(ReserveStatus::Recorded);
+  Result.m_Body = std::make_shared<const std::string>("first");
+  Result.m_Point = point(1, 10);
+  reserve(Id, Result);
   BOOST_TEST((code(Id) == ResultCode::Ok));
+  BOOST_TEST(body(Id) == "first");
   BOOST_TEST((m_Answers.at(Id).m_Token == point(1, 10)));
-  BOOST_TEST((m_Answers.at(Id).m_NeedsLease == Term(1)));
+  BOOST_TEST(m_Sent == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AResendWhileTheFirstRunsWaitsForItsOutcome,
+                        GroupFixture, *boost::unit_test::label("promise-6")) {
+  m_AutoLedger = false;
+  const RequestId Id = keyedWrite();
+  reserve(Id, reserveResult(ReserveStatus::InUse));
+  wait(milliseconds(60));
+  BOOST_TEST(m_Reserves.size() == 2U);
+  reserve(Id, reserveResult(ReserveStatus::InUse));
+  wait(seconds(5));
+  // The first one may commit at any moment, so this is no "not run".
+  BOOST_TEST((code(Id) == ResultCode::OutcomeUnknown));
+  BOOST_TEST(m_Sent == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnEndedSessionsAttemptIsResolvedFirst,
+                     *boost::unit_test::label("promise-6")) {
+  for (const bool Committed : {false, true}) {
+    GroupFixture Group;
+    Group.m_AutoLedger = false;
+    const RequestId Id = Group.keyedWrite();
+    ReserveResult Held =
+        GroupFixture::reserveResult(ReserveStatus::HeldByEndedSession);
+    Held.m_Attempt = AttemptId("other");
+    Group.reserve(Id, Held);
+    BOOST_REQUIRE(Group.m_Ends.size() == 1);
+    BOOST_TEST((Group.m_Ends[0].m_Server == ServerId("s1")));
+    BOOST_TEST((Group.m_Ends[0].m_Attempt == AttemptId("other")));
+    Group.m_AutoLedger = true;
+    Group.endAttempt(
+        Committed ? AttemptOutcome::Committed : AttemptOutcome::Aborted, 1, 10);
+    BOOST_TEST(Group.m_Sent == (Committed ? 0U : 1U));
+    if (!Committed) {
+      BOOST_TEST((Group.m_Reserves.back().m_Aborted == AttemptId("other")));
+      continue;
+    }
+    BOOST_TEST(!Group.answered(Id)); // not applied at the others yet
+    Group.sample(1, 10, {"s2", "s3"});
+    BOOST_TEST((Group.code(Id) == ResultCode::RanEarlier));
+    BOOST_TEST(Group.m_Records.back().m_OfEndedSession);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAbortedAttemptRunsAgainUnderANewOne, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  const RequestId Id = keyedWrite();
+  lose(running());
+  BOOST_TEST(m_Sent == 1U); // nothing before the first one is known to be dead
+  endAttempt(AttemptOutcome::Aborted, 1, 9);
+  BOOST_TEST(m_Sent == 2U);
+  BOOST_REQUIRE(m_Reserves.size() == 2);
+  BOOST_TEST((m_Reserves[0].m_Attempt != m_Reserves[1].m_Attempt));
+  answer(ok(1, 10));
+  sample(1, 10, {"s2", "s3"});
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+}
+
+BOOST_FIXTURE_TEST_CASE(OnlyThePrimaryUnderTheLeaseDecidesAnAttempt,
+                        GroupFixture, *boost::unit_test::label("promise-6")) {
+  const RequestId Id = keyedWrite();
+  lose(running());
+  BOOST_REQUIRE(m_Ends.size() == 1);
+  changePrimary(2, "s2");
+  // The replaced primary's word comes late and counts for nothing.
+  endAttempt(AttemptOutcome::Aborted, 1, 9);
+  BOOST_TEST(m_Sent == 1U);
+  BOOST_REQUIRE(m_Ends.size() == 1);
+  BOOST_TEST((m_Ends[0].m_Server == ServerId("s2")));
+  lease(milliseconds(1));
+  wait(milliseconds(2));
+  endAttempt(AttemptOutcome::Aborted, 2, 9);
+  BOOST_TEST(m_Sent == 1U);
+  BOOST_TEST(!answered(Id));
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentAttemptIsEndedInTimeToTellHowItWent,
+                        GroupFixture, *boost::unit_test::label("promise-6")) {
+  const RequestId Id = keyedWrite();
+  wait(seconds(4));
+  endAttempt(AttemptOutcome::Committed, 1, 10);
+  sample(1, 10, {"s2", "s3"});
+  BOOST_TEST((code(Id) == ResultCode::RanAnswerLost));
+}
+
+BOOST_FIXTURE_TEST_CASE(ASlowLedgerHoldsUpTheAnswerOnlyShortly, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  const RequestId Id = keyedWrite();
+  m_AutoLedger = false;
+  answer(ok(1, 10));
+  sample(1, 10, {"s2", "s3"});
+  BOOST_REQUIRE(m_Records.size() == 1);
+  BOOST_TEST((m_Records[0].m_Point == point(1, 10)));
+  BOOST_TEST(!answered(Id));
+  wait(milliseconds(250));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+}
+
+BOOST_FIXTURE_TEST_CASE(AGoneCallersAttemptIsRecorded, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  const RequestId Id = keyedWrite();
+  callerGone(Id.value());
+  answer(ok(1, 10));
+  sample(1, 10, {"s2", "s3"});
+  BOOST_TEST(!answered(Id));
+  BOOST_REQUIRE(m_Records.size() == 1);
+  BOOST_TEST((m_Records[0].m_Code == ResultCode::Ok));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
