--- /dev/null
+++ b/ragwortmux/Process/CommandCodecBytes.h
@@ -0,0 +1,57 @@
+#ifndef RAGWORTMUX_PROCESS_COMMANDCODECBYTES_H
+#define RAGWORTMUX_PROCESS_COMMANDCODECBYTES_H
+
+#include "ragwortmux/Process/CapnpBytes.h"
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// One Cap'n Proto message as bytes, with damage refused.
+
+namespace ragwortmux {
+
+/// The bytes of one message whose root \p Write fills.
+template <typename Root, typename Writer>
+std::string encodeStored(const Writer &Write) {
+  capnp::MallocMessageBuilder Message;
+  Write(Message.initRoot<Root>());
+  const auto Words = capnp::messageToFlatArray(Message);
+  const auto Bytes = Words.asBytes();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+/// What \p Read makes of the message in \p Bytes; nothing if they are damaged,
+/// and then \p Reason says why.
+template <typename Root, typename Value, typename Reader>
+std::optional<Value> decodeStored(std::string_view Bytes, std::string &Reason,
+                                  const Reader &Read) {
+  // Each word is visited about once; damaged pointers must not make it more.
+  constexpr std::uint64_t SpareWords = 1024;
+  std::optional<Value> Decoded;
+  // Damaged input makes Cap'n Proto throw; the exception ends here.
+  const auto Failure = kj::runCatchingExceptions([&] {
+    KJ_REQUIRE(Bytes.size() % sizeof(capnp::word) == 0, "not whole words");
+    const auto Words = toWords(Bytes);
+    capnp::ReaderOptions Options;
+    Options.traversalLimitInWords = Words.size() * 2 + SpareWords;
+    capnp::FlatArrayMessageReader Message(Words, Options);
+    KJ_REQUIRE(Message.getEnd() == Words.end(), "bytes after the message");
+    Decoded = Read(Message.getRoot<Root>());
+  });
+  KJ_IF_MAYBE (Exception, Failure) {
+    Reason = Exception->getDescription().cStr();
+    return std::nullopt;
+  }
+  return Decoded;
+}
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_COMMANDCODECBYTES_H
--- /dev/null
+++ b/ragwortmux/Process/CommandCodecRecords.cpp
@@ -0,0 +1,109 @@
+#include "ragwortmux/Process/CommandCodecRecords.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+ResultCode readCode(std::uint16_t Number) {
+  const auto Rows = allResultCodes();
+  const bool Known =
+      std::any_of(Rows.begin(), Rows.end(), [Number](const auto &Row) {
+        return static_cast<std::uint16_t>(Row.m_Code) == Number;
+      });
+  KJ_REQUIRE(Known, "unknown result code");
+  return static_cast<ResultCode>(Number);
+}
+
+void writeEntry(stored::Entry::Builder Out, const CatalogueEntry &Entry) {
+  Out.setName(toText(Entry.m_Name.value()));
+  Out.setGroup(toText(Entry.m_Group.value()));
+  Out.setOwner(toText(Entry.m_Owner.value()));
+  Out.setTrafficClass(static_cast<std::uint8_t>(Entry.m_Class));
+  Out.setMaxConcurrent(Entry.m_Limits.m_MaxConcurrent);
+  Out.setMaxQueued(Entry.m_Limits.m_MaxQueued);
+  Out.setDeadlineUs(Entry.m_Limits.m_RequestDeadline.count());
+  Out.setMaxAnswerBytes(Entry.m_Limits.m_MaxAnswerBytes);
+  Out.setMaxAgeUs(Entry.m_Limits.m_MaxAge.count());
+}
+
+CatalogueEntry readEntry(stored::Entry::Reader In) {
+  CatalogueEntry Entry;
+  Entry.m_Name = readId<EntryName>(In.getName());
+  Entry.m_Group = readId<GroupId>(In.getGroup());
+  Entry.m_Owner = readId<OwnerId>(In.getOwner());
+  Entry.m_Class = readEnumeration(In.getTrafficClass(), TrafficClass::AgedRead);
+  Entry.m_Limits.m_MaxConcurrent = In.getMaxConcurrent();
+  Entry.m_Limits.m_MaxQueued = In.getMaxQueued();
+  Entry.m_Limits.m_RequestDeadline = Duration(In.getDeadlineUs());
+  Entry.m_Limits.m_MaxAnswerBytes = In.getMaxAnswerBytes();
+  Entry.m_Limits.m_MaxAge = Duration(In.getMaxAgeUs());
+  return Entry;
+}
+
+void writeOpenSession(stored::OpenSession::Builder Out,
+                      const OpenSession &Command) {
+  Out.setHost(toText(Command.m_Host.value()));
+  Out.setIncarnation(Command.m_Incarnation.value());
+  Out.setDomain(toText(Command.m_Domain.value()));
+  Out.setAddress(toText(Command.m_Address));
+  Out.setRpcPort(Command.m_RpcPort);
+}
+
+OpenSession readOpenSession(stored::OpenSession::Reader In) {
+  return {readId<HostId>(In.getHost()), Incarnation(In.getIncarnation()),
+          readId<FailureDomainId>(In.getDomain()), toString(In.getAddress()),
+          In.getRpcPort()};
+}
+
+void writeRegisterServer(stored::RegisterServer::Builder Out,
+                         const RegisterServer &Command) {
+  Out.setGroup(toText(Command.m_Group.value()));
+  Out.setServer(toText(Command.m_Server.value()));
+  Out.setDomain(toText(Command.m_Domain.value()));
+  Out.setAddress(toText(Command.m_Address));
+  Out.setPort(Command.m_Port);
+  Out.setSlots(Command.m_Slots);
+  Out.setConnectionLimit(Command.m_ConnectionLimit);
+}
+
+RegisterServer readRegisterServer(stored::RegisterServer::Reader In) {
+  return {readId<GroupId>(In.getGroup()),
+          readId<ServerId>(In.getServer()),
+          readId<FailureDomainId>(In.getDomain()),
+          toString(In.getAddress()),
+          In.getPort(),
+          In.getSlots(),
+          In.getConnectionLimit()};
+}
+
+void writeReserveKey(stored::ReserveKey::Builder Out,
+                     const ReserveKey &Command) {
+  Out.setOwner(toText(Command.m_Owner.value()));
+  Out.setKey(toText(Command.m_Key.value()));
+  Out.setAttempt(toText(Command.m_Attempt.value()));
+  Out.setSession(Command.m_Session.value());
+  Out.setGroup(toText(Command.m_Group.value()));
+  Out.setTerm(Command.m_Term.value());
+}
+
+ReserveKey readReserveKey(stored::ReserveKey::Reader In) {
+  return {readId<OwnerId>(In.getOwner()),     readId<RequestKey>(In.getKey()),
+          readId<AttemptId>(In.getAttempt()), ControlSessionId(In.getSession()),
+          readId<GroupId>(In.getGroup()),     Term(In.getTerm())};
+}
+
+void writeVoter(stored::Voter::Builder Out, const VoterRecord &Voter) {
+  Out.setHost(toText(Voter.m_Host.value()));
+  Out.setDomain(toText(Voter.m_Domain.value()));
+  Out.setIdentity(toText(Voter.m_Identity));
+  Out.setAddress(toText(Voter.m_Address));
+  Out.setRpcPort(Voter.m_RpcPort);
+}
+
+VoterRecord readVoter(stored::Voter::Reader In) {
+  return {readId<HostId>(In.getHost()), readId<FailureDomainId>(In.getDomain()),
+          toString(In.getIdentity()), toString(In.getAddress()),
+          In.getRpcPort()};
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/CommandCodecRecords.h
@@ -0,0 +1,102 @@
+#ifndef RAGWORTMUX_PROCESS_COMMANDCODECRECORDS_H
+#define RAGWORTMUX_PROCESS_COMMANDCODECRECORDS_H
+
+#include "ragwortmux/Process/CapnpBytes.h"
+#include "ragwortmux/Process/Generated/Commands.capnp.h"
+#include "ragwortmux/Version/ControlCommand.h"
+
+#include <kj/exception.h>
+
+#include <string>
+#include <vector>
+
+/// \file
+/// Conversions that both commands and snapshots need. Readers throw a KJ
+/// exception on a value that does not exist.
+
+namespace ragwortmux {
+
+/// A Text as an id.
+template <typename Id> Id readId(capnp::Text::Reader Text) {
+  return Id(toString(Text));
+}
+
+/// A number as an enumeration constant up to \p Last.
+template <typename Enumeration>
+Enumeration readEnumeration(std::uint8_t Number, Enumeration Last) {
+  KJ_REQUIRE(Number <= static_cast<std::uint8_t>(Last), "unknown constant");
+  return static_cast<Enumeration>(Number);
+}
+
+/// A number as a result code of the table.
+ResultCode readCode(std::uint16_t Number);
+
+/// Milliseconds of Unix time.
+inline std::int64_t toMilliseconds(WallTime Time) {
+  return Time.time_since_epoch().count();
+}
+inline WallTime fromMilliseconds(std::int64_t Milliseconds) {
+  return WallTime(std::chrono::milliseconds(Milliseconds));
+}
+
+/// Fills \p Out, which has the same length, with \p Records.
+template <typename List, typename Record, typename Writer>
+void writeList(List Out, const std::vector<Record> &Records,
+               const Writer &Write) {
+  unsigned Position = 0;
+  for (const Record &Each : Records)
+    Write(Out[Position++], Each);
+}
+
+/// Reads each element of \p In.
+template <typename List, typename Reader>
+auto readList(List In, const Reader &Read) {
+  std::vector<decltype(Read(In[0]))> Records;
+  Records.reserve(In.size());
+  for (const auto Each : In)
+    Records.push_back(Read(Each));
+  return Records;
+}
+
+/// Lists of ids as lists of Text.
+template <typename Id>
+void writeIds(capnp::List<capnp::Text>::Builder Out,
+              const std::vector<Id> &Ids) {
+  unsigned Position = 0;
+  for (const Id &Each : Ids)
+    Out.set(Position++, toText(Each.value()));
+}
+template <typename Id>
+std::vector<Id> readIds(capnp::List<capnp::Text>::Reader In) {
+  std::vector<Id> Ids;
+  for (const auto Each : In)
+    Ids.push_back(readId<Id>(Each));
+  return Ids;
+}
+
+/// The length of a list.
+template <typename Record> unsigned sizeOf(const std::vector<Record> &Records) {
+  return static_cast<unsigned>(Records.size());
+}
+
+void writeEntry(stored::Entry::Builder Out, const CatalogueEntry &Entry);
+CatalogueEntry readEntry(stored::Entry::Reader In);
+
+void writeOpenSession(stored::OpenSession::Builder Out,
+                      const OpenSession &Command);
+OpenSession readOpenSession(stored::OpenSession::Reader In);
+
+void writeRegisterServer(stored::RegisterServer::Builder Out,
+                         const RegisterServer &Command);
+RegisterServer readRegisterServer(stored::RegisterServer::Reader In);
+
+void writeReserveKey(stored::ReserveKey::Builder Out,
+                     const ReserveKey &Command);
+ReserveKey readReserveKey(stored::ReserveKey::Reader In);
+
+void writeVoter(stored::Voter::Builder Out, const VoterRecord &Voter);
+VoterRecord readVoter(stored::Voter::Reader In);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_COMMANDCODECRECORDS_H
