--- a/ragwortmux/Process/Support/CommandLine.cpp
+++ b/ragwortmux/Process/Support/CommandLine.cpp
@@ -64,14 +64,18 @@
      {"request_key", "Idempotency key: a UUID of version 7 in lower case."},
      {"max_age_ms", "How old the data may be in ms."}}};
 
-bool isLine(std::string_view Text) {
-  constexpr std::size_t MaxLineLength = 128;
-  return !Text.empty() && Text.size() <= MaxLineLength &&
+/// True if \p Text is not empty, not too long and without control characters.
+bool isLine(std::string_view Text, std::size_t MaxLength) {
+  return !Text.empty() && Text.size() <= MaxLength &&
          std::ranges::none_of(Text, [](char Character) {
            return static_cast<unsigned char>(Character) < ' ';
          });
 }
 
+bool isShortLine(std::string_view Text) { return isLine(Text, 128); }
+
+bool isToken(std::string_view Text) { return isLine(Text, 4096); }
+
 template <typename Number>
 Number numberOr(ArgumentReader &Reader, const char *Name, std::uint64_t Min,
                 std::uint64_t Max, Number Default) {
@@ -108,8 +112,9 @@
 void readChange(ArgumentReader &Reader, CatalogueCommand &Parsed) {
   Parsed.m_ExpectRevision = Revision(
       numberOr<std::uint64_t>(Reader, "expect_revision", 0, MaxRevision, 0));
-  Parsed.m_Change = ChangeId(Reader.text("change_id", isLine, TextAllowed));
-  Parsed.m_Operator = Reader.text("operator", isLine, TextAllowed);
+  Parsed.m_Change =
+      ChangeId(Reader.text("change_id", isShortLine, TextAllowed));
+  Parsed.m_Operator = Reader.text("operator", isShortLine, TextAllowed);
 }
 
 Command readPut(ArgumentReader &Reader) {
@@ -183,7 +188,7 @@
   TimelineCommand Parsed;
   for (const std::string &Path : Reader.positionalList("DIR"))
     Parsed.m_Paths.emplace_back(Path);
-  const std::string Request = Reader.text("request", isLine, TextAllowed);
+  const std::string Request = Reader.text("request", isShortLine, TextAllowed);
   if (!Request.empty())
     Parsed.m_Filter.m_Request = Request;
   const std::string Group = Reader.text("group", isName, NameAllowed);
@@ -206,8 +211,10 @@
     Reader.addFault("ENTRY", Given.front(), NameAllowed);
   Parsed.m_Entry = EntryName(Given.front());
   Parsed.m_Text = Given.back();
-  Parsed.m_Session = SessionName(Reader.text("session", isLine, TextAllowed));
-  Parsed.m_Token = Reader.text("token", isLine, TextAllowed);
+  Parsed.m_Session =
+      SessionName(Reader.text("session", isShortLine, TextAllowed));
+  Parsed.m_Token =
+      Reader.text("token", isToken, "1 to 4096 printable characters");
   Parsed.m_RequestKey = RequestKey(Reader.text(
       "request_key",
       [](std::string_view Text) { return uuidV7Time(Text).has_value(); },
--- a/ragwortmux/Process/Support/LatencyHistogram.cpp
+++ b/ragwortmux/Process/Support/LatencyHistogram.cpp
@@ -32,8 +32,7 @@
 }
 
 Duration fromSeconds(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
+  return std::chrono::round<Duration>(std::chrono::duration<double>(Seconds));
 }
 
 } // namespace
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -182,8 +182,8 @@
       textSetting("data_folder", "", &ProcessSettings::m_DataFolder, true,
                   "Folder of the control log; the control role needs it."),
       switchSetting("bootstrap", &ProcessSettings::m_Bootstrap,
-                    "Starts the log of a new cluster with control_peers as "
-                    "its voters, if the data folder holds none."),
+                    "Starts the log of a new cluster once every host of "
+                    "control_peers has answered that it holds none."),
       numberSetting<milliseconds>(
           "lease_ms", "1200", 100, 60000, &ProcessSettings::m_Lease,
           "Length of a control session's lease in ms; the same everywhere."),
@@ -240,8 +240,8 @@
                   "Database name at backend servers."),
       switchSetting("allow_single_server_ack",
                     &ProcessSettings::m_AllowSingleServerAck,
-                    "Acknowledges writes that only one backend server holds; "
-                    "they are lost with it."),
+                    "Lets a group that has one backend server only acknowledge "
+                    "writes; they are lost with it."),
   };
 }
 
--- /dev/null
+++ b/tests/Support/ProcessSettingsTest.cpp
@@ -0,0 +1,256 @@
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/Support/SettingTable.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <map>
+#include <ostream>
+#include <sstream>
+
+using namespace ragwortmux;
+using namespace std::chrono_literals;
+
+static_assert(!fmt::is_formattable<Secret>::value,
+              "a secret must not reach the log");
+
+namespace {
+
+using Variables = std::map<std::string, std::string>;
+using Arguments = std::vector<std::string>;
+
+const std::string Key = "key-0123456789-abcdef";
+const std::string Token = "token-0123456789-abcdef";
+
+/// The environment of a control and entry host without faults.
+Variables goodVariables() {
+  return {{"RAGWORTMUX_HOST", "a"},
+          {"RAGWORTMUX_FAILURE_DOMAIN", "hobart"},
+          {"RAGWORTMUX_ROLES", "entry,control"},
+          {"RAGWORTMUX_DATA_FOLDER", "/data"},
+          {"RAGWORTMUX_CONTROL_PEERS", "a=127.0.0.1:7400,b=127.0.0.1:7401"},
+          {"RAGWORTMUX_CLUSTER_KEY", Key},
+          {"RAGWORTMUX_OPERATOR_TOKEN", Token}};
+}
+
+/// What loadSettings gave.
+struct Loaded final {
+  std::optional<ProcessSettings> m_Settings;
+  std::vector<SettingFault> m_Faults;
+};
+
+Loaded load(const Variables &Environment, const Arguments &Given) {
+  const EnvironmentHook Hook =
+      [&](const std::string &Name) -> std::optional<std::string> {
+    const auto Found = Environment.find(Name);
+    if (Found == Environment.end())
+      return std::nullopt;
+    return Found->second;
+  };
+  Loaded Result;
+  Result.m_Settings = loadSettings(Given, Hook, Result.m_Faults);
+  return Result;
+}
+
+/// A command line with one fault, or with none where m_Name is empty.
+struct FlagCase final {
+  Arguments m_Given;
+  std::string m_Name;
+  std::string m_Value;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const FlagCase &Case) {
+  for (const std::string &Argument : Case.m_Given)
+    Stream << Argument << ' ';
+  return Stream << "-> " << Case.m_Name;
+}
+
+const std::vector<FlagCase> FlagCases = {
+    {{}, "", ""},
+    {{"--host=B"}, "host", "B"},
+    {{"--host="}, "host", ""},
+    {{"--cluster=two words"}, "cluster", "two words"},
+    {{"--failure_domain=" + std::string(64, 'x')},
+     "failure_domain",
+     std::string(64, 'x')},
+    {{"--roles=proxy"}, "roles", "proxy"},
+    {{"--roles=control"}, "", ""},
+    {{"--address=localhost"}, "address", "localhost"},
+    {{"--caller_port=65536"}, "caller_port", "65536"},
+    {{"--http_port=-1"}, "http_port", "-1"},
+    {{"--rpc_port=0x10"}, "rpc_port", "0x10"},
+    {{"--http_port=0", "--caller_port=0"}, "", ""},
+    {{"--http_port=6432"}, "http_port", "6432"},
+    {{"--control_peers=a=127.0.0.1"}, "control_peers", "a=127.0.0.1"},
+    {{"--control_peers=a=127.0.0.1:7400,"},
+     "control_peers",
+     "a=127.0.0.1:7400,"},
+    {{"--control_peers=a=127.0.0.1:7400,a=127.0.0.1:7401"},
+     "control_peers",
+     "a=127.0.0.1:7400,a=127.0.0.1:7401"},
+    {{"--control_peers=a=127.0.0.1:7400,b=127.0.0.1:7400"},
+     "control_peers",
+     "a=127.0.0.1:7400,b=127.0.0.1:7400"},
+    {{"--control_peers=b=127.0.0.1:7401"},
+     "control_peers",
+     "(without this host)"},
+    {{"--control_peers=a=[::1]:7400"}, "control_peers", "[::1]:7400"},
+    {{"--control_peers=a=[::1]:7400", "--address=::1"}, "", ""},
+    {{"--rpc_port=7401"}, "control_peers", "127.0.0.1:7400"},
+    {{"--data_folder="}, "data_folder", ""},
+    {{"--data_folder=", "--roles=entry"}, "", ""},
+    {{"--bootstrap"}, "", ""},
+    {{"--bootstrap=yes"}, "bootstrap", "yes"},
+    {{"--bootstrap", "--roles=entry"}, "bootstrap", "true"},
+    {{"--lease_ms=600"}, "lease_ms", "600"},
+    {{"--lease_ms=601"}, "", ""},
+    {{"--lease_ms=1e3"}, "lease_ms", "1e3"},
+    {{"--renewal_interval_ms=600"}, "lease_ms", "1200"},
+    {{"--drift_percent=51"}, "drift_percent", "51"},
+    {{"--drift_ms=1188"}, "drift_ms", "1188"},
+    {{"--drift_ms=1187"}, "", ""},
+    {{"--heartbeat_ms=150"}, "election_timeout_ms", "300"},
+    {{"--announcement_silence_ms=199"}, "announcement_silence_ms", "199"},
+    {{"--max_callers=0"}, "max_callers", "0"},
+    {{"--max_caller_message_bytes=67108865"},
+     "max_caller_message_bytes",
+     "67108865"},
+    {{"--drain_timeout_s=0"}, "drain_timeout_s", "0"},
+    {{"--max_lifetime_s=86401"}, "max_lifetime_s", "86401"},
+    {{"--log_level=loud"}, "log_level", "loud"},
+    {{"--log_format=xml"}, "log_format", "xml"},
+    {{"--timeline_folder=a\nb"}, "timeline_folder", "a\nb"},
+    {{"--ledger_retention_h=169"}, "ledger_retention_h", "169"},
+    {{"--allow_single_server_ack=1"}, "allow_single_server_ack", "1"},
+    {{"--request_timeout_ms=9"}, "request_timeout_ms", "9"},
+    {{"--connect_timeout_ms=60001"}, "connect_timeout_ms", "60001"},
+    {{"--backend_user="}, "backend_user", ""},
+    {{"--backend_database="}, "backend_database", ""},
+    {{"--host"}, "--host", ""},
+    {{"--host", "--bootstrap"}, "--host", ""},
+    {{"--hots=a"}, "--hots", "(not shown)"},
+    {{"--flagfile=/dev/null"}, "--flagfile", "(not shown)"},
+    {{"--cluster_key=" + Key}, "--cluster_key", "(not shown)"},
+    {{Token}, "argument", "(not shown)"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ProcessSettingsTest)
+
+BOOST_DATA_TEST_CASE(EachFaultIsNamed, boost::unit_test::data::make(FlagCases),
+                     Case) {
+  const Loaded Result = load(goodVariables(), Case.m_Given);
+  BOOST_TEST(Result.m_Settings.has_value() == Case.m_Name.empty());
+  BOOST_TEST_REQUIRE(Result.m_Faults.size() == (Case.m_Name.empty() ? 0U : 1U),
+                     describeAll(Result.m_Faults));
+  if (Case.m_Name.empty())
+    return;
+  const SettingFault &Fault = Result.m_Faults.front();
+  BOOST_TEST(Fault.m_Name == Case.m_Name);
+  BOOST_TEST(Fault.m_Value == Case.m_Value);
+  BOOST_TEST(!Fault.m_Allowed.empty());
+  BOOST_TEST(describe(Fault).starts_with("401 bad-setting: "));
+}
+
+BOOST_AUTO_TEST_CASE(EveryMissingSettingIsListed) {
+  const Loaded Result = load({}, {});
+  std::vector<std::string> Names;
+  for (const SettingFault &Fault : Result.m_Faults)
+    Names.push_back(Fault.m_Name);
+  const std::vector<std::string> Expected = {
+      "host", "failure_domain", "control_peers", "RAGWORTMUX_CLUSTER_KEY",
+      "RAGWORTMUX_OPERATOR_TOKEN"};
+  BOOST_TEST(Names == Expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(EachSettingIsReadFromFlagAndEnvironment) {
+  // A value that no setting allows shows which source was read.
+  const std::string Bad(300, '\n');
+  for (const SettingInfo &Info : allSettings()) {
+    Variables Environment = goodVariables();
+    Environment[environmentName(Info.m_Name)] = Bad;
+    const Loaded FromEnvironment = load(Environment, {});
+    BOOST_TEST_REQUIRE(FromEnvironment.m_Faults.size() == 1U, Info.m_Name);
+    BOOST_TEST(FromEnvironment.m_Faults.front().m_Name == Info.m_Name);
+    const Loaded FromFlag =
+        load(goodVariables(), {"--" + std::string(Info.m_Name) + "=" + Bad});
+    BOOST_TEST(FromFlag.m_Faults == FromEnvironment.m_Faults);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FlagsGoBeforeTheEnvironmentAndLeaveNoTrace) {
+  Variables Environment = goodVariables();
+  Environment["RAGWORTMUX_LEASE_MS"] = "2000";
+  const Loaded ByFlag = load(Environment, {"--lease_ms", "3000"});
+  BOOST_TEST_REQUIRE(ByFlag.m_Settings.has_value());
+  BOOST_TEST((ByFlag.m_Settings->m_Lease == 3s));
+  const Loaded ByEnvironment = load(Environment, {});
+  BOOST_TEST_REQUIRE(ByEnvironment.m_Settings.has_value());
+  BOOST_TEST((ByEnvironment.m_Settings->m_Lease == 2s));
+}
+
+BOOST_AUTO_TEST_CASE(DefaultsAreTheTable) {
+  const Loaded Result = load(goodVariables(), {});
+  BOOST_TEST_REQUIRE(Result.m_Settings.has_value());
+  const ProcessSettings &Settings = *Result.m_Settings;
+  BOOST_TEST((Settings.m_Lease == 1200ms && Settings.m_Heartbeat == 50ms));
+  BOOST_TEST((Settings.driftBound() == 22ms));
+  BOOST_TEST((Settings.m_LedgerRetention == 24h));
+  BOOST_TEST(!Settings.m_AllowSingleServerAck);
+  BOOST_TEST_REQUIRE(Settings.ownPeer() != nullptr);
+  BOOST_TEST(Settings.ownPeer()->m_Where.m_Port == 7400);
+  const ProcessSettings Defaults = defaultSettings();
+  BOOST_TEST((Defaults.m_Lease == Settings.m_Lease));
+  BOOST_TEST(Defaults.ownPeer() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(SecretsOfOddLengthAreRefusedAndNeverShown) {
+  const std::vector<std::string> BadSecrets = {
+      "", std::string(15, 'x'), std::string(257, 'x'), "0123456789 abcdef",
+      "0123456789\nabcdef"};
+  for (const std::string &Bad : BadSecrets) {
+    for (const SecretInfo &Info : {ClusterKeyInfo, OperatorTokenInfo}) {
+      Variables Environment = goodVariables();
+      Environment[Info.m_Variable] = Bad;
+      const Loaded Result = load(Environment, {});
+      BOOST_TEST_REQUIRE(Result.m_Faults.size() == 1U);
+      BOOST_TEST(Result.m_Faults.front().m_Name == Info.m_Variable);
+      BOOST_TEST(Result.m_Faults.front().m_Value == "***");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SecretsAreInNoOutput) {
+  // Each place where an operator may put a secret by mistake.
+  const std::vector<Arguments> Mistakes = {{"--cluster_key=" + Key},
+                                           {"--cluster_key", Key},
+                                           {"--operator_token=" + Token},
+                                           {"--RAGWORTMUX_CLUSTER_KEY", Key},
+                                           {Key, Token}};
+  for (const Arguments &Mistake : Mistakes) {
+    const std::string Output =
+        describeAll(load(goodVariables(), Mistake).m_Faults);
+    BOOST_TEST(!Output.empty());
+    BOOST_TEST(Output.find(Key) == std::string::npos);
+    BOOST_TEST(Output.find(Token) == std::string::npos);
+  }
+  std::ostringstream Stream;
+  Stream << load(goodVariables(), {}).m_Settings->m_ClusterKey;
+  BOOST_TEST(Stream.str() == "***");
+}
+
+BOOST_AUTO_TEST_CASE(SecretsMatchOnlyThemselves) {
+  const Secret Held(Key);
+  BOOST_TEST(Held.matches(Key));
+  for (const std::string &Other :
+       {std::string(), Key + "x", Key.substr(1), "K" + Key.substr(1),
+        Key.substr(0, Key.size() - 1) + "F", Key + std::string(1, '\0')})
+    BOOST_TEST(!Held.matches(Other));
+  BOOST_TEST(!Secret().matches(""));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
