Stand-in: replication, announcements, and tests of codec and contract

The thin stand-in had no replicas and no announcements, and nothing ran automatically. Replicas now open one stream to their primary, send the shape of their log and drop what the primary does not have; a silent stream is given up after one second.

KJ promises of std::optional<std::variant> were tried for reading messages and ruled out: g++ 12 warns of maybe-uninitialized members in each of them.

--- a/ragwortmux/Connection/Codec/PgMessageReader.cpp
+++ b/ragwortmux/Connection/Codec/PgMessageReader.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t TypeBytes = 1;
 /// Bytes in front of the buffer are moved away once they are this many.
-constexpr std::size_t CompactAfterBytes = 64 * 1024;
+constexpr std::size_t CompactAfterBytes = 64UL * 1024;
 
 constexpr std::uint32_t MajorVersion = 3;
 constexpr std::uint32_t CancelRequestCode = 80877102;
--- a/ragwortmux/Connection/Codec/PgMessageReader.h
+++ b/ragwortmux/Connection/Codec/PgMessageReader.h
@@ -11,10 +11,10 @@
 
 /// Limits on what a front end may send.
 struct PgMessageReaderSettings final {
-  std::size_t m_MaxStartupBytes = 10'000;      ///< One start-up packet.
-  std::size_t m_MaxMessageBytes = 1024 * 1024; ///< One later message.
+  std::size_t m_MaxStartupBytes = 10'000;        ///< One start-up packet.
+  std::size_t m_MaxMessageBytes = 1024UL * 1024; ///< One later message.
   std::size_t m_MaxBufferedBytes =
-      4 * 1024 * 1024; ///< Messages received ahead, all together.
+      4UL * 1024 * 1024; ///< Messages received ahead, all together.
 };
 
 /// Cuts the byte stream of one front end into typed messages.
--- /dev/null
+++ b/tests/Connection/PgMessageReaderTest.cpp
@@ -0,0 +1,314 @@
+#include "ragwortmux/Connection/Codec/PgMessageReader.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <cstring>
+#include <random>
+
+using namespace ragwortmux;
+
+namespace {
+
+constexpr std::uint32_t Version3 = 3 << 16;
+constexpr std::uint32_t SslCode = 80877103;
+constexpr std::uint32_t GssEncCode = 80877104;
+constexpr std::uint32_t CancelCode = 80877102;
+
+std::string bigEndian(std::uint32_t Value) {
+  std::string Bytes;
+  for (const unsigned Shift : {24U, 16U, 8U, 0U}) {
+    Bytes.push_back(static_cast<char>(Value >> Shift & 0xFF));
+  }
+  return Bytes;
+}
+
+std::string startupPacket(std::uint32_t Code, const std::string &Body) {
+  return bigEndian(static_cast<std::uint32_t>(8 + Body.size())) +
+         bigEndian(Code) + Body;
+}
+
+std::string message(char Type, const std::string &Body) {
+  return Type + bigEndian(static_cast<std::uint32_t>(4 + Body.size())) + Body;
+}
+
+/// A list of zero-terminated strings.
+std::string strings(std::initializer_list<std::string_view> List) {
+  std::string Bytes;
+  for (const std::string_view Text : List) {
+    Bytes.append(Text).push_back('\0');
+  }
+  return Bytes;
+}
+
+std::string validStartup() {
+  return startupPacket(Version3, strings({"user", "clerk", "options",
+                                          "-c a.b=1 -c c=x\\ y", ""}));
+}
+
+std::span<const std::byte> bytesOf(const std::string &Text) {
+  return std::as_bytes(std::span(Text));
+}
+
+/// A short description, to compare messages with expectations.
+struct Describe final {
+  std::string operator()(const PgStartup &Startup) const {
+    std::string Text = "startup " + std::to_string(Startup.m_ProtocolVersion);
+    for (const auto &Map : {Startup.m_Parameters, Startup.m_Options}) {
+      for (const auto &Pair : Map) {
+        Text.append(" ").append(Pair.first).append("=").append(Pair.second);
+      }
+    }
+    return Text;
+  }
+  std::string operator()(const PgSslRequest &) const { return "ssl"; }
+  std::string operator()(const PgGssEncRequest &) const { return "gssenc"; }
+  std::string operator()(const PgCancelRequest &Request) const {
+    return "cancel " + std::to_string(Request.m_ProcessId) + " " +
+           std::to_string(Request.m_SecretKey);
+  }
+  std::string operator()(const PgQuery &Query) const {
+    return "query " + Query.m_Sql;
+  }
+  std::string operator()(const PgTerminate &) const { return "terminate"; }
+  std::string operator()(const PgPassword &) const { return "password"; }
+  std::string operator()(const PgUnsupported &Message) const {
+    return std::string("unsupported ") + Message.m_Type;
+  }
+};
+
+/// Descriptions of all messages in the reader, and of its error.
+std::vector<std::string> drain(PgMessageReader &Reader) {
+  std::vector<std::string> Found;
+  while (const auto Message = Reader.next()) {
+    Found.push_back(std::visit(Describe(), *Message));
+  }
+  if (Reader.error()) {
+    Found.push_back("error " + Reader.error()->m_Message);
+    BOOST_TEST(Reader.error()->m_SqlState == "08P01");
+  }
+  return Found;
+}
+
+struct StreamCase final {
+  const char *m_Name;                  ///< What is tested.
+  std::string m_Bytes;                 ///< Input.
+  std::vector<std::string> m_Expected; ///< See drain().
+
+  friend std::ostream &operator<<(std::ostream &Output, const StreamCase &C) {
+    return Output << C.m_Name;
+  }
+};
+
+const std::string StartupText =
+    "startup 196608 options=-c a.b=1 -c c=x\\ y user=clerk a.b=1 c=x y";
+
+const StreamCase StreamCases[] = {
+    {"startup", validStartup(), {StartupText}},
+    {"ssl then startup",
+     startupPacket(SslCode, "") + validStartup(),
+     {"ssl", StartupText}},
+    {"gssenc then ssl",
+     startupPacket(GssEncCode, "") + startupPacket(SslCode, ""),
+     {"gssenc", "ssl"}},
+    {"cancel",
+     startupPacket(CancelCode, bigEndian(7) + bigEndian(0xFFFFFFFF)),
+     {"cancel 7 4294967295"}},
+    {"data after cancel",
+     startupPacket(CancelCode, bigEndian(7) + bigEndian(8)) + "x",
+     {"cancel 7 8", "error data after the last message"}},
+    {"queries",
+     validStartup() + message('Q', strings({"SELECT 1"})) +
+         message('Q', strings({""})),
+     {StartupText, "query SELECT 1", "query "}},
+    {"terminate",
+     validStartup() + message('X', ""),
+     {StartupText, "terminate"}},
+    {"data after terminate",
+     validStartup() + message('X', "") + message('Q', strings({"SELECT 1"})),
+     {StartupText, "terminate", "error data after the last message"}},
+    {"password and unsupported",
+     validStartup() + message('p', strings({"secret"})) +
+         message('P', "whatever") + message('S', ""),
+     {StartupText, "password", "unsupported P", "unsupported S"}},
+    {"query without zero",
+     validStartup() + message('Q', "SELECT 1"),
+     {StartupText, "error malformed query message"}},
+    {"query with two strings",
+     validStartup() + message('Q', strings({"SELECT 1", "x"})),
+     {StartupText, "error malformed query message"}},
+    {"message length below 4",
+     validStartup() + "Q" + bigEndian(3) + "x",
+     {StartupText, "error invalid message length"}},
+    {"message length above the limit",
+     validStartup() + "Q" + bigEndian(1001),
+     {StartupText, "error invalid message length"}},
+    {"message length of all ones",
+     validStartup() + "Q" + bigEndian(0xFFFFFFFF),
+     {StartupText, "error invalid message length"}},
+    {"startup length below 8",
+     bigEndian(7) + "abc",
+     {"error invalid length of start-up packet"}},
+    {"startup length above the limit",
+     bigEndian(501),
+     {"error invalid length of start-up packet"}},
+    {"other protocol",
+     startupPacket(2 << 16, ""),
+     {"error unsupported protocol version"}},
+    {"ssl with a body",
+     startupPacket(SslCode, "x"),
+     {"error unsupported protocol version"}},
+    {"startup without end",
+     startupPacket(Version3, strings({"user", "clerk"})),
+     {"error malformed start-up packet"}},
+    {"startup without value",
+     startupPacket(Version3, strings({"user"}) + "clerk"),
+     {"error malformed start-up packet"}},
+    {"startup with data after the end",
+     startupPacket(Version3, strings({"user", "clerk", "", "x"})),
+     {"error malformed start-up packet"}},
+    {"startup with malformed options",
+     startupPacket(Version3, strings({"options", "-x", ""})),
+     {"error malformed options in start-up packet"}},
+};
+
+constexpr PgMessageReaderSettings SmallLimits{500, 1000, 2000};
+
+struct OptionsCase final {
+  const char *m_Text;                     ///< The options.
+  std::optional<PgParameters> m_Expected; ///< Nothing: malformed.
+
+  friend std::ostream &operator<<(std::ostream &Output, const OptionsCase &C) {
+    return Output << C.m_Text;
+  }
+};
+
+const OptionsCase OptionsCases[] = {
+    {"", PgParameters{}},
+    {"  ", PgParameters{}},
+    {"-c a=1", PgParameters{{"a", "1"}}},
+    {"-ca=1 --b=2\t-c  c=", PgParameters{{"a", "1"}, {"b", "2"}, {"c", ""}}},
+    {"-c a=1 -c a=2", PgParameters{{"a", "2"}}},
+    {"-c a=b\\ c\\\\d=e", PgParameters{{"a", "b c\\d=e"}}},
+    {"-c", std::nullopt},
+    {"-c a", std::nullopt},
+    {"-c =1", std::nullopt},
+    {"a=1", std::nullopt},
+    {"-d 3", std::nullopt},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PgMessageReaderTest)
+
+BOOST_DATA_TEST_CASE(ReadsWholeStreams,
+                     boost::unit_test::data::make(StreamCases), Case) {
+  PgMessageReader Reader(SmallLimits);
+  Reader.feed(bytesOf(Case.m_Bytes));
+  BOOST_TEST(drain(Reader) == Case.m_Expected,
+             boost::test_tools::per_element());
+}
+
+BOOST_DATA_TEST_CASE(ReadsStreamsCutAtEveryByte,
+                     boost::unit_test::data::make(StreamCases), Case) {
+  for (std::size_t Cut = 0; Cut <= Case.m_Bytes.size(); ++Cut) {
+    PgMessageReader Reader(SmallLimits);
+    std::vector<std::string> Found;
+    for (const std::string &Part :
+         {Case.m_Bytes.substr(0, Cut), Case.m_Bytes.substr(Cut)}) {
+      if (Reader.error()) {
+        continue;
+      }
+      Reader.feed(bytesOf(Part));
+      for (std::string &Text : drain(Reader)) {
+        Found.push_back(std::move(Text));
+      }
+    }
+    BOOST_TEST(Found == Case.m_Expected, boost::test_tools::per_element());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadsStreamsByteByByte) {
+  const std::string Bytes =
+      validStartup() + message('Q', strings({"SELECT 1"})) + message('X', "");
+  PgMessageReader Reader;
+  std::vector<std::string> Found;
+  for (const char Byte : Bytes) {
+    Reader.feed(bytesOf(std::string(1, Byte)));
+    for (std::string &Text : drain(Reader)) {
+      Found.push_back(std::move(Text));
+    }
+  }
+  BOOST_TEST(Found == std::vector<std::string>(
+                          {StartupText, "query SELECT 1", "terminate"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(LimitsWhatIsReceivedAhead) {
+  PgMessageReader Reader(SmallLimits);
+  Reader.feed(bytesOf(std::string(2000, 'x')));
+  BOOST_TEST(!Reader.error());
+  Reader.feed(bytesOf("x"));
+  BOOST_REQUIRE(Reader.error());
+  BOOST_TEST(Reader.error()->m_Message == "too much data received ahead");
+  BOOST_TEST(Reader.bufferedBytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StaysInErrorForGood) {
+  PgMessageReader Reader;
+  Reader.feed(bytesOf(bigEndian(1)));
+  BOOST_TEST(!Reader.next());
+  BOOST_REQUIRE(Reader.error());
+  Reader.feed(bytesOf(validStartup()));
+  BOOST_TEST(!Reader.next());
+  BOOST_TEST(Reader.bufferedBytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsBufferSmallOverManyMessages) {
+  PgMessageReader Reader;
+  Reader.feed(bytesOf(validStartup()));
+  BOOST_REQUIRE(Reader.next());
+  const std::string Query = message('Q', strings({std::string(999, 'q')}));
+  for (int Round = 0; Round < 10'000; ++Round) {
+    // The last byte of a message comes together with the next message.
+    Reader.feed(bytesOf(Round == 0 ? Query + "Q" : Query.substr(1) + "Q"));
+    BOOST_REQUIRE(Reader.next());
+  }
+  BOOST_TEST(Reader.bufferedBytes() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SurvivesRandomBytes) {
+  for (unsigned Seed = 0; Seed < 10'000; ++Seed) {
+    std::mt19937 Random(Seed);
+    PgMessageReader Reader(SmallLimits);
+    // Half of the sequences get past the start-up message.
+    std::string Bytes = Seed % 2 == 0 ? validStartup() : std::string();
+    const std::size_t Length = Random() % 300;
+    for (std::size_t Index = 0; Index < Length; ++Index) {
+      // Many zeros make plausible lengths.
+      Bytes.push_back(Random() % 2 == 0 ? '\0'
+                                        : static_cast<char>(Random() & 0xFF));
+    }
+    std::size_t Messages = 0;
+    while (!Bytes.empty() && !Reader.error()) {
+      const std::size_t Count =
+          std::min<std::size_t>(Bytes.size(), 1 + Random() % 50);
+      Reader.feed(bytesOf(Bytes.substr(0, Count)));
+      Bytes.erase(0, Count);
+      while (Reader.next()) {
+        ++Messages;
+      }
+    }
+    BOOST_REQUIRE_LE(Messages, 400U);
+    BOOST_REQUIRE_LE(Reader.bufferedBytes(), SmallLimits.m_MaxBufferedBytes);
+    BOOST_REQUIRE(!Reader.error() || Reader.error()->m_SqlState == "08P01");
+  }
+}
+
+BOOST_DATA_TEST_CASE(ParsesOptions, boost::unit_test::data::make(OptionsCases),
+                     Case) {
+  BOOST_TEST((parsePgOptions(Case.m_Text) == Case.m_Expected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/StandIn/ChildProcess.cpp
+++ b/tests/StandIn/ChildProcess.cpp
@@ -51,6 +51,7 @@
 /// Pointers to the strings, followed by a null pointer.
 std::vector<char *> pointersTo(std::vector<std::string> &Strings) {
   std::vector<char *> Pointers;
+  Pointers.reserve(Strings.size() + 1);
   for (std::string &String : Strings) {
     Pointers.push_back(String.data());
   }
@@ -91,12 +92,12 @@
   for (char **Variable = environ; *Variable != nullptr; ++Variable) {
     Environment.emplace_back(*Variable);
   }
-  for (const auto &[Name, Value] : m_Settings.m_Environment) {
-    std::erase_if(Environment, [&Name](const std::string &Entry) {
-      return Entry.starts_with(Name + "=");
+  for (const auto &Variable : m_Settings.m_Environment) {
+    const std::string Prefix = Variable.first + "=";
+    std::erase_if(Environment, [&Prefix](const std::string &Entry) {
+      return Entry.starts_with(Prefix);
     });
-    Environment.push_back(Name);
-    Environment.back().append("=").append(Value);
+    Environment.push_back(Prefix + Variable.second);
   }
   const std::vector<char *> ArgumentPointers = pointersTo(Arguments);
   const std::vector<char *> EnvironmentPointers = pointersTo(Environment);
--- a/tests/StandIn/StandInConnection.cpp
+++ b/tests/StandIn/StandInConnection.cpp
@@ -82,6 +82,12 @@
   if (!ConnectionTerm) {
     return sendFatal("22023", "invalid term");
   }
+  if (Startup.m_Parameters.contains("replication")) {
+    m_Sender.emplace(m_Server, *ConnectionTerm, [this](std::string Bytes) {
+      return send(std::move(Bytes));
+    });
+    return run();
+  }
   const Duration Delay = m_Server.context().m_Faults.duration("open_delay_ms");
   return m_Server.timer()
       .afterDelay(Delay.count() * kj::MICROSECONDS)
@@ -89,6 +95,9 @@
 }
 
 kj::Promise<void> StandInConnection::handle(const PgQuery &Query) {
+  if (m_Sender) {
+    return replicate(Query);
+  }
   m_Session->start(Query.m_Sql);
   if (m_Session->needsSlot()) {
     if (m_Server.context().m_Faults.take("drop_before_run")) {
@@ -141,6 +150,11 @@
   return send(std::move(Answer)).then([this] { return run(); });
 }
 
+kj::Promise<void> StandInConnection::replicate(const PgQuery &Query) {
+  const auto Runs = decodeTermRuns(Query.m_Sql);
+  return Runs ? m_Sender->run(*Runs) : kj::Promise<void>(kj::READY_NOW);
+}
+
 kj::Promise<void> StandInConnection::stepSession() {
   const auto RetryAt = m_Session->step(m_Server.now());
   if (!RetryAt) {
--- a/tests/StandIn/StandInConnection.h
+++ b/tests/StandIn/StandInConnection.h
@@ -2,6 +2,7 @@
 #define TESTS_STANDIN_STANDINCONNECTION_H
 
 #include "ragwortmux/Connection/Codec/PgMessageReader.h"
+#include "tests/StandIn/StandInReplicationSender.h"
 #include "tests/StandIn/StandInSession.h"
 
 #include <kj/async-io.h>
@@ -35,6 +36,7 @@
   kj::Promise<void> handle(const PgPassword &Password);
   kj::Promise<void> handle(const PgUnsupported &Message);
   kj::Promise<void> openSession(Term ConnectionTerm);
+  kj::Promise<void> replicate(const PgQuery &Query);
   kj::Promise<void> stepSession();
   kj::Promise<void> answer(bool SetsFault);
   kj::Promise<void> send(std::string Bytes);
@@ -51,7 +53,8 @@
   PgMessageReader m_Reader;                ///< Cuts the input.
   std::array<std::byte, 16384> m_Block{};  ///< Receives input.
   std::optional<StandInSession> m_Session; ///< After start-up.
-  bool m_HoldsSlot = false;                ///< A statement slot is taken.
+  std::optional<StandInReplicationSender> m_Sender; ///< To a replica.
+  bool m_HoldsSlot = false; ///< A statement slot is taken.
 };
 
 } // namespace ragwortmux::standin
--- a/tests/StandIn/StandInMain.cpp
+++ b/tests/StandIn/StandInMain.cpp
@@ -4,6 +4,7 @@
 #include <kj/async-unix.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 
@@ -73,6 +74,13 @@
   if (FLAGS_start_as_primary) {
     Context.m_Store.promote(Term(FLAGS_initial_term));
   }
+  if (!FLAGS_primary_address.empty()) {
+    const std::size_t Colon = FLAGS_primary_address.rfind(':');
+    const int Port = std::atoi(FLAGS_primary_address.c_str() + Colon + 1);
+    Server.follow(Term(FLAGS_initial_term),
+                  FLAGS_primary_address.substr(0, Colon),
+                  static_cast<std::uint16_t>(Port));
+  }
   return FLAGS_seed_sql.empty() || Server.runLocally(FLAGS_seed_sql);
 }
 
--- /dev/null
+++ b/tests/StandIn/StandInReplicationReceiver.cpp
@@ -0,0 +1,137 @@
+#include "tests/StandIn/StandInReplicationReceiver.h"
+
+#include "tests/StandIn/StandInServer.h"
+
+#include <kj/debug.h>
+
+namespace ragwortmux::standin {
+
+namespace {
+
+constexpr auto ReconnectDelay = 50 * kj::MILLISECONDS;
+/// The primary sends something more often than that.
+constexpr auto SilenceTimeout = 1 * kj::SECONDS;
+
+/// The start-up message and the query that open a stream.
+std::string openingMessages(Term StreamTerm, const std::string &Runs) {
+  const auto Framed = [](const std::string &Body) {
+    const std::uint32_t Length = static_cast<std::uint32_t>(Body.size()) + 4;
+    std::string Bytes;
+    for (const unsigned Shift : {24U, 16U, 8U, 0U}) {
+      Bytes.push_back(static_cast<char>(Length >> Shift & 0xFF));
+    }
+    return Bytes + Body;
+  };
+  std::string Startup("\0\3\0\0", 4);
+  for (const std::string &Text :
+       {std::string("replication"), std::string("standin"),
+        std::string("options"),
+        "-c ragwortmux.term=" + std::to_string(StreamTerm.value())}) {
+    Startup.append(Text).push_back('\0');
+  }
+  Startup.push_back('\0');
+  return Framed(Startup) + "Q" + Framed(Runs + '\0');
+}
+
+} // namespace
+
+StandInReplicationReceiver::StandInReplicationReceiver(StandInServer &Server)
+    : m_Server(Server) {}
+
+void StandInReplicationReceiver::follow(Term StreamTerm,
+                                        const std::string &Address,
+                                        std::uint16_t Port) {
+  if (StreamTerm == m_Term && Address == m_Address && Port == m_Port) {
+    return;
+  }
+  stop();
+  m_Term = StreamTerm;
+  m_Address = Address;
+  m_Port = Port;
+  m_Reading = connectLoop().eagerlyEvaluate(nullptr);
+  m_Applying = applyLoop().eagerlyEvaluate(nullptr);
+}
+
+void StandInReplicationReceiver::stop() {
+  m_Reading = nullptr;
+  m_Applying = nullptr;
+  m_Stream = nullptr;
+  m_Received.clear();
+  m_Port = 0;
+}
+
+kj::Promise<void> StandInReplicationReceiver::connectLoop() {
+  // Whatever ended the stream, the answer is to connect again.
+  return kj::evalNow([this] { return connect(); })
+      .catch_([](kj::Exception &&) {})
+      .then([this] { return m_Server.timer().afterDelay(ReconnectDelay); })
+      .then([this] { return connectLoop(); });
+}
+
+kj::Promise<void> StandInReplicationReceiver::connect() {
+  // What was received but not applied comes again.
+  m_Received.clear();
+  m_Generation = m_Server.silentGeneration();
+  return m_Server.network()
+      .parseAddress(m_Address, m_Port)
+      .then([this](kj::Own<kj::NetworkAddress> Address) {
+        auto Connected = Address->connect();
+        return Connected.attach(kj::mv(Address));
+      })
+      .then([this](kj::Own<kj::AsyncIoStream> Stream) {
+        m_Stream = kj::mv(Stream);
+        m_Bytes = openingMessages(
+            m_Term, encodeTermRuns(m_Server.context().m_Store.termRuns()));
+        return m_Stream->write(m_Bytes.data(), m_Bytes.size());
+      })
+      .then([this] { return readFrames(); });
+}
+
+kj::Promise<void> StandInReplicationReceiver::readFrames() {
+  return readBytes(StandInFrameHeaderBytes)
+      .then([this] { return readBytes(frameLength(m_Bytes)); })
+      .then([this]() -> kj::Promise<void> {
+        auto Frame = decodeFrame(m_Bytes);
+        if (!Frame) {
+          return KJ_EXCEPTION(FAILED, "malformed frame");
+        }
+        take(std::move(*Frame));
+        return readFrames();
+      });
+}
+
+kj::Promise<void> StandInReplicationReceiver::readBytes(std::size_t Count) {
+  m_Bytes.resize(Count);
+  // A silent stream gets nothing any more and is given up like any other.
+  auto Read = m_Generation == m_Server.silentGeneration()
+                  ? m_Stream->read(m_Bytes.data(), Count)
+                  : kj::Promise<void>(kj::NEVER_DONE);
+  return m_Server.timer().timeoutAfter(SilenceTimeout, kj::mv(Read));
+}
+
+void StandInReplicationReceiver::take(StandInFrame Frame) {
+  if (Frame.m_Kind == StandInFrameKind::Start) {
+    m_Server.context().m_Store.adopt(Frame.m_Entry.m_Point.m_Term,
+                                     Frame.m_Entry.m_Point.m_Position);
+  } else if (Frame.m_Kind == StandInFrameKind::Entry) {
+    m_Received.push_back({m_Server.now(), std::move(Frame.m_Entry)});
+    m_Server.notifyChange();
+  }
+}
+
+kj::Promise<void> StandInReplicationReceiver::applyLoop() {
+  StandInContext &Context = m_Server.context();
+  const bool Stopped = Context.m_Faults.value("stop_replication") != 0;
+  const Duration Lag = Context.m_Faults.duration("lag_ms");
+  while (!Stopped && !m_Received.empty() &&
+         m_Received.front().m_At + Lag <= m_Server.now()) {
+    Context.m_Store.apply(m_Received.front().m_Entry);
+    m_Received.pop_front();
+  }
+  const Instant Next = m_Received.empty() || Stopped
+                           ? m_Server.now() + std::chrono::hours(1)
+                           : m_Received.front().m_At + Lag;
+  return m_Server.waitForChange(Next).then([this] { return applyLoop(); });
+}
+
+} // namespace ragwortmux::standin
--- /dev/null
+++ b/tests/StandIn/StandInReplicationSender.cpp
@@ -0,0 +1,62 @@
+#include "tests/StandIn/StandInReplicationSender.h"
+
+#include "tests/StandIn/StandInServer.h"
+
+namespace ragwortmux::standin {
+
+namespace {
+
+constexpr Duration KeepAliveInterval(200'000);
+/// Entries are sent together up to so many bytes.
+constexpr std::size_t BatchBytes = 64UL * 1024;
+
+} // namespace
+
+StandInReplicationSender::StandInReplicationSender(StandInServer &Server,
+                                                   Term StreamTerm,
+                                                   SendHook Send)
+    : m_Server(Server), m_Term(StreamTerm), m_Send(std::move(Send)) {}
+
+kj::Promise<void>
+StandInReplicationSender::run(const std::vector<StandInTermRun> &Runs) {
+  if (!isValid()) {
+    return kj::READY_NOW;
+  }
+  StandInFrame Start{StandInFrameKind::Start, {}};
+  const LogPosition Common = m_Server.context().m_Store.commonPosition(Runs);
+  Start.m_Entry.m_Point = {m_Term, Common};
+  m_Sent = Common.value();
+  return m_Send(encodeFrame(Start)).then([this] { return sendNext(); });
+}
+
+kj::Promise<void> StandInReplicationSender::sendNext() {
+  if (!isValid()) {
+    return kj::READY_NOW;
+  }
+  const auto &Log = m_Server.context().m_Store.log();
+  std::string Bytes;
+  while (m_Sent < Log.size() && Bytes.size() < BatchBytes) {
+    Bytes += encodeFrame({StandInFrameKind::Entry, Log[m_Sent]});
+    ++m_Sent;
+  }
+  if (!Bytes.empty()) {
+    return m_Send(std::move(Bytes)).then([this] { return sendNext(); });
+  }
+  const Instant Deadline = m_Server.now() + KeepAliveInterval;
+  return m_Server.waitForChange(Deadline).then([this, Deadline]()
+                                                   -> kj::Promise<void> {
+    if (m_Server.now() < Deadline) {
+      return sendNext();
+    }
+    return m_Send(encodeFrame({StandInFrameKind::KeepAlive, {}})).then([this] {
+      return sendNext();
+    });
+  });
+}
+
+bool StandInReplicationSender::isValid() const {
+  const StandInStore &Store = m_Server.context().m_Store;
+  return Store.role() == StandInRole::Primary && Store.term() == m_Term;
+}
+
+} // namespace ragwortmux::standin
--- a/tests/StandIn/StandInServer.cpp
+++ b/tests/StandIn/StandInServer.cpp
@@ -31,7 +31,8 @@
 
 StandInServer::StandInServer(StandInSettings Settings, kj::Network &Network,
                              kj::Timer &Timer)
-    : m_Network(Network), m_Timer(Timer), m_Tasks(*this) {
+    : m_Network(Network), m_Timer(Timer), m_Replication(*this),
+      m_Announcer(*this), m_Tasks(*this) {
   m_Context.m_Settings = std::move(Settings);
   m_Context.m_Store.m_OnChange = [this] { m_Changed.notify(); };
   m_Context.m_Store.m_OnCommit = [this](const StandInLogEntry &Entry) {
@@ -40,6 +41,11 @@
   m_Context.m_EndSession = [this](const std::string &Attempt) {
     endSession(Attempt);
   };
+  m_Context.m_Follow = [this](Term NewTerm, const std::string &Address,
+                              std::uint16_t Port) {
+    m_Replication.follow(NewTerm, Address, Port);
+  };
+  m_Context.m_StopFollowing = [this] { m_Replication.stop(); };
   if (!m_Context.m_Settings.m_RecordFile.empty()) {
     m_Record.open(m_Context.m_Settings.m_RecordFile, std::ios::app);
   }
@@ -55,6 +61,16 @@
   m_Receiver = m_Network.getSockaddr(&Address, sizeof(Address))->listen();
   m_Port = static_cast<std::uint16_t>(m_Receiver->getPort());
   m_Tasks.add(acceptLoop());
+  m_Announcer.start();
+}
+
+bool StandInServer::follow(Term NewTerm, const std::string &Address,
+                           std::uint16_t Port) {
+  if (!m_Context.m_Store.follow(NewTerm)) {
+    return false;
+  }
+  m_Replication.follow(NewTerm, Address, Port);
+  return true;
 }
 
 bool StandInServer::runLocally(const std::string &Sql) {
--- a/tests/StandIn/StandInServer.h
+++ b/tests/StandIn/StandInServer.h
@@ -1,7 +1,9 @@
 #ifndef TESTS_STANDIN_STANDINSERVER_H
 #define TESTS_STANDIN_STANDINSERVER_H
 
+#include "tests/StandIn/StandInAnnouncer.h"
 #include "tests/StandIn/StandInContext.h"
+#include "tests/StandIn/StandInReplicationReceiver.h"
 #include "tests/StandIn/StandInSignal.h"
 
 #include <kj/async-io.h>
@@ -20,14 +22,18 @@
   ~StandInServer() noexcept(false);
   KJ_DISALLOW_COPY(StandInServer);
 
-  /// Starts to accept connections on the loopback interface.
+  /// Starts to accept connections on the loopback interface, and to announce.
   void listen();
+  /// Becomes a replica of the primary of \p NewTerm there; false if refused.
+  bool follow(Term NewTerm, const std::string &Address, std::uint16_t Port);
   /// Runs statements outside of any connection; false if one fails.
   bool runLocally(const std::string &Sql);
 
   /// Resolves at the next change of the store or the switches, at the latest at
   /// \p Deadline.
   kj::Promise<void> waitForChange(Instant Deadline);
+  /// Wakes everybody who waits for a change.
+  void notifyChange() { m_Changed.notify(); }
   /// Cancels the statement of another connection.
   void cancelStatement(std::uint32_t ProcessId, std::uint32_t SecretKey);
   /// Carries out the switches that wait until their own answer is sent.
@@ -64,6 +70,8 @@
   std::uint32_t m_LastProcessId = 0;              ///< Last connection number.
   std::uint64_t m_SilentGeneration = 0;           ///< See silentGeneration().
   std::map<std::uint32_t, OpenConnection> m_Open; ///< By connection number.
+  StandInReplicationReceiver m_Replication;       ///< As a replica.
+  StandInAnnouncer m_Announcer;                   ///< Announcements.
   kj::TaskSet m_Tasks;                            ///< Accepting; removals.
 };
 
