--- /dev/null
+++ b/ragwortmux/Version/CatalogueCache.cpp
@@ -0,0 +1,33 @@
+#include "ragwortmux/Version/CatalogueCache.h"
+
+namespace ragwortmux {
+
+bool CatalogueCache::apply(const CatalogueDelta &Delta) {
+  if (Delta.m_Revision <= m_Revision) {
+    return false;
+  }
+  // A delta that begins later than what is known would leave a gap.
+  if (!Delta.m_Whole && Delta.m_From > m_Revision) {
+    return false;
+  }
+  if (Delta.m_Whole) {
+    m_Entries.clear();
+  }
+  for (const CatalogueDeletion &Deletion : Delta.m_Deletions) {
+    m_Entries.erase(Deletion.m_Name);
+  }
+  for (const CatalogueItem &Item : Delta.m_Items) {
+    m_Entries[Item.m_Entry.m_Name] =
+        std::make_shared<const CatalogueEntry>(Item.m_Entry);
+  }
+  m_Revision = Delta.m_Revision;
+  return true;
+}
+
+std::shared_ptr<const CatalogueEntry>
+CatalogueCache::find(const EntryName &Name) const {
+  const auto Found = m_Entries.find(Name);
+  return Found == m_Entries.end() ? nullptr : Found->second;
+}
+
+} // namespace ragwortmux
--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -128,7 +128,9 @@
   unsigned Refused = 0;
   for (unsigned Round = 0; Round < 2000; ++Round) {
     std::string Bytes = Whole;
-    Bytes[Random() % Bytes.size()] ^= static_cast<char>(1U << (Random() % 8));
+    char &Byte = Bytes[Random() % Bytes.size()];
+    Byte = static_cast<char>(static_cast<unsigned char>(Byte) ^
+                             (1U << (Random() % 8)));
     if (!decodes(Bytes))
       ++Refused;
   }
--- a/tests/Version/StateBuilder.h
+++ b/tests/Version/StateBuilder.h
@@ -57,7 +57,7 @@
 inline RequestKey key(WallTime Made, unsigned Tail = 1) {
   const auto Ms =
       static_cast<unsigned long long>(Made.time_since_epoch().count());
-  char Text[40];
+  char Text[64];
   std::snprintf(Text, sizeof(Text), "%08llx-%04llx-7abc-8def-%012x", Ms >> 16U,
                 Ms & 0xffffU, Tail);
   return RequestKey(Text);
