--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -190,8 +190,11 @@
                                       ///< any.
   SessionName m_Session;              ///< The session.
   LogPoint m_Point;                   ///< The point.
-  bool m_Establish = false; ///< The session was unknown at its homes; the point
-                            ///< is to be kept only if it still is.
+  std::optional<RequestId>
+      m_LookedUpBy; ///< Set if the homes did not know the session when this
+                    ///< request's FindSessionPoint asked them: the point is to
+                    ///< be kept only if they still do not, see
+                    ///< SessionHome::establish().
 };
 
 /// Starts watching a server's position on a connection without a term, which
--- a/ragwortmux/Request/ReadRequests.cpp
+++ b/ragwortmux/Request/ReadRequests.cpp
@@ -158,12 +158,14 @@
   ReadCandidate Candidate;
   Candidate.m_Server = State.m_Server;
   Candidate.m_Applied = Result.m_Point;
-  if (Result.m_Point) {
+  if (Result.m_Point)
     Candidate.m_Age = m_Context.m_Ages.age(*Result.m_Point, m_Context.m_Now);
-    Candidate.m_IsPrimary = m_Context.m_View.m_Primary == State.m_Server &&
-                            State.m_Term == m_Context.m_View.m_Term &&
-                            Result.m_Point->m_Term == State.m_Term;
-  }
+  // An error as a connection's first answer comes without a point.
+  const bool IsOfTerm =
+      Result.m_Point ? Result.m_Point->m_Term == State.m_Term : !Result.m_Ok;
+  Candidate.m_IsPrimary = IsOfTerm &&
+                          m_Context.m_View.m_Primary == State.m_Server &&
+                          State.m_Term == m_Context.m_View.m_Term;
   return ReadRouter::satisfies(Candidate, needOf(State));
 }
 
@@ -216,7 +218,7 @@
     StoreSessionPoint Store;
     Store.m_Session = State.m_Request.m_Session;
     Store.m_Point = *Result.m_Point;
-    Store.m_Establish = true;
+    Store.m_LookedUpBy = State.m_Request.m_Id;
     m_Context.act(std::move(Store));
   }
   Answer Message;
--- /dev/null
+++ b/tests/Request/ReadTest.cpp
@@ -0,0 +1,240 @@
+#include "GroupFixture.h"
+
+#include <functional>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Reads at a group whose servers were all sampled at position 10 of term 1.
+class ReadFixture : public GroupFixture {
+public:
+  ReadFixture() { sample(1, 10, {"s1", "s2", "s3"}); }
+
+  RequestId read(std::optional<LogPoint> Token, const char *Session = "") {
+    GroupRequest Request = make(TrafficClass::SessionRead);
+    Request.m_Token = Token;
+    Request.m_Session = SessionName(Session);
+    return submit(std::move(Request));
+  }
+  RequestId agedRead(Duration MaxAge,
+                     std::optional<LogPoint> Token = std::nullopt) {
+    m_Limits.m_MaxAge = MaxAge;
+    GroupRequest Request = make(TrafficClass::AgedRead);
+    Request.m_Token = Token;
+    return submit(std::move(Request));
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(SessionReads, ReadFixture,
+                         *boost::unit_test::label("promise-1"))
+
+BOOST_AUTO_TEST_CASE(AReplicaThatCoversTheTokenServes) {
+  const RequestId Id = read(point(1, 10));
+  BOOST_TEST(runsAt() == "s2");
+  answer(ok(1, 10));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  BOOST_TEST(!m_Answers.at(Id).m_NeedsLease);
+  BOOST_TEST(m_Core.counts().m_ReplicaReads == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatDoesNotCoverTheTokenIsNotPassedOn) {
+  // s2 said 10 and has gone back since.
+  const RequestId Id = read(point(1, 10));
+  answer(ok(1, 9));
+  BOOST_TEST(!answered(Id));
+  BOOST_TEST(runsAt() == "s3");
+  answer(ok(1, 10));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  BOOST_TEST(m_Core.counts().m_NotCovered == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LaggingReplicasAreWaitedForShortlyThenThePrimaryServes) {
+  const RequestId First = read(point(1, 12));
+  BOOST_TEST(m_Sent == 0U);
+  sample(1, 12, {"s3"});
+  BOOST_TEST(runsAt() == "s3");
+  answer(ok(1, 12));
+  BOOST_TEST((code(First) == ResultCode::Ok));
+
+  const RequestId Second = read(point(1, 20));
+  wait(milliseconds(30));
+  BOOST_TEST(runsAt() == "s1");
+  answer(ok(1, 20));
+  BOOST_TEST((code(Second) == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(AfterAChangeOfPrimaryTheTokenStillHolds) {
+  const RequestId Id = read(point(1, 12));
+  changePrimary(2, "s2");
+  // s3 has not followed yet: its old history may lack the write.
+  sample(1, 11, {"s3"});
+  wait(milliseconds(30));
+  BOOST_TEST(runsAt() == "s2");
+  answer(ok(2, 12));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  // A token of the new term is not covered by the old one's longer history.
+  sample(1, 99, {"s3"});
+  read(point(2, 13));
+  wait(milliseconds(30));
+  BOOST_TEST(runsAt() == "s2");
+}
+
+BOOST_AUTO_TEST_CASE(AnIsolatedOldPrimaryIsFoundOutByTheLease) {
+  // The proxy is cut off: its view and s1's word are old, the lease is over.
+  const RequestId Unknown = read(std::nullopt);
+  BOOST_TEST(runsAt() == "s1");
+  lease(milliseconds(0));
+  answer(ok(1, 10));
+  BOOST_TEST(!answered(Unknown));
+  wait(seconds(5));
+  BOOST_TEST((code(Unknown) != ResultCode::Ok));
+  // What the token shows to be covered goes on.
+  const RequestId Covered = read(point(1, 10));
+  answer(ok(1, 10));
+  BOOST_TEST((code(Covered) == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(ATokenOfALaterTermThanTheViewIsNotServedByTheOldPrimary) {
+  const RequestId Id = read(point(2, 12));
+  wait(seconds(6));
+  BOOST_TEST((code(Id) == ResultCode::NotRunNotCovered));
+  BOOST_TEST(m_Sent == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ASessionNameAloneIsLookedUp) {
+  m_Homes[SessionName("clerk")] = point(1, 10);
+  read(std::nullopt, "clerk");
+  BOOST_TEST(runsAt() == "s2");
+  // Unknown at its homes, or homes lost: only the primary is sure to have it.
+  const RequestId Lost = read(std::nullopt, "stranger");
+  BOOST_TEST(runsAt() == "s1");
+  BOOST_TEST(m_Stores.empty());
+  answer(ok(1, 11));
+  BOOST_TEST((code(Lost) == ResultCode::Ok));
+  BOOST_REQUIRE(m_Stores.size() == 1);
+  BOOST_TEST((m_Stores[0].m_LookedUpBy == Lost));
+  sample(1, 11, {"s2", "s3"});
+  read(std::nullopt, "stranger");
+  BOOST_TEST(runsAt() != "s1");
+}
+
+BOOST_AUTO_TEST_CASE(ALookUpWithoutALeaseProvesNothing) {
+  m_AutoHomes = false;
+  const RequestId Id = read(std::nullopt, "clerk");
+  lease(milliseconds(0));
+  m_Core.sessionPointFound(m_Now, Id, point(1, 10), true, m_Actions);
+  wait(seconds(6));
+  BOOST_TEST((code(Id) == ResultCode::NotRunNoLease));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AgedReads, ReadFixture)
+
+BOOST_AUTO_TEST_CASE(AReplicaServesWhileItsProvenAgeAllows) {
+  // s2 and s3 stay at 10, which the primary had at the start.
+  wait(milliseconds(500));
+  sample(1, 11, {"s1"});
+  const RequestId Young = agedRead(milliseconds(600));
+  BOOST_TEST(runsAt() == "s2");
+  answer(ok(1, 10));
+  BOOST_TEST((code(Young) == ResultCode::Ok));
+  agedRead(milliseconds(400));
+  BOOST_TEST(runsAt() == "s1");
+}
+
+BOOST_AUTO_TEST_CASE(TheAgeIsCheckedAgainOnTheAnswer) {
+  sample(1, 11, {"s1", "s2", "s3"});
+  wait(milliseconds(500));
+  sample(1, 12, {"s1", "s2", "s3"});
+  const RequestId Id = agedRead(milliseconds(400));
+  BOOST_TEST(runsAt() == "s2");
+  answer(ok(1, 11)); // 500 ms old
+  BOOST_TEST(!answered(Id));
+  BOOST_TEST(runsAt() == "s3");
+}
+
+BOOST_AUTO_TEST_CASE(AReplacedPrimaryCannotMakeOldDataYoung) {
+  wait(seconds(1));
+  lease(milliseconds(0));
+  sample(1, 10, {"s1"}); // s1 may have been replaced by now
+  const RequestId Id = agedRead(milliseconds(500));
+  wait(seconds(6));
+  BOOST_TEST((code(Id) == ResultCode::NotRunTooOld));
+}
+
+BOOST_AUTO_TEST_CASE(ACutOffDomainServesWhileTheAgeAllows,
+                     *boost::unit_test::label("promise-1")) {
+  lease(milliseconds(0));
+  wait(seconds(2));
+  const RequestId Id = agedRead(seconds(3));
+  BOOST_TEST(runsAt() == "s2");
+  answer(ok(1, 10));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  wait(seconds(2));
+  const RequestId TooOld = agedRead(seconds(3));
+  wait(seconds(6));
+  BOOST_TEST((code(TooOld) == ResultCode::NotRunTooOld));
+}
+
+BOOST_AUTO_TEST_CASE(ATokenIsHonouredToo) {
+  sample(1, 11, {"s1", "s3"});
+  agedRead(seconds(10), point(1, 11));
+  BOOST_TEST(runsAt() == "s3");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ReadRetries, ReadFixture)
+
+BOOST_AUTO_TEST_CASE(ALostReadIsRetriedElsewhereWithinTheBudget) {
+  const RequestId Id = read(point(1, 10));
+  lose(running());
+  BOOST_TEST(runsAt() == "s3");
+  answer(ok(1, 10));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  // 20 are saved up, one was used; each request earns a tenth.
+  int Retried = 0;
+  for (int Index = 0; Index < 40; ++Index) {
+    const RequestId Each = read(point(1, 10));
+    while (!answered(Each)) {
+      lose(running());
+      Retried += answered(Each) ? 0 : 1;
+    }
+    BOOST_TEST((code(Each) == ResultCode::OutcomeUnknown));
+  }
+  BOOST_TEST((Retried >= 19 && Retried <= 24));
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingServerGetsNoNewRequests,
+                     *boost::unit_test::label("promise-7")) {
+  for (const bool Leaves : {true, false}) {
+    BOOST_TEST_CONTEXT(Leaves) {
+      ReadFixture Group;
+      const RequestId Running = Group.read(point(1, 10));
+      BOOST_TEST(Group.runsAt() == "s2");
+      const std::uint64_t Connection = Group.running();
+      Group.m_View.m_Servers[1].m_Leaving = Leaves;
+      Group.m_View.m_Servers[1].m_Announced = Leaves;
+      Group.setView(1);
+      for (int Times = 0; Times < 10; ++Times) {
+        Group.read(point(1, 10));
+        BOOST_TEST(Group.runsAt() != "s2");
+      }
+      Group.answerOn(Connection, Group.ok(1, 10));
+      BOOST_TEST((Group.code(Running) == ResultCode::Ok));
+      Group.wait(seconds(1));
+      BOOST_TEST(Group.m_Core.heldConnections(ServerId("s2")) == 1U); // watch
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+
+} // namespace ragwortmux
