--- a/tests/Connection/StandInContractTest.cpp
+++ b/tests/Connection/StandInContractTest.cpp
@@ -340,6 +340,40 @@
       20'000'000U);
 }
 
+BOOST_AUTO_TEST_CASE(KilledServersComeBack) {
+  const std::string File = std::string(RAGWORTMUX_BINARY_DIR) +
+                           "/standin-journal-" + std::to_string(getpid());
+  const std::string Files[] = {File + "-1", File + "-2"};
+  {
+    Backend Primary(primaryWith({("--data_file=" + Files[0]).c_str()}));
+    auto Flags = replicaOf(Primary);
+    Flags.push_back("--data_file=" + Files[1]);
+    Backend Replica(Flags);
+    const std::string Port = "--port=" + std::to_string(Primary.port());
+    Primary.run("INSERT INTO t VALUES ('a','1')");
+    BOOST_TEST(Replica.reaches("1:1:replica"));
+    Primary.process().kill();
+    Replica.process().kill();
+
+    // A frame that was being written when the server was killed is dropped.
+    std::ofstream(Files[0], std::ios::app) << "\x01\x02";
+    Backend Back({"--data_file=" + Files[0], Port, "--max_lifetime_s=60"});
+    Backend Follower({"--data_file=" + Files[1], "--max_lifetime_s=60"});
+    BOOST_TEST(Back.state() == "1:1:primary");
+    Back.run("INSERT INTO t VALUES ('b','1')");
+    BOOST_TEST(Follower.reaches("1:2:replica"));
+    Follower.run("SELECT ragwortmux_fence(2)");
+    Follower.process().kill();
+    Backend Fenced({"--data_file=" + Files[1], "--max_lifetime_s=60"});
+    BOOST_TEST(
+        Fenced.control().query("SELECT ragwortmux_fence(1)").m_SqlState ==
+        "72000");
+  }
+  for (const std::string &Name : Files) {
+    std::remove(Name.c_str());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EndsOnSigterm) {
   Backend Primary(AsPrimary);
   Primary.process().terminate();
--- a/tests/Connection/StandInStoreTest.cpp
+++ b/tests/Connection/StandInStoreTest.cpp
@@ -218,6 +218,39 @@
   BOOST_TEST(Replica.isAborted("late"));
 }
 
+BOOST_AUTO_TEST_CASE(JournalsBringAStoreBack) {
+  std::vector<StandInFrame> Frames;
+  StandInStore Store;
+  Store.m_OnJournal = [&Frames](const StandInFrame &Frame) {
+    Frames.push_back(Frame);
+  };
+  StandInStore Other;
+  BOOST_REQUIRE(Other.promote(Term(1)));
+  commitRow(Other, "a", "1");
+  BOOST_REQUIRE(Store.follow(Term(1), "127.0.0.1:7"));
+  replicate(Other, Store);
+  BOOST_REQUIRE(Store.promote(Term(2)));
+  commitRow(Store, "b", "2", "one");
+  BOOST_TEST(!Store.endAttempt("two"));
+  BOOST_REQUIRE(Other.promote(Term(3)));
+  BOOST_REQUIRE(Store.follow(Term(3), "127.0.0.1:8"));
+  replicate(Other, Store);
+  BOOST_REQUIRE(Store.fence(Term(4)));
+
+  StandInStore Restored;
+  for (const StandInFrame &Frame : Frames) {
+    Restored.restore(Frame);
+  }
+  BOOST_TEST((Restored.log() == Store.log()));
+  BOOST_TEST((Restored.point() == Store.point()));
+  BOOST_TEST((Restored.term() == Term(4)));
+  BOOST_TEST((Restored.followedTerm() == Term(3)));
+  BOOST_TEST(Restored.primaryAddress() == "127.0.0.1:8");
+  BOOST_TEST((Restored.role() == StandInRole::Replica));
+  BOOST_TEST(readRow(Restored, "a").value() == "1");
+  BOOST_TEST(!readRow(Restored, "b"));
+}
+
 BOOST_AUTO_TEST_CASE(FramesKeepEntries) {
   StandInLogEntry Entry;
   Entry.m_Point = point(7, 9);
--- a/tests/StandIn/StandInContext.h
+++ b/tests/StandIn/StandInContext.h
@@ -10,13 +10,19 @@
 
 /// What all sessions of one server share.
 struct StandInContext final {
+  StandInContext() = default;
+  StandInContext(const StandInContext &) = delete;
+  StandInContext &operator=(const StandInContext &) = delete;
   StandInSettings m_Settings; ///< Limits and names.
   StandInStore m_Store;       ///< Rows and log.
   StandInFaults m_Faults;     ///< Fault switches.
   StandInStats m_Stats;       ///< Counters.
-  /// Starts to replicate from a primary's address and port.
-  std::function<void(Term, const std::string &, std::uint16_t)> m_Follow =
-      [](Term, const std::string &, std::uint16_t) {};
+  /// Becomes a replica of the primary at an address and port; false if
+  /// refused.
+  std::function<bool(Term, const std::string &, std::uint16_t)> m_Follow =
+      [this](Term NewTerm, const std::string &Address, std::uint16_t Port) {
+        return m_Store.follow(NewTerm, Address + ":" + std::to_string(Port));
+      };
   /// Ends the replication from a primary.
   std::function<void()> m_StopFollowing = [] {};
   /// Ends the session that holds an attempt, if there is one.
--- a/tests/StandIn/StandInFunctions.cpp
+++ b/tests/StandIn/StandInFunctions.cpp
@@ -171,11 +171,10 @@
   if (!NewTerm || !Port || *Port > UINT16_MAX) {
     return badArguments();
   }
-  if (!m_Context.m_Store.follow(Term(*NewTerm))) {
+  if (!m_Context.m_Follow(Term(*NewTerm), Call.m_Arguments[1],
+                          static_cast<std::uint16_t>(*Port))) {
     return standInError(TermRefused, "the server's term is higher");
   }
-  m_Context.m_Follow(Term(*NewTerm), Call.m_Arguments[1],
-                     static_cast<std::uint16_t>(*Port));
   return pointRow(m_Context.m_Store.point());
 }
 
--- a/tests/StandIn/StandInMain.cpp
+++ b/tests/StandIn/StandInMain.cpp
@@ -25,6 +25,9 @@
 DEFINE_string(replication_delay_ms, "0", "Age at which a replica applies");
 DEFINE_string(faults, "", "NAME=VALUE of fault switches, comma-separated");
 DEFINE_string(seed_sql, "", "Statements to run at the start of a primary");
+DEFINE_string(data_file, "",
+              "Journal to restart from; goes before the flags "
+              "for the role at the start");
 DEFINE_string(record, "", "File that gets a line for each commit");
 DEFINE_uint32(max_lifetime_s, 600, "Exits by itself after so long");
 
@@ -71,6 +74,9 @@
 
 bool startRole(StandInServer &Server) {
   StandInContext &Context = Server.context();
+  if (!FLAGS_data_file.empty() && Server.restore(FLAGS_data_file)) {
+    return true;
+  }
   if (FLAGS_start_as_primary) {
     Context.m_Store.promote(Term(FLAGS_initial_term));
   }
--- a/tests/StandIn/StandInServer.cpp
+++ b/tests/StandIn/StandInServer.cpp
@@ -43,7 +43,7 @@
   };
   m_Context.m_Follow = [this](Term NewTerm, const std::string &Address,
                               std::uint16_t Port) {
-    m_Replication.follow(NewTerm, Address, Port);
+    return follow(NewTerm, Address, Port);
   };
   m_Context.m_StopFollowing = [this] { m_Replication.stop(); };
   if (!m_Context.m_Settings.m_RecordFile.empty()) {
@@ -66,13 +66,29 @@
 
 bool StandInServer::follow(Term NewTerm, const std::string &Address,
                            std::uint16_t Port) {
-  if (!m_Context.m_Store.follow(NewTerm)) {
+  if (!m_Context.m_Store.follow(NewTerm,
+                                Address + ":" + std::to_string(Port))) {
     return false;
   }
   m_Replication.follow(NewTerm, Address, Port);
   return true;
 }
 
+bool StandInServer::restore(const std::string &File) {
+  if (!m_Journal.open(File, m_Context.m_Store)) {
+    return false;
+  }
+  const StandInStore &Store = m_Context.m_Store;
+  const std::string &Primary = Store.primaryAddress();
+  const std::size_t Colon = Primary.rfind(':');
+  if (Colon != std::string::npos && Store.term() == Store.followedTerm()) {
+    m_Replication.follow(
+        Store.followedTerm(), Primary.substr(0, Colon),
+        static_cast<std::uint16_t>(std::stoi(Primary.substr(Colon + 1))));
+  }
+  return true;
+}
+
 bool StandInServer::runLocally(const std::string &Sql) {
   StandInSession Session(m_Context, Term(0));
   Session.start(Sql);
--- a/tests/StandIn/StandInServer.h
+++ b/tests/StandIn/StandInServer.h
@@ -3,6 +3,7 @@
 
 #include "tests/StandIn/StandInAnnouncer.h"
 #include "tests/StandIn/StandInContext.h"
+#include "tests/StandIn/StandInJournal.h"
 #include "tests/StandIn/StandInReplicationReceiver.h"
 #include "tests/StandIn/StandInSignal.h"
 
@@ -26,6 +27,9 @@
   void listen();
   /// Becomes a replica of the primary of \p NewTerm there; false if refused.
   bool follow(Term NewTerm, const std::string &Address, std::uint16_t Port);
+  /// Takes up what a journal file holds and keeps it up to date; false if it
+  /// holds nothing.
+  bool restore(const std::string &File);
   /// Runs statements outside of any connection; false if one fails.
   bool runLocally(const std::string &Sql);
 
@@ -60,11 +64,12 @@
   void endSession(const std::string &Attempt);
   void record(const StandInLogEntry &Entry);
 
-  kj::Network &m_Network;                         ///< To listen and to connect.
-  kj::Timer &m_Timer;                             ///< Time of the event loop.
-  StandInSignal m_Changed;                        ///< Changes of the store.
-  StandInContext m_Context;                       ///< Shared by the sessions.
-  std::ofstream m_Record;                         ///< Commits; may be closed.
+  kj::Network &m_Network;   ///< To listen and to connect.
+  kj::Timer &m_Timer;       ///< Time of the event loop.
+  StandInSignal m_Changed;  ///< Changes of the store.
+  StandInContext m_Context; ///< Shared by the sessions.
+  StandInJournal m_Journal; ///< Changes of the store; may be closed.
+  std::ofstream m_Record;   ///< Commits; may be closed.
   kj::Own<kj::ConnectionReceiver> m_Receiver;     ///< The listening socket.
   std::uint16_t m_Port = 0;                       ///< Port listened on.
   std::uint32_t m_LastProcessId = 0;              ///< Last connection number.
--- a/tests/StandIn/StandInStore.cpp
+++ b/tests/StandIn/StandInStore.cpp
@@ -28,6 +28,7 @@
     }
     append(std::move(Entry));
     m_OnCommit(m_Log.back());
+    m_OnChange();
   }
   rollback(Id);
   return point();
@@ -35,8 +36,10 @@
 
 void StandInStore::rollback(TransactionId Id) {
   m_Open.erase(Id);
-  std::erase_if(m_Locks, [Id](const auto &Lock) { return Lock.second == Id; });
-  m_OnChange();
+  if (std::erase_if(m_Locks,
+                    [Id](const auto &Lock) { return Lock.second == Id; }) > 0) {
+    m_OnChange();
+  }
 }
 
 bool StandInStore::lock(TransactionId Id, const std::string &Table,
@@ -93,6 +96,7 @@
     return false;
   }
   if (NewTerm > m_Term) {
+    journal(StandInFrameKind::Fence, {NewTerm, {}});
     m_Term = NewTerm;
     stepDown();
   }
@@ -106,7 +110,9 @@
   if (NewTerm < m_Term || NewTerm == m_FollowedTerm) {
     return std::nullopt;
   }
+  journal(StandInFrameKind::Promote, {NewTerm, {}});
   stepDown();
+  m_PrimaryAddress.clear();
   m_Term = NewTerm;
   m_HistoryTerm = NewTerm;
   m_Role = StandInRole::Primary;
@@ -115,16 +121,19 @@
   return m_PromotedAt;
 }
 
-bool StandInStore::follow(Term NewTerm) {
+bool StandInStore::follow(Term NewTerm, const std::string &Address) {
   if (NewTerm < m_Term ||
       (NewTerm == m_Term && m_Role == StandInRole::Primary)) {
     return false;
   }
-  if (NewTerm != m_FollowedTerm) {
-    m_Term = NewTerm;
-    m_FollowedTerm = NewTerm;
-    stepDown();
+  if (NewTerm == m_FollowedTerm && Address == m_PrimaryAddress) {
+    return true;
   }
+  journal(StandInFrameKind::Follow, {NewTerm, {}}, Address);
+  m_Term = NewTerm;
+  m_FollowedTerm = NewTerm;
+  m_PrimaryAddress = Address;
+  stepDown();
   return true;
 }
 
@@ -179,6 +188,7 @@
 
 void StandInStore::adopt(Term NewTerm, LogPosition Common) {
   assert(Common.value() <= m_Log.size());
+  journal(StandInFrameKind::Start, {NewTerm, Common});
   m_HistoryTerm = NewTerm;
   if (Common.value() < m_Log.size()) {
     // The tables are made anew from what is left of the log.
@@ -196,21 +206,56 @@
 void StandInStore::apply(const StandInLogEntry &Entry) {
   assert(m_Role == StandInRole::Replica);
   assert(Entry.m_Point.m_Position.value() == m_Log.size() + 1);
+  m_OnJournal({StandInFrameKind::Entry, Entry});
   m_Log.push_back(Entry);
   applyChanges(Entry);
   m_OnChange();
 }
 
+void StandInStore::restore(const StandInFrame &Frame) {
+  const LogPoint &Point = Frame.m_Entry.m_Point;
+  switch (Frame.m_Kind) {
+  case StandInFrameKind::Fence:
+    fence(Point.m_Term);
+    return;
+  case StandInFrameKind::Promote:
+    promote(Point.m_Term);
+    return;
+  case StandInFrameKind::Follow:
+    follow(Point.m_Term, Frame.m_Address);
+    return;
+  case StandInFrameKind::Start:
+    adopt(Point.m_Term, Point.m_Position);
+    return;
+  case StandInFrameKind::Entry:
+    m_Log.push_back(Frame.m_Entry);
+    applyChanges(Frame.m_Entry);
+    return;
+  case StandInFrameKind::KeepAlive:
+    return;
+  }
+}
+
 LogPoint StandInStore::point() const {
   return {m_HistoryTerm, LogPosition(m_Log.size())};
 }
 
 void StandInStore::append(StandInLogEntry Entry) {
   Entry.m_Point = {m_HistoryTerm, LogPosition(m_Log.size() + 1)};
+  m_OnJournal({StandInFrameKind::Entry, Entry});
   applyChanges(Entry);
   m_Log.push_back(std::move(Entry));
 }
 
+void StandInStore::journal(StandInFrameKind Kind, const LogPoint &Point,
+                           const std::string &Address) {
+  StandInFrame Frame;
+  Frame.m_Kind = Kind;
+  Frame.m_Entry.m_Point = Point;
+  Frame.m_Address = Address;
+  m_OnJournal(Frame);
+}
+
 void StandInStore::applyChanges(const StandInLogEntry &Entry) {
   for (const StandInChange &Change : Entry.m_Changes) {
     Rows &Table = m_Tables[Change.m_Table];
--- a/tests/StandIn/StandInStore.h
+++ b/tests/StandIn/StandInStore.h
@@ -1,7 +1,7 @@
 #ifndef TESTS_STANDIN_STANDINSTORE_H
 #define TESTS_STANDIN_STANDINSTORE_H
 
-#include "tests/StandIn/StandInLogEntry.h"
+#include "tests/StandIn/StandInWire.h"
 
 #include <functional>
 #include <map>
@@ -26,6 +26,10 @@
   std::function<void(const StandInLogEntry &)> m_OnCommit =
       [](const StandInLogEntry &) {};
 
+  /// Called with each change that a restarted server must know of.
+  std::function<void(const StandInFrame &)> m_OnJournal =
+      [](const StandInFrame &) {};
+
   /// Starts a transaction.
   TransactionId begin();
   /// Appends the transaction to the log if it has written. Nothing if the
@@ -53,8 +57,8 @@
   bool fence(Term NewTerm);
   /// Becomes primary. Answers where the term began; nothing if refused.
   std::optional<LogPoint> promote(Term NewTerm);
-  /// Becomes a replica of another server; false if refused.
-  bool follow(Term NewTerm);
+  /// Becomes a replica of the primary at \p Address; false if refused.
+  bool follow(Term NewTerm, const std::string &Address = "");
   /// Ends an attempt whose session is gone: true if it had committed.
   bool endAttempt(const std::string &Attempt);
   /// True if the attempt has been ended and must not commit.
@@ -69,6 +73,9 @@
   /// Appends the next entry of the primary's log.
   void apply(const StandInLogEntry &Entry);
 
+  /// Repeats a change that m_OnJournal was called with.
+  void restore(const StandInFrame &Frame);
+
   /// Committed transactions in order; position 1 comes first.
   const std::vector<StandInLogEntry> &log() const { return m_Log; }
   /// Term of the history and end of the log.
@@ -76,6 +83,10 @@
   /// The highest term that this server knows of.
   Term term() const { return m_Term; }
   StandInRole role() const { return m_Role; }
+  /// HOST:PORT of the primary that a replica follows; may be empty.
+  const std::string &primaryAddress() const { return m_PrimaryAddress; }
+  /// The term in which it follows that primary.
+  Term followedTerm() const { return m_FollowedTerm; }
 
 private:
   struct Transaction final {
@@ -86,6 +97,8 @@
   };
 
   void append(StandInLogEntry Entry);
+  void journal(StandInFrameKind Kind, const LogPoint &Point,
+               const std::string &Address = "");
   void applyChanges(const StandInLogEntry &Entry);
   void stepDown();
 
@@ -100,6 +113,7 @@
   StandInRole m_Role = StandInRole::Replica; ///< Own role.
   Term m_Term;                               ///< Highest known term.
   Term m_HistoryTerm;                        ///< Term of the log's history.
+  std::string m_PrimaryAddress;              ///< See primaryAddress().
   Term m_FollowedTerm;                       ///< Term followed as replica.
   LogPoint m_PromotedAt;                     ///< Where the own term began.
 };
--- a/tests/StandIn/StandInWire.cpp
+++ b/tests/StandIn/StandInWire.cpp
@@ -70,6 +70,7 @@
     putNumber(Body, Change.m_Value ? 1 : 0, NumberBytes);
     putText(Body, Change.m_Value.value_or(""));
   }
+  putText(Body, Frame.m_Address);
   std::string Bytes;
   putNumber(Bytes, Body.size(), StandInFrameHeaderBytes);
   return Bytes + Body;
@@ -102,6 +103,7 @@
     }
     Entry.m_Changes.push_back(std::move(Change));
   }
+  Frame.m_Address = Fields.takeText();
   return Fields.isWhole() ? std::optional(std::move(Frame)) : std::nullopt;
 }
 
--- a/tests/StandIn/StandInWire.h
+++ b/tests/StandIn/StandInWire.h
@@ -8,21 +8,25 @@
 namespace ragwortmux::standin {
 
 /// \file
-/// The replication stream. A replica opens it with a start-up message and one
-/// query that holds the shape of its log; the primary answers with frames of a
-/// length of four bytes, a kind and a body.
+/// Frames of a length of four bytes, a kind and a body. They make up the
+/// replication stream, which a replica opens with a start-up message and one
+/// query that holds the shape of its log, and the journal file.
 
 /// Kinds of frames.
 enum class StandInFrameKind : char {
   Start = 'S',     ///< The point up to which the logs are equal.
   Entry = 'E',     ///< The next entry of the log.
-  KeepAlive = 'K', ///< Nothing new.
+  KeepAlive = 'K', ///< Nothing new; only in the stream.
+  Fence = 'F',     ///< A higher term; only in the journal.
+  Promote = 'P',   ///< The server is primary now; only in the journal.
+  Follow = 'W',    ///< The server is a replica now; only in the journal.
 };
 
 /// One frame.
 struct StandInFrame final {
   StandInFrameKind m_Kind = StandInFrameKind::KeepAlive; ///< What it is.
-  StandInLogEntry m_Entry; ///< Of Start only the point is used.
+  StandInLogEntry m_Entry; ///< Only of Entry more than the point is used.
+  std::string m_Address{}; ///< Of Follow: HOST:PORT of the primary.
 };
 
 /// Bytes of a frame's length field.
