Tests of the control leader against fake proxies and servers

A harness with fake proxies (lease on a clock of their own) and fake servers (asynchronous log, fence, promote, follow) in steps of 10 ms. It checks after each step that nobody acknowledges writes of a replaced primary, and at each appointment that no acknowledged write is lost.

--- /dev/null
+++ b/tests/Version/PrimaryChangeTest.cpp
@@ -0,0 +1,210 @@
+#include "LeaderHarness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ragwortmux;
+using namespace ragwortmux::test;
+
+BOOST_AUTO_TEST_SUITE(ChangeOfPrimary, *boost::unit_test::label("promise-2"))
+
+BOOST_AUTO_TEST_CASE(FirstPrimary) {
+  LeaderHarness Harness;
+  BOOST_TEST(Harness.group().m_Term.value() == 1U);
+  BOOST_TEST(Harness.group().m_Primary->value() == "s1");
+}
+
+BOOST_AUTO_TEST_CASE(PrimaryKilled) {
+  LeaderHarness Harness;
+  Harness.server("s1").m_Up = false;
+  const Duration Gap = Harness.runUntil([&] { return Harness.isSettled(); });
+  BOOST_TEST_MESSAGE("settled after " << Gap.count() / 1000 << " ms");
+  BOOST_TEST((Gap <= 450ms));
+  BOOST_TEST(Harness.group().m_Term.value() == 2U);
+  BOOST_TEST((Harness.sync("s1") == SyncState::Behind));
+  // It returns with its old log, follows and is in sync again.
+  Harness.server("s1").m_Up = true;
+  Harness.runUntil([&] { return Harness.isInSync(); });
+  BOOST_TEST(Harness.group().m_Term.value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(IsolatedPrimaryWithOneSilentProxy) {
+  // The replicas still believe in the primary, and so does a proxy beside it,
+  // whose clock may run wrong within the bound.
+  for (const double ClockRate : {0.99, 1.0, 1.01}) {
+    BOOST_TEST_CONTEXT("clock rate " << ClockRate) {
+      LeaderHarness Harness;
+      FakeProxy &Silent = Harness.m_Proxies[0];
+      Silent.m_ClockRate = ClockRate;
+      Harness.run(1s);
+      BOOST_REQUIRE(Silent.acknowledges(Harness.m_Now));
+      Silent.m_ReachesControl = false;
+      Harness.server("s1").m_ReachesControl = false;
+      Harness.server("s1").m_Announces = false;
+      bool StillAcknowledged = false;
+      Harness.m_OnAppoint = [&](const ServerId &) {
+        StillAcknowledged = Silent.acknowledges(Harness.m_Now).has_value();
+      };
+      const Duration Gap =
+          Harness.runUntil([&] { return Harness.group().m_Term == Term(2); });
+      BOOST_TEST((Gap <= 450ms));
+      BOOST_TEST(Silent.acknowledges(Harness.m_Now).has_value());
+      const Duration Rest = Harness.runUntil(
+          [&] { return Harness.group().m_Primary.has_value(); });
+      BOOST_TEST(!StillAcknowledged);
+      BOOST_TEST((Gap + Rest <= 1500ms));
+      Harness.run(2s);
+      BOOST_TEST(Harness.group().m_Term.value() == 2U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NewLeaderAtEachStep) {
+  struct Case final {
+    const char *m_Name;                              ///< For messages.
+    std::function<bool(const LeaderHarness &)> m_At; ///< When it takes over.
+    BackendCallKind m_Lost; ///< The call that the old leader does not finish.
+  };
+  const Case Cases[] = {
+      {"before the end of the term",
+       [](const LeaderHarness &Each) {
+         return !Each.m_Servers.at(ServerId("s1")).m_Up;
+       },
+       BackendCallKind::Fence},
+      {"before any server is fenced",
+       [](const LeaderHarness &Each) { return !Each.group().m_Primary; },
+       BackendCallKind::Fence},
+      {"before the promotion",
+       [](const LeaderHarness &Each) {
+         return Each.group().m_Term == Term(2) && Each.group().m_Primary;
+       },
+       BackendCallKind::Promote},
+      {"before the others follow",
+       [](const LeaderHarness &Each) {
+         return Each.m_Servers.at(ServerId("s2")).m_Promotions +
+                    Each.m_Servers.at(ServerId("s3")).m_Promotions >
+                0;
+       },
+       BackendCallKind::Follow},
+  };
+  for (const Case &Each : Cases) {
+    BOOST_TEST_CONTEXT(Each.m_Name) {
+      LeaderHarness Harness;
+      Harness.m_DropCall = [&](const CallBackend &Action) {
+        return Action.m_Kind == Each.m_Lost;
+      };
+      Harness.server("s1").m_Up = false;
+      Harness.runUntil([&] { return Each.m_At(Harness); });
+      Harness.m_DropCall = {};
+      Harness.changeLeader();
+      const Duration Rest =
+          Harness.runUntil([&] { return Harness.isSettled(); });
+      BOOST_TEST((Rest <= 1s));
+      BOOST_TEST(Harness.group().m_Term.value() == 2U);
+      Harness.run(3s);
+      BOOST_TEST(Harness.group().m_Term.value() == 2U);
+      BOOST_TEST(Harness.server("s2").m_Promotions +
+                     Harness.server("s3").m_Promotions ==
+                 1U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NewLeaderWaitsForASilentProxy) {
+  // The proxy renewed with the old leader right before it vanished.
+  LeaderHarness Harness;
+  FakeProxy &Silent = Harness.m_Proxies[0];
+  Silent.m_ReachesControl = false;
+  Harness.server("s1").m_ReachesControl = false;
+  Harness.server("s1").m_Announces = false;
+  Harness.run(200ms);
+  Harness.changeLeader();
+  bool StillAcknowledged = true;
+  Harness.m_OnAppoint = [&](const ServerId &) {
+    StillAcknowledged = Silent.acknowledges(Harness.m_Now).has_value();
+  };
+  Harness.runUntil([&] {
+    return Harness.group().m_Term == Term(2) &&
+           Harness.group().m_Primary.has_value();
+  });
+  BOOST_TEST(!StillAcknowledged);
+}
+
+BOOST_AUTO_TEST_CASE(SecondHostLostAfterTheRepair) {
+  for (const Duration Later : {0ms, 100ms, 1000ms, 5000ms}) {
+    BOOST_TEST_CONTEXT("after " << Later.count() / 1000 << " ms") {
+      LeaderHarness Harness;
+      Harness.server("s1").m_Up = false;
+      Harness.runUntil([&] { return Harness.isSettled(); });
+      Harness.run(Later);
+      Harness.primary().m_Up = false;
+      const Duration Gap = Harness.runUntil(
+          [&] { return Harness.isSettled() && Harness.primary().m_Up; });
+      BOOST_TEST((Gap <= 600ms));
+      // The first one returns: two copies again.
+      Harness.server("s1").m_Up = true;
+      Harness.runUntil([&] { return Harness.isInSync(); });
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OneProxysWordIsNotEnough) {
+  struct Case final {
+    const char *m_Name;      ///< For messages.
+    std::size_t m_Reporting; ///< Proxies that report.
+    bool m_Announces;        ///< The primary's announcements arrive.
+    bool m_Answers;          ///< The primary answers control.
+    Duration m_Within;       ///< The term ends within; 0: not in 3 s.
+  };
+  const Case Cases[] = {
+      {"one proxy against announcements", 1, true, true, 0ms},
+      {"one proxy, control does not reach it either", 1, true, false, 0ms},
+      {"all proxies, but control reaches it", 3, true, true, 0ms},
+      {"two of three, control does not reach it either", 2, true, false,
+       1200ms},
+      {"nobody, announcements lost for a while", 0, false, true, 1200ms},
+      {"one proxy and silence", 1, false, false, 250ms},
+      {"silence alone", 0, false, false, 400ms},
+  };
+  for (const Case &Each : Cases) {
+    BOOST_TEST_CONTEXT(Each.m_Name) {
+      LeaderHarness Harness;
+      Harness.server("s1").m_Announces = Each.m_Announces;
+      Harness.server("s1").m_ReachesControl = Each.m_Answers;
+      Duration Ended{0};
+      for (Duration Passed{0}; Passed < 3s; Passed += 50ms) {
+        for (std::size_t Index = 0; Index < Each.m_Reporting; ++Index)
+          Harness.m_Leader->suspicionReported(
+              {Harness.m_Proxies[Index].m_Session, TheGroup, ServerId("s1"),
+               SuspicionKind::Refused},
+              Harness.m_Now);
+        Harness.run(50ms);
+        if (Harness.group().m_Term != Term(1) && Ended == 0ms)
+          Ended = Passed + 50ms;
+      }
+      BOOST_TEST_MESSAGE(Each.m_Name << ": " << Ended.count() / 1000 << " ms");
+      BOOST_TEST((Each.m_Within == 0ms
+                      ? Ended == 0ms
+                      : Ended > 0ms && Ended <= Each.m_Within));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FlappingIsBounded) {
+  LeaderHarness Harness;
+  // Each primary is silent for 400 ms as soon as it is settled.
+  for (Duration Passed{0}; Passed < 30s; Passed += 800ms) {
+    if (Harness.group().m_Primary) {
+      FakeServer &Flapping = Harness.primary();
+      Flapping.m_Up = false;
+      Harness.run(400ms);
+      Flapping.m_Up = true;
+    }
+    Harness.run(400ms);
+  }
+  const std::uint64_t Changes = Harness.group().m_Term.value() - 1;
+  BOOST_TEST_MESSAGE(Changes << " changes in 30 s");
+  BOOST_TEST(Changes >= 1U);
+  BOOST_TEST(Changes <= 3U + 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
