Test the parts on their own and a group in random runs

Tables for ages, gate, router, queue, retry budget and pool. The random runs (60 seeds, 2000 steps each) drive a group with resends, lost connections, silent ledger answers, short leases and changes of primary against a model of the servers and the ledger that knows what really committed: no key runs twice, nothing that was told as not run is in the primary's history, nothing acknowledged vanishes, no connection above the share, every request of a caller that stays is answered.

--- a/ragwortmux/Connection/SessionHome.cpp
+++ b/ragwortmux/Connection/SessionHome.cpp
@@ -3,7 +3,6 @@
 #include "ragwortmux/Connection/StableHash.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace ragwortmux {
 
--- a/ragwortmux/Connection/SessionHome.h
+++ b/ragwortmux/Connection/SessionHome.h
@@ -4,7 +4,6 @@
 #include "ragwortmux/Version/LogPoint.h"
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -12,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <tuple>
 
 namespace ragwortmux {
 
@@ -78,7 +78,10 @@
   struct Key final {
     GroupId m_Group;       ///< The group.
     SessionName m_Session; ///< The session.
-    friend auto operator<=>(const Key &, const Key &) = default;
+    friend bool operator<(const Key &Left, const Key &Right) {
+      return std::tie(Left.m_Group, Left.m_Session) <
+             std::tie(Right.m_Group, Right.m_Session);
+    }
   };
 
   struct Kept final {
--- /dev/null
+++ b/tests/Request/ConnectionPoolTest.cpp
@@ -0,0 +1,237 @@
+#include "ragwortmux/Connection/ConnectionPool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServerId Server("s1");
+
+/// A pool for one server, and what it ordered since the last look.
+class PoolFixture {
+public:
+  explicit PoolFixture(std::uint32_t Share = 4) { share(Share); }
+
+  void share(std::uint32_t Share, std::uint64_t InTerm = 1) {
+    m_Orders = PoolOrders();
+    m_Pool.setServer(m_Now, Server, Term(InTerm), Share, m_Orders);
+  }
+  /// Opens what was ordered.
+  void openAll() {
+    while (!m_Orders.m_Open.empty()) {
+      const std::vector<PooledConnection> Ordered = m_Orders.m_Open;
+      m_Orders.m_Open.clear();
+      for (const PooledConnection &One : Ordered)
+        m_Pool.opened(m_Now, One.m_Id, m_Orders);
+    }
+  }
+  void tick(Duration Time) {
+    m_Now += Time;
+    m_Orders = PoolOrders();
+    m_Pool.tick(m_Now, m_Orders);
+  }
+  ConnectionId take() {
+    const auto Taken = m_Pool.take(m_Now, Server);
+    BOOST_REQUIRE(Taken);
+    return *Taken;
+  }
+
+  Instant m_Now{seconds(1)};
+  ConnectionPool m_Pool{ConnectionPoolSettings()};
+  PoolOrders m_Orders;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Pool, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(ConnectionsAreOpenedAheadAndOnDemandWithinTheShare) {
+  BOOST_TEST(m_Orders.m_Open.size() == 2U);
+  openAll();
+  m_Pool.setDemand(m_Now, Server, 10, m_Orders);
+  BOOST_TEST(m_Orders.m_Open.size() == 2U); // the share is 4
+  openAll();
+  for (int Index = 0; Index < 4; ++Index)
+    take();
+  BOOST_TEST(!m_Pool.take(m_Now, Server));
+}
+
+BOOST_AUTO_TEST_CASE(AClosingConnectionCountsUntilItIsClosed) {
+  openAll();
+  share(2);
+  const ConnectionId Taken = take();
+  m_Orders = PoolOrders();
+  m_Pool.drop(m_Now, Taken, m_Orders);
+  BOOST_TEST(m_Orders.m_Close.size() == 1U);
+  BOOST_TEST(m_Orders.m_Open.empty());
+  m_Pool.gone(m_Now, Taken, m_Orders);
+  BOOST_TEST(m_Orders.m_Open.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ASmallerShareClosesFreeOnesFirstAndBusyOnesAsTheyEnd) {
+  m_Pool.setDemand(m_Now, Server, 4, m_Orders);
+  openAll();
+  const ConnectionId First = take();
+  const ConnectionId Second = take();
+  share(1);
+  BOOST_TEST(m_Orders.m_Close.size() == 2U);
+  m_Orders = PoolOrders();
+  m_Pool.release(m_Now, First, m_Orders);
+  BOOST_TEST((m_Orders.m_Close == std::vector<ConnectionId>{First}));
+  m_Orders = PoolOrders();
+  m_Pool.release(m_Now, Second, m_Orders);
+  BOOST_TEST(m_Orders.m_Close.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsOfAnOldTermAreClosed) {
+  openAll();
+  const ConnectionId Busy = take();
+  share(4, 2);
+  BOOST_TEST(m_Orders.m_Close.size() == 1U);
+  m_Orders = PoolOrders();
+  m_Pool.release(m_Now, Busy, m_Orders);
+  BOOST_TEST((m_Orders.m_Close == std::vector<ConnectionId>{Busy}));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnusedConnectionIsProbedAndClosedIfItIsSilent) {
+  openAll();
+  tick(seconds(15));
+  BOOST_REQUIRE(m_Orders.m_Probe.size() == 2);
+  BOOST_TEST(!m_Pool.take(m_Now, Server));
+  const std::vector<ConnectionId> Probed = m_Orders.m_Probe;
+  m_Pool.probed(m_Now, Probed[0], m_Orders);
+  tick(milliseconds(250));
+  BOOST_TEST((m_Orders.m_Close == std::vector<ConnectionId>{Probed[1]}));
+  // The other one is suspect again, and a new one tells about the server.
+  BOOST_TEST(!m_Pool.take(m_Now, Server));
+  BOOST_TEST(m_Orders.m_Open.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SuspectsMakeRoomForTheProbe) {
+  openAll();
+  share(2);
+  const ConnectionId Silent = take();
+  m_Orders = PoolOrders();
+  m_Pool.suspect(m_Now, Server, m_Orders);
+  BOOST_TEST(m_Orders.m_Close.size() == 1U); // the share is used up
+  BOOST_TEST(m_Orders.m_Open.empty());
+  m_Pool.gone(m_Now, m_Orders.m_Close[0], m_Orders);
+  BOOST_TEST(m_Orders.m_Open.size() == 1U);
+  BOOST_TEST((m_Pool.find(Silent)->m_State == ConnectionState::Busy));
+}
+
+BOOST_AUTO_TEST_CASE(AServerOutOfReachIsTriedOneAtATimeWithPauses) {
+  for (const PooledConnection &One : std::vector(m_Orders.m_Open))
+    m_Pool.failed(m_Now, One.m_Id, false, m_Orders);
+  BOOST_TEST(m_Orders.m_Unreachable.size() == 2U);
+  BOOST_TEST(!m_Pool.reachable(Server));
+  tick(milliseconds(99));
+  BOOST_TEST(m_Orders.m_Open.empty());
+  BOOST_TEST((m_Pool.nextDeadline() == m_Now + milliseconds(1)));
+  tick(milliseconds(1));
+  BOOST_TEST(m_Orders.m_Open.size() == 1U);
+  tick(milliseconds(500)); // and this one is silent
+  BOOST_TEST(m_Orders.m_Silent.size() == 1U);
+  BOOST_TEST(m_Orders.m_Close.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RandomEventsNeverPassTheShareNorShareAConnection) {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      std::mt19937 Random(Seed);
+      const auto Below = [&Random](std::size_t Limit) {
+        return static_cast<std::size_t>(Random() % Limit);
+      };
+      PoolFixture Fixture(6);
+      ConnectionPool &Pool = Fixture.m_Pool;
+      std::vector<ConnectionId> Opening;
+      std::vector<ConnectionId> Closing;
+      std::vector<ConnectionId> Probing;
+      std::vector<ConnectionId> Taken;
+      std::uint32_t Share = 6;
+      std::uint64_t InTerm = 1;
+      const auto Pick = [&Below](std::vector<ConnectionId> &From) {
+        const auto At = From.begin() + static_cast<long>(Below(From.size()));
+        const ConnectionId Id = *At;
+        From.erase(At);
+        return Id;
+      };
+      for (int Step = 0; Step < 3000; ++Step) {
+        PoolOrders &Orders = Fixture.m_Orders;
+        const std::uint32_t Before = Pool.held(Server);
+        for (const PooledConnection &One : Orders.m_Open)
+          Opening.push_back(One.m_Id);
+        Closing.insert(Closing.end(), Orders.m_Close.begin(),
+                       Orders.m_Close.end());
+        Probing.insert(Probing.end(), Orders.m_Probe.begin(),
+                       Orders.m_Probe.end());
+        Orders = PoolOrders();
+        switch (Below(11)) {
+        case 0:
+          Share = static_cast<std::uint32_t>(Below(8));
+          Fixture.share(Share, InTerm);
+          break;
+        case 1:
+          if (Below(10) == 0)
+            Fixture.share(Share, ++InTerm);
+          break;
+        case 2:
+          Fixture.tick(milliseconds(Below(400)));
+          break;
+        case 3:
+          Pool.setDemand(Fixture.m_Now, Server,
+                         static_cast<std::uint32_t>(Below(9)), Orders);
+          break;
+        case 4:
+        case 5:
+          if (!Opening.empty())
+            Pool.opened(Fixture.m_Now, Pick(Opening), Orders);
+          break;
+        case 6:
+          if (!Closing.empty())
+            Pool.gone(Fixture.m_Now, Pick(Closing), Orders);
+          break;
+        case 7:
+          if (!Probing.empty())
+            Pool.probed(Fixture.m_Now, Pick(Probing), Orders);
+          break;
+        case 8:
+          if (const auto Id = Pool.take(Fixture.m_Now, Server)) {
+            BOOST_REQUIRE(std::find(Taken.begin(), Taken.end(), *Id) ==
+                          Taken.end());
+            BOOST_REQUIRE((Pool.find(*Id)->m_Term == Term(InTerm)));
+            Taken.push_back(*Id);
+          }
+          break;
+        case 9:
+          if (!Taken.empty())
+            Pool.release(Fixture.m_Now, Pick(Taken), Orders);
+          break;
+        case 10:
+          if (!Taken.empty()) {
+            Pool.drop(Fixture.m_Now, Pick(Taken), Orders);
+            if (Below(2) == 0)
+              Pool.suspect(Fixture.m_Now, Server, Orders);
+          }
+          break;
+        }
+        // Above the share only what was held before it shrank.
+        BOOST_REQUIRE(Pool.held(Server) <= std::max(Share, Before));
+        BOOST_REQUIRE(Pool.busy(Server) == Taken.size());
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+
+} // namespace ragwortmux
--- a/tests/Request/GroupFixture.h
+++ b/tests/Request/GroupFixture.h
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -62,7 +63,8 @@
     setView(NewTerm);
   }
   void lease(Duration For) {
-    m_Core.leaseExtended(m_Now, m_Now + For, m_Actions);
+    m_LeaseUntil = m_Now + For;
+    m_Core.leaseExtended(m_Now, m_LeaseUntil, m_Actions);
     pump();
   }
   /// Each named server says that it is at \p Position of \p InTerm now.
@@ -196,7 +198,14 @@
   GroupActions m_Actions;
   std::set<std::string> m_Deaf; ///< Servers that answer nothing new.
   bool m_AutoLedger = true;     ///< Reserve and record at once.
-  bool m_AutoHomes = true;      ///< Session homes answer at once.
+  std::function<void(const Answer &)> m_OnAnswer;
+  std::function<ReserveResult(const ReserveRequestKey &)> m_OnReserve;
+  std::function<void(const RecordKeyOutcome &)> m_OnRecord;
+  std::function<void(const SendStatement &)> m_OnSend;
+  std::function<void(ConnectionId, bool)>
+      m_OnClose; ///< With whether a statement was running.
+  Instant m_LeaseUntil;
+  bool m_AutoHomes = true; ///< Session homes answer at once.
   std::map<ConnectionId, OpenConnection> m_Open;
   std::vector<SendStatement> m_Statements; ///< Not answered.
   std::size_t m_Sent = 0;                  ///< Statements of requests, ever.
@@ -231,9 +240,12 @@
   }
   void take(const CloseConnection &Action) {
     m_Open.erase(Action.m_Connection);
-    std::erase_if(m_Statements, [&](const SendStatement &Sent) {
-      return Sent.m_Connection == Action.m_Connection;
-    });
+    const auto Cut =
+        std::erase_if(m_Statements, [&](const SendStatement &Sent) {
+          return Sent.m_Connection == Action.m_Connection;
+        });
+    if (m_OnClose)
+      m_OnClose(Action.m_Connection, Cut > 0);
     m_Core.connectionClosed(m_Now, Action.m_Connection, m_Actions);
   }
   void take(const SendStatement &Action) {
@@ -244,23 +256,35 @@
       return;
     }
     ++m_Sent;
+    if (m_OnSend)
+      m_OnSend(Action);
     for (const SendStatement &Sent : m_Statements)
       BOOST_REQUIRE(Sent.m_Connection != Action.m_Connection);
     m_Statements.push_back(Action);
   }
   void take(const Answer &Action) {
     BOOST_REQUIRE_MESSAGE(!answered(Action.m_Request), "answered twice");
-    const RequestId Request = Action.m_Request;
-    m_Answers.emplace(Request, Action);
+    // Nothing of an ended term or past the lease is acknowledged.
+    if (Action.m_NeedsLease) {
+      BOOST_REQUIRE((*Action.m_NeedsLease == m_View.m_Term));
+      BOOST_REQUIRE((m_Now < m_LeaseUntil));
+    }
+    m_Answers.emplace(Action.m_Request, Action);
+    if (m_OnAnswer)
+      m_OnAnswer(Action);
   }
   void take(const ReserveRequestKey &Action) {
     m_Reserves.push_back(Action);
     if (m_AutoLedger)
       m_Core.keyReserved(m_Now, Action.m_Request,
-                         reserveResult(ReserveStatus::Reserved), m_Actions);
+                         m_OnReserve ? m_OnReserve(Action)
+                                     : reserveResult(ReserveStatus::Reserved),
+                         m_Actions);
   }
   void take(const RecordKeyOutcome &Action) {
     m_Records.push_back(Action);
+    if (m_OnRecord)
+      m_OnRecord(Action);
     if (m_AutoLedger)
       m_Core.outcomeRecorded(m_Now, Action.m_Request, true, m_Actions);
   }
--- /dev/null
+++ b/tests/Request/PartsTest.cpp
@@ -0,0 +1,269 @@
+#include "ragwortmux/Request/AgeTracker.h"
+#include "ragwortmux/Request/ReadRouter.h"
+#include "ragwortmux/Request/RequestQueue.h"
+#include "ragwortmux/Request/RetryBudget.h"
+#include "ragwortmux/Request/WriteGate.h"
+#include "ragwortmux/Version/GroupView.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+LogPoint at(std::uint64_t InTerm, std::uint64_t Position) {
+  return {Term(InTerm), LogPosition(Position)};
+}
+
+Instant after(int Milliseconds) { return Instant(milliseconds(Milliseconds)); }
+
+BOOST_AUTO_TEST_CASE(AgeIsThatOfTheLatestSampleThatIsCovered) {
+  AgeTracker Ages;
+  Ages.addSample(at(1, 10), after(100));
+  Ages.addSample(at(1, 20), after(200));
+  Ages.addSample(at(1, 20), after(250)); // nothing was written meanwhile
+  Ages.addSample(at(1, 15), after(260)); // overtaken by the one before
+  Ages.addSample(at(2, 18), after(300));
+  const struct {
+    LogPoint m_Applied;
+    std::optional<Duration> m_Age;
+  } Cases[] = {
+      {at(1, 9), std::nullopt},       {at(1, 10), milliseconds(900)},
+      {at(1, 19), milliseconds(900)}, {at(1, 20), milliseconds(750)},
+      {at(1, 99), milliseconds(750)}, {at(2, 17), milliseconds(900)},
+      {at(2, 18), milliseconds(700)}, {at(0, 99), std::nullopt},
+  };
+  for (const auto &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Applied.m_Position.value())
+    BOOST_TEST((Ages.age(Case.m_Applied, after(1000)) == Case.m_Age));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OldSamplesAreThinnedOutAndAgesOnlyGrow) {
+  AgeTracker Ages;
+  for (int Index = 1; Index <= 20000; ++Index)
+    Ages.addSample(at(1, static_cast<std::uint64_t>(Index)), after(Index));
+  for (const int Position : {20000, 19990, 19000, 15000}) {
+    const auto Age =
+        Ages.age(at(1, static_cast<std::uint64_t>(Position)), after(20000));
+    BOOST_REQUIRE(Age);
+    BOOST_TEST((*Age >= milliseconds(20000 - Position)));
+    BOOST_TEST((*Age <= milliseconds(2 * (20000 - Position) + 64)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatWasSetBackNoLongerHoldsACommit) {
+  GroupView View;
+  View.m_Term = Term(1);
+  View.m_Primary = ServerId("s1");
+  for (const char *Name : {"s1", "s2"}) {
+    ServerView Server;
+    Server.m_Server = ServerId(Name);
+    Server.m_Sync = SyncState::InSync;
+    View.m_Servers.push_back(Server);
+  }
+  WriteGate Gate(false);
+  Gate.setApplied(ServerId("s2"), at(1, 10), after(2));
+  Gate.setApplied(ServerId("s2"), at(1, 5), after(1)); // an older answer
+  BOOST_TEST(Gate.isReplicated(View, at(1, 10)));
+  Gate.setApplied(ServerId("s2"), at(1, 5), after(3));
+  BOOST_TEST(!Gate.isReplicated(View, at(1, 10)));
+  BOOST_TEST(Gate.isReplicated(View, at(1, 5)));
+  Gate.setApplied(ServerId("s2"), at(0, 99), after(4));
+  BOOST_TEST(!Gate.isReplicated(View, at(1, 5)));
+  View.m_Primary.reset();
+  BOOST_TEST(!Gate.isReplicated(View, at(1, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(RetriesStayWithinATenthOfTheRequests) {
+  RetryBudget Budget({10, 5});
+  int Taken = 0;
+  for (int Index = 0; Index < 1000; ++Index) {
+    Budget.addRequest();
+    while (Budget.takeRetry())
+      ++Taken;
+  }
+  BOOST_TEST(Taken == 104); // 5 saved up, 1000 tenths but one without room
+  for (int Index = 0; Index < 1000; ++Index)
+    Budget.addRequest();
+  Taken = 0;
+  while (Budget.takeRetry())
+    ++Taken;
+  BOOST_TEST(Taken == 5); // no more are saved up
+}
+
+/// Two replicas and a primary s1.
+std::vector<ReadCandidate> threeServers() {
+  std::vector<ReadCandidate> Servers(3);
+  int Index = 0;
+  for (const char *Name : {"s1", "s2", "s3"}) {
+    ReadCandidate &Server = Servers[static_cast<std::size_t>(Index++)];
+    Server.m_Server = ServerId(Name);
+    Server.m_Applied = at(1, 10);
+    Server.m_Age = milliseconds(100);
+    Server.m_Free = 1;
+  }
+  Servers[0].m_IsPrimary = true;
+  return Servers;
+}
+
+BOOST_AUTO_TEST_CASE(TheReadRouterPrefersInOrder) {
+  using Change = void (*)(std::vector<ReadCandidate> &, ReadNeed &);
+  const struct {
+    const char *m_Name;
+    Change m_Change;
+    const char *m_RunAt;
+    const char *m_WaitFor;
+  } Cases[] = {
+      {"first replica", [](auto &, auto &) {}, "s2", ""},
+      {"near replica", [](auto &S, auto &) { S[2].m_IsNear = true; }, "s3", ""},
+      {"free before near",
+       [](auto &S, auto &) {
+         S[2].m_IsNear = true;
+         S[2].m_Free = 0;
+       },
+       "s2", ""},
+      {"less loaded", [](auto &S, auto &) { S[1].m_Running = 1; }, "s3", ""},
+      {"younger", [](auto &S, auto &) { S[2].m_Age = milliseconds(50); }, "s3",
+       ""},
+      {"covers", [](auto &S, auto &) { S[1].m_Applied = at(1, 9); }, "s3", ""},
+      {"replicas busy", [](auto &S, auto &) { S[1].m_Free = S[2].m_Free = 0; },
+       "", "s2"},
+      {"replicas busy for long",
+       [](auto &S, auto &N) {
+         S[1].m_Free = S[2].m_Free = 0;
+         N.m_WaitedLong = true;
+       },
+       "s1", ""},
+      {"none covers yet",
+       [](auto &S, auto &) { S[1].m_Applied = S[2].m_Applied = at(1, 9); }, "",
+       ""},
+      {"none covers for long",
+       [](auto &S, auto &N) {
+         S[1].m_Applied = S[2].m_Applied = at(1, 9);
+         N.m_WaitedLong = true;
+       },
+       "s1", ""},
+      {"no primary and none covers",
+       [](auto &S, auto &N) {
+         S[1].m_Applied = S[2].m_Applied = at(1, 9);
+         N.m_WaitedLong = true;
+         N.m_PrimaryAllowed = false;
+         S[0].m_Applied = at(1, 9);
+       },
+       "", ""},
+      {"too old", [](auto &, auto &N) { N.m_MaxAge = milliseconds(99); }, "s1",
+       ""},
+      {"age unknown",
+       [](auto &S, auto &N) {
+         N.m_MaxAge = milliseconds(100);
+         S[1].m_Age.reset();
+       },
+       "s3", ""},
+      {"one failed it", [](auto &, auto &N) { N.m_Avoid = {ServerId("s2")}; },
+       "s3", ""},
+      {"both failed it",
+       [](auto &, auto &N) {
+         N.m_Avoid = {ServerId("s2"), ServerId("s3")};
+       },
+       "s1", ""},
+      {"only the primary", [](auto &, auto &N) { N.m_OnlyPrimary = true; },
+       "s1", ""},
+      {"only the primary, busy",
+       [](auto &S, auto &N) {
+         N.m_OnlyPrimary = true;
+         S[0].m_Free = 0;
+       },
+       "", "s1"},
+      {"replicas out of reach",
+       [](auto &S, auto &) {
+         for (const int Index : {1, 2}) {
+           S[static_cast<std::size_t>(Index)].m_Free = 0;
+           S[static_cast<std::size_t>(Index)].m_Reachable = false;
+         }
+       },
+       "s1", ""},
+  };
+  for (const auto &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      std::vector<ReadCandidate> Servers = threeServers();
+      ReadNeed Need;
+      Need.m_Token = at(1, 10);
+      Need.m_PrimaryAllowed = true;
+      Case.m_Change(Servers, Need);
+      const ReadChoice Choice = ReadRouter::choose(Servers, Need);
+      BOOST_TEST(Choice.m_RunAt.value_or(ServerId()).value() == Case.m_RunAt);
+      BOOST_TEST(Choice.m_WaitFor.value_or(ServerId()).value() ==
+                 Case.m_WaitFor);
+    }
+  }
+}
+
+CatalogueEntry entry(const char *Name, const char *Owner, TrafficClass Class) {
+  CatalogueEntry Entry;
+  Entry.m_Name = EntryName(Name);
+  Entry.m_Owner = OwnerId(Owner);
+  Entry.m_Class = Class;
+  return Entry;
+}
+
+/// The order in which \p Queue offers its requests if \p Results (by id, else
+/// Taken) come of it.
+std::string offered(RequestQueue &Queue,
+                    const std::map<std::uint64_t, TryResult> &Results = {}) {
+  std::string Order;
+  Queue.run([&](RequestId Request) {
+    Order += std::to_string(Request.value()) + " ";
+    const auto Found = Results.find(Request.value());
+    return Found == Results.end() ? TryResult::Taken : Found->second;
+  });
+  return Order;
+}
+
+BOOST_AUTO_TEST_CASE(TheQueueTurnsBetweenOwnersAndTheirEntries) {
+  const CatalogueEntry A1 = entry("a1", "a", TrafficClass::Booking);
+  const CatalogueEntry A2 = entry("a2", "a", TrafficClass::Booking);
+  const CatalogueEntry B = entry("b", "b", TrafficClass::Booking);
+  const CatalogueEntry Read = entry("r", "a", TrafficClass::SessionRead);
+  const auto Fill = [&](RequestQueue &Queue) {
+    Queue.add(Read, RequestId(1));
+    for (const std::uint64_t Id : {2, 3, 4})
+      Queue.add(A1, RequestId(Id));
+    Queue.add(A2, RequestId(5));
+    Queue.add(B, RequestId(6));
+    Queue.add(B, RequestId(7));
+  };
+  const struct {
+    std::map<std::uint64_t, TryResult> m_Results;
+    const char *m_Order;
+    std::size_t m_Left;
+  } Cases[] = {
+      {{}, "2 6 5 7 3 4 1 ", 0},
+      {{{2, TryResult::NotYet}}, "2 3 6 5 7 4 1 ", 1},
+      {{{2, TryResult::EntryFull}}, "2 5 6 7 1 ", 3},
+      {{{6, TryResult::ClassFull}}, "2 6 1 ", 5},
+  };
+  for (const auto &Case : Cases) {
+    RequestQueue Queue;
+    Fill(Queue);
+    BOOST_TEST(offered(Queue, Case.m_Results) == Case.m_Order);
+    BOOST_TEST(Queue.size() == Case.m_Left);
+  }
+  RequestQueue Queue;
+  Fill(Queue);
+  Queue.remove(A1, RequestId(3));
+  Queue.remove(A1, RequestId(99));
+  BOOST_TEST(offered(Queue) == "2 6 5 7 4 1 ");
+  Queue.add(A1, RequestId(9));
+  Queue.add(A1, RequestId(8)); // came back after a retry: its old place
+  BOOST_TEST(offered(Queue) == "8 9 ");
+}
+
+} // namespace
+
+} // namespace ragwortmux
--- /dev/null
+++ b/tests/Request/RandomRunTest.cpp
@@ -0,0 +1,339 @@
+#include "GroupFixture.h"
+
+#include <random>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Random callers, resends, faults and changes of primary against a model of
+/// the servers and the ledger, which knows what really committed.
+class RandomRun final : public GroupFixture {
+public:
+  explicit RandomRun(unsigned Seed) : m_Random(Seed) {
+    m_OnReserve = [this](const ReserveRequestKey &Action) {
+      return reserveInLedger(Action);
+    };
+    m_OnRecord = [this](const RecordKeyOutcome &Action) {
+      LedgerRow &Row = m_Ledger[Action.m_Key];
+      if (Row.m_Attempt != Action.m_Attempt || Row.m_Ran)
+        return;
+      Row.m_Ran = !saysNotRun(Action.m_Code);
+      Row.m_Free = !Row.m_Ran;
+      Row.m_Code = Action.m_Code;
+      Row.m_Body = Action.m_Body;
+      Row.m_Point = Action.m_Point;
+    };
+    m_OnSend = [this](const SendStatement &Sent) {
+      if (Sent.m_Attempt)
+        m_Running[Sent.m_Connection] = *Sent.m_Attempt;
+    };
+    m_OnClose = [this](ConnectionId Connection, bool HadStatement) {
+      const auto Found = m_Running.find(Connection);
+      if (Found == m_Running.end())
+        return;
+      // What ran on it may commit until somebody ends it.
+      if (HadStatement)
+        m_Limbo.insert(Found->second);
+      m_Running.erase(Found);
+    };
+    m_OnAnswer = [this](const Answer &Told) { check(Told); };
+  }
+
+  void run(int Steps) {
+    for (int Step = 0; Step < Steps; ++Step) {
+      act();
+      checkPool();
+    }
+    settle();
+  }
+
+  std::map<ResultCode, int> m_Codes; ///< What callers were told.
+
+private:
+  struct LedgerRow final {
+    AttemptId m_Attempt;
+    bool m_Free = true;
+    bool m_Ran = false;
+    ResultCode m_Code = ResultCode::Ok;
+    AnswerBody m_Body;
+    std::optional<LogPoint> m_Point;
+  };
+
+  std::size_t below(std::size_t Limit) { return m_Random() % Limit; }
+
+  ReserveResult reserveInLedger(const ReserveRequestKey &Action) {
+    m_KeyOf[Action.m_Attempt] = Action.m_Key;
+    const bool IsLost = below(8) == 0; // on the way there or back
+    if (IsLost && below(2) == 0)
+      return ReserveResult();
+    LedgerRow &Row = m_Ledger[Action.m_Key];
+    ReserveResult Result = reserveResult(ReserveStatus::InUse);
+    if (Row.m_Ran) {
+      Result.m_Status = ReserveStatus::Recorded;
+      Result.m_Code = Row.m_Code;
+      Result.m_Body = Row.m_Body;
+      Result.m_Point = Row.m_Point;
+    } else if (Row.m_Free || Row.m_Attempt == Action.m_Attempt) {
+      Row.m_Attempt = Action.m_Attempt;
+      Row.m_Free = false;
+      Result.m_Status = ReserveStatus::Reserved;
+    }
+    return IsLost ? ReserveResult() : Result;
+  }
+  void commit(const AttemptId &Attempt, std::uint64_t Position) {
+    const RequestKey Key = m_KeyOf.at(Attempt);
+    const auto Found = m_Committed.find(Key);
+    BOOST_REQUIRE_MESSAGE(Found == m_Committed.end() ||
+                              Found->second.first == Attempt,
+                          "a key ran twice");
+    m_Committed[Key] = {Attempt, Position};
+  }
+  void check(const Answer &Told) {
+    ++m_Codes[Told.m_Code];
+    m_CallerOf.erase(m_Callers[Told.m_Request]);
+    if (Told.m_Status != TransactionStatus::Idle)
+      m_Leavers.insert(m_Callers[Told.m_Request]);
+    const auto Key = m_Keys.find(Told.m_Request);
+    if (Key == m_Keys.end())
+      return;
+    m_Answered.push_back(Key->second);
+    if (saysNotRun(Told.m_Code))
+      BOOST_REQUIRE_MESSAGE(!m_Committed.contains(Key->second),
+                            "told not run, but it ran");
+    if (Told.m_Code == ResultCode::RanAnswerLost ||
+        Told.m_Code == ResultCode::RanEarlier) {
+      BOOST_REQUIRE(m_Committed.contains(Key->second));
+      m_Acknowledged.insert(Key->second);
+    }
+    if (Told.m_Code == ResultCode::Ok && Told.m_NeedsLease &&
+        Told.m_Status == TransactionStatus::Idle) {
+      BOOST_REQUIRE(m_Committed.contains(Key->second));
+      m_Acknowledged.insert(Key->second);
+    }
+  }
+
+  void act() {
+    switch (below(14)) {
+    case 0:
+    case 1:
+    case 2:
+      submitOne();
+      break;
+    case 3:
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+      answerOne();
+      break;
+    case 8:
+    case 9:
+      sampleAll();
+      break;
+    case 10:
+      wait(milliseconds(below(200)));
+      break;
+    case 11:
+      loseOne();
+      break;
+    case 12:
+      if (below(20) == 0)
+        change();
+      else
+        lease(milliseconds(below(4) * 200));
+      break;
+    case 13:
+      leave();
+      break;
+    }
+    for (const AttemptId &Attempt : std::set(m_Limbo)) {
+      if (below(10) != 0)
+        continue;
+      m_Limbo.erase(Attempt);
+      commit(Attempt, ++m_Position);
+    }
+  }
+  void submitOne() {
+    const TrafficClass Classes[] = {TrafficClass::Booking, TrafficClass::Write,
+                                    TrafficClass::SessionRead,
+                                    TrafficClass::AgedRead};
+    m_Limits.m_MaxAge = seconds(1);
+    GroupRequest Request = make(Classes[below(4)]);
+    // Some callers come back, so that transactions go on.
+    const std::uint64_t Caller = 90000 + below(5);
+    if (below(2) == 0 && !m_CallerOf.contains(Caller))
+      Request.m_Caller = CallerConnectionId(Caller);
+    m_CallerOf.insert(Request.m_Caller.value());
+    m_Callers[Request.m_Id] = Request.m_Caller.value();
+    const bool IsWriteRequest = Request.m_Entry->m_Class <= TrafficClass::Write;
+    if (IsWriteRequest && below(3) != 0 && Request.m_Caller.value() < 90000) {
+      const std::string New = "key" + std::to_string(Request.m_Id.value());
+      Request.m_Key = RequestKey(New);
+      if (!m_Answered.empty() && below(2) == 0) // a resend
+        Request.m_Key = m_Answered[below(m_Answered.size())];
+      m_Keys[Request.m_Id] = *Request.m_Key;
+    }
+    if (below(2) == 0)
+      Request.m_Token = point(m_View.m_Term.value(), m_Position);
+    submit(std::move(Request));
+  }
+  void answerOne() {
+    if (m_Statements.empty())
+      return;
+    const SendStatement Sent = m_Statements[below(m_Statements.size())];
+    const std::uint64_t Connection = Sent.m_Connection.value();
+    const std::uint64_t InTerm = m_Open.at(Sent.m_Connection).m_Term.value();
+    const bool Ends = below(6) != 0;
+    const TransactionStatus Status =
+        Ends ? TransactionStatus::Idle : TransactionStatus::InTransaction;
+    const auto Running = m_Running.find(Sent.m_Connection);
+    const std::size_t Kind = below(12);
+    const bool IsOk = Kind > 2;
+    if (IsOk)
+      ++m_Position;
+    if (Ends && Running != m_Running.end()) {
+      if (IsOk && InTerm == m_View.m_Term.value())
+        commit(Running->second, m_Position);
+      m_Running.erase(Running);
+    }
+    const char *Errors[] = {"53300", "23505", "72000"};
+    if (IsOk)
+      answerOn(Connection, ok(InTerm, m_Position, Status));
+    else
+      answerOn(Connection, error(Errors[Kind],
+                                 Kind == 2 ? TransactionStatus::Idle : Status));
+  }
+  void sampleAll() {
+    for (const char *Name : {"s1", "s2", "s3"}) {
+      if (below(3) == 0)
+        continue;
+      m_Applied[Name] = m_Position;
+      sample(m_View.m_Term.value(), m_Position, {Name});
+    }
+    while (!m_Ends.empty() && below(3) != 0) {
+      const EndAttempt Ending = m_Ends.front();
+      const bool IsCurrent = Ending.m_Term == m_View.m_Term;
+      if (IsCurrent)
+        m_Limbo.erase(Ending.m_Attempt);
+      const auto Found = m_Committed.find(m_KeyOf.at(Ending.m_Attempt));
+      const bool Committed =
+          Found != m_Committed.end() && Found->second.first == Ending.m_Attempt;
+      // A replaced primary says anything.
+      const bool Said = IsCurrent ? Committed : below(2) == 0;
+      const AttemptOutcome Outcome = below(6) == 0 ? AttemptOutcome::Failed
+                                     : Said        ? AttemptOutcome::Committed
+                                                   : AttemptOutcome::Aborted;
+      endAttempt(Outcome, Ending.m_Term.value(), ++m_Position);
+    }
+  }
+  void loseOne() {
+    if (m_Statements.empty() || below(3) != 0)
+      return;
+    const ConnectionId Connection =
+        m_Statements[below(m_Statements.size())].m_Connection;
+    const auto Running = m_Running.find(Connection);
+    if (Running != m_Running.end()) {
+      m_Limbo.insert(Running->second);
+      m_Running.erase(Running);
+    }
+    lose(Connection.value());
+  }
+  void change() {
+    for (ServerView &Server : m_View.m_Servers) {
+      Server.m_ConnectionShare = 3 + static_cast<std::uint32_t>(below(5));
+      Server.m_Leaving = below(6) == 0;
+    }
+    // Commits that not all servers have may vanish; what still runs at the old
+    // primary never becomes part of the next history.
+    if (m_View.m_Primary)
+      m_Applied[m_View.m_Primary->value()] = m_Position;
+    const std::uint64_t Safe =
+        std::min({m_Applied["s1"], m_Applied["s2"], m_Applied["s3"]});
+    std::erase_if(m_Committed, [&](const auto &Pair) {
+      return Pair.second.second > Safe &&
+             !m_Acknowledged.contains(Pair.first) && below(2) == 0;
+    });
+    m_Limbo.clear();
+    m_Running.clear();
+    const char *Names[] = {"s1", "s2", "s3"};
+    changePrimary(m_View.m_Term.value() + 1, Names[below(3)]);
+  }
+  void leave() {
+    const std::set<std::uint64_t> Leaving(std::move(m_Leavers));
+    m_Leavers.clear();
+    for (const std::uint64_t Caller : Leaving) {
+      if (Caller < 90000 || below(2) == 0)
+        callerGone(Caller);
+    }
+  }
+  void checkPool() {
+    for (const ServerView &Server : m_View.m_Servers) {
+      std::uint32_t Open = 1; // the watch
+      for (const auto &[Id, Connection] : m_Open)
+        Open += Connection.m_Server == Server.m_Server ? 1 : 0;
+      const std::uint32_t Held = m_Core.heldConnections(Server.m_Server);
+      BOOST_REQUIRE(Open == Held);
+      // Above the share only what was held before it shrank.
+      std::uint32_t &Before = m_HeldBefore[Server.m_Server];
+      BOOST_REQUIRE(Held <= std::max(Server.m_ConnectionShare, Before));
+      Before = Held;
+    }
+  }
+  /// Nothing is forgotten: each request of a caller that stayed is answered.
+  void settle() {
+    wait(seconds(60));
+    for (std::uint64_t Caller = 90000; Caller < 90005; ++Caller)
+      callerGone(Caller);
+    BOOST_TEST(m_Core.pendingRequests() == 0U);
+    m_Core.drain(m_Now, m_Actions);
+    BOOST_TEST(m_Core.drained());
+    for (const RequestKey &Key : m_Acknowledged)
+      BOOST_TEST(m_Committed.contains(Key));
+  }
+
+  std::mt19937 m_Random;
+  std::uint64_t m_Position = 10;
+  std::map<RequestKey, LedgerRow> m_Ledger;
+  std::map<AttemptId, RequestKey> m_KeyOf;
+  std::map<ConnectionId, AttemptId> m_Running; ///< Attempts on connections.
+  std::set<AttemptId> m_Limbo; ///< Their connection is gone; may yet commit.
+  std::map<RequestKey, std::pair<AttemptId, std::uint64_t>>
+      m_Committed; ///< What the primary's history holds, with its position.
+  std::set<RequestKey> m_Acknowledged;
+  std::map<std::string, std::uint64_t> m_Applied;
+  std::map<RequestId, RequestKey> m_Keys;
+  std::vector<RequestKey> m_Answered; ///< Keys that may be resent.
+  std::map<RequestId, std::uint64_t> m_Callers;
+  std::set<std::uint64_t> m_CallerOf; ///< Callers with a request under way.
+  std::set<std::uint64_t> m_Leavers;  ///< Callers with an open transaction.
+  std::map<ServerId, std::uint32_t> m_HeldBefore;
+};
+
+BOOST_AUTO_TEST_CASE(RandomRunsKeepTheInvariants,
+                     *boost::unit_test::label("promise-5") *
+                         boost::unit_test::label("promise-6")) {
+  std::map<ResultCode, int> Codes;
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      RandomRun Run(Seed);
+      Run.run(2000);
+      for (const auto &[Code, Count] : Run.m_Codes)
+        Codes[Code] += Count;
+    }
+  }
+  // The runs reach what they are to test.
+  for (const ResultCode Code :
+       {ResultCode::Ok, ResultCode::NotRunRolledBack, ResultCode::RanAnswerLost,
+        ResultCode::OutcomeUnknown, ResultCode::OutcomeUnknownTermEnded})
+    BOOST_TEST(Codes[Code] > 20);
+  for (const auto &[Code, Count] : Codes)
+    BOOST_TEST_MESSAGE(resultCodeInfo(Code).m_Name << " " << Count);
+}
+
+} // namespace
+
+} // namespace ragwortmux
--- a/tests/Request/SessionHomeTest.cpp
+++ b/tests/Request/SessionHomeTest.cpp
@@ -121,6 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(HomesAreTwoHostsInTwoDomains) {
   std::vector<HomeCandidate> Hosts;
+  Hosts.reserve(9);
   for (int Index = 0; Index < 9; ++Index)
     Hosts.push_back({HostId("host" + std::to_string(Index)),
                      FailureDomainId("domain" + std::to_string(Index % 3))});
--- a/tests/Request/SilenceTest.cpp
+++ b/tests/Request/SilenceTest.cpp
@@ -114,6 +114,7 @@
   m_Limits.m_MaxConcurrent = 2;
   m_Limits.m_MaxQueued = 3;
   std::vector<RequestId> Requests;
+  Requests.reserve(6);
   for (int Index = 0; Index < 6; ++Index)
     Requests.push_back(write());
   BOOST_TEST(m_Sent == 2U);
