Correct the harness's proxy clock

Cause: the harness scaled the time since the epoch, so that a new rate set the proxy's clock back by 36 s and left it with a lease from its own future. The code under test was not at fault: a monotonic clock never goes back. The clock now goes on from where it was.

--- a/tests/Version/LeaderHarness.h
+++ b/tests/Version/LeaderHarness.h
@@ -22,13 +22,22 @@
   bool m_ReachesControl = true;      ///< Messages pass both ways.
   bool m_Confirms = true;            ///< Takes pushed records.
   double m_ClockRate = 1;            ///< Of its clock to the true one.
+  Instant m_ClockBase{};             ///< Its clock at m_TrueBase.
+  Instant m_TrueBase{};              ///< When the rate was set.
   ProxyLease m_Lease;                ///< Measured on its clock.
   std::optional<GroupView> m_View;   ///< The record that it acts by.
   std::vector<ShareDemand> m_Demand; ///< Sent with renewals.
 
+  /// Its clock goes on from \p Now at another rate.
+  void setClockRate(double Rate, Instant Now) {
+    m_ClockBase = local(Now);
+    m_TrueBase = Now;
+    m_ClockRate = Rate;
+  }
+  /// Its clock at \p Now.
   Instant local(Instant Now) const {
-    return Instant(std::chrono::duration_cast<Duration>(Now.time_since_epoch() *
-                                                        m_ClockRate));
+    return m_ClockBase + std::chrono::duration_cast<Duration>(
+                             (Now - m_TrueBase) * m_ClockRate);
   }
   /// The term in which it would acknowledge a write now, if any.
   std::optional<Term> acknowledges(Instant Now) const;
--- a/tests/Version/PrimaryChangeTest.cpp
+++ b/tests/Version/PrimaryChangeTest.cpp
@@ -34,7 +34,7 @@
     BOOST_TEST_CONTEXT("clock rate " << ClockRate) {
       LeaderHarness Harness;
       FakeProxy &Silent = Harness.m_Proxies[0];
-      Silent.m_ClockRate = ClockRate;
+      Silent.setClockRate(ClockRate, Harness.m_Now);
       Harness.run(1s);
       BOOST_REQUIRE(Silent.acknowledges(Harness.m_Now));
       Silent.m_ReachesControl = false;
--- a/tests/Version/SyncKeeperTest.cpp
+++ b/tests/Version/SyncKeeperTest.cpp
@@ -127,7 +127,7 @@
       FakeServer &Leaving = Harness.server(Each.m_Server);
       Leaving.m_Leaving = true;
       Leaving.m_Announces = Each.m_IsHeard;
-      const auto getsNothing = [&](const FakeProxy &Proxy) {
+      const auto GetsNothing = [&](const FakeProxy &Proxy) {
         const auto &Servers = Proxy.m_View->m_Servers;
         const bool IsMarked = std::any_of(
             Servers.begin(), Servers.end(), [&](const ServerView &Server) {
@@ -139,7 +139,7 @@
       };
       const Duration Gap = Harness.runUntil([&] {
         return std::all_of(Harness.m_Proxies.begin(), Harness.m_Proxies.end(),
-                           getsNothing);
+                           GetsNothing);
       });
       BOOST_TEST_MESSAGE(Each.m_Name << ": " << Gap.count() / 1000 << " ms");
       BOOST_TEST((Gap <= 3s));
