Codec: read messages in place; share the front end's bytes among tests

The reader copied each message twice before a query reached its caller; it now parses in the buffer and frees the bytes afterwards. A message limit above the limit on buffered bytes could never be met; the latter is raised to fit one message. The stand-in could crash when a session ended its own attempt; it is refused. A frozen stand-in ends after its lifetime as well (alarm). Messages of a front end were built in two places; now in PgFrontendBytes.

--- a/ragwortmux/Connection/Codec/PgMessageReader.cpp
+++ b/ragwortmux/Connection/Codec/PgMessageReader.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Connection/Codec/PgMessageReader.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -90,7 +91,12 @@
 }
 
 PgMessageReader::PgMessageReader(PgMessageReaderSettings Settings)
-    : m_Settings(Settings) {}
+    : m_Settings(Settings) {
+  // A whole message of the largest size must fit.
+  m_Settings.m_MaxBufferedBytes =
+      std::max({Settings.m_MaxBufferedBytes, Settings.m_MaxStartupBytes,
+                Settings.m_MaxMessageBytes + TypeBytes});
+}
 
 void PgMessageReader::feed(std::span<const std::byte> Bytes) {
   if (m_Error) {
@@ -130,11 +136,18 @@
   if (bufferedBytes() < Length) {
     return std::nullopt;
   }
-  const std::string Packet(pending().substr(LengthBytes, Length - LengthBytes));
-  consume(Length);
+  auto Message =
+      parseStartupPacket(pending().substr(LengthBytes, Length - LengthBytes));
+  if (Message) {
+    consume(Length);
+  }
+  return Message;
+}
 
+std::optional<PgFrontendMessage>
+PgMessageReader::parseStartupPacket(std::string_view Packet) {
   const std::uint32_t Code = readUint32(Packet);
-  const std::string_view Body = std::string_view(Packet).substr(LengthBytes);
+  const std::string_view Body = Packet.substr(LengthBytes);
   if (Code == SslRequestCode && Body.empty()) {
     return PgSslRequest{};
   }
@@ -196,9 +209,16 @@
   if (bufferedBytes() < TypeBytes + Length) {
     return std::nullopt;
   }
-  const std::string Body(
-      pending().substr(TypeBytes + LengthBytes, Length - LengthBytes));
-  consume(TypeBytes + Length);
+  auto Message = parseMessage(
+      Type, pending().substr(TypeBytes + LengthBytes, Length - LengthBytes));
+  if (Message) {
+    consume(TypeBytes + Length);
+  }
+  return Message;
+}
+
+std::optional<PgFrontendMessage>
+PgMessageReader::parseMessage(char Type, std::string_view Body) {
   switch (Type) {
   case 'Q':
     return parseQuery(Body);
--- a/ragwortmux/Connection/Codec/PgMessageReader.h
+++ b/ragwortmux/Connection/Codec/PgMessageReader.h
@@ -14,7 +14,8 @@
   std::size_t m_MaxStartupBytes = 10'000;        ///< One start-up packet.
   std::size_t m_MaxMessageBytes = 1024UL * 1024; ///< One later message.
   std::size_t m_MaxBufferedBytes =
-      4UL * 1024 * 1024; ///< Messages received ahead, all together.
+      4UL * 1024 * 1024; ///< Messages received ahead, all together; raised to
+                         ///< fit one message.
 };
 
 /// Cuts the byte stream of one front end into typed messages.
@@ -42,6 +43,9 @@
 private:
   std::optional<PgFrontendMessage> nextStartupPacket();
   std::optional<PgFrontendMessage> nextMessage();
+  std::optional<PgFrontendMessage> parseStartupPacket(std::string_view Packet);
+  std::optional<PgFrontendMessage> parseMessage(char Type,
+                                                std::string_view Body);
   std::optional<PgFrontendMessage> parseStartup(std::uint32_t Version,
                                                 std::string_view Body);
   std::optional<PgFrontendMessage> parseQuery(std::string_view Body);
--- a/tests/Connection/PgMessageReaderTest.cpp
+++ b/tests/Connection/PgMessageReaderTest.cpp
@@ -1,50 +1,19 @@
 #include "ragwortmux/Connection/Codec/PgMessageReader.h"
+#include "tests/StandIn/PgFrontendBytes.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <cstring>
 #include <random>
 
 using namespace ragwortmux;
 
 namespace {
 
-constexpr std::uint32_t Version3 = 3 << 16;
-constexpr std::uint32_t SslCode = 80877103;
-constexpr std::uint32_t GssEncCode = 80877104;
-constexpr std::uint32_t CancelCode = 80877102;
-
-std::string bigEndian(std::uint32_t Value) {
-  std::string Bytes;
-  for (const unsigned Shift : {24U, 16U, 8U, 0U}) {
-    Bytes.push_back(static_cast<char>(Value >> Shift & 0xFF));
-  }
-  return Bytes;
-}
-
-std::string startupPacket(std::uint32_t Code, const std::string &Body) {
-  return bigEndian(static_cast<std::uint32_t>(8 + Body.size())) +
-         bigEndian(Code) + Body;
-}
-
-std::string message(char Type, const std::string &Body) {
-  return Type + bigEndian(static_cast<std::uint32_t>(4 + Body.size())) + Body;
-}
-
-/// A list of zero-terminated strings.
-std::string strings(std::initializer_list<std::string_view> List) {
-  std::string Bytes;
-  for (const std::string_view Text : List) {
-    Bytes.append(Text).push_back('\0');
-  }
-  return Bytes;
-}
-
 std::string validStartup() {
-  return startupPacket(Version3, strings({"user", "clerk", "options",
-                                          "-c a.b=1 -c c=x\\ y", ""}));
+  return pgStartupBytes(PgVersion3, pgStringBytes({"user", "clerk", "options",
+                                                   "-c a.b=1 -c c=x\\ y", ""}));
 }
 
 std::span<const std::byte> bytesOf(const std::string &Text) {
@@ -107,69 +76,70 @@
 const StreamCase StreamCases[] = {
     {"startup", validStartup(), {StartupText}},
     {"ssl then startup",
-     startupPacket(SslCode, "") + validStartup(),
+     pgStartupBytes(PgSslCode, "") + validStartup(),
      {"ssl", StartupText}},
     {"gssenc then ssl",
-     startupPacket(GssEncCode, "") + startupPacket(SslCode, ""),
+     pgStartupBytes(PgGssEncCode, "") + pgStartupBytes(PgSslCode, ""),
      {"gssenc", "ssl"}},
     {"cancel",
-     startupPacket(CancelCode, bigEndian(7) + bigEndian(0xFFFFFFFF)),
+     pgStartupBytes(PgCancelCode, pgNumberBytes(7) + pgNumberBytes(0xFFFFFFFF)),
      {"cancel 7 4294967295"}},
     {"data after cancel",
-     startupPacket(CancelCode, bigEndian(7) + bigEndian(8)) + "x",
+     pgStartupBytes(PgCancelCode, pgNumberBytes(7) + pgNumberBytes(8)) + "x",
      {"cancel 7 8", "error data after the last message"}},
     {"queries",
-     validStartup() + message('Q', strings({"SELECT 1"})) +
-         message('Q', strings({""})),
+     validStartup() + pgMessageBytes('Q', pgStringBytes({"SELECT 1"})) +
+         pgMessageBytes('Q', pgStringBytes({""})),
      {StartupText, "query SELECT 1", "query "}},
     {"terminate",
-     validStartup() + message('X', ""),
+     validStartup() + pgMessageBytes('X', ""),
      {StartupText, "terminate"}},
     {"data after terminate",
-     validStartup() + message('X', "") + message('Q', strings({"SELECT 1"})),
+     validStartup() + pgMessageBytes('X', "") +
+         pgMessageBytes('Q', pgStringBytes({"SELECT 1"})),
      {StartupText, "terminate", "error data after the last message"}},
     {"password and unsupported",
-     validStartup() + message('p', strings({"secret"})) +
-         message('P', "whatever") + message('S', ""),
+     validStartup() + pgMessageBytes('p', pgStringBytes({"secret"})) +
+         pgMessageBytes('P', "whatever") + pgMessageBytes('S', ""),
      {StartupText, "password", "unsupported P", "unsupported S"}},
     {"query without zero",
-     validStartup() + message('Q', "SELECT 1"),
+     validStartup() + pgMessageBytes('Q', "SELECT 1"),
      {StartupText, "error malformed query message"}},
     {"query with two strings",
-     validStartup() + message('Q', strings({"SELECT 1", "x"})),
+     validStartup() + pgMessageBytes('Q', pgStringBytes({"SELECT 1", "x"})),
      {StartupText, "error malformed query message"}},
     {"message length below 4",
-     validStartup() + "Q" + bigEndian(3) + "x",
+     validStartup() + "Q" + pgNumberBytes(3) + "x",
      {StartupText, "error invalid message length"}},
     {"message length above the limit",
-     validStartup() + "Q" + bigEndian(1001),
+     validStartup() + "Q" + pgNumberBytes(1001),
      {StartupText, "error invalid message length"}},
     {"message length of all ones",
-     validStartup() + "Q" + bigEndian(0xFFFFFFFF),
+     validStartup() + "Q" + pgNumberBytes(0xFFFFFFFF),
      {StartupText, "error invalid message length"}},
     {"startup length below 8",
-     bigEndian(7) + "abc",
+     pgNumberBytes(7) + "abc",
      {"error invalid length of start-up packet"}},
     {"startup length above the limit",
-     bigEndian(501),
+     pgNumberBytes(501),
      {"error invalid length of start-up packet"}},
     {"other protocol",
-     startupPacket(2 << 16, ""),
+     pgStartupBytes(2 << 16, ""),
      {"error unsupported protocol version"}},
     {"ssl with a body",
-     startupPacket(SslCode, "x"),
+     pgStartupBytes(PgSslCode, "x"),
      {"error unsupported protocol version"}},
     {"startup without end",
-     startupPacket(Version3, strings({"user", "clerk"})),
+     pgStartupBytes(PgVersion3, pgStringBytes({"user", "clerk"})),
      {"error malformed start-up packet"}},
     {"startup without value",
-     startupPacket(Version3, strings({"user"}) + "clerk"),
+     pgStartupBytes(PgVersion3, pgStringBytes({"user"}) + "clerk"),
      {"error malformed start-up packet"}},
     {"startup with data after the end",
-     startupPacket(Version3, strings({"user", "clerk", "", "x"})),
+     pgStartupBytes(PgVersion3, pgStringBytes({"user", "clerk", "", "x"})),
      {"error malformed start-up packet"}},
     {"startup with malformed options",
-     startupPacket(Version3, strings({"options", "-x", ""})),
+     pgStartupBytes(PgVersion3, pgStringBytes({"options", "-x", ""})),
      {"error malformed options in start-up packet"}},
 };
 
@@ -230,8 +200,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(ReadsStreamsByteByByte) {
-  const std::string Bytes =
-      validStartup() + message('Q', strings({"SELECT 1"})) + message('X', "");
+  const std::string Bytes = validStartup() +
+                            pgMessageBytes('Q', pgStringBytes({"SELECT 1"})) +
+                            pgMessageBytes('X', "");
   PgMessageReader Reader;
   std::vector<std::string> Found;
   for (const char Byte : Bytes) {
@@ -255,9 +226,21 @@
   BOOST_TEST(Reader.bufferedBytes() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(FitsTheLargestMessageWhateverTheBufferLimit) {
+  PgMessageReader Reader({500, 1000, 1});
+  Reader.feed(bytesOf(validStartup()));
+  BOOST_REQUIRE(Reader.next());
+  const std::string Query =
+      pgMessageBytes('Q', pgStringBytes({std::string(995, 'q')}));
+  Reader.feed(bytesOf(Query));
+  BOOST_TEST(Reader.next().has_value());
+  Reader.feed(bytesOf(Query + "Q"));
+  BOOST_TEST(Reader.error().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(StaysInErrorForGood) {
   PgMessageReader Reader;
-  Reader.feed(bytesOf(bigEndian(1)));
+  Reader.feed(bytesOf(pgNumberBytes(1)));
   BOOST_TEST(!Reader.next());
   BOOST_REQUIRE(Reader.error());
   Reader.feed(bytesOf(validStartup()));
@@ -269,7 +252,8 @@
   PgMessageReader Reader;
   Reader.feed(bytesOf(validStartup()));
   BOOST_REQUIRE(Reader.next());
-  const std::string Query = message('Q', strings({std::string(999, 'q')}));
+  const std::string Query =
+      pgMessageBytes('Q', pgStringBytes({std::string(999, 'q')}));
   for (int Round = 0; Round < 10'000; ++Round) {
     // The last byte of a message comes together with the next message.
     Reader.feed(bytesOf(Round == 0 ? Query + "Q" : Query.substr(1) + "Q"));
--- a/tests/Connection/StandInSessionTest.cpp
+++ b/tests/Connection/StandInSessionTest.cpp
@@ -133,6 +133,7 @@
        "SET 23505 I "},
       {"SELECT ragwortmux_end_attempt('two')", "'aborted' SELECT 1 I "},
       {"SET ragwortmux.attempt = 'two'", "SET I "},
+      {"SELECT ragwortmux_end_attempt('two')", "55000 I "},
       {"INSERT INTO t VALUES ('c','1')", "57014 I "},
       {"SELECT standin_log(2)", "'1' '3' 'two' 't' '' SELECT 1 I "}}},
 };
--- a/tests/StandIn/StandInMain.cpp
+++ b/tests/StandIn/StandInMain.cpp
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 #include <kj/async-unix.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -35,6 +36,8 @@
 
 namespace {
 
+constexpr unsigned LifetimeGraceSeconds = 5;
+
 std::vector<std::string> split(const std::string &List) {
   std::vector<std::string> Parts;
   std::istringstream Input(List);
@@ -91,6 +94,8 @@
 }
 
 int run() {
+  // Ends the process even while the event loop is frozen.
+  alarm(FLAGS_max_lifetime_s + LifetimeGraceSeconds);
   kj::UnixEventPort::captureSignal(SIGTERM);
   auto Io = kj::setupAsyncIo();
   kj::Timer &Timer = Io.provider->getTimer();
@@ -115,5 +120,6 @@
 int main(int ArgumentCount, char **Arguments) {
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
   std::signal(SIGPIPE, SIG_IGN);
+
   return ragwortmux::standin::run();
 }
--- a/tests/StandIn/StandInReplicationReceiver.cpp
+++ b/tests/StandIn/StandInReplicationReceiver.cpp
@@ -1,5 +1,6 @@
 #include "tests/StandIn/StandInReplicationReceiver.h"
 
+#include "tests/StandIn/PgFrontendBytes.h"
 #include "tests/StandIn/StandInServer.h"
 
 #include <kj/debug.h>
@@ -14,23 +15,11 @@
 
 /// The start-up message and the query that open a stream.
 std::string openingMessages(Term StreamTerm, const std::string &Runs) {
-  const auto Framed = [](const std::string &Body) {
-    const std::uint32_t Length = static_cast<std::uint32_t>(Body.size()) + 4;
-    std::string Bytes;
-    for (const unsigned Shift : {24U, 16U, 8U, 0U}) {
-      Bytes.push_back(static_cast<char>(Length >> Shift & 0xFF));
-    }
-    return Bytes + Body;
-  };
-  std::string Startup("\0\3\0\0", 4);
-  for (const std::string &Text :
-       {std::string("replication"), std::string("standin"),
-        std::string("options"),
-        "-c ragwortmux.term=" + std::to_string(StreamTerm.value())}) {
-    Startup.append(Text).push_back('\0');
-  }
-  Startup.push_back('\0');
-  return Framed(Startup) + "Q" + Framed(Runs + '\0');
+  const std::string Options =
+      "-c ragwortmux.term=" + std::to_string(StreamTerm.value());
+  return pgStartupBytes(PgVersion3, pgStringBytes({"replication", "standin",
+                                                   "options", Options, ""})) +
+         pgMessageBytes('Q', pgStringBytes({Runs}));
 }
 
 } // namespace
--- a/tests/StandIn/StandInSession.cpp
+++ b/tests/StandIn/StandInSession.cpp
@@ -112,6 +112,10 @@
   if (isData(Statement)) {
     return runData(Statement, Now, RetryAt);
   }
+  if (Statement.m_Name == "ragwortmux_end_attempt" && !m_Attempt.empty() &&
+      !Statement.m_Arguments.empty() && Statement.m_Arguments[0] == m_Attempt) {
+    return standInError("55000", "a session cannot end its own attempt");
+  }
   return m_Functions.call(Statement, *m_Since, Now, RetryAt);
 }
 
