--- /dev/null
+++ b/ragwortmux/Main/Main.cpp
@@ -0,0 +1,92 @@
+#include "ragwortmux/Process/Daemon.h"
+#include "ragwortmux/Process/OperatorClient.h"
+#include "ragwortmux/Process/SqlClient.h"
+#include "ragwortmux/Process/Support/CommandLine.h"
+#include "ragwortmux/Process/Support/Commands.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/Support/TimelineMerger.h"
+
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace ragwortmux;
+
+int failWith(const std::vector<SettingFault> &Faults) {
+  std::cerr << describeAll(Faults);
+  return ExitBadArgument;
+}
+
+int run(const HelpCommand &Command) {
+  std::cout << Command.m_Text;
+  return 0;
+}
+
+int run(const VersionCommand &) {
+  std::cout << "ragwortmux " << ProductVersion << "\n";
+  return 0;
+}
+
+int run(const ServeCommand &Command) {
+  std::vector<SettingFault> Faults;
+  auto Settings =
+      loadSettings(Command.m_Arguments, processEnvironment(), Faults);
+  if (!Settings) {
+    return failWith(Faults);
+  }
+  startLog({Settings->m_LogLevel, Settings->m_LogFormat, nullptr});
+  return Daemon(std::move(*Settings)).run();
+}
+
+int run(const CheckSettingsCommand &Command) {
+  std::vector<SettingFault> Faults;
+  if (!loadSettings(Command.m_Arguments, processEnvironment(), Faults)) {
+    return failWith(Faults);
+  }
+  std::cout << "the settings are valid\n";
+  return 0;
+}
+
+int run(const TimelineCommand &Command) {
+  TimelineMerger Merger(Command.m_Filter);
+  bool AllRead = true;
+  for (const auto &Path : Command.m_Paths) {
+    if (!Merger.add(Path)) {
+      std::cerr << "cannot read " << Path.string() << "\n";
+      AllRead = false;
+    }
+  }
+  for (const TimelineEvent &Event : Merger.merge()) {
+    std::cout << formatTimelineText(Event) << "\n";
+  }
+  return AllRead ? 0 : 1;
+}
+
+int run(const SqlCommand &Command) { return runSql(Command); }
+
+/// Commands that call an entry host with the operator's token.
+template <typename OperatorCommand> int run(const OperatorCommand &Command) {
+  const auto Token = processEnvironment()("RAGWORTMUX_OPERATOR_TOKEN");
+  if (!Token || !Secret::isAllowed(*Token)) {
+    return failWith({{ResultCode::BadSetting, "RAGWORTMUX_OPERATOR_TOKEN",
+                      Token ? "***" : "", "the operator's token"}});
+  }
+  const Secret Hidden(*Token);
+  return OperatorClient(Hidden).run(Command);
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  const std::vector<std::string> Arguments(Values + 1, Values + Count);
+  std::vector<SettingFault> Faults;
+  const auto Command = parseCommandLine(Arguments, Faults);
+  if (!Command) {
+    return failWith(Faults);
+  }
+  return std::visit([](const auto &One) { return run(One); }, *Command);
+}
--- /dev/null
+++ b/ragwortmux/Process/ActorHost.cpp
@@ -0,0 +1,22 @@
+#include "ragwortmux/Process/ActorHost.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+
+namespace ragwortmux {
+
+struct ActorHost::Parts final {
+  caf::actor_system_config m_Config;           ///< Must outlive the system.
+  std::unique_ptr<caf::actor_system> m_System; ///< The system.
+};
+
+ActorHost::ActorHost(unsigned Threads) : m_Parts(std::make_unique<Parts>()) {
+  m_Parts->m_Config.set("scheduler.max-threads", Threads);
+  m_Parts->m_System = std::make_unique<caf::actor_system>(m_Parts->m_Config);
+}
+
+ActorHost::~ActorHost() = default;
+
+caf::actor_system &ActorHost::system() { return *m_Parts->m_System; }
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/BackendConnection.cpp
@@ -0,0 +1,321 @@
+#include "ragwortmux/Process/BackendConnection.h"
+
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/ResultEncoder.h"
+
+#include <fcntl.h>
+#include <libpq-fe.h>
+#include <poll.h>
+
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <string_view>
+
+namespace ragwortmux {
+
+namespace {
+
+/// SQLSTATE of a connection that could not be made.
+constexpr const char *SqlStateCannotConnect = "08001";
+
+std::string trimmed(const char *Text) {
+  std::string Result = Text == nullptr ? "" : Text;
+  while (!Result.empty() && (Result.back() == '\n' || Result.back() == ' ')) {
+    Result.pop_back();
+  }
+  return Result;
+}
+
+std::string sqlStateOf(const PGresult *Result) {
+  const char *State = PQresultErrorField(Result, PG_DIAG_SQLSTATE);
+  return State == nullptr ? SqlStateCannotConnect : State;
+}
+
+/// libpq does not report the SQLSTATE of a refused start-up as a field; the
+/// server's text is all there is.
+std::string sqlStateOfRefusal(const std::string &Reason) {
+  return Reason.find("too many") != std::string::npos ? "53300"
+                                                      : SqlStateCannotConnect;
+}
+
+/// Reads "TERM:POSITION".
+std::optional<LogPoint> parsePoint(std::string_view Text) {
+  const std::size_t Colon = Text.find(':');
+  if (Colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint64_t TermValue = 0;
+  std::uint64_t PositionValue = 0;
+  const char *End = Text.data() + Text.size();
+  const auto First =
+      std::from_chars(Text.data(), Text.data() + Colon, TermValue);
+  const auto Second =
+      std::from_chars(Text.data() + Colon + 1, End, PositionValue);
+  if (First.ec != std::errc() || Second.ec != std::errc() ||
+      Second.ptr != End) {
+    return std::nullopt;
+  }
+  return LogPoint{Term(TermValue), LogPosition(PositionValue)};
+}
+
+StatementResult::Transaction transactionOf(const PGconn *Connection) {
+  switch (PQtransactionStatus(Connection)) {
+  case PQTRANS_INTRANS:
+    return StatementResult::Transaction::InTransaction;
+  case PQTRANS_INERROR:
+    return StatementResult::Transaction::Failed;
+  default:
+    return StatementResult::Transaction::Idle;
+  }
+}
+
+} // namespace
+
+std::shared_ptr<BackendConnection>
+BackendConnection::open(IoLoop &Loop, BackendConnectionSettings Settings,
+                        Hooks Callbacks) {
+  auto Connection = std::make_shared<BackendConnection>(
+      Loop, std::move(Settings), std::move(Callbacks));
+  Connection->start();
+  return Connection;
+}
+
+BackendConnection::BackendConnection(IoLoop &Loop,
+                                     BackendConnectionSettings Settings,
+                                     Hooks Callbacks)
+    : m_Loop(Loop), m_Settings(std::move(Settings)),
+      m_Hooks(std::move(Callbacks)) {}
+
+BackendConnection::~BackendConnection() { close(); }
+
+void BackendConnection::execute(const std::string &Sql, std::size_t MaxBytes) {
+  assert(m_Open && !m_Busy && !m_Closed);
+  m_Busy = true;
+  m_MaxBytes = MaxBytes;
+  m_HeaderSent = false;
+  m_Result = StatementResult();
+  m_Result.m_Ok = true;
+  m_Result.m_Body = std::make_shared<std::string>();
+  // Single-row mode bounds what libpq itself holds of a large answer.
+  if (PQsendQuery(m_Connection, Sql.c_str()) == 0 ||
+      PQsetSingleRowMode(m_Connection) == 0) {
+    fail(trimmed(PQerrorMessage(m_Connection)));
+    return;
+  }
+  flush();
+  if (!m_Closed) {
+    whenReadable(&BackendConnection::readAnswer);
+  }
+}
+
+void BackendConnection::close() {
+  m_Closed = true;
+  m_Observer = nullptr;
+  m_SocketCopy = nullptr;
+  if (m_Connection != nullptr) {
+    PQfinish(m_Connection);
+    m_Connection = nullptr;
+  }
+}
+
+void BackendConnection::start() {
+  const std::string Port = std::to_string(m_Settings.m_Port);
+  const std::string Options =
+      "-c ragwortmux.term=" + std::to_string(m_Settings.m_Term.value());
+  const std::array<const char *, 9> Names = {
+      "hostaddr", "port",    "user",       "dbname",
+      "options",  "sslmode", "gssencmode", "client_encoding",
+      nullptr};
+  const std::array<const char *, 9> Values = {m_Settings.m_Address.c_str(),
+                                              Port.c_str(),
+                                              m_Settings.m_User.c_str(),
+                                              m_Settings.m_Database.c_str(),
+                                              Options.c_str(),
+                                              "disable",
+                                              "disable",
+                                              "UTF8",
+                                              nullptr};
+  m_Connection = PQconnectStartParams(Names.data(), Values.data(), 0);
+  // Failures are told on a later turn, so that the owner has stored the
+  // connection by then.
+  m_Loop.after(m_Settings.m_ConnectTimeout, [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->m_Open && !Self->m_Closed) {
+      Self->fail("the server did not answer in time");
+    }
+  });
+  if (m_Connection == nullptr || PQstatus(m_Connection) == CONNECTION_BAD) {
+    m_Loop.after(Duration(0), [Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      if (Self && !Self->m_Closed) {
+        Self->fail(Self->m_Connection == nullptr
+                       ? "out of memory"
+                       : trimmed(PQerrorMessage(Self->m_Connection)));
+      }
+    });
+    return;
+  }
+  PQsetnonblocking(m_Connection, 1);
+  PQsetNoticeReceiver(
+      m_Connection, [](void *, const PGresult *) {}, nullptr);
+  whenWritable(&BackendConnection::pollConnect);
+}
+
+void BackendConnection::pollConnect() {
+  switch (PQconnectPoll(m_Connection)) {
+  case PGRES_POLLING_READING:
+    whenReadable(&BackendConnection::pollConnect);
+    return;
+  case PGRES_POLLING_WRITING:
+    whenWritable(&BackendConnection::pollConnect);
+    return;
+  case PGRES_POLLING_OK:
+    m_Open = true;
+    m_Hooks.m_Opened();
+    return;
+  default:
+    fail(trimmed(PQerrorMessage(m_Connection)));
+    return;
+  }
+}
+
+void BackendConnection::flush() {
+  const int Pending = PQflush(m_Connection);
+  if (Pending < 0) {
+    fail(trimmed(PQerrorMessage(m_Connection)));
+    return;
+  }
+  if (Pending > 0) {
+    whenWritable(&BackendConnection::flush);
+  }
+}
+
+void BackendConnection::readAnswer() {
+  if (PQconsumeInput(m_Connection) == 0) {
+    fail(trimmed(PQerrorMessage(m_Connection)));
+    return;
+  }
+  while (PQisBusy(m_Connection) == 0) {
+    PGresult *Next = PQgetResult(m_Connection);
+    if (Next == nullptr) {
+      finishStatement();
+      return;
+    }
+    takeResult(Next);
+    PQclear(Next);
+    if (PQstatus(m_Connection) == CONNECTION_BAD) {
+      fail(trimmed(PQerrorMessage(m_Connection)));
+      return;
+    }
+  }
+  whenReadable(&BackendConnection::readAnswer);
+}
+
+void BackendConnection::takeResult(pg_result *Result) {
+  const ExecStatusType Status = PQresultStatus(Result);
+  if (Status == PGRES_FATAL_ERROR) {
+    m_Result.m_Ok = false;
+    m_Result.m_SqlState = sqlStateOf(Result);
+    m_Result.m_Message =
+        trimmed(PQresultErrorField(Result, PG_DIAG_MESSAGE_PRIMARY));
+  }
+  if (Status == PGRES_SINGLE_TUPLE && m_Result.m_FirstRow.empty()) {
+    for (int Column = 0; Column < PQnfields(Result); ++Column) {
+      m_Result.m_FirstRow.emplace_back(PQgetvalue(Result, 0, Column));
+    }
+  }
+  if (m_Result.m_Truncated) {
+    return;
+  }
+  encodeResult(*Result, m_HeaderSent, *m_Result.m_Body);
+  // A single-row result is one row of a set whose header was sent with its
+  // first row.
+  m_HeaderSent = Status == PGRES_SINGLE_TUPLE;
+  if (m_Result.m_Body->size() > m_MaxBytes) {
+    m_Result.m_Truncated = true;
+    m_Result.m_Body->clear();
+  }
+}
+
+void BackendConnection::finishStatement() {
+  m_Busy = false;
+  m_Result.m_Transaction = transactionOf(m_Connection);
+  m_Result.m_Point = reportedPoint();
+  // The hook may destroy this connection, so nothing of it is touched
+  // afterwards.
+  const auto Self = shared_from_this();
+  m_Hooks.m_Answered(std::move(m_Result));
+}
+
+void BackendConnection::fail(const std::string &Reason) {
+  if (m_Closed) {
+    return;
+  }
+  const auto Self = shared_from_this();
+  const bool WasOpen = m_Open;
+  const Hooks Callbacks = m_Hooks;
+  close();
+  if (WasOpen) {
+    Callbacks.m_Lost(Reason);
+    return;
+  }
+  Callbacks.m_Failed(Reason, sqlStateOfRefusal(Reason));
+}
+
+std::optional<LogPoint> BackendConnection::reportedPoint() const {
+  const char *Text = PQparameterStatus(m_Connection, "ragwortmux.position");
+  return Text == nullptr ? std::nullopt : parsePoint(Text);
+}
+
+bool BackendConnection::isReadable() const {
+  pollfd Socket{PQsocket(m_Connection), POLLIN, 0};
+  return poll(&Socket, 1, 0) > 0;
+}
+
+void BackendConnection::observeSocket() {
+  const int Socket = PQsocket(m_Connection);
+  if (m_Observer.get() != nullptr && m_CopiedFd == Socket) {
+    return;
+  }
+  m_Observer = nullptr;
+  m_CopiedFd = Socket;
+  m_SocketCopy = kj::AutoCloseFd(fcntl(Socket, F_DUPFD_CLOEXEC, 0));
+  m_Observer = kj::heap<kj::UnixEventPort::FdObserver>(
+      m_Loop.eventPort(), m_SocketCopy,
+      kj::UnixEventPort::FdObserver::OBSERVE_READ_WRITE);
+}
+
+void BackendConnection::whenReadable(void (BackendConnection::*Next)()) {
+  observeSocket();
+  // Notification is edge-triggered, so what has arrived already must not be
+  // waited for.
+  kj::Promise<void> Ready =
+      isReadable() ? kj::evalLater([] {}) : m_Observer->whenBecomesReadable();
+  m_Loop.spawn(Ready.then(
+      [Weak = weak_from_this(), Next] {
+        const auto Self = Weak.lock();
+        if (Self && !Self->m_Closed) {
+          (*Self.*Next)();
+        }
+      },
+      [](kj::Exception &&) {}));
+}
+
+void BackendConnection::whenWritable(void (BackendConnection::*Next)()) {
+  observeSocket();
+  pollfd Socket{PQsocket(m_Connection), POLLOUT, 0};
+  const bool Writable = poll(&Socket, 1, 0) > 0;
+  kj::Promise<void> Ready =
+      Writable ? kj::evalLater([] {}) : m_Observer->whenBecomesWritable();
+  m_Loop.spawn(Ready.then(
+      [Weak = weak_from_this(), Next] {
+        const auto Self = Weak.lock();
+        if (Self && !Self->m_Closed) {
+          (*Self.*Next)();
+        }
+      },
+      [](kj::Exception &&) {}));
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/CallerConnection.cpp
@@ -0,0 +1,473 @@
+#include "ragwortmux/Process/CallerConnection.h"
+
+#include "ragwortmux/Connection/Codec/PgMessageWriter.h"
+#include "ragwortmux/Connection/Codec/PgSetStatement.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::uint32_t ProtocolMajor = 3;
+constexpr std::uint32_t MajorShift = 16;
+constexpr const char *SqlStateProtocol = "08P01";
+constexpr const char *SqlStateUnsupported = "0A000";
+constexpr const char *SqlStateBadValue = "22023";
+constexpr const char *SqlStateCancelled = "57014";
+constexpr std::string_view SettingPrefix = "ragwortmux.";
+constexpr std::size_t MaxNameBytes = 256;
+
+PgError makeError(const std::string &Severity, const std::string &SqlState,
+                  std::string Message) {
+  PgError Error;
+  Error.m_Severity = Severity;
+  Error.m_SqlState = SqlState;
+  Error.m_Message = std::move(Message);
+  return Error;
+}
+
+PgError toError(ResultCode Code, const std::string &Reason,
+                const std::string &Severity) {
+  const ResultCodeInfo &Info = resultCodeInfo(Code);
+  PgError Error = makeError(Severity, std::string(Info.m_SqlState),
+                            std::string(Info.m_Meaning));
+  Error.m_Detail = "ragwortmux result " +
+                   std::to_string(static_cast<unsigned>(Code)) + " " +
+                   std::string(Info.m_Name);
+  if (!Reason.empty()) {
+    Error.m_Detail += ": " + Reason;
+  }
+  return Error;
+}
+
+PgTransactionStatus toPg(TransactionStatus Status) {
+  switch (Status) {
+  case TransactionStatus::InTransaction:
+    return PgTransactionStatus::InTransaction;
+  case TransactionStatus::Failed:
+    return PgTransactionStatus::Failed;
+  default:
+    return PgTransactionStatus::Idle;
+  }
+}
+
+bool isWrite(const CatalogueEntry &Entry) {
+  return Entry.m_Class == TrafficClass::Booking ||
+         Entry.m_Class == TrafficClass::Write;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(
+    IoLoop &Loop, kj::Own<kj::AsyncIoStream> Stream, std::uint32_t ProcessId,
+    std::uint32_t SecretKey, PgMessageReaderSettings Limits, CallerHooks Hooks)
+    : m_Loop(Loop), m_Stream(kj::mv(Stream)), m_ProcessId(ProcessId),
+      m_SecretKey(SecretKey), m_Reader(Limits), m_Hooks(std::move(Hooks)),
+      m_Id(m_Hooks.m_NextId()) {}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::start() { read(); }
+
+void CallerConnection::read() {
+  const auto Self = shared_from_this();
+  m_Loop.spawn(m_Stream->tryRead(m_Buffer.data(), 1, m_Buffer.size())
+                   .then(
+                       [this, Self](std::size_t Count) {
+                         if (Count == 0 || m_Closed) {
+                           close();
+                           return;
+                         }
+                         m_Reader.feed(std::span(m_Buffer).first(Count));
+                         handleInput();
+                         if (!m_Closed) {
+                           read();
+                         }
+                       },
+                       [this, Self](kj::Exception &&) { close(); }));
+}
+
+void CallerConnection::handleInput() {
+  // One request at a time: what comes meanwhile stays in the reader.
+  while (!m_Closed && !m_CloseAfterWrite && !m_Pending) {
+    auto Message = m_Reader.next();
+    if (!Message) {
+      break;
+    }
+    const bool GoOn =
+        std::visit([this](const auto &One) { return handle(One); }, *Message);
+    if (!GoOn) {
+      return;
+    }
+  }
+  if (m_Reader.error() && !m_Closed && !m_CloseAfterWrite) {
+    PgError Error = *m_Reader.error();
+    Error.m_Severity = "FATAL";
+    std::string Bytes;
+    PgMessageWriter(Bytes).errorResponse(Error);
+    write(std::move(Bytes), true);
+  }
+}
+
+bool CallerConnection::handle(const PgStartup &Message) {
+  const auto Parameter = [&Message](const char *Name) {
+    const auto Found = Message.m_Parameters.find(Name);
+    return Found == Message.m_Parameters.end() ? std::string() : Found->second;
+  };
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
+  const auto Fail = [&](const PgError &Error) {
+    Writer.errorResponse(Error);
+    write(std::move(Bytes), true);
+    return false;
+  };
+  if (Message.m_ProtocolVersion >> MajorShift != ProtocolMajor) {
+    return Fail(makeError("FATAL", SqlStateUnsupported,
+                          "only protocol version 3 is supported"));
+  }
+  // The database defaults to the user's name, as everywhere.
+  const std::string Database = Parameter("database");
+  m_Entry = EntryName(Database.empty() ? Parameter("user") : Database);
+  if (m_Hooks.m_Draining()) {
+    return Fail(toError(ResultCode::NotRunDraining, "", "FATAL"));
+  }
+  if (m_Hooks.m_FindEntry(m_Entry) == nullptr) {
+    return Fail(
+        toError(ResultCode::NotRunUnknownEntry, m_Entry.value(), "FATAL"));
+  }
+  PgParameters Settings = Message.m_Options;
+  Settings.insert(Message.m_Parameters.begin(), Message.m_Parameters.end());
+  for (const auto &[Name, Value] : Settings) {
+    if (!Name.starts_with(SettingPrefix)) {
+      continue;
+    }
+    const std::string Fault =
+        applySetting(Name.substr(SettingPrefix.size()), Value);
+    if (!Fault.empty()) {
+      return Fail(makeError("FATAL", SqlStateBadValue, Fault));
+    }
+  }
+  Writer.authenticationOk();
+  Writer.parameterStatus("server_version", "15.0 (ragwortmux)");
+  Writer.parameterStatus("server_encoding", "UTF8");
+  Writer.parameterStatus("client_encoding", "UTF8");
+  Writer.parameterStatus("standard_conforming_strings", "on");
+  Writer.parameterStatus("DateStyle", "ISO, MDY");
+  Writer.parameterStatus("integer_datetimes", "on");
+  Writer.backendKeyData(m_ProcessId, m_SecretKey);
+  Writer.readyForQuery(PgTransactionStatus::Idle);
+  write(std::move(Bytes), false);
+  return true;
+}
+
+bool CallerConnection::handle(const PgSslRequest &) {
+  std::string Bytes;
+  PgMessageWriter(Bytes).encryptionRefused();
+  write(std::move(Bytes), false);
+  return true;
+}
+
+bool CallerConnection::handle(const PgGssEncRequest &) {
+  return handle(PgSslRequest());
+}
+
+bool CallerConnection::handle(const PgCancelRequest &Message) {
+  m_CancelRequest = Message;
+  close();
+  return false;
+}
+
+bool CallerConnection::handle(const PgQuery &Message) {
+  const auto Set = parsePgSetStatement(Message.m_Sql);
+  return Set ? handleSet(*Set) : submit(Message.m_Sql);
+}
+
+bool CallerConnection::handle(const PgTerminate &) {
+  close();
+  return false;
+}
+
+bool CallerConnection::handle(const PgPassword &) {
+  return handle(PgUnsupported{'p'});
+}
+
+bool CallerConnection::handle(const PgUnsupported &Message) {
+  constexpr char SyncType = 'S';
+  constexpr char FlushType = 'H';
+  // The extended protocol answers once per Sync; its other messages are
+  // skipped after the first error, which one answer per Sync amounts to.
+  if (Message.m_Type == FlushType) {
+    return true;
+  }
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
+  if (Message.m_Type == SyncType) {
+    Writer.errorResponse(
+        makeError("ERROR", SqlStateUnsupported,
+                  "only simple queries are supported, not the extended "
+                  "protocol, COPY or function calls"));
+    Writer.readyForQuery(toPg(m_Status));
+    write(std::move(Bytes), false);
+    return true;
+  }
+  constexpr std::string_view ExtendedTypes = "PBEDC";
+  if (ExtendedTypes.find(Message.m_Type) != std::string_view::npos) {
+    return true;
+  }
+  Writer.errorResponse(makeError("FATAL", SqlStateProtocol,
+                                 "this message type is not supported"));
+  write(std::move(Bytes), true);
+  return false;
+}
+
+bool CallerConnection::handleSet(const PgSetStatement &Statement) {
+  const std::string Fault = applySetting(Statement.m_Name, Statement.m_Value);
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
+  if (Fault.empty()) {
+    Writer.commandComplete(Statement.m_Value ? "SET" : "RESET");
+  } else {
+    Writer.errorResponse(makeError("ERROR", SqlStateBadValue, Fault));
+  }
+  Writer.readyForQuery(toPg(m_Status));
+  write(std::move(Bytes), false);
+  return true;
+}
+
+std::string
+CallerConnection::applySetting(const std::string &Name,
+                               const std::optional<std::string> &Value) {
+  const std::string Text = Value.value_or("");
+  if (Text.size() > MaxNameBytes && Name != "token") {
+    return "ragwortmux." + Name + " is too long";
+  }
+  if (Name == "session") {
+    m_Session = SessionName(Text);
+    return "";
+  }
+  if (Name == "token") {
+    auto Token = SessionToken::parse(Text);
+    if (!Token) {
+      return "ragwortmux.token is not a token that this proxy gave";
+    }
+    m_Token = std::move(*Token);
+    return "";
+  }
+  if (Name == "request_key") {
+    m_Key = Text.empty() ? std::nullopt : std::optional(RequestKey(Text));
+    return "";
+  }
+  if (Name == "max_age_ms") {
+    std::uint32_t Milliseconds = 0;
+    const char *End = Text.data() + Text.size();
+    const auto Parsed = std::from_chars(Text.data(), End, Milliseconds);
+    if (Value && (Parsed.ec != std::errc() || Parsed.ptr != End)) {
+      return "ragwortmux.max_age_ms must be a whole number of milliseconds";
+    }
+    m_MaxAge =
+        Value ? std::optional<Duration>(std::chrono::milliseconds(Milliseconds))
+              : std::nullopt;
+    return "";
+  }
+  return "there is no setting ragwortmux." + Name;
+}
+
+bool CallerConnection::submit(const std::string &Sql) {
+  // A transaction keeps to the entry under which it began.
+  const auto Entry = m_Status == TransactionStatus::Idle
+                         ? m_Hooks.m_FindEntry(m_Entry)
+                         : m_Open;
+  if (Entry == nullptr) {
+    refuse(ResultCode::NotRunUnknownEntry, m_Entry.value());
+    return true;
+  }
+  m_Open = Entry;
+  m_Pending = std::make_unique<Pending>();
+  m_Pending->m_Request = RequestId(m_Hooks.m_NextId());
+  m_Pending->m_Entry = Entry;
+  m_Pending->m_Arrived = monotonicNow();
+  GroupRequest Request;
+  Request.m_Id = m_Pending->m_Request;
+  Request.m_Caller = m_Id;
+  Request.m_Entry = Entry;
+  Request.m_Sql = Sql;
+  Request.m_Token = m_Token.find(Entry->m_Group);
+  Request.m_Session = m_Session;
+  Request.m_Key = m_Key;
+  Request.m_MaxAge = m_MaxAge;
+  Request.m_Arrived = m_Pending->m_Arrived;
+  m_Hooks.m_Submit(std::move(Request));
+  return true;
+}
+
+void CallerConnection::answer(const Answer &Given) {
+  if (m_Closed || !m_Pending || m_Pending->m_Request != Given.m_Request) {
+    return;
+  }
+  const GroupId &Group = m_Pending->m_Entry->m_Group;
+  ResultCode Code = Given.m_Code;
+  // The last gate: whatever was decided before, an acknowledgement needs the
+  // lease at the moment of writing.
+  if (Given.m_NeedsLease &&
+      !m_Hooks.m_MayAcknowledge(Group, *Given.m_NeedsLease)) {
+    Code = ResultCode::OutcomeUnknownTermEnded;
+  }
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
+  const bool HasBody = Given.m_Body != nullptr && !Given.m_Body->empty();
+  if (Code == ResultCode::Ok || (Code == ResultCode::RanEarlier && HasBody)) {
+    if (Given.m_Token) {
+      m_Token.raise(Group, *Given.m_Token);
+      writeToken(Writer);
+    }
+    if (HasBody) {
+      Bytes += *Given.m_Body;
+    }
+  } else {
+    Writer.errorResponse(toError(Code, Given.m_Reason, "ERROR"));
+  }
+  m_Status = Given.m_Status;
+  Writer.readyForQuery(toPg(m_Status));
+  write(std::move(Bytes), false);
+  finishAnswer(Code, m_Status);
+}
+
+void CallerConnection::finishAnswer(ResultCode Code, TransactionStatus Status) {
+  m_Hooks.m_Answered(*m_Pending->m_Entry, Code,
+                     monotonicNow() - m_Pending->m_Arrived);
+  m_Pending = nullptr;
+  if (Status == TransactionStatus::Idle) {
+    m_Open = nullptr;
+  }
+  if (m_Draining) {
+    drain();
+    return;
+  }
+  // What arrived meanwhile is handled on a later turn, so that long pipelines
+  // do not nest.
+  m_Loop.after(Duration(0), [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->m_Closed) {
+      Self->handleInput();
+    }
+  });
+}
+
+void CallerConnection::cancel(std::uint32_t SecretKey) {
+  if (SecretKey != m_SecretKey || !m_Pending || m_Closed) {
+    return;
+  }
+  m_Hooks.m_Gone(m_Id, m_Pending->m_Entry->m_Group);
+  // The groups have forgotten the old id; late answers to it are dropped.
+  m_Id = CallerConnectionId(m_Hooks.m_NextId());
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
+  // A cancelled write may have run; a read has no effect either way.
+  const bool Unknown = isWrite(*m_Pending->m_Entry);
+  if (Unknown) {
+    Writer.errorResponse(toError(ResultCode::OutcomeUnknown,
+                                 "cancelled by the caller", "ERROR"));
+  } else {
+    Writer.errorResponse(
+        makeError("ERROR", SqlStateCancelled, "cancelled by the caller"));
+  }
+  m_Status = TransactionStatus::Idle;
+  Writer.readyForQuery(PgTransactionStatus::Idle);
+  write(std::move(Bytes), false);
+  finishAnswer(ResultCode::OutcomeUnknown, TransactionStatus::Idle);
+}
+
+void CallerConnection::closeWith(ResultCode Code) {
+  if (m_Closed) {
+    return;
+  }
+  std::string Bytes;
+  PgMessageWriter(Bytes).errorResponse(toError(Code, "", "FATAL"));
+  write(std::move(Bytes), true);
+}
+
+void CallerConnection::drain() {
+  m_Draining = true;
+  if (!m_Pending && m_Status == TransactionStatus::Idle) {
+    closeWith(ResultCode::NotRunDraining);
+  }
+}
+
+std::optional<RequestId> CallerConnection::pendingRequest() const {
+  return m_Pending ? std::optional(m_Pending->m_Request) : std::nullopt;
+}
+
+void CallerConnection::refuse(ResultCode Code, const std::string &Reason) {
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
+  Writer.errorResponse(toError(Code, Reason, "ERROR"));
+  Writer.readyForQuery(toPg(m_Status));
+  write(std::move(Bytes), false);
+}
+
+void CallerConnection::writeToken(PgMessageWriter &Writer) {
+  std::string Token = m_Token.format();
+  if (Token == m_ReportedToken) {
+    return;
+  }
+  Writer.parameterStatus("ragwortmux.token", Token);
+  m_ReportedToken = std::move(Token);
+}
+
+void CallerConnection::write(std::string Bytes, bool CloseAfter) {
+  m_Output += Bytes;
+  m_CloseAfterWrite = m_CloseAfterWrite || CloseAfter;
+  if (!m_Writing) {
+    flush();
+  }
+}
+
+void CallerConnection::flush() {
+  if (m_Closed || m_Output.empty()) {
+    if (m_CloseAfterWrite) {
+      close();
+    }
+    return;
+  }
+  m_Writing = true;
+  const auto Bytes = std::make_shared<std::string>(std::exchange(m_Output, {}));
+  const auto Self = shared_from_this();
+  m_Loop.spawn(m_Stream->write(Bytes->data(), Bytes->size())
+                   .then(
+                       [this, Self, Bytes] {
+                         m_Writing = false;
+                         flush();
+                       },
+                       [this, Self](kj::Exception &&) { close(); }));
+}
+
+void CallerConnection::close() {
+  if (m_Closed) {
+    return;
+  }
+  m_Closed = true;
+  const bool InTransaction = m_Status != TransactionStatus::Idle;
+  if (m_Pending || InTransaction) {
+    const auto &Entry = m_Pending ? m_Pending->m_Entry : m_Open;
+    m_Hooks.m_Gone(m_Id, Entry->m_Group);
+  }
+  // End the read that is under way, so that it lets go of this object.
+  const auto Failure = kj::runCatchingExceptions([this] {
+    m_Stream->abortRead();
+    m_Stream->shutdownWrite();
+  });
+  KJ_IF_MAYBE (Error, Failure) {
+    logDebug(Part::Caller, "A connection was gone already: {}.",
+             Error->getDescription().cStr());
+  }
+  m_Hooks.m_Closed();
+  m_Pending = nullptr;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/CallerServer.cpp
@@ -0,0 +1,127 @@
+#include "ragwortmux/Process/CallerServer.h"
+
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/Log.h"
+
+#include <utility>
+
+namespace ragwortmux {
+
+CallerServer::CallerServer(IoLoop &Loop, CallerServerSettings Settings,
+                           CallerHooks Hooks)
+    : m_Loop(Loop), m_Settings(Settings), m_Hooks(std::move(Hooks)) {
+  m_Hooks.m_NextId = [this] { return ++m_LastId; };
+  m_Hooks.m_Draining = [this] { return m_Draining; };
+}
+
+CallerServer::~CallerServer() = default;
+
+std::uint16_t CallerServer::listen(const std::string &Address,
+                                   std::uint16_t Port) {
+  auto Parsed =
+      m_Loop.network().parseAddress(Address, Port).wait(m_Loop.waitScope());
+  m_Receiver = Parsed->listen();
+  m_Loop.spawn(accept());
+  return static_cast<std::uint16_t>(m_Receiver->getPort());
+}
+
+void CallerServer::answer(const Answer &Given) {
+  const auto Found = m_Requests.find(Given.m_Request);
+  if (Found == m_Requests.end()) {
+    return;
+  }
+  const auto Connection = Found->second.lock();
+  m_Requests.erase(Found);
+  if (Connection) {
+    Connection->answer(Given);
+  }
+}
+
+void CallerServer::closeCaller(const CloseCaller &Closing) {
+  for (const auto &[ProcessId, Connection] : m_Connections) {
+    if (Connection->id() != Closing.m_Caller) {
+      continue;
+    }
+    // Closing changes the map, so the connection is kept for the call.
+    const auto Kept = Connection;
+    Kept->closeWith(Closing.m_Code);
+    return;
+  }
+}
+
+void CallerServer::drain() {
+  m_Draining = true;
+  const auto Connections = m_Connections;
+  for (const auto &[ProcessId, Connection] : Connections) {
+    Connection->drain();
+  }
+}
+
+kj::Promise<void> CallerServer::accept() {
+  return m_Receiver->accept().then(
+      [this](kj::Own<kj::AsyncIoStream> Stream) {
+        add(kj::mv(Stream));
+        return accept();
+      },
+      [this](kj::Exception &&Error) {
+        // Out of file descriptors, most likely; try again a little later.
+        logWarn(Part::Caller, "Could not accept a caller: {}.",
+                Error.getDescription().cStr());
+        return m_Loop.timer().afterDelay(100 * kj::MILLISECONDS).then([this] {
+          return accept();
+        });
+      });
+}
+
+void CallerServer::add(kj::Own<kj::AsyncIoStream> Stream) {
+  // Past the limit the connection is closed at once; the caller sees that no
+  // connection was made.
+  if (m_Connections.size() >= m_Settings.m_MaxCallers) {
+    logWarn(Part::Caller, "Refused a caller: {} are connected.",
+            m_Connections.size());
+    return;
+  }
+  const std::uint32_t ProcessId = ++m_LastProcessId;
+  CallerHooks Hooks = m_Hooks;
+  Hooks.m_Closed = [this, ProcessId] { remove(ProcessId); };
+  Hooks.m_Submit = [this, ProcessId](GroupRequest Request) {
+    m_Requests[Request.m_Id] = m_Connections[ProcessId];
+    m_Hooks.m_Submit(std::move(Request));
+  };
+  auto Connection = std::make_shared<CallerConnection>(
+      m_Loop, kj::mv(Stream), ProcessId, m_Random(), m_Settings.m_Reader,
+      std::move(Hooks));
+  m_Connections[ProcessId] = Connection;
+  Connection->start();
+}
+
+void CallerServer::remove(std::uint32_t ProcessId) {
+  const auto Found = m_Connections.find(ProcessId);
+  if (Found == m_Connections.end()) {
+    return;
+  }
+  const auto Connection = Found->second;
+  m_Connections.erase(Found);
+  if (const auto Pending = Connection->pendingRequest()) {
+    m_Requests.erase(*Pending);
+  }
+  if (Connection->cancelRequest()) {
+    cancel(*Connection->cancelRequest());
+  }
+}
+
+void CallerServer::cancel(const PgCancelRequest &Request) {
+  const auto Found = m_Connections.find(Request.m_ProcessId);
+  if (Found == m_Connections.end()) {
+    return;
+  }
+  const auto Connection = Found->second;
+  if (const auto Pending = Connection->pendingRequest()) {
+    Connection->cancel(Request.m_SecretKey);
+    if (!Connection->pendingRequest()) {
+      m_Requests.erase(*Pending);
+    }
+  }
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/CapnpBytes.h
@@ -0,0 +1,48 @@
+#ifndef RAGWORTMUX_PROCESS_CAPNPBYTES_H
+#define RAGWORTMUX_PROCESS_CAPNPBYTES_H
+
+#include <capnp/common.h>
+#include <capnp/message.h>
+#include <kj/string.h>
+
+#include <cstring>
+#include <string>
+#include <string_view>
+
+/// \file
+/// Conversions between Cap'n Proto's types and the standard library's.
+
+namespace ragwortmux {
+
+/// A Text as a string.
+inline std::string toString(capnp::Text::Reader Text) {
+  return {Text.cStr(), Text.size()};
+}
+
+/// A Data as a string.
+inline std::string toString(capnp::Data::Reader Data) {
+  return {reinterpret_cast<const char *>(Data.begin()), Data.size()};
+}
+
+/// A string as a Text.
+inline kj::StringPtr toText(const std::string &Text) {
+  return {Text.c_str(), Text.size()};
+}
+
+/// A string as a Data.
+inline kj::ArrayPtr<const kj::byte> toData(std::string_view Bytes) {
+  return kj::arrayPtr(reinterpret_cast<const kj::byte *>(Bytes.data()),
+                      Bytes.size());
+}
+
+/// Copies \p Bytes to memory aligned for a Cap'n Proto reader; a tail that is
+/// not a whole word is left out.
+inline kj::Array<capnp::word> toWords(std::string_view Bytes) {
+  auto Words = kj::heapArray<capnp::word>(Bytes.size() / sizeof(capnp::word));
+  std::memcpy(Words.begin(), Bytes.data(), Words.asBytes().size());
+  return Words;
+}
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_CAPNPBYTES_H
--- /dev/null
+++ b/ragwortmux/Process/ClusterProof.h
@@ -0,0 +1,20 @@
+#ifndef RAGWORTMUX_PROCESS_CLUSTERPROOF_H
+#define RAGWORTMUX_PROCESS_CLUSTERPROOF_H
+
+#include <string>
+#include <string_view>
+
+namespace ragwortmux {
+
+class Secret;
+
+/// A fresh challenge for a new connection: 32 random bytes.
+std::string makeNonce();
+
+/// Proof of knowing \p Key: HMAC-SHA256(key, nonce + host).
+std::string clusterProof(const Secret &Key, std::string_view Nonce,
+                         std::string_view Host);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_CLUSTERPROOF_H
--- /dev/null
+++ b/ragwortmux/Process/ControlActor.cpp
@@ -0,0 +1,180 @@
+#include "ragwortmux/Process/ControlActor.h"
+
+#include "ragwortmux/Process/ActorHost.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <caf/actor_system.hpp>
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/exit_reason.hpp>
+#include <caf/send.hpp>
+
+#include <utility>
+
+namespace ragwortmux {
+
+/// One call to the node, as a message.
+struct ControlTaskMessage final {
+  std::function<void(ControlNode &Node, Instant Now)> m_Work; ///< The call.
+};
+
+} // namespace ragwortmux
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ragwortmux::ControlTaskMessage)
+
+namespace ragwortmux {
+
+namespace {
+
+caf::behavior controlBehavior(caf::event_based_actor *Self,
+                              const std::shared_ptr<ControlNode> &Node) {
+  Self->set_default_handler(caf::drop);
+  return {[Node](const ControlTaskMessage &Message) {
+    Message.m_Work(*Node, monotonicNow());
+  }};
+}
+
+} // namespace
+
+struct ControlActor::Handle final {
+  caf::actor m_Actor; ///< The actor.
+};
+
+ControlActor::ControlActor(IoLoop &Loop, ActorHost &Actors,
+                           std::unique_ptr<ControlNode> Node)
+    : m_Loop(Loop), m_Handle(std::make_unique<Handle>()) {
+  m_Handle->m_Actor = Actors.system().spawn<caf::detached>(
+      controlBehavior, std::shared_ptr<ControlNode>(std::move(Node)));
+}
+
+ControlActor::~ControlActor() {
+  caf::anon_send_exit(m_Handle->m_Actor, caf::exit_reason::user_shutdown);
+}
+
+ControlNodeHooks ControlActor::onLoop(IoLoop &Loop, ControlNodeHooks Hooks) {
+  ControlNodeHooks Moved;
+  Moved.m_SendLog = [&Loop, Send = Hooks.m_SendLog](const std::string &Address,
+                                                    LogEnvelope Envelope) {
+    auto Shared = std::make_shared<LogEnvelope>(std::move(Envelope));
+    Loop.post([Send, Address, Shared] { Send(Address, std::move(*Shared)); });
+  };
+  Moved.m_Push = [&Loop, Push = Hooks.m_Push](ControlSessionId Session,
+                                              ControlUpdate Update) {
+    auto Shared = std::make_shared<ControlUpdate>(std::move(Update));
+    Loop.post([Push, Session, Shared] { Push(Session, std::move(*Shared)); });
+  };
+  Moved.m_CallBackend =
+      [&Loop, Call = Hooks.m_CallBackend](const CallBackend &Action) {
+        Loop.post([Call, Action] { Call(Action); });
+      };
+  Moved.m_Note = [&Loop, Note = Hooks.m_Note](const std::string &Text) {
+    Loop.post([Note, Text] { Note(Text); });
+  };
+  Moved.m_LeadershipChanged =
+      [&Loop, Changed = Hooks.m_LeadershipChanged](bool Ready) {
+        Loop.post([Changed, Ready] { Changed(Ready); });
+      };
+  return Moved;
+}
+
+void ControlActor::receive(LogEnvelope Envelope) {
+  send([Envelope = std::move(Envelope)](ControlNode &Node, Instant Now) {
+    Node.receive(Now, Envelope);
+  });
+}
+
+void ControlActor::tick() {
+  send([](ControlNode &Node, Instant Now) { Node.tick(Now, wallNow()); });
+}
+
+void ControlActor::openSession(OpenSession Command,
+                               Respond<OpenSessionReply> Reply) {
+  send([Command = std::move(Command),
+        Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
+    Node.openSession(Now, Command, Reply);
+  });
+}
+
+void ControlActor::renew(LeaseRenewal Renewal, Respond<RenewReply> Reply) {
+  send([Renewal = std::move(Renewal),
+        Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
+    Node.renew(Now, Renewal, Reply);
+  });
+}
+
+void ControlActor::report(std::vector<ServerAnnouncement> Announcements,
+                          std::vector<ServerSuspicion> Suspicions,
+                          Respond<ControlStatus> Reply) {
+  send([Announcements = std::move(Announcements),
+        Suspicions = std::move(Suspicions),
+        Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
+    Node.report(Now, Announcements, Suspicions, Reply);
+  });
+}
+
+void ControlActor::command(ControlCommand Command,
+                           Respond<CommandReply> Reply) {
+  send([Command = std::move(Command),
+        Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
+    Node.command(Now, Command, Reply);
+  });
+}
+
+void ControlActor::query(std::string What, std::string Name,
+                         Respond<QueryReply> Reply) {
+  send([What = std::move(What), Name = std::move(Name),
+        Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
+    Node.query(Now, What, Name, Reply);
+  });
+}
+
+void ControlActor::confirmed(ControlSessionId Session, Confirmation Confirmed) {
+  send([Session, Confirmed = std::move(Confirmed)](ControlNode &Node,
+                                                   Instant Now) {
+    Node.confirmed(Now, Session, Confirmed);
+  });
+}
+
+void ControlActor::backendCallDone(BackendCallResult Result) {
+  send([Result = std::move(Result)](ControlNode &Node, Instant Now) {
+    Node.backendCallDone(Now, Result);
+  });
+}
+
+void ControlActor::peersIdentified(std::vector<IdentifiedPeer> Peers,
+                                   bool AllBlank) {
+  send([Peers = std::move(Peers), AllBlank](ControlNode &Node, Instant Now) {
+    Node.peersIdentified(Now, Peers, AllBlank);
+  });
+}
+
+void ControlActor::identify(Respond<IdentifyReply> Reply) {
+  send([Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant) {
+    Reply(Node.identify());
+  });
+}
+
+void ControlActor::send(Task Work) {
+  caf::anon_send(m_Handle->m_Actor, ControlTaskMessage{std::move(Work)});
+}
+
+template <typename Reply>
+ControlActor::Respond<Reply>
+ControlActor::replyOnLoop(Respond<Reply> Given) const {
+  IoLoop &Loop = m_Loop;
+  // What a reply holds belongs to the event loop, so it must be destroyed there
+  // too, whichever thread lets go of it last.
+  const auto DestroyOnLoop = [&Loop](Respond<Reply> *Old) {
+    Loop.post([Old] { std::default_delete<Respond<Reply>>()(Old); });
+  };
+  const std::shared_ptr<Respond<Reply>> Held(
+      std::make_unique<Respond<Reply>>(std::move(Given)).release(),
+      DestroyOnLoop);
+  return [&Loop, Held](Reply Value) {
+    auto Shared = std::make_shared<Reply>(std::move(Value));
+    Loop.post([Held, Shared] { (*Held)(std::move(*Shared)); });
+  };
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/ControlActor.h
@@ -0,0 +1,60 @@
+#ifndef RAGWORTMUX_PROCESS_CONTROLACTOR_H
+#define RAGWORTMUX_PROCESS_CONTROLACTOR_H
+
+#include "ragwortmux/Process/ControlNode.h"
+
+#include <functional>
+#include <memory>
+
+namespace ragwortmux {
+
+class ActorHost;
+class IoLoop;
+
+/// Runs a ControlNode in an actor with a thread of its own, because the node
+/// waits for its disk.
+///
+/// Called on the event loop; hooks and replies come back on the event loop.
+class ControlActor final {
+public:
+  template <typename Reply> using Respond = std::function<void(Reply)>;
+
+  /// \p Node was opened. \p Hooks are set before.
+  ControlActor(IoLoop &Loop, ActorHost &Actors,
+               std::unique_ptr<ControlNode> Node);
+  ~ControlActor();
+  ControlActor(const ControlActor &) = delete;
+  ControlActor &operator=(const ControlActor &) = delete;
+
+  /// \p Hooks with every call moved to the event loop; for making the node.
+  static ControlNodeHooks onLoop(IoLoop &Loop, ControlNodeHooks Hooks);
+
+  void receive(LogEnvelope Envelope);
+  void tick();
+  void openSession(OpenSession Command, Respond<OpenSessionReply> Reply);
+  void renew(LeaseRenewal Renewal, Respond<RenewReply> Reply);
+  void report(std::vector<ServerAnnouncement> Announcements,
+              std::vector<ServerSuspicion> Suspicions,
+              Respond<ControlStatus> Reply);
+  void command(ControlCommand Command, Respond<CommandReply> Reply);
+  void query(std::string What, std::string Name, Respond<QueryReply> Reply);
+  void confirmed(ControlSessionId Session, Confirmation Confirmed);
+  void backendCallDone(BackendCallResult Result);
+  void peersIdentified(std::vector<IdentifiedPeer> Peers, bool AllBlank);
+  void identify(Respond<IdentifyReply> Reply);
+
+private:
+  using Task = std::function<void(ControlNode &Node, Instant Now)>;
+  struct Handle;
+
+  void send(Task Work);
+  template <typename Reply>
+  Respond<Reply> replyOnLoop(Respond<Reply> Given) const;
+
+  IoLoop &m_Loop;                   ///< Where replies go.
+  std::unique_ptr<Handle> m_Handle; ///< The actor's address.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_CONTROLACTOR_H
--- /dev/null
+++ b/ragwortmux/Process/ControlClient.cpp
@@ -0,0 +1,263 @@
+#include "ragwortmux/Process/ControlClient.h"
+
+#include "ragwortmux/Process/CommandCodec.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Pause before another control host is tried.
+constexpr Duration RetryPause = std::chrono::milliseconds(30);
+/// How often reports are passed on.
+constexpr Duration ReportInterval = std::chrono::milliseconds(10);
+
+} // namespace
+
+ControlClient::ControlClient(IoLoop &Loop, const Secret &ClusterKey,
+                             ControlClientSettings Settings,
+                             ControlClientHooks Hooks)
+    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Hooks(std::move(Hooks)),
+      m_Lease(m_Settings.m_Drift) {
+  for (const ControlPeer &Peer : m_Settings.m_ControlPeers) {
+    PeerLinkSettings Link;
+    Link.m_OwnHost = m_Settings.m_Self.m_Host;
+    Link.m_Address = Peer.m_Where.m_Address;
+    Link.m_Port = Peer.m_Where.m_Port;
+    Link.m_CallTimeout = m_Settings.m_CallTimeout;
+    m_Links.push_back(std::make_unique<PeerLink>(Loop, ClusterKey, Link));
+  }
+}
+
+ControlClient::~ControlClient() = default;
+
+void ControlClient::start() {
+  scheduleStep(Duration(0));
+  m_Loop.every(ReportInterval, [this] { sendReports(); });
+}
+
+void ControlClient::renewSoon() { scheduleStep(Duration(0)); }
+
+void ControlClient::scheduleStep(Duration Delay) {
+  const std::uint64_t Number = ++m_StepNumber;
+  m_Loop.after(Delay, [this, Number] {
+    // A step that was scheduled later has taken this one's place.
+    if (Number == m_StepNumber) {
+      step();
+    }
+  });
+}
+
+void ControlClient::step() {
+  scheduleStep(m_Settings.m_RenewalInterval);
+  if (!m_Registered) {
+    openSession();
+    return;
+  }
+  renew();
+}
+
+void ControlClient::openSession() {
+  if (m_Opening) {
+    return;
+  }
+  m_Opening = true;
+  const std::size_t Asked = m_Current;
+  leader().openSession(
+      m_Settings.m_Self, m_Settings.m_Run,
+      [this](ControlSessionId Session, const ControlUpdate &Update) {
+        if (Session == m_Lease.session()) {
+          takeUpdate(Update);
+          return m_Hooks.m_Confirmation();
+        }
+        return Confirmation();
+      },
+      [this, Asked](const std::optional<OpenSessionReply> &Reply) {
+        m_Opening = false;
+        if (!Reply || !Reply->m_Status.ok()) {
+          Reply ? turnTo(Asked, Reply->m_Status) : turnToNext(Asked);
+          scheduleStep(RetryPause);
+          return;
+        }
+        m_Registered = Asked == m_Current;
+        const bool Changed = Reply->m_Session != m_Lease.session();
+        if (Changed) {
+          m_Lease.sessionOpened(Reply->m_Session);
+        }
+        m_Hooks.m_SessionOpened(Reply->m_Session, Changed);
+        scheduleStep(Duration(0));
+      });
+}
+
+void ControlClient::renew() {
+  LeaseRenewal Renewal;
+  const Confirmation Confirmed = m_Hooks.m_Confirmation();
+  Renewal.m_Session = m_Lease.session();
+  Renewal.m_Confirmed = Confirmed.m_Groups;
+  Renewal.m_Catalogue = Confirmed.m_Catalogue;
+  Renewal.m_Homes = Confirmed.m_Homes;
+  Renewal.m_Demand = m_Hooks.m_Demand();
+  Renewal.m_Sequence = m_Lease.renewalSent(monotonicNow());
+  leader().renew(Renewal, [this, Asked = m_Current, Session = Renewal.m_Session,
+                           Sequence = Renewal.m_Sequence](
+                              const std::optional<RenewReply> &Reply) {
+    renewed(Asked, Session, Sequence, Reply);
+  });
+}
+
+void ControlClient::renewed(std::size_t Asked, ControlSessionId Session,
+                            std::uint64_t Sequence,
+                            const std::optional<RenewReply> &Reply) {
+  if (!Reply) {
+    turnToNext(Asked);
+    scheduleStep(RetryPause);
+    return;
+  }
+  if (Reply->m_Status.m_Code == ResultCode::Unauthorized) {
+    logWarn(Part::Control, "The control session has ended; opening a new one.");
+    if (Session == m_Lease.session()) {
+      m_Lease.sessionLost();
+      m_Registered = false;
+    }
+    scheduleStep(Duration(0));
+    return;
+  }
+  if (!Reply->m_Status.ok()) {
+    turnTo(Asked, Reply->m_Status);
+    scheduleStep(RetryPause);
+    return;
+  }
+  // The update comes first: the lease covers only what is known by now.
+  takeUpdate(Reply->m_Update);
+  if (m_Lease.renewalGranted(Session, Sequence, Reply->m_Lease)) {
+    m_Hooks.m_LeaseExtended(m_Lease.validUntil());
+  }
+}
+
+void ControlClient::takeUpdate(const ControlUpdate &Update) {
+  m_Hooks.m_Update(Update);
+}
+
+void ControlClient::command(const ControlCommand &Command, Instant Deadline,
+                            std::function<void(CommandReply)> Reply) {
+  tryCommand(encodeCommand(Command), Deadline, std::move(Reply));
+}
+
+void ControlClient::tryCommand(std::string Bytes, Instant Deadline,
+                               std::function<void(CommandReply)> Reply) {
+  leader().command(Bytes, [this, Asked = m_Current, Bytes, Deadline,
+                           Reply](const std::optional<CommandReply> &Given) {
+    const bool Answered = Given &&
+                          Given->m_Status.m_Code != ResultCode::NotLeader &&
+                          Given->m_Status.m_Code != ResultCode::Unreachable;
+    if (Answered) {
+      Reply(*Given);
+      return;
+    }
+    Given ? turnTo(Asked, Given->m_Status) : turnToNext(Asked);
+    if (monotonicNow() + RetryPause >= Deadline) {
+      Reply({{ResultCode::Unreachable, "no control leader answered", ""}, {}});
+      return;
+    }
+    m_Loop.after(RetryPause, [this, Bytes, Deadline, Reply] {
+      tryCommand(Bytes, Deadline, Reply);
+    });
+  });
+}
+
+void ControlClient::query(const std::string &What, const std::string &Name,
+                          Instant Deadline,
+                          std::function<void(QueryReply)> Reply) {
+  tryQuery(What, Name, Deadline, std::move(Reply));
+}
+
+void ControlClient::tryQuery(std::string What, std::string Name,
+                             Instant Deadline,
+                             std::function<void(QueryReply)> Reply) {
+  leader().query(
+      What, Name,
+      [this, Asked = m_Current, What, Name, Deadline,
+       Reply](const std::optional<QueryReply> &Given) {
+        if (Given && Given->m_Status.m_Code != ResultCode::NotLeader) {
+          Reply(*Given);
+          return;
+        }
+        Given ? turnTo(Asked, Given->m_Status) : turnToNext(Asked);
+        if (monotonicNow() + RetryPause >= Deadline) {
+          Reply({{ResultCode::Unreachable, "no control leader answered", ""},
+                 ""});
+          return;
+        }
+        m_Loop.after(RetryPause, [this, What, Name, Deadline, Reply] {
+          tryQuery(What, Name, Deadline, Reply);
+        });
+      });
+}
+
+void ControlClient::announce(const ServerAnnouncement &Announcement) {
+  const auto Same = [&](const ServerAnnouncement &Other) {
+    return Other.m_Group == Announcement.m_Group &&
+           Other.m_Server == Announcement.m_Server;
+  };
+  std::erase_if(m_Announcements, Same);
+  m_Announcements.push_back(Announcement);
+}
+
+void ControlClient::suspect(const GroupId &Group, const ServerId &Server,
+                            SuspicionKind Kind) {
+  ServerSuspicion Suspicion;
+  Suspicion.m_Group = Group;
+  Suspicion.m_Server = Server;
+  Suspicion.m_Kind = Kind;
+  m_Suspicions.push_back(Suspicion);
+}
+
+void ControlClient::sendReports() {
+  if (m_Announcements.empty() && m_Suspicions.empty()) {
+    return;
+  }
+  const auto Announcements = std::exchange(m_Announcements, {});
+  const auto Suspicions = std::exchange(m_Suspicions, {});
+  leader().report(
+      m_Lease.session(), Announcements, Suspicions,
+      [this, Asked = m_Current](const std::optional<ControlStatus> &Status) {
+        // Servers announce themselves again soon, so nothing is
+        // kept for another try.
+        if (Status && !Status->ok()) {
+          turnTo(Asked, *Status);
+        }
+      });
+}
+
+void ControlClient::turnTo(std::size_t Asked, const ControlStatus &Status) {
+  const auto IsLeader = [&](const ControlPeer &Peer) {
+    return formatSocketAddress(Peer.m_Where) == Status.m_Leader;
+  };
+  const auto Found = std::ranges::find_if(m_Settings.m_ControlPeers, IsLeader);
+  if (Found == m_Settings.m_ControlPeers.end()) {
+    turnToNext(Asked);
+    return;
+  }
+  // Another answer may have led to another host meanwhile.
+  if (Asked != m_Current) {
+    return;
+  }
+  m_Current =
+      static_cast<std::size_t>(Found - m_Settings.m_ControlPeers.begin());
+  m_Registered = m_Registered && m_Current == Asked;
+}
+
+void ControlClient::turnToNext(std::size_t Asked) {
+  if (Asked != m_Current) {
+    return;
+  }
+  m_Current = (m_Current + 1) % m_Links.size();
+  m_Registered = false;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/ControlMessages.h
@@ -0,0 +1,118 @@
+#ifndef RAGWORTMUX_PROCESS_CONTROLMESSAGES_H
+#define RAGWORTMUX_PROCESS_CONTROLMESSAGES_H
+
+#include "ragwortmux/Core/Ids.h"
+#include "ragwortmux/Core/ResultCode.h"
+#include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Version/CatalogueRecords.h"
+#include "ragwortmux/Version/ControlEvents.h"
+#include "ragwortmux/Version/ControlResult.h"
+#include "ragwortmux/Version/GroupView.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// What entry and control processes say to each other, apart from the wire
+/// format.
+
+namespace ragwortmux {
+
+/// Where an entry process serves RPC.
+struct EntryAddress final {
+  HostId m_Host;            ///< Its host.
+  FailureDomainId m_Domain; ///< Its failure domain.
+  std::string m_Address;    ///< IP number.
+  std::uint16_t m_Port = 0; ///< RPC port.
+
+  friend bool operator==(const EntryAddress &, const EntryAddress &) = default;
+};
+
+/// The session homes with their addresses.
+struct SessionHomesView final {
+  Revision m_Revision;                   ///< Rises with each change.
+  std::vector<EntryAddress> m_Active;    ///< Looked up and stored.
+  std::vector<EntryAddress> m_Preparing; ///< Stored too.
+};
+
+/// What control tells an entry process.
+struct ControlUpdate final {
+  std::vector<GroupView> m_Views;            ///< Newer records of groups.
+  std::optional<CatalogueDelta> m_Catalogue; ///< Newer catalogue entries.
+  std::optional<SessionHomesView> m_Homes;   ///< The session homes.
+};
+
+/// The newest revisions that an entry process acts on.
+struct Confirmation final {
+  std::map<GroupId, Revision> m_Groups; ///< Records of groups.
+  Revision m_Catalogue;                 ///< Catalogue.
+  Revision m_Homes;                     ///< Session homes.
+};
+
+/// Whether a call was carried out.
+struct ControlStatus final {
+  ResultCode m_Code = ResultCode::Ok; ///< Ok, or why not.
+  std::string m_Reason;               ///< One sentence if not.
+  std::string m_Leader; ///< With NotLeader: the leader's address, if known.
+
+  bool ok() const { return m_Code == ResultCode::Ok; }
+};
+
+/// Answer to a process that opens a control session.
+struct OpenSessionReply final {
+  ControlStatus m_Status;     ///< Whether it was opened.
+  ControlSessionId m_Session; ///< The session.
+};
+
+/// Answer to a renewal.
+struct RenewReply final {
+  ControlStatus m_Status; ///< NotLeader, or Unauthorized if the session ended.
+  Duration m_Lease{0};    ///< Length of the lease, from the sending.
+  ControlUpdate m_Update; ///< What is newer than the confirmed revisions.
+};
+
+/// Answer to a proposed command.
+struct CommandReply final {
+  ControlStatus m_Status; ///< NotLeader and Unreachable: not known if applied.
+  ControlResult m_Result; ///< What applying it gave, if it was applied.
+};
+
+/// Answer to a query of the leader's state.
+struct QueryReply final {
+  ControlStatus m_Status; ///< Whether it could be answered.
+  std::string m_Json;     ///< The answer.
+};
+
+/// The identity of a control process.
+struct IdentifyReply final {
+  std::string m_Voter;  ///< Identity of its data folder; empty: no control.
+  bool m_Blank = false; ///< Its log is empty.
+  HostId m_Host;        ///< Its host.
+};
+
+/// Where a session's position is kept: a session of one group.
+struct SessionPointKey final {
+  SessionName m_Session; ///< The session.
+  GroupId m_Group;       ///< The group.
+  Revision m_Homes;      ///< The homes' revision that the sender acts on.
+};
+
+/// Answer to a look-up of a session's position.
+struct SessionPointReply final {
+  bool m_Known = false;            ///< The home knows the session.
+  std::optional<LogPoint> m_Point; ///< Its position, if it has one.
+};
+
+/// Delivers an update to an entry process; the reply is empty if it could not
+/// be reached.
+using UpdateListener =
+    std::function<void(ControlSessionId Session, ControlUpdate Update,
+                       std::function<void(std::optional<Confirmation>)> Reply)>;
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_CONTROLMESSAGES_H
--- /dev/null
+++ b/ragwortmux/Process/ControlNode.cpp
@@ -0,0 +1,486 @@
+#include "ragwortmux/Process/ControlNode.h"
+
+#include "ragwortmux/Process/CommandCodec.h"
+#include "ragwortmux/Process/ControlQuery.h"
+#include "ragwortmux/Process/Support/Log.h"
+
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Queries confirm the leadership with tokens of their own, apart from those of
+/// ControlLeader.
+constexpr std::uint64_t QueryTokenBit = std::uint64_t{1} << 63U;
+
+} // namespace
+
+ControlNode::ControlNode(ControlNodeSettings Settings,
+                         std::unique_ptr<LogStorage> Storage,
+                         ControlNodeHooks Hooks)
+    : m_Settings(std::move(Settings)), m_Storage(std::move(Storage)),
+      m_Hooks(std::move(Hooks)), m_State(m_Settings.m_State),
+      m_Leader(m_State, m_Settings.m_Leader) {}
+
+ControlNode::~ControlNode() = default;
+
+bool ControlNode::open(Instant Now) {
+  auto Initial = m_Storage->open();
+  if (!Initial) {
+    m_LastCode = m_Storage->lastCode();
+    m_LastReason = m_Storage->lastReason();
+    return false;
+  }
+  m_Log = std::make_unique<ReplicatedLog>(Now, m_Settings.m_Log,
+                                          std::move(*Initial));
+  pump(Now);
+  return true;
+}
+
+void ControlNode::receive(Instant Now, const LogEnvelope &Envelope) {
+  m_Log->receive(Now, Envelope);
+  pump(Now);
+}
+
+void ControlNode::tick(Instant Now, WallTime Wall) {
+  if (Now >= m_Log->nextTick()) {
+    m_Log->tick(Now);
+  }
+  m_Leader.tick(Now, Wall);
+  pump(Now);
+}
+
+void ControlNode::openSession(Instant Now, const OpenSession &Command,
+                              Respond<OpenSessionReply> Reply) {
+  command(Now, Command, [Reply](const CommandReply &Given) {
+    OpenSessionReply Opened;
+    Opened.m_Status = Given.m_Status;
+    Opened.m_Session = Given.m_Result.m_Session;
+    if (Opened.m_Status.ok() && !Given.m_Result.ok()) {
+      Opened.m_Status = {Given.m_Result.m_Code, Given.m_Result.m_Reason, ""};
+    }
+    Reply(Opened);
+  });
+}
+
+void ControlNode::renew(Instant Now, const LeaseRenewal &Renewal,
+                        Respond<RenewReply> Reply) {
+  if (!isServing()) {
+    Reply({notLeader(), Duration(0), {}});
+    return;
+  }
+  m_Renewals[{Renewal.m_Session, Renewal.m_Sequence}] = std::move(Reply);
+  m_Leader.renewalReceived(Renewal, Now);
+  pump(Now);
+}
+
+void ControlNode::report(Instant Now,
+                         const std::vector<ServerAnnouncement> &Announcements,
+                         const std::vector<ServerSuspicion> &Suspicions,
+                         Respond<ControlStatus> Reply) {
+  if (!isServing()) {
+    Reply(notLeader());
+    return;
+  }
+  for (const ServerAnnouncement &Announcement : Announcements) {
+    m_Leader.announcementReceived(Announcement, Now);
+  }
+  for (const ServerSuspicion &Suspicion : Suspicions) {
+    m_Leader.suspicionReported(Suspicion, Now);
+  }
+  Reply({});
+  pump(Now);
+}
+
+void ControlNode::command(Instant Now, const ControlCommand &Command,
+                          Respond<CommandReply> Reply) {
+  if (!isServing()) {
+    Reply({notLeader(), {}});
+    return;
+  }
+  const auto Id = m_Log->propose(Now, encodeCommand(Command));
+  if (!Id) {
+    Reply({{ResultCode::Unreachable, m_Log->lastReason(), ""}, {}});
+    return;
+  }
+  m_Commands[Id->m_Index] = {Id->m_Term, std::move(Reply)};
+  pump(Now);
+}
+
+void ControlNode::query(Instant Now, const std::string &What,
+                        const std::string &Name, Respond<QueryReply> Reply) {
+  if (!isServing()) {
+    Reply({notLeader(), ""});
+    return;
+  }
+  const std::uint64_t Token = QueryTokenBit | ++m_LastQuery;
+  if (!m_Log->confirmLeadership(Now, ConfirmationToken(Token))) {
+    Reply({notLeader(), ""});
+    return;
+  }
+  m_Queries[Token] = {What, Name, std::move(Reply)};
+  pump(Now);
+}
+
+void ControlNode::confirmed(Instant Now, ControlSessionId Session,
+                            const Confirmation &Confirmed) {
+  if (!m_Leader.isLeader()) {
+    return;
+  }
+  for (const auto &[Group, Acted] : Confirmed.m_Groups) {
+    m_Leader.updateConfirmed(Session, Group, Acted, Now);
+  }
+  m_Leader.catalogueConfirmed(Session, Confirmed.m_Catalogue, Now);
+  m_Leader.homesConfirmed(Session, Confirmed.m_Homes, Now);
+  pump(Now);
+}
+
+void ControlNode::backendCallDone(Instant Now,
+                                  const BackendCallResult &Result) {
+  if (m_Leader.isLeader()) {
+    m_Leader.backendCallCompleted(Result, Now);
+  }
+  pump(Now);
+}
+
+void ControlNode::peersIdentified(Instant Now,
+                                  const std::vector<IdentifiedPeer> &Peers,
+                                  bool AllBlank) {
+  for (const IdentifiedPeer &Peer : Peers) {
+    if (Peer.m_Voter) {
+      m_Identified[*Peer.m_Voter] = Peer.m_Address;
+    }
+  }
+  // A new log is started only if every control host answered that it holds
+  // nothing: a host that merely lost its disk must not start another log.
+  if (AllBlank && m_Settings.m_Bootstrap && identify().m_Blank) {
+    LogMembership Members;
+    for (const IdentifiedPeer &Peer : Peers) {
+      Members.m_Members.push_back({*Peer.m_Voter, Peer.m_Address, true});
+    }
+    logInfo(Part::Control, "Starting a new log with {} voters.", Peers.size());
+    m_Log->bootstrap(Now, Members);
+  }
+  if (m_Log->isReady()) {
+    if (const auto Step = nextVoterStep(m_Log->membership(), Peers)) {
+      takeVoterStep(Now, *Step);
+    }
+  }
+  pump(Now);
+}
+
+IdentifyReply ControlNode::identify() const {
+  IdentifyReply Reply;
+  Reply.m_Voter = m_Log->self().value();
+  Reply.m_Blank = m_Log->membership().m_Members.empty();
+  return Reply;
+}
+
+void ControlNode::takeVoterStep(Instant Now, const VoterStep &Step) {
+  std::optional<EntryId> Taken;
+  switch (Step.m_Kind) {
+  case VoterStep::Kind::AddLearner:
+    Taken = m_Log->addMember(Now, Step.m_Voter, Step.m_Address);
+    break;
+  case VoterStep::Kind::Promote:
+    Taken = m_Log->promoteMember(Now, Step.m_Voter);
+    break;
+  case VoterStep::Kind::Remove:
+    Taken = m_Log->removeMember(Now, Step.m_Voter);
+    break;
+  }
+  if (Taken) {
+    logInfo(Part::Control, "Changed the voters: step {} with {}.",
+            static_cast<int>(Step.m_Kind), Step.m_Voter.value());
+  }
+}
+
+void ControlNode::pump(Instant Now) {
+  // Each side's actions may cause new ones of the other, so go on until both
+  // are quiet.
+  bool Busy = true;
+  while (Busy) {
+    const bool LogActed = performLogActions(Now);
+    const bool LeaderActed = performLeaderActions(Now);
+    Busy = LogActed || LeaderActed;
+  }
+}
+
+bool ControlNode::performLogActions(Instant Now) {
+  const std::vector<LogAction> Actions = m_Log->takeActions(Now);
+  for (const LogAction &Action : Actions) {
+    std::visit([&](const auto &One) { perform(Now, One); }, Action);
+  }
+  return !Actions.empty();
+}
+
+bool ControlNode::performLeaderActions(Instant Now) {
+  const std::vector<ControlAction> Actions = m_Leader.takeActions();
+  for (const ControlAction &Action : Actions) {
+    std::visit([&](const auto &One) { perform(Now, One); }, Action);
+  }
+  return !Actions.empty();
+}
+
+void ControlNode::perform(Instant, const SendMessage &Action) {
+  const VoterId &To = Action.m_Envelope.m_To;
+  // A blank member answers its future leader before it has any configuration.
+  const LogMember *Member = m_Log->membership().find(To);
+  const auto Identified = m_Identified.find(To);
+  if (Member != nullptr) {
+    m_Hooks.m_SendLog(Member->m_Address, Action.m_Envelope);
+  } else if (Identified != m_Identified.end()) {
+    m_Hooks.m_SendLog(Identified->second, Action.m_Envelope);
+  }
+}
+
+void ControlNode::perform(Instant Now, const PersistLog &Action) {
+  if (m_Storage->persist(Action)) {
+    m_Log->persisted(Now, Action.m_Sequence);
+    return;
+  }
+  // What the disk holds is not known, so this voter takes no part any more.
+  m_LastCode = m_Storage->lastCode();
+  m_LastReason = m_Storage->lastReason();
+  logError(Part::Log, "The log cannot be written: {}.", m_LastReason);
+  m_Log->persistFailed();
+}
+
+void ControlNode::perform(Instant Now, const ApplyEntries &Action) {
+  for (const LogEntry &Entry : Action.m_Entries) {
+    applyEntry(Now, Entry);
+  }
+  snapshotIfDue(Now);
+}
+
+void ControlNode::applyEntry(Instant Now, const LogEntry &Entry) {
+  if (Entry.m_Kind != LogEntryKind::Payload) {
+    return;
+  }
+  CommandReply Reply;
+  std::string Reason;
+  const auto Command = decodeCommand(Entry.m_Payload, Reason);
+  if (Command) {
+    Reply.m_Result = m_State.apply(*Command);
+    clearEndedHolder(Reply.m_Result);
+    if (m_Leader.isLeader()) {
+      m_Leader.applied(*Command, Reply.m_Result, Now);
+    }
+  } else {
+    // Every voter skips the same entry, so the states stay equal.
+    logError(Part::Control, "Skipped a command that cannot be decoded: {}.",
+             Reason);
+    Reply.m_Result.m_Code = ResultCode::BadArgument;
+  }
+  const auto Pending = m_Commands.find(Entry.m_Id.m_Index);
+  if (Pending == m_Commands.end()) {
+    return;
+  }
+  const PendingCommand Waiting = std::move(Pending->second);
+  m_Commands.erase(Pending);
+  if (Waiting.m_Reply && Waiting.m_Term == Entry.m_Id.m_Term) {
+    Waiting.m_Reply(Reply);
+  }
+}
+
+void ControlNode::clearEndedHolder(ControlResult &Result) const {
+  if (Result.m_Code == ResultCode::NotRunKeyInUse && Result.m_Ledger &&
+      m_State.sessions().find(Result.m_Ledger->m_Session) == nullptr) {
+    Result.m_Ledger->m_Session = ControlSessionId();
+  }
+}
+
+void ControlNode::snapshotIfDue(Instant Now) {
+  const LogIndex Applied = m_Log->appliedIndex();
+  if (Applied.value() - m_LastSnapshot.value() < m_Settings.m_SnapshotEntries) {
+    return;
+  }
+  m_LastSnapshot = Applied;
+  m_Log->takeSnapshot(Now, Applied, encodeState(m_State.exportData()));
+}
+
+void ControlNode::perform(Instant, const RestoreSnapshot &Action) {
+  m_LastSnapshot = Action.m_Snapshot->m_Last.m_Index;
+  if (Action.m_Snapshot->m_State.empty()) {
+    return;
+  }
+  std::string Reason;
+  const auto Data = decodeState(Action.m_Snapshot->m_State, Reason);
+  if (!Data) {
+    logError(Part::Control, "A snapshot cannot be decoded: {}.", Reason);
+    m_Log->persistFailed();
+    return;
+  }
+  m_State.importData(*Data);
+}
+
+void ControlNode::perform(Instant, const BecameLeader &Action) {
+  logInfo(Part::Control, "Elected as the leader of term {}.",
+          Action.m_Term.value());
+}
+
+void ControlNode::perform(Instant Now, const LeaderReady &) {
+  m_Leader.becameLeader(Now);
+  m_Hooks.m_LeadershipChanged(true);
+}
+
+void ControlNode::perform(Instant Now, const LostLeadership &Action) {
+  logInfo(Part::Control, "No longer the leader of term {}.",
+          Action.m_Term.value());
+  m_Leader.lostLeadership(Now);
+  failPending();
+  m_Hooks.m_LeadershipChanged(false);
+}
+
+void ControlNode::perform(Instant Now, const LeadershipConfirmed &Action) {
+  const std::uint64_t Token = Action.m_Token.value();
+  if ((Token & QueryTokenBit) == 0) {
+    m_Leader.leadershipConfirmed(Token, Now);
+    return;
+  }
+  const auto Found = m_Queries.find(Token);
+  if (Found != m_Queries.end()) {
+    const PendingQuery Query = std::move(Found->second);
+    m_Queries.erase(Found);
+    answer(Query);
+  }
+}
+
+void ControlNode::perform(Instant, const ConfirmationDropped &Action) {
+  const auto Found = m_Queries.find(Action.m_Token.value());
+  if (Found != m_Queries.end()) {
+    Found->second.m_Reply({notLeader(), ""});
+    m_Queries.erase(Found);
+  }
+}
+
+void ControlNode::perform(Instant, const ProposalDropped &Action) {
+  const auto Found = m_Commands.find(Action.m_Id.m_Index);
+  if (Found == m_Commands.end() || Found->second.m_Term != Action.m_Id.m_Term) {
+    return;
+  }
+  const PendingCommand Dropped = std::move(Found->second);
+  m_Commands.erase(Found);
+  if (Dropped.m_Reply) {
+    Dropped.m_Reply({notLeader(), {}});
+  }
+}
+
+void ControlNode::perform(Instant Now, const Propose &Action) {
+  // The leader's core proposes again what does not get a result in time.
+  m_Log->propose(Now, encodeCommand(Action.m_Command));
+}
+
+void ControlNode::perform(Instant Now, const ConfirmLeadership &Action) {
+  m_Log->confirmLeadership(Now, ConfirmationToken(Action.m_Token));
+}
+
+void ControlNode::perform(Instant, const GrantRenewal &Action) {
+  const auto Found = m_Renewals.find({Action.m_Session, Action.m_Sequence});
+  if (Found == m_Renewals.end()) {
+    return;
+  }
+  RenewReply Reply;
+  Reply.m_Lease = Action.m_Length;
+  Reply.m_Update.m_Views = Action.m_Groups;
+  Reply.m_Update.m_Catalogue = Action.m_Catalogue;
+  Reply.m_Update.m_Homes = homesView(Action.m_Homes);
+  const auto Respond = std::move(Found->second);
+  m_Renewals.erase(Found);
+  Respond(std::move(Reply));
+}
+
+void ControlNode::perform(Instant, const RefuseRenewal &Action) {
+  const auto Found = m_Renewals.find({Action.m_Session, Action.m_Sequence});
+  if (Found == m_Renewals.end()) {
+    return;
+  }
+  const auto Respond = std::move(Found->second);
+  m_Renewals.erase(Found);
+  Respond({{ResultCode::Unauthorized, "the session has ended", ""},
+           Duration(0),
+           {}});
+}
+
+void ControlNode::perform(Instant, const PushGroupView &Action) {
+  ControlUpdate Update;
+  Update.m_Views.push_back(Action.m_View);
+  m_Hooks.m_Push(Action.m_Session, std::move(Update));
+}
+
+void ControlNode::perform(Instant, const PushCatalogue &Action) {
+  ControlUpdate Update;
+  Update.m_Catalogue = Action.m_Delta;
+  m_Hooks.m_Push(Action.m_Session, std::move(Update));
+}
+
+void ControlNode::perform(Instant, const PushSessionHomes &Action) {
+  ControlUpdate Update;
+  Update.m_Homes = homesView(Action.m_Homes);
+  m_Hooks.m_Push(Action.m_Session, std::move(Update));
+}
+
+void ControlNode::perform(Instant, const CallBackend &Action) {
+  m_Hooks.m_CallBackend(Action);
+}
+
+void ControlNode::perform(Instant, const Note &Action) {
+  logInfo(Part::Control, "{}", Action.m_Text);
+  m_Hooks.m_Note(Action.m_Text);
+}
+
+void ControlNode::failPending() {
+  const ControlStatus Status = notLeader();
+  for (auto &[Key, Respond] : std::exchange(m_Renewals, {})) {
+    Respond({Status, Duration(0), {}});
+  }
+  for (auto &[Token, Query] : std::exchange(m_Queries, {})) {
+    Query.m_Reply({Status, ""});
+  }
+  // Commands stay pending: they may still commit, and ProposalDropped tells if
+  // they cannot.
+}
+
+void ControlNode::answer(const PendingQuery &Query) {
+  const auto Json = controlQueryJson(m_State, Query.m_What, Query.m_Name);
+  if (!Json) {
+    Query.m_Reply({{ResultCode::CatalogueNotFound, Query.m_Name, ""}, ""});
+    return;
+  }
+  Query.m_Reply({{}, *Json});
+}
+
+bool ControlNode::isServing() const {
+  return m_Log->isReady() && m_Leader.isLeader();
+}
+
+ControlStatus ControlNode::notLeader() const {
+  ControlStatus Status;
+  Status.m_Code = ResultCode::NotLeader;
+  Status.m_Reason = "this control host does not lead";
+  if (m_Log->leader() && *m_Log->leader() != m_Log->self()) {
+    const LogMember *Member = m_Log->membership().find(*m_Log->leader());
+    Status.m_Leader = Member == nullptr ? "" : Member->m_Address;
+  }
+  return Status;
+}
+
+SessionHomesView ControlNode::homesView(const SessionHomes &Homes) const {
+  const auto ToAddresses = [this](const std::vector<HostId> &Hosts) {
+    std::vector<EntryAddress> Addresses;
+    for (const HostId &Host : Hosts) {
+      m_State.sessions().forEachSession([&](const SessionRecord &Record) {
+        if (Record.m_Host == Host) {
+          Addresses.push_back(
+              {Host, Record.m_Domain, Record.m_Address, Record.m_RpcPort});
+        }
+      });
+    }
+    return Addresses;
+  };
+  return {Homes.m_Revision, ToAddresses(Homes.m_Active),
+          ToAddresses(Homes.m_Preparing)};
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -0,0 +1,325 @@
+#include "ragwortmux/Process/ControlRole.h"
+
+#include "ragwortmux/Process/CommandCodec.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Log/PosixFileSystem.h"
+#include "ragwortmux/Process/PeerLink.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/Support/Timeline.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <charconv>
+#include <random>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// How often the node is given the time.
+constexpr Duration TickInterval = std::chrono::milliseconds(10);
+/// How often the other control hosts are asked who they are.
+constexpr Duration IdentifyInterval = std::chrono::milliseconds(500);
+/// Longest wait for one answer of another control host.
+constexpr Duration PeerTimeout = std::chrono::milliseconds(1000);
+/// Bound on the answer to a control call.
+constexpr std::size_t MaxAnswerBytes = 4096;
+
+std::uint64_t random64() {
+  static thread_local std::random_device Device;
+  constexpr unsigned Half = 32;
+  return (static_cast<std::uint64_t>(Device()) << Half) | Device();
+}
+
+std::string callSql(const CallBackend &Call) {
+  const std::string TermText = std::to_string(Call.m_Term.value());
+  switch (Call.m_Kind) {
+  case BackendCallKind::Fence:
+    return "SELECT ragwortmux_fence(" + TermText + ")";
+  case BackendCallKind::Promote:
+    return "SELECT ragwortmux_promote(" + TermText + ")";
+  case BackendCallKind::Follow:
+    return "SELECT ragwortmux_follow(" + TermText + ", '" +
+           Call.m_PrimaryAddress + "', " + std::to_string(Call.m_PrimaryPort) +
+           ")";
+  case BackendCallKind::Position:
+    break;
+  }
+  return "SELECT ragwortmux_position()";
+}
+
+std::uint64_t toNumber(const std::string &Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+} // namespace
+
+/// A call to a backend server over a connection of its own.
+struct ControlRole::BackendCall final {
+  CallBackend m_Call;                              ///< What to call.
+  std::shared_ptr<BackendConnection> m_Connection; ///< The connection.
+  bool m_Done = false;                             ///< The node knows.
+};
+
+ControlRole::ControlRole(IoLoop &Loop, ActorHost &Actors,
+                         const ProcessSettings &Settings, Metrics &Figures,
+                         Timeline &Events)
+    : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings), m_Metrics(Figures),
+      m_Timeline(Events) {}
+
+ControlRole::~ControlRole() = default;
+
+bool ControlRole::open() {
+  auto Node = makeNode();
+  if (!Node->open(monotonicNow())) {
+    m_LastCode = Node->lastCode();
+    m_LastReason = Node->lastReason();
+    return false;
+  }
+  m_Identity = Node->identify();
+  m_Identity.m_Host = m_Settings.m_Host;
+  m_Actor = std::make_unique<ControlActor>(m_Loop, m_Actors, std::move(Node));
+  return true;
+}
+
+void ControlRole::serve(RpcServerHooks &Hooks) {
+  Hooks.m_LogMessage = [this](LogEnvelope Envelope) {
+    m_Actor->receive(std::move(Envelope));
+  };
+  Hooks.m_Identify = [this] { return m_Identity; };
+  Hooks.m_OpenSession = [this](const EntryAddress &Host, Incarnation Run,
+                               UpdateListener Listener, auto Respond) {
+    OpenSession Command{Host.m_Host, Run, Host.m_Domain, Host.m_Address,
+                        Host.m_Port};
+    m_Actor->openSession(
+        Command, [this, Listener, Respond](const OpenSessionReply &Reply) {
+          if (Reply.m_Status.ok()) {
+            m_Listeners[Reply.m_Session] = Listener;
+          }
+          Respond(Reply);
+        });
+  };
+  Hooks.m_Renew = [this](LeaseRenewal Renewal, auto Respond) {
+    m_Actor->renew(std::move(Renewal), Respond);
+  };
+  Hooks.m_Report = [this](std::vector<ServerAnnouncement> Announcements,
+                          std::vector<ServerSuspicion> Suspicions,
+                          auto Respond) {
+    m_Actor->report(std::move(Announcements), std::move(Suspicions), Respond);
+  };
+  Hooks.m_Command = [this](const std::string &Bytes, auto Respond) {
+    std::string Reason;
+    auto Command = decodeCommand(Bytes, Reason);
+    if (!Command) {
+      Respond({{ResultCode::BadArgument, Reason, ""}, {}});
+      return;
+    }
+    m_Actor->command(std::move(*Command), Respond);
+  };
+  Hooks.m_Query = [this](std::string What, std::string Name, auto Respond) {
+    m_Actor->query(std::move(What), std::move(Name), Respond);
+  };
+}
+
+void ControlRole::start() {
+  m_Loop.every(TickInterval, [this] { m_Actor->tick(); });
+  m_Loop.every(IdentifyInterval, [this] { identifyPeers(); });
+  identifyPeers();
+}
+
+std::unique_ptr<ControlNode> ControlRole::makeNode() {
+  LogStorageSettings Storage;
+  Storage.m_ClusterName = m_Settings.m_Cluster;
+  Storage.m_Random = random64;
+  Storage.m_Note = [](const std::string &Text) {
+    logWarn(Part::Log, "{}", Text);
+  };
+  ControlNodeSettings Node;
+  Node.m_Address = formatSocketAddress(m_Settings.ownPeer()->m_Where);
+  Node.m_Bootstrap = m_Settings.m_Bootstrap;
+  Node.m_Log.m_Random = random64;
+  Node.m_Log.m_HeartbeatInterval = m_Settings.m_Heartbeat;
+  Node.m_Log.m_ElectionTimeoutMin = m_Settings.m_ElectionTimeout;
+  Node.m_Log.m_ElectionTimeoutMax = m_Settings.m_ElectionTimeout * 2;
+  // A leader must have stopped before the next one can start.
+  Node.m_Log.m_CheckQuorumTimeout = m_Settings.m_ElectionTimeout * 5 / 6;
+  Node.m_Leader.m_Lease = m_Settings.m_Lease;
+  Node.m_Leader.m_RenewEvery = m_Settings.m_RenewalInterval;
+  Node.m_Leader.m_Drift.m_Percent = m_Settings.m_DriftPercent;
+  Node.m_Leader.m_Drift.m_Fixed = m_Settings.m_Drift;
+  Node.m_Leader.m_SilenceFailed = m_Settings.m_AnnouncementSilence;
+  Node.m_State.m_Ledger.m_Retention =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          m_Settings.m_LedgerRetention);
+  return std::make_unique<ControlNode>(
+      std::move(Node),
+      std::make_unique<LogStorage>(
+          std::move(Storage),
+          std::make_unique<PosixFileSystem>(m_Settings.m_DataFolder)),
+      ControlActor::onLoop(m_Loop, nodeHooks()));
+}
+
+ControlNodeHooks ControlRole::nodeHooks() {
+  ControlNodeHooks Hooks;
+  Hooks.m_SendLog = [this](const std::string &Address, LogEnvelope Envelope) {
+    sendLog(Address, Envelope);
+  };
+  Hooks.m_Push = [this](ControlSessionId Session, ControlUpdate Update) {
+    push(Session, Update);
+  };
+  Hooks.m_CallBackend = [this](const CallBackend &Call) { callBackend(Call); };
+  Hooks.m_Note = [this](const std::string &Text) {
+    TimelineEvent Event;
+    Event.m_Kind = EventKind::SyncStateChanged;
+    Event.m_Text = Text;
+    m_Timeline.record(Event);
+  };
+  Hooks.m_LeadershipChanged = [this](bool Ready) { leadershipChanged(Ready); };
+  return Hooks;
+}
+
+PeerLink &ControlRole::link(const std::string &Address) {
+  auto &Link = m_Links[Address];
+  if (Link == nullptr) {
+    const SocketAddress Where =
+        parseSocketAddress(Address).value_or(SocketAddress());
+    PeerLinkSettings Settings;
+    Settings.m_OwnHost = m_Settings.m_Host;
+    Settings.m_Address = Where.m_Address;
+    Settings.m_Port = Where.m_Port;
+    Settings.m_CallTimeout = PeerTimeout;
+    Link =
+        std::make_unique<PeerLink>(m_Loop, m_Settings.m_ClusterKey, Settings);
+  }
+  return *Link;
+}
+
+void ControlRole::sendLog(const std::string &Address,
+                          const LogEnvelope &Envelope) {
+  link(Address).sendLogMessage(Envelope);
+}
+
+void ControlRole::push(ControlSessionId Session, const ControlUpdate &Update) {
+  const auto Found = m_Listeners.find(Session);
+  if (Found == m_Listeners.end()) {
+    return;
+  }
+  Found->second(Session, Update,
+                [this, Session](const std::optional<Confirmation> &Confirmed) {
+                  if (Confirmed) {
+                    m_Actor->confirmed(Session, *Confirmed);
+                  }
+                });
+}
+
+void ControlRole::callBackend(const CallBackend &Call) {
+  const auto Running = std::make_shared<BackendCall>();
+  Running->m_Call = Call;
+  BackendConnectionSettings Settings;
+  Settings.m_Address = Call.m_Address;
+  Settings.m_Port = Call.m_Port;
+  Settings.m_User = m_Settings.m_BackendUser;
+  Settings.m_Database = m_Settings.m_BackendDatabase;
+  Settings.m_ConnectTimeout = Call.m_Timeout;
+  BackendConnection::Hooks Hooks;
+  Hooks.m_Opened = [this, Running] { runBackendCall(Running); };
+  Hooks.m_Failed = [this, Running](const std::string &Reason,
+                                   const std::string &) {
+    finishBackendCall(Running, std::nullopt, Reason);
+  };
+  Hooks.m_Lost = [this, Running](const std::string &Reason) {
+    finishBackendCall(Running, std::nullopt, Reason);
+  };
+  Hooks.m_Answered = [this, Running](const StatementResult &Result) {
+    finishBackendCall(Running, Result, Result.m_Message);
+  };
+  Running->m_Connection =
+      BackendConnection::open(m_Loop, Settings, std::move(Hooks));
+  m_Loop.after(Call.m_Timeout, [this, Running] {
+    finishBackendCall(Running, std::nullopt, "no answer in time");
+  });
+}
+
+void ControlRole::runBackendCall(const std::shared_ptr<BackendCall> &Call) {
+  Call->m_Connection->execute(callSql(Call->m_Call), MaxAnswerBytes);
+}
+
+void ControlRole::finishBackendCall(
+    const std::shared_ptr<BackendCall> &Call,
+    const std::optional<StatementResult> &Result, const std::string &Reason) {
+  if (Call->m_Done) {
+    return;
+  }
+  Call->m_Done = true;
+  // The hooks hold the call and the call holds the connection.
+  m_Loop.after(Duration(0), [Call] { Call->m_Connection = nullptr; });
+  BackendCallResult Told;
+  Told.m_Call = Call->m_Call.m_Call;
+  Told.m_Reason = Reason;
+  constexpr std::size_t RoleColumn = 2;
+  if (Result && Result->m_Ok && Result->m_FirstRow.size() >= RoleColumn) {
+    const std::vector<std::string> &Row = Result->m_FirstRow;
+    Told.m_Ok = true;
+    Told.m_Point = {Term(toNumber(Row[0])), LogPosition(toNumber(Row[1]))};
+    const bool IsPrimary =
+        Row.size() > RoleColumn && Row[RoleColumn] == "primary";
+    Told.m_Role = IsPrimary ? BackendRole::Primary : BackendRole::Replica;
+  }
+  m_Actor->backendCallDone(Told);
+}
+
+void ControlRole::identifyPeers() {
+  // The node's own answer first, then the others'; the round ends when all have
+  // answered or failed.
+  struct Round final {
+    std::vector<IdentifiedPeer> m_Peers; ///< In the order of the settings.
+    std::size_t m_Missing = 0;           ///< Answers still to come.
+    bool m_AllBlank = true;              ///< All answered that they are blank.
+  };
+  const auto Current = std::make_shared<Round>();
+  const auto Take = [this, Current](std::size_t Index,
+                                    const std::optional<IdentifyReply> &Reply) {
+    if (Reply && !Reply->m_Voter.empty()) {
+      Current->m_Peers[Index].m_Voter = VoterId(Reply->m_Voter);
+    }
+    Current->m_AllBlank = Current->m_AllBlank && Reply && Reply->m_Blank;
+    if (--Current->m_Missing == 0) {
+      m_Actor->peersIdentified(Current->m_Peers, Current->m_AllBlank);
+    }
+  };
+  Current->m_Missing = m_Settings.m_ControlPeers.size();
+  for (const ControlPeer &Peer : m_Settings.m_ControlPeers) {
+    const std::string Address = formatSocketAddress(Peer.m_Where);
+    const std::size_t Index = Current->m_Peers.size();
+    Current->m_Peers.push_back({Address, std::nullopt});
+    if (Peer.m_Host == m_Settings.m_Host) {
+      m_Actor->identify([this, Take, Index](const IdentifyReply &Reply) {
+        m_Identity = Reply;
+        m_Identity.m_Host = m_Settings.m_Host;
+        Take(Index, Reply);
+      });
+      continue;
+    }
+    link(Address).identify(
+        [Take, Index](const std::optional<IdentifyReply> &Reply) {
+          Take(Index, Reply);
+        });
+  }
+}
+
+void ControlRole::leadershipChanged(bool Ready) {
+  m_Leads = Ready;
+  m_Metrics.set(Metric::ControlLeader, {}, Ready ? 1 : 0);
+  TimelineEvent Event;
+  Event.m_Kind = Ready ? EventKind::LeaderElected : EventKind::LeaderLost;
+  m_Timeline.record(Event);
+  if (!Ready) {
+    m_Listeners.clear();
+  }
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/Daemon.h
@@ -0,0 +1,59 @@
+#ifndef RAGWORTMUX_PROCESS_DAEMON_H
+#define RAGWORTMUX_PROCESS_DAEMON_H
+
+#include "ragwortmux/Process/ActorHost.h"
+#include "ragwortmux/Process/HttpEndpoint.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/OperatorApi.h"
+#include "ragwortmux/Process/RpcServer.h"
+#include "ragwortmux/Process/Support/HybridClock.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/Support/Timeline.h"
+
+#include <memory>
+
+namespace ragwortmux {
+
+class ControlRole;
+class EntryRole;
+
+/// One running process of the system: `ragwortmux serve`.
+class Daemon final {
+public:
+  explicit Daemon(ProcessSettings Settings);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  /// Serves until SIGTERM, SIGINT or an operator's drain; returns the exit
+  /// status. Once all ports listen, one line
+  /// `ready caller=PORT http=PORT rpc=PORT` goes to standard output.
+  int run();
+
+private:
+  bool startRoles();
+  void startEndpoints();
+  void watchSignals();
+  void drain();
+  void stop(int Status);
+  std::string localStatus() const;
+
+  const ProcessSettings m_Settings;       ///< The settings.
+  HybridClock m_Clock;                    ///< Stamps events.
+  Timeline m_Timeline;                    ///< The time line.
+  Metrics m_Metrics;                      ///< The metrics.
+  IoLoop m_Loop;                          ///< The event loop.
+  ActorHost m_Actors;                     ///< The actor system.
+  std::unique_ptr<ControlRole> m_Control; ///< Null without the control role.
+  std::unique_ptr<EntryRole> m_Entry;     ///< Null without the entry role.
+  std::unique_ptr<RpcServer> m_Rpc;       ///< Serves other processes.
+  std::unique_ptr<OperatorApi> m_Api;     ///< Answers HTTP requests.
+  std::unique_ptr<HttpEndpoint> m_Http;   ///< Serves HTTP.
+  int m_ExitStatus = 0;                   ///< What run() returns.
+  bool m_Draining = false;                ///< drain() was called.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_DAEMON_H
--- /dev/null
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -0,0 +1,432 @@
+#include "ragwortmux/Process/EntryRole.h"
+
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/Support/Timeline.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <boost/json.hpp>
+
+#include <random>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// How often a drain looks whether all has ended.
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(10);
+/// How long the ledger is waited for.
+constexpr Duration LedgerTimeout = std::chrono::milliseconds(1500);
+/// Longest answer that the ledger keeps, in bytes.
+constexpr std::size_t MaxRecordedBytes = 16384;
+
+Incarnation makeIncarnation() {
+  std::random_device Random;
+  constexpr unsigned Half = 32;
+  return Incarnation((static_cast<std::uint64_t>(Random()) << Half) | Random());
+}
+
+/// What the ledger's answer to a reservation means to the group.
+ReserveResult toReserveResult(const CommandReply &Reply,
+                              const AttemptId &Attempt) {
+  ReserveResult Result;
+  const ControlResult &Given = Reply.m_Result;
+  if (Reply.m_Status.m_Code == ResultCode::Unreachable ||
+      Reply.m_Status.m_Code == ResultCode::NotLeader) {
+    return Result;
+  }
+  if (Given.ok()) {
+    Result.m_Status = ReserveStatus::Reserved;
+    Result.m_Attempt = Attempt;
+    return Result;
+  }
+  if (Given.m_Code == ResultCode::RanEarlier && Given.m_Ledger) {
+    Result.m_Status = ReserveStatus::Recorded;
+    Result.m_Code = Given.m_Ledger->m_Code;
+    Result.m_Body =
+        std::make_shared<const std::string>(Given.m_Ledger->m_Answer);
+    return Result;
+  }
+  if (Given.m_Code == ResultCode::NotRunKeyInUse && Given.m_Ledger) {
+    const bool Ended = Given.m_Ledger->m_Session == ControlSessionId();
+    Result.m_Status =
+        Ended ? ReserveStatus::HeldByEndedSession : ReserveStatus::InUse;
+    Result.m_Attempt = Given.m_Ledger->m_Attempt;
+    return Result;
+  }
+  Result.m_Status = ReserveStatus::Refused;
+  Result.m_Code = Given.m_Code;
+  return Result;
+}
+
+/// What the ledger's answer to a resolution says about the attempt.
+AttemptOutcome toAttemptOutcome(const ControlResult &Result,
+                                AttemptOutcome Stated) {
+  if (Result.ok()) {
+    return Stated;
+  }
+  if (!Result.m_Ledger || Result.m_Ledger->m_Phase == LedgerPhase::Reserved) {
+    return AttemptOutcome::Failed;
+  }
+  return Result.m_Ledger->m_Phase == LedgerPhase::Ran
+             ? AttemptOutcome::Committed
+             : AttemptOutcome::Aborted;
+}
+
+std::string_view outcomeName(ResultCode Code) {
+  return resultCodeInfo(Code).m_Name;
+}
+
+} // namespace
+
+EntryRole::EntryRole(IoLoop &Loop, ActorHost &Actors,
+                     const ProcessSettings &Settings, Metrics &Figures,
+                     Timeline &Events)
+    : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings), m_Metrics(Figures),
+      m_Timeline(Events),
+      m_Points(Loop, Settings.m_ClusterKey, Settings.m_Host) {
+  makeCallers();
+}
+
+EntryRole::~EntryRole() {
+  for (auto &[Group, Driver] : m_Groups) {
+    Driver->stop();
+  }
+}
+
+std::uint16_t EntryRole::listen() {
+  return m_Callers->listen(m_Settings.m_Address, m_Settings.m_CallerPort);
+}
+
+void EntryRole::start(std::uint16_t RpcPort) {
+  makeControl(RpcPort);
+  m_Control->start();
+}
+
+void EntryRole::drain(std::function<void()> Done) {
+  m_Draining = true;
+  m_DrainDone = std::move(Done);
+  m_Callers->drain();
+  for (auto &[Group, Driver] : m_Groups) {
+    Driver->send(DrainEvent{});
+  }
+  checkDrained();
+}
+
+bool EntryRole::isReady() const {
+  return !m_Draining && m_Catalogue.revision() > Revision();
+}
+
+std::string EntryRole::statusJson() const {
+  boost::json::object Object;
+  Object["host"] = m_Settings.m_Host.value();
+  Object["session"] = m_Control ? m_Control->session().value() : 0;
+  Object["lease_valid"] = monotonicNow() < m_LeaseUntil;
+  Object["catalogue_revision"] = m_Catalogue.revision().value();
+  Object["homes_revision"] = m_Points.homesRevision().value();
+  Object["callers"] = m_Callers->size();
+  Object["draining"] = m_Draining;
+  boost::json::array Groups;
+  for (const auto &[Group, Driver] : m_Groups) {
+    const GroupView &View = Driver->view();
+    boost::json::object Row;
+    Row["group"] = Group.value();
+    Row["revision"] = View.m_Revision.value();
+    Row["confirmed"] = Driver->confirmedRevision().value();
+    Row["term"] = View.m_Term.value();
+    Row["primary"] = View.m_Primary
+                         ? boost::json::value(View.m_Primary->value())
+                         : boost::json::value(nullptr);
+    boost::json::object Connections;
+    for (const ServerView &Server : View.m_Servers) {
+      Connections[Server.m_Server.value()] =
+          Driver->heldConnections(Server.m_Server);
+    }
+    Row["connections"] = std::move(Connections);
+    Groups.push_back(std::move(Row));
+  }
+  Object["groups"] = std::move(Groups);
+  return boost::json::serialize(Object);
+}
+
+void EntryRole::makeControl(std::uint16_t RpcPort) {
+  ControlClientSettings Settings;
+  Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
+                     m_Settings.m_Address, RpcPort};
+  Settings.m_Run = makeIncarnation();
+  Settings.m_ControlPeers = m_Settings.m_ControlPeers;
+  Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
+  Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
+  Settings.m_Drift.m_Percent = m_Settings.m_DriftPercent;
+  Settings.m_Drift.m_Fixed = m_Settings.m_Drift;
+  ControlClientHooks Hooks;
+  Hooks.m_Update = [this](const ControlUpdate &Update) { takeUpdate(Update); };
+  Hooks.m_Confirmation = [this] { return confirmation(); };
+  Hooks.m_Demand = [this] {
+    std::vector<ShareDemand> Demand;
+    for (const auto &[Group, Driver] : m_Groups) {
+      const auto Rows = Driver->demand();
+      Demand.insert(Demand.end(), Rows.begin(), Rows.end());
+    }
+    return Demand;
+  };
+  Hooks.m_LeaseExtended = [this](Instant ValidUntil) {
+    m_LeaseUntil = ValidUntil;
+    m_Metrics.add(Metric::LeaseRenewals, {"granted"});
+    for (auto &[Group, Driver] : m_Groups) {
+      Driver->extendLease(ValidUntil);
+    }
+  };
+  Hooks.m_SessionOpened = [this](ControlSessionId Session, bool Changed) {
+    if (Changed) {
+      logInfo(Part::Control, "Opened control session {}.", Session.value());
+      TimelineEvent Event;
+      Event.m_Kind = EventKind::SessionOpened;
+      Event.m_Text = "control session " + std::to_string(Session.value());
+      m_Timeline.record(Event);
+    }
+  };
+  m_Control = std::make_unique<ControlClient>(m_Loop, m_Settings.m_ClusterKey,
+                                              Settings, std::move(Hooks));
+}
+
+void EntryRole::makeCallers() {
+  CallerServerSettings Settings;
+  Settings.m_MaxCallers = m_Settings.m_MaxCallers;
+  Settings.m_Reader.m_MaxMessageBytes = m_Settings.m_MaxCallerMessageBytes;
+  CallerHooks Hooks;
+  Hooks.m_FindEntry = [this](const EntryName &Name) {
+    return m_Catalogue.find(Name);
+  };
+  Hooks.m_Submit = [this](GroupRequest Request) { submit(std::move(Request)); };
+  Hooks.m_Gone = [this](CallerConnectionId Caller, const GroupId &Group) {
+    driver(Group).send(CallerGoneEvent{Caller});
+  };
+  Hooks.m_MayAcknowledge = [this](const GroupId &Group, Term Needed) {
+    return driver(Group).mayAcknowledge(Needed, monotonicNow());
+  };
+  Hooks.m_Answered = [this](const CatalogueEntry &Entry, ResultCode Code,
+                            Duration Took) {
+    const std::string Class(trafficClassName(Entry.m_Class));
+    m_Metrics.add(Metric::Requests, {Class, std::string(outcomeName(Code))});
+    m_Metrics.observe(Metric::RequestSeconds,
+                      {Class, std::string(outcomeName(Code))}, Took);
+  };
+  m_Callers =
+      std::make_unique<CallerServer>(m_Loop, Settings, std::move(Hooks));
+}
+
+GroupDriver &EntryRole::driver(const GroupId &Group) {
+  const auto Found = m_Groups.find(Group);
+  if (Found != m_Groups.end()) {
+    return *Found->second;
+  }
+  GroupDriverSettings Settings;
+  Settings.m_User = m_Settings.m_BackendUser;
+  Settings.m_Database = m_Settings.m_BackendDatabase;
+  Settings.m_ConnectTimeout = m_Settings.m_ConnectTimeout;
+  Settings.m_Group.m_Domain = m_Settings.m_FailureDomain;
+  Settings.m_Group.m_AllowSingleServer = m_Settings.m_AllowSingleServerAck;
+  auto Driver = std::make_shared<GroupDriver>(m_Loop, m_Actors, Group, Settings,
+                                              driverHooks(Group));
+  m_Groups[Group] = Driver;
+  Driver->start();
+  Driver->extendLease(m_LeaseUntil);
+  if (m_Draining) {
+    Driver->send(DrainEvent{});
+  }
+  return *Driver;
+}
+
+GroupDriverHooks EntryRole::driverHooks(const GroupId &Group) {
+  GroupDriverHooks Hooks;
+  Hooks.m_Answer = [this](const Answer &Given) {
+    m_Keyed.erase(Given.m_Request);
+    m_Callers->answer(Given);
+  };
+  Hooks.m_CloseCaller = [this](const CloseCaller &Closing) {
+    m_Callers->closeCaller(Closing);
+  };
+  Hooks.m_ReserveKey = [this, Group](const ReserveRequestKey &Asked,
+                                     const AttemptId &Attempt) {
+    reserveKey(Group, Asked, Attempt);
+  };
+  Hooks.m_RecordOutcome = [this, Group](const RecordKeyOutcome &Asked) {
+    recordOutcome(Group, Asked);
+  };
+  Hooks.m_AttemptEnded = [this, Group](const EndAttempt &Ended,
+                                       const AttemptEndedEvent &Event) {
+    resolveAttempt(Group, Ended, Event);
+  };
+  Hooks.m_FindPoint = [this, Group](const FindSessionPoint &Asked) {
+    m_Points.find(Asked.m_Session, Group,
+                  [this, Group,
+                   Request = Asked.m_Request](const SessionPointReply &Reply) {
+                    driver(Group).send(SessionPointFoundEvent{
+                        Request, Reply.m_Point, Reply.m_Known});
+                  });
+  };
+  Hooks.m_StorePoint = [this, Group](const StoreSessionPoint &Asked) {
+    m_Points.store(
+        Asked.m_Session, Group, Asked.m_Point,
+        [this, Group, Request = Asked.m_Request](bool Stored) {
+          if (Request) {
+            driver(Group).send(SessionPointStoredEvent{*Request, Stored});
+          }
+        });
+  };
+  Hooks.m_Suspect = [this, Group](const ServerId &Server, SuspicionKind Kind) {
+    m_Control->suspect(Group, Server, Kind);
+  };
+  Hooks.m_SharesKept = [this] {
+    if (m_Control) {
+      m_Control->renewSoon();
+    }
+  };
+  return Hooks;
+}
+
+void EntryRole::takeUpdate(const ControlUpdate &Update) {
+  if (Update.m_Catalogue && m_Catalogue.apply(*Update.m_Catalogue)) {
+    m_Metrics.set(Metric::CatalogueRevision, {},
+                  static_cast<double>(m_Catalogue.revision().value()));
+    TimelineEvent Event;
+    Event.m_Kind = EventKind::CatalogueChanged;
+    Event.m_Text = "revision " + std::to_string(m_Catalogue.revision().value());
+    m_Timeline.record(Event);
+  }
+  for (const GroupView &View : Update.m_Views) {
+    GroupDriver &Driver = driver(View.m_Group);
+    const Term Before = Driver.view().m_Term;
+    Driver.takeView(View);
+    if (Driver.view().m_Term > Before) {
+      TimelineEvent Event;
+      Event.m_Kind = EventKind::TermConfirmed;
+      Event.m_Group = View.m_Group;
+      Event.m_Term = View.m_Term;
+      m_Timeline.record(Event);
+    }
+  }
+  if (Update.m_Homes) {
+    m_Points.setHomes(*Update.m_Homes);
+  }
+}
+
+Confirmation EntryRole::confirmation() const {
+  Confirmation Confirmed;
+  for (const auto &[Group, Driver] : m_Groups) {
+    Confirmed.m_Groups[Group] = Driver->confirmedRevision();
+  }
+  Confirmed.m_Catalogue = m_Catalogue.revision();
+  Confirmed.m_Homes = m_Points.homesRevision();
+  return Confirmed;
+}
+
+void EntryRole::submit(GroupRequest Request) {
+  if (Request.m_Key) {
+    m_Keyed[Request.m_Id] = {Request.m_Entry->m_Owner, *Request.m_Key};
+  }
+  const GroupId Group = Request.m_Entry->m_Group;
+  driver(Group).send(SubmitEvent{std::move(Request)});
+}
+
+void EntryRole::reserveKey(const GroupId &Group, const ReserveRequestKey &Asked,
+                           const AttemptId &Attempt) {
+  KeyedRequest &Keyed = m_Keyed[Asked.m_Request];
+  Keyed.m_Attempt = Attempt;
+  ReserveKey Command;
+  Command.m_Owner = Keyed.m_Owner;
+  Command.m_Key = Asked.m_Key;
+  Command.m_Attempt = Attempt;
+  Command.m_Session = m_Control->session();
+  Command.m_Group = Group;
+  Command.m_Term = driver(Group).view().m_Term;
+  m_Control->command(Command, monotonicNow() + LedgerTimeout,
+                     [this, Group, Request = Asked.m_Request,
+                      Attempt](const CommandReply &Reply) {
+                       ReserveResult Result = toReserveResult(Reply, Attempt);
+                       const auto &Holder = Reply.m_Result.m_Ledger;
+                       // An attempt of this very process that nothing here runs
+                       // any more is to be ended like one of a process that is
+                       // gone.
+                       if (Result.m_Status == ReserveStatus::InUse &&
+                           Holder->m_Session == m_Control->session() &&
+                           !isRunning(Holder->m_Attempt)) {
+                         Result.m_Status = ReserveStatus::HeldByEndedSession;
+                       }
+                       driver(Group).send(KeyReservedEvent{Request, Result});
+                     });
+}
+
+bool EntryRole::isRunning(const AttemptId &Attempt) const {
+  for (const auto &[Request, Keyed] : m_Keyed) {
+    if (Keyed.m_Attempt == Attempt) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void EntryRole::recordOutcome(const GroupId &Group,
+                              const RecordKeyOutcome &Asked) {
+  RecordOutcome Command;
+  Command.m_Owner = m_Keyed[Asked.m_Request].m_Owner;
+  Command.m_Key = Asked.m_Key;
+  Command.m_Attempt = Asked.m_Attempt;
+  Command.m_Code = Asked.m_Code;
+  if (Asked.m_Body != nullptr && Asked.m_Body->size() <= MaxRecordedBytes) {
+    Command.m_Answer = *Asked.m_Body;
+  } else if (Asked.m_Body != nullptr) {
+    Command.m_Code = ResultCode::RanAnswerTooLarge;
+  }
+  m_Control->command(
+      Command, monotonicNow() + LedgerTimeout,
+      [this, Group, Request = Asked.m_Request](const CommandReply &Reply) {
+        driver(Group).send(OutcomeRecordedEvent{
+            Request, Reply.m_Status.ok() && Reply.m_Result.ok()});
+      });
+}
+
+void EntryRole::resolveAttempt(const GroupId &Group, const EndAttempt &Ended,
+                               const AttemptEndedEvent &Event) {
+  const auto Keyed = m_Keyed.find(Ended.m_Request);
+  if (Event.m_Outcome == AttemptOutcome::Failed || Keyed == m_Keyed.end()) {
+    driver(Group).send(Event);
+    return;
+  }
+  ResolveAttempt Command;
+  Command.m_Owner = Keyed->second.m_Owner;
+  Command.m_Key = Keyed->second.m_Key;
+  Command.m_Attempt = Ended.m_Attempt;
+  Command.m_Resolver = m_Control->session();
+  Command.m_Term = Ended.m_Term;
+  Command.m_Committed = Event.m_Outcome == AttemptOutcome::Committed;
+  m_Control->command(Command, monotonicNow() + LedgerTimeout,
+                     [this, Group, Event](const CommandReply &Reply) {
+                       AttemptEndedEvent Told = Event;
+                       Told.m_Outcome =
+                           Reply.m_Status.m_Code == ResultCode::Unreachable
+                               ? AttemptOutcome::Failed
+                               : toAttemptOutcome(Reply.m_Result,
+                                                  Event.m_Outcome);
+                       driver(Group).send(Told);
+                     });
+}
+
+void EntryRole::checkDrained() {
+  bool AllDrained = m_Callers->size() == 0;
+  for (const auto &[Group, Driver] : m_Groups) {
+    AllDrained = AllDrained && Driver->drained();
+  }
+  if (AllDrained) {
+    m_DrainDone();
+    return;
+  }
+  m_Loop.after(DrainCheckInterval, [this] { checkDrained(); });
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -0,0 +1,196 @@
+@0xd0f5a4b1c87e2391;
+
+# What the system's own processes say to each other.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("ragwortmux::rpc");
+
+interface Gate {
+  # What a new connection can reach before it has proved that it knows the cluster key.
+
+  hello @0 () -> (nonce :Data, challenge :Challenge);
+}
+
+interface Challenge {
+  answer @0 (host :Text, proof :Data) -> (peer :Peer);
+  # proof is HMAC-SHA256(cluster key, nonce + host). Can be called once.
+}
+
+struct Point {
+  # A position in a group's log.
+  known @0 :Bool;
+  term @1 :UInt64;
+  position @2 :UInt64;
+}
+
+struct ServerView {
+  server @0 :Text;
+  domain @1 :Text;
+  address @2 :Text;
+  port @3 :UInt16;
+  sync @4 :UInt8;
+  leaving @5 :Bool;
+  announced @6 :Bool;
+  connectionShare @7 :UInt32;
+  slots @8 :UInt32;
+}
+
+struct GroupView {
+  group @0 :Text;
+  revision @1 :UInt64;
+  term @2 :UInt64;
+  hasPrimary @3 :Bool;
+  primary @4 :Text;
+  servers @5 :List(ServerView);
+}
+
+struct CatalogueEntry {
+  name @0 :Text;
+  group @1 :Text;
+  owner @2 :Text;
+  trafficClass @3 :UInt8;
+  maxConcurrent @4 :UInt32;
+  maxQueued @5 :UInt32;
+  deadlineUs @6 :Int64;
+  maxAnswerBytes @7 :UInt32;
+  maxAgeUs @8 :Int64;
+}
+
+struct CatalogueItem {
+  revision @0 :UInt64;
+  entry @1 :CatalogueEntry;
+}
+
+struct CatalogueDelta {
+  # Everything that changed after the revision from; if whole, names that are not listed are deleted.
+  from @0 :UInt64;
+  revision @1 :UInt64;
+  whole @2 :Bool;
+  items @3 :List(CatalogueItem);
+  deletions @4 :List(Text);
+}
+
+struct EntryHost {
+  host @0 :Text;
+  domain @1 :Text;
+  address @2 :Text;
+  port @3 :UInt16;
+}
+
+struct SessionHomes {
+  # The entry hosts that keep positions of callers' sessions; preparing is empty when they are not changing.
+  revision @0 :UInt64;
+  active @1 :List(EntryHost);
+  preparing @2 :List(EntryHost);
+}
+
+struct Update {
+  # What control tells an entry process.
+  views @0 :List(GroupView);
+  hasCatalogue @1 :Bool;
+  catalogue @2 :CatalogueDelta;
+  hasHomes @3 :Bool;
+  homes @4 :SessionHomes;
+}
+
+struct GroupAck {
+  group @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct Confirmation {
+  # The newest revisions that an entry process acts on.
+  groups @0 :List(GroupAck);
+  catalogue @1 :UInt64;
+  homes @2 :UInt64;
+}
+
+struct Announcement {
+  group @0 :Text;
+  server @1 :Text;
+  domain @2 :Text;
+  address @3 :Text;
+  port @4 :UInt16;
+  primary @5 :Bool;
+  term @6 :UInt64;
+  position @7 :UInt64;
+  slots @8 :UInt32;
+  connections @9 :UInt32;
+  leaving @10 :Bool;
+}
+
+struct Demand {
+  # How many connections to a server a proxy could use.
+  group @0 :Text;
+  server @1 :Text;
+  connections @2 :UInt32;
+}
+
+struct Suspicion {
+  group @0 :Text;
+  server @1 :Text;
+  evidence @2 :UInt8;
+  term @3 :UInt64;
+}
+
+struct Status {
+  # A numbered result code with a reason; leader is set with not-leader where it is known.
+  code @0 :UInt16;
+  reason @1 :Text;
+  leader @2 :Text;
+}
+
+struct LedgerRecord {
+  # What the ledger knows of a request key.
+  owner @0 :Text;
+  key @1 :Text;
+  attempt @2 :Text;
+  session @3 :UInt64;
+  group @4 :Text;
+  term @5 :UInt64;
+  phase @6 :UInt8;
+  code @7 :UInt16;
+  answer @8 :Data;
+}
+
+struct CommandResult {
+  # What applying a command gave.
+  status @0 :Status;
+  revision @1 :UInt64;
+  session @2 :UInt64;
+  hasWinner @3 :Bool;
+  winner @4 :CatalogueItem;
+  hasLedger @5 :Bool;
+  ledger @6 :LedgerRecord;
+}
+
+interface EntryListener {
+  # Served by an entry process to the control leader.
+  update @0 (session :UInt64, update :Update) -> (confirmation :Confirmation);
+}
+
+interface Peer {
+  # Served by every process to the others of its cluster.
+
+  logMessage @0 (message :Data) -> ();
+  # A message of the replicated log (see LogMessageCodec).
+
+  identify @1 () -> (voter :Text, blank :Bool, host :Text);
+  # The identity of this process's data folder; blank while its log is empty.
+
+  openSession @2 (host :EntryHost, incarnation :UInt64, listener :EntryListener) -> (status :Status, session :UInt64, leaseUs :Int64);
+
+  renew @3 (session :UInt64, sequence :UInt64, confirmation :Confirmation, demand :List(Demand))
+      -> (status :Status, leaseUs :Int64, update :Update);
+
+  report @4 (session :UInt64, announcements :List(Announcement), suspicions :List(Suspicion)) -> (status :Status);
+
+  command @5 (command :Data) -> (result :CommandResult);
+  # Proposes a command of the replicated state machine (see CommandCodec).
+
+  query @6 (what :Text, name :Text) -> (status :Status, json :Text);
+  # Read of the leader's state for operators, as JSON.
+
+  storeSessionPoint @7 (session :Text, group :Text, point :Point, homesRevision :UInt64) -> (stored :Bool);
+  findSessionPoint @8 (session :Text, group :Text, homesRevision :UInt64) -> (found :Bool, point :Point);
+}
--- /dev/null
+++ b/ragwortmux/Process/GroupActor.h
@@ -0,0 +1,46 @@
+#ifndef RAGWORTMUX_PROCESS_GROUPACTOR_H
+#define RAGWORTMUX_PROCESS_GROUPACTOR_H
+
+#include "ragwortmux/Process/GroupEvent.h"
+#include "ragwortmux/Request/GroupSettings.h"
+
+#include <functional>
+#include <memory>
+
+namespace ragwortmux {
+
+class ActorHost;
+
+/// What a group's core decided on one event.
+struct GroupDecision final {
+  GroupActions m_Actions;            ///< To be done in order.
+  std::optional<Instant> m_NextTick; ///< When the core wants a TickEvent.
+  bool m_Drained = false;            ///< Nothing is left to do after a drain.
+};
+
+/// Handle of the actor that owns one group's GroupCore.
+///
+/// Events are handled one at a time, in the order in which they were sent, on
+/// the actor system's threads.
+class GroupActor final {
+public:
+  /// Receives each decision, on a thread of the actor system.
+  using Sink = std::function<void(GroupDecision Decision)>;
+
+  GroupActor(ActorHost &Actors, const GroupId &Group,
+             const GroupSettings &Settings, Sink Decisions);
+  ~GroupActor();
+  GroupActor(const GroupActor &) = delete;
+  GroupActor &operator=(const GroupActor &) = delete;
+
+  /// Sends \p Event to the actor. Safe from any thread.
+  void send(GroupEvent Event);
+
+private:
+  struct Handle;
+  std::unique_ptr<Handle> m_Handle; ///< The actor's address.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_GROUPACTOR_H
--- /dev/null
+++ b/ragwortmux/Process/IoLoop.cpp
@@ -0,0 +1,91 @@
+#include "ragwortmux/Process/IoLoop.h"
+
+#include "ragwortmux/Process/Support/Log.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace ragwortmux {
+
+IoLoop::IoLoop()
+    : m_Io(kj::setupAsyncIo()),
+      m_WakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      m_WakeObserver(m_Io.unixEventPort, m_WakeFd,
+                     kj::UnixEventPort::FdObserver::OBSERVE_READ),
+      m_Stop(kj::newPromiseAndFulfiller<void>()), m_Tasks(*this) {
+  m_Tasks.add(watchMailbox());
+}
+
+IoLoop::~IoLoop() noexcept = default;
+
+void IoLoop::run() { m_Stop.promise.wait(m_Io.waitScope); }
+
+void IoLoop::stop() {
+  post([this] { m_Stop.fulfiller->fulfill(); });
+}
+
+void IoLoop::post(Task Work) {
+  bool WasEmpty = false;
+  {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    WasEmpty = m_Mailbox.empty();
+    m_Mailbox.push_back(std::move(Work));
+  }
+  // One wake-up serves all tasks that were posted since the last drain.
+  if (WasEmpty) {
+    const std::uint64_t One = 1;
+    [[maybe_unused]] const ssize_t Written = write(m_WakeFd, &One, sizeof One);
+  }
+}
+
+void IoLoop::after(Duration Delay, Task Work) {
+  m_Tasks.add(timer().afterDelay(toKj(Delay)).then([Work = std::move(Work)] {
+    Work();
+  }));
+}
+
+void IoLoop::every(Duration Interval, Task Work) {
+  m_Tasks.add(repeat(Interval, std::move(Work)));
+}
+
+void IoLoop::spawn(kj::Promise<void> Promise) { m_Tasks.add(kj::mv(Promise)); }
+
+void IoLoop::taskFailed(kj::Exception &&Error) {
+  logWarn(Part::Process, "A background task failed: {}.",
+          Error.getDescription().cStr());
+}
+
+kj::Promise<void> IoLoop::watchMailbox() {
+  return m_WakeObserver.whenBecomesReadable().then([this] {
+    drainMailbox();
+    return watchMailbox();
+  });
+}
+
+kj::Promise<void> IoLoop::repeat(Duration Interval, Task Work) {
+  return timer()
+      .afterDelay(toKj(Interval))
+      .then([this, Interval, Work = std::move(Work)]() mutable {
+        Work();
+        return repeat(Interval, std::move(Work));
+      });
+}
+
+void IoLoop::drainMailbox() {
+  // Reset the eventfd before taking the tasks, so that a task posted in between
+  // wakes the loop again.
+  std::uint64_t Count = 0;
+  [[maybe_unused]] const ssize_t Read = read(m_WakeFd, &Count, sizeof Count);
+  std::vector<Task> Tasks;
+  {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    Tasks.swap(m_Mailbox);
+  }
+  for (Task &Work : Tasks) {
+    Work();
+  }
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/IoLoop.h
@@ -0,0 +1,78 @@
+#ifndef RAGWORTMUX_PROCESS_IOLOOP_H
+#define RAGWORTMUX_PROCESS_IOLOOP_H
+
+#include "ragwortmux/Core/Time.h"
+
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+namespace ragwortmux {
+
+/// The process's event loop: sockets, timers and RPC run on the thread that
+/// constructs it.
+///
+/// post() may be called by any thread; everything else only on the loop's own
+/// thread.
+class IoLoop final : private kj::TaskSet::ErrorHandler {
+public:
+  using Task = std::function<void()>;
+
+  IoLoop();
+  ~IoLoop() noexcept;
+  IoLoop(const IoLoop &) = delete;
+  IoLoop &operator=(const IoLoop &) = delete;
+
+  /// Runs until stop() is called.
+  void run();
+
+  /// Makes run() return. Safe from any thread.
+  void stop();
+
+  /// Runs \p Work on the loop's thread, in the order of the calls. Safe from
+  /// any thread.
+  void post(Task Work);
+
+  /// Runs \p Work once after \p Delay.
+  void after(Duration Delay, Task Work);
+
+  /// Runs \p Work every \p Interval until the loop ends.
+  void every(Duration Interval, Task Work);
+
+  /// Keeps \p Promise running; its error, if any, is logged.
+  void spawn(kj::Promise<void> Promise);
+
+  ///@name The parts that sockets and timers need
+  kj::Timer &timer() { return m_Io.provider->getTimer(); }
+  kj::UnixEventPort &eventPort() { return m_Io.unixEventPort; }
+  kj::LowLevelAsyncIoProvider &lowLevel() { return *m_Io.lowLevelProvider; }
+  kj::Network &network() { return m_Io.provider->getNetwork(); }
+  kj::WaitScope &waitScope() { return m_Io.waitScope; }
+
+private:
+  void taskFailed(kj::Exception &&Error) override;
+  kj::Promise<void> watchMailbox();
+  kj::Promise<void> repeat(Duration Interval, Task Work);
+  void drainMailbox();
+
+  kj::AsyncIoContext m_Io;  ///< The KJ event loop.
+  kj::AutoCloseFd m_WakeFd; ///< eventfd that wakes the loop for posted tasks.
+  kj::UnixEventPort::FdObserver m_WakeObserver; ///< Watches m_WakeFd.
+  kj::PromiseFulfillerPair<void> m_Stop;        ///< Ends run().
+  kj::TaskSet m_Tasks;         ///< Promises that run on their own.
+  std::mutex m_Mutex;          ///< Guards m_Mailbox.
+  std::vector<Task> m_Mailbox; ///< Posted tasks that have not run yet.
+};
+
+/// \p Value as KJ's duration.
+inline kj::Duration toKj(Duration Value) {
+  return Value.count() * kj::MICROSECONDS;
+}
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_IOLOOP_H
--- a/ragwortmux/Process/Log/LogRecords.cpp
+++ b/ragwortmux/Process/Log/LogRecords.cpp
@@ -107,7 +107,6 @@
 
 std::string encodeRecord(const LogBatch &Batch) {
   ByteWriter Writer = begin(LogRecordKind::Batch);
-  Writer.u64(Batch.m_TruncateFrom.value());
   Writer.u32(static_cast<std::uint32_t>(Batch.m_Entries.size()));
   for (const LogEntry &Entry : Batch.m_Entries)
     write(Writer, Entry);
@@ -161,7 +160,6 @@
   if (!begins(Reader, LogRecordKind::Batch))
     return std::nullopt;
   LogBatch Batch;
-  Batch.m_TruncateFrom = LogIndex(Reader.u64());
   const std::uint32_t Count = Reader.u32();
   for (std::uint32_t Each = 0; Each < Count && Reader.ok(); ++Each)
     Batch.m_Entries.push_back(readEntry(Reader));
--- a/ragwortmux/Process/Log/LogRecords.h
+++ b/ragwortmux/Process/Log/LogRecords.h
@@ -36,14 +36,14 @@
 /// How a segment relates to those before it.
 struct LogSegmentHead final {
   std::uint64_t m_Number = 0; ///< Rises by one from segment to segment.
-  EntryId m_Previous;         ///< The entry before the segment's first.
-  bool m_Reset = false;       ///< True: the segments before it are void.
+  EntryId m_Previous;         ///< The entry before the segment's first; what
+                              ///< came after it in earlier segments is void.
+  bool m_Reset = false;       ///< True: all of the earlier segments is void.
 };
 
-/// One durable change of the log.
+/// Entries that became durable together.
 struct LogBatch final {
-  LogIndex m_TruncateFrom;         ///< Entries from here on are void; 0: none.
-  std::vector<LogEntry> m_Entries; ///< Then these follow.
+  std::vector<LogEntry> m_Entries; ///< Contiguous, after those before.
 };
 
 std::string encodeRecord(const LogIdentity &Identity); ///< As bytes.
--- a/ragwortmux/Process/Log/LogSegments.cpp
+++ b/ragwortmux/Process/Log/LogSegments.cpp
@@ -43,8 +43,6 @@
       m_Segments.empty() ? 1 : m_Segments.back().m_Number + 1;
   if (!start({Number, Previous, true}))
     return false;
-  m_Entries.clear();
-  m_Previous = Previous;
   while (m_Segments.size() > 1)
     if (!dropFirst())
       return false;
@@ -68,21 +66,26 @@
     return failWrite(m_Files.lastReason());
   if (!m_File->sync())
     return failWrite(m_File->lastReason());
-  m_Last = lastLoaded();
   return true;
 }
 
+bool LogSegments::truncateFrom(LogIndex From) {
+  const LogIndex Left(From.value() - 1);
+  const std::optional<LogTerm> Term = termAt(Left);
+  assert(Term);
+  return start({m_Segments.back().m_Number + 1, {Left, *Term}, false});
+}
+
 bool LogSegments::append(const LogBatch &Batch) {
   assert(!Batch.m_Entries.empty());
-  const bool Follows = Batch.m_TruncateFrom == LogIndex();
-  assert(!Follows ||
-         Batch.m_Entries.front().m_Id.m_Index == next(m_Last.m_Index));
-  if (Follows && m_FileBytes > m_SegmentBytes &&
+  assert(Batch.m_Entries.front().m_Id.m_Index == next(m_Last.m_Index));
+  if (m_FileBytes > m_SegmentBytes &&
       !start({m_Segments.back().m_Number + 1, m_Last, false}))
     return false;
   if (!write(encodeRecord(Batch)))
     return false;
-  m_Last = Batch.m_Entries.back().m_Id;
+  for (const LogEntry &Entry : Batch.m_Entries)
+    appended(Entry.m_Id);
   return true;
 }
 
@@ -111,8 +114,7 @@
     return false;
   if (!m_Files.syncFolder())
     return failWrite(m_Files.lastReason());
-  m_Segments.push_back({Head.m_Number, Head.m_Previous.m_Index});
-  m_Last = Head.m_Previous;
+  restartAt(Head, Head.m_Reset);
   return true;
 }
 
@@ -172,36 +174,58 @@
     return corrupt(Name + ": holds another segment");
   if (!m_Segments.empty() && m_Segments.back().m_Number + 1 != Head.m_Number)
     return corrupt(Name + ": the segment before it is missing");
-  if (m_Segments.empty() || Head.m_Reset) {
-    m_Entries.clear();
-    m_Previous = Head.m_Previous;
-  } else if (lastLoaded() != Head.m_Previous)
+  // A truncation may reach below what is left of a log whose first segments
+  // are deleted.
+  const bool Begins = m_Segments.empty() || Head.m_Reset ||
+                      Head.m_Previous.m_Index < m_Previous.m_Index;
+  if (!Begins && termAt(Head.m_Previous.m_Index) != Head.m_Previous.m_Term)
     return corrupt(Name + ": does not follow the segment before it");
-  m_Segments.push_back({Head.m_Number, Head.m_Previous.m_Index});
+  restartAt(Head, Begins);
   return true;
 }
 
 bool LogSegments::replayBatch(const std::string &Name, LogBatch &&Batch) {
-  if (Batch.m_TruncateFrom != LogIndex()) {
-    if (Batch.m_TruncateFrom <= m_Previous.m_Index)
-      return corrupt(Name + ": truncates before the log's first entry");
-    while (lastLoaded().m_Index >= Batch.m_TruncateFrom)
-      m_Entries.pop_back();
-  }
   for (LogEntry &Entry : Batch.m_Entries) {
-    const EntryId Before = lastLoaded();
-    if (Entry.m_Id.m_Index != next(Before.m_Index) ||
-        Entry.m_Id.m_Term < Before.m_Term)
+    if (Entry.m_Id.m_Index != next(m_Last.m_Index) ||
+        Entry.m_Id.m_Term < m_Last.m_Term)
       return corrupt(Name + ": entry " +
                      std::to_string(Entry.m_Id.m_Index.value()) +
                      " does not follow the one before it");
+    appended(Entry.m_Id);
     m_Entries.push_back(std::move(Entry));
   }
   return true;
 }
 
-EntryId LogSegments::lastLoaded() const {
-  return m_Entries.empty() ? m_Previous : m_Entries.back().m_Id;
+void LogSegments::restartAt(const LogSegmentHead &Head, bool Begins) {
+  const LogIndex Left = Head.m_Previous.m_Index;
+  if (Begins) {
+    m_Previous = Head.m_Previous;
+    m_Entries.clear();
+    m_TermStarts.clear();
+  }
+  while (!m_Entries.empty() && m_Entries.back().m_Id.m_Index > Left)
+    m_Entries.pop_back();
+  while (!m_TermStarts.empty() && m_TermStarts.back().m_Index > Left)
+    m_TermStarts.pop_back();
+  m_Last = Head.m_Previous;
+  m_Segments.push_back({Head.m_Number, Left});
+}
+
+void LogSegments::appended(const EntryId &Id) {
+  if (Id.m_Term != m_Last.m_Term)
+    m_TermStarts.push_back(Id);
+  m_Last = Id;
+}
+
+std::optional<LogTerm> LogSegments::termAt(LogIndex Index) const {
+  if (Index < m_Previous.m_Index || Index > m_Last.m_Index)
+    return std::nullopt;
+  LogTerm Term = m_Previous.m_Term;
+  for (const EntryId &Start : m_TermStarts)
+    if (Start.m_Index <= Index)
+      Term = Start.m_Term;
+  return Term;
 }
 
 bool LogSegments::corrupt(const std::string &Reason) {
--- a/ragwortmux/Process/Log/LogSegments.h
+++ b/ragwortmux/Process/Log/LogSegments.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,9 @@
   /// that is incomplete is cut off.
   bool load(const std::vector<std::string> &Names);
 
+  /// Voids the entries from \p From on durably.
+  bool truncateFrom(LogIndex From);
+
   /// Adds \p Batch durably.
   bool append(const LogBatch &Batch);
 
@@ -68,7 +72,9 @@
   bool cutTail(const std::string &Name, std::size_t Size);
   bool replayHead(const std::string &Name, const LogSegmentHead &Head);
   bool replayBatch(const std::string &Name, LogBatch &&Batch);
-  EntryId lastLoaded() const;
+  void restartAt(const LogSegmentHead &Head, bool Begins);
+  void appended(const EntryId &Id);
+  std::optional<LogTerm> termAt(LogIndex Index) const;
   bool corrupt(const std::string &Reason);
   bool failWrite(const std::string &Reason);
 
@@ -79,10 +85,10 @@
   std::vector<Segment> m_Segments;    ///< In use, ascending.
   std::unique_ptr<AppendFile> m_File; ///< The last one, open.
   std::size_t m_FileBytes = 0;        ///< Its size.
+  EntryId m_Previous;                 ///< See previous().
   EntryId m_Last;                     ///< The last entry.
-
-  EntryId m_Previous;              ///< See previous().
-  std::vector<LogEntry> m_Entries; ///< Loaded; empty later.
+  std::vector<EntryId> m_TermStarts;  ///< The first entry of each term.
+  std::vector<LogEntry> m_Entries;    ///< Loaded; empty later.
 
   ResultCode m_LastCode = ResultCode::Ok; ///< See lastCode().
   std::string m_LastReason;               ///< See lastReason().
--- a/ragwortmux/Process/Log/LogStorage.cpp
+++ b/ragwortmux/Process/Log/LogStorage.cpp
@@ -234,6 +234,8 @@
     return false;
   if (Change.m_ReplaceLog && !m_Segments.reset(Change.m_Snapshot->m_Last))
     return failSegments();
+  if (Change.m_TruncateFrom && !m_Segments.truncateFrom(*Change.m_TruncateFrom))
+    return failSegments();
   if (!appendEntries(Change))
     return false;
   if (Change.m_CompactTo && !m_Segments.dropUpTo(Change.m_CompactTo->m_Index))
@@ -243,10 +245,7 @@
 }
 
 bool LogStorage::appendEntries(const PersistLog &Change) {
-  // The core truncates only to put other entries in place.
-  assert(!Change.m_TruncateFrom || !Change.m_Append.empty());
   LogBatch Batch;
-  Batch.m_TruncateFrom = Change.m_TruncateFrom.value_or(LogIndex());
   std::size_t Bytes = 0;
   for (const LogEntry &Entry : Change.m_Append) {
     Batch.m_Entries.push_back(Entry);
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -129,6 +129,7 @@
   template <typename Message>
   bool adoptTerm(Instant Now, const VoterId &From, const Message &Each);
   bool leaderAlive(Instant Now) const;
+  bool mayCampaign() const;
   void becomeFollower(Instant Now, LogTerm Term);
   void startPreVote(Instant Now);
   void startElection(Instant Now, bool Transfer);
@@ -174,8 +175,10 @@
   std::optional<VoterId> m_Leader;    ///< Leader of the term, if known.
   Instant m_LeaderHeardAt; ///< Last time a leader may have been heard.
   Instant m_ElectionAt;    ///< When an election is due.
-  std::optional<Instant> m_CampaignAt; ///< When votes were asked for.
-  std::set<VoterId> m_Votes;           ///< Who granted the current (pre-)vote.
+  std::optional<Instant>
+      m_CampaignAt; ///< When votes were asked for; set once the own is
+  ///< durable.
+  std::set<VoterId> m_Votes; ///< Who granted the current (pre-)vote.
 
   LogIndex m_Commit;  ///< Known as committed.
   LogIndex m_Applied; ///< Handed to the shell in ApplyEntries.
--- a/ragwortmux/Process/Log/ReplicatedLogElection.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -98,8 +98,7 @@
 
 void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
                               const TimeoutNowRequest & /*Request*/) {
-  if (m_Role == LogRole::Follower && m_Leader == From &&
-      membership().votes(m_Self))
+  if (m_Role == LogRole::Follower && m_Leader == From && mayCampaign())
     startElection(Now, true);
 }
 
@@ -118,6 +117,13 @@
          Now < m_LeaderHeardAt + m_Settings.m_ElectionTimeoutMin;
 }
 
+bool ReplicatedLog::mayCampaign() const {
+  // Until its removal is committed, a member may be the only one whose log is
+  // long enough to lead.
+  return membership().votes(m_Self) ||
+         m_Log.membershipAt(m_Commit).votes(m_Self);
+}
+
 void ReplicatedLog::becomeFollower(Instant Now, LogTerm Term) {
   if (m_Role == LogRole::Leader) {
     leaveLeadership();
@@ -140,7 +146,7 @@
 void ReplicatedLog::startPreVote(Instant Now) {
   resetElectionTimer(Now);
   m_Leader.reset();
-  if (!membership().votes(m_Self)) {
+  if (!mayCampaign()) {
     m_Role = LogRole::Follower;
     return;
   }
@@ -182,7 +188,10 @@
     return;
   if (m_Role == LogRole::PreCandidate)
     startElection(Now, false);
-  else if (m_Role == LogRole::Candidate && m_Persist.hardStateDurable())
+  // Votes that came too late, say after a stall, elect nobody: the voters may
+  // be with another leader.
+  else if (m_Role == LogRole::Candidate && m_CampaignAt &&
+           Now < *m_CampaignAt + m_Settings.m_CheckQuorumTimeout)
     becomeLeader(Now);
 }
 
--- /dev/null
+++ b/ragwortmux/Process/OperatorApi.cpp
@@ -0,0 +1,260 @@
+#include "ragwortmux/Process/OperatorApi.h"
+
+#include "ragwortmux/Process/EntryRole.h"
+#include "ragwortmux/Process/Support/BackendAnnouncement.h"
+#include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+#include "ragwortmux/Process/Support/Secret.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpAccepted = 202;
+constexpr unsigned HttpBadRequest = 400;
+constexpr unsigned HttpUnauthorized = 401;
+constexpr unsigned HttpNotFound = 404;
+constexpr unsigned HttpConflict = 409;
+constexpr unsigned HttpUnavailable = 503;
+constexpr std::string_view CataloguePath = "/v1/catalogue";
+/// How long an operator's call is tried.
+constexpr Duration OperatorTimeout = std::chrono::seconds(5);
+
+unsigned httpStatus(ResultCode Code) {
+  switch (Code) {
+  case ResultCode::Ok:
+    return HttpOk;
+  case ResultCode::CatalogueConflict:
+    return HttpConflict;
+  case ResultCode::CatalogueNotFound:
+    return HttpNotFound;
+  case ResultCode::Unauthorized:
+    return HttpUnauthorized;
+  case ResultCode::Unreachable:
+  case ResultCode::NotLeader:
+    return HttpUnavailable;
+  default:
+    return HttpBadRequest;
+  }
+}
+
+json::object resultJson(ResultCode Code, const std::string &Reason) {
+  json::object Object;
+  Object["code"] = static_cast<unsigned>(Code);
+  Object["result"] = resultCodeInfo(Code).m_Name;
+  Object["reason"] = Reason;
+  return Object;
+}
+
+HttpReply jsonReply(ResultCode Code, const json::object &Object) {
+  return {httpStatus(Code), "application/json", json::serialize(Object) + "\n"};
+}
+
+HttpReply resultReply(ResultCode Code, const std::string &Reason) {
+  return jsonReply(Code, resultJson(Code, Reason));
+}
+
+HttpReply textReply(unsigned Status, std::string Text) {
+  return {Status, "text/plain", std::move(Text)};
+}
+
+HttpReply changeReply(const CommandReply &Reply) {
+  const ControlResult &Result = Reply.m_Result;
+  if (!Reply.m_Status.ok() && Result.ok()) {
+    return resultReply(Reply.m_Status.m_Code, Reply.m_Status.m_Reason);
+  }
+  json::object Object = resultJson(Result.m_Code, Result.m_Reason);
+  Object["revision"] = Result.m_Revision.value();
+  if (Result.m_Winner) {
+    Object["winner"] =
+        json::parse(formatCatalogueEntry(Result.m_Winner->m_Entry));
+    Object["winner_revision"] = Result.m_Winner->m_Revision.value();
+  }
+  return jsonReply(Result.m_Code, Object);
+}
+
+std::string parameter(const HttpRequest &Request, const std::string &Name) {
+  const auto Found = Request.m_Parameters.find(Name);
+  return Found == Request.m_Parameters.end() ? "" : Found->second;
+}
+
+std::optional<Revision> parseRevision(const std::string &Text) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End) {
+    return std::nullopt;
+  }
+  return Revision(Value);
+}
+
+ServerAnnouncement toServerAnnouncement(const BackendAnnouncement &Given) {
+  ServerAnnouncement Announcement;
+  Announcement.m_Group = Given.m_Group;
+  Announcement.m_Server = Given.m_Server;
+  Announcement.m_Domain = Given.m_Domain;
+  Announcement.m_Address = Given.m_Address;
+  Announcement.m_Port = Given.m_Port;
+  Announcement.m_Role = Given.m_Role == AnnouncedRole::Primary
+                            ? BackendRole::Primary
+                            : BackendRole::Replica;
+  Announcement.m_Point = {Given.m_Term, Given.m_Position};
+  Announcement.m_Slots = Given.m_Slots;
+  Announcement.m_ConnectionLimit = Given.m_Connections;
+  Announcement.m_Leaving = Given.m_Leaving;
+  return Announcement;
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(const Secret &Token, const Metrics &Figures,
+                         EntryRole *Entry, OperatorApiHooks Hooks)
+    : m_Token(Token), m_Metrics(Figures), m_Entry(Entry),
+      m_Hooks(std::move(Hooks)) {}
+
+kj::Promise<HttpReply> OperatorApi::handle(const HttpRequest &Request) {
+  if (Request.m_Path == "/healthz") {
+    return textReply(HttpOk, "alive\n");
+  }
+  if (Request.m_Path == "/readyz") {
+    const bool Ready = m_Hooks.m_Ready();
+    return textReply(Ready ? HttpOk : HttpUnavailable,
+                     Ready ? "ready\n" : "not ready\n");
+  }
+  if (Request.m_Path == "/metrics") {
+    return HttpReply{HttpOk, "text/plain; version=0.0.4",
+                     m_Metrics.renderPrometheus()};
+  }
+  if (Request.m_Path == "/v1/announce" && Request.m_Method == "POST") {
+    return announce(Request);
+  }
+  if (!m_Token.matches(Request.m_Token)) {
+    return resultReply(ResultCode::Unauthorized,
+                       "this needs the operator's token");
+  }
+  return handleOperator(Request);
+}
+
+HttpReply OperatorApi::announce(const HttpRequest &Request) {
+  std::vector<SettingFault> Faults;
+  const auto Announcement = parseBackendAnnouncement(Request.m_Body, Faults);
+  if (!Announcement) {
+    return textReply(HttpBadRequest, describeAll(Faults));
+  }
+  if (m_Entry == nullptr) {
+    return textReply(HttpNotFound, "announce to an entry host\n");
+  }
+  m_Entry->control().announce(toServerAnnouncement(*Announcement));
+  return textReply(HttpAccepted, "");
+}
+
+kj::Promise<HttpReply> OperatorApi::handleOperator(const HttpRequest &Request) {
+  if (Request.m_Path == "/v1/drain" && Request.m_Method == "POST") {
+    m_Hooks.m_Drain();
+    return resultReply(ResultCode::Ok, "draining");
+  }
+  if (Request.m_Path == "/v1/status" && m_Entry == nullptr) {
+    return HttpReply{HttpOk, "application/json",
+                     "{\"process\":" + m_Hooks.m_LocalStatus() + "}\n"};
+  }
+  if (m_Entry == nullptr) {
+    return resultReply(ResultCode::CatalogueNotFound,
+                       "operators' calls go to an entry host");
+  }
+  if (Request.m_Path == "/v1/status") {
+    // The process's own view is shown even where control cannot be reached.
+    return query("status", "").then([this](HttpReply Cluster) {
+      const std::string Given = Cluster.m_Status == HttpOk
+                                    ? std::move(Cluster.m_Body)
+                                    : std::string("null");
+      return HttpReply{HttpOk, "application/json",
+                       "{\"process\":" + m_Hooks.m_LocalStatus() +
+                           ",\"cluster\":" + Given + "}\n"};
+    });
+  }
+  if (Request.m_Path.starts_with(CataloguePath)) {
+    return handleCatalogue(Request);
+  }
+  return resultReply(ResultCode::CatalogueNotFound, "there is no such path");
+}
+
+kj::Promise<HttpReply>
+OperatorApi::handleCatalogue(const HttpRequest &Request) {
+  constexpr std::string_view HistorySuffix = "/history";
+  std::string Name = Request.m_Path.substr(CataloguePath.size());
+  if (Name.empty() || Name == "/") {
+    return query("entries", "");
+  }
+  Name.erase(0, 1);
+  if (Request.m_Method == "PUT" || Request.m_Method == "DELETE") {
+    return change(Request, Name);
+  }
+  if (Name.ends_with(HistorySuffix)) {
+    Name.resize(Name.size() - HistorySuffix.size());
+    return query("history", Name);
+  }
+  return query("entry", Name);
+}
+
+kj::Promise<HttpReply> OperatorApi::query(const std::string &What,
+                                          const std::string &Name) {
+  auto Pair = kj::newPromiseAndFulfiller<HttpReply>();
+  const auto Fulfiller =
+      std::make_shared<kj::Own<kj::PromiseFulfiller<HttpReply>>>(
+          kj::mv(Pair.fulfiller));
+  m_Entry->control().query(
+      What, Name, monotonicNow() + OperatorTimeout,
+      [Fulfiller](const QueryReply &Reply) {
+        (*Fulfiller)
+            ->fulfill(Reply.m_Status.ok()
+                          ? HttpReply{HttpOk, "application/json", Reply.m_Json}
+                          : resultReply(Reply.m_Status.m_Code,
+                                        Reply.m_Status.m_Reason));
+      });
+  return kj::mv(Pair.promise);
+}
+
+kj::Promise<HttpReply> OperatorApi::change(const HttpRequest &Request,
+                                           const std::string &Name) {
+  const auto Expected = parseRevision(parameter(Request, "expect_revision"));
+  const ChangeId Change(parameter(Request, "change_id"));
+  const std::string Operator = parameter(Request, "operator");
+  if (!Expected || Change.value().empty()) {
+    return resultReply(ResultCode::BadArgument,
+                       "expect_revision and change_id are needed");
+  }
+  ControlCommand Command =
+      DeleteEntry{*Expected, Change, Operator, EntryName(Name)};
+  if (Request.m_Method == "PUT") {
+    std::vector<SettingFault> Faults;
+    const auto Entry = parseCatalogueEntry(Request.m_Body, Faults);
+    if (!Entry || Entry->m_Name.value() != Name) {
+      return resultReply(ResultCode::CatalogueInvalid,
+                         Entry ? "the name differs from the path's"
+                               : describeAll(Faults));
+    }
+    Command = PutEntry{*Expected, Change, Operator, *Entry};
+  }
+  auto Pair = kj::newPromiseAndFulfiller<HttpReply>();
+  const auto Fulfiller =
+      std::make_shared<kj::Own<kj::PromiseFulfiller<HttpReply>>>(
+          kj::mv(Pair.fulfiller));
+  m_Entry->control().command(Command, monotonicNow() + OperatorTimeout,
+                             [Fulfiller](const CommandReply &Reply) {
+                               (*Fulfiller)->fulfill(changeReply(Reply));
+                             });
+  return kj::mv(Pair.promise);
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/OperatorApi.h
@@ -0,0 +1,56 @@
+#ifndef RAGWORTMUX_PROCESS_OPERATORAPI_H
+#define RAGWORTMUX_PROCESS_OPERATORAPI_H
+
+#include "ragwortmux/Process/HttpEndpoint.h"
+
+#include <functional>
+#include <string>
+
+namespace ragwortmux {
+
+class EntryRole;
+class Metrics;
+class Secret;
+
+/// What the HTTP interface needs of the process.
+struct OperatorApiHooks final {
+  /// True while the process welcomes callers.
+  std::function<bool()> m_Ready;
+  /// Starts a graceful shutdown.
+  std::function<void()> m_Drain;
+  /// The process's own state as a JSON object.
+  std::function<std::string()> m_LocalStatus;
+};
+
+/// Answers HTTP requests of the platform, of backend servers and of operators.
+///
+/// Paths: `/healthz`, `/readyz`, `/metrics`, `/v1/announce`; with the
+/// operator's token `/v1/status`, `/v1/drain`, `/v1/catalogue`,
+/// `/v1/catalogue/NAME`, `/v1/catalogue/NAME/history`.
+class OperatorApi final {
+public:
+  /// \p Entry is null in a process without the entry role.
+  OperatorApi(const Secret &Token, const Metrics &Figures, EntryRole *Entry,
+              OperatorApiHooks Hooks);
+
+  /// Answers \p Request.
+  kj::Promise<HttpReply> handle(const HttpRequest &Request);
+
+private:
+  HttpReply announce(const HttpRequest &Request);
+  kj::Promise<HttpReply> handleOperator(const HttpRequest &Request);
+  kj::Promise<HttpReply> handleCatalogue(const HttpRequest &Request);
+  kj::Promise<HttpReply> query(const std::string &What,
+                               const std::string &Name);
+  kj::Promise<HttpReply> change(const HttpRequest &Request,
+                                const std::string &Name);
+
+  const Secret &m_Token;    ///< The operators' token.
+  const Metrics &m_Metrics; ///< The process's metrics.
+  EntryRole *m_Entry;       ///< The entry role; may be null.
+  OperatorApiHooks m_Hooks; ///< As given.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_OPERATORAPI_H
--- /dev/null
+++ b/ragwortmux/Process/OperatorClient.cpp
@@ -0,0 +1,125 @@
+#include "ragwortmux/Process/OperatorClient.h"
+
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/Secret.h"
+#include "ragwortmux/Process/Support/UuidV7.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <kj/compat/http.h>
+#include <kj/debug.h>
+#include <kj/encoding.h>
+
+#include <cstdio>
+#include <random>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr unsigned FirstErrorStatus = 400;
+constexpr kj::Duration CallTimeout = 10 * kj::SECONDS;
+
+std::string encoded(const std::string &Text) {
+  return kj::encodeUriComponent(kj::StringPtr(Text.c_str(), Text.size()))
+      .cStr();
+}
+
+std::string newChangeId() {
+  std::random_device Device;
+  constexpr unsigned Half = 32;
+  return makeRequestKey(
+             wallNow(),
+             [&Device] {
+               return (static_cast<std::uint64_t>(Device()) << Half) | Device();
+             })
+      .value();
+}
+
+std::string changeQuery(const CatalogueCommand &Command) {
+  const std::string Change = Command.m_Change.value().empty()
+                                 ? newChangeId()
+                                 : Command.m_Change.value();
+  return "?expect_revision=" +
+         std::to_string(Command.m_ExpectRevision.value()) +
+         "&change_id=" + encoded(Change) +
+         "&operator=" + encoded(Command.m_Operator);
+}
+
+} // namespace
+
+int OperatorClient::run(const CatalogueCommand &Command) const {
+  const std::string Base = "/v1/catalogue";
+  const std::string Entry =
+      Base + "/" + encoded(Command.m_Entry.m_Name.value());
+  switch (Command.m_Action) {
+  case CatalogueAction::Put:
+    return call(Command.m_At, "PUT", Entry + changeQuery(Command),
+                formatCatalogueEntry(Command.m_Entry));
+  case CatalogueAction::Delete:
+    return call(Command.m_At, "DELETE", Entry + changeQuery(Command), "");
+  case CatalogueAction::Get:
+    return call(Command.m_At, "GET", Entry, "");
+  case CatalogueAction::History:
+    return call(Command.m_At, "GET", Entry + "/history", "");
+  case CatalogueAction::List:
+    break;
+  }
+  return call(Command.m_At, "GET", Base, "");
+}
+
+int OperatorClient::run(const StatusCommand &Command) const {
+  return call(Command.m_At, "GET", "/v1/status", "");
+}
+
+int OperatorClient::run(const DrainCommand &Command) const {
+  return call(Command.m_At, "POST", "/v1/drain", "");
+}
+
+int OperatorClient::call(const SocketAddress &At, const std::string &Method,
+                         const std::string &Path,
+                         const std::string &Body) const {
+  IoLoop Loop;
+  kj::HttpHeaderTable::Builder Builder;
+  const kj::HttpHeaderId Authorization = Builder.add("Authorization");
+  const auto Table = Builder.build();
+  auto Address = Loop.network()
+                     .parseAddress(At.m_Address, At.m_Port)
+                     .wait(Loop.waitScope());
+  auto Client = kj::newHttpClient(Loop.timer(), *Table, *Address);
+  kj::HttpHeaders Headers(*Table);
+  Headers.set(Authorization, kj::str("Bearer ", m_Token.revealed().c_str()));
+  Headers.set(kj::HttpHeaderId::HOST, kj::str(At.m_Address.c_str()));
+  std::string Answer;
+  unsigned Status = 0;
+  // KJ throws if the host cannot be reached; the exception ends here.
+  const auto Failure = kj::runCatchingExceptions([&] {
+    const auto Verb = KJ_ASSERT_NONNULL(kj::tryParseHttpMethod(Method.c_str()));
+    auto Request = Client->request(Verb, Path.c_str(), Headers,
+                                   static_cast<std::uint64_t>(Body.size()));
+    if (!Body.empty()) {
+      Request.body->write(Body.data(), Body.size()).wait(Loop.waitScope());
+    }
+    Request.body = nullptr;
+    auto Response = Loop.timer()
+                        .timeoutAfter(CallTimeout, kj::mv(Request.response))
+                        .wait(Loop.waitScope());
+    Status = Response.statusCode;
+    Answer = Response.body->readAllText().wait(Loop.waitScope()).cStr();
+  });
+  KJ_IF_MAYBE (Error, Failure) {
+    std::fprintf(stderr, "%u %s: %s\n",
+                 static_cast<unsigned>(ResultCode::Unreachable),
+                 resultCodeInfo(ResultCode::Unreachable).m_Name.data(),
+                 Error->getDescription().cStr());
+    return ExitFailed;
+  }
+  if (!Answer.empty() && Answer.back() != '\n') {
+    Answer += '\n';
+  }
+  std::fputs(Answer.c_str(), Status < FirstErrorStatus ? stdout : stderr);
+  return Status < FirstErrorStatus ? 0 : ExitFailed;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/PeerLink.cpp
@@ -0,0 +1,318 @@
+#include "ragwortmux/Process/PeerLink.h"
+
+#include "ragwortmux/Process/CapnpBytes.h"
+#include "ragwortmux/Process/ClusterProof.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/LogMessageCodec.h"
+#include "ragwortmux/Process/RpcCodec.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Secret.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <capnp/rpc-twoparty.h>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Hands updates from control to a hook.
+class ListenerServer final : public rpc::EntryListener::Server {
+public:
+  explicit ListenerServer(PeerLink::UpdateHandler Updates)
+      : m_Updates(std::move(Updates)) {}
+
+protected:
+  kj::Promise<void> update(UpdateContext Context) override {
+    const auto Params = Context.getParams();
+    const Confirmation Confirmed = m_Updates(
+        ControlSessionId(Params.getSession()), readRpc(Params.getUpdate()));
+    writeRpc(Context.getResults().initConfirmation(), Confirmed);
+    return kj::READY_NOW;
+  }
+
+private:
+  PeerLink::UpdateHandler m_Updates; ///< Acts on updates.
+};
+
+/// One connection with the peer interface at its other end.
+struct Connection final {
+  kj::Own<kj::AsyncIoStream> m_Stream;       ///< The socket.
+  kj::Maybe<capnp::TwoPartyClient> m_Client; ///< RPC over it.
+};
+
+} // namespace
+
+struct PeerLink::Parts final : std::enable_shared_from_this<Parts> {
+  Parts(IoLoop &Loop, const Secret &Key, PeerLinkSettings Given)
+      : m_Loop(Loop), m_Key(Key), m_Settings(std::move(Given)) {}
+
+  /// The other process's interface; calls wait until the connection is made.
+  /// Nothing if the last attempt failed a moment ago.
+  kj::Maybe<rpc::Peer::Client> peer() {
+    KJ_IF_MAYBE (Existing, m_Peer) {
+      return *Existing;
+    }
+    const Instant Now = monotonicNow();
+    if (Now < m_RetryAt) {
+      return nullptr;
+    }
+    m_RetryAt = Now + m_Settings.m_ReconnectPause;
+    m_Connection = std::make_shared<Connection>();
+    rpc::Peer::Client Peer = connect(m_Connection);
+    m_Peer = Peer;
+    return Peer;
+  }
+
+  /// Connects and proves the key.
+  kj::Promise<rpc::Peer::Client>
+  connect(const std::shared_ptr<Connection> &Made) {
+    return m_Loop.network()
+        .parseAddress(m_Settings.m_Address, m_Settings.m_Port)
+        .then([](kj::Own<kj::NetworkAddress> &&Address) {
+          auto Connecting = Address->connect();
+          return Connecting.attach(kj::mv(Address));
+        })
+        .then([Made](kj::Own<kj::AsyncIoStream> &&Stream) {
+          Made->m_Stream = kj::mv(Stream);
+          auto &Client = Made->m_Client.emplace(*Made->m_Stream);
+          auto Gate = Client.bootstrap().castAs<rpc::Gate>();
+          return Gate.helloRequest().send();
+        })
+        .then([this, Self = shared_from_this()](
+                  capnp::Response<rpc::Gate::HelloResults> &&Hello) {
+          const std::string &Host = m_Settings.m_OwnHost.value();
+          const std::string Proof =
+              clusterProof(m_Key, toString(Hello.getNonce()), Host);
+          auto Request = Hello.getChallenge().answerRequest();
+          Request.setHost(toText(Host));
+          Request.setProof(toData(Proof));
+          return Request.send();
+        })
+        .then([](capnp::Response<rpc::Challenge::AnswerResults> &&Answer)
+                  -> rpc::Peer::Client { return Answer.getPeer(); });
+  }
+
+  /// Gives \p Failed up, unless a newer connection has taken its place.
+  void drop(const std::shared_ptr<Connection> &Failed) {
+    if (Failed != m_Connection) {
+      return;
+    }
+    // A connection must not be destroyed by one of its own callbacks, so the
+    // last owner is a task of a later turn.
+    m_Loop.after(
+        Duration(0),
+        [Peer = std::make_shared<kj::Maybe<rpc::Peer::Client>>(kj::mv(m_Peer)),
+         Old = std::move(m_Connection)] {});
+    m_Peer = nullptr;
+    m_Connection = nullptr;
+  }
+
+  /// Sends \p Call; \p Read turns the results into the reply.
+  template <typename Reply, typename Params, typename Results, typename Reader>
+  void send(capnp::Request<Params, Results> &&Call, Reader Read,
+            Respond<Reply> Respond) {
+    ++m_Unanswered;
+    auto Self = shared_from_this();
+    auto Used = m_Connection;
+    auto Answer =
+        Call.send().then([Read](capnp::Response<Results> &&Result) -> Reply {
+          return Read(Result);
+        });
+    m_Loop.spawn(
+        m_Loop.timer()
+            .timeoutAfter(toKj(m_Settings.m_CallTimeout), kj::mv(Answer))
+            .then(
+                [Self, Respond](Reply Value) {
+                  --Self->m_Unanswered;
+                  Respond(std::move(Value));
+                },
+                [Self, Used, Respond](kj::Exception &&Error) {
+                  --Self->m_Unanswered;
+                  logDebug(Part::Rpc, "A call to {}:{} failed: {}.",
+                           Self->m_Settings.m_Address, Self->m_Settings.m_Port,
+                           Error.getDescription().cStr());
+                  Self->drop(Used);
+                  Respond(std::nullopt);
+                }));
+  }
+
+  /// Calls \p Make with the peer's interface; answers nothing on a later turn
+  /// if there is no connection or too much is unanswered.
+  template <typename Reply, typename Maker>
+  void with(const Respond<Reply> &Respond, Maker Make) {
+    if (m_Unanswered < m_Settings.m_MaxUnanswered) {
+      KJ_IF_MAYBE (Peer, peer()) {
+        Make(*Peer);
+        return;
+      }
+    }
+    m_Loop.after(Duration(0), [Respond] { Respond(std::nullopt); });
+  }
+
+  IoLoop &m_Loop;                           ///< The event loop.
+  const Secret &m_Key;                      ///< The cluster key.
+  PeerLinkSettings m_Settings;              ///< Where to connect.
+  kj::Maybe<rpc::Peer::Client> m_Peer;      ///< Set while connected.
+  std::shared_ptr<Connection> m_Connection; ///< What m_Peer runs over.
+  Instant m_RetryAt{};                      ///< Not to connect before this.
+  std::size_t m_Unanswered = 0;             ///< Calls under way.
+};
+
+PeerLink::PeerLink(IoLoop &Loop, const Secret &ClusterKey,
+                   PeerLinkSettings Settings)
+    : m_Parts(std::make_shared<Parts>(Loop, ClusterKey, std::move(Settings))) {}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::sendLogMessage(const LogEnvelope &Envelope) {
+  const Respond<bool> Ignore = [](std::optional<bool>) {};
+  m_Parts->with<bool>(Ignore, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.logMessageRequest();
+    const std::string Bytes = encodeLogEnvelope(Envelope);
+    Call.setMessage(toData(Bytes));
+    m_Parts->send<bool>(
+        kj::mv(Call), [](auto &) { return true; }, Ignore);
+  });
+}
+
+void PeerLink::identify(Respond<IdentifyReply> Reply) {
+  m_Parts->with<IdentifyReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    m_Parts->send<IdentifyReply>(
+        Peer.identifyRequest(),
+        [](auto &Result) {
+          return IdentifyReply{toString(Result.getVoter()), Result.getBlank(),
+                               HostId(toString(Result.getHost()))};
+        },
+        Reply);
+  });
+}
+
+void PeerLink::openSession(const EntryAddress &Self, Incarnation Run,
+                           UpdateHandler Updates,
+                           Respond<OpenSessionReply> Reply) {
+  m_Parts->with<OpenSessionReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.openSessionRequest();
+    writeRpc(Call.initHost(), Self);
+    Call.setIncarnation(Run.value());
+    Call.setListener(kj::heap<ListenerServer>(std::move(Updates)));
+    m_Parts->send<OpenSessionReply>(
+        kj::mv(Call),
+        [](auto &Result) {
+          return OpenSessionReply{readRpc(Result.getStatus()),
+                                  ControlSessionId(Result.getSession())};
+        },
+        Reply);
+  });
+}
+
+void PeerLink::renew(const LeaseRenewal &Renewal, Respond<RenewReply> Reply) {
+  m_Parts->with<RenewReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.renewRequest();
+    Call.setSession(Renewal.m_Session.value());
+    Call.setSequence(Renewal.m_Sequence);
+    writeRpc(Call.initConfirmation(),
+             Confirmation{Renewal.m_Confirmed, Renewal.m_Catalogue,
+                          Renewal.m_Homes});
+    auto Demand =
+        Call.initDemand(static_cast<unsigned>(Renewal.m_Demand.size()));
+    unsigned Position = 0;
+    for (const ShareDemand &Row : Renewal.m_Demand) {
+      writeRpc(Demand[Position++], Row);
+    }
+    m_Parts->send<RenewReply>(
+        kj::mv(Call),
+        [](auto &Result) {
+          return RenewReply{readRpc(Result.getStatus()),
+                            Duration(Result.getLeaseUs()),
+                            readRpc(Result.getUpdate())};
+        },
+        Reply);
+  });
+}
+
+void PeerLink::report(ControlSessionId Session,
+                      const std::vector<ServerAnnouncement> &Announcements,
+                      const std::vector<ServerSuspicion> &Suspicions,
+                      Respond<ControlStatus> Reply) {
+  m_Parts->with<ControlStatus>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.reportRequest();
+    Call.setSession(Session.value());
+    auto First =
+        Call.initAnnouncements(static_cast<unsigned>(Announcements.size()));
+    unsigned Position = 0;
+    for (const ServerAnnouncement &Announcement : Announcements) {
+      writeRpc(First[Position++], Announcement);
+    }
+    auto Second = Call.initSuspicions(static_cast<unsigned>(Suspicions.size()));
+    Position = 0;
+    for (const ServerSuspicion &Suspicion : Suspicions) {
+      writeRpc(Second[Position++], Suspicion);
+    }
+    m_Parts->send<ControlStatus>(
+        kj::mv(Call), [](auto &Result) { return readRpc(Result.getStatus()); },
+        Reply);
+  });
+}
+
+void PeerLink::command(const std::string &Command,
+                       Respond<CommandReply> Reply) {
+  m_Parts->with<CommandReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.commandRequest();
+    Call.setCommand(toData(Command));
+    m_Parts->send<CommandReply>(
+        kj::mv(Call), [](auto &Result) { return readRpc(Result.getResult()); },
+        Reply);
+  });
+}
+
+void PeerLink::query(const std::string &What, const std::string &Name,
+                     Respond<QueryReply> Reply) {
+  m_Parts->with<QueryReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.queryRequest();
+    Call.setWhat(toText(What));
+    Call.setName(toText(Name));
+    m_Parts->send<QueryReply>(
+        kj::mv(Call),
+        [](auto &Result) {
+          return QueryReply{readRpc(Result.getStatus()),
+                            toString(Result.getJson())};
+        },
+        Reply);
+  });
+}
+
+void PeerLink::storeSessionPoint(const SessionPointKey &Key,
+                                 const LogPoint &Point, Respond<bool> Reply) {
+  m_Parts->with<bool>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.storeSessionPointRequest();
+    Call.setSession(toText(Key.m_Session.value()));
+    Call.setGroup(toText(Key.m_Group.value()));
+    Call.setHomesRevision(Key.m_Homes.value());
+    writeRpc(Call.initPoint(), Point);
+    m_Parts->send<bool>(
+        kj::mv(Call), [](auto &Result) { return Result.getStored(); }, Reply);
+  });
+}
+
+void PeerLink::findSessionPoint(const SessionPointKey &Key,
+                                Respond<SessionPointReply> Reply) {
+  m_Parts->with<SessionPointReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.findSessionPointRequest();
+    Call.setSession(toText(Key.m_Session.value()));
+    Call.setGroup(toText(Key.m_Group.value()));
+    Call.setHomesRevision(Key.m_Homes.value());
+    m_Parts->send<SessionPointReply>(
+        kj::mv(Call),
+        [](auto &Result) {
+          return SessionPointReply{Result.getFound(),
+                                   readRpc(Result.getPoint())};
+        },
+        Reply);
+  });
+}
+
+const PeerLinkSettings &PeerLink::settings() const {
+  return m_Parts->m_Settings;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/RpcCodec.cpp
@@ -0,0 +1,360 @@
+#include "ragwortmux/Process/RpcCodec.h"
+
+#include "ragwortmux/Process/CapnpBytes.h"
+
+namespace ragwortmux {
+
+/// Writes each of \p Items into the list \p Out with writeRpc.
+template <typename List, typename Items>
+static void writeList(List Out, const Items &Values) {
+  unsigned Position = 0;
+  for (const auto &Value : Values) {
+    writeRpc(Out[Position++], Value);
+  }
+}
+
+template <typename Items> static unsigned sizeOf(const Items &Values) {
+  return static_cast<unsigned>(Values.size());
+}
+
+static void writeRpc(rpc::ServerView::Builder Out, const ServerView &View) {
+  Out.setServer(toText(View.m_Server.value()));
+  Out.setDomain(toText(View.m_Domain.value()));
+  Out.setAddress(toText(View.m_Address));
+  Out.setPort(View.m_Port);
+  Out.setSync(static_cast<std::uint8_t>(View.m_Sync));
+  Out.setLeaving(View.m_Leaving);
+  Out.setAnnounced(View.m_Announced);
+  Out.setConnectionShare(View.m_ConnectionShare);
+  Out.setSlots(View.m_Slots);
+}
+
+static ServerView readRpc(rpc::ServerView::Reader In) {
+  ServerView View;
+  View.m_Server = ServerId(toString(In.getServer()));
+  View.m_Domain = FailureDomainId(toString(In.getDomain()));
+  View.m_Address = toString(In.getAddress());
+  View.m_Port = In.getPort();
+  View.m_Sync = static_cast<SyncState>(In.getSync());
+  View.m_Leaving = In.getLeaving();
+  View.m_Announced = In.getAnnounced();
+  View.m_ConnectionShare = In.getConnectionShare();
+  View.m_Slots = In.getSlots();
+  return View;
+}
+
+static void writeRpc(rpc::GroupView::Builder Out, const GroupView &View) {
+  Out.setGroup(toText(View.m_Group.value()));
+  Out.setRevision(View.m_Revision.value());
+  Out.setTerm(View.m_Term.value());
+  Out.setHasPrimary(View.m_Primary.has_value());
+  if (View.m_Primary) {
+    Out.setPrimary(toText(View.m_Primary->value()));
+  }
+  writeList(Out.initServers(sizeOf(View.m_Servers)), View.m_Servers);
+}
+
+static GroupView readRpc(rpc::GroupView::Reader In) {
+  GroupView View;
+  View.m_Group = GroupId(toString(In.getGroup()));
+  View.m_Revision = Revision(In.getRevision());
+  View.m_Term = Term(In.getTerm());
+  if (In.getHasPrimary()) {
+    View.m_Primary = ServerId(toString(In.getPrimary()));
+  }
+  for (const auto Server : In.getServers()) {
+    View.m_Servers.push_back(readRpc(Server));
+  }
+  return View;
+}
+
+static void writeRpc(rpc::CatalogueItem::Builder Out,
+                     const CatalogueItem &Item) {
+  Out.setRevision(Item.m_Revision.value());
+  auto Entry = Out.initEntry();
+  const EntryLimits &Limits = Item.m_Entry.m_Limits;
+  Entry.setName(toText(Item.m_Entry.m_Name.value()));
+  Entry.setGroup(toText(Item.m_Entry.m_Group.value()));
+  Entry.setOwner(toText(Item.m_Entry.m_Owner.value()));
+  Entry.setTrafficClass(static_cast<std::uint8_t>(Item.m_Entry.m_Class));
+  Entry.setMaxConcurrent(Limits.m_MaxConcurrent);
+  Entry.setMaxQueued(Limits.m_MaxQueued);
+  Entry.setDeadlineUs(Limits.m_RequestDeadline.count());
+  Entry.setMaxAnswerBytes(Limits.m_MaxAnswerBytes);
+  Entry.setMaxAgeUs(Limits.m_MaxAge.count());
+}
+
+static CatalogueItem readRpc(rpc::CatalogueItem::Reader In) {
+  CatalogueItem Item;
+  Item.m_Revision = Revision(In.getRevision());
+  const auto Entry = In.getEntry();
+  Item.m_Entry.m_Name = EntryName(toString(Entry.getName()));
+  Item.m_Entry.m_Group = GroupId(toString(Entry.getGroup()));
+  Item.m_Entry.m_Owner = OwnerId(toString(Entry.getOwner()));
+  Item.m_Entry.m_Class = static_cast<TrafficClass>(Entry.getTrafficClass());
+  EntryLimits &Limits = Item.m_Entry.m_Limits;
+  Limits.m_MaxConcurrent = Entry.getMaxConcurrent();
+  Limits.m_MaxQueued = Entry.getMaxQueued();
+  Limits.m_RequestDeadline = Duration(Entry.getDeadlineUs());
+  Limits.m_MaxAnswerBytes = Entry.getMaxAnswerBytes();
+  Limits.m_MaxAge = Duration(Entry.getMaxAgeUs());
+  return Item;
+}
+
+static void writeRpc(rpc::CatalogueDelta::Builder Out,
+                     const CatalogueDelta &Delta) {
+  Out.setFrom(Delta.m_From.value());
+  Out.setRevision(Delta.m_Revision.value());
+  Out.setWhole(Delta.m_Whole);
+  writeList(Out.initItems(sizeOf(Delta.m_Items)), Delta.m_Items);
+  auto Deletions = Out.initDeletions(sizeOf(Delta.m_Deletions));
+  unsigned Position = 0;
+  for (const CatalogueDeletion &Deletion : Delta.m_Deletions) {
+    Deletions.set(Position++, toText(Deletion.m_Name.value()));
+  }
+}
+
+static CatalogueDelta readRpc(rpc::CatalogueDelta::Reader In) {
+  CatalogueDelta Delta;
+  Delta.m_From = Revision(In.getFrom());
+  Delta.m_Revision = Revision(In.getRevision());
+  Delta.m_Whole = In.getWhole();
+  for (const auto Item : In.getItems()) {
+    Delta.m_Items.push_back(readRpc(Item));
+  }
+  for (const auto Name : In.getDeletions()) {
+    Delta.m_Deletions.push_back({Revision(), EntryName(toString(Name))});
+  }
+  return Delta;
+}
+
+static void writeRpc(rpc::SessionHomes::Builder Out,
+                     const SessionHomesView &Homes) {
+  Out.setRevision(Homes.m_Revision.value());
+  writeList(Out.initActive(sizeOf(Homes.m_Active)), Homes.m_Active);
+  writeList(Out.initPreparing(sizeOf(Homes.m_Preparing)), Homes.m_Preparing);
+}
+
+static SessionHomesView readRpc(rpc::SessionHomes::Reader In) {
+  SessionHomesView Homes;
+  Homes.m_Revision = Revision(In.getRevision());
+  for (const auto Host : In.getActive()) {
+    Homes.m_Active.push_back(readRpc(Host));
+  }
+  for (const auto Host : In.getPreparing()) {
+    Homes.m_Preparing.push_back(readRpc(Host));
+  }
+  return Homes;
+}
+
+static void writeRpc(rpc::LedgerRecord::Builder Out,
+                     const LedgerRecord &Record) {
+  Out.setOwner(toText(Record.m_Owner.value()));
+  Out.setKey(toText(Record.m_Key.value()));
+  Out.setAttempt(toText(Record.m_Attempt.value()));
+  Out.setSession(Record.m_Session.value());
+  Out.setGroup(toText(Record.m_Group.value()));
+  Out.setTerm(Record.m_Term.value());
+  Out.setPhase(static_cast<std::uint8_t>(Record.m_Phase));
+  Out.setCode(static_cast<std::uint16_t>(Record.m_Code));
+  Out.setAnswer(toData(Record.m_Answer));
+}
+
+static LedgerRecord readRpc(rpc::LedgerRecord::Reader In) {
+  LedgerRecord Record;
+  Record.m_Owner = OwnerId(toString(In.getOwner()));
+  Record.m_Key = RequestKey(toString(In.getKey()));
+  Record.m_Attempt = AttemptId(toString(In.getAttempt()));
+  Record.m_Session = ControlSessionId(In.getSession());
+  Record.m_Group = GroupId(toString(In.getGroup()));
+  Record.m_Term = Term(In.getTerm());
+  Record.m_Phase = static_cast<LedgerPhase>(In.getPhase());
+  Record.m_Code = static_cast<ResultCode>(In.getCode());
+  Record.m_Answer = toString(In.getAnswer());
+  return Record;
+}
+
+void writeRpc(rpc::Update::Builder Out, const ControlUpdate &Update) {
+  writeList(Out.initViews(sizeOf(Update.m_Views)), Update.m_Views);
+  Out.setHasCatalogue(Update.m_Catalogue.has_value());
+  if (Update.m_Catalogue) {
+    writeRpc(Out.initCatalogue(), *Update.m_Catalogue);
+  }
+  Out.setHasHomes(Update.m_Homes.has_value());
+  if (Update.m_Homes) {
+    writeRpc(Out.initHomes(), *Update.m_Homes);
+  }
+}
+
+ControlUpdate readRpc(rpc::Update::Reader In) {
+  ControlUpdate Update;
+  for (const auto View : In.getViews()) {
+    Update.m_Views.push_back(readRpc(View));
+  }
+  if (In.getHasCatalogue()) {
+    Update.m_Catalogue = readRpc(In.getCatalogue());
+  }
+  if (In.getHasHomes()) {
+    Update.m_Homes = readRpc(In.getHomes());
+  }
+  return Update;
+}
+
+void writeRpc(rpc::Confirmation::Builder Out, const Confirmation &Confirmed) {
+  auto Groups = Out.initGroups(sizeOf(Confirmed.m_Groups));
+  unsigned Position = 0;
+  for (const auto &[Group, Acted] : Confirmed.m_Groups) {
+    Groups[Position].setGroup(toText(Group.value()));
+    Groups[Position].setRevision(Acted.value());
+    ++Position;
+  }
+  Out.setCatalogue(Confirmed.m_Catalogue.value());
+  Out.setHomes(Confirmed.m_Homes.value());
+}
+
+Confirmation readRpc(rpc::Confirmation::Reader In) {
+  Confirmation Confirmed;
+  for (const auto Ack : In.getGroups()) {
+    Confirmed.m_Groups[GroupId(toString(Ack.getGroup()))] =
+        Revision(Ack.getRevision());
+  }
+  Confirmed.m_Catalogue = Revision(In.getCatalogue());
+  Confirmed.m_Homes = Revision(In.getHomes());
+  return Confirmed;
+}
+
+void writeRpc(rpc::Status::Builder Out, const ControlStatus &Status) {
+  Out.setCode(static_cast<std::uint16_t>(Status.m_Code));
+  Out.setReason(toText(Status.m_Reason));
+  Out.setLeader(toText(Status.m_Leader));
+}
+
+ControlStatus readRpc(rpc::Status::Reader In) {
+  ControlStatus Status;
+  Status.m_Code = static_cast<ResultCode>(In.getCode());
+  Status.m_Reason = toString(In.getReason());
+  Status.m_Leader = toString(In.getLeader());
+  return Status;
+}
+
+void writeRpc(rpc::CommandResult::Builder Out, const CommandReply &Reply) {
+  const ControlResult &Result = Reply.m_Result;
+  ControlStatus Status = Reply.m_Status;
+  if (Status.ok()) {
+    Status.m_Code = Result.m_Code;
+    Status.m_Reason = Result.m_Reason;
+  }
+  writeRpc(Out.initStatus(), Status);
+  Out.setRevision(Result.m_Revision.value());
+  Out.setSession(Result.m_Session.value());
+  Out.setHasWinner(Result.m_Winner.has_value());
+  if (Result.m_Winner) {
+    writeRpc(Out.initWinner(), *Result.m_Winner);
+  }
+  Out.setHasLedger(Result.m_Ledger.has_value());
+  if (Result.m_Ledger) {
+    writeRpc(Out.initLedger(), *Result.m_Ledger);
+  }
+}
+
+CommandReply readRpc(rpc::CommandResult::Reader In) {
+  CommandReply Reply;
+  Reply.m_Status = readRpc(In.getStatus());
+  Reply.m_Result.m_Code = Reply.m_Status.m_Code;
+  Reply.m_Result.m_Reason = Reply.m_Status.m_Reason;
+  Reply.m_Result.m_Revision = Revision(In.getRevision());
+  Reply.m_Result.m_Session = ControlSessionId(In.getSession());
+  if (In.getHasWinner()) {
+    Reply.m_Result.m_Winner = readRpc(In.getWinner());
+  }
+  if (In.getHasLedger()) {
+    Reply.m_Result.m_Ledger = readRpc(In.getLedger());
+  }
+  return Reply;
+}
+
+void writeRpc(rpc::EntryHost::Builder Out, const EntryAddress &Host) {
+  Out.setHost(toText(Host.m_Host.value()));
+  Out.setDomain(toText(Host.m_Domain.value()));
+  Out.setAddress(toText(Host.m_Address));
+  Out.setPort(Host.m_Port);
+}
+
+EntryAddress readRpc(rpc::EntryHost::Reader In) {
+  return {HostId(toString(In.getHost())),
+          FailureDomainId(toString(In.getDomain())), toString(In.getAddress()),
+          In.getPort()};
+}
+
+void writeRpc(rpc::Announcement::Builder Out,
+              const ServerAnnouncement &Announcement) {
+  Out.setGroup(toText(Announcement.m_Group.value()));
+  Out.setServer(toText(Announcement.m_Server.value()));
+  Out.setDomain(toText(Announcement.m_Domain.value()));
+  Out.setAddress(toText(Announcement.m_Address));
+  Out.setPort(Announcement.m_Port);
+  Out.setPrimary(Announcement.m_Role == BackendRole::Primary);
+  Out.setTerm(Announcement.m_Point.m_Term.value());
+  Out.setPosition(Announcement.m_Point.m_Position.value());
+  Out.setSlots(Announcement.m_Slots);
+  Out.setConnections(Announcement.m_ConnectionLimit);
+  Out.setLeaving(Announcement.m_Leaving);
+}
+
+ServerAnnouncement readRpc(rpc::Announcement::Reader In) {
+  ServerAnnouncement Announcement;
+  Announcement.m_Group = GroupId(toString(In.getGroup()));
+  Announcement.m_Server = ServerId(toString(In.getServer()));
+  Announcement.m_Domain = FailureDomainId(toString(In.getDomain()));
+  Announcement.m_Address = toString(In.getAddress());
+  Announcement.m_Port = In.getPort();
+  Announcement.m_Role =
+      In.getPrimary() ? BackendRole::Primary : BackendRole::Replica;
+  Announcement.m_Point = {Term(In.getTerm()), LogPosition(In.getPosition())};
+  Announcement.m_Slots = In.getSlots();
+  Announcement.m_ConnectionLimit = In.getConnections();
+  Announcement.m_Leaving = In.getLeaving();
+  return Announcement;
+}
+
+void writeRpc(rpc::Suspicion::Builder Out, const ServerSuspicion &Suspicion) {
+  Out.setGroup(toText(Suspicion.m_Group.value()));
+  Out.setServer(toText(Suspicion.m_Server.value()));
+  Out.setEvidence(static_cast<std::uint8_t>(Suspicion.m_Kind));
+}
+
+ServerSuspicion readRpc(rpc::Suspicion::Reader In) {
+  ServerSuspicion Suspicion;
+  Suspicion.m_Group = GroupId(toString(In.getGroup()));
+  Suspicion.m_Server = ServerId(toString(In.getServer()));
+  Suspicion.m_Kind = static_cast<SuspicionKind>(In.getEvidence());
+  return Suspicion;
+}
+
+void writeRpc(rpc::Demand::Builder Out, const ShareDemand &Demand) {
+  Out.setGroup(toText(Demand.m_Group.value()));
+  Out.setServer(toText(Demand.m_Server.value()));
+  Out.setConnections(Demand.m_Connections);
+}
+
+ShareDemand readRpc(rpc::Demand::Reader In) {
+  return {GroupId(toString(In.getGroup())), ServerId(toString(In.getServer())),
+          In.getConnections()};
+}
+
+void writeRpc(rpc::Point::Builder Out, const std::optional<LogPoint> &Point) {
+  Out.setKnown(Point.has_value());
+  if (Point) {
+    Out.setTerm(Point->m_Term.value());
+    Out.setPosition(Point->m_Position.value());
+  }
+}
+
+std::optional<LogPoint> readRpc(rpc::Point::Reader In) {
+  if (!In.getKnown()) {
+    return std::nullopt;
+  }
+  return LogPoint{Term(In.getTerm()), LogPosition(In.getPosition())};
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/RpcCodec.h
@@ -0,0 +1,43 @@
+#ifndef RAGWORTMUX_PROCESS_RPCCODEC_H
+#define RAGWORTMUX_PROCESS_RPCCODEC_H
+
+#include "ragwortmux/Process/ControlMessages.h"
+#include "ragwortmux/Process/Generated/Cluster.capnp.h"
+
+/// \file
+/// Conversions between the processes' messages and their Cap'n Proto form.
+
+namespace ragwortmux {
+
+void writeRpc(rpc::Update::Builder Out, const ControlUpdate &Update);
+ControlUpdate readRpc(rpc::Update::Reader In);
+
+void writeRpc(rpc::Confirmation::Builder Out, const Confirmation &Confirmed);
+Confirmation readRpc(rpc::Confirmation::Reader In);
+
+void writeRpc(rpc::Status::Builder Out, const ControlStatus &Status);
+ControlStatus readRpc(rpc::Status::Reader In);
+
+void writeRpc(rpc::CommandResult::Builder Out, const CommandReply &Reply);
+CommandReply readRpc(rpc::CommandResult::Reader In);
+
+void writeRpc(rpc::EntryHost::Builder Out, const EntryAddress &Host);
+EntryAddress readRpc(rpc::EntryHost::Reader In);
+
+void writeRpc(rpc::Announcement::Builder Out,
+              const ServerAnnouncement &Announcement);
+ServerAnnouncement readRpc(rpc::Announcement::Reader In);
+
+void writeRpc(rpc::Suspicion::Builder Out, const ServerSuspicion &Suspicion);
+/// The session is set by the caller.
+ServerSuspicion readRpc(rpc::Suspicion::Reader In);
+
+void writeRpc(rpc::Demand::Builder Out, const ShareDemand &Demand);
+ShareDemand readRpc(rpc::Demand::Reader In);
+
+void writeRpc(rpc::Point::Builder Out, const std::optional<LogPoint> &Point);
+std::optional<LogPoint> readRpc(rpc::Point::Reader In);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_RPCCODEC_H
--- /dev/null
+++ b/ragwortmux/Process/RpcServer.cpp
@@ -0,0 +1,286 @@
+#include "ragwortmux/Process/RpcServer.h"
+
+#include "ragwortmux/Process/CapnpBytes.h"
+#include "ragwortmux/Process/ClusterProof.h"
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/LogMessageCodec.h"
+#include "ragwortmux/Process/RpcCodec.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Secret.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <openssl/crypto.h>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Turns a reply hook into a promise: \p Start gets the hook that fulfills it.
+template <typename Reply, typename Starter>
+kj::Promise<Reply> promiseOf(Starter Start) {
+  auto Pair = kj::newPromiseAndFulfiller<Reply>();
+  auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<Reply>>>(
+      kj::mv(Pair.fulfiller));
+  Start([Fulfiller](Reply Value) { (*Fulfiller)->fulfill(std::move(Value)); });
+  return kj::mv(Pair.promise);
+}
+
+ControlStatus refusedStatus() {
+  return {ResultCode::NotLeader, "this process has no control role", ""};
+}
+
+/// Delivers updates through an entry process's listener capability.
+UpdateListener listenerOf(IoLoop &Loop, rpc::EntryListener::Client Client) {
+  const auto Shared =
+      std::make_shared<rpc::EntryListener::Client>(kj::mv(Client));
+  return [&Loop,
+          Shared](ControlSessionId Session, ControlUpdate Update,
+                  std::function<void(std::optional<Confirmation>)> Reply) {
+    auto Request = Shared->updateRequest();
+    Request.setSession(Session.value());
+    writeRpc(Request.initUpdate(), Update);
+    Loop.spawn(Request.send().then(
+        [Reply](capnp::Response<rpc::EntryListener::UpdateResults> &&Result) {
+          Reply(readRpc(Result.getConfirmation()));
+        },
+        [Reply](kj::Exception &&) { Reply(std::nullopt); }));
+  };
+}
+
+/// Serves the calls of a process that has proved that it knows the key.
+class PeerServer final : public rpc::Peer::Server {
+public:
+  PeerServer(IoLoop &Loop, const RpcServerHooks &Hooks)
+      : m_Loop(Loop), m_Hooks(Hooks) {}
+
+protected:
+  kj::Promise<void> logMessage(LogMessageContext Context) override {
+    const auto Bytes = Context.getParams().getMessage().asChars();
+    auto Envelope =
+        decodeLogEnvelope(std::string_view(Bytes.begin(), Bytes.size()));
+    if (Envelope && m_Hooks.m_LogMessage) {
+      m_Hooks.m_LogMessage(std::move(*Envelope));
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> identify(IdentifyContext Context) override {
+    const IdentifyReply Reply =
+        m_Hooks.m_Identify ? m_Hooks.m_Identify() : IdentifyReply();
+    auto Results = Context.getResults();
+    Results.setVoter(toText(Reply.m_Voter));
+    Results.setBlank(Reply.m_Blank);
+    Results.setHost(toText(Reply.m_Host.value()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> openSession(OpenSessionContext Context) override {
+    if (!m_Hooks.m_OpenSession) {
+      writeRpc(Context.getResults().initStatus(), refusedStatus());
+      return kj::READY_NOW;
+    }
+    const auto Params = Context.getParams();
+    return promiseOf<OpenSessionReply>([&](auto Respond) {
+             m_Hooks.m_OpenSession(readRpc(Params.getHost()),
+                                   Incarnation(Params.getIncarnation()),
+                                   listenerOf(m_Loop, Params.getListener()),
+                                   Respond);
+           })
+        .then([Context](OpenSessionReply Reply) mutable {
+          writeRpc(Context.getResults().initStatus(), Reply.m_Status);
+          Context.getResults().setSession(Reply.m_Session.value());
+        });
+  }
+
+  kj::Promise<void> renew(RenewContext Context) override {
+    if (!m_Hooks.m_Renew) {
+      writeRpc(Context.getResults().initStatus(), refusedStatus());
+      return kj::READY_NOW;
+    }
+    const auto Params = Context.getParams();
+    const Confirmation Confirmed = readRpc(Params.getConfirmation());
+    LeaseRenewal Renewal;
+    Renewal.m_Session = ControlSessionId(Params.getSession());
+    Renewal.m_Sequence = Params.getSequence();
+    Renewal.m_Confirmed = Confirmed.m_Groups;
+    Renewal.m_Catalogue = Confirmed.m_Catalogue;
+    Renewal.m_Homes = Confirmed.m_Homes;
+    for (const auto Demand : Params.getDemand()) {
+      Renewal.m_Demand.push_back(readRpc(Demand));
+    }
+    return promiseOf<RenewReply>([&](auto Respond) {
+             m_Hooks.m_Renew(std::move(Renewal), Respond);
+           })
+        .then([Context](RenewReply Reply) mutable {
+          auto Results = Context.getResults();
+          writeRpc(Results.initStatus(), Reply.m_Status);
+          Results.setLeaseUs(Reply.m_Lease.count());
+          writeRpc(Results.initUpdate(), Reply.m_Update);
+        });
+  }
+
+  kj::Promise<void> report(ReportContext Context) override {
+    if (!m_Hooks.m_Report) {
+      writeRpc(Context.getResults().initStatus(), refusedStatus());
+      return kj::READY_NOW;
+    }
+    const auto Params = Context.getParams();
+    std::vector<ServerAnnouncement> Announcements;
+    for (const auto Announcement : Params.getAnnouncements()) {
+      Announcements.push_back(readRpc(Announcement));
+    }
+    std::vector<ServerSuspicion> Suspicions;
+    for (const auto Suspicion : Params.getSuspicions()) {
+      Suspicions.push_back(readRpc(Suspicion));
+      Suspicions.back().m_Session = ControlSessionId(Params.getSession());
+    }
+    return promiseOf<ControlStatus>([&](auto Respond) {
+             m_Hooks.m_Report(std::move(Announcements), std::move(Suspicions),
+                              Respond);
+           })
+        .then([Context](ControlStatus Status) mutable {
+          writeRpc(Context.getResults().initStatus(), Status);
+        });
+  }
+
+  kj::Promise<void> command(CommandContext Context) override {
+    if (!m_Hooks.m_Command) {
+      writeRpc(Context.getResults().initResult().initStatus(), refusedStatus());
+      return kj::READY_NOW;
+    }
+    return promiseOf<CommandReply>([&](auto Respond) {
+             m_Hooks.m_Command(toString(Context.getParams().getCommand()),
+                               Respond);
+           })
+        .then([Context](CommandReply Reply) mutable {
+          writeRpc(Context.getResults().initResult(), Reply);
+        });
+  }
+
+  kj::Promise<void> query(QueryContext Context) override {
+    if (!m_Hooks.m_Query) {
+      writeRpc(Context.getResults().initStatus(), refusedStatus());
+      return kj::READY_NOW;
+    }
+    const auto Params = Context.getParams();
+    return promiseOf<QueryReply>([&](auto Respond) {
+             m_Hooks.m_Query(toString(Params.getWhat()),
+                             toString(Params.getName()), Respond);
+           })
+        .then([Context](QueryReply Reply) mutable {
+          writeRpc(Context.getResults().initStatus(), Reply.m_Status);
+          Context.getResults().setJson(toText(Reply.m_Json));
+        });
+  }
+
+  kj::Promise<void>
+  storeSessionPoint(StoreSessionPointContext Context) override {
+    const auto Params = Context.getParams();
+    const SessionPointKey Key{SessionName(toString(Params.getSession())),
+                              GroupId(toString(Params.getGroup())),
+                              Revision(Params.getHomesRevision())};
+    const auto Point = readRpc(Params.getPoint());
+    const bool Stored =
+        Point && m_Hooks.m_StorePoint && m_Hooks.m_StorePoint(Key, *Point);
+    Context.getResults().setStored(Stored);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> findSessionPoint(FindSessionPointContext Context) override {
+    const auto Params = Context.getParams();
+    const SessionPointKey Key{SessionName(toString(Params.getSession())),
+                              GroupId(toString(Params.getGroup())),
+                              Revision(Params.getHomesRevision())};
+    const SessionPointReply Reply =
+        m_Hooks.m_FindPoint ? m_Hooks.m_FindPoint(Key) : SessionPointReply();
+    Context.getResults().setFound(Reply.m_Known);
+    writeRpc(Context.getResults().initPoint(), Reply.m_Point);
+    return kj::READY_NOW;
+  }
+
+private:
+  IoLoop &m_Loop;                ///< The event loop.
+  const RpcServerHooks &m_Hooks; ///< What answers; owned by RpcServer.
+};
+
+/// One challenge: hands the peer interface out for the right proof, once.
+class ChallengeServer final : public rpc::Challenge::Server {
+public:
+  ChallengeServer(std::string Nonce, const Secret &Key, rpc::Peer::Client Peer)
+      : m_Nonce(std::move(Nonce)), m_Key(Key), m_Peer(kj::mv(Peer)) {}
+
+protected:
+  kj::Promise<void> answer(AnswerContext Context) override {
+    const std::string Host = toString(Context.getParams().getHost());
+    const std::string Offered = toString(Context.getParams().getProof());
+    const std::string Expected = clusterProof(m_Key, m_Nonce, Host);
+    const bool Matches =
+        !m_Used && Offered.size() == Expected.size() &&
+        CRYPTO_memcmp(Offered.data(), Expected.data(), Expected.size()) == 0;
+    m_Used = true;
+    if (!Matches) {
+      logWarn(Part::Rpc, "Refused a connection without the cluster key.");
+      return KJ_EXCEPTION(FAILED, "the cluster key does not match");
+    }
+    Context.getResults().setPeer(m_Peer);
+    return kj::READY_NOW;
+  }
+
+private:
+  std::string m_Nonce;      ///< The challenge.
+  const Secret &m_Key;      ///< The cluster key.
+  rpc::Peer::Client m_Peer; ///< What the right proof gives access to.
+  bool m_Used = false;      ///< A proof has been offered.
+};
+
+/// What a new connection can reach.
+class GateServer final : public rpc::Gate::Server {
+public:
+  GateServer(const Secret &Key, rpc::Peer::Client Peer)
+      : m_Key(Key), m_Peer(kj::mv(Peer)) {}
+
+protected:
+  kj::Promise<void> hello(HelloContext Context) override {
+    const std::string Nonce = makeNonce();
+    Context.getResults().setNonce(toData(Nonce));
+    Context.getResults().setChallenge(
+        kj::heap<ChallengeServer>(Nonce, m_Key, m_Peer));
+    return kj::READY_NOW;
+  }
+
+private:
+  const Secret &m_Key;      ///< The cluster key.
+  rpc::Peer::Client m_Peer; ///< Shared by all connections.
+};
+
+} // namespace
+
+struct RpcServer::Parts final {
+  Parts(IoLoop &Loop, const Secret &Key, RpcServerHooks &&Given)
+      : m_Loop(Loop), m_Hooks(std::move(Given)),
+        m_Server(
+            kj::heap<GateServer>(Key, kj::heap<PeerServer>(Loop, m_Hooks))) {}
+
+  IoLoop &m_Loop;                             ///< The event loop.
+  RpcServerHooks m_Hooks;                     ///< What answers.
+  capnp::TwoPartyServer m_Server;             ///< Serves all connections.
+  kj::Own<kj::ConnectionReceiver> m_Receiver; ///< The listening socket.
+};
+
+RpcServer::RpcServer(IoLoop &Loop, const Secret &ClusterKey,
+                     RpcServerHooks Hooks)
+    : m_Parts(std::make_unique<Parts>(Loop, ClusterKey, std::move(Hooks))) {}
+
+RpcServer::~RpcServer() = default;
+
+std::uint16_t RpcServer::listen(const std::string &Address,
+                                std::uint16_t Port) {
+  IoLoop &Loop = m_Parts->m_Loop;
+  auto Parsed =
+      Loop.network().parseAddress(Address, Port).wait(Loop.waitScope());
+  m_Parts->m_Receiver = Parsed->listen();
+  Loop.spawn(m_Parts->m_Server.listen(*m_Parts->m_Receiver));
+  return static_cast<std::uint16_t>(m_Parts->m_Receiver->getPort());
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/RpcServer.h
@@ -0,0 +1,70 @@
+#ifndef RAGWORTMUX_PROCESS_RPCSERVER_H
+#define RAGWORTMUX_PROCESS_RPCSERVER_H
+
+#include "ragwortmux/Process/ControlMessages.h"
+#include "ragwortmux/Process/Log/LogMessage.h"
+#include "ragwortmux/Version/SessionRecord.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ragwortmux {
+
+class IoLoop;
+class Secret;
+
+/// What a process answers to the others of its cluster. Hooks are called on the
+/// event loop; replies are given on it too, once each, at once or later. An
+/// empty hook refuses the call.
+struct RpcServerHooks final {
+  template <typename Reply> using Respond = std::function<void(Reply)>;
+
+  /// A message of the replicated log.
+  std::function<void(LogEnvelope Envelope)> m_LogMessage;
+  /// Who this process is.
+  std::function<IdentifyReply()> m_Identify;
+  /// An entry process opens a control session.
+  std::function<void(EntryAddress Host, Incarnation Run,
+                     UpdateListener Listener, Respond<OpenSessionReply>)>
+      m_OpenSession;
+  /// An entry process renews its lease.
+  std::function<void(LeaseRenewal Renewal, Respond<RenewReply>)> m_Renew;
+  /// An entry process passes on what it heard and saw of backend servers.
+  std::function<void(std::vector<ServerAnnouncement> Announcements,
+                     std::vector<ServerSuspicion> Suspicions,
+                     Respond<ControlStatus>)>
+      m_Report;
+  /// A command for the replicated state machine, encoded by CommandCodec.
+  std::function<void(std::string Command, Respond<CommandReply>)> m_Command;
+  /// A question about the leader's state.
+  std::function<void(std::string What, std::string Name, Respond<QueryReply>)>
+      m_Query;
+  /// Stores a session's position; false if it was not stored.
+  std::function<bool(const SessionPointKey &Key, const LogPoint &Point)>
+      m_StorePoint;
+  /// Looks a session's position up.
+  std::function<SessionPointReply(const SessionPointKey &Key)> m_FindPoint;
+};
+
+/// Serves RPC to the processes that know the cluster key.
+class RpcServer final {
+public:
+  RpcServer(IoLoop &Loop, const Secret &ClusterKey, RpcServerHooks Hooks);
+  ~RpcServer();
+  RpcServer(const RpcServer &) = delete;
+  RpcServer &operator=(const RpcServer &) = delete;
+
+  /// Listens on \p Address (0 as \p Port: any free one); returns the port.
+  std::uint16_t listen(const std::string &Address, std::uint16_t Port);
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> m_Parts; ///< Cap'n Proto's side.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_RPCSERVER_H
--- /dev/null
+++ b/ragwortmux/Process/SqlClient.h
@@ -0,0 +1,15 @@
+#ifndef RAGWORTMUX_PROCESS_SQLCLIENT_H
+#define RAGWORTMUX_PROCESS_SQLCLIENT_H
+
+namespace ragwortmux {
+
+struct SqlCommand;
+
+/// Runs one SQL text as a caller and prints the rows, the columns separated by
+/// tabs, then `token TOKEN` on standard error if the proxy gave one. Returns
+/// the exit status: 0 if it ran without an error.
+int runSql(const SqlCommand &Command);
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_SQLCLIENT_H
--- /dev/null
+++ b/ragwortmux/Process/SystemClock.h
@@ -0,0 +1,17 @@
+#ifndef RAGWORTMUX_PROCESS_SYSTEMCLOCK_H
+#define RAGWORTMUX_PROCESS_SYSTEMCLOCK_H
+
+#include "ragwortmux/Core/Time.h"
+
+namespace ragwortmux {
+
+/// The current time on this process's monotonic clock. Goes on while the host
+/// is suspended, so that a lease cannot outlast a suspension.
+Instant monotonicNow();
+
+/// The current wall-clock time in milliseconds.
+WallTime wallNow();
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_PROCESS_SYSTEMCLOCK_H
--- /dev/null
+++ b/tests/Log/LogFaultRun.h
@@ -0,0 +1,257 @@
+#ifndef RAGWORTMUX_TESTS_LOG_LOGFAULTRUN_H
+#define RAGWORTMUX_TESTS_LOG_LOGFAULTRUN_H
+
+#include "tests/Log/LogNetwork.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+/// One randomized run: 3 to 5 hosts work under faults, then everything heals,
+/// all must agree, and must agree again after a restart.
+class LogFaultRun final {
+public:
+  explicit LogFaultRun(std::uint64_t Seed)
+      : m_Network(Seed, 3 + Seed % 3, faulty()) {
+    ReplicatedLogSettings &Settings = m_Network.logSettings();
+    Settings.m_MaxAppendEntries = 1 + m_Network.random(8);
+    Settings.m_MaxInFlightEntries = 1 + m_Network.random(32);
+    Settings.m_MaxAppendBytes = 1 + m_Network.random(200);
+    Settings.m_TrailingEntries = m_Network.random(8);
+    Settings.m_CatchUpEntries = 4;
+    m_Transfers = Seed % 2 == 0;
+    m_DiskLoss = Seed % 4 < 2;
+    if (!m_Transfers)
+      m_Network.forbidOverlap();
+    restartAll();
+    m_Network.bootstrap(3);
+    for (std::size_t Number = 0; Number < 3; ++Number)
+      m_First.m_Members.push_back(
+          {m_Network.hosts()[Number].m_Id, std::to_string(Number), true});
+  }
+
+  /// Runs everything; returns the first violation, if any.
+  std::optional<std::string> run() {
+    work();
+    operateMembership();
+    injectFault();
+    m_Network.run(FaultSpan);
+    m_Healing = true;
+    m_Network.heal();
+    m_Network.settings() = LogNetworkSettings();
+    const std::uint64_t Before = agree("after healing");
+    restartAll();
+    const std::uint64_t After = agree("after a restart");
+    if (After < Before)
+      m_Network.checks().fail("the log became shorter by a restart");
+    return m_Network.checks().failure();
+  }
+
+  LogNetwork &network() { return m_Network; } ///< For figures about the run.
+
+private:
+  static constexpr Duration FaultSpan = std::chrono::seconds(5);
+  static constexpr Duration HealSpan = std::chrono::seconds(30);
+
+  static LogNetworkSettings faulty() {
+    LogNetworkSettings Settings;
+    Settings.m_Lost = 30;
+    Settings.m_Repeated = 30;
+    Settings.m_Late = 30;
+    Settings.m_MinDelay = std::chrono::milliseconds(1);
+    Settings.m_MaxDelay = std::chrono::milliseconds(10);
+    Settings.m_MaxSync = std::chrono::milliseconds(5);
+    return Settings;
+  }
+
+  Duration between(int FromMs, int ToMs) {
+    return std::chrono::milliseconds(
+        FromMs + static_cast<int>(m_Network.random(ToMs - FromMs + 1)));
+  }
+
+  /// Proposals, confirmations and snapshots.
+  void work() {
+    for (LogNetwork::Host &Each : m_Network.hosts()) {
+      if (Each.m_PausedUntil > m_Network.now())
+        continue;
+      if (Each.leads())
+        m_Network.confirm(Each);
+      m_Network.act(Each, [&](ReplicatedLog &Log) {
+        Log.propose(m_Network.now(), std::string(m_Network.random(60), 'x') +
+                                         std::to_string(++m_Proposals));
+        if (m_Network.random(40) == 0)
+          Log.takeSnapshot(m_Network.now(), Each.m_State.m_Index,
+                           std::to_string(Each.m_State.m_Hash));
+      });
+    }
+    m_Network.later(between(5, 30), [this] { work(); });
+  }
+
+  /// Replaces members that are gone, and now and then one that is not.
+  void operateMembership() {
+    for (LogNetwork::Host &Each : m_Network.hosts())
+      if (Each.up() && Each.m_PausedUntil <= m_Network.now())
+        m_Network.act(Each, [&](ReplicatedLog &Log) { changeMembership(Log); });
+    m_Network.later(between(30, 120), [this] { operateMembership(); });
+  }
+
+  void changeMembership(ReplicatedLog &Log) {
+    if (!Log.isReady())
+      return;
+    const Instant Now = m_Network.now();
+    const LogMembership Members = Log.membership();
+    const auto Voters =
+        std::count_if(Members.m_Members.begin(), Members.m_Members.end(),
+                      [](const LogMember &Member) { return Member.m_Votes; });
+    for (const LogMember &Member : Members.m_Members) {
+      const std::size_t Number = std::stoul(Member.m_Address);
+      const bool Gone = m_Network.hosts()[Number].m_Id != Member.m_Id;
+      const bool Unwanted = !m_Healing && Member.m_Votes &&
+                            Voters > (m_DiskLoss ? 3 : 1) &&
+                            m_Network.random(30) == 0;
+      if (Gone || Unwanted) {
+        Log.removeMember(Now, Member.m_Id);
+        return;
+      }
+      if (!Member.m_Votes && Log.promoteMember(Now, Member.m_Id))
+        return;
+    }
+    for (const LogNetwork::Host &Each : m_Network.hosts())
+      if (Each.m_Id != VoterId() && !Members.find(Each.m_Id)) {
+        Log.addMember(Now, Each.m_Id, std::to_string(Each.m_Number));
+        return;
+      }
+  }
+
+  void injectFault() {
+    if (m_Healing)
+      return;
+    LogNetwork::Host &Victim =
+        m_Network.hosts()[m_Network.random(m_Network.hosts().size())];
+    switch (m_Network.random(8)) {
+    case 0:
+      m_Network.isolate(Victim.m_Number);
+      break;
+    case 1:
+      m_Network.cut(Victim.m_Number,
+                    m_Network.random(m_Network.hosts().size()));
+      break;
+    case 2:
+      crash(Victim);
+      break;
+    case 3:
+      // The process or machine dies at one of its next disk operations.
+      Victim.m_Disk->failLater(m_Network.random(8), m_Network.random(2) == 0);
+      break;
+    case 4:
+      if (mayLoseDisk(Victim)) {
+        m_Network.crash(Victim, true);
+        m_Network.replaceDisk(Victim);
+      }
+      break;
+    case 5:
+      Victim.m_PausedUntil =
+          std::max(Victim.m_PausedUntil, m_Network.now() + between(50, 800));
+      break;
+    case 6:
+      if (LogNetwork::Host *Leader = m_Network.leader())
+        Leader == &Victim || !m_Transfers ? crash(*Leader)
+                                          : transfer(*Leader, Victim);
+      break;
+    default:
+      m_Network.heal();
+      break;
+    }
+    m_Network.later(between(20, 1000), [this] { startDown(); });
+    m_Network.later(between(20, 500), [this] { injectFault(); });
+  }
+
+  void crash(LogNetwork::Host &Victim) {
+    if (Victim.up())
+      m_Network.crash(Victim, m_Network.random(2) == 0);
+  }
+
+  void transfer(LogNetwork::Host &From, const LogNetwork::Host &To) {
+    m_Network.act(From, [&](ReplicatedLog &Log) {
+      Log.transferLeadership(m_Network.now(), To.m_Id);
+    });
+  }
+
+  /// Only one disk at a time is lost, and none while a configuration is being
+  /// changed: more is beyond what a majority can stand.
+  bool mayLoseDisk(const LogNetwork::Host &Victim) {
+    const LogMembership &Members =
+        m_Network.checks().membership().m_Members.empty()
+            ? m_First
+            : m_Network.checks().membership();
+    std::size_t Voters = 0;
+    for (const LogMember &Member : Members.m_Members) {
+      const LogNetwork::Host &Each =
+          m_Network.hosts()[std::stoul(Member.m_Address)];
+      if (!Member.m_Votes)
+        continue;
+      ++Voters;
+      if (Each.m_Id != Member.m_Id)
+        return false;
+    }
+    for (const LogNetwork::Host &Each : m_Network.hosts())
+      if (Each.isChanging())
+        return false;
+    return m_DiskLoss && Voters >= 3 && Victim.m_Id != VoterId();
+  }
+
+  void startDown() {
+    for (LogNetwork::Host &Each : m_Network.hosts())
+      if (!Each.up())
+        m_Network.start(Each);
+  }
+
+  void restartAll() {
+    for (LogNetwork::Host &Each : m_Network.hosts())
+      if (Each.up())
+        m_Network.crash(Each, true);
+    startDown();
+  }
+
+  /// Waits until all hosts are voters and have applied all that was committed
+  /// when they were. Returns that index.
+  std::uint64_t agree(const std::string &When) {
+    startDown();
+    for (LogNetwork::Host &Each : m_Network.hosts())
+      Each.m_Disk->clearFault();
+    m_Network.run(HealSpan, [this] { return allVote(); });
+    startDown();
+    const LogIndex Goal = m_Network.checks().newest();
+    const bool Agreed = m_Network.run(HealSpan, [this, Goal] {
+      for (const LogNetwork::Host &Each : m_Network.hosts())
+        if (!Each.up() || Each.m_State.m_Index <= Goal)
+          return false;
+      return allVote();
+    });
+    if (!Agreed)
+      m_Network.checks().fail("no agreement " + When);
+    return Goal.value();
+  }
+
+  bool allVote() {
+    const LogNetwork::Host *Leader = m_Network.leader();
+    if (!Leader)
+      return false;
+    const LogMembership &Members = Leader->m_Log->membership();
+    for (const LogNetwork::Host &Each : m_Network.hosts())
+      if (!Members.votes(Each.m_Id))
+        return false;
+    return Members.m_Members.size() == m_Network.hosts().size();
+  }
+
+  LogNetwork m_Network;          ///< Hosts, disks, network and checks.
+  LogMembership m_First;         ///< The first configuration.
+  bool m_DiskLoss = false;       ///< Disks are lost; else voters may get few.
+  bool m_Transfers = false;      ///< Leadership is handed over now and then.
+  bool m_Healing = false;        ///< No more faults.
+  std::uint64_t m_Proposals = 0; ///< Made so far.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_TESTS_LOG_LOGFAULTRUN_H
