--- a/tests/Connection/StandInContractTest.cpp
+++ b/tests/Connection/StandInContractTest.cpp
@@ -55,10 +55,15 @@
     }
     return "";
   }
-  /// Makes the server a replica of \p Primary.
-  void follow(const std::string &Term, const Backend &Primary) {
-    run("SELECT ragwortmux_follow(" + Term + ",'127.0.0.1'," +
-        std::to_string(Primary.port()) + ")");
+  /// Tells the server to follow \p Primary; \p SqlState is what it must
+  /// refuse with, empty if it must not.
+  void follow(const std::string &Term, const Backend &Primary,
+              const std::string &SqlState = "") {
+    const PgAnswer Answer =
+        m_Control->query("SELECT ragwortmux_follow(" + Term + ",'127.0.0.1'," +
+                         std::to_string(Primary.port()) + ")");
+    BOOST_TEST(Answer.m_Ok == SqlState.empty());
+    BOOST_TEST(Answer.m_SqlState == SqlState);
   }
   bool reaches(const std::string &State) {
     return waitUntil([&] { return state() == State; });
@@ -176,6 +181,10 @@
   Third.fault("stop_replication", "0");
   Third.follow("2", New);
   BOOST_TEST(Third.reaches("2:2:replica"));
+  // Asked again, it stays as it is.
+  Third.follow("2", New);
+  New.follow("2", New, "72000");
+  BOOST_TEST(Third.state() == "2:2:replica");
   // The old primary believes in itself until it hears of the new term.
   BOOST_TEST(Old.state() == "1:2:primary");
   Old.follow("2", New);
