Clear stale attempt tags, keep connections that a server not yet promoted refused

Cause: ragwortmux.attempt tags the next transaction of a connection. A keyed statement that was refused before it ran (53300, 72000) left its tag on the connection, which was then given to another caller. Its commit counted as the attempt's.

Also: a 72000 from a server that is not promoted yet no longer costs the connection; the paused writes go out as soon as the watch sees the promotion; the refusal is reported once for each term. A gone caller's write without a key no longer stays in memory until it is replicated.

--- a/ragwortmux/Connection/ConnectionPool.cpp
+++ b/ragwortmux/Connection/ConnectionPool.cpp
@@ -186,6 +186,13 @@
   return count(Server, ConnectionState::Busy);
 }
 
+std::uint32_t ConnectionPool::wanted(const ServerId &Server) const {
+  const auto Pool = m_Servers.find(Server);
+  const std::uint32_t Waiting =
+      Pool == m_Servers.end() ? 0 : Pool->second.m_Waiting;
+  return busy(Server) + std::max(m_Settings.m_IdleTarget, Waiting);
+}
+
 bool ConnectionPool::reachable(const ServerId &Server) const {
   const auto Pool = m_Servers.find(Server);
   return Pool != m_Servers.end() && Pool->second.m_Share > 0 &&
--- a/ragwortmux/Connection/ConnectionPool.h
+++ b/ragwortmux/Connection/ConnectionPool.h
@@ -98,6 +98,8 @@
   std::uint32_t idle(const ServerId &Server) const;
   /// Connections to \p Server in use.
   std::uint32_t busy(const ServerId &Server) const;
+  /// Connections to \p Server that could be used, whatever the share.
+  std::uint32_t wanted(const ServerId &Server) const;
   /// True if connections to \p Server are allowed and the last opening did not
   /// fail.
   bool reachable(const ServerId &Server) const;
--- a/ragwortmux/Request/GroupContext.cpp
+++ b/ragwortmux/Request/GroupContext.cpp
@@ -11,6 +11,8 @@
 /// Answered by any backend server without taking a slot.
 constexpr std::string_view ProbeSql = "SELECT ragwortmux_position()";
 
+constexpr std::uint32_t ProbeAnswerBytes = 4096;
+
 constexpr int PercentBase = 100;
 /// Spreads the pauses of requests that were refused at the same moment.
 constexpr std::uint64_t PauseSpread = 7;
@@ -63,6 +65,7 @@
     SendStatement Probe;
     Probe.m_Connection = Connection;
     Probe.m_Sql = ProbeSql;
+    Probe.m_MaxAnswerBytes = ProbeAnswerBytes;
     act(std::move(Probe));
   }
   for (const ServerId &Server : Orders.m_Unreachable)
@@ -103,6 +106,24 @@
   return &Found->second;
 }
 
+void GroupContext::noteTermRefused(const ServerId &Server) {
+  if (m_TermRefusers.insert(Server).second)
+    act(ReportSuspicion{Server, m_View.m_Term, SuspicionCause::TermRefused});
+}
+
+void GroupContext::notePrimary(const ServerId &Server, Term Stated) {
+  if (m_PrimarySeen || m_View.m_Primary != Server || m_View.m_Term != Stated)
+    return;
+  m_PrimarySeen = true;
+  for (auto &[Request, State] : m_Requests) {
+    if (State.m_Phase != RequestPhase::Queued || State.m_InTransaction ||
+        State.m_LastReason != ResultCode::NotRunTermRefused)
+      continue;
+    State.m_RetryAt.reset();
+    m_Touched.insert(Request);
+  }
+}
+
 void GroupContext::enqueue(RequestState &State) {
   State.m_Phase = RequestPhase::Queued;
   State.m_QueuedAt = m_Now;
@@ -158,9 +179,15 @@
   Statement.m_Connection = Connection;
   Statement.m_Sql = State.m_Request.m_Sql;
   Statement.m_MaxAnswerBytes = Entry.m_Limits.m_MaxAnswerBytes;
-  // The tag belongs to the next transaction, so an open one has it already.
-  if (isKeyed(State) && !State.m_InTransaction)
+  // The tag belongs to the next transaction, so an open one has it already. A
+  // statement that was refused leaves its tag behind, which must not pass to
+  // another caller's transaction.
+  if (isKeyed(State) && !State.m_InTransaction) {
     Statement.m_Attempt = State.m_Attempt;
+    m_Tagged.insert(Connection);
+  } else if (!State.m_InTransaction && m_Tagged.erase(Connection) > 0) {
+    Statement.m_Attempt = AttemptId();
+  }
   act(std::move(Statement));
 }
 
@@ -254,6 +281,7 @@
 }
 
 void GroupContext::dropConnection(ConnectionId Connection) {
+  m_Tagged.erase(Connection);
   const auto Use = m_Uses.find(Connection);
   if (Use != m_Uses.end()) {
     assert(!Use->second.m_Running);
--- a/ragwortmux/Request/GroupContext.h
+++ b/ragwortmux/Request/GroupContext.h
@@ -67,6 +67,11 @@
   std::uint32_t freeAt(const ServerView &Server) const;
 
   RequestState *find(RequestId Request);
+  /// Reports, once for each term, that \p Server refused the view's term.
+  void noteTermRefused(const ServerId &Server);
+  /// \p Server said that it is the primary of \p Stated: what it refused before
+  /// need not wait longer.
+  void notePrimary(const ServerId &Server, Term Stated);
   /// Puts a request into the queue, its old place if it was there before.
   void enqueue(RequestState &State);
   /// Puts it into the queue after a pause that grows with each one.
@@ -108,11 +113,13 @@
   Instant m_Now;                     ///< Time of the event under way.
   GroupActions *m_Actions = nullptr; ///< Actions of the event under way.
 
-  GroupView m_View;             ///< Newest record.
-  Instant m_LeaseUntil;         ///< End of the lease.
-  bool m_HasView = false;       ///< A record has come.
-  bool m_Draining = false;      ///< No new requests are taken.
-  std::set<ServerId> m_Watched; ///< Servers with a watch.
+  GroupView m_View;                  ///< Newest record.
+  Instant m_LeaseUntil;              ///< End of the lease.
+  bool m_HasView = false;            ///< A record has come.
+  bool m_Draining = false;           ///< No new requests are taken.
+  bool m_PrimarySeen = false;        ///< The primary said that it is promoted.
+  std::set<ServerId> m_TermRefusers; ///< Reported for refusing this term.
+  std::set<ServerId> m_Watched;      ///< Servers with a watch.
 
   std::map<RequestId, RequestState> m_Requests; ///< All requests.
   std::set<std::pair<CallerConnectionId, RequestId>>
@@ -120,6 +127,7 @@
   std::map<CallerConnectionId, TransactionState>
       m_Transactions;                           ///< Open transactions.
   std::map<ConnectionId, ConnectionUse> m_Uses; ///< Busy connections.
+  std::set<ConnectionId> m_Tagged;              ///< Last sent an attempt's tag.
   std::map<EntryName, std::uint32_t> m_Waiting; ///< Waiting, by entry.
   std::map<EntryName, std::uint32_t> m_Running; ///< Busy connections, by entry.
   std::map<ServerId, std::uint32_t> m_RunningAt;    ///< Statements, by server.
--- a/ragwortmux/Request/GroupContextEvents.cpp
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -69,6 +69,7 @@
 }
 
 void GroupContext::loseConnection(ConnectionId Connection) {
+  m_Tagged.erase(Connection);
   std::optional<RequestId> Running;
   const auto Use = m_Uses.find(Connection);
   const bool WasUsed = Use != m_Uses.end();
@@ -132,6 +133,11 @@
 
 void GroupContext::takeView(const GroupView &View) {
   const bool TermEnded = m_HasView && View.m_Term != m_View.m_Term;
+  if (!m_HasView || View.m_Term != m_View.m_Term ||
+      View.m_Primary != m_View.m_Primary) {
+    m_PrimarySeen = false;
+    m_TermRefusers.clear();
+  }
   const std::vector<ServerView> Before = std::move(m_View.m_Servers);
   m_View = View;
   m_HasView = true;
--- a/ragwortmux/Request/GroupCore.cpp
+++ b/ragwortmux/Request/GroupCore.cpp
@@ -80,6 +80,8 @@
     if (IsPrimary && m_Context->m_View.m_Primary == Server &&
         m_Context->leaseCovers(Point.m_Term))
       m_Context->m_Ages.addSample(Point, AskedAt);
+    if (IsPrimary)
+      m_Context->notePrimary(Server, Point.m_Term);
     m_Context->m_Writes.checkReplicating();
   }
   m_Context->endEvent();
@@ -195,6 +197,11 @@
   return m_Context->m_Pool.held(Server) + Watches;
 }
 
+std::uint32_t GroupCore::wantedConnections(const ServerId &Server) const {
+  const std::uint32_t Watches = m_Context->m_Watched.contains(Server) ? 1 : 0;
+  return m_Context->m_Pool.wanted(Server) + Watches;
+}
+
 std::size_t GroupCore::pendingRequests() const {
   std::size_t Count = 0;
   for (const auto &[Request, State] : m_Context->m_Requests)
--- a/ragwortmux/Request/GroupCore.h
+++ b/ragwortmux/Request/GroupCore.h
@@ -91,6 +91,9 @@
   /// Connections held to \p Server, the watch included; a smaller share may be
   /// confirmed to control once this is within it.
   std::uint32_t heldConnections(const ServerId &Server) const;
+  /// Connections to \p Server that this proxy could use, the watch included,
+  /// whatever its share; for asking control for a share.
+  std::uint32_t wantedConnections(const ServerId &Server) const;
   /// Requests that have not been answered.
   std::size_t pendingRequests() const;
   /// Counters since the start.
--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -114,7 +114,8 @@
   ConnectionId m_Connection; ///< The connection.
   std::string m_Sql;         ///< The statement text.
   std::optional<AttemptId>
-      m_Attempt; ///< Tag to set in front (`SET ragwortmux.attempt`).
+      m_Attempt; ///< Tag to set in front (`SET ragwortmux.attempt`); an empty
+                 ///< one clears the tag of an earlier statement.
   std::uint32_t m_MaxAnswerBytes = 0; ///< Limit beyond which the answer is read
                                       ///< to its end but not kept.
 };
--- a/ragwortmux/Request/ReadRequests.cpp
+++ b/ragwortmux/Request/ReadRequests.cpp
@@ -63,12 +63,15 @@
 
 void ReadRequests::answered(RequestState &State, const BackendAnswer &Result) {
   const bool WasInTransaction = State.m_InTransaction;
-  if (!Result.m_Ok && Result.m_SqlState == TermRefusedState) {
-    m_Context.abandonStatement(State, false);
+  if (!Result.m_Ok && Result.m_SqlState == TermRefusedState &&
+      (WasInTransaction || Result.m_Status == TransactionStatus::Idle)) {
+    m_Context.noteTermRefused(State.m_Server);
     if (WasInTransaction) {
+      m_Context.abandonStatement(State, false);
       m_Context.finish(State, ResultCode::NotRunTermRefused);
       return;
     }
+    m_Context.m_OpenTransactions.settleConnection(State, Result.m_Status);
     State.m_Avoid.push_back(State.m_Server);
     m_Context.enqueueAfterPause(State, ResultCode::NotRunTermRefused);
     return;
--- a/ragwortmux/Request/WriteRequests.cpp
+++ b/ragwortmux/Request/WriteRequests.cpp
@@ -32,6 +32,10 @@
   if (refusedUnrun(State, Result))
     return;
   m_Context.m_OpenTransactions.settleConnection(State, Result.m_Status);
+  if (State.m_Answered && !isKeyed(State)) {
+    m_Context.erase(State);
+    return;
+  }
   State.m_Answer = std::move(Result);
   const BackendAnswer &Kept = *State.m_Answer;
   State.m_Code =
@@ -247,15 +251,13 @@
                                        : TransactionStatus::Idle;
   if (Result.m_SqlState == TermRefusedState &&
       (State.m_InTransaction || Result.m_Status == Before)) {
-    m_Context.act(ReportSuspicion{State.m_Server, m_Context.m_View.m_Term,
-                                  SuspicionCause::TermRefused});
+    m_Context.noteTermRefused(State.m_Server);
     if (State.m_InTransaction) {
       giveUpTransaction(State, ResultCode::NotRunTermRefused);
       return true;
     }
-    const ConnectionId Connection = *State.m_Connection;
-    m_Context.endStatement(State);
-    m_Context.dropConnection(Connection);
+    // A server that is not promoted yet takes the same connection later.
+    m_Context.m_OpenTransactions.settleConnection(State, Result.m_Status);
     retryUnrun(State, ResultCode::NotRunTermRefused);
     return true;
   }
--- a/tests/Request/RandomRunTest.cpp
+++ b/tests/Request/RandomRunTest.cpp
@@ -28,17 +28,20 @@
       Row.m_Point = Action.m_Point;
     };
     m_OnSend = [this](const SendStatement &Sent) {
-      if (Sent.m_Attempt)
-        m_Running[Sent.m_Connection] = *Sent.m_Attempt;
+      // A tag stays until a transaction ends or another one replaces it.
+      if (Sent.m_Attempt && *Sent.m_Attempt == AttemptId())
+        m_Tags.erase(Sent.m_Connection);
+      else if (Sent.m_Attempt)
+        m_Tags[Sent.m_Connection] = *Sent.m_Attempt;
     };
     m_OnClose = [this](ConnectionId Connection, bool HadStatement) {
-      const auto Found = m_Running.find(Connection);
-      if (Found == m_Running.end())
+      const auto Found = m_Tags.find(Connection);
+      if (Found == m_Tags.end())
         return;
       // What ran on it may commit until somebody ends it.
       if (HadStatement)
         m_Limbo.insert(Found->second);
-      m_Running.erase(Found);
+      m_Tags.erase(Found);
     };
     m_OnAnswer = [this](const Answer &Told) { check(Told); };
   }
@@ -190,15 +193,16 @@
     const bool Ends = below(6) != 0;
     const TransactionStatus Status =
         Ends ? TransactionStatus::Idle : TransactionStatus::InTransaction;
-    const auto Running = m_Running.find(Sent.m_Connection);
+    const auto Running = m_Tags.find(Sent.m_Connection);
     const std::size_t Kind = below(12);
     const bool IsOk = Kind > 2;
     if (IsOk)
       ++m_Position;
-    if (Ends && Running != m_Running.end()) {
+    const bool Refused = Kind == 0 || Kind == 2; // before anything was run
+    if (Ends && !Refused && Running != m_Tags.end()) {
       if (IsOk && InTerm == m_View.m_Term.value())
         commit(Running->second, m_Position);
-      m_Running.erase(Running);
+      m_Tags.erase(Running);
     }
     const char *Errors[] = {"53300", "23505", "72000"};
     if (IsOk)
@@ -235,10 +239,10 @@
       return;
     const ConnectionId Connection =
         m_Statements[below(m_Statements.size())].m_Connection;
-    const auto Running = m_Running.find(Connection);
-    if (Running != m_Running.end()) {
+    const auto Running = m_Tags.find(Connection);
+    if (Running != m_Tags.end()) {
       m_Limbo.insert(Running->second);
-      m_Running.erase(Running);
+      m_Tags.erase(Running);
     }
     lose(Connection.value());
   }
@@ -258,7 +262,7 @@
              !m_Acknowledged.contains(Pair.first) && below(2) == 0;
     });
     m_Limbo.clear();
-    m_Running.clear();
+    m_Tags.clear();
     const char *Names[] = {"s1", "s2", "s3"};
     changePrimary(m_View.m_Term.value() + 1, Names[below(3)]);
   }
@@ -299,7 +303,7 @@
   std::uint64_t m_Position = 10;
   std::map<RequestKey, LedgerRow> m_Ledger;
   std::map<AttemptId, RequestKey> m_KeyOf;
-  std::map<ConnectionId, AttemptId> m_Running; ///< Attempts on connections.
+  std::map<ConnectionId, AttemptId> m_Tags; ///< As the servers see them.
   std::set<AttemptId> m_Limbo; ///< Their connection is gone; may yet commit.
   std::map<RequestKey, std::pair<AttemptId, std::uint64_t>>
       m_Committed; ///< What the primary's history holds, with its position.
--- a/tests/Request/WriteTest.cpp
+++ b/tests/Request/WriteTest.cpp
@@ -253,6 +253,26 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(ANewPrimaryIsTriedAgainAsSoonAsItIsPromoted,
+                        GroupFixture) {
+  changePrimary(2, "s2");
+  const RequestId Id = write();
+  const std::uint64_t Connection = running();
+  for (int Times = 0; Times < 10; ++Times) {
+    answer(error("72000")); // not promoted yet
+    wait(milliseconds(60));
+  }
+  answer(error("72000"));
+  BOOST_TEST(running() == 0U);
+  BOOST_TEST(m_Suspicions.size() == 1U);
+  sample(2, 10, {"s2", "s3"});
+  BOOST_TEST(runsAt() == "s2");
+  BOOST_TEST(serverOf(Connection) == "s2"); // none was thrown away
+  sample(2, 11, {"s1", "s3"});
+  answer(ok(2, 11));
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+}
+
 BOOST_FIXTURE_TEST_CASE(ADatabaseErrorIsPassedOn, GroupFixture,
                         *boost::unit_test::label("promise-5")) {
   const RequestId Id = write();
@@ -277,6 +297,17 @@
   BOOST_TEST((m_Homes.at(SessionName("clerk")) == point(1, 10)));
 }
 
+BOOST_FIXTURE_TEST_CASE(AGoneCallersWriteLeavesNothingBehind, GroupFixture,
+                        *boost::unit_test::label("promise-3")) {
+  const RequestId Id = write();
+  const std::uint64_t Connection = running();
+  callerGone(Id.value());
+  answer(ok(1, 10)); // never applied elsewhere
+  BOOST_TEST(serverOf(Connection) == "s1");
+  BOOST_TEST(m_Core.pendingRequests() == 0U);
+  BOOST_TEST(m_Core.wantedConnections(ServerId("s1")) == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE(Keys)
 
 BOOST_FIXTURE_TEST_CASE(NothingIsSentBeforeTheReservation, GroupFixture,
@@ -308,6 +339,20 @@
   BOOST_TEST(m_Sent == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(ATagDoesNotPassToTheNextCaller, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  m_View.m_Servers[0].m_ConnectionShare = 2; // one besides the watch
+  setView(1);
+  keyedWrite();
+  answer(error("53300"));
+  write();
+  BOOST_REQUIRE(m_Statements.size() == 1);
+  BOOST_TEST((m_Statements[0].m_Attempt == AttemptId()));
+  answer(error("22012"));
+  wait(milliseconds(10));
+  BOOST_TEST((m_Statements[0].m_Attempt == m_Reserves[0].m_Attempt));
+}
+
 BOOST_FIXTURE_TEST_CASE(ARecordedOutcomeIsGivenAgain, GroupFixture,
                         *boost::unit_test::label("promise-6")) {
   m_AutoLedger = false;
