Stand-in: switches that cut a commit off before and after it runs

A connection could be dropped before a data statement and after a commit, but not at a COMMIT that never ran, and it could not stay open without an answer. drop_before_commit and silent_after_commit do that; the contract test checks the attempt's outcome for each.

--- a/tests/Connection/StandInContractTest.cpp
+++ b/tests/Connection/StandInContractTest.cpp
@@ -326,6 +326,37 @@
   std::remove(File.c_str());
 }
 
+BOOST_AUTO_TEST_CASE(CommitsCanBeCutOff) {
+  struct CommitCase final {
+    const char *m_Fault;   ///< Switch set to 1.
+    bool m_Lost;           ///< The connection is closed.
+    const char *m_Outcome; ///< Outcome of the attempt.
+  };
+  for (const CommitCase &Case :
+       {CommitCase{"drop_before_commit", true, "aborted"},
+        {"drop_after_commit", true, "committed"},
+        {"silent_after_commit", false, "committed"}}) {
+    BOOST_TEST_CONTEXT(Case.m_Fault) {
+      Backend Primary(AsPrimary);
+      PgClient Client(Primary.port());
+      BOOST_REQUIRE(Client.connectForTerm(1));
+      Primary.fault(Case.m_Fault, "1");
+      BOOST_TEST(Client.query("SET ragwortmux.attempt = 'one'").m_Ok);
+      BOOST_TEST(Client.query("BEGIN").m_Ok);
+      BOOST_TEST(Client.query("INSERT INTO t VALUES ('a','1')").m_Ok);
+      BOOST_REQUIRE(Client.send("COMMIT"));
+      BOOST_TEST((Case.m_Lost ||
+                  waitUntil([&] { return Primary.stat("committed") == "1"; })));
+      const auto Answer =
+          Client.receive(std::chrono::milliseconds(Case.m_Lost ? 10'000 : 100));
+      BOOST_TEST(Answer.has_value() == Case.m_Lost);
+      BOOST_TEST((!Answer || !Answer->m_Ok));
+      BOOST_TEST(Primary.run("SELECT ragwortmux_end_attempt('one')").value() ==
+                 Case.m_Outcome);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SilentConnectionsStaySilent) {
   Backend Primary(AsPrimary);
   Backend Replica(replicaOf(Primary));
--- a/tests/StandIn/StandInConnection.cpp
+++ b/tests/StandIn/StandInConnection.cpp
@@ -99,14 +99,14 @@
     return replicate(Query);
   }
   m_Session->start(Query.m_Sql);
-  if (m_Session->needsSlot()) {
-    if (m_Server.context().m_Faults.take("drop_before_run")) {
-      return kj::READY_NOW;
-    }
-    if (!takeSlot()) {
-      m_Session->refuse(
-          *standInError("53300", "all statement slots are taken").m_Error);
-    }
+  StandInFaults &Faults = m_Server.context().m_Faults;
+  if ((m_Session->needsSlot() && Faults.take("drop_before_run")) ||
+      (m_Session->wouldCommit() && Faults.take("drop_before_commit"))) {
+    return kj::READY_NOW;
+  }
+  if (m_Session->needsSlot() && !takeSlot()) {
+    m_Session->refuse(
+        *standInError("53300", "all statement slots are taken").m_Error);
   }
   const bool SetsFault = Query.m_Sql.find("standin_fault") != std::string::npos;
   return stepSession().then([this, SetsFault] { return answer(SetsFault); });
@@ -166,10 +166,13 @@
 
 kj::Promise<void> StandInConnection::answer(bool SetsFault) {
   freeSlot();
-  if (m_Session->hasCommitted() &&
-      m_Server.context().m_Faults.take("drop_after_commit")) {
+  StandInFaults &Faults = m_Server.context().m_Faults;
+  if (m_Session->hasCommitted() && Faults.take("drop_after_commit")) {
     return kj::READY_NOW;
   }
+  if (m_Session->hasCommitted() && Faults.take("silent_after_commit")) {
+    return discardInput();
+  }
   return send(m_Session->takeAnswer()).then([this, SetsFault] {
     if (SetsFault) {
       m_Server.applyDelayedFaults();
--- a/tests/StandIn/StandInFaults.cpp
+++ b/tests/StandIn/StandInFaults.cpp
@@ -6,18 +6,20 @@
 
 StandInFaults::StandInFaults()
     : m_Values{
-          {"freeze", 0},             // Answers nothing at all for so long.
-          {"silent_connections", 0}, // Connections open now go silent.
-          {"refuse_connections", 0}, // Closes new connections at once.
-          {"lag_ms", 0},             // Age at which a replica applies.
-          {"stop_replication", 0},   // A replica applies nothing.
-          {"leave", 0},              // Announces that it leaves.
-          {"stop_announcing", 0},    // Sends no announcements.
-          {"answer_delay_ms", 0},    // Holds each answer back.
-          {"statement_delay_ms", 0}, // Run time of each data statement.
-          {"open_delay_ms", 0},      // Time to open a connection.
-          {"drop_after_commit", 0},  // The next N commits get no answer.
-          {"drop_before_run", 0},    // The next N messages are not run.
+          {"freeze", 0},              // Answers nothing at all for so long.
+          {"silent_connections", 0},  // Connections open now go silent.
+          {"refuse_connections", 0},  // Closes new connections at once.
+          {"lag_ms", 0},              // Age at which a replica applies.
+          {"stop_replication", 0},    // A replica applies nothing.
+          {"leave", 0},               // Announces that it leaves.
+          {"stop_announcing", 0},     // Sends no announcements.
+          {"answer_delay_ms", 0},     // Holds each answer back.
+          {"statement_delay_ms", 0},  // Run time of each data statement.
+          {"open_delay_ms", 0},       // Time to open a connection.
+          {"drop_after_commit", 0},   // The next N commits get no answer.
+          {"drop_before_run", 0},     // The next N messages are not run.
+          {"drop_before_commit", 0},  // The next N messages that would commit.
+          {"silent_after_commit", 0}, // Like drop_after_commit, left open.
       } {}
 
 bool StandInFaults::set(const std::string &Name, const std::string &Value) {
--- a/tests/StandIn/StandInSession.cpp
+++ b/tests/StandIn/StandInSession.cpp
@@ -92,6 +92,16 @@
   return false;
 }
 
+bool StandInSession::wouldCommit() const {
+  for (const StandInStatement &Statement : m_Statements) {
+    if (Statement.m_Verb == StandInVerb::Commit ||
+        (isWrite(Statement.m_Verb) && !m_InBlock)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::optional<PgResult> StandInSession::run(const StandInStatement &Statement,
                                             Instant Now, Instant &RetryAt) {
   if (auto Refused = check(Statement)) {
--- a/tests/StandIn/StandInSession.h
+++ b/tests/StandIn/StandInSession.h
@@ -29,6 +29,8 @@
 
   /// True if the message needs one of the server's statement slots.
   bool needsSlot() const;
+  /// True if the message commits what it or an open transaction writes.
+  bool wouldCommit() const;
   /// True if the message has committed a write.
   bool hasCommitted() const { return m_HasCommitted; }
   /// Tag of the transaction that runs or comes next.
