--- a/ragwortmux/Connection/SessionToken.cpp
+++ b/ragwortmux/Connection/SessionToken.cpp
@@ -1,8 +1,5 @@
 #include "ragwortmux/Connection/SessionToken.h"
 
-#include <charconv>
-#include <cstdint>
-
 namespace ragwortmux {
 
 namespace {
@@ -10,16 +7,6 @@
 /// Longest text that is parsed.
 constexpr std::size_t MaxTokenBytes = 4096;
 
-std::optional<std::uint64_t> parseNumber(std::string_view Text) {
-  std::uint64_t Value = 0;
-  const char *End = Text.data() + Text.size();
-  const auto Parsed = std::from_chars(Text.data(), End, Value);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End) {
-    return std::nullopt;
-  }
-  return Value;
-}
-
 } // namespace
 
 std::optional<SessionToken> SessionToken::parse(std::string_view Text) {
@@ -32,19 +19,14 @@
     const std::string_view Part = Text.substr(0, Comma);
     Text = Comma == std::string_view::npos ? "" : Text.substr(Comma + 1);
     const std::size_t Slash = Part.find('/');
-    const std::size_t Colon = Part.find(':');
-    if (Slash == std::string_view::npos || Colon == std::string_view::npos ||
-        Slash == 0 || Colon < Slash) {
+    if (Slash == std::string_view::npos || Slash == 0) {
       return std::nullopt;
     }
-    const auto TermValue =
-        parseNumber(Part.substr(Slash + 1, Colon - Slash - 1));
-    const auto PositionValue = parseNumber(Part.substr(Colon + 1));
-    if (!TermValue || !PositionValue) {
+    const auto Point = parseLogPoint(Part.substr(Slash + 1));
+    if (!Point) {
       return std::nullopt;
     }
-    Token.raise(GroupId(std::string(Part.substr(0, Slash))),
-                {Term(*TermValue), LogPosition(*PositionValue)});
+    Token.raise(GroupId(std::string(Part.substr(0, Slash))), *Point);
   }
   return Token;
 }
--- a/ragwortmux/Process/BackendConnection.cpp
+++ b/ragwortmux/Process/BackendConnection.cpp
@@ -9,8 +9,6 @@
 
 #include <array>
 #include <cassert>
-#include <charconv>
-#include <string_view>
 
 namespace ragwortmux {
 
@@ -39,26 +37,6 @@
                                                       : SqlStateCannotConnect;
 }
 
-/// Reads "TERM:POSITION".
-std::optional<LogPoint> parsePoint(std::string_view Text) {
-  const std::size_t Colon = Text.find(':');
-  if (Colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  std::uint64_t TermValue = 0;
-  std::uint64_t PositionValue = 0;
-  const char *End = Text.data() + Text.size();
-  const auto First =
-      std::from_chars(Text.data(), Text.data() + Colon, TermValue);
-  const auto Second =
-      std::from_chars(Text.data() + Colon + 1, End, PositionValue);
-  if (First.ec != std::errc() || Second.ec != std::errc() ||
-      Second.ptr != End) {
-    return std::nullopt;
-  }
-  return LogPoint{Term(TermValue), LogPosition(PositionValue)};
-}
-
 StatementResult::Transaction transactionOf(const PGconn *Connection) {
   switch (PQtransactionStatus(Connection)) {
   case PQTRANS_INTRANS:
@@ -265,7 +243,7 @@
 
 std::optional<LogPoint> BackendConnection::reportedPoint() const {
   const char *Text = PQparameterStatus(m_Connection, "ragwortmux.position");
-  return Text == nullptr ? std::nullopt : parsePoint(Text);
+  return Text == nullptr ? std::nullopt : parseLogPoint(Text);
 }
 
 bool BackendConnection::isReadable() const {
--- a/ragwortmux/Process/ControlMessages.h
+++ b/ragwortmux/Process/ControlMessages.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_PROCESS_CONTROLMESSAGES_H
 #define RAGWORTMUX_PROCESS_CONTROLMESSAGES_H
 
+#include "ragwortmux/Connection/SessionHome.h"
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/ResultCode.h"
 #include "ragwortmux/Core/Time.h"
@@ -101,10 +102,12 @@
   Revision m_Homes;      ///< The homes' revision that the sender acts on.
 };
 
-/// Answer to a look-up of a session's position.
-struct SessionPointReply final {
-  bool m_Known = false;            ///< The home knows the session.
-  std::optional<LogPoint> m_Point; ///< Its position, if it has one.
+/// A position to be kept for a session.
+struct SessionPointEntry final {
+  SessionPointKey m_Key;                 ///< Whose.
+  LogPoint m_Point;                      ///< The position.
+  std::optional<SessionTicket> m_Ticket; ///< Set: only if the session has not
+                                         ///< been forgotten since.
 };
 
 /// Delivers an update to an entry process; the reply is empty if it could not
--- a/ragwortmux/Process/ControlNode.cpp
+++ b/ragwortmux/Process/ControlNode.cpp
@@ -377,6 +377,15 @@
 }
 
 void ControlNode::perform(Instant, const GrantRenewal &Action) {
+  // One grant answers all earlier renewals of the session; those get no lease
+  // of their own.
+  auto Next = m_Renewals.lower_bound({Action.m_Session, 0});
+  while (Next != m_Renewals.end() && Next->first.first == Action.m_Session &&
+         Next->first.second < Action.m_Sequence) {
+    const auto Respond = std::move(Next->second);
+    Next = m_Renewals.erase(Next);
+    Respond({});
+  }
   const auto Found = m_Renewals.find({Action.m_Session, Action.m_Sequence});
   if (Found == m_Renewals.end()) {
     return;
--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -94,9 +94,8 @@
     m_Control->serve(Hooks);
   }
   if (m_Entry) {
-    Hooks.m_StorePoint = [this](const SessionPointKey &Key,
-                                const LogPoint &Point) {
-      return m_Entry->sessionPoints().storeHere(Key, Point);
+    Hooks.m_StorePoint = [this](const SessionPointEntry &Entry) {
+      return m_Entry->sessionPoints().storeHere(Entry);
     };
     Hooks.m_FindPoint = [this](const SessionPointKey &Key) {
       return m_Entry->sessionPoints().findHere(Key);
--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -21,8 +21,6 @@
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(10);
 /// How long the ledger is waited for.
 constexpr Duration LedgerTimeout = std::chrono::milliseconds(1500);
-/// Longest answer that the ledger keeps, in bytes.
-constexpr std::size_t MaxRecordedBytes = 16384;
 
 Incarnation makeIncarnation() {
   std::random_device Random;
@@ -30,9 +28,35 @@
   return Incarnation((static_cast<std::uint64_t>(Random()) << Half) | Random());
 }
 
+/// The answer of a keyed request as the ledger keeps it: the commit position as
+/// `TERM:POSITION`, a line feed, and the answer.
+std::string toLedgerAnswer(const RecordKeyOutcome &Asked) {
+  const LogPoint Point = Asked.m_Point.value_or(LogPoint());
+  std::string Text = std::to_string(Point.m_Term.value()) + ":" +
+                     std::to_string(Point.m_Position.value()) + "\n";
+  if (Asked.m_Body != nullptr) {
+    Text += *Asked.m_Body;
+  }
+  return Text;
+}
+
+/// Takes apart what toLedgerAnswer made.
+void readLedgerAnswer(const std::string &Text, ReserveResult &Result) {
+  const std::size_t LineEnd = Text.find('\n');
+  if (LineEnd == std::string::npos) {
+    return;
+  }
+  const auto Point = parseLogPoint(std::string_view(Text).substr(0, LineEnd));
+  if (Point && Point->m_Term != Term()) {
+    Result.m_Point = Point;
+  }
+  if (LineEnd + 1 < Text.size()) {
+    Result.m_Body = std::make_shared<const std::string>(Text, LineEnd + 1);
+  }
+}
+
 /// What the ledger's answer to a reservation means to the group.
-ReserveResult toReserveResult(const CommandReply &Reply,
-                              const AttemptId &Attempt) {
+ReserveResult toReserveResult(const CommandReply &Reply) {
   ReserveResult Result;
   const ControlResult &Given = Reply.m_Result;
   if (Reply.m_Status.m_Code == ResultCode::Unreachable ||
@@ -41,14 +65,12 @@
   }
   if (Given.ok()) {
     Result.m_Status = ReserveStatus::Reserved;
-    Result.m_Attempt = Attempt;
     return Result;
   }
   if (Given.m_Code == ResultCode::RanEarlier && Given.m_Ledger) {
     Result.m_Status = ReserveStatus::Recorded;
     Result.m_Code = Given.m_Ledger->m_Code;
-    Result.m_Body =
-        std::make_shared<const std::string>(Given.m_Ledger->m_Answer);
+    readLedgerAnswer(Given.m_Ledger->m_Answer, Result);
     return Result;
   }
   if (Given.m_Code == ResultCode::NotRunKeyInUse && Given.m_Ledger) {
@@ -63,20 +85,6 @@
   return Result;
 }
 
-/// What the ledger's answer to a resolution says about the attempt.
-AttemptOutcome toAttemptOutcome(const ControlResult &Result,
-                                AttemptOutcome Stated) {
-  if (Result.ok()) {
-    return Stated;
-  }
-  if (!Result.m_Ledger || Result.m_Ledger->m_Phase == LedgerPhase::Reserved) {
-    return AttemptOutcome::Failed;
-  }
-  return Result.m_Ledger->m_Phase == LedgerPhase::Ran
-             ? AttemptOutcome::Committed
-             : AttemptOutcome::Aborted;
-}
-
 std::string_view outcomeName(ResultCode Code) {
   return resultCodeInfo(Code).m_Name;
 }
@@ -87,8 +95,10 @@
                      const ProcessSettings &Settings, Metrics &Figures,
                      Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings), m_Metrics(Figures),
-      m_Timeline(Events),
-      m_Points(Loop, Settings.m_ClusterKey, Settings.m_Host) {
+      m_Timeline(Events), m_Run(makeIncarnation()),
+      m_Points(Loop, Settings.m_ClusterKey,
+               {Settings.m_Host, m_Run.value(),
+                [this] { return monotonicNow() < m_LeaseUntil; }}) {
   makeCallers();
 }
 
@@ -157,7 +167,7 @@
   ControlClientSettings Settings;
   Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
                      m_Settings.m_Address, RpcPort};
-  Settings.m_Run = makeIncarnation();
+  Settings.m_Run = m_Run;
   Settings.m_ControlPeers = m_Settings.m_ControlPeers;
   Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
   Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
@@ -230,6 +240,8 @@
   Settings.m_Database = m_Settings.m_BackendDatabase;
   Settings.m_ConnectTimeout = m_Settings.m_ConnectTimeout;
   Settings.m_Group.m_Domain = m_Settings.m_FailureDomain;
+  Settings.m_Group.m_AttemptPrefix =
+      m_Settings.m_Host.value() + "-" + std::to_string(m_Run.value());
   Settings.m_Group.m_AllowSingleServer = m_Settings.m_AllowSingleServerAck;
   auto Driver = std::make_shared<GroupDriver>(m_Loop, m_Actors, Group, Settings,
                                               driverHooks(Group));
@@ -244,39 +256,34 @@
 
 GroupDriverHooks EntryRole::driverHooks(const GroupId &Group) {
   GroupDriverHooks Hooks;
-  Hooks.m_Answer = [this](const Answer &Given) {
-    m_Keyed.erase(Given.m_Request);
-    m_Callers->answer(Given);
-  };
+  Hooks.m_Answer = [this](const Answer &Given) { m_Callers->answer(Given); };
   Hooks.m_CloseCaller = [this](const CloseCaller &Closing) {
     m_Callers->closeCaller(Closing);
   };
-  Hooks.m_ReserveKey = [this, Group](const ReserveRequestKey &Asked,
-                                     const AttemptId &Attempt) {
-    reserveKey(Group, Asked, Attempt);
+  Hooks.m_ReserveKey = [this, Group](const ReserveRequestKey &Asked) {
+    reserveKey(Group, Asked);
   };
   Hooks.m_RecordOutcome = [this, Group](const RecordKeyOutcome &Asked) {
     recordOutcome(Group, Asked);
   };
-  Hooks.m_AttemptEnded = [this, Group](const EndAttempt &Ended,
-                                       const AttemptEndedEvent &Event) {
-    resolveAttempt(Group, Ended, Event);
-  };
   Hooks.m_FindPoint = [this, Group](const FindSessionPoint &Asked) {
-    m_Points.find(Asked.m_Session, Group,
+    m_Points.find(Asked.m_Request, Asked.m_Session, Group,
                   [this, Group,
-                   Request = Asked.m_Request](const SessionPointReply &Reply) {
+                   Request = Asked.m_Request](std::optional<LogPoint> Point) {
                     driver(Group).send(SessionPointFoundEvent{
-                        Request, Reply.m_Point, Reply.m_Known});
+                        Request, Point, Point.has_value()});
                   });
   };
   Hooks.m_StorePoint = [this, Group](const StoreSessionPoint &Asked) {
+    if (Asked.m_LookedUpBy) {
+      m_Points.establish(*Asked.m_LookedUpBy, Asked.m_Session, Group,
+                         Asked.m_Point);
+      return;
+    }
     m_Points.store(
         Asked.m_Session, Group, Asked.m_Point,
-        [this, Group, Request = Asked.m_Request](bool Stored) {
-          if (Request) {
-            driver(Group).send(SessionPointStoredEvent{*Request, Stored});
-          }
+        [this, Group, Request = *Asked.m_Request](bool Stored) {
+          driver(Group).send(SessionPointStoredEvent{Request, Stored});
         });
   };
   Hooks.m_Suspect = [this, Group](const ServerId &Server, SuspicionKind Kind) {
@@ -327,61 +334,67 @@
 }
 
 void EntryRole::submit(GroupRequest Request) {
-  if (Request.m_Key) {
-    m_Keyed[Request.m_Id] = {Request.m_Entry->m_Owner, *Request.m_Key};
-  }
   const GroupId Group = Request.m_Entry->m_Group;
   driver(Group).send(SubmitEvent{std::move(Request)});
 }
 
-void EntryRole::reserveKey(const GroupId &Group, const ReserveRequestKey &Asked,
-                           const AttemptId &Attempt) {
-  KeyedRequest &Keyed = m_Keyed[Asked.m_Request];
-  Keyed.m_Attempt = Attempt;
-  ReserveKey Command;
-  Command.m_Owner = Keyed.m_Owner;
+void EntryRole::reserveKey(const GroupId &Group,
+                           const ReserveRequestKey &Asked) {
+  if (!Asked.m_Aborted) {
+    sendReservation(Group, Asked);
+    return;
+  }
+  // The attempt of an ended session is known to have aborted; once the ledger
+  // knows that too, the key can be reserved anew.
+  ResolveAttempt Command;
+  Command.m_Owner = Asked.m_Owner;
   Command.m_Key = Asked.m_Key;
-  Command.m_Attempt = Attempt;
-  Command.m_Session = m_Control->session();
-  Command.m_Group = Group;
-  Command.m_Term = driver(Group).view().m_Term;
+  Command.m_Attempt = *Asked.m_Aborted;
+  Command.m_Resolver = m_Control->session();
+  Command.m_Term = Asked.m_Term;
+  Command.m_Committed = false;
   m_Control->command(Command, monotonicNow() + LedgerTimeout,
-                     [this, Group, Request = Asked.m_Request,
-                      Attempt](const CommandReply &Reply) {
-                       ReserveResult Result = toReserveResult(Reply, Attempt);
-                       const auto &Holder = Reply.m_Result.m_Ledger;
-                       // An attempt of this very process that nothing here runs
-                       // any more is to be ended like one of a process that is
-                       // gone.
-                       if (Result.m_Status == ReserveStatus::InUse &&
-                           Holder->m_Session == m_Control->session() &&
-                           !isRunning(Holder->m_Attempt)) {
-                         Result.m_Status = ReserveStatus::HeldByEndedSession;
-                       }
-                       driver(Group).send(KeyReservedEvent{Request, Result});
+                     [this, Group, Asked](const CommandReply &) {
+                       sendReservation(Group, Asked);
                      });
 }
 
-bool EntryRole::isRunning(const AttemptId &Attempt) const {
-  for (const auto &[Request, Keyed] : m_Keyed) {
-    if (Keyed.m_Attempt == Attempt) {
-      return true;
-    }
-  }
-  return false;
+void EntryRole::sendReservation(const GroupId &Group,
+                                const ReserveRequestKey &Asked) {
+  ReserveKey Command;
+  Command.m_Owner = Asked.m_Owner;
+  Command.m_Key = Asked.m_Key;
+  Command.m_Attempt = Asked.m_Attempt;
+  Command.m_Session = m_Control->session();
+  Command.m_Group = Group;
+  Command.m_Term = Asked.m_Term;
+  m_Control->command(
+      Command, monotonicNow() + LedgerTimeout,
+      [this, Group, Request = Asked.m_Request](const CommandReply &Reply) {
+        driver(Group).send(KeyReservedEvent{Request, toReserveResult(Reply)});
+      });
 }
 
 void EntryRole::recordOutcome(const GroupId &Group,
                               const RecordKeyOutcome &Asked) {
-  RecordOutcome Command;
-  Command.m_Owner = m_Keyed[Asked.m_Request].m_Owner;
-  Command.m_Key = Asked.m_Key;
-  Command.m_Attempt = Asked.m_Attempt;
-  Command.m_Code = Asked.m_Code;
-  if (Asked.m_Body != nullptr && Asked.m_Body->size() <= MaxRecordedBytes) {
-    Command.m_Answer = *Asked.m_Body;
-  } else if (Asked.m_Body != nullptr) {
-    Command.m_Code = ResultCode::RanAnswerTooLarge;
+  ControlCommand Command;
+  if (Asked.m_OfEndedSession) {
+    ResolveAttempt Resolve;
+    Resolve.m_Owner = Asked.m_Owner;
+    Resolve.m_Key = Asked.m_Key;
+    Resolve.m_Attempt = Asked.m_Attempt;
+    Resolve.m_Resolver = m_Control->session();
+    Resolve.m_Term = Asked.m_Term;
+    Resolve.m_Committed = true;
+    Command = Resolve;
+  } else {
+    RecordOutcome Record;
+    Record.m_Owner = Asked.m_Owner;
+    Record.m_Key = Asked.m_Key;
+    Record.m_Attempt = Asked.m_Attempt;
+    Record.m_Code = Asked.m_Code;
+    Record.m_Answer = toLedgerAnswer(Asked);
+    Command = Record;
   }
   m_Control->command(
       Command, monotonicNow() + LedgerTimeout,
@@ -391,32 +404,6 @@
       });
 }
 
-void EntryRole::resolveAttempt(const GroupId &Group, const EndAttempt &Ended,
-                               const AttemptEndedEvent &Event) {
-  const auto Keyed = m_Keyed.find(Ended.m_Request);
-  if (Event.m_Outcome == AttemptOutcome::Failed || Keyed == m_Keyed.end()) {
-    driver(Group).send(Event);
-    return;
-  }
-  ResolveAttempt Command;
-  Command.m_Owner = Keyed->second.m_Owner;
-  Command.m_Key = Keyed->second.m_Key;
-  Command.m_Attempt = Ended.m_Attempt;
-  Command.m_Resolver = m_Control->session();
-  Command.m_Term = Ended.m_Term;
-  Command.m_Committed = Event.m_Outcome == AttemptOutcome::Committed;
-  m_Control->command(Command, monotonicNow() + LedgerTimeout,
-                     [this, Group, Event](const CommandReply &Reply) {
-                       AttemptEndedEvent Told = Event;
-                       Told.m_Outcome =
-                           Reply.m_Status.m_Code == ResultCode::Unreachable
-                               ? AttemptOutcome::Failed
-                               : toAttemptOutcome(Reply.m_Result,
-                                                  Event.m_Outcome);
-                       driver(Group).send(Told);
-                     });
-}
-
 void EntryRole::checkDrained() {
   bool AllDrained = m_Callers->size() == 0;
   for (const auto &[Group, Driver] : m_Groups) {
--- a/ragwortmux/Process/EntryRole.h
+++ b/ragwortmux/Process/EntryRole.h
@@ -51,13 +51,6 @@
   std::string statusJson() const;
 
 private:
-  /// Whose key a request carries.
-  struct KeyedRequest final {
-    OwnerId m_Owner;     ///< The entry's owner.
-    RequestKey m_Key;    ///< The key.
-    AttemptId m_Attempt; ///< The attempt that this process runs for it.
-  };
-
   void makeControl(std::uint16_t RpcPort);
   void makeCallers();
   GroupDriver &driver(const GroupId &Group);
@@ -65,12 +58,9 @@
   void takeUpdate(const ControlUpdate &Update);
   Confirmation confirmation() const;
   void submit(GroupRequest Request);
-  void reserveKey(const GroupId &Group, const ReserveRequestKey &Asked,
-                  const AttemptId &Attempt);
-  bool isRunning(const AttemptId &Attempt) const;
+  void reserveKey(const GroupId &Group, const ReserveRequestKey &Asked);
+  void sendReservation(const GroupId &Group, const ReserveRequestKey &Asked);
   void recordOutcome(const GroupId &Group, const RecordKeyOutcome &Asked);
-  void resolveAttempt(const GroupId &Group, const EndAttempt &Ended,
-                      const AttemptEndedEvent &Event);
   void checkDrained();
 
   IoLoop &m_Loop;                           ///< The event loop.
@@ -79,14 +69,14 @@
   Metrics &m_Metrics;                       ///< The process's metrics.
   Timeline &m_Timeline;                     ///< The process's time line.
   CatalogueCache m_Catalogue;               ///< Catalogue entries.
+  Incarnation m_Run;                        ///< This run of the process.
   SessionPoints m_Points;                   ///< Positions of sessions.
   std::unique_ptr<ControlClient> m_Control; ///< The session with control.
   std::unique_ptr<CallerServer> m_Callers;  ///< Callers.
   std::map<GroupId, std::shared_ptr<GroupDriver>> m_Groups; ///< Groups.
-  std::map<RequestId, KeyedRequest> m_Keyed; ///< Keyed requests under way.
-  Instant m_LeaseUntil{};                    ///< End of the lease.
-  std::function<void()> m_DrainDone;         ///< Called once drained.
-  bool m_Draining = false;                   ///< drain() was called.
+  Instant m_LeaseUntil{};            ///< End of the lease.
+  std::function<void()> m_DrainDone; ///< Called once drained.
+  bool m_Draining = false;           ///< drain() was called.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -23,6 +23,13 @@
   position @2 :UInt64;
 }
 
+struct SessionTicket {
+  # The state of a session home in which a session was not known.
+  given @0 :Bool;
+  incarnation @1 :UInt64;
+  removals @2 :UInt64;
+}
+
 struct ServerView {
   server @0 :Text;
   domain @1 :Text;
@@ -191,6 +198,9 @@
   query @6 (what :Text, name :Text) -> (status :Status, json :Text);
   # Read of the leader's state for operators, as JSON.
 
-  storeSessionPoint @7 (session :Text, group :Text, point :Point, homesRevision :UInt64) -> (stored :Bool);
-  findSessionPoint @8 (session :Text, group :Text, homesRevision :UInt64) -> (found :Bool, point :Point);
+  storeSessionPoint @7 (session :Text, group :Text, point :Point, homesRevision :UInt64, ticket :SessionTicket)
+      -> (stored :Bool);
+  # With a ticket: only if the session has not been forgotten since the look-up that gave it.
+
+  findSessionPoint @8 (session :Text, group :Text, homesRevision :UInt64) -> (point :Point, ticket :SessionTicket);
 }
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(94010befe7149c94);
 CAPNP_DECLARE_SCHEMA(eefd01b3dee8d013);
 CAPNP_DECLARE_SCHEMA(f143eca363f32278);
+CAPNP_DECLARE_SCHEMA(954ff0e7b40a1891);
 CAPNP_DECLARE_SCHEMA(e619e6d4dd4cb615);
 CAPNP_DECLARE_SCHEMA(99e3a428b4a1cbdd);
 CAPNP_DECLARE_SCHEMA(e03a9425b0703bc6);
@@ -184,6 +185,21 @@
   };
 };
 
+struct SessionTicket {
+  SessionTicket() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(954ff0e7b40a1891, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ServerView {
   ServerView() = delete;
 
@@ -726,7 +742,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1401b185a382611, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f1401b185a382611, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -771,7 +787,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef60fe115d157600, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ef60fe115d157600, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1316,6 +1332,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class SessionTicket::Reader {
+public:
+  typedef SessionTicket Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getGiven() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getRemovals() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SessionTicket::Builder {
+public:
+  typedef SessionTicket Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getGiven();
+  inline void setGiven(bool value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getRemovals();
+  inline void setRemovals( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SessionTicket::Pipeline {
+public:
+  typedef SessionTicket Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServerView::Reader {
 public:
   typedef ServerView Reads;
@@ -4672,6 +4774,9 @@
 
   inline  ::uint64_t getHomesRevision() const;
 
+  inline bool hasTicket() const;
+  inline  ::ragwortmux::rpc::SessionTicket::Reader getTicket() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4724,6 +4829,13 @@
   inline  ::uint64_t getHomesRevision();
   inline void setHomesRevision( ::uint64_t value);
 
+  inline bool hasTicket();
+  inline  ::ragwortmux::rpc::SessionTicket::Builder getTicket();
+  inline void setTicket( ::ragwortmux::rpc::SessionTicket::Reader value);
+  inline  ::ragwortmux::rpc::SessionTicket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> disownTicket();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4743,6 +4855,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
+  inline  ::ragwortmux::rpc::SessionTicket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4940,11 +5053,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound() const;
-
   inline bool hasPoint() const;
   inline  ::ragwortmux::rpc::Point::Reader getPoint() const;
 
+  inline bool hasTicket() const;
+  inline  ::ragwortmux::rpc::SessionTicket::Reader getTicket() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4973,9 +5087,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getFound();
-  inline void setFound(bool value);
-
   inline bool hasPoint();
   inline  ::ragwortmux::rpc::Point::Builder getPoint();
   inline void setPoint( ::ragwortmux::rpc::Point::Reader value);
@@ -4983,6 +5094,13 @@
   inline void adoptPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
   inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPoint();
 
+  inline bool hasTicket();
+  inline  ::ragwortmux::rpc::SessionTicket::Builder getTicket();
+  inline void setTicket( ::ragwortmux::rpc::SessionTicket::Reader value);
+  inline  ::ragwortmux::rpc::SessionTicket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> disownTicket();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5002,6 +5120,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
+  inline  ::ragwortmux::rpc::SessionTicket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5282,6 +5401,48 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SessionTicket::Reader::getGiven() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool SessionTicket::Builder::getGiven() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SessionTicket::Builder::setGiven(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SessionTicket::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SessionTicket::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SessionTicket::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SessionTicket::Reader::getRemovals() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SessionTicket::Builder::getRemovals() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SessionTicket::Builder::setRemovals( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServerView::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8370,6 +8531,45 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::StoreSessionPointParams::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::StoreSessionPointParams::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::SessionTicket::Reader Peer::StoreSessionPointParams::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::SessionTicket::Builder Peer::StoreSessionPointParams::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::SessionTicket::Pipeline Peer::StoreSessionPointParams::Pipeline::getTicket() {
+  return  ::ragwortmux::rpc::SessionTicket::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::StoreSessionPointParams::Builder::setTicket( ::ragwortmux::rpc::SessionTicket::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::SessionTicket::Builder Peer::StoreSessionPointParams::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Peer::StoreSessionPointParams::Builder::adoptTicket(
+    ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> Peer::StoreSessionPointParams::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::StoreSessionPointResults::Reader::getStored() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8466,20 +8666,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::FindSessionPointResults::Reader::getFound() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::FindSessionPointResults::Builder::getFound() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::FindSessionPointResults::Builder::setFound(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Peer::FindSessionPointResults::Reader::hasPoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8519,6 +8705,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::FindSessionPointResults::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::FindSessionPointResults::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::SessionTicket::Reader Peer::FindSessionPointResults::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::SessionTicket::Builder Peer::FindSessionPointResults::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::SessionTicket::Pipeline Peer::FindSessionPointResults::Pipeline::getTicket() {
+  return  ::ragwortmux::rpc::SessionTicket::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::FindSessionPointResults::Builder::setTicket( ::ragwortmux::rpc::SessionTicket::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::SessionTicket::Builder Peer::FindSessionPointResults::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::FindSessionPointResults::Builder::adoptTicket(
+    ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> Peer::FindSessionPointResults::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionTicket>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/ragwortmux/Process/GroupActor.cpp
+++ b/ragwortmux/Process/GroupActor.cpp
@@ -27,17 +27,45 @@
 
 namespace {
 
+/// A group's core together with what its actor remembers.
+struct GroupState final {
+  GroupState(const GroupId &Group, const GroupSettings &Settings)
+      : m_Group(Group), m_Core(Group, Settings) {}
+
+  GroupId m_Group;                 ///< The group.
+  GroupCore m_Core;                ///< Decides.
+  std::vector<ServerId> m_Servers; ///< Servers of the last record.
+};
+
+/// Handles one event and gathers what the loop has to know afterwards.
+GroupDecision handleEvent(GroupState &State, GroupEvent &&Event) {
+  GroupDecision Decision;
+  if (const auto *View = std::get_if<ViewChangedEvent>(&Event)) {
+    State.m_Servers.clear();
+    for (const ServerView &Server : View->m_View.m_Servers) {
+      State.m_Servers.push_back(Server.m_Server);
+    }
+  }
+  // Demand is told with each renewal, so it is asked for as often.
+  if (std::holds_alternative<LeaseExtendedEvent>(Event)) {
+    for (const ServerId &Server : State.m_Servers) {
+      Decision.m_Demand.push_back(
+          {State.m_Group, Server, State.m_Core.wantedConnections(Server)});
+    }
+  }
+  applyEvent(State.m_Core, monotonicNow(), std::move(Event),
+             Decision.m_Actions);
+  Decision.m_NextTick = State.m_Core.nextDeadline();
+  Decision.m_Drained = State.m_Core.drained();
+  return Decision;
+}
+
 caf::behavior groupBehavior(caf::event_based_actor *Self,
-                            const std::shared_ptr<GroupCore> &Core,
+                            const std::shared_ptr<GroupState> &State,
                             const GroupActor::Sink &Decisions) {
   Self->set_default_handler(caf::drop);
-  return {[Core, Decisions](const GroupEventMessage &Message) {
-    GroupDecision Decision;
-    applyEvent(*Core, monotonicNow(), std::move(*Message.m_Event),
-               Decision.m_Actions);
-    Decision.m_NextTick = Core->nextDeadline();
-    Decision.m_Drained = Core->drained();
-    Decisions(std::move(Decision));
+  return {[State, Decisions](const GroupEventMessage &Message) {
+    Decisions(handleEvent(*State, std::move(*Message.m_Event)));
   }};
 }
 
@@ -50,9 +78,9 @@
 GroupActor::GroupActor(ActorHost &Actors, const GroupId &Group,
                        const GroupSettings &Settings, Sink Decisions)
     : m_Handle(std::make_unique<Handle>()) {
-  const auto Core = std::make_shared<GroupCore>(Group, Settings);
+  const auto State = std::make_shared<GroupState>(Group, Settings);
   m_Handle->m_Actor =
-      Actors.system().spawn(groupBehavior, Core, std::move(Decisions));
+      Actors.system().spawn(groupBehavior, State, std::move(Decisions));
 }
 
 GroupActor::~GroupActor() {
--- a/ragwortmux/Process/GroupActor.h
+++ b/ragwortmux/Process/GroupActor.h
@@ -3,9 +3,11 @@
 
 #include "ragwortmux/Process/GroupEvent.h"
 #include "ragwortmux/Request/GroupSettings.h"
+#include "ragwortmux/Version/ControlEvents.h"
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace ragwortmux {
 
@@ -15,6 +17,7 @@
 struct GroupDecision final {
   GroupActions m_Actions;            ///< To be done in order.
   std::optional<Instant> m_NextTick; ///< When the core wants a TickEvent.
+  std::vector<ShareDemand> m_Demand; ///< Connections wanted, now and then.
   bool m_Drained = false;            ///< Nothing is left to do after a drain.
 };
 
--- a/ragwortmux/Process/GroupDriver.cpp
+++ b/ragwortmux/Process/GroupDriver.cpp
@@ -2,11 +2,9 @@
 
 #include "ragwortmux/Process/IoLoop.h"
 #include "ragwortmux/Process/Support/Log.h"
-#include "ragwortmux/Process/Support/UuidV7.h"
 #include "ragwortmux/Process/SystemClock.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace ragwortmux {
@@ -18,15 +16,6 @@
 /// Size limit of the answer to the tag of an attempt.
 constexpr std::size_t MaxTagAnswerBytes = 1024;
 
-AttemptId makeAttemptId() {
-  static std::random_device Device;
-  const auto Random = [] {
-    constexpr unsigned Half = 32;
-    return (static_cast<std::uint64_t>(Device()) << Half) | Device();
-  };
-  return AttemptId(makeRequestKey(wallNow(), Random).value());
-}
-
 BackendAnswer toBackendAnswer(StatementResult Result) {
   BackendAnswer Given;
   Given.m_Ok = Result.m_Ok;
@@ -110,15 +99,6 @@
   return m_View.m_Term == Needed && m_View.m_Primary && Now < m_LeaseUntil;
 }
 
-std::vector<ShareDemand> GroupDriver::demand() const {
-  std::vector<ShareDemand> Demand;
-  for (const ServerView &Server : m_View.m_Servers) {
-    Demand.push_back(
-        {m_Group, Server.m_Server, heldConnections(Server.m_Server)});
-  }
-  return Demand;
-}
-
 std::uint32_t GroupDriver::heldConnections(const ServerId &Server) const {
   std::uint32_t Count = 0;
   for (const auto &[Id, Connection] : m_Connections) {
@@ -136,6 +116,9 @@
     return;
   }
   m_Drained = Decision.m_Drained;
+  if (!Decision.m_Demand.empty()) {
+    m_Demand = std::move(Decision.m_Demand);
+  }
   for (const GroupAction &Action : Decision.m_Actions) {
     std::visit([this](const auto &One) { performOne(One); }, Action);
   }
@@ -205,14 +188,20 @@
 void GroupDriver::performOne(const Answer &Action) { m_Hooks.m_Answer(Action); }
 
 void GroupDriver::performOne(const ReserveRequestKey &Action) {
-  m_Hooks.m_ReserveKey(Action, makeAttemptId());
+  logDebug(Part::Group, "Reserving {} for attempt {}.", Action.m_Key.value(),
+           Action.m_Attempt.value());
+  m_Hooks.m_ReserveKey(Action);
 }
 
 void GroupDriver::performOne(const RecordKeyOutcome &Action) {
+  logDebug(Part::Group, "Recording {} for attempt {}.",
+           resultCodeInfo(Action.m_Code).m_Name, Action.m_Attempt.value());
   m_Hooks.m_RecordOutcome(Action);
 }
 
 void GroupDriver::performOne(const EndAttempt &Action) {
+  logDebug(Part::Group, "Ending attempt {} at {}.", Action.m_Attempt.value(),
+           Action.m_Server.value());
   const auto Watch = m_Watches.find(Action.m_Server);
   if (Watch == m_Watches.end() || m_View.m_Term != Action.m_Term) {
     send(AttemptEndedEvent{Action.m_Request, AttemptOutcome::Failed, {}});
@@ -230,7 +219,10 @@
         if (Result) {
           Event.m_Point = Result->m_Point;
         }
-        m_Hooks.m_AttemptEnded(Action, Event);
+        logDebug(Part::Group, "Ended attempt {} at {}: outcome {}.",
+                 Action.m_Attempt.value(), Action.m_Server.value(),
+                 static_cast<int>(Event.m_Outcome));
+        send(Event);
       });
 }
 
--- a/ragwortmux/Process/GroupDriver.h
+++ b/ragwortmux/Process/GroupDriver.h
@@ -32,15 +32,10 @@
   std::function<void(const Answer &Given)> m_Answer;
   /// A caller's connection must be closed.
   std::function<void(const CloseCaller &Closing)> m_CloseCaller;
-  /// A key is to be reserved; keyReserved() gets the answer.
-  std::function<void(const ReserveRequestKey &Asked, AttemptId Attempt)>
-      m_ReserveKey;
-  /// An outcome is to be recorded; outcomeRecorded() gets the answer.
+  /// A key is to be reserved; a KeyReservedEvent follows.
+  std::function<void(const ReserveRequestKey &Asked)> m_ReserveKey;
+  /// An outcome is to be recorded; an OutcomeRecordedEvent follows.
   std::function<void(const RecordKeyOutcome &Asked)> m_RecordOutcome;
-  /// An attempt was ended by the primary of \p Ended's term; the event goes to
-  /// the group only after the ledger has heard of it.
-  std::function<void(const EndAttempt &Ended, AttemptEndedEvent Event)>
-      m_AttemptEnded;
   /// A session's point is asked for; sessionPointFound() gets the answer.
   std::function<void(const FindSessionPoint &Asked)> m_FindPoint;
   /// A session's point is to be stored.
@@ -85,7 +80,7 @@
   /// The current record.
   const GroupView &view() const { return m_View; }
   /// Connections wanted, for the next renewal.
-  std::vector<ShareDemand> demand() const;
+  const std::vector<ShareDemand> &demand() const { return m_Demand; }
   /// Connections held to \p Server, those being opened included.
   std::uint32_t heldConnections(const ServerId &Server) const;
   /// True once a drain has ended.
@@ -132,11 +127,11 @@
   std::map<ConnectionId, std::unique_ptr<Held>>
       m_Connections; ///< Connections by the core's ids.
   std::map<ServerId, std::shared_ptr<PositionWatch>>
-      m_Watches;                                  ///< Watches of positions.
-  std::map<ServerId, std::uint32_t> m_PeakDemand; ///< Since the last renewal.
-  Instant m_NextTick = Instant::max();            ///< When a tick is due.
-  bool m_Drained = false;                         ///< A drain has ended.
-  bool m_Stopped = false;                         ///< stop() was called.
+      m_Watches;                       ///< Watches of positions.
+  std::vector<ShareDemand> m_Demand;   ///< As the core last told.
+  Instant m_NextTick = Instant::max(); ///< When a tick is due.
+  bool m_Drained = false;              ///< A drain has ended.
+  bool m_Stopped = false;              ///< stop() was called.
 };
 
 /// One connection to a backend server.
--- a/ragwortmux/Process/PeerLink.cpp
+++ b/ragwortmux/Process/PeerLink.cpp
@@ -34,6 +34,13 @@
   PeerLink::UpdateHandler m_Updates; ///< Acts on updates.
 };
 
+/// Writes the parameters that name a session's position.
+template <typename Call> void writeKey(Call &Out, const SessionPointKey &Key) {
+  Out.setSession(toText(Key.m_Session.value()));
+  Out.setGroup(toText(Key.m_Group.value()));
+  Out.setHomesRevision(Key.m_Homes.value());
+}
+
 /// One connection with the peer interface at its other end.
 struct Connection final {
   kj::Own<kj::AsyncIoStream> m_Stream;       ///< The socket.
@@ -281,31 +288,29 @@
   });
 }
 
-void PeerLink::storeSessionPoint(const SessionPointKey &Key,
-                                 const LogPoint &Point, Respond<bool> Reply) {
+void PeerLink::storeSessionPoint(const SessionPointEntry &Entry,
+                                 Respond<bool> Reply) {
   m_Parts->with<bool>(Reply, [&](rpc::Peer::Client &Peer) {
     auto Call = Peer.storeSessionPointRequest();
-    Call.setSession(toText(Key.m_Session.value()));
-    Call.setGroup(toText(Key.m_Group.value()));
-    Call.setHomesRevision(Key.m_Homes.value());
-    writeRpc(Call.initPoint(), Point);
+    writeKey(Call, Entry.m_Key);
+    writeRpc(Call.initPoint(), Entry.m_Point);
+    writeRpc(Call.initTicket(), Entry.m_Ticket);
     m_Parts->send<bool>(
         kj::mv(Call), [](auto &Result) { return Result.getStored(); }, Reply);
   });
 }
 
 void PeerLink::findSessionPoint(const SessionPointKey &Key,
-                                Respond<SessionPointReply> Reply) {
-  m_Parts->with<SessionPointReply>(Reply, [&](rpc::Peer::Client &Peer) {
+                                Respond<SessionLookup> Reply) {
+  m_Parts->with<SessionLookup>(Reply, [&](rpc::Peer::Client &Peer) {
     auto Call = Peer.findSessionPointRequest();
-    Call.setSession(toText(Key.m_Session.value()));
-    Call.setGroup(toText(Key.m_Group.value()));
-    Call.setHomesRevision(Key.m_Homes.value());
-    m_Parts->send<SessionPointReply>(
+    writeKey(Call, Key);
+    m_Parts->send<SessionLookup>(
         kj::mv(Call),
         [](auto &Result) {
-          return SessionPointReply{Result.getFound(),
-                                   readRpc(Result.getPoint())};
+          return SessionLookup{
+              readRpc(Result.getPoint()),
+              readRpc(Result.getTicket()).value_or(SessionTicket())};
         },
         Reply);
   });
--- a/ragwortmux/Process/PeerLink.h
+++ b/ragwortmux/Process/PeerLink.h
@@ -65,10 +65,9 @@
   void command(const std::string &Command, Respond<CommandReply> Reply);
   void query(const std::string &What, const std::string &Name,
              Respond<QueryReply> Reply);
-  void storeSessionPoint(const SessionPointKey &Key, const LogPoint &Point,
-                         Respond<bool> Reply);
+  void storeSessionPoint(const SessionPointEntry &Entry, Respond<bool> Reply);
   void findSessionPoint(const SessionPointKey &Key,
-                        Respond<SessionPointReply> Reply);
+                        Respond<SessionLookup> Reply);
 
   /// Where this link leads.
   const PeerLinkSettings &settings() const;
--- a/ragwortmux/Process/RpcCodec.cpp
+++ b/ragwortmux/Process/RpcCodec.cpp
@@ -357,4 +357,20 @@
   return LogPoint{Term(In.getTerm()), LogPosition(In.getPosition())};
 }
 
+void writeRpc(rpc::SessionTicket::Builder Out,
+              const std::optional<SessionTicket> &Ticket) {
+  Out.setGiven(Ticket.has_value());
+  if (Ticket) {
+    Out.setIncarnation(Ticket->m_Incarnation);
+    Out.setRemovals(Ticket->m_Removals);
+  }
+}
+
+std::optional<SessionTicket> readRpc(rpc::SessionTicket::Reader In) {
+  if (!In.getGiven()) {
+    return std::nullopt;
+  }
+  return SessionTicket{In.getIncarnation(), In.getRemovals()};
+}
+
 } // namespace ragwortmux
--- a/ragwortmux/Process/RpcCodec.h
+++ b/ragwortmux/Process/RpcCodec.h
@@ -38,6 +38,10 @@
 void writeRpc(rpc::Point::Builder Out, const std::optional<LogPoint> &Point);
 std::optional<LogPoint> readRpc(rpc::Point::Reader In);
 
+void writeRpc(rpc::SessionTicket::Builder Out,
+              const std::optional<SessionTicket> &Ticket);
+std::optional<SessionTicket> readRpc(rpc::SessionTicket::Reader In);
+
 } // namespace ragwortmux
 
 #endif // RAGWORTMUX_PROCESS_RPCCODEC_H
--- a/ragwortmux/Process/RpcServer.cpp
+++ b/ragwortmux/Process/RpcServer.cpp
@@ -47,6 +47,12 @@
   };
 }
 
+/// The key in the parameters of a call about a session's position.
+template <typename Params> SessionPointKey keyOf(Params In) {
+  return {SessionName(toString(In.getSession())),
+          GroupId(toString(In.getGroup())), Revision(In.getHomesRevision())};
+}
+
 /// Serves the calls of a process that has proved that it knows the key.
 class PeerServer final : public rpc::Peer::Server {
 public:
@@ -176,25 +182,22 @@
   kj::Promise<void>
   storeSessionPoint(StoreSessionPointContext Context) override {
     const auto Params = Context.getParams();
-    const SessionPointKey Key{SessionName(toString(Params.getSession())),
-                              GroupId(toString(Params.getGroup())),
-                              Revision(Params.getHomesRevision())};
     const auto Point = readRpc(Params.getPoint());
+    const SessionPointEntry Entry{keyOf(Params), Point.value_or(LogPoint()),
+                                  readRpc(Params.getTicket())};
     const bool Stored =
-        Point && m_Hooks.m_StorePoint && m_Hooks.m_StorePoint(Key, *Point);
+        Point && m_Hooks.m_StorePoint && m_Hooks.m_StorePoint(Entry);
     Context.getResults().setStored(Stored);
     return kj::READY_NOW;
   }
 
   kj::Promise<void> findSessionPoint(FindSessionPointContext Context) override {
-    const auto Params = Context.getParams();
-    const SessionPointKey Key{SessionName(toString(Params.getSession())),
-                              GroupId(toString(Params.getGroup())),
-                              Revision(Params.getHomesRevision())};
-    const SessionPointReply Reply =
-        m_Hooks.m_FindPoint ? m_Hooks.m_FindPoint(Key) : SessionPointReply();
-    Context.getResults().setFound(Reply.m_Known);
-    writeRpc(Context.getResults().initPoint(), Reply.m_Point);
+    if (!m_Hooks.m_FindPoint) {
+      return KJ_EXCEPTION(FAILED, "this process is no home of sessions");
+    }
+    const SessionLookup Found = m_Hooks.m_FindPoint(keyOf(Context.getParams()));
+    writeRpc(Context.getResults().initPoint(), Found.m_Point);
+    writeRpc(Context.getResults().initTicket(), Found.m_Ticket);
     return kj::READY_NOW;
   }
 
--- a/ragwortmux/Process/RpcServer.h
+++ b/ragwortmux/Process/RpcServer.h
@@ -43,10 +43,9 @@
   std::function<void(std::string What, std::string Name, Respond<QueryReply>)>
       m_Query;
   /// Stores a session's position; false if it was not stored.
-  std::function<bool(const SessionPointKey &Key, const LogPoint &Point)>
-      m_StorePoint;
+  std::function<bool(const SessionPointEntry &Entry)> m_StorePoint;
   /// Looks a session's position up.
-  std::function<SessionPointReply(const SessionPointKey &Key)> m_FindPoint;
+  std::function<SessionLookup(const SessionPointKey &Key)> m_FindPoint;
 };
 
 /// Serves RPC to the processes that know the cluster key.
--- a/ragwortmux/Request/WriteGate.cpp
+++ b/ragwortmux/Request/WriteGate.cpp
@@ -2,37 +2,47 @@
 
 #include "ragwortmux/Version/GroupView.h"
 
+#include <tuple>
+
 namespace ragwortmux {
 
 WriteGate::WriteGate(bool AllowSingleServer)
     : m_AllowSingleServer(AllowSingleServer) {}
 
 void WriteGate::setApplied(const ServerId &Server, const LogPoint &Point,
-                           Instant AskedAt) {
-  Applied &Last = m_Applied[Server];
-  if (AskedAt < Last.m_AskedAt)
-    return;
-  // A server that was set back counts as set back, so no maximum is kept.
-  Last = {Point, AskedAt};
+                           Instant AskedAt, Instant Now) {
+  const auto [Found, IsNew] = m_Applied.try_emplace(Server);
+  Applied &Last = Found->second;
+  // A server that was set back counts as set back, if it was asked after it
+  // said more.
+  const bool IsGreater = std::tie(Point.m_Term, Point.m_Position) >
+                         std::tie(Last.m_Point.m_Term, Last.m_Point.m_Position);
+  if (IsNew || IsGreater || AskedAt >= Last.m_KnownAt)
+    Last = {Point, Now};
 }
 
 bool WriteGate::isReplicated(const GroupView &View,
                              const LogPoint &Commit) const {
   if (!View.m_Primary || Commit.m_Term != View.m_Term)
     return false;
-  std::size_t Holders = 1;
+  // Only a copy that can be appointed counts: with any other one the group
+  // would have no successor for the primary.
+  std::size_t Electable = 1;
   for (const ServerView &Server : View.m_Servers) {
     if (Server.m_Server == *View.m_Primary)
       continue;
     const auto Found = m_Applied.find(Server.m_Server);
-    const bool Holds =
-        Found != m_Applied.end() && covers(Found->second.m_Point, Commit);
-    if (Holds)
-      ++Holders;
-    else if (Server.m_Sync != SyncState::Behind)
+    // A longer history of another term need not hold a commit that nobody has
+    // acknowledged yet.
+    const bool Holds = Found != m_Applied.end() &&
+                       Found->second.m_Point.m_Term == Commit.m_Term &&
+                       Found->second.m_Point.m_Position >= Commit.m_Position;
+    if (!Holds && Server.m_Sync != SyncState::Behind)
       return false;
+    if (Holds && Server.m_Sync == SyncState::InSync)
+      ++Electable;
   }
-  return Holders >= 2 || (m_AllowSingleServer && View.m_Servers.size() == 1);
+  return Electable >= 2 || (m_AllowSingleServer && View.m_Servers.size() == 1);
 }
 
 std::optional<LogPoint> WriteGate::applied(const ServerId &Server) const {
--- a/ragwortmux/Request/WriteGate.h
+++ b/ragwortmux/Request/WriteGate.h
@@ -19,13 +19,15 @@
   /// alone.
   explicit WriteGate(bool AllowSingleServer);
 
-  /// \p Server said that it has applied \p Point, to a question sent at
-  /// \p AskedAt; an earlier question's answer is ignored.
+  /// \p Server said at \p Now that it has applied \p Point, to a question sent
+  /// at \p AskedAt. Of questions that were under way together the greater
+  /// answer counts.
   void setApplied(const ServerId &Server, const LogPoint &Point,
-                  Instant AskedAt);
+                  Instant AskedAt, Instant Now);
 
   /// True if \p Commit of the primary of \p View is applied at all other
-  /// members of the in-sync set and at two servers in all.
+  /// members of the in-sync set, of which one at least besides the primary can
+  /// be appointed.
   bool isReplicated(const GroupView &View, const LogPoint &Commit) const;
   /// The last point that \p Server said.
   std::optional<LogPoint> applied(const ServerId &Server) const;
@@ -33,7 +35,7 @@
 private:
   struct Applied final {
     LogPoint m_Point;  ///< What it had applied.
-    Instant m_AskedAt; ///< When it was asked.
+    Instant m_KnownAt; ///< When it said so.
   };
 
   bool m_AllowSingleServer;              ///< See the constructor.
--- a/ragwortmux/Version/LogPoint.h
+++ b/ragwortmux/Version/LogPoint.h
@@ -3,6 +3,9 @@
 
 #include "ragwortmux/Core/Ids.h"
 
+#include <optional>
+#include <string_view>
+
 namespace ragwortmux {
 
 /// A position in a group's replication log together with the term whose history
@@ -26,6 +29,9 @@
          Applied.m_Position >= Wanted.m_Position;
 }
 
+/// Parses `TERM:POSITION`; nothing if it is malformed.
+std::optional<LogPoint> parseLogPoint(std::string_view Text);
+
 } // namespace ragwortmux
 
 #endif // RAGWORTMUX_VERSION_LOGPOINT_H
--- a/tests/Request/WriteTest.cpp
+++ b/tests/Request/WriteTest.cpp
@@ -26,7 +26,16 @@
       {"joining waits", SyncState::InSync, SyncState::Joining, {"s2"}, false},
       {"behind", SyncState::InSync, SyncState::Behind, {"s2"}, true},
       {"alone", SyncState::Behind, SyncState::Behind, {}, false},
-      {"second copy", SyncState::Behind, SyncState::Behind, {"s3"}, true},
+      {"a copy that cannot be appointed",
+       SyncState::Behind,
+       SyncState::Behind,
+       {"s3"},
+       false},
+      {"joining cannot be appointed either",
+       SyncState::Joining,
+       SyncState::Behind,
+       {"s2"},
+       false},
   };
   for (const GateCase &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.m_Name) {
