--- a/ragwortmux/Process/Log/EntryLog.cpp
+++ b/ragwortmux/Process/Log/EntryLog.cpp
@@ -123,6 +123,11 @@
   return m_Configurations.back().m_Membership;
 }
 
+const LogMembership &EntryLog::previousMembership() const {
+  const std::size_t Count = m_Configurations.size();
+  return m_Configurations[Count > 1 ? Count - 2 : 0].m_Membership;
+}
+
 const LogMembership &EntryLog::membershipAt(LogIndex Index) const {
   const LogMembership *Found = &m_Configurations.front().m_Membership;
   for (const Configuration &Each : m_Configurations)
--- a/ragwortmux/Process/Log/EntryLog.h
+++ b/ragwortmux/Process/Log/EntryLog.h
@@ -57,6 +57,8 @@
   }
   /// The latest configuration in the log, committed or not.
   const LogMembership &membership() const;
+  /// The configuration before membership(), if it is still known.
+  const LogMembership &previousMembership() const;
   /// The configuration as of the entry \p Index.
   const LogMembership &membershipAt(LogIndex Index) const;
   /// Index of the entry that made membership(); 0 if before the log.
--- a/ragwortmux/Process/Log/LogRecords.cpp
+++ b/ragwortmux/Process/Log/LogRecords.cpp
@@ -67,10 +67,10 @@
 }
 
 template <typename Record>
-std::optional<Record> finish(const ByteReader &Reader, Record &&Read) {
+std::optional<Record> finish(const ByteReader &Reader, Record Read) {
   if (!Reader.done())
     return std::nullopt;
-  return std::forward<Record>(Read);
+  return Read;
 }
 
 } // namespace
@@ -152,7 +152,7 @@
   Head.m_Number = Reader.u64();
   Head.m_Previous = readEntryId(Reader);
   Head.m_Reset = Reader.u8() != 0;
-  return finish(Reader, std::move(Head));
+  return finish(Reader, Head);
 }
 
 template <> std::optional<LogBatch> decodeRecord(std::string_view Bytes) {
--- a/ragwortmux/Process/Log/ReplicatedLogElection.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -121,7 +121,8 @@
   // Until its removal is committed, a member may be the only one whose log is
   // long enough to lead.
   return membership().votes(m_Self) ||
-         m_Log.membershipAt(m_Commit).votes(m_Self);
+         (m_Log.membershipIndex() > m_Commit &&
+          m_Log.previousMembership().votes(m_Self));
 }
 
 void ReplicatedLog::becomeFollower(Instant Now, LogTerm Term) {
--- /dev/null
+++ b/tests/Log/ReplicatedLogTest.cpp
@@ -0,0 +1,495 @@
+#include "ragwortmux/Process/Log/ReplicatedLog.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+namespace {
+
+using namespace ragwortmux;
+using boost::unit_test::label;
+
+const VoterId Self("a");
+const VoterId Other("b");
+const VoterId Third("c");
+constexpr Instant Start{std::chrono::seconds(1)};
+constexpr Duration Silence = std::chrono::seconds(1);
+
+EntryId entryId(std::uint64_t Index, std::uint64_t Term) {
+  return {LogIndex(Index), LogTerm(Term)};
+}
+
+/// A member "a" of three voters, whose log has entries of the given terms.
+class Member final {
+public:
+  explicit Member(const std::vector<std::uint64_t> &Terms,
+                  const LogHardState &Hard = {},
+                  ReplicatedLogSettings Settings = {})
+      : m_Log(Start, withRandom(std::move(Settings)), state(Terms, Hard)) {}
+
+  ReplicatedLog &log() { return m_Log; }
+  Instant m_Now = Start; ///< Simulated time.
+
+  /// Delivers \p Message from \p From.
+  void receive(const VoterId &From, LogMessage Message) {
+    m_Log.receive(m_Now, {From, Self, std::move(Message)});
+  }
+
+  /// Takes actions, without doing what they say.
+  void take() {
+    for (LogAction &Action : m_Log.takeActions(m_Now)) {
+      if (const auto *Persist = std::get_if<PersistLog>(&Action))
+        m_Persist = Persist->m_Sequence;
+      m_Taken.push_back(std::move(Action));
+    }
+  }
+
+  /// Confirms what is to be persisted, until nothing is left.
+  void persist() {
+    take();
+    while (m_Persist) {
+      m_Log.persisted(m_Now, *std::exchange(m_Persist, std::nullopt));
+      take();
+    }
+  }
+
+  /// Removes all actions of a type taken so far, and returns them.
+  template <typename Type> std::vector<Type> taken() {
+    std::vector<Type> Found;
+    for (const LogAction &Action : m_Taken)
+      if (const auto *Each = std::get_if<Type>(&Action))
+        Found.push_back(*Each);
+    std::erase_if(m_Taken, [](const LogAction &Action) {
+      return std::holds_alternative<Type>(Action);
+    });
+    return Found;
+  }
+
+  /// Removes all messages of a type taken so far, and returns them.
+  template <typename Type> std::vector<Type> sent() {
+    std::vector<Type> Found;
+    for (const SendMessage &Send : taken<SendMessage>())
+      if (const auto *Each = std::get_if<Type>(&Send.m_Envelope.m_Message))
+        Found.push_back(*Each);
+    return Found;
+  }
+
+  /// Makes it the leader of the next term, with the vote of "b".
+  LogTerm lead() {
+    m_Now += Silence;
+    m_Log.tick(m_Now);
+    receive(Other, VoteReply{LogTerm(m_Log.term().value() + 1), true, true});
+    persist();
+    receive(Other, VoteReply{m_Log.term(), false, true});
+    persist();
+    BOOST_REQUIRE(m_Log.role() == LogRole::Leader);
+    taken<SendMessage>();
+    return m_Log.term();
+  }
+
+  /// "b" answers that it has everything up to \p Match.
+  void acknowledge(std::uint64_t Match, std::uint64_t Round) {
+    receive(Other,
+            AppendReply{m_Log.term(), true, LogIndex(Match), {}, {}, Round});
+    persist();
+  }
+
+  /// Terms of all entries.
+  std::vector<std::uint64_t> terms() const {
+    std::vector<std::uint64_t> Terms;
+    const LogIndex Last = m_Log.log().last().m_Index;
+    for (std::uint64_t Index = 1; Index <= Last.value(); ++Index)
+      Terms.push_back(m_Log.log().termAt(LogIndex(Index))->value());
+    return Terms;
+  }
+
+private:
+  static ReplicatedLogSettings withRandom(ReplicatedLogSettings Settings) {
+    Settings.m_Random = [] { return std::uint64_t{0}; };
+    return Settings;
+  }
+
+  static LogInitialState state(const std::vector<std::uint64_t> &Terms,
+                               const LogHardState &Hard) {
+    LogInitialState Initial;
+    Initial.m_Self = Self;
+    Initial.m_HardState = Hard;
+    for (std::uint64_t Term : Terms) {
+      LogEntry Entry;
+      Entry.m_Id = entryId(Initial.m_Entries.size() + 1, Term);
+      Initial.m_Entries.push_back(Entry);
+    }
+    if (Terms.empty())
+      return Initial;
+    Initial.m_HardState.m_Term = std::max(Hard.m_Term, LogTerm(Terms.back()));
+    LogEntry &First = Initial.m_Entries.front();
+    First.m_Kind = LogEntryKind::Membership;
+    for (const VoterId &Voter : {Self, Other, Third})
+      First.m_Membership.m_Members.push_back({Voter, "", true});
+    return Initial;
+  }
+
+  ReplicatedLog m_Log;                    ///< The member.
+  std::vector<LogAction> m_Taken;         ///< Not looked at yet.
+  std::optional<std::uint64_t> m_Persist; ///< Out, not confirmed.
+};
+
+// --- Votes
+
+enum class Answer { Granted, Refused, None };
+
+struct VoteRow final {
+  const char *m_Name;        ///< What it is about.
+  std::uint64_t m_Voted;     ///< 1: has voted for "b" in term 3, 2: for "c".
+  bool m_LeaderAlive;        ///< A leader may still be there.
+  VoteRequest m_Request;     ///< From "b"; the member's last is 3 of term 3.
+  Answer m_Answer;           ///< Expected.
+  std::uint64_t m_TermAfter; ///< Expected.
+
+  friend std::ostream &operator<<(std::ostream &Out, const VoteRow &Row) {
+    return Out << Row.m_Name;
+  }
+};
+
+VoteRequest asks(std::uint64_t Term, EntryId Last, bool PreVote = false,
+                 bool Transfer = false) {
+  return {LogTerm(Term), PreVote, Transfer, Last};
+}
+
+const VoteRow VoteRows[] = {
+    {"same log", 0, false, asks(4, entryId(3, 3)), Answer::Granted, 4},
+    {"longer log", 0, false, asks(4, entryId(9, 3)), Answer::Granted, 4},
+    {"newer last term", 0, false, asks(5, entryId(1, 4)), Answer::Granted, 5},
+    {"shorter log", 0, false, asks(4, entryId(2, 3)), Answer::Refused, 4},
+    {"older last term", 0, false, asks(4, entryId(9, 2)), Answer::Refused, 4},
+    {"old term", 0, false, asks(2, entryId(9, 3)), Answer::Refused, 3},
+    {"again for the same", 1, false, asks(3, entryId(3, 3)), Answer::Granted,
+     3},
+    {"voted for another", 2, false, asks(3, entryId(3, 3)), Answer::Refused, 3},
+    {"leader alive", 0, true, asks(4, entryId(3, 3)), Answer::None, 3},
+    {"leader hands over", 0, true, asks(4, entryId(3, 3), false, true),
+     Answer::Granted, 4},
+    {"pre-vote binds nobody", 0, false, asks(4, entryId(3, 3), true),
+     Answer::Granted, 3},
+    {"pre-vote, leader alive", 0, true, asks(4, entryId(3, 3), true),
+     Answer::Refused, 3},
+    {"pre-vote, shorter log", 0, false, asks(4, entryId(2, 3), true),
+     Answer::Refused, 3},
+    {"pre-vote for the current term", 0, false, asks(3, entryId(3, 3), true),
+     Answer::Refused, 3},
+};
+
+BOOST_DATA_TEST_CASE(GrantsVotesByTheRules, VoteRows, Row) {
+  const VoterId Voted[] = {VoterId(), Other, Third};
+  Member A({1, 1, 3}, {LogTerm(3), Voted[Row.m_Voted]});
+  if (!Row.m_LeaderAlive)
+    A.m_Now += Silence;
+  A.receive(Other, Row.m_Request);
+  A.persist();
+  const std::vector<VoteReply> Replies = A.sent<VoteReply>();
+  const Answer Got = Replies.empty()             ? Answer::None
+                     : Replies.front().m_Granted ? Answer::Granted
+                                                 : Answer::Refused;
+  BOOST_CHECK(Got == Row.m_Answer);
+  BOOST_CHECK_EQUAL(A.log().term().value(), Row.m_TermAfter);
+}
+
+BOOST_AUTO_TEST_CASE(GivesNoVoteBeforeItIsDurable, *label("promise-9")) {
+  Member A({1});
+  A.m_Now += Silence;
+  A.receive(Other, asks(2, entryId(1, 1)));
+  A.take();
+  BOOST_CHECK(A.sent<VoteReply>().empty());
+  A.persist();
+  BOOST_CHECK(A.sent<VoteReply>().at(0).m_Granted);
+}
+
+BOOST_AUTO_TEST_CASE(IgnoresMessagesToALostDisk, *label("promise-9")) {
+  Member A({1});
+  A.m_Now += Silence;
+  A.log().receive(A.m_Now, {Other, VoterId("lost"), asks(2, entryId(1, 1))});
+  A.persist();
+  BOOST_CHECK(A.sent<VoteReply>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ABlankMemberNeverCampaigns) {
+  Member A({});
+  for (int Round = 0; Round < 5; ++Round) {
+    A.m_Now += Silence;
+    A.log().tick(A.m_Now);
+    A.persist();
+  }
+  BOOST_CHECK(A.log().role() == LogRole::Follower);
+  BOOST_CHECK(A.sent<VoteRequest>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(VotesThatComeTooLateElectNobody) {
+  Member A({1});
+  A.m_Now += Silence;
+  A.log().tick(A.m_Now);
+  A.receive(Other, VoteReply{LogTerm(2), true, true});
+  A.persist();
+  A.m_Now += Silence;
+  A.receive(Other, VoteReply{A.log().term(), false, true});
+  A.persist();
+  BOOST_CHECK(A.log().role() != LogRole::Leader);
+}
+
+// --- Entries
+
+struct AppendRow final {
+  const char *m_Name;                   ///< What it is about.
+  std::vector<std::uint64_t> m_Before;  ///< Terms of the member's log.
+  EntryId m_Previous;                   ///< Of the request of term 5.
+  std::vector<std::uint64_t> m_Entries; ///< Terms of the entries sent.
+  std::uint64_t m_Commit;               ///< The leader's commit index.
+  bool m_Accepted;                      ///< Expected.
+  std::uint64_t m_MatchOrHint;          ///< Expected.
+  std::vector<std::uint64_t> m_After;   ///< Expected.
+  std::uint64_t m_CommitAfter;          ///< Expected.
+
+  friend std::ostream &operator<<(std::ostream &Out, const AppendRow &Row) {
+    return Out << Row.m_Name;
+  }
+};
+
+const AppendRow AppendRows[] = {
+    {"adds at the end", {1, 2}, entryId(2, 2), {5}, 3, true, 3, {1, 2, 5}, 3},
+    {"repeats", {1, 2, 5}, entryId(1, 1), {2}, 0, true, 2, {1, 2, 5}, 0},
+    {"replaces others", {1, 2, 3}, entryId(1, 1), {5}, 0, true, 2, {1, 5}, 0},
+    {"commits what it checked",
+     {1, 2},
+     entryId(1, 1),
+     {},
+     2,
+     true,
+     1,
+     {1, 2},
+     1},
+    {"gap", {1, 2}, entryId(5, 5), {5}, 5, false, 2, {1, 2}, 0},
+    {"other term",
+     {1, 2, 2, 2},
+     entryId(4, 4),
+     {5},
+     4,
+     false,
+     1,
+     {1, 2, 2, 2},
+     0},
+    {"heartbeat", {1, 2}, entryId(2, 2), {}, 1, true, 2, {1, 2}, 1},
+};
+
+BOOST_DATA_TEST_CASE(KeepsLogsEqual, AppendRows, Row) {
+  Member A(Row.m_Before, {LogTerm(5), VoterId()});
+  AppendRequest Request{
+      LogTerm(5), Row.m_Previous, {}, LogIndex(Row.m_Commit), 7};
+  for (std::uint64_t Term : Row.m_Entries) {
+    LogEntry Entry;
+    Entry.m_Id = entryId(
+        Row.m_Previous.m_Index.value() + 1 + Request.m_Entries.size(), Term);
+    Request.m_Entries.push_back(Entry);
+  }
+  A.receive(Other, Request);
+  A.persist();
+  const std::vector<AppendReply> Replies = A.sent<AppendReply>();
+  BOOST_REQUIRE_EQUAL(Replies.size(), 1);
+  const AppendReply &Reply = Replies.front();
+  BOOST_CHECK_EQUAL(Reply.m_Accepted, Row.m_Accepted);
+  BOOST_CHECK_EQUAL(Reply.m_Round, 7);
+  BOOST_CHECK_EQUAL((Row.m_Accepted ? Reply.m_Match : Reply.m_Hint).value(),
+                    Row.m_MatchOrHint);
+  BOOST_TEST(A.terms() == Row.m_After, boost::test_tools::per_element());
+  BOOST_CHECK_EQUAL(A.log().commitIndex().value(), Row.m_CommitAfter);
+}
+
+BOOST_AUTO_TEST_CASE(AcknowledgesNothingBeforeItIsDurable,
+                     *label("promise-9")) {
+  Member A({1}, {LogTerm(2), VoterId()});
+  LogEntry Entry;
+  Entry.m_Id = entryId(2, 2);
+  A.receive(Other,
+            AppendRequest{LogTerm(2), entryId(1, 1), {Entry}, LogIndex(2), 1});
+  A.take();
+  BOOST_CHECK(A.sent<AppendReply>().empty());
+  BOOST_CHECK(A.log().appliedIndex() < LogIndex(2));
+  A.persist();
+  BOOST_CHECK(A.sent<AppendReply>().at(0).m_Match == LogIndex(2));
+  BOOST_CHECK(A.log().appliedIndex() == LogIndex(2));
+}
+
+BOOST_AUTO_TEST_CASE(CountsItsOwnEntryOnlyOnceDurable, *label("promise-9")) {
+  Member A({1});
+  A.lead();
+  A.acknowledge(2, 1);
+  const std::optional<EntryId> Id = A.log().propose(A.m_Now, "x");
+  BOOST_REQUIRE(Id);
+  A.take();
+  A.receive(Other, AppendReply{A.log().term(), true, Id->m_Index, {}, {}, 1});
+  A.take();
+  BOOST_CHECK(A.log().commitIndex() < Id->m_Index);
+  A.persist();
+  BOOST_CHECK(A.log().commitIndex() == Id->m_Index);
+}
+
+// Two members hold entry 2 of term 2, but a member with entry 2 of term 3 could
+// still be elected and overwrite it, until an entry of term 4 is on both.
+BOOST_AUTO_TEST_CASE(CommitsNoEntryOfAnEarlierTermByCounting,
+                     *label("promise-9")) {
+  Member A({1, 2}, {LogTerm(3), VoterId()});
+  BOOST_REQUIRE_EQUAL(A.lead().value(), 4);
+  A.acknowledge(2, 1);
+  BOOST_CHECK_EQUAL(A.log().commitIndex().value(), 0);
+  A.acknowledge(3, 1);
+  BOOST_CHECK_EQUAL(A.log().commitIndex().value(), 3);
+}
+
+BOOST_AUTO_TEST_CASE(SaysThatAProposalWillNeverRunOnceThatIsSure) {
+  Member A({1});
+  const LogTerm Term = A.lead();
+  const std::optional<EntryId> Id = A.log().propose(A.m_Now, "x");
+  A.persist();
+  LogEntry Another;
+  Another.m_Id = {Id->m_Index, LogTerm(9)};
+  AppendRequest Request{LogTerm(9), {LogIndex(2), Term}, {Another}, {}, 1};
+  A.receive(Other, Request);
+  A.persist();
+  BOOST_CHECK(A.taken<ProposalDropped>().empty());
+  Request.m_Commit = Id->m_Index;
+  A.receive(Other, Request);
+  A.persist();
+  const std::vector<ProposalDropped> Dropped = A.taken<ProposalDropped>();
+  BOOST_REQUIRE_EQUAL(Dropped.size(), 1);
+  BOOST_CHECK(Dropped[0].m_Id == *Id);
+  BOOST_CHECK(Dropped[0].m_Fate == ProposalFate::NotCommitted);
+}
+
+// --- Leadership
+
+BOOST_AUTO_TEST_CASE(ConfirmsLeadershipOnlyByAFreshRound,
+                     *label("promise-2") * label("promise-9")) {
+  Member A({1});
+  A.lead();
+  A.acknowledge(2, 1);
+  BOOST_CHECK(A.log().isReady());
+  BOOST_REQUIRE(A.log().confirmLeadership(A.m_Now, ConfirmationToken(5)));
+  A.persist();
+  const std::uint64_t Fresh = A.sent<AppendRequest>().back().m_Round;
+  A.acknowledge(2, Fresh - 1);
+  BOOST_CHECK(A.taken<LeadershipConfirmed>().empty());
+  A.acknowledge(2, Fresh);
+  BOOST_CHECK(A.taken<LeadershipConfirmed>().at(0).m_Token ==
+              ConfirmationToken(5));
+}
+
+BOOST_AUTO_TEST_CASE(DropsConfirmationsWithTheLeadership, *label("promise-2")) {
+  Member A({1});
+  A.lead();
+  A.acknowledge(2, 1);
+  BOOST_REQUIRE(A.log().confirmLeadership(A.m_Now, ConfirmationToken(5)));
+  A.receive(Third, AppendReply{LogTerm(9), false, {}, {}, {}, 0});
+  A.acknowledge(2, 2);
+  BOOST_CHECK(A.taken<LeadershipConfirmed>().empty());
+  BOOST_CHECK_EQUAL(A.taken<ConfirmationDropped>().size(), 1);
+  BOOST_CHECK(!A.log().confirmLeadership(A.m_Now, ConfirmationToken(6)));
+}
+
+BOOST_AUTO_TEST_CASE(ALeaderWithoutAQuorumStepsDown, *label("promise-2")) {
+  Member A({1});
+  A.lead();
+  A.acknowledge(2, 1);
+  A.m_Now += ReplicatedLogSettings().m_CheckQuorumTimeout;
+  A.log().tick(A.m_Now);
+  BOOST_CHECK(A.log().role() == LogRole::Follower);
+}
+
+BOOST_AUTO_TEST_CASE(AFailedDiskStopsTheMemberForGood, *label("promise-9")) {
+  Member A({1});
+  A.lead();
+  A.log().persistFailed();
+  A.m_Now += Silence;
+  A.receive(Other, asks(9, entryId(9, 9), false, true));
+  A.log().tick(A.m_Now);
+  A.persist();
+  BOOST_CHECK(A.log().role() == LogRole::Stopped);
+  BOOST_CHECK(A.taken<SendMessage>().empty());
+  BOOST_CHECK(!A.log().propose(A.m_Now, "x"));
+}
+
+// --- Refusals
+
+struct RefusalRow final {
+  const char *m_Reason;      ///< Expected, and what it is about.
+  std::uint64_t m_Committed; ///< Acknowledged before; 0: not the leader.
+  std::function<bool(ReplicatedLog &, Instant)> m_Call; ///< True if refused.
+
+  friend std::ostream &operator<<(std::ostream &Out, const RefusalRow &Row) {
+    return Out << Row.m_Reason;
+  }
+};
+
+const RefusalRow RefusalRows[] = {
+    {"this member does not lead", 0,
+     [](ReplicatedLog &Log, Instant Now) { return !Log.propose(Now, "x"); }},
+    {"the payload is too large", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.propose(Now, std::string(9, 'x'));
+     }},
+    {"too many entries are not committed yet", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       while (Log.log().last().m_Index < LogIndex(6))
+         Log.propose(Now, "x");
+       return !Log.propose(Now, "x");
+     }},
+    {"the leader has not committed an entry of its term yet", 1,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.addMember(Now, VoterId("d"), "");
+     }},
+    {"the previous change is not committed yet", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return Log.addMember(Now, VoterId("d"), "") &&
+              !Log.addMember(Now, VoterId("e"), "");
+     }},
+    {"the learner has not caught up", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       Log.addMember(Now, VoterId("d"), "");
+       return !Log.promoteMember(Now, VoterId("d"));
+     }},
+    {"the member has a vote already", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.promoteMember(Now, Other);
+     }},
+    {"there is no such member", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.removeMember(Now, VoterId("d"));
+     }},
+    {"the new configuration would have no quorum in reach", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.removeMember(Now + Silence, Third);
+     }},
+    {"the receiver has not caught up", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.transferLeadership(Now, Third);
+     }},
+    {"the entry is not applied or is covered by a snapshot", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return !Log.takeSnapshot(Now, LogIndex(3), "");
+     }},
+};
+
+BOOST_DATA_TEST_CASE(RefusesWithAReason, RefusalRows, Row) {
+  ReplicatedLogSettings Settings;
+  Settings.m_MaxPayloadBytes = 8;
+  Settings.m_MaxUncommittedEntries = 4;
+  Member A({1}, {}, Settings);
+  if (Row.m_Committed > 0) {
+    A.lead();
+    A.acknowledge(Row.m_Committed, 1);
+  }
+  BOOST_CHECK(Row.m_Call(A.log(), A.m_Now));
+  BOOST_CHECK_EQUAL(A.log().lastReason(), Row.m_Reason);
+}
+
+} // namespace
