--- a/tests/Version/LeaderHarness.cpp
+++ b/tests/Version/LeaderHarness.cpp
@@ -28,21 +28,23 @@
     m_Servers[ServerId(Name)].m_Server = ServerId(Name);
   server("s1").m_Role = BackendRole::Primary;
   m_Leader->becameLeader(m_Now);
-  for (const char *Host : {"h1", "h2", "h3"})
-    addProxy(Host);
+  for (const char *Host : {"h1", "h2", "h3"}) {
+    m_Proxies.emplace_back().m_Host = Host;
+    open(m_Proxies.back());
+  }
   runUntil([this] { return isInSync(); });
   // Past the grace that a new leader gives silent servers.
   run(1s);
 }
 
-FakeProxy &LeaderHarness::addProxy(const std::string &Host) {
-  const ControlCommand Command = openSession(Host);
+void LeaderHarness::open(FakeProxy &Proxy) {
+  const ControlCommand Command = openSession(Proxy.m_Host, ++Proxy.m_Run);
   const ControlResult Result = m_State.apply(Command);
-  FakeProxy &Proxy = m_Proxies.emplace_back();
   Proxy.m_Session = Result.m_Session;
   Proxy.m_Lease.sessionOpened(Result.m_Session);
+  // Records of another session do not count.
+  Proxy.m_View.reset();
   m_Leader->applied(Command, Result, m_Now);
-  return Proxy;
 }
 
 void LeaderHarness::changeLeader() {
@@ -251,6 +253,11 @@
                                 Action.m_Length);
 }
 
+void LeaderHarness::handle(const RefuseRenewal &Action) {
+  if (FakeProxy *Proxy = reachable(Action.m_Session))
+    open(*Proxy);
+}
+
 void LeaderHarness::handle(const PushGroupView &Action) {
   if (FakeProxy *Proxy = reachable(Action.m_Session))
     take(*Proxy, Action.m_View);
@@ -263,7 +270,8 @@
 }
 
 void LeaderHarness::handle(const PushSessionHomes &Action) {
-  if (reachable(Action.m_Session) != nullptr)
+  const FakeProxy *Proxy = reachable(Action.m_Session);
+  if (Proxy != nullptr && Proxy->m_ConfirmsHomes)
     m_Leader->homesConfirmed(Action.m_Session, Action.m_Homes.m_Revision,
                              m_Now);
 }
--- a/tests/Version/LeaderHarness.h
+++ b/tests/Version/LeaderHarness.h
@@ -18,9 +18,12 @@
 
 /// A proxy as the leader sees it: renews, takes records and confirms them.
 struct FakeProxy final {
+  std::string m_Host;                ///< Its host.
+  std::uint64_t m_Run = 0;           ///< Its incarnation.
   ControlSessionId m_Session;        ///< Its session.
   bool m_ReachesControl = true;      ///< Messages pass both ways.
   bool m_Confirms = true;            ///< Takes pushed records.
+  bool m_ConfirmsHomes = true;       ///< Takes pushed session homes.
   double m_ClockRate = 1;            ///< Of its clock to the true one.
   Instant m_ClockBase{};             ///< Its clock at m_TrueBase.
   Instant m_TrueBase{};              ///< When the rate was set.
@@ -71,8 +74,8 @@
   Duration runUntil(const std::function<bool()> &Holds, Duration Limit = 10s);
   /// Another process becomes leader; what was under way is lost.
   void changeLeader();
-  /// A new proxy opens a session.
-  FakeProxy &addProxy(const std::string &Host);
+  /// A proxy opens its first session, or a new one after a restart.
+  void open(FakeProxy &Proxy);
 
   const GroupRecord &group() const { return *m_State.groups().find(TheGroup); }
   SyncState sync(const std::string &Server) const {
@@ -107,7 +110,7 @@
   void handle(const Propose &Action);
   void handle(const ConfirmLeadership &Action);
   void handle(const GrantRenewal &Action);
-  void handle(const RefuseRenewal &) {}
+  void handle(const RefuseRenewal &Action);
   void handle(const PushGroupView &Action);
   void handle(const PushCatalogue &Action);
   void handle(const PushSessionHomes &Action);
--- a/tests/Version/SyncKeeperTest.cpp
+++ b/tests/Version/SyncKeeperTest.cpp
@@ -74,6 +74,24 @@
   BOOST_TEST(Harness.group().m_Primary->value() == "s2");
 }
 
+BOOST_AUTO_TEST_CASE(JoiningIsNotElectableAsTheLastOne,
+                     *boost::unit_test::label("promise-2")) {
+  LeaderHarness Harness;
+  dropAndReturn(Harness);
+  Harness.m_Proxies[0].m_Confirms = false;
+  Harness.runUntil([&] { return Harness.sync("s3") == SyncState::Joining; });
+  Harness.server("s3").m_Applies = false;
+  Harness.run(50ms);
+  Harness.server("s1").m_Up = false;
+  Harness.server("s2").m_Up = false;
+  Harness.run(5s);
+  BOOST_TEST((Harness.group().m_Primary != ServerId("s3")));
+  // One that has everything returns.
+  Harness.server("s2").m_Up = true;
+  Harness.runUntil([&] { return Harness.isSettled(); });
+  BOOST_TEST(Harness.group().m_Primary->value() == "s2");
+}
+
 BOOST_AUTO_TEST_CASE(ElectableOnceAllSessionsHaveConfirmed,
                      *boost::unit_test::label("promise-2")) {
   LeaderHarness Harness;
