--- a/ragwortmux/Request/GroupContextEvents.cpp
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -124,7 +124,7 @@
   assert(State);
   // A replica's answer is as good as its watch.
   if (Result.m_Point && m_View.m_Primary != State->m_Server)
-    m_Gate.setApplied(State->m_Server, *Result.m_Point, State->m_SentAt);
+    m_Gate.setApplied(State->m_Server, *Result.m_Point, State->m_SentAt, m_Now);
   if (isWrite(State->m_Request.m_Entry->m_Class))
     m_Writes.answered(*State, std::move(Result));
   else
--- a/ragwortmux/Request/GroupCore.cpp
+++ b/ragwortmux/Request/GroupCore.cpp
@@ -75,7 +75,7 @@
                                 Instant AskedAt, GroupActions &Actions) {
   m_Context->beginEvent(Now, Actions);
   if (m_Context->server(Server)) {
-    m_Context->m_Gate.setApplied(Server, Point, AskedAt);
+    m_Context->m_Gate.setApplied(Server, Point, AskedAt, Now);
     // What a replaced primary says must not make old data look young.
     if (IsPrimary && m_Context->m_View.m_Primary == Server &&
         m_Context->leaseCovers(Point.m_Term))
