Replicated log: storage fault tables

Cause: the files had been run only under the randomized faults. Change: LogStorageTest: reading back, a table of 18 kinds of damage, a crash before and after each disk operation with and without loss of what was not synced, full disk, lock, foreign identity, real files. Not found out by any check: a missing last segment file, and a last record that was durable and has rotted since; the latter looks like a torn one and is cut off with a note. Conclusion: no confirmed change is lost by a crash at any operation of the sample.

--- /dev/null
+++ b/tests/Log/LogStorageTest.cpp
@@ -0,0 +1,418 @@
+#include "ragwortmux/Process/Log/LogStorage.h"
+
+#include "ragwortmux/Process/Log/LogFrame.h"
+#include "ragwortmux/Process/Log/PosixFileSystem.h"
+#include "tests/Log/FakeDisk.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <ostream>
+#include <random>
+
+namespace {
+
+using namespace ragwortmux;
+using boost::unit_test::label;
+
+/// A member's folder as a process sees it, on a FakeDisk.
+struct Process final {
+  std::vector<std::string> m_Notes;        ///< About repairs.
+  std::unique_ptr<LogStorage> m_Storage;   ///< The files.
+  std::optional<LogInitialState> m_Loaded; ///< Null if refused.
+};
+
+LogStorageSettings settings(const std::string &Cluster = "test") {
+  LogStorageSettings Settings;
+  Settings.m_ClusterName = Cluster;
+  Settings.m_SegmentBytes = 150;
+  Settings.m_BatchBytes = 15;
+  Settings.m_Random = [Next = std::uint64_t{7}]() mutable { return ++Next; };
+  return Settings;
+}
+
+std::unique_ptr<Process> open(const std::shared_ptr<FakeDisk> &Disk,
+                              LogStorageSettings Settings = settings()) {
+  auto Opened = std::make_unique<Process>();
+  Settings.m_Note = [Raw = Opened.get()](const std::string &Note) {
+    Raw->m_Notes.push_back(Note);
+  };
+  Opened->m_Storage = std::make_unique<LogStorage>(
+      std::move(Settings), std::make_unique<FakeFileSystem>(Disk));
+  Opened->m_Loaded = Opened->m_Storage->open();
+  return Opened;
+}
+
+LogEntry entry(std::uint64_t Index, std::uint64_t Term) {
+  LogEntry Entry;
+  Entry.m_Id = {LogIndex(Index), LogTerm(Term)};
+  Entry.m_Kind = LogEntryKind::Payload;
+  Entry.m_Payload = "payload " + std::to_string(Index);
+  return Entry;
+}
+
+std::shared_ptr<const LogSnapshot> snapshot(std::uint64_t Index,
+                                            std::uint64_t Term) {
+  LogMembership Members;
+  Members.m_Members = {{VoterId("a"), "host", true}};
+  return std::make_shared<const LogSnapshot>(
+      LogSnapshot{{LogIndex(Index), LogTerm(Term)}, Members, "state"});
+}
+
+PersistLog change(std::uint64_t Term, std::vector<LogEntry> Append) {
+  PersistLog Change;
+  Change.m_HardState = LogHardState{LogTerm(Term), VoterId("a")};
+  Change.m_Append = std::move(Append);
+  return Change;
+}
+
+/// Changes of all kinds, one after the other.
+std::vector<PersistLog> sampleChanges() {
+  std::vector<PersistLog> Changes;
+  Changes.push_back(change(1, {entry(1, 1), entry(2, 1), entry(3, 1)}));
+  Changes.push_back(change(2, {entry(4, 2), entry(5, 2), entry(6, 2)}));
+  Changes.push_back(change(3, {entry(5, 3), entry(6, 3)}));
+  Changes.back().m_TruncateFrom = LogIndex(5);
+  Changes.push_back(change(3, {entry(7, 3)}));
+  Changes.back().m_Snapshot = snapshot(6, 3);
+  Changes.back().m_CompactTo = EntryId{LogIndex(5), LogTerm(3)};
+  Changes.push_back(change(4, {entry(21, 4)}));
+  Changes.back().m_Snapshot = snapshot(20, 4);
+  Changes.back().m_ReplaceLog = true;
+  // Enough for several segments, with two records in the last one.
+  for (std::uint64_t Index = 22; Index < 32; Index += 2)
+    Changes.push_back(change(5, {entry(Index, 5), entry(Index + 1, 5)}));
+  return Changes;
+}
+
+/// What is left after \p Change, as far as a voter must know it.
+struct Model final {
+  LogHardState m_Hard;             ///< Term and vote.
+  EntryId m_Snapshot;              ///< Its last entry.
+  std::vector<LogEntry> m_Entries; ///< After the snapshot.
+
+  void apply(const PersistLog &Change) {
+    m_Hard = Change.m_HardState.value_or(m_Hard);
+    if (Change.m_Snapshot)
+      m_Snapshot = Change.m_Snapshot->m_Last;
+    if (Change.m_ReplaceLog)
+      m_Entries.clear();
+    std::erase_if(m_Entries, [&](const LogEntry &Entry) {
+      return Entry.m_Id.m_Index <= m_Snapshot.m_Index ||
+             (Change.m_TruncateFrom &&
+              Entry.m_Id.m_Index >= *Change.m_TruncateFrom);
+    });
+    m_Entries.insert(m_Entries.end(), Change.m_Append.begin(),
+                     Change.m_Append.end());
+  }
+
+  static Model of(const LogInitialState &State) {
+    Model Result{State.m_HardState, State.m_Snapshot.m_Last, State.m_Entries};
+    std::erase_if(Result.m_Entries, [&](const LogEntry &Entry) {
+      return Entry.m_Id.m_Index <= Result.m_Snapshot.m_Index;
+    });
+    return Result;
+  }
+
+  friend bool operator==(const Model &, const Model &) = default;
+};
+
+/// A disk on which the first \p Count sample changes are durable.
+std::shared_ptr<FakeDisk> sampleDisk(std::size_t Count) {
+  auto Disk = std::make_shared<FakeDisk>();
+  const std::unique_ptr<Process> Writer = open(Disk);
+  const std::vector<PersistLog> Changes = sampleChanges();
+  for (std::size_t Number = 0; Number < Count; ++Number)
+    BOOST_REQUIRE(Writer->m_Storage->persist(Changes[Number]));
+  return Disk;
+}
+
+// --- Reading back
+
+BOOST_DATA_TEST_CASE(ReadsBackWhatWasWritten,
+                     boost::unit_test::data::xrange(11), Count) {
+  Model Expected;
+  for (int Number = 0; Number < Count; ++Number)
+    Expected.apply(sampleChanges()[Number]);
+  const std::unique_ptr<Process> Reader = open(sampleDisk(Count));
+  BOOST_REQUIRE(Reader->m_Loaded);
+  BOOST_CHECK(Model::of(*Reader->m_Loaded) == Expected);
+  BOOST_CHECK(Reader->m_Notes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsIdentityAndABlankDiskGetsANewOne,
+                     *label("promise-9")) {
+  const std::shared_ptr<FakeDisk> Disk = sampleDisk(1);
+  const VoterId Id = open(Disk)->m_Loaded->m_Self;
+  BOOST_CHECK(open(Disk)->m_Loaded->m_Self == Id);
+  LogStorageSettings Other = settings();
+  Other.m_Random = [] { return std::uint64_t{99}; };
+  BOOST_CHECK(open(std::make_shared<FakeDisk>(), Other)->m_Loaded->m_Self !=
+              Id);
+}
+
+// --- Files that are damaged
+
+struct DamageRow final {
+  const char *m_Name;                       ///< What it is about.
+  std::function<void(FakeDisk &)> m_Damage; ///< Done to all sample changes.
+  ResultCode m_Code;                        ///< Expected.
+  const char *m_Reason;                     ///< Part of the reason or note.
+
+  friend std::ostream &operator<<(std::ostream &Out, const DamageRow &Row) {
+    return Out << Row.m_Name;
+  }
+};
+
+std::string nameOf(const FakeDisk &Disk, const std::string &Prefix, bool Last) {
+  std::string Found;
+  for (const auto &[Name, Content] : Disk.m_Current)
+    if (Name.starts_with(Prefix) && (Last || Found.empty()))
+      Found = Name;
+  return Found;
+}
+
+std::string &bytes(FakeDisk &Disk, const std::string &Prefix,
+                   bool Last = true) {
+  return Disk.m_Current.at(nameOf(Disk, Prefix, Last))->m_Bytes;
+}
+
+void flip(std::string &Bytes, std::size_t At) { Bytes[At] ^= 1; }
+
+const DamageRow DamageRows[] = {
+    {"last record cut short",
+     [](FakeDisk &Disk) { bytes(Disk, "segment").pop_back(); }, ResultCode::Ok,
+     "cut off"},
+    {"last record has a wrong byte",
+     [](FakeDisk &Disk) {
+       flip(bytes(Disk, "segment"), bytes(Disk, "segment").size() - 3);
+     },
+     ResultCode::Ok, "cut off"},
+    {"zeros behind the last record",
+     [](FakeDisk &Disk) { bytes(Disk, "segment").append(40, '\0'); },
+     ResultCode::Ok, "cut off"},
+    {"new segment without a head",
+     [](FakeDisk &Disk) {
+       Disk.m_Current["segment-0000000000000099"] =
+           std::make_shared<FakeDisk::File>();
+     },
+     ResultCode::Ok, "cut off"},
+    {"wrong byte in the middle of the last segment",
+     [](FakeDisk &Disk) { flip(bytes(Disk, "segment"), 60); },
+     ResultCode::LogCorrupt, "broken record at byte"},
+    {"wrong length in the middle of the last segment",
+     [](FakeDisk &Disk) { flip(bytes(Disk, "segment"), 5); },
+     ResultCode::LogCorrupt, "broken record at byte 0"},
+    {"earlier segment cut short",
+     [](FakeDisk &Disk) { bytes(Disk, "segment", false).pop_back(); },
+     ResultCode::LogCorrupt, "broken record at byte"},
+    {"segment in the middle is missing",
+     [](FakeDisk &Disk) {
+       const std::string First = nameOf(Disk, "segment", false);
+       Disk.m_Current.erase(std::next(Disk.m_Current.find(First)));
+     },
+     ResultCode::LogCorrupt, "is missing"},
+    {"all segments are missing",
+     [](FakeDisk &Disk) {
+       std::erase_if(Disk.m_Current, [](const auto &Each) {
+         return Each.first.starts_with("segment");
+       });
+     },
+     ResultCode::LogCorrupt, "no segment"},
+    {"state file is missing",
+     [](FakeDisk &Disk) { Disk.m_Current.erase("state"); },
+     ResultCode::LogCorrupt, ""},
+    {"state file has a wrong byte",
+     [](FakeDisk &Disk) { flip(bytes(Disk, "state"), 20); },
+     ResultCode::LogCorrupt, "state: broken record"},
+    {"state file is an old one",
+     [](FakeDisk &Disk) {
+       bytes(Disk, "state") = bytes(*sampleDisk(1), "state");
+     },
+     ResultCode::LogCorrupt, "state: its term is older"},
+    {"snapshot is missing",
+     [](FakeDisk &Disk) {
+       Disk.m_Current.erase(nameOf(Disk, "snapshot", true));
+     },
+     ResultCode::LogCorrupt, "no snapshot covers"},
+    {"snapshot has a wrong byte",
+     [](FakeDisk &Disk) { flip(bytes(Disk, "snapshot"), 30); },
+     ResultCode::LogCorrupt, "broken record"},
+    {"identity has a wrong byte",
+     [](FakeDisk &Disk) { flip(bytes(Disk, "identity"), 30); },
+     ResultCode::LogCorrupt, "identity: broken record"},
+    {"identity is missing",
+     [](FakeDisk &Disk) { Disk.m_Current.erase("identity"); },
+     ResultCode::WrongIdentity, "identity file is missing"},
+    {"identity of another cluster",
+     [](FakeDisk &Disk) {
+       const auto Other = std::make_shared<FakeDisk>();
+       open(Other, settings("other"));
+       bytes(Disk, "identity") = bytes(*Other, "identity");
+     },
+     ResultCode::WrongIdentity, "cluster other"},
+    {"file of a future version",
+     [](FakeDisk &Disk) {
+       std::string Record = encodeRecord(LogHardState());
+       Record[0] = 9;
+       bytes(Disk, "state") = encodeFrame(Record);
+     },
+     ResultCode::LogCorrupt, "unknown record or version"},
+};
+
+BOOST_DATA_TEST_CASE(CutsATornTailAndRefusesAllOtherDamage, DamageRows, Row) {
+  const std::shared_ptr<FakeDisk> Disk = sampleDisk(sampleChanges().size());
+  Row.m_Damage(*Disk);
+  const std::unique_ptr<Process> Reader = open(Disk);
+  BOOST_CHECK_EQUAL(Reader->m_Loaded.has_value(), Row.m_Code == ResultCode::Ok);
+  BOOST_CHECK(Reader->m_Storage->lastCode() == Row.m_Code);
+  const std::string Said = Reader->m_Notes.empty()
+                               ? Reader->m_Storage->lastReason()
+                               : Reader->m_Notes.front();
+  BOOST_CHECK_MESSAGE(Said.find(Row.m_Reason) != std::string::npos, Said);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesTheFolderOfAnotherVoter, *label("promise-9")) {
+  LogStorageSettings Settings = settings();
+  Settings.m_ExpectedVoter = VoterId("another");
+  for (const std::shared_ptr<FakeDisk> &Disk :
+       {sampleDisk(1), std::make_shared<FakeDisk>()}) {
+    const std::unique_ptr<Process> Reader = open(Disk, Settings);
+    BOOST_CHECK(!Reader->m_Loaded);
+    BOOST_CHECK(Reader->m_Storage->lastCode() == ResultCode::WrongIdentity);
+  }
+}
+
+// --- Crashes
+
+/// When a process dies, and with it the machine or not.
+struct CrashRow final {
+  bool m_Afterwards; ///< The last operation took effect.
+  bool m_Machine;    ///< What was not synced may be lost.
+
+  friend std::ostream &operator<<(std::ostream &Out, const CrashRow &Row) {
+    return Out << (Row.m_Afterwards ? "after" : "before") << ", "
+               << (Row.m_Machine ? "machine" : "process");
+  }
+};
+
+const CrashRow CrashRows[] = {
+    {false, false}, {false, true}, {true, false}, {true, true}};
+
+/// Writes the sample changes until the operation \p FailAt fails. Returns
+/// whether one failed; \p Before and \p After are the states that the disk may
+/// hold then.
+bool writeUntil(const std::shared_ptr<FakeDisk> &Disk, std::uint64_t FailAt,
+                bool Afterwards, Model &Before, Model &After) {
+  Disk->failLater(FailAt, Afterwards);
+  const std::unique_ptr<Process> Writer = open(Disk);
+  if (!Writer->m_Loaded)
+    return true;
+  for (const PersistLog &Change : sampleChanges()) {
+    After.apply(Change);
+    if (!Writer->m_Storage->persist(Change)) {
+      BOOST_CHECK(Writer->m_Storage->lastCode() == ResultCode::LogWriteFailed);
+      BOOST_CHECK(!Writer->m_Storage->persist(Change));
+      return true;
+    }
+    Before = After;
+  }
+  return false;
+}
+
+/// True if \p Found lies between the two: nothing of \p Before is lost that
+/// \p After still has.
+bool lies(const Model &Found, const Model &Before, const Model &After) {
+  if (Found.m_Hard != Before.m_Hard && Found.m_Hard != After.m_Hard)
+    return false;
+  for (const LogEntry &Entry : Before.m_Entries) {
+    const bool Covered = Entry.m_Id.m_Index <= Found.m_Snapshot.m_Index;
+    const auto Has = [&](const Model &Which) {
+      return std::find(Which.m_Entries.begin(), Which.m_Entries.end(), Entry) !=
+             Which.m_Entries.end();
+    };
+    if (Has(After) && !Covered && !Has(Found))
+      return false;
+  }
+  return Found.m_Snapshot.m_Index >= Before.m_Snapshot.m_Index;
+}
+
+BOOST_DATA_TEST_CASE(LosesNothingConfirmedByACrashAtAnyOperation, CrashRows,
+                     Row) {
+  std::mt19937_64 Random(1);
+  bool Failed = true;
+  std::uint64_t FailAt = 0;
+  for (; Failed; ++FailAt) {
+    for (int Try = 0; Try < 20; ++Try) {
+      const auto Disk = std::make_shared<FakeDisk>();
+      Model Before;
+      Model After;
+      Failed = writeUntil(Disk, FailAt, Row.m_Afterwards, Before, After);
+      Disk->clearFault();
+      if (Row.m_Machine)
+        Disk->loseUnsynced([&] { return Random(); });
+      const std::unique_ptr<Process> Reader = open(Disk);
+      BOOST_REQUIRE_MESSAGE(Reader->m_Loaded,
+                            "operation " << FailAt << ": "
+                                         << Reader->m_Storage->lastReason());
+      BOOST_REQUIRE_MESSAGE(lies(Model::of(*Reader->m_Loaded), Before, After),
+                            "operation " << FailAt);
+    }
+  }
+  BOOST_CHECK_GT(FailAt, 50);
+}
+
+BOOST_AUTO_TEST_CASE(AFullDiskStopsTheStorage) {
+  const std::shared_ptr<FakeDisk> Disk = sampleDisk(1);
+  const std::unique_ptr<Process> Writer = open(Disk);
+  Disk->m_FreeBytes = 100;
+  const std::vector<PersistLog> Changes = sampleChanges();
+  BOOST_CHECK(!Writer->m_Storage->persist(Changes[1]));
+  BOOST_CHECK(Writer->m_Storage->lastCode() == ResultCode::LogWriteFailed);
+  Disk->m_FreeBytes = 100000;
+  BOOST_CHECK(!Writer->m_Storage->persist(Changes[1]));
+}
+
+BOOST_AUTO_TEST_CASE(TwoProcessesCannotShareAFolder, *label("promise-9")) {
+  const std::shared_ptr<FakeDisk> Disk = sampleDisk(1);
+  const std::unique_ptr<Process> First = open(Disk);
+  BOOST_CHECK(!open(Disk)->m_Loaded);
+}
+
+// --- Real files
+
+BOOST_AUTO_TEST_CASE(WorksOnRealFiles, *label("promise-9")) {
+  std::string Folder = (std::filesystem::temp_directory_path() / "log-XXXXXX");
+  BOOST_REQUIRE(::mkdtemp(Folder.data()));
+  const auto Open = [&] {
+    auto Opened = std::make_unique<Process>();
+    Opened->m_Storage = std::make_unique<LogStorage>(
+        settings(), std::make_unique<PosixFileSystem>(Folder + "/data"));
+    Opened->m_Loaded = Opened->m_Storage->open();
+    return Opened;
+  };
+  Model Expected;
+  {
+    const std::unique_ptr<Process> Writer = Open();
+    BOOST_REQUIRE_MESSAGE(Writer->m_Loaded, Writer->m_Storage->lastReason());
+    for (const PersistLog &Change : sampleChanges()) {
+      BOOST_REQUIRE_MESSAGE(Writer->m_Storage->persist(Change),
+                            Writer->m_Storage->lastReason());
+      Expected.apply(Change);
+    }
+    const std::unique_ptr<Process> Second = Open();
+    BOOST_CHECK(!Second->m_Loaded);
+    BOOST_CHECK(Second->m_Storage->lastReason().find("lock") !=
+                std::string::npos);
+  }
+  const std::unique_ptr<Process> Reader = Open();
+  BOOST_REQUIRE(Reader->m_Loaded);
+  BOOST_CHECK(Model::of(*Reader->m_Loaded) == Expected);
+  std::filesystem::remove_all(Folder);
+}
+
+} // namespace
