Drain a leaving primary, replace one that is not promoted, forget gone servers

Cause: a leaving primary was replaced at once, so that requests in flight there ended with an unknown outcome; an appointed server whose promotion never succeeds, though it announces itself, kept the group without a primary for good; after 16 servers had come and gone a group took no new one. Ruled out: a promotion that is given up by count, as calls may also be lost without an answer.

Change: the end of the term waits until all proxies send the leaving primary nothing new and 200 ms more, at most 1 s; a server that is not promoted within 1 s is replaced; in a full group a new server takes the place of one that is Behind and silent, whose shares go. Shares that change nothing no longer raise the group's revision, and reports of ended sessions are dropped.

--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -55,6 +55,7 @@
   if (const auto *End = std::get_if<EndSession>(&Command)) {
     m_Leases.sessionEnded(End->m_Session);
     m_Updates.sessionEnded(End->m_Session);
+    m_Servers.sessionEnded(End->m_Session);
     m_Shares.sessionEnded(End->m_Session);
   }
   evaluate(Now);
--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -41,6 +41,13 @@
                                       ///< bounds: announcements must find it.
   Duration m_FenceWait = std::chrono::milliseconds(
       200); ///< After the first fenced server, the others are waited for.
+  Duration m_PromoteTimeout = std::chrono::seconds(
+      1); ///< An appointed server that does not become primary is replaced.
+  Duration m_HandoverDrain = std::chrono::milliseconds(
+      200); ///< Requests at a leaving primary may finish, once all proxies
+            ///< send it no new ones.
+  Duration m_HandoverLimit =
+      std::chrono::seconds(1);     ///< A leaving primary is replaced by then.
   std::uint32_t m_ChangeBurst = 3; ///< Changes of primary in quick succession.
   Duration m_ChangeInterval =
       std::chrono::seconds(10); ///< One more change each.
--- a/ragwortmux/Version/ControlState.cpp
+++ b/ragwortmux/Version/ControlState.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Version/ControlState.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace ragwortmux {
 
@@ -47,7 +48,11 @@
 }
 
 ControlResult ControlState::applyOne(const RegisterServer &Command) {
-  return m_Groups.registerServer(Command);
+  std::optional<ServerId> Evicted;
+  ControlResult Result = m_Groups.registerServer(Command, Evicted);
+  if (Evicted)
+    m_Shares.endServer(Command.m_Group, *Evicted);
+  return Result;
 }
 
 ControlResult ControlState::applyOne(const SetServerState &Command) {
@@ -76,6 +81,8 @@
       return refused(ResultCode::BadArgument, "a session is not open");
   }
   const Revision Now = m_Groups.find(Command.m_Group)->m_Revision;
+  if (m_Shares.isCurrent(Command))
+    return ControlResult::made(Now);
   ControlResult Result = m_Shares.set(Command, Server->m_ConnectionLimit,
                                       Revision(Now.value() + 1));
   if (Result.ok())
--- a/ragwortmux/Version/GroupTable.cpp
+++ b/ragwortmux/Version/GroupTable.cpp
@@ -38,13 +38,23 @@
          Command.m_ConnectionLimit != 0;
 }
 
+/// The first server that is Behind and does not announce itself, if any.
+std::optional<ServerId> findEvictable(const GroupRecord &Group) {
+  for (const auto &[Id, Server] : Group.m_Servers) {
+    if (Server.m_Sync == SyncState::Behind && !Server.m_Announced)
+      return Id;
+  }
+  return std::nullopt;
+}
+
 bool contains(const std::vector<ServerId> &List, const ServerId &Server) {
   return std::find(List.begin(), List.end(), Server) != List.end();
 }
 
 } // namespace
 
-ControlResult GroupTable::registerServer(const RegisterServer &Command) {
+ControlResult GroupTable::registerServer(const RegisterServer &Command,
+                                         std::optional<ServerId> &Evicted) {
   if (!isComplete(Command))
     return refused("a field of the server is empty or too long");
   const GroupRecord *Known = find(Command.m_Group);
@@ -52,8 +62,12 @@
     return refused("there are too many groups");
   const bool IsNew = findServer(Command.m_Group, Command.m_Server) == nullptr;
   if (IsNew && Known != nullptr &&
-      Known->m_Servers.size() >= MaxServersPerGroup)
-    return refused("the group has too many servers");
+      Known->m_Servers.size() >= MaxServersPerGroup) {
+    Evicted = findEvictable(*Known);
+    if (!Evicted)
+      return refused("the group has too many servers");
+    m_Groups[Command.m_Group].m_Servers.erase(*Evicted);
+  }
 
   GroupRecord &Group = m_Groups[Command.m_Group];
   Group.m_Group = Command.m_Group;
--- a/ragwortmux/Version/GroupTable.h
+++ b/ragwortmux/Version/GroupTable.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace ragwortmux {
@@ -20,8 +21,11 @@
 class GroupTable final {
 public:
   /// Registers a server, or changes its address and limits. A server whose
-  /// address changed is Behind, unless it is the primary.
-  ControlResult registerServer(const RegisterServer &Command);
+  /// address changed is Behind, unless it is the primary. In a full group the
+  /// new server takes the place of one that is Behind and does not announce
+  /// itself any more; \p Evicted gets that one's id.
+  ControlResult registerServer(const RegisterServer &Command,
+                               std::optional<ServerId> &Evicted);
   ControlResult setServerState(const SetServerState &Command);
   /// Ends the term while \p LastSession is the last session given out.
   ControlResult endTerm(const EndTerm &Command, ControlSessionId LastSession);
--- a/ragwortmux/Version/PrimaryChange.cpp
+++ b/ragwortmux/Version/PrimaryChange.cpp
@@ -60,6 +60,9 @@
   Known.m_Fenced.clear();
   Known.m_FirstFencedAt.reset();
   Known.m_EndedAt.reset();
+  Known.m_AppointedAt.reset();
+  Known.m_RetiringAt.reset();
+  Known.m_DrainingAt.reset();
   Known.m_FollowedAt.clear();
   return Known;
 }
@@ -78,10 +81,10 @@
 
 void PrimaryChange::replaceIfNeeded(const GroupRecord &Group, Instant Now) {
   const bool Failed = m_Servers.hasFailed(Group.m_Group, *Group.m_Primary, Now);
-  const std::string Reason = whyReplace(Group, Failed);
+  Progress &Known = progress(Group);
+  const std::string Reason = whyReplace(Group, Known, Failed, Now);
   if (Reason.empty() || !hasCandidate(Group, Failed, Now))
     return;
-  Progress &Known = progress(Group);
   if (Known.m_EndedAt &&
       Now - *Known.m_EndedAt < m_Context.settings().m_ProposeRetry)
     return;
@@ -93,23 +96,45 @@
   m_Context.propose(EndTerm{Group.m_Group, nextTerm(Group, m_Servers)}, Now);
 }
 
-std::string PrimaryChange::whyReplace(const GroupRecord &Group,
-                                      bool Failed) const {
+std::string PrimaryChange::whyReplace(const GroupRecord &Group, Progress &Known,
+                                      bool Failed, Instant Now) const {
   const ServerId &Primary = *Group.m_Primary;
   if (Failed)
     return "has failed";
-  if (Group.m_Servers.at(Primary).m_Leaving)
-    return "leaves";
-  if (!Group.m_Servers.at(Primary).m_Announced)
-    return "has stopped announcing itself";
-  const ServerWatch::Observed *Known = m_Servers.find(Group.m_Group, Primary);
-  if (Known != nullptr && Known->m_HasRegressed)
+  const ServerWatch::Observed *Observed =
+      m_Servers.find(Group.m_Group, Primary);
+  if (Observed != nullptr && Observed->m_HasRegressed)
     return "has lost a part of its log";
-  if (Known != nullptr && Known->m_Point.m_Term > Group.m_Term)
+  if (Observed != nullptr && Observed->m_Point.m_Term > Group.m_Term)
     return "has a higher term";
+  if (!Known.m_AppointedAt || m_Servers.isPromoted(Group))
+    Known.m_AppointedAt = Now;
+  if (Now - *Known.m_AppointedAt >= m_Context.settings().m_PromoteTimeout)
+    return "does not become primary";
+  const ServerRecord &Server = Group.m_Servers.at(Primary);
+  if (Server.m_Leaving || !Server.m_Announced)
+    return isDrained(Group, Known, Now) ? "leaves" : "";
+  Known.m_RetiringAt.reset();
+  Known.m_DrainingAt.reset();
   return {};
 }
 
+bool PrimaryChange::isDrained(const GroupRecord &Group, Progress &Known,
+                              Instant Now) const {
+  // Requests in flight would get an unknown outcome from a change right away.
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  if (!Known.m_RetiringAt) {
+    Known.m_RetiringAt = Now;
+    Known.m_RetiringRevision = Group.m_Revision;
+  }
+  if (!Known.m_DrainingAt &&
+      m_Updates.allConfirmed(Group.m_Group, Known.m_RetiringRevision))
+    Known.m_DrainingAt = Now;
+  return Now - *Known.m_RetiringAt >= Settings.m_HandoverLimit ||
+         (Known.m_DrainingAt &&
+          Now - *Known.m_DrainingAt >= Settings.m_HandoverDrain);
+}
+
 bool PrimaryChange::hasCandidate(const GroupRecord &Group, bool TakeLeaving,
                                  Instant Now) const {
   return std::any_of(
--- a/ragwortmux/Version/PrimaryChange.h
+++ b/ragwortmux/Version/PrimaryChange.h
@@ -41,7 +41,11 @@
     Term m_Term;                            ///< The term that is prepared.
     std::map<ServerId, LogPoint> m_Fenced;  ///< Answers of fenced servers.
     std::optional<Instant> m_FirstFencedAt; ///< The first answer.
-    std::optional<Instant> m_EndedAt; ///< When the term's end was proposed.
+    std::optional<Instant> m_EndedAt;     ///< When the term's end was proposed.
+    std::optional<Instant> m_AppointedAt; ///< When the primary was first seen.
+    std::optional<Instant> m_RetiringAt;  ///< When it was first seen to leave.
+    Revision m_RetiringRevision;          ///< The record that said so.
+    std::optional<Instant> m_DrainingAt;  ///< When all had confirmed that.
     std::map<ServerId, Instant> m_FollowedAt; ///< Last calls to follow again.
     double m_Allowance = 0;               ///< Changes that may start at once.
     std::optional<Instant> m_AllowanceAt; ///< When m_Allowance was worked out.
@@ -50,7 +54,9 @@
   Progress &progress(const GroupRecord &Group);
   void appointFirst(const GroupRecord &Group, Instant Now);
   void replaceIfNeeded(const GroupRecord &Group, Instant Now);
-  std::string whyReplace(const GroupRecord &Group, bool Failed) const;
+  std::string whyReplace(const GroupRecord &Group, Progress &Known, bool Failed,
+                         Instant Now) const;
+  bool isDrained(const GroupRecord &Group, Progress &Known, Instant Now) const;
   bool hasCandidate(const GroupRecord &Group, bool TakeLeaving,
                     Instant Now) const;
   bool takeAllowance(Progress &Known, Instant Now) const;
--- a/ragwortmux/Version/ServerWatch.cpp
+++ b/ragwortmux/Version/ServerWatch.cpp
@@ -140,6 +140,11 @@
   });
 }
 
+void ServerWatch::sessionEnded(ControlSessionId Session) {
+  for (auto &[Place, Known] : m_Servers)
+    Known.m_Evidence.erase(Session);
+}
+
 void ServerWatch::forgiveRegression(const GroupId &Group,
                                     const ServerId &Server) {
   observe(Group, Server).m_HasRegressed = false;
@@ -174,8 +179,7 @@
                                        Instant Now) const {
   return static_cast<std::size_t>(std::count_if(
       Known.m_Evidence.begin(), Known.m_Evidence.end(), [&](const auto &Entry) {
-        return Now - Entry.second <= m_Context.settings().m_EvidenceWindow &&
-               m_Context.state().sessions().find(Entry.first) != nullptr;
+        return Now - Entry.second <= m_Context.settings().m_EvidenceWindow;
       }));
 }
 
--- a/ragwortmux/Version/ServerWatch.h
+++ b/ragwortmux/Version/ServerWatch.h
@@ -45,6 +45,8 @@
                      const BackendCallResult &Result, Instant Now);
   /// Asks silent servers for their position.
   void probeSilent(Instant Now);
+  /// The reports of an ended session do not count any more.
+  void sessionEnded(ControlSessionId Session);
   /// The regression of a server has been answered by a committed change.
   void forgiveRegression(const GroupId &Group, const ServerId &Server);
 
--- a/ragwortmux/Version/ShareTable.cpp
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -56,6 +56,20 @@
   });
 }
 
+void ShareTable::endServer(const GroupId &Group, const ServerId &Server) {
+  std::erase_if(m_Shares, [&](const auto &Entry) {
+    return Entry.first.m_Group == Group && Entry.first.m_Server == Server;
+  });
+}
+
+bool ShareTable::isCurrent(const SetShares &Command) const {
+  return std::all_of(Command.m_Grants.begin(), Command.m_Grants.end(),
+                     [&](const ShareGrant &Grant) {
+                       return share(Command.m_Group, Command.m_Server,
+                                    Grant.m_Session) == Grant.m_Connections;
+                     });
+}
+
 void ShareTable::importData(const std::vector<ShareRecord> &Shares) {
   m_Shares.clear();
   for (const ShareRecord &Share : Shares)
--- a/ragwortmux/Version/ShareTable.h
+++ b/ragwortmux/Version/ShareTable.h
@@ -37,6 +37,10 @@
   ControlResult confirm(const ConfirmShares &Command);
   /// Drops all shares of an ended session.
   void endSession(ControlSessionId Session);
+  /// Drops all shares of a server that is not registered any more.
+  void endServer(const GroupId &Group, const ServerId &Server);
+  /// True if \p Command would change nothing.
+  bool isCurrent(const SetShares &Command) const;
 
   void importData(const std::vector<ShareRecord> &Shares);
 
--- /dev/null
+++ b/tests/Version/GroupTableTest.cpp
@@ -0,0 +1,98 @@
+#include "StateBuilder.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ragwortmux;
+using namespace ragwortmux::test;
+
+namespace {
+
+/// One command and what it has to give.
+struct Step final {
+  const char *m_Name;       ///< For messages.
+  ControlCommand m_Command; ///< The command.
+  bool m_Ok;                ///< Accepted.
+};
+
+SetInSync setSync(const std::string &Server, std::uint64_t OfTerm,
+                  std::uint64_t Expected, SyncState Sync) {
+  return {TheGroup, Term(OfTerm), ServerId(Server), Revision(Expected), Sync};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Groups)
+
+BOOST_AUTO_TEST_CASE(Preconditions, *boost::unit_test::label("promise-2")) {
+  const ServerId First("s1");
+  const ServerId Second("s2");
+  const Step Steps[] = {
+      {"term before the first primary", EndTerm{TheGroup, Term(1)}, false},
+      {"unknown server", AppointPrimary{TheGroup, Term(1), First, {}}, false},
+      {"s1", registerServer("s1"), true},
+      {"s2", registerServer("s2"), true},
+      {"no port",
+       RegisterServer{TheGroup, Second, FailureDomainId("d"), "a", 0, 1, 1},
+       false},
+      {"term 0", AppointPrimary{TheGroup, Term(0), First, {}}, false},
+      {"first primary", AppointPrimary{TheGroup, Term(4), First, {}}, true},
+      {"second primary", AppointPrimary{TheGroup, Term(4), Second, {}}, false},
+      {"the primary's part", setSync("s1", 4, 3, SyncState::Behind), false},
+      {"in sync at once", setSync("s2", 4, 0, SyncState::InSync), false},
+      {"joining in another term", setSync("s2", 3, 0, SyncState::Joining),
+       false},
+      {"joining of another revision", setSync("s2", 4, 9, SyncState::Joining),
+       false},
+      {"joining", setSync("s2", 4, 0, SyncState::Joining), true},
+      {"the same term", EndTerm{TheGroup, Term(4)}, false},
+      {"next term", EndTerm{TheGroup, Term(5)}, true},
+      {"in sync without a primary", setSync("s2", 5, 4, SyncState::InSync),
+       false},
+      {"joining is not electable",
+       AppointPrimary{TheGroup, Term(5), Second, {}}, false},
+      {"replaced term", AppointPrimary{TheGroup, Term(4), First, {}}, false},
+      {"next primary", AppointPrimary{TheGroup, Term(5), First, {Second}},
+       true},
+      {"in sync", setSync("s2", 5, 4, SyncState::InSync), true},
+      {"in sync as of an old revision", setSync("s2", 5, 4, SyncState::Behind),
+       false},
+  };
+  ControlState State;
+  for (const Step &Each : Steps) {
+    const ControlStateData Before = State.exportData();
+    const ControlResult Result = State.apply(Each.m_Command);
+    BOOST_TEST(Result.ok() == Each.m_Ok,
+               Each.m_Name << ": " << Result.m_Reason);
+    // A refused command changes nothing.
+    BOOST_TEST((Each.m_Ok || State.exportData() == Before), Each.m_Name);
+  }
+  BOOST_TEST((State.groups().findServer(TheGroup, Second)->m_Sync ==
+              SyncState::InSync));
+}
+
+BOOST_AUTO_TEST_CASE(MovedServersAreBehind) {
+  ControlState State = makeState();
+  RegisterServer Moved = registerServer("s2");
+  Moved.m_Port = 9999;
+  BOOST_TEST(State.apply(Moved).ok());
+  BOOST_TEST((State.groups().findServer(TheGroup, Moved.m_Server)->m_Sync ==
+              SyncState::Behind));
+}
+
+BOOST_AUTO_TEST_CASE(NewServersReplaceGoneOnes) {
+  ControlState State = makeState();
+  for (unsigned Number = 10; Number < 23; ++Number)
+    BOOST_TEST(State.apply(registerServer("x" + std::to_string(Number))).ok());
+  BOOST_TEST(!State.apply(registerServer("y1")).ok());
+  const ServerId Gone("x12");
+  State.apply(SetShares{TheGroup, Gone, {{ControlSessionId(1), 5}}});
+  // Servers of the in-sync set stay, also while they are silent.
+  State.apply(SetServerState{TheGroup, ServerId("s2"), false, false});
+  State.apply(SetServerState{TheGroup, Gone, false, false});
+  BOOST_TEST(State.apply(registerServer("y1")).ok());
+  BOOST_TEST((State.groups().findServer(TheGroup, Gone) == nullptr));
+  BOOST_TEST(State.shares().held(TheGroup, Gone) == 0U);
+  BOOST_TEST((State.groups().findServer(TheGroup, ServerId("s2")) != nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/PrimaryChangeTest.cpp
+++ b/tests/Version/PrimaryChangeTest.cpp
@@ -109,6 +109,40 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AppointedServerIsNotPromoted) {
+  // Control's calls to promote s2 are lost, though s2 announces itself.
+  LeaderHarness Harness;
+  Harness.m_DropCall = [](const CallBackend &Action) {
+    return Action.m_Kind == BackendCallKind::Promote &&
+           Action.m_Server == ServerId("s2");
+  };
+  Harness.server("s1").m_Up = false;
+  Harness.server("s3").m_Applies = false;
+  Harness.run(50ms);
+  Harness.server("s3").m_Applies = true;
+  const Duration Gap = Harness.runUntil([&] { return Harness.isSettled(); });
+  BOOST_TEST(Harness.group().m_Primary->value() == "s3");
+  BOOST_TEST(Harness.group().m_Term.value() == 3U);
+  BOOST_TEST((Gap <= 2s));
+}
+
+BOOST_AUTO_TEST_CASE(LeavingPrimaryIsDrainedFirst) {
+  LeaderHarness Harness;
+  Harness.server("s1").m_Leaving = true;
+  Harness.runUntil(
+      [&] { return Harness.group().m_Servers.at(ServerId("s1")).m_Leaving; });
+  const Duration Drained =
+      Harness.runUntil([&] { return Harness.group().m_Term == Term(2); });
+  BOOST_TEST((Drained >= 200ms && Drained <= 250ms));
+  // A proxy that does not confirm delays it for a second at most.
+  LeaderHarness Deaf;
+  Deaf.m_Proxies[0].m_Confirms = false;
+  Deaf.server("s1").m_Leaving = true;
+  const Duration Limit =
+      Deaf.runUntil([&] { return Deaf.group().m_Term == Term(2); });
+  BOOST_TEST((Limit >= 1s && Limit <= 1200ms));
+}
+
 BOOST_AUTO_TEST_CASE(NewLeaderWaitsForASilentProxy) {
   // The proxy renewed with the old leader right before it vanished.
   LeaderHarness Harness;
