Prune the ledger in key order, and decide nothing for ledger commands

Canonical keys of one owner are in the order of their times, so pruning visits only what it removes. Commands about keyed requests no longer make the leader weigh all its decisions.

--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -6,6 +6,16 @@
 
 namespace ragwortmux {
 
+namespace {
+
+bool isLedgerCommand(const ControlCommand &Command) {
+  return std::holds_alternative<ReserveKey>(Command) ||
+         std::holds_alternative<RecordOutcome>(Command) ||
+         std::holds_alternative<ResolveAttempt>(Command);
+}
+
+} // namespace
+
 ControlLeader::ControlLeader(const ControlState &State,
                              const ControlLeaderSettings &Settings)
     : m_State(State), m_Context(State, Settings), m_Updates(m_Context),
@@ -58,7 +68,9 @@
     m_Servers.sessionEnded(End->m_Session);
     m_Shares.sessionEnded(End->m_Session);
   }
-  evaluate(Now);
+  // Most commands are about keyed requests; no decision depends on those.
+  if (!isLedgerCommand(Command))
+    evaluate(Now);
 }
 
 void ControlLeader::leadershipConfirmed(std::uint64_t Token, Instant Now) {
--- a/ragwortmux/Version/RequestLedger.cpp
+++ b/ragwortmux/Version/RequestLedger.cpp
@@ -3,6 +3,8 @@
 #include "ragwortmux/Version/ControlCommand.h"
 #include "ragwortmux/Version/RequestKeyTime.h"
 
+#include <iterator>
+
 namespace ragwortmux {
 
 namespace {
@@ -138,15 +140,18 @@
 }
 
 void RequestLedger::prune(WallTime Now) {
-  std::erase_if(m_Records, [&](const auto &Entry) {
-    const WallTime Made = *requestKeyTime(Entry.first.m_Key);
-    if (Made >= Now - m_Settings.m_Retention)
-      return false;
-    const auto Live = m_KeysOfOwner.find(Entry.first.m_Owner);
-    if (--Live->second == 0)
-      m_KeysOfOwner.erase(Live);
-    return true;
-  });
+  // Canonical keys of one owner are in the order of their times, so that only
+  // the removed ones are visited.
+  for (auto Owner = m_KeysOfOwner.begin(); Owner != m_KeysOfOwner.end();) {
+    auto &[Id, Live] = *Owner;
+    auto Oldest = m_Records.lower_bound({Id, RequestKey()});
+    while (Live > 0 && *requestKeyTime(Oldest->first.m_Key) <
+                           Now - m_Settings.m_Retention) {
+      Oldest = m_Records.erase(Oldest);
+      --Live;
+    }
+    Owner = Live == 0 ? m_KeysOfOwner.erase(Owner) : std::next(Owner);
+  }
 }
 
 void RequestLedger::importData(const std::vector<LedgerRecord> &Records) {
