Refuse a caller's second statement while its first runs; keep group names out of attempt ids

Two statements of one caller under way could each open a transaction, and the first one's connection would have been owned by nobody; the second one is refused now. Attempt ids go into SQL text, and group names come from announcements, so an id holds a hash of the group's name in place of the name.

--- a/ragwortmux/Request/GroupContext.h
+++ b/ragwortmux/Request/GroupContext.h
@@ -102,6 +102,8 @@
   /// request stays. \p Silent: the server left it unanswered.
   void abandonStatement(RequestState &State, bool Silent);
 
+  /// True if a request of \p Caller has not been answered.
+  bool hasOpenRequest(CallerConnectionId Caller) const;
   void setWatches();
   void endOldTerms();
   std::vector<RequestId> requestIds() const;
--- a/ragwortmux/Request/GroupContextEvents.cpp
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -14,6 +14,7 @@
   m_Retries.addRequest();
   const RequestId Id = Request.m_Id;
   const CatalogueEntry &Entry = *Request.m_Entry;
+  const bool IsSecond = hasOpenRequest(Request.m_Caller);
   RequestState &State = m_Requests[Id];
   State.m_Request = std::move(Request);
   State.m_Deadline =
@@ -21,6 +22,11 @@
   m_ByCaller.insert({State.m_Request.m_Caller, Id});
   m_Touched.insert(Id);
 
+  if (IsSecond) {
+    // Two statements of one caller could open two transactions.
+    refuse(State, ResultCode::NotRunBadRequest);
+    return;
+  }
   if (m_Transactions.contains(State.m_Request.m_Caller)) {
     m_OpenTransactions.submit(State);
     return;
@@ -46,6 +52,15 @@
     m_Reads.start(State);
 }
 
+bool GroupContext::hasOpenRequest(CallerConnectionId Caller) const {
+  for (auto At = m_ByCaller.lower_bound({Caller, RequestId()});
+       At != m_ByCaller.end() && At->first == Caller; ++At) {
+    if (!m_Requests.at(At->second).m_Answered)
+      return true;
+  }
+  return false;
+}
+
 void GroupContext::forgetCaller(CallerConnectionId Caller) {
   std::vector<RequestId> Requests;
   for (auto At = m_ByCaller.lower_bound({Caller, RequestId()});
--- a/ragwortmux/Request/GroupCore.h
+++ b/ragwortmux/Request/GroupCore.h
@@ -29,7 +29,8 @@
   GroupCore &operator=(const GroupCore &) = delete;
 
   /// Takes a request. If its caller has an open transaction here, it runs on
-  /// the transaction's connection.
+  /// the transaction's connection. A caller's next request is to be submitted
+  /// after the last one was answered.
   void submit(Instant Now, GroupRequest Request, GroupActions &Actions);
   /// The caller's connection has closed.
   void callerGone(Instant Now, CallerConnectionId Caller,
--- a/ragwortmux/Request/KeyedRequests.cpp
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Request/KeyedRequests.h"
 
+#include "ragwortmux/Connection/StableHash.h"
 #include "ragwortmux/Request/GroupContext.h"
 
 #include <cassert>
@@ -12,9 +13,10 @@
                             const std::optional<AttemptId> &Aborted) {
   // The same id must never be used for two tries, also not by a later run of
   // this process or by another host; the prefix sees to that.
-  State.m_Attempt = AttemptId(m_Context.m_Settings.m_AttemptPrefix + "/" +
-                              m_Context.m_Group.value() + "/" +
-                              std::to_string(++m_Context.m_LastAttempt));
+  State.m_Attempt =
+      AttemptId(m_Context.m_Settings.m_AttemptPrefix + "/" +
+                std::to_string(stableHash(m_Context.m_Group.value(), "")) +
+                "/" + std::to_string(++m_Context.m_LastAttempt));
   State.m_Reserved = false;
   State.m_OfEndedSession = false;
   State.m_Phase = RequestPhase::ReservingKey;
--- a/ragwortmux/Request/Transactions.cpp
+++ b/ragwortmux/Request/Transactions.cpp
@@ -11,10 +11,7 @@
 void Transactions::submit(RequestState &State) {
   TransactionState &Open =
       m_Context.m_Transactions.at(State.m_Request.m_Caller);
-  if (Open.m_Running) {
-    m_Context.refuse(State, ResultCode::NotRunBadRequest);
-    return;
-  }
+  assert(!Open.m_Running);
   const bool KeyChanged = State.m_Request.m_Key && isKeyed(State) &&
                           State.m_Request.m_Key != Open.m_First.m_Key;
   if (KeyChanged) {
--- a/tests/Request/TransactionTest.cpp
+++ b/tests/Request/TransactionTest.cpp
@@ -194,6 +194,49 @@
   BOOST_TEST((m_Records[0].m_Code == ResultCode::NotRunRolledBack));
 }
 
+BOOST_AUTO_TEST_CASE(ACallerRunsOneStatementAtATime,
+                     *boost::unit_test::label("promise-3")) {
+  const RequestId First = statement(901);
+  BOOST_TEST((code(statement(901)) == ResultCode::NotRunBadRequest));
+  BOOST_TEST(m_Sent == 1U);
+  answer(ok(1, 10, Open));
+  BOOST_TEST((code(First) == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(ATransactionGoesOnAtALeavingServer,
+                     *boost::unit_test::label("promise-7")) {
+  const std::uint64_t Connection = begin(901);
+  m_View.m_Servers[0].m_Leaving = true;
+  setView(1);
+  write(); // waits for the next primary
+  BOOST_TEST(running() == 0U);
+  const RequestId Commit = statement(901);
+  BOOST_TEST(running() == Connection);
+  answer(ok(1, 11));
+  sample(1, 11, {"s2", "s3"});
+  BOOST_TEST((code(Commit) == ResultCode::Ok));
+  BOOST_TEST(serverOf(Connection) == "");
+}
+
+BOOST_AUTO_TEST_CASE(DrainingRunsWhatWasQueuedAndEndsIdleTransactions,
+                     *boost::unit_test::label("promise-8")) {
+  begin(901);
+  std::vector<RequestId> Requests;
+  Requests.reserve(5);
+  for (int Index = 0; Index < 4; ++Index)
+    Requests.push_back(write());
+  Requests.push_back(keyedWrite());
+  m_Core.drain(m_Now, m_Actions);
+  for (int Times = 0; Times < 5; ++Times)
+    answer(ok(1, 10));
+  for (const RequestId Id : Requests)
+    BOOST_TEST((code(Id) == ResultCode::Ok));
+  BOOST_TEST(!m_Core.drained());
+  wait(seconds(30)); // the bound of a transaction that waits for its caller
+  BOOST_TEST(m_ClosedCallers.size() == 1U);
+  BOOST_TEST(m_Core.drained());
+}
+
 BOOST_AUTO_TEST_CASE(DrainingCutsNothing,
                      *boost::unit_test::label("promise-8")) {
   begin(901);
