Process tests: primaries killed, frozen and silent; a frozen proxy; a second loss after the repair

Real processes (three hosts with both roles, three stand-ins) on free loopback ports. What is acknowledged is read back after the change of primary and found once in the servers' records; a proxy frozen with an answer in hand past its lease tells its caller 08007.

--- /dev/null
+++ b/tests/Process/CallerCalls.cpp
@@ -0,0 +1,37 @@
+#include "CallerCalls.h"
+
+#include "ragwortmux/Process/Support/UuidV7.h"
+
+#include <chrono>
+#include <random>
+
+namespace ragwortmux {
+
+std::string callerOptions(const CallerSettings &Settings) {
+  std::string Text;
+  for (const auto &[Name, Value] : Settings) {
+    Text += " -c ragwortmux." + Name + "=" + Value;
+  }
+  return Text;
+}
+
+PgAnswer runOnce(std::uint16_t Port, const std::string &Entry,
+                 const std::string &Sql, const CallerSettings &Settings) {
+  PgClient Client(Port);
+  if (Client.connect(callerOptions(Settings), Entry)) {
+    return Client.query(Sql);
+  }
+  PgAnswer Refused;
+  Refused.m_SqlState = Client.lastSqlState();
+  Refused.m_Message = Client.lastReason();
+  return Refused;
+}
+
+std::string makeKey() {
+  static std::mt19937_64 Random(std::random_device{}());
+  const auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  return makeRequestKey(Now, [] { return Random(); }).value();
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/tests/Process/Cluster.cpp
@@ -0,0 +1,292 @@
+#include "Cluster.h"
+
+#include "HttpCall.h"
+
+#include <boost/json.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+namespace ragwortmux {
+
+namespace {
+
+namespace json = boost::json;
+constexpr const char *Lifetime = "180";
+
+/// Ports that are free at the moment. All are bound at once before any is
+/// given back, so that they differ.
+std::vector<std::uint16_t> freePorts(std::size_t Count) {
+  std::vector<int> Sockets;
+  std::vector<std::uint16_t> Ports;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof Address;
+    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
+    bind(Socket, Generic, Length);
+    getsockname(Socket, Generic, &Length);
+    Ports.push_back(ntohs(Address.sin_port));
+    Sockets.push_back(Socket);
+  }
+  for (const int Socket : Sockets) {
+    close(Socket);
+  }
+  return Ports;
+}
+
+std::string at(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+/// The member \p Path of \p Text; null if there is none.
+json::value find(const std::string &Text,
+                 std::initializer_list<const char *> Path) {
+  boost::system::error_code Error;
+  json::value Value = json::parse(Text, Error);
+  for (const char *Name : Path) {
+    if (Error || !Value.is_object() || !Value.as_object().contains(Name)) {
+      return nullptr;
+    }
+    json::value Inner = Value.as_object().at(Name);
+    Value = std::move(Inner);
+  }
+  return Value;
+}
+
+} // namespace
+
+Cluster::Cluster(ClusterSettings Settings) : m_Settings(std::move(Settings)) {
+  std::string Template = std::filesystem::temp_directory_path() / "rwm-XXXXXX";
+  m_Folder = mkdtemp(Template.data());
+  const auto Ports = freePorts(m_Settings.m_Hosts * 3 + m_Settings.m_Servers);
+  std::size_t Next = 0;
+  for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+    HostParts Host;
+    Host.m_CallerPort = Ports[Next++];
+    Host.m_HttpPort = Ports[Next++];
+    Host.m_RpcPort = Ports[Next++];
+    Host.m_Folder = m_Folder + "/data-" + std::to_string(Index);
+    const std::string Comma = m_Peers.empty() ? "" : ",";
+    m_Peers +=
+        Comma + "host-" + std::to_string(Index) + "=" + at(Host.m_RpcPort);
+    m_AnnounceTo += Comma + at(Host.m_HttpPort);
+    m_Hosts.push_back(std::move(Host));
+  }
+  for (unsigned Index = 0; Index < m_Settings.m_Servers; ++Index) {
+    ServerParts Server;
+    Server.m_Port = Ports[Next++];
+    Server.m_Record = m_Folder + "/commits-" + std::to_string(Index);
+    m_Servers.push_back(std::move(Server));
+  }
+}
+
+Cluster::~Cluster() {
+  m_Hosts.clear();
+  m_Servers.clear();
+  std::error_code Ignored;
+  std::filesystem::remove_all(m_Folder, Ignored);
+}
+
+bool Cluster::start() {
+  for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+    startHost(Index);
+  }
+  for (unsigned Index = 0; Index < m_Settings.m_Servers; ++Index) {
+    startServer(Index, Index == 0);
+  }
+  const auto Put = [this](const char *Name, const char *Class) {
+    return waitUntil([&] {
+      return putEntry(0, Name, Class, 0, std::string("create-") + Name) == 200;
+    });
+  };
+  const bool Created = Put("bookings", "booking") && Put("writes", "write") &&
+                       Put("hires", "session-read") &&
+                       Put("stock", "aged-read");
+  const auto AllReady = [this] {
+    for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+      if (catalogueRevision(Index) < 4) {
+        return false;
+      }
+    }
+    return isInSync(m_Settings.m_Servers);
+  };
+  return Created && waitUntil(AllReady);
+}
+
+void Cluster::startHost(unsigned Index) {
+  HostParts &Host = m_Hosts[Index];
+  ChildProcessSettings Settings;
+  Settings.m_Program = RAGWORTMUX_BINARY_DIR "/bin/ragwortmux";
+  Settings.m_Arguments = {"serve",
+                          "--host=host-" + std::to_string(Index),
+                          "--failure_domain=domain-" + std::to_string(Index),
+                          "--roles=entry,control",
+                          std::string("--bootstrap=") +
+                              (Index == 0 ? "true" : "false"),
+                          "--caller_port=" + std::to_string(Host.m_CallerPort),
+                          "--http_port=" + std::to_string(Host.m_HttpPort),
+                          "--rpc_port=" + std::to_string(Host.m_RpcPort),
+                          "--control_peers=" + m_Peers,
+                          "--data_folder=" + Host.m_Folder,
+                          std::string("--max_lifetime_s=") + Lifetime};
+  Settings.m_Arguments.insert(Settings.m_Arguments.end(),
+                              m_Settings.m_HostFlags.begin(),
+                              m_Settings.m_HostFlags.end());
+  Settings.m_Environment = {
+      {"RAGWORTMUX_CLUSTER_KEY", "test-cluster-key"},
+      {"RAGWORTMUX_OPERATOR_TOKEN", "test-operator-token"}};
+  Host.m_Process = std::make_unique<ChildProcess>(Settings);
+  Host.m_Process->start();
+  Host.m_Process->waitForLine("ready ", std::chrono::seconds(10));
+}
+
+void Cluster::wipeHost(unsigned Index) {
+  std::filesystem::remove_all(m_Hosts[Index].m_Folder);
+}
+
+void Cluster::startServer(unsigned Index, bool AsPrimary) {
+  ServerParts &Server = m_Servers[Index];
+  ChildProcessSettings Settings;
+  Settings.m_Program = RAGWORTMUX_BINARY_DIR "/standin-backend";
+  Settings.m_Arguments = {"--group=ledger",
+                          "--server=db-" + std::to_string(Index),
+                          "--domain=domain-" + std::to_string(Index),
+                          "--port=" + std::to_string(Server.m_Port),
+                          "--announce_to=" + m_AnnounceTo,
+                          "--record=" + Server.m_Record,
+                          std::string("--max_lifetime_s=") + Lifetime,
+                          AsPrimary
+                              ? std::string("--start_as_primary")
+                              : "--primary_address=" + at(m_Servers[0].m_Port)};
+  Settings.m_Arguments.insert(Settings.m_Arguments.end(),
+                              m_Settings.m_ServerFlags.begin(),
+                              m_Settings.m_ServerFlags.end());
+  Server.m_Process = std::make_unique<ChildProcess>(Settings);
+  Server.m_Process->start();
+  Server.m_Process->waitForPort();
+}
+
+PgAnswer Cluster::atServer(unsigned Index, const std::string &Sql) {
+  return runOnce(m_Servers[Index].m_Port, "control", Sql);
+}
+
+std::vector<std::string> Cluster::commits() const {
+  std::vector<std::string> Lines;
+  for (const ServerParts &Server : m_Servers) {
+    std::ifstream File(Server.m_Record);
+    for (std::string Line; std::getline(File, Line);) {
+      Lines.push_back(Line);
+    }
+  }
+  return Lines;
+}
+
+std::size_t Cluster::commitsOf(const std::string &Text) const {
+  const auto Lines = commits();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Lines, [&](const std::string &Line) {
+        return Line.find(Text) != std::string::npos;
+      }));
+}
+
+std::string Cluster::status(unsigned Index) const {
+  return httpCall(httpPort(Index), "GET", "/v1/status").m_Body;
+}
+
+int Cluster::primary() const {
+  for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+    const auto Groups = find(status(Index), {"cluster", "groups"});
+    if (!Groups.is_array() || Groups.as_array().empty()) {
+      continue;
+    }
+    const auto &Primary = Groups.as_array()[0].as_object().at("primary");
+    return Primary.is_string() ? Primary.as_string().back() - '0' : -1;
+  }
+  return -1;
+}
+
+int Cluster::leader() const {
+  for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+    const HttpAnswer Metrics = httpCall(httpPort(Index), "GET", "/metrics");
+    if (Metrics.m_Body.find("ragwortmux_control_leader 1") !=
+        std::string::npos) {
+      return static_cast<int>(Index);
+    }
+  }
+  return -1;
+}
+
+bool Cluster::isInSync(unsigned Count) const {
+  for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+    const auto Groups = find(status(Index), {"cluster", "groups"});
+    if (!Groups.is_array() || Groups.as_array().empty()) {
+      continue;
+    }
+    const auto &Group = Groups.as_array()[0].as_object();
+    const auto &Servers = Group.at("servers").as_array();
+    const auto InSync =
+        std::ranges::count_if(Servers, [](const json::value &Server) {
+          return Server.as_object().at("sync").as_string() == "in-sync";
+        });
+    return Group.at("primary").is_string() &&
+           static_cast<unsigned>(InSync) >= Count;
+  }
+  return false;
+}
+
+int Cluster::putEntry(unsigned Host, const std::string &Name,
+                      const std::string &Class, std::uint64_t Expected,
+                      const std::string &Change, unsigned MaxQueued) const {
+  json::object Entry;
+  Entry["name"] = Name;
+  Entry["group"] = "ledger";
+  Entry["owner"] = "owner";
+  Entry["class"] = Class;
+  Entry["max_queued"] = MaxQueued;
+  if (Class == "aged-read") {
+    Entry["max_age_ms"] = 2000;
+  }
+  return httpCall(httpPort(Host), "PUT",
+                  "/v1/catalogue/" + Name +
+                      "?expect_revision=" + std::to_string(Expected) +
+                      "&change_id=" + Change + "&operator=test",
+                  json::serialize(Entry))
+      .m_Status;
+}
+
+std::uint64_t Cluster::catalogueRevision(unsigned Index) const {
+  const auto Revision = find(status(Index), {"process", "catalogue_revision"});
+  boost::system::error_code Error;
+  return Revision.is_null() ? 0 : Revision.to_number<std::uint64_t>(Error);
+}
+
+PgAnswer Cluster::book(unsigned Host, const std::string &Key,
+                       const std::string &RequestKey,
+                       const std::string &Session) const {
+  CallerSettings Options;
+  if (!RequestKey.empty()) {
+    Options["request_key"] = RequestKey;
+  }
+  if (!Session.empty()) {
+    Options["session"] = Session;
+  }
+  return runOnce(callerPort(Host), "bookings",
+                 "INSERT INTO hires VALUES ('" + Key + "', 'dryer')", Options);
+}
+
+PgAnswer Cluster::read(unsigned Host, const std::string &Key,
+                       const std::string &Session) const {
+  return runOnce(callerPort(Host), "hires",
+                 "SELECT v FROM hires WHERE k = '" + Key + "'",
+                 {{"session", Session}});
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/tests/Process/PrimaryLossTest.cpp
@@ -0,0 +1,163 @@
+#include "Cluster.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+/// How the primary is lost.
+enum class Loss { Killed, Frozen, Silent };
+
+struct LossCase final {
+  const char *m_Name; ///< What happens.
+  Loss m_Loss;        ///< How the primary is lost.
+};
+
+std::ostream &operator<<(std::ostream &Stream, const LossCase &Case) {
+  return Stream << Case.m_Name;
+}
+
+const std::vector<LossCase> Losses = {
+    {"killed", Loss::Killed},
+    {"frozen", Loss::Frozen},
+    {"all its connections silent, and no announcements", Loss::Silent}};
+
+void lose(Cluster &System, unsigned Server, Loss How) {
+  switch (How) {
+  case Loss::Killed:
+    System.server(Server).kill();
+    return;
+  case Loss::Frozen:
+    System.server(Server).stop();
+    return;
+  case Loss::Silent:
+    System.atServer(Server, "SELECT standin_fault('stop_announcing','1')");
+    System.atServer(Server, "SELECT standin_fault('silent_connections','1')");
+    System.atServer(Server, "SELECT standin_fault('refuse_connections','1')");
+    return;
+  }
+}
+
+/// Books until it is acknowledged, with the same key each time.
+bool bookUntilAcknowledged(const Cluster &System, unsigned Host,
+                           const std::string &Key) {
+  const std::string RequestKey = makeKey();
+  return waitUntil(
+      [&] { return System.book(Host, Key, RequestKey, "clerk").m_Ok; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PrimaryLossTest)
+
+BOOST_TEST_DECORATOR(*boost::unit_test::label("promise-2") *
+                     boost::unit_test::label("promise-6"))
+BOOST_DATA_TEST_CASE(NothingAcknowledgedVanishesOrDoubles,
+                     boost::unit_test::data::make(Losses), Case) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  for (int Number = 0; Number < 10; ++Number) {
+    const std::string Key = "before-" + std::to_string(Number);
+    BOOST_TEST(System.book(Number % 3, Key, makeKey(), "clerk").m_Ok);
+  }
+  lose(System, 0, Case.m_Loss);
+  // The same key is sent again until the booking is acknowledged.
+  BOOST_REQUIRE(bookUntilAcknowledged(System, 1, "after"));
+  BOOST_TEST(System.primary() != 0);
+  for (int Number = 0; Number < 10; ++Number) {
+    const std::string Key = "before-" + std::to_string(Number);
+    BOOST_TEST(System.read((Number + 1) % 3, Key, "clerk").value() == "dryer");
+    BOOST_TEST(System.commitsOf("'" + Key + "'") == 1U);
+  }
+  BOOST_TEST(System.read(2, "after", "clerk").value() == "dryer");
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenPrimaryAcknowledgesNothingWhenItWakes,
+                     *boost::unit_test::label("promise-2")) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  BOOST_REQUIRE(System.book(0, "first", makeKey()).m_Ok);
+  // A booking is on its way to the primary while it is frozen.
+  System.server(0).stop();
+  PgClient Caller(System.callerPort(0));
+  BOOST_REQUIRE(Caller.connect("", "bookings"));
+  BOOST_REQUIRE(Caller.send("INSERT INTO hires VALUES ('late', 'dryer')"));
+  BOOST_REQUIRE(bookUntilAcknowledged(System, 1, "second"));
+  System.server(0).resume();
+  const auto Answer = Caller.receive(std::chrono::seconds(10));
+  BOOST_REQUIRE(Answer);
+  // Either the new primary ran it, or the caller was not told that it ran.
+  if (Answer->m_Ok) {
+    BOOST_TEST(System.read(2, "late", "other").value() == "dryer");
+  }
+  // The old primary comes back as a replica with the new history.
+  BOOST_TEST(waitUntil([&] {
+    return System.atServer(0, "SELECT ragwortmux_position()").value() == "2";
+  }));
+  BOOST_TEST(System.read(0, "second", "clerk").value() == "dryer");
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenProxyAcknowledgesNothingAfterItsLease,
+                     *boost::unit_test::label("promise-2")) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  // Host 2 sends a slow booking and is frozen with its answer on the way; the
+  // primary fails meanwhile, and its lease has to be waited for.
+  System.atServer(0, "SELECT standin_fault('answer_delay_ms','300')");
+  PgClient Caller(System.callerPort(2));
+  BOOST_REQUIRE(Caller.connect("", "bookings"));
+  BOOST_REQUIRE(Caller.send("INSERT INTO hires VALUES ('held', 'dryer')"));
+  BOOST_REQUIRE(waitUntil([&] { return System.commitsOf("'held'") == 1; }));
+  System.host(2).stop();
+  System.server(0).kill();
+  BOOST_REQUIRE(bookUntilAcknowledged(System, 0, "next"));
+  System.host(2).resume();
+  const auto Answer = Caller.receive(std::chrono::seconds(10));
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(!Answer->m_Ok);
+  BOOST_TEST(Answer->m_SqlState == "08007");
+}
+
+BOOST_AUTO_TEST_CASE(ASecondHostLostRightAfterTheRepair,
+                     *boost::unit_test::label("promise-2")) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  BOOST_REQUIRE(System.book(0, "one", makeKey(), "clerk").m_Ok);
+  System.server(0).kill();
+  BOOST_REQUIRE(bookUntilAcknowledged(System, 1, "two"));
+  // The lost server comes back and is in sync again; then the new primary is
+  // lost as well.
+  System.startServer(0, false);
+  BOOST_REQUIRE(
+      waitUntil([&] { return System.isInSync(3); }, std::chrono::seconds(20)));
+  const int Second = System.primary();
+  BOOST_REQUIRE(Second > 0);
+  System.server(static_cast<unsigned>(Second)).kill();
+  BOOST_REQUIRE(bookUntilAcknowledged(System, 2, "three"));
+  for (const char *Key : {"one", "two", "three"}) {
+    BOOST_TEST(System.read(0, Key, "clerk").value() == "dryer");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadYourWritesAcrossAChangeOfPrimary,
+                     *boost::unit_test::label("promise-1")) {
+  Cluster System({3, 3, {}, {"--replication_delay_ms=40"}});
+  BOOST_REQUIRE(System.start());
+  for (unsigned Number = 0; Number < 12; ++Number) {
+    if (Number == 6) {
+      System.server(0).kill();
+    }
+    const std::string Key = "hire-" + std::to_string(Number);
+    BOOST_REQUIRE(bookUntilAcknowledged(System, Number % 3, Key));
+    // The very next read, at another proxy, by session name only.
+    BOOST_TEST(System.read((Number + 1) % 3, Key, "clerk").value() == "dryer");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
