Add a measure of the real processes under load and losses of primaries

Ruled out: a relay in front of backend servers, since a stand-in announces its own port; cutting off uses its fault switches instead.

--- /dev/null
+++ b/bench/Measure/ProcessUsage.cpp
@@ -0,0 +1,61 @@
+#include "bench/Measure/ProcessUsage.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr int FieldsBeforeUserTime = 11; // From the state onwards.
+constexpr std::uint64_t BytesPerKilobyte = 1024;
+
+double readProcessorSeconds(const std::string &Folder) {
+  std::ifstream File(Folder + "/stat");
+  std::string Line;
+  std::getline(File, Line);
+  // The program's name may hold blanks; it ends with the last bracket.
+  const std::size_t End = Line.rfind(')');
+  if (End == std::string::npos) {
+    return 0;
+  }
+  std::istringstream Fields(Line.substr(End + 1));
+  std::string Skipped;
+  for (int Field = 0; Field < FieldsBeforeUserTime; ++Field) {
+    Fields >> Skipped;
+  }
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+std::uint64_t readStatusBytes(const std::string &Folder,
+                              const std::string &Name) {
+  std::ifstream File(Folder + "/status");
+  for (std::string Line; std::getline(File, Line);) {
+    if (Line.starts_with(Name)) {
+      return std::stoull(Line.substr(Name.size())) * BytesPerKilobyte;
+    }
+  }
+  return 0;
+}
+
+} // namespace
+
+ProcessUsage readProcessUsage(std::string Name, pid_t Id) {
+  ProcessUsage Usage;
+  Usage.m_Name = std::move(Name);
+  if (Id == 0) {
+    return Usage;
+  }
+  const std::string Folder = "/proc/" + std::to_string(Id);
+  Usage.m_ProcessorSeconds = readProcessorSeconds(Folder);
+  Usage.m_ResidentBytes = readStatusBytes(Folder, "VmRSS:");
+  Usage.m_PeakBytes = readStatusBytes(Folder, "VmHWM:");
+  return Usage;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/bench/Measure/PromiseCheck.cpp
@@ -0,0 +1,160 @@
+#include "bench/Measure/PromiseCheck.h"
+
+#include "bench/Measure/Cluster.h"
+#include "bench/Measure/RunRecord.h"
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::string_view ValueStart = "SET v = '";
+constexpr unsigned RowsOfBooking = 2;
+
+/// The values that the text of a transaction writes, with their counts.
+std::map<std::string, unsigned> valuesWritten(const std::string &Statements) {
+  std::map<std::string, unsigned> Values;
+  std::size_t Begin = Statements.find(ValueStart);
+  while (Begin != std::string::npos) {
+    Begin += ValueStart.size();
+    const std::size_t End = Statements.find('\'', Begin);
+    ++Values[Statements.substr(Begin, End - Begin)];
+    Begin = Statements.find(ValueStart, End);
+  }
+  return Values;
+}
+
+/// Meters are written by repeatable writes.
+bool isBooking(const std::string &Value) { return !Value.starts_with('m'); }
+
+} // namespace
+
+PromiseCheck::PromiseCheck(Cluster &Target, RunRecord &Record)
+    : m_Cluster(Target), m_Record(Record) {}
+
+void PromiseCheck::run() {
+  for (std::uint32_t Group = 0; Group < m_Cluster.workload().m_Groups;
+       ++Group) {
+    Commits Found;
+    if (readHistory(Group, Found)) {
+      checkBookings(Group, Found);
+    }
+    checkRecords(Group);
+    checkConnections(Group);
+  }
+}
+
+bool PromiseCheck::readHistory(std::uint32_t Group, Commits &Found) {
+  const auto Primary = m_Cluster.findPrimary(Group);
+  const auto Rows =
+      Primary ? m_Cluster.askServer(Group, *Primary, "SELECT standin_log(0)")
+              : std::vector<std::vector<std::string>>();
+  if (Rows.empty()) {
+    m_Record.violated("a primary at the end of the run",
+                      m_Cluster.groupName(Group));
+    return false;
+  }
+  constexpr std::size_t StatementsColumn = 4;
+  for (const auto &Row : Rows) {
+    if (Row.size() <= StatementsColumn) {
+      continue;
+    }
+    const auto Values = valuesWritten(Row[StatementsColumn]);
+    if (Values.size() > 1) {
+      m_Record.violated("a transaction of its own", m_Cluster.groupName(Group) +
+                                                        ": " +
+                                                        Row[StatementsColumn]);
+    }
+    for (const auto &[Value, Count] : Values) {
+      Found.emplace(Value,
+                    Commit{std::stoull(Row[0]), std::stoull(Row[1]), Count});
+    }
+  }
+  return true;
+}
+
+void PromiseCheck::checkBookings(std::uint32_t Group, const Commits &Found) {
+  for (const BookingRecord &Booking : m_Record.bookings(Group)) {
+    ++m_Bookings;
+    const std::string What = m_Cluster.groupName(Group) + " " +
+                             Booking.m_Value + ", answers " + Booking.m_Answers;
+    const auto Range = Found.equal_range(Booking.m_Value);
+    const auto Count = std::distance(Range.first, Range.second);
+    if (Count > 1) {
+      m_Record.violated("at most once",
+                        What + ": " + std::to_string(Count) + " commits");
+    }
+    for (auto Commit = Range.first; Commit != Range.second; ++Commit) {
+      if (Commit->second.m_Rows != RowsOfBooking) {
+        m_Record.violated("stock and deposit together", What);
+      }
+    }
+    switch (Booking.m_Outcome) {
+    case BookingOutcome::Acknowledged:
+      if (Count == 0) {
+        m_Record.violated("no acknowledged booking lost", What);
+      }
+      break;
+    case BookingOutcome::NotRun:
+      if (Count > 0) {
+        m_Record.violated("not run means not run", What);
+      }
+      break;
+    case BookingOutcome::Unknown:
+      ++m_Unknown;
+      m_UnknownRan += Count > 0 ? 1 : 0;
+      break;
+    }
+  }
+}
+
+void PromiseCheck::checkRecords(std::uint32_t Group) {
+  std::set<std::string> Acknowledged;
+  for (const BookingRecord &Booking : m_Record.bookings(Group)) {
+    if (Booking.m_Outcome == BookingOutcome::Acknowledged) {
+      Acknowledged.insert(Booking.m_Value);
+    }
+  }
+  // Every commit as primary is on record, also where it did not survive.
+  std::map<std::string, std::string> Points;
+  for (std::uint32_t Server = 0; Server < m_Cluster.workload().m_Servers;
+       ++Server) {
+    std::ifstream File(m_Cluster.recordFile(Group, Server));
+    for (std::string Line; std::getline(File, Line);) {
+      std::istringstream Fields(Line);
+      std::string Term;
+      std::string Position;
+      Fields >> Term >> Position;
+      const std::string Point = Term.append(":").append(Position);
+      for (const auto &Pair : valuesWritten(Line)) {
+        const auto Known = Points.emplace(Pair.first, Point).first;
+        if (Known->second != Point && isBooking(Pair.first) &&
+            Acknowledged.contains(Pair.first)) {
+          m_Record.violated("not acknowledged by two primaries",
+                            m_Cluster.groupName(Group) + " " + Pair.first +
+                                " at " + Known->second + " and " + Point);
+        }
+      }
+    }
+  }
+}
+
+void PromiseCheck::checkConnections(std::uint32_t Group) {
+  const Workload &Sizes = m_Cluster.workload();
+  for (std::uint32_t Server = 0; Server < Sizes.m_Servers; ++Server) {
+    for (const auto &Row :
+         m_Cluster.askServer(Group, Server, "SELECT standin_stats()")) {
+      if (Row.size() == 2 && Row[0] == "connections_peak" &&
+          std::stoull(Row[1]) > Sizes.m_Connections) {
+        m_Record.violated("connections within the limit",
+                          m_Cluster.groupName(Group) + " server " +
+                              std::to_string(Server) + ": " + Row[1]);
+      }
+    }
+  }
+}
+
+} // namespace ragwortmux
