Count only fresh refused and reset connections against a silent primary

Cause: any report of the last second together with 150 ms of silence replaced a primary, also a connection that fell silent on its way, and a reset from before the last announcement; on lossy links one late announcement then sufficed. Change: reports of silent connections count only where most proxies and control itself agree, and a sign of life refutes reports older than 100 ms before it.

Before, on a scratch copy with either check taken out: OneProxysWordIs- NotEnough fails (the term ends before 250 ms). After: VersionTests, 47 cases, no errors; one refusing proxy and silence 150 ms, silence alone 250 ms (from the last announcement on, in steps of 50 ms).

--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -36,6 +36,8 @@
       std::chrono::seconds(1); ///< Silence after which no new requests go.
   Duration m_EvidenceWindow =
       std::chrono::milliseconds(1000); ///< How long a proxy's report counts.
+  Duration m_EvidenceSlack = std::chrono::milliseconds(
+      100); ///< A report may arrive before an earlier announcement.
   Duration m_NewLeaderGrace =
       std::chrono::milliseconds(300); ///< Added to a new leader's first silence
                                       ///< bounds: announcements must find it.
--- a/ragwortmux/Version/ServerWatch.cpp
+++ b/ragwortmux/Version/ServerWatch.cpp
@@ -42,7 +42,7 @@
                                             Suspicion.m_Server) == nullptr)
     return;
   observe(Suspicion.m_Group, Suspicion.m_Server)
-      .m_Evidence[Suspicion.m_Session] = Now;
+      .m_Reports[Suspicion.m_Session] = {Now, Suspicion.m_Kind};
 }
 
 void ServerWatch::callCompleted(const BackendCalls::Call &Call,
@@ -130,7 +130,7 @@
         continue;
       const Observed *Known = find(Group.m_Group, Id);
       const bool IsDoubted = IsPrimary && Known != nullptr &&
-                             countEvidence(*Known, Now) >= MinAgreeingProxies;
+                             countReports(*Known, Now) >= MinAgreeingProxies;
       if (!IsDoubted &&
           silence(Group.m_Group, Id, Now) < m_Context.settings().m_ProbeAfter)
         continue;
@@ -142,7 +142,7 @@
 
 void ServerWatch::sessionEnded(ControlSessionId Session) {
   for (auto &[Place, Known] : m_Servers)
-    Known.m_Evidence.erase(Session);
+    Known.m_Reports.erase(Session);
 }
 
 void ServerWatch::forgiveRegression(const GroupId &Group,
@@ -175,14 +175,27 @@
   return std::max(Duration(0), Now - Last);
 }
 
-std::size_t ServerWatch::countEvidence(const Observed &Known,
-                                       Instant Now) const {
+std::size_t ServerWatch::countReports(const Observed &Known,
+                                      Instant Now) const {
   return static_cast<std::size_t>(std::count_if(
-      Known.m_Evidence.begin(), Known.m_Evidence.end(), [&](const auto &Entry) {
-        return Now - Entry.second <= m_Context.settings().m_EvidenceWindow;
+      Known.m_Reports.begin(), Known.m_Reports.end(), [&](const auto &Entry) {
+        return Now - Entry.second.m_At <= m_Context.settings().m_EvidenceWindow;
       }));
 }
 
+bool ServerWatch::isReportedDown(const Observed &Known, Instant Now) const {
+  // A connection may fall silent for good while its server is well, and a sign
+  // of life refutes earlier reports; it may have overtaken later ones.
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  return std::any_of(
+      Known.m_Reports.begin(), Known.m_Reports.end(), [&](const auto &Entry) {
+        const Report &Each = Entry.second;
+        return Each.m_Kind != SuspicionKind::Silent &&
+               Now - Each.m_At <= Settings.m_EvidenceWindow &&
+               Each.m_At > Known.m_LastSign - Settings.m_EvidenceSlack;
+      });
+}
+
 bool ServerWatch::hasFailed(const GroupId &Group, const ServerId &Server,
                             Instant Now) const {
   const ControlLeaderSettings &Settings = m_Context.settings();
@@ -192,8 +205,7 @@
   const Observed *Known = find(Group, Server);
   if (Known == nullptr)
     return false;
-  const std::size_t Evidence = countEvidence(*Known, Now);
-  if (Silence >= Settings.m_SilenceSuspected && Evidence > 0)
+  if (Silence >= Settings.m_SilenceSuspected && isReportedDown(*Known, Now))
     return true;
   // While it announces itself, most proxies and this leader must agree.
   std::size_t Sessions = 0;
@@ -202,8 +214,8 @@
   const bool ProbeFailed =
       Known->m_ProbeFailedAt &&
       Now - *Known->m_ProbeFailedAt <= Settings.m_EvidenceWindow;
-  return ProbeFailed && Evidence >= MinAgreeingProxies &&
-         Evidence * 2 > Sessions;
+  const std::size_t Reports = countReports(*Known, Now);
+  return ProbeFailed && Reports >= MinAgreeingProxies && Reports * 2 > Sessions;
 }
 
 Duration ServerWatch::lag(const GroupRecord &Group, const ServerId &Server,
--- a/ragwortmux/Version/ServerWatch.h
+++ b/ragwortmux/Version/ServerWatch.h
@@ -18,6 +18,12 @@
 /// What this leader has observed of the backend servers since it took over.
 class ServerWatch final {
 public:
+  /// A proxy's last report about a server.
+  struct Report final {
+    Instant m_At{};                               ///< When it arrived.
+    SuspicionKind m_Kind = SuspicionKind::Silent; ///< What was seen.
+  };
+
   /// What is known about one server.
   struct Observed final {
     Instant m_LastSign{}; ///< Last announcement or answered call.
@@ -29,7 +35,7 @@
     Instant m_AdvancedAt{};                    ///< When the point last rose.
     bool m_IsLeaving = false;    ///< Its last announcement said so.
     bool m_HasRegressed = false; ///< It has lost a part of its log.
-    std::map<ControlSessionId, Instant> m_Evidence; ///< Last report of each.
+    std::map<ControlSessionId, Report> m_Reports; ///< Last one of each.
     std::optional<Instant> m_ProbeFailedAt; ///< Last failed position call.
   };
 
@@ -87,7 +93,8 @@
                  const LogPoint &Point, BackendRole Role, Instant Now);
   void noteSample(const GroupId &Group, const ServerId &Server,
                   const LogPoint &Point, Instant Now);
-  std::size_t countEvidence(const Observed &Known, Instant Now) const;
+  std::size_t countReports(const Observed &Known, Instant Now) const;
+  bool isReportedDown(const Observed &Known, Instant Now) const;
 
   LeaderContext &m_Context; ///< Shared.
   BackendCalls &m_Calls;    ///< Calls to backend servers.
--- a/tests/Version/PrimaryChangeTest.cpp
+++ b/tests/Version/PrimaryChangeTest.cpp
@@ -190,40 +190,55 @@
 }
 
 BOOST_AUTO_TEST_CASE(OneProxysWordIsNotEnough) {
+  using enum SuspicionKind;
   struct Case final {
     const char *m_Name;      ///< For messages.
     std::size_t m_Reporting; ///< Proxies that report.
-    bool m_Announces;        ///< The primary's announcements arrive.
-    bool m_Answers;          ///< The primary answers control.
+    SuspicionKind m_Kind;    ///< What they report, from 150 ms before.
+    Duration m_Until;        ///< Until then.
+    bool m_Announces;        ///< The primary's announcements still arrive.
+    bool m_Answers;          ///< The primary still answers control.
+    Duration m_After;        ///< The term does not end before.
     Duration m_Within;       ///< The term ends within; 0: not in 3 s.
   };
   const Case Cases[] = {
-      {"one proxy against announcements", 1, true, true, 0ms},
-      {"one proxy, control does not reach it either", 1, true, false, 0ms},
-      {"all proxies, but control reaches it", 3, true, true, 0ms},
-      {"two of three, control does not reach it either", 2, true, false,
-       1200ms},
-      {"nobody, announcements lost for a while", 0, false, true, 1200ms},
-      {"one proxy and silence", 1, false, false, 250ms},
-      {"silence alone", 0, false, false, 400ms},
+      {"one proxy against announcements", 1, Refused, 3s, true, true, 0ms, 0ms},
+      {"one proxy, control does not reach it either", 1, Refused, 3s, true,
+       false, 0ms, 0ms},
+      {"all proxies, but control reaches it", 3, Refused, 3s, true, true, 0ms,
+       0ms},
+      {"two of three, control does not reach it either", 2, Refused, 3s, true,
+       false, 50ms, 1200ms},
+      {"nobody, announcements lost for a while", 0, Refused, 3s, false, true,
+       900ms, 1200ms},
+      {"one proxy and silence", 1, Refused, 3s, false, false, 50ms, 200ms},
+      {"a silent connection and silence", 1, Silent, 3s, false, false, 250ms,
+       300ms},
+      {"a report long before and silence", 1, Reset, -100ms, false, false,
+       250ms, 300ms},
+      {"silence alone", 0, Refused, 3s, false, false, 250ms, 300ms},
   };
   for (const Case &Each : Cases) {
     BOOST_TEST_CONTEXT(Each.m_Name) {
       LeaderHarness Harness;
-      Harness.server("s1").m_Announces = Each.m_Announces;
-      Harness.server("s1").m_ReachesControl = Each.m_Answers;
+      FakeServer &Primary = Harness.server("s1");
       Duration Ended{0};
-      for (Duration Passed{0}; Passed < 3s; Passed += 50ms) {
-        for (std::size_t Index = 0; Index < Each.m_Reporting; ++Index)
-          Harness.m_Leader->suspicionReported(
-              {Harness.m_Proxies[Index].m_Session, TheGroup, ServerId("s1"),
-               SuspicionKind::Refused},
-              Harness.m_Now);
+      for (Duration Passed = -150ms; Passed < 3s; Passed += 50ms) {
+        Primary.m_Announces = Each.m_Announces || Passed < 0ms;
+        Primary.m_ReachesControl = Each.m_Answers || Passed < 0ms;
+        for (std::size_t Index = 0; Index < Each.m_Reporting; ++Index) {
+          if (Passed < Each.m_Until)
+            Harness.m_Leader->suspicionReported(
+                {Harness.m_Proxies[Index].m_Session, TheGroup, ServerId("s1"),
+                 Each.m_Kind},
+                Harness.m_Now);
+        }
         Harness.run(50ms);
         if (Harness.group().m_Term != Term(1) && Ended == 0ms)
           Ended = Passed + 50ms;
       }
       BOOST_TEST_MESSAGE(Each.m_Name << ": " << Ended.count() / 1000 << " ms");
+      BOOST_TEST((Ended >= Each.m_After));
       BOOST_TEST((Each.m_Within == 0ms
                       ? Ended == 0ms
                       : Ended > 0ms && Ended <= Each.m_Within));
