Send an outcome to the ledger again until it is kept; settle what this proxy left over

Cause: an outcome was sent to the ledger once. If that failed (a change of the control leader is enough), the key stayed reserved by a live session, and every resend was told 'outcome unknown' until the session ended. Now the record is sent again up to 10 times with growing pauses, after the first caller has its answer; and a resend that finds the key held by an attempt of this proxy that nothing runs any more has it ended at the primary, as for an ended session. Ruled out: holding the first caller's answer until the ledger has it, which would put the ledger's outages into every booking.

--- a/ragwortmux/Request/GroupContextEvents.cpp
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -210,6 +210,9 @@
     case RequestPhase::Replicating:
     case RequestPhase::StoringPoint:
     case RequestPhase::Recording:
+      // What was told already was applied everywhere; only its record is left.
+      if (State->m_Phase == RequestPhase::Recording && State->m_Answered)
+        break;
       if (State->m_Commit)
         m_Writes.termEnded(*State);
       break;
--- a/ragwortmux/Request/GroupCore.cpp
+++ b/ragwortmux/Request/GroupCore.cpp
@@ -123,12 +123,11 @@
   m_Context->endEvent();
 }
 
-void GroupCore::outcomeRecorded(Instant Now, RequestId Request,
-                                bool /*Recorded*/, GroupActions &Actions) {
-  // A first caller gets its answer also if the ledger could not keep it.
+void GroupCore::outcomeRecorded(Instant Now, RequestId Request, bool Recorded,
+                                GroupActions &Actions) {
   m_Context->beginEvent(Now, Actions);
   if (RequestState *State = m_Context->find(Request))
-    m_Context->m_Writes.outcomeRecorded(*State);
+    m_Context->m_Writes.outcomeRecorded(*State, Recorded);
   m_Context->endEvent();
 }
 
--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -72,7 +72,8 @@
 /// Answer to ReserveRequestKey.
 struct ReserveResult final {
   ReserveStatus m_Status = ReserveStatus::Unavailable; ///< What was said.
-  AttemptId m_Attempt; ///< With HeldByEndedSession: that session's attempt.
+  AttemptId m_Attempt; ///< With InUse and HeldByEndedSession: the attempt that
+                       ///< holds the key.
   ResultCode m_Code =
       ResultCode::Ok; ///< With Recorded and Refused: the result.
   AnswerBody m_Body;  ///< With Recorded: the answer, if it was kept.
--- a/ragwortmux/Request/KeyedRequests.cpp
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -14,9 +14,7 @@
   // The same id must never be used for two tries, also not by a later run of
   // this process or by another host; the prefix sees to that.
   State.m_Attempt =
-      AttemptId(m_Context.m_Settings.m_AttemptPrefix + "/" +
-                std::to_string(stableHash(m_Context.m_Group.value(), "")) +
-                "/" + std::to_string(++m_Context.m_LastAttempt));
+      AttemptId(attemptPrefix() + std::to_string(++m_Context.m_LastAttempt));
   State.m_Reserved = false;
   State.m_OfEndedSession = false;
   State.m_Phase = RequestPhase::ReservingKey;
@@ -46,6 +44,11 @@
     recorded(State, Result);
     return;
   case ReserveStatus::InUse:
+    if (isLeftOver(Result.m_Attempt)) {
+      State.m_Attempt = Result.m_Attempt;
+      endAttempt(State);
+      return;
+    }
     pause(State, ResultCode::NotRunKeyInUse);
     return;
   case ReserveStatus::Unavailable:
@@ -176,6 +179,26 @@
   State.m_RetryAt = m_Context.m_Now + m_Context.m_Settings.m_BackoffMax;
 }
 
+bool KeyedRequests::isLeftOver(const AttemptId &Attempt) const {
+  // Its outcome could not be recorded, and nothing here runs it any more.
+  if (!Attempt.value().starts_with(attemptPrefix()))
+    return false;
+  for (const auto &[Request, State] : m_Context.m_Requests) {
+    if (State.m_Attempt == Attempt)
+      return false;
+  }
+  for (const auto &[Caller, Open] : m_Context.m_Transactions) {
+    if (Open.m_Attempt == Attempt)
+      return false;
+  }
+  return true;
+}
+
+std::string KeyedRequests::attemptPrefix() const {
+  return m_Context.m_Settings.m_AttemptPrefix + "/" +
+         std::to_string(stableHash(m_Context.m_Group.value(), "")) + "/";
+}
+
 void KeyedRequests::recorded(RequestState &State, const ReserveResult &Result) {
   State.m_Code = Result.m_Code;
   State.m_Commit = Result.m_Point;
--- a/ragwortmux/Request/KeyedRequests.h
+++ b/ragwortmux/Request/KeyedRequests.h
@@ -3,6 +3,8 @@
 
 #include "ragwortmux/Request/GroupEvents.h"
 
+#include <string>
+
 namespace ragwortmux {
 
 struct GroupContext;
@@ -38,6 +40,8 @@
   void sendReservation(RequestState &State,
                        const std::optional<AttemptId> &Aborted);
   void pause(RequestState &State, ResultCode Reason);
+  bool isLeftOver(const AttemptId &Attempt) const;
+  std::string attemptPrefix() const;
   void recorded(RequestState &State, const ReserveResult &Result);
   void aborted(RequestState &State);
 
--- a/ragwortmux/Request/WriteRequests.cpp
+++ b/ragwortmux/Request/WriteRequests.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortmux/Request/GroupContext.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 #include <vector>
@@ -10,6 +11,10 @@
 
 namespace {
 
+/// How often an outcome that the ledger did not take is sent again.
+constexpr std::uint32_t MaxRecordRetries = 10;
+constexpr std::uint32_t MaxPauseDoublings = 4;
+
 /// True if nothing of the request's unit of work is left open: its transaction
 /// has ended, or an ended attempt was found committed.
 bool endsUnit(const RequestState &State) {
@@ -135,12 +140,32 @@
   advance(State);
 }
 
-void WriteRequests::outcomeRecorded(RequestState &State) {
+void WriteRequests::outcomeRecorded(RequestState &State, bool Recorded) {
   if (State.m_Phase != RequestPhase::Recording)
     return;
-  State.m_OutcomeRecorded = true;
-  State.m_RetryAt.reset();
-  advance(State);
+  if (Recorded && State.m_Answered) {
+    m_Context.erase(State);
+    return;
+  }
+  if (Recorded) {
+    State.m_OutcomeRecorded = true;
+    State.m_RetryAt.reset();
+    advance(State);
+    return;
+  }
+  goOnUnrecorded(State);
+}
+
+void WriteRequests::goOnUnrecorded(RequestState &State) {
+  if (!State.m_Answered) {
+    if (!mayBeAcknowledged(State)) {
+      advance(State);
+      return;
+    }
+    tellAcknowledged(State);
+  }
+  // The first caller has its answer; a resend is to find it too.
+  pauseRecording(State);
 }
 
 void WriteRequests::callerGone(RequestState &State) {
@@ -174,7 +199,8 @@
     break;
   }
   const bool IsSettling = State.m_Phase == RequestPhase::EndingAttempt ||
-                          State.m_Phase == RequestPhase::Replicating;
+                          State.m_Phase == RequestPhase::Replicating ||
+                          State.m_Phase == RequestPhase::Recording;
   if (Keyed && IsSettling && !State.m_OfEndedSession)
     return;
   if (Keyed && State.m_Phase == RequestPhase::StoringPoint)
@@ -194,7 +220,7 @@
     m_Context.abandonStatement(State, true);
     break;
   case RequestPhase::Recording:
-    outcomeRecorded(State);
+    expiredRecording(State);
     return;
   case RequestPhase::EndingAttempt:
   case RequestPhase::Replicating:
@@ -226,7 +252,10 @@
     storePoint(State);
     return;
   case RequestPhase::Recording:
-    outcomeRecorded(State);
+    if (State.m_Answered)
+      record(State);
+    else
+      goOnUnrecorded(State);
     return;
   case RequestPhase::Sent:
     // Ending the attempt now leaves time to tell the caller how it went.
@@ -297,6 +326,12 @@
 }
 
 void WriteRequests::record(RequestState &State) {
+  if (State.m_Phase != RequestPhase::Recording)
+    State.m_Pauses = 0;
+  if (State.m_Pauses > MaxRecordRetries) {
+    m_Context.erase(State);
+    return;
+  }
   RecordKeyOutcome Record;
   Record.m_Request = State.m_Request.m_Id;
   Record.m_Key = *State.m_Request.m_Key;
@@ -309,19 +344,24 @@
   Record.m_OfEndedSession = State.m_OfEndedSession;
   Record.m_Term = State.m_Term;
   m_Context.act(std::move(Record));
-  if (State.m_Answered) {
-    m_Context.erase(State);
-    return;
-  }
   State.m_Phase = RequestPhase::Recording;
-  State.m_RetryAt = m_Context.m_Now + m_Context.m_Settings.m_RecordWait;
+  pauseRecording(State);
+}
+
+void WriteRequests::pauseRecording(RequestState &State) {
+  const std::uint32_t Doublings = std::min(State.m_Pauses, MaxPauseDoublings);
+  State.m_RetryAt =
+      m_Context.m_Now + m_Context.m_Settings.m_RecordWait * (1U << Doublings);
+  ++State.m_Pauses;
 }
 
 void WriteRequests::acknowledge(RequestState &State) {
-  if (State.m_Answered) {
-    m_Context.erase(State);
-    return;
-  }
+  if (!State.m_Answered)
+    tellAcknowledged(State);
+  m_Context.erase(State);
+}
+
+void WriteRequests::tellAcknowledged(RequestState &State) {
   Answer Message;
   Message.m_Request = State.m_Request.m_Id;
   Message.m_Code = State.m_Code;
@@ -339,7 +379,16 @@
   if (State.m_ClosesCaller)
     m_Context.act(CloseCaller{State.m_Request.m_Caller, State.m_Code});
   ++m_Context.m_Counts.m_Writes;
-  m_Context.erase(State);
+  m_Context.disown(State);
+}
+
+void WriteRequests::expiredRecording(RequestState &State) {
+  if (mayBeAcknowledged(State)) {
+    goOnUnrecorded(State);
+    return;
+  }
+  m_Context.tell(State, ResultCode::OutcomeUnknown,
+                 resultCodeInfo(ResultCode::OutcomeUnknown).m_Meaning);
 }
 
 void WriteRequests::expiredUnsent(RequestState &State) {
--- a/ragwortmux/Request/WriteRequests.h
+++ b/ragwortmux/Request/WriteRequests.h
@@ -29,8 +29,8 @@
   /// Goes on with every commit that is applied everywhere by now.
   void checkReplicating();
   void pointStored(RequestState &State, bool Stored);
-  /// The ledger has the outcome, or took too long.
-  void outcomeRecorded(RequestState &State);
+  /// The ledger has the outcome, or could not take it.
+  void outcomeRecorded(RequestState &State, bool Recorded);
   /// The caller is gone; what was sent is settled without it.
   void callerGone(RequestState &State);
   /// The caller's wait is over.
@@ -44,7 +44,11 @@
   bool mayBeAcknowledged(const RequestState &State) const;
   void storePoint(RequestState &State);
   void record(RequestState &State);
+  void pauseRecording(RequestState &State);
+  void goOnUnrecorded(RequestState &State);
   void acknowledge(RequestState &State);
+  void tellAcknowledged(RequestState &State);
+  void expiredRecording(RequestState &State);
   void expiredUnsent(RequestState &State);
 
   GroupContext &m_Context; ///< The group.
--- a/tests/Request/GroupFixture.h
+++ b/tests/Request/GroupFixture.h
@@ -200,7 +200,7 @@
   bool m_AutoLedger = true;     ///< Reserve and record at once.
   std::function<void(const Answer &)> m_OnAnswer;
   std::function<ReserveResult(const ReserveRequestKey &)> m_OnReserve;
-  std::function<void(const RecordKeyOutcome &)> m_OnRecord;
+  std::function<bool(const RecordKeyOutcome &)> m_OnRecord;
   std::function<void(const SendStatement &)> m_OnSend;
   std::function<void(ConnectionId, bool)>
       m_OnClose; ///< With whether a statement was running.
@@ -283,10 +283,9 @@
   }
   void take(const RecordKeyOutcome &Action) {
     m_Records.push_back(Action);
-    if (m_OnRecord)
-      m_OnRecord(Action);
+    const bool Recorded = !m_OnRecord || m_OnRecord(Action);
     if (m_AutoLedger)
-      m_Core.outcomeRecorded(m_Now, Action.m_Request, true, m_Actions);
+      m_Core.outcomeRecorded(m_Now, Action.m_Request, Recorded, m_Actions);
   }
   void take(const FindSessionPoint &Action) {
     m_Finds.push_back(Action);
--- a/tests/Request/RandomRunTest.cpp
+++ b/tests/Request/RandomRunTest.cpp
@@ -18,14 +18,18 @@
       return reserveInLedger(Action);
     };
     m_OnRecord = [this](const RecordKeyOutcome &Action) {
+      const bool IsLost = below(5) == 0; // on the way there or back
+      if (IsLost && below(2) == 0)
+        return false;
       LedgerRow &Row = m_Ledger[Action.m_Key];
       if (Row.m_Attempt != Action.m_Attempt || Row.m_Ran)
-        return;
+        return false;
       Row.m_Ran = !saysNotRun(Action.m_Code);
       Row.m_Free = !Row.m_Ran;
       Row.m_Code = Action.m_Code;
       Row.m_Body = Action.m_Body;
       Row.m_Point = Action.m_Point;
+      return !IsLost;
     };
     m_OnSend = [this](const SendStatement &Sent) {
       // A tag stays until a transaction ends or another one replaces it.
@@ -87,9 +91,9 @@
     if (Row.m_HolderEnded && Action.m_Aborted == Row.m_Attempt)
       Row = LedgerRow();
     ReserveResult Result = reserveResult(ReserveStatus::InUse);
+    Result.m_Attempt = Row.m_Attempt;
     if (Row.m_HolderEnded) {
       Result.m_Status = ReserveStatus::HeldByEndedSession;
-      Result.m_Attempt = Row.m_Attempt;
     }
     if (Row.m_Ran) {
       Result.m_Status = ReserveStatus::Recorded;
--- a/tests/Request/WriteTest.cpp
+++ b/tests/Request/WriteTest.cpp
@@ -472,6 +472,47 @@
   BOOST_TEST((code(Id) == ResultCode::Ok));
 }
 
+BOOST_FIXTURE_TEST_CASE(AnUnrecordedOutcomeIsSentAgain, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  const RequestId Id = keyedWrite();
+  m_AutoLedger = false;
+  sample(1, 10, {"s2", "s3"});
+  answer(ok(1, 10));
+  m_Core.outcomeRecorded(m_Now, Id, false, m_Actions);
+  wait(milliseconds(0));
+  callerGone(Id.value());
+  BOOST_TEST((code(Id) == ResultCode::Ok));
+  changePrimary(2, "s2"); // it was applied everywhere, so this changes nothing
+  m_AutoLedger = true;
+  wait(seconds(1));
+  BOOST_TEST(m_Records.size() == 2U);
+  BOOST_TEST(m_Ends.empty());
+  BOOST_TEST((m_Records[1].m_Code == ResultCode::Ok));
+  wait(seconds(60));
+  BOOST_TEST(m_Records.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AResendFindsALeftOverAttemptOfThisProxy, GroupFixture,
+                        *boost::unit_test::label("promise-6")) {
+  m_AutoLedger = false;
+  const RequestId First = keyedWrite();
+  const AttemptId Attempt = m_Reserves[0].m_Attempt;
+  const RequestId Resend = keyedWrite();
+  ReserveResult InUse = reserveResult(ReserveStatus::InUse);
+  InUse.m_Attempt = Attempt;
+  reserve(First, reserveResult(ReserveStatus::Reserved));
+  reserve(Resend, InUse);
+  BOOST_TEST(m_Ends.empty()); // it runs
+  callerGone(First.value());
+  answer(error("23505"));
+  wait(seconds(60)); // its record never gets through
+  lease(seconds(60));
+  const RequestId Late = keyedWrite();
+  reserve(Late, InUse);
+  BOOST_REQUIRE(m_Ends.size() == 1);
+  BOOST_TEST((m_Ends[0].m_Attempt == Attempt));
+}
+
 BOOST_FIXTURE_TEST_CASE(AGoneCallersAttemptIsRecorded, GroupFixture,
                         *boost::unit_test::label("promise-6")) {
   const RequestId Id = keyedWrite();
