Replicated log: ask again soon after a refused pre-vote or a split vote

Cause: a follower that timed out a little before the others' silence was long enough waited a whole election time-out again. Ruled out: deciding between two pre-candidates by id; with links cut in part, the preferred one may be unable to win and hold the other up for good. Change: a pre-candidate asks again after a quarter to a half of the least time-out, a candidate after a half to the whole of it.

--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -141,6 +141,7 @@
   bool grantsVote(Instant Now, const VoterId &From,
                   const VoteRequest &Request) const;
   void resetElectionTimer(Instant Now);
+  Duration randomBetween(Duration Min, Duration Max) const;
 
   // Replication.
   bool mayAppend();
--- a/ragwortmux/Process/Log/ReplicatedLogElection.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -151,6 +151,10 @@
     m_Role = LogRole::Follower;
     return;
   }
+  // The others may have heard the last leader a little later: ask them again
+  // soon, which binds nobody.
+  const Duration Least = m_Settings.m_ElectionTimeoutMin;
+  m_ElectionAt = Now + randomBetween(Least / 4, Least / 2);
   m_Role = LogRole::PreCandidate;
   m_Votes = {m_Self};
   requestVotes(LogTerm(m_Hard.m_Term.value() + 1), true, false);
@@ -158,7 +162,9 @@
 }
 
 void ReplicatedLog::startElection(Instant Now, bool Transfer) {
-  resetElectionTimer(Now);
+  // If votes are split, nobody is left to wait for.
+  const Duration Least = m_Settings.m_ElectionTimeoutMin;
+  m_ElectionAt = Now + randomBetween(Least / 2, Least);
   m_Leader.reset();
   m_Role = LogRole::Candidate;
   m_Votes = {m_Self};
@@ -221,11 +227,14 @@
 }
 
 void ReplicatedLog::resetElectionTimer(Instant Now) {
-  const Duration Min = m_Settings.m_ElectionTimeoutMin;
-  const Duration Spread = m_Settings.m_ElectionTimeoutMax - Min;
-  const auto Span = static_cast<std::uint64_t>(Spread.count()) + 1;
-  const auto Extra = static_cast<Duration::rep>(m_Settings.m_Random() % Span);
-  m_ElectionAt = Now + Min + Duration(Extra);
+  m_ElectionAt = Now + randomBetween(m_Settings.m_ElectionTimeoutMin,
+                                     m_Settings.m_ElectionTimeoutMax);
+}
+
+Duration ReplicatedLog::randomBetween(Duration Min, Duration Max) const {
+  const auto Span = static_cast<std::uint64_t>((Max - Min).count()) + 1;
+  return Min +
+         Duration(static_cast<Duration::rep>(m_Settings.m_Random() % Span));
 }
 
 } // namespace ragwortmux
