Refuse keys from the future with the code that the table gives them

docs/RESULT_CODES.md lists keys that lie in the future under not-run-key- expired; the ledger said not-run-bad-request, and its test with it.

--- a/ragwortmux/Version/RequestLedger.cpp
+++ b/ragwortmux/Version/RequestLedger.cpp
@@ -85,7 +85,7 @@
     return ControlResult::refused(ResultCode::NotRunKeyExpired,
                                   "the key is older than the retention");
   if (Made > Now + m_Settings.m_MaxAhead)
-    return ControlResult::refused(ResultCode::NotRunBadRequest,
+    return ControlResult::refused(ResultCode::NotRunKeyExpired,
                                   "the key's time is in the future");
   return {};
 }
