Write the control leader's decisions to the time line

The leader noted only why a primary is replaced. Now each applied command but those about keyed requests, shares, homes and time gives one line, from the leader only, so that each stands once in the time line.

--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Version/ControlLeader.h"
 
 #include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/DescribeCommand.h"
 
 #include <variant>
 
@@ -60,6 +61,9 @@
   if (!m_IsLeader)
     return;
   m_Context.applied(Command);
+  if (const std::string Text = describeCommand(Command);
+      Result.ok() && !Text.empty())
+    m_Context.note(Text);
   if (std::holds_alternative<OpenSession>(Command) && Result.ok())
     m_Leases.sessionOpened(Result.m_Session, Now);
   if (const auto *End = std::get_if<EndSession>(&Command)) {
--- a/tests/Version/LeaderHarness.h
+++ b/tests/Version/LeaderHarness.h
@@ -97,6 +97,7 @@
   Instant m_Now{std::chrono::hours(1)};     ///< True time.
   Duration m_Delay{0};     ///< Of each message, proposal and call, one way.
   bool m_HasQuorum = true; ///< Proposals and rounds get through.
+  std::vector<std::string> m_Notes; ///< Lines of the time line.
   std::function<void(const ServerId &)> m_OnAppoint; ///< Before it is applied.
   std::function<bool(const CallBackend &)> m_DropCall; ///< True: call is lost.
 
@@ -117,7 +118,7 @@
   void handle(const PushCatalogue &Action);
   void handle(const PushSessionHomes &Action);
   void handle(const CallBackend &Action);
-  void handle(const Note &) {}
+  void handle(const Note &Action) { m_Notes.push_back(Action.m_Text); }
   void apply(const ControlCommand &Command);
   void take(FakeProxy &Proxy, const GroupView &View);
   FakeProxy *reachable(ControlSessionId Session);
--- a/tests/Version/PrimaryChangeTest.cpp
+++ b/tests/Version/PrimaryChangeTest.cpp
@@ -13,6 +13,18 @@
   BOOST_TEST(Harness.group().m_Primary->value() == "s1");
 }
 
+BOOST_AUTO_TEST_CASE(TimeLineOfAChange) {
+  LeaderHarness Harness;
+  Harness.m_Notes.clear();
+  Harness.server("s1").m_Up = false;
+  Harness.runUntil([&] { return Harness.isSettled(); });
+  const std::vector<std::string> Expected = {
+      "group portal-1: primary s1 has failed",
+      "group portal-1: term 2 begins without a primary",
+      "group portal-1: server s2 is primary of term 2"};
+  BOOST_TEST(Harness.m_Notes == Expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(PrimaryKilled) {
   struct Case final {
     Duration m_Delay;  ///< Of each message, one way.
