Give a key back to the ledger again until it is free

Cause: as for outcomes, the record that frees the key of an attempt that was never sent or has aborted was sent once; if it was lost, the key stayed in use. It now takes the same way as an outcome (WriteRequests::record).

--- a/ragwortmux/Request/KeyedRequests.cpp
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -29,8 +29,9 @@
     // The caller was told already, so the reservation must not stay.
     if (Result.m_Status == ReserveStatus::Reserved ||
         Result.m_Status == ReserveStatus::Unavailable)
-      release(State, ResultCode::NotRunDeadline);
-    m_Context.erase(State);
+      giveBack(State, ResultCode::NotRunDeadline);
+    else
+      m_Context.erase(State);
     return;
   }
   switch (Result.m_Status) {
@@ -75,8 +76,9 @@
   if (State.m_AwaitsReply)
     return;
   if (State.m_LastReason == ResultCode::NotRunLedgerUnavailable)
-    release(State, State.m_LastReason);
-  m_Context.erase(State);
+    giveBack(State, State.m_LastReason);
+  else
+    m_Context.erase(State);
 }
 
 void KeyedRequests::endAttempt(RequestState &State) {
@@ -127,15 +129,13 @@
   m_Context.m_Writes.advance(State);
 }
 
-void KeyedRequests::release(RequestState &State, ResultCode Code) {
-  assert(saysNotRun(Code));
-  RecordKeyOutcome Record;
-  Record.m_Request = State.m_Request.m_Id;
-  Record.m_Key = *State.m_Request.m_Key;
-  Record.m_Owner = State.m_Request.m_Entry->m_Owner;
-  Record.m_Attempt = State.m_Attempt;
-  Record.m_Code = Code;
-  m_Context.act(std::move(Record));
+void KeyedRequests::giveBack(RequestState &State, ResultCode Code) {
+  assert(saysNotRun(Code) && State.m_Answered && !State.m_Connection);
+  m_Context.m_Queue.remove(*State.m_Request.m_Entry, State.m_Request.m_Id);
+  State.m_Code = Code;
+  State.m_Answer.reset();
+  State.m_Commit.reset();
+  m_Context.m_Writes.record(State);
 }
 
 void KeyedRequests::settleTransaction(const TransactionState &Transaction) {
@@ -222,18 +222,19 @@
     reserve(State, Ended);
     return;
   }
-  release(State, ResultCode::NotRunRolledBack);
-  if (State.m_Answered) {
-    m_Context.erase(State);
-    return;
-  }
   // The statements before this one of the transaction are gone with it.
-  if (State.m_InTransaction || m_Context.m_Now >= State.m_Deadline ||
-      !m_Context.m_Retries.takeRetry()) {
-    m_Context.finish(State, ResultCode::NotRunRolledBack);
+  const bool RunsAgain = !State.m_Answered && !State.m_InTransaction &&
+                         m_Context.m_Now < State.m_Deadline &&
+                         m_Context.m_Retries.takeRetry();
+  if (!RunsAgain) {
+    m_Context.tell(State, ResultCode::NotRunRolledBack,
+                   resultCodeInfo(ResultCode::NotRunRolledBack).m_Meaning);
+    giveBack(State, ResultCode::NotRunRolledBack);
     return;
   }
   ++m_Context.m_Counts.m_Retries;
+  State.m_Code = ResultCode::NotRunRolledBack;
+  m_Context.m_Writes.sendRecord(State);
   reserve(State, std::nullopt);
 }
 
--- a/ragwortmux/Request/KeyedRequests.h
+++ b/ragwortmux/Request/KeyedRequests.h
@@ -29,8 +29,9 @@
   void endAttempt(RequestState &State);
   void attemptEnded(RequestState &State, AttemptOutcome Outcome,
                     const std::optional<LogPoint> &Point);
-  /// Frees the key of an attempt that was never sent or has aborted.
-  void release(RequestState &State, ResultCode Code);
+  /// Frees the key of an attempt that was never sent or has aborted, after its
+  /// caller has been told or has gone; then forgets the request.
+  void giveBack(RequestState &State, ResultCode Code);
   /// Settles the key of a transaction that was closed from this side.
   void settleTransaction(const TransactionState &Transaction);
   /// The pause of the request is over.
--- a/ragwortmux/Request/WriteRequests.cpp
+++ b/ragwortmux/Request/WriteRequests.cpp
@@ -179,8 +179,10 @@
       m_Context.m_Keyed.endAttempt(State);
       return;
     }
-    if (Keyed)
-      m_Context.m_Keyed.release(State, ResultCode::NotRunDeadline);
+    if (Keyed) {
+      m_Context.m_Keyed.giveBack(State, ResultCode::NotRunDeadline);
+      return;
+    }
     break;
   case RequestPhase::Sent:
     // It runs to its end, so that the connection can be used again.
@@ -304,8 +306,9 @@
     return;
   }
   if (isKeyed(State))
-    m_Context.m_Keyed.release(State, Reason);
-  m_Context.erase(State);
+    m_Context.m_Keyed.giveBack(State, Reason);
+  else
+    m_Context.erase(State);
 }
 
 bool WriteRequests::mayBeAcknowledged(const RequestState &State) const {
@@ -332,6 +335,12 @@
     m_Context.erase(State);
     return;
   }
+  sendRecord(State);
+  State.m_Phase = RequestPhase::Recording;
+  pauseRecording(State);
+}
+
+void WriteRequests::sendRecord(const RequestState &State) {
   RecordKeyOutcome Record;
   Record.m_Request = State.m_Request.m_Id;
   Record.m_Key = *State.m_Request.m_Key;
@@ -344,8 +353,6 @@
   Record.m_OfEndedSession = State.m_OfEndedSession;
   Record.m_Term = State.m_Term;
   m_Context.act(std::move(Record));
-  State.m_Phase = RequestPhase::Recording;
-  pauseRecording(State);
 }
 
 void WriteRequests::pauseRecording(RequestState &State) {
@@ -404,9 +411,11 @@
   ResultCode Reason = m_Context.m_Dispatcher.writeObstacle();
   if (Reason == ResultCode::NotRunDeadline)
     Reason = State.m_LastReason;
+  m_Context.tellRefused(State, Reason);
   if (isKeyed(State))
-    m_Context.m_Keyed.release(State, Reason);
-  m_Context.refuse(State, Reason);
+    m_Context.m_Keyed.giveBack(State, Reason);
+  else
+    m_Context.erase(State);
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/WriteRequests.h
+++ b/ragwortmux/Request/WriteRequests.h
@@ -29,6 +29,10 @@
   /// Goes on with every commit that is applied everywhere by now.
   void checkReplicating();
   void pointStored(RequestState &State, bool Stored);
+  /// Records the outcome in the ledger, again and again if it cannot take it.
+  void record(RequestState &State);
+  /// Sends the outcome to the ledger once.
+  void sendRecord(const RequestState &State);
   /// The ledger has the outcome, or could not take it.
   void outcomeRecorded(RequestState &State, bool Recorded);
   /// The caller is gone; what was sent is settled without it.
@@ -43,7 +47,6 @@
   void retryUnrun(RequestState &State, ResultCode Reason);
   bool mayBeAcknowledged(const RequestState &State) const;
   void storePoint(RequestState &State);
-  void record(RequestState &State);
   void pauseRecording(RequestState &State);
   void goOnUnrecorded(RequestState &State);
   void acknowledge(RequestState &State);
--- a/tests/Request/WriteTest.cpp
+++ b/tests/Request/WriteTest.cpp
@@ -345,6 +345,11 @@
   reserve(Id, reserveResult(ReserveStatus::Reserved));
   BOOST_REQUIRE(m_Records.size() == 1);
   BOOST_TEST(saysNotRun(m_Records[0].m_Code));
+  wait(milliseconds(250));
+  BOOST_TEST(m_Records.size() == 2U); // until the ledger has it
+  m_Core.outcomeRecorded(m_Now, Id, true, m_Actions);
+  wait(seconds(60));
+  BOOST_TEST(m_Records.size() == 2U);
   BOOST_TEST(m_Sent == 0U);
 }
 
