Replicated log: refuse unsound appends, bound uncommitted bytes

Cause: an append with a gap or falling terms ended the process by an assertion; uncommitted entries were bounded by number only, so that large payloads could fill the memory. Proposals are refused from 64 MiB of uncommitted payload on (m_MaxUncommittedBytes). Conclusion: a peer that sends wrong entries cannot stop this one; it is not told so.

--- a/ragwortmux/Process/Log/LeaderState.h
+++ b/ragwortmux/Process/Log/LeaderState.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Core/Time.h"
 #include "ragwortmux/Process/Log/LogEntry.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -68,6 +69,13 @@
   /// True if a quorum of \p Members has answered at or after \p Since.
   bool quorumHeard(const LogMembership &Members, Instant Since) const;
 
+  /// Counts \p Bytes of payload of an own entry.
+  void addUncommitted(std::size_t Bytes) { m_UncommittedBytes += Bytes; }
+  /// Counts \p Bytes as committed.
+  void removeUncommitted(std::size_t Bytes) { m_UncommittedBytes -= Bytes; }
+  /// Payload bytes of own entries that are not committed.
+  std::size_t uncommittedBytes() const { return m_UncommittedBytes; }
+
   /// All other members.
   std::map<VoterId, PeerProgress> &peers() { return m_Peers; }
   /// The peer \p Id, or null.
@@ -99,8 +107,9 @@
   std::map<VoterId, PeerProgress> m_Peers; ///< All other members.
   std::uint64_t m_Round = 1;               ///< The current round.
   bool m_WantsRound = false;               ///< See wantsRound().
-  std::deque<RoundStart> m_Starts;   ///< Never empty; rounds that matter yet.
-  std::deque<PendingToken> m_Tokens; ///< In the order asked.
+  std::deque<RoundStart> m_Starts;    ///< Never empty; rounds that matter yet.
+  std::size_t m_UncommittedBytes = 0; ///< See uncommittedBytes().
+  std::deque<PendingToken> m_Tokens;  ///< In the order asked.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -149,6 +149,7 @@
   EntryId appendOwn(LogEntry Entry);
   std::optional<EntryId> appendMembership(Instant Now, LogMembership Members);
   bool hasCaughtUp(Instant Now, const VoterId &Id);
+  bool isSound(const AppendRequest &Request) const;
   void acceptEntries(const AppendRequest &Request);
   void replicate(Instant Now);
   void sendEntries(Instant Now, PeerProgress &Peer);
--- a/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
@@ -24,6 +24,8 @@
   if (m_Log.last().m_Index.value() - m_Commit.value() >=
       m_Settings.m_MaxUncommittedEntries)
     return refuse("too many entries are not committed yet");
+  if (m_LeaderState->uncommittedBytes() >= m_Settings.m_MaxUncommittedBytes)
+    return refuse("too many bytes are not committed yet");
   return true;
 }
 
@@ -31,6 +33,7 @@
   assert(m_Role == LogRole::Leader);
   const EntryId Id{next(m_Log.last().m_Index), m_Hard.m_Term};
   Entry.m_Id = Id;
+  m_LeaderState->addUncommitted(Entry.m_Payload.size());
   m_Persist.append(Entry);
   m_Log.append(std::move(Entry));
   return Id;
@@ -139,8 +142,13 @@
       m_LeaderState->quorumMatch(membership(), m_Persist.durable());
   // An entry of an earlier term may still be overwritten by a later leader,
   // however many hold it; one of the own term may not.
-  if (Held > m_Commit && m_Log.termAt(Held) == m_Hard.m_Term)
-    m_Commit = Held;
+  if (Held <= m_Commit || m_Log.termAt(Held) != m_Hard.m_Term)
+    return;
+  while (m_Commit < Held) {
+    m_Commit = next(m_Commit);
+    if (m_Commit >= m_LeaderState->firstEntry())
+      m_LeaderState->removeUncommitted(m_Log.at(m_Commit).m_Payload.size());
+  }
 }
 
 void ReplicatedLog::replicate(Instant Now) {
@@ -220,6 +228,8 @@
 
 void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
                               const AppendRequest &Request) {
+  if (m_Role == LogRole::Leader || !isSound(Request))
+    return;
   followLeader(Now, From);
   const LogIndex Previous = Request.m_Previous.m_Index;
   AppendReply Reply;
@@ -243,6 +253,26 @@
   send(From, Reply);
 }
 
+bool ReplicatedLog::isSound(const AppendRequest &Request) const {
+  // No right message contradicts itself or what is committed here; a wrong one
+  // must not end the process.
+  const auto Contradicts = [&](const EntryId &Id) {
+    const std::optional<LogTerm> Term = m_Log.termAt(Id.m_Index);
+    return Id.m_Index <= m_Commit && Id.m_Index > LogIndex() && Term &&
+           *Term != Id.m_Term;
+  };
+  EntryId Before = Request.m_Previous;
+  if (Contradicts(Before))
+    return false;
+  for (const LogEntry &Entry : Request.m_Entries) {
+    if (Entry.m_Id.m_Index != next(Before.m_Index) ||
+        Entry.m_Id.m_Term < Before.m_Term || Contradicts(Entry.m_Id))
+      return false;
+    Before = Entry.m_Id;
+  }
+  return Before.m_Term <= Request.m_Term;
+}
+
 void ReplicatedLog::acceptEntries(const AppendRequest &Request) {
   for (const LogEntry &Entry : Request.m_Entries) {
     const LogIndex Index = Entry.m_Id.m_Index;
@@ -259,8 +289,11 @@
 
 void ReplicatedLog::onMessage(Instant Now, const VoterId &From,
                               const SnapshotRequest &Request) {
-  followLeader(Now, From);
   const EntryId &Last = Request.m_Snapshot.m_Last;
+  if (m_Role == LogRole::Leader || Last.m_Index == LogIndex() ||
+      Last.m_Term > Request.m_Term)
+    return;
+  followLeader(Now, From);
   if (Last.m_Index > m_Commit) {
     if (!m_Log.contains(Last)) {
       auto Snapshot = std::make_shared<const LogSnapshot>(Request.m_Snapshot);
--- a/ragwortmux/Process/Log/ReplicatedLogSettings.h
+++ b/ragwortmux/Process/Log/ReplicatedLogSettings.h
@@ -35,6 +35,9 @@
   std::size_t m_MaxInFlightEntries = 2048;
   /// Proposals are refused while so many entries are not committed.
   std::size_t m_MaxUncommittedEntries = 16384;
+  /// Proposals are refused while own entries of so many payload bytes are not
+  /// committed.
+  std::size_t m_MaxUncommittedBytes = std::size_t{64} << 20;
   /// Entries kept in memory and on disk before a snapshot's last one, so that a
   /// member that is only a little behind needs no snapshot.
   std::size_t m_TrailingEntries = 1024;
--- a/tests/Log/ReplicatedLogTest.cpp
+++ b/tests/Log/ReplicatedLogTest.cpp
@@ -305,6 +305,43 @@
   BOOST_CHECK_EQUAL(A.log().commitIndex().value(), Row.m_CommitAfter);
 }
 
+struct UnsoundRow final {
+  const char *m_Name;             ///< What is wrong.
+  EntryId m_Previous;             ///< Of the request of term 5.
+  std::vector<EntryId> m_Entries; ///< Of the request.
+
+  friend std::ostream &operator<<(std::ostream &Out, const UnsoundRow &Row) {
+    return Out << Row.m_Name;
+  }
+};
+
+// The member has three entries of terms 1, 2 and 2, two of them committed.
+const UnsoundRow UnsoundRows[] = {
+    {"gap within the entries", entryId(3, 2), {entryId(4, 5), entryId(6, 5)}},
+    {"gap before the entries", entryId(3, 2), {entryId(5, 5)}},
+    {"terms fall", entryId(3, 2), {entryId(4, 5), entryId(5, 4)}},
+    {"term of the future", entryId(3, 2), {entryId(4, 6)}},
+    {"other previous than committed", entryId(2, 1), {entryId(3, 2)}},
+    {"other entry than committed", entryId(1, 1), {entryId(2, 3)}},
+};
+
+BOOST_DATA_TEST_CASE(IgnoresEntriesThatCannotBe, UnsoundRows, Row) {
+  Member A({1, 2, 2}, {LogTerm(5), VoterId()});
+  A.receive(Other,
+            AppendRequest{LogTerm(5), entryId(2, 2), {}, LogIndex(2), 1});
+  A.persist();
+  A.taken<SendMessage>();
+  AppendRequest Request{LogTerm(5), Row.m_Previous, {}, {}, 2};
+  for (const EntryId &Id : Row.m_Entries) {
+    Request.m_Entries.emplace_back();
+    Request.m_Entries.back().m_Id = Id;
+  }
+  A.receive(Other, Request);
+  A.persist();
+  BOOST_CHECK(A.sent<AppendReply>().empty());
+  BOOST_CHECK(A.log().log().last() == entryId(3, 2));
+}
+
 BOOST_AUTO_TEST_CASE(AcknowledgesNothingBeforeItIsDurable,
                      *label("promise-9")) {
   Member A({1}, {LogTerm(2), VoterId()});
@@ -443,6 +480,10 @@
          Log.propose(Now, "x");
        return !Log.propose(Now, "x");
      }},
+    {"too many bytes are not committed yet", 2,
+     [](ReplicatedLog &Log, Instant Now) {
+       return Log.propose(Now, "12345678") && !Log.propose(Now, "x");
+     }},
     {"the leader has not committed an entry of its term yet", 1,
      [](ReplicatedLog &Log, Instant Now) {
        return !Log.addMember(Now, VoterId("d"), "");
@@ -483,6 +524,7 @@
   ReplicatedLogSettings Settings;
   Settings.m_MaxPayloadBytes = 8;
   Settings.m_MaxUncommittedEntries = 4;
+  Settings.m_MaxUncommittedBytes = 8;
   Member A({1}, {}, Settings);
   if (Row.m_Committed > 0) {
     A.lead();
