--- a/ragwortmux/Core/Time.h
+++ b/ragwortmux/Core/Time.h
@@ -15,8 +15,9 @@
   using period = std::chrono::microseconds::period;
   using duration = std::chrono::microseconds;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady =
-      true; // NOLINT(readability-identifier-naming): named by std::chrono
+  // The name is std::chrono's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 };
 
 using Duration = std::chrono::microseconds;
--- a/ragwortmux/Process/ActorHost.h
+++ b/ragwortmux/Process/ActorHost.h
@@ -5,7 +5,7 @@
 
 namespace caf {
 class actor_system;
-}
+} // namespace caf
 
 namespace ragwortmux {
 
--- a/ragwortmux/Process/CallerConnection.cpp
+++ b/ragwortmux/Process/CallerConnection.cpp
@@ -420,7 +420,7 @@
   m_ReportedToken = std::move(Token);
 }
 
-void CallerConnection::write(std::string Bytes, bool CloseAfter) {
+void CallerConnection::write(const std::string &Bytes, bool CloseAfter) {
   m_Output += Bytes;
   m_CloseAfterWrite = m_CloseAfterWrite || CloseAfter;
   if (!m_Writing) {
--- a/ragwortmux/Process/CallerConnection.h
+++ b/ragwortmux/Process/CallerConnection.h
@@ -100,7 +100,7 @@
   void refuse(ResultCode Code, const std::string &Reason);
   void finishAnswer(ResultCode Code, TransactionStatus Status);
   void writeToken(PgMessageWriter &Writer);
-  void write(std::string Bytes, bool CloseAfter);
+  void write(const std::string &Bytes, bool CloseAfter);
   void flush();
   void close();
 
--- a/ragwortmux/Process/ControlActor.cpp
+++ b/ragwortmux/Process/ControlActor.cpp
@@ -52,7 +52,8 @@
   caf::anon_send_exit(m_Handle->m_Actor, caf::exit_reason::user_shutdown);
 }
 
-ControlNodeHooks ControlActor::onLoop(IoLoop &Loop, ControlNodeHooks Hooks) {
+ControlNodeHooks ControlActor::onLoop(IoLoop &Loop,
+                                      const ControlNodeHooks &Hooks) {
   ControlNodeHooks Moved;
   Moved.m_SendLog = [&Loop, Send = Hooks.m_SendLog](const std::string &Address,
                                                     LogEnvelope Envelope) {
--- a/ragwortmux/Process/ControlActor.h
+++ b/ragwortmux/Process/ControlActor.h
@@ -27,7 +27,7 @@
   ControlActor &operator=(const ControlActor &) = delete;
 
   /// \p Hooks with every call moved to the event loop; for making the node.
-  static ControlNodeHooks onLoop(IoLoop &Loop, ControlNodeHooks Hooks);
+  static ControlNodeHooks onLoop(IoLoop &Loop, const ControlNodeHooks &Hooks);
 
   void receive(LogEnvelope Envelope);
   void tick();
--- a/ragwortmux/Process/ControlClient.cpp
+++ b/ragwortmux/Process/ControlClient.cpp
@@ -148,8 +148,8 @@
   tryCommand(encodeCommand(Command), Deadline, std::move(Reply));
 }
 
-void ControlClient::tryCommand(std::string Bytes, Instant Deadline,
-                               std::function<void(CommandReply)> Reply) {
+void ControlClient::tryCommand(const std::string &Bytes, Instant Deadline,
+                               const std::function<void(CommandReply)> &Reply) {
   leader().command(Bytes, [this, Asked = m_Current, Bytes, Deadline,
                            Reply](const std::optional<CommandReply> &Given) {
     const bool Answered = Given &&
@@ -176,9 +176,9 @@
   tryQuery(What, Name, Deadline, std::move(Reply));
 }
 
-void ControlClient::tryQuery(std::string What, std::string Name,
+void ControlClient::tryQuery(const std::string &What, const std::string &Name,
                              Instant Deadline,
-                             std::function<void(QueryReply)> Reply) {
+                             const std::function<void(QueryReply)> &Reply) {
   leader().query(
       What, Name,
       [this, Asked = m_Current, What, Name, Deadline,
--- a/ragwortmux/Process/ControlClient.h
+++ b/ragwortmux/Process/ControlClient.h
@@ -83,10 +83,10 @@
                std::uint64_t Sequence, const std::optional<RenewReply> &Reply);
   void takeUpdate(const ControlUpdate &Update);
   void sendReports();
-  void tryCommand(std::string Bytes, Instant Deadline,
-                  std::function<void(CommandReply)> Reply);
-  void tryQuery(std::string What, std::string Name, Instant Deadline,
-                std::function<void(QueryReply)> Reply);
+  void tryCommand(const std::string &Bytes, Instant Deadline,
+                  const std::function<void(CommandReply)> &Reply);
+  void tryQuery(const std::string &What, const std::string &Name,
+                Instant Deadline, const std::function<void(QueryReply)> &Reply);
   void turnTo(std::size_t Asked, const ControlStatus &Status);
   void turnToNext(std::size_t Asked);
   void scheduleStep(Duration Delay);
--- a/ragwortmux/Process/ControlNode.cpp
+++ b/ragwortmux/Process/ControlNode.cpp
@@ -52,7 +52,7 @@
 }
 
 void ControlNode::openSession(Instant Now, const OpenSession &Command,
-                              Respond<OpenSessionReply> Reply) {
+                              const Respond<OpenSessionReply> &Reply) {
   command(Now, Command, [Reply](const CommandReply &Given) {
     OpenSessionReply Opened;
     Opened.m_Status = Given.m_Status;
@@ -78,7 +78,7 @@
 void ControlNode::report(Instant Now,
                          const std::vector<ServerAnnouncement> &Announcements,
                          const std::vector<ServerSuspicion> &Suspicions,
-                         Respond<ControlStatus> Reply) {
+                         const Respond<ControlStatus> &Reply) {
   if (!isServing()) {
     Reply(notLeader());
     return;
--- a/ragwortmux/Process/ControlNode.h
+++ b/ragwortmux/Process/ControlNode.h
@@ -66,12 +66,12 @@
   void receive(Instant Now, const LogEnvelope &Envelope);
   void tick(Instant Now, WallTime Wall);
   void openSession(Instant Now, const OpenSession &Command,
-                   Respond<OpenSessionReply> Reply);
+                   const Respond<OpenSessionReply> &Reply);
   void renew(Instant Now, const LeaseRenewal &Renewal,
              Respond<RenewReply> Reply);
   void report(Instant Now, const std::vector<ServerAnnouncement> &Announcements,
               const std::vector<ServerSuspicion> &Suspicions,
-              Respond<ControlStatus> Reply);
+              const Respond<ControlStatus> &Reply);
   void command(Instant Now, const ControlCommand &Command,
                Respond<CommandReply> Reply);
   /// Answered once this node is confirmed as the leader.
--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -92,7 +92,7 @@
   };
   Hooks.m_Identify = [this] { return m_Identity; };
   Hooks.m_OpenSession = [this](const EntryAddress &Host, Incarnation Run,
-                               UpdateListener Listener, auto Respond) {
+                               const UpdateListener &Listener, auto Respond) {
     OpenSession Command{Host.m_Host, Run, Host.m_Domain, Host.m_Address,
                         Host.m_Port};
     m_Actor->openSession(
@@ -103,11 +103,11 @@
           Respond(Reply);
         });
   };
-  Hooks.m_Renew = [this](LeaseRenewal Renewal, auto Respond) {
+  Hooks.m_Renew = [this](const LeaseRenewal &Renewal, auto Respond) {
     m_Actor->renew(std::move(Renewal), Respond);
   };
-  Hooks.m_Report = [this](std::vector<ServerAnnouncement> Announcements,
-                          std::vector<ServerSuspicion> Suspicions,
+  Hooks.m_Report = [this](const std::vector<ServerAnnouncement> &Announcements,
+                          const std::vector<ServerSuspicion> &Suspicions,
                           auto Respond) {
     m_Actor->report(std::move(Announcements), std::move(Suspicions), Respond);
   };
@@ -120,7 +120,8 @@
     }
     m_Actor->command(std::move(*Command), Respond);
   };
-  Hooks.m_Query = [this](std::string What, std::string Name, auto Respond) {
+  Hooks.m_Query = [this](const std::string &What, const std::string &Name,
+                         auto Respond) {
     m_Actor->query(std::move(What), std::move(Name), Respond);
   };
 }
@@ -165,10 +166,11 @@
 
 ControlNodeHooks ControlRole::nodeHooks() {
   ControlNodeHooks Hooks;
-  Hooks.m_SendLog = [this](const std::string &Address, LogEnvelope Envelope) {
+  Hooks.m_SendLog = [this](const std::string &Address,
+                           const LogEnvelope &Envelope) {
     sendLog(Address, Envelope);
   };
-  Hooks.m_Push = [this](ControlSessionId Session, ControlUpdate Update) {
+  Hooks.m_Push = [this](ControlSessionId Session, const ControlUpdate &Update) {
     push(Session, Update);
   };
   Hooks.m_CallBackend = [this](const CallBackend &Call) { callBackend(Call); };
--- a/ragwortmux/Process/RpcServer.cpp
+++ b/ragwortmux/Process/RpcServer.cpp
@@ -33,9 +33,9 @@
 UpdateListener listenerOf(IoLoop &Loop, rpc::EntryListener::Client Client) {
   const auto Shared =
       std::make_shared<rpc::EntryListener::Client>(kj::mv(Client));
-  return [&Loop,
-          Shared](ControlSessionId Session, ControlUpdate Update,
-                  std::function<void(std::optional<Confirmation>)> Reply) {
+  return [&Loop, Shared](
+             ControlSessionId Session, const ControlUpdate &Update,
+             const std::function<void(std::optional<Confirmation>)> &Reply) {
     auto Request = Shared->updateRequest();
     Request.setSession(Session.value());
     writeRpc(Request.initUpdate(), Update);
@@ -92,7 +92,7 @@
                                    listenerOf(m_Loop, Params.getListener()),
                                    Respond);
            })
-        .then([Context](OpenSessionReply Reply) mutable {
+        .then([Context](const OpenSessionReply &Reply) mutable {
           writeRpc(Context.getResults().initStatus(), Reply.m_Status);
           Context.getResults().setSession(Reply.m_Session.value());
         });
@@ -117,7 +117,7 @@
     return promiseOf<RenewReply>([&](auto Respond) {
              m_Hooks.m_Renew(std::move(Renewal), Respond);
            })
-        .then([Context](RenewReply Reply) mutable {
+        .then([Context](const RenewReply &Reply) mutable {
           auto Results = Context.getResults();
           writeRpc(Results.initStatus(), Reply.m_Status);
           Results.setLeaseUs(Reply.m_Lease.count());
@@ -144,7 +144,7 @@
              m_Hooks.m_Report(std::move(Announcements), std::move(Suspicions),
                               Respond);
            })
-        .then([Context](ControlStatus Status) mutable {
+        .then([Context](const ControlStatus &Status) mutable {
           writeRpc(Context.getResults().initStatus(), Status);
         });
   }
@@ -158,7 +158,7 @@
              m_Hooks.m_Command(toString(Context.getParams().getCommand()),
                                Respond);
            })
-        .then([Context](CommandReply Reply) mutable {
+        .then([Context](const CommandReply &Reply) mutable {
           writeRpc(Context.getResults().initResult(), Reply);
         });
   }
@@ -173,7 +173,7 @@
              m_Hooks.m_Query(toString(Params.getWhat()),
                              toString(Params.getName()), Respond);
            })
-        .then([Context](QueryReply Reply) mutable {
+        .then([Context](const QueryReply &Reply) mutable {
           writeRpc(Context.getResults().initStatus(), Reply.m_Status);
           Context.getResults().setJson(toText(Reply.m_Json));
         });
--- a/ragwortmux/Process/SessionPoints.cpp
+++ b/ragwortmux/Process/SessionPoints.cpp
@@ -53,7 +53,7 @@
 
 void SessionPoints::store(const SessionName &Session, const GroupId &Group,
                           const LogPoint &Point,
-                          std::function<void(bool)> Reply) {
+                          const std::function<void(bool)> &Reply) {
   const SessionPointEntry Entry{
       {Session, Group, m_Homes.m_Revision}, Point, std::nullopt};
   const auto Active = homesOf(Session, m_Homes.m_Active);
@@ -86,9 +86,9 @@
   }
 }
 
-void SessionPoints::find(RequestId Request, const SessionName &Session,
-                         const GroupId &Group,
-                         std::function<void(std::optional<LogPoint>)> Reply) {
+void SessionPoints::find(
+    RequestId Request, const SessionName &Session, const GroupId &Group,
+    const std::function<void(std::optional<LogPoint>)> &Reply) {
   const auto Homes = homesOf(Session, m_Homes.m_Active);
   if (Homes.empty()) {
     Reply(std::nullopt);
@@ -103,21 +103,20 @@
   Current->m_Missing = Homes.size();
   const SessionPointKey Key{Session, Group, m_Homes.m_Revision};
   for (std::size_t Index = 0; Index < Homes.size(); ++Index) {
-    findAt(
-        Homes[Index], Key,
-        [this, Current, Index, Homes, Request,
-         Reply](std::optional<SessionLookup> Found) {
-          Current->m_Found[Index] = Found;
-          if (--Current->m_Missing > 0) {
-            return;
-          }
-          const auto Point = SessionHome::combine(Current->m_Found);
-          if (!Point) {
-            keepTickets(Request, Homes, Current->m_Found);
-          }
-          // Without a lease the homes may have been replaced unnoticed.
-          Reply(m_Settings.m_LeaseValid() ? Point : std::nullopt);
-        });
+    findAt(Homes[Index], Key,
+           [this, Current, Index, Homes, Request,
+            Reply](std::optional<SessionLookup> Found) {
+             Current->m_Found[Index] = Found;
+             if (--Current->m_Missing > 0) {
+               return;
+             }
+             const auto Point = SessionHome::combine(Current->m_Found);
+             if (!Point) {
+               keepTickets(Request, Homes, Current->m_Found);
+             }
+             // Without a lease the homes may have been replaced unnoticed.
+             Reply(m_Settings.m_LeaseValid() ? Point : std::nullopt);
+           });
   }
 }
 
@@ -151,7 +150,7 @@
 
 void SessionPoints::storeAt(const EntryAddress &Home,
                             const SessionPointEntry &Entry,
-                            std::function<void(bool)> Reply) {
+                            const std::function<void(bool)> &Reply) {
   if (Home.m_Host == m_Settings.m_Self) {
     Reply(storeHere(Entry));
     return;
@@ -163,7 +162,7 @@
 
 void SessionPoints::findAt(
     const EntryAddress &Home, const SessionPointKey &Key,
-    std::function<void(std::optional<SessionLookup>)> Reply) {
+    const std::function<void(std::optional<SessionLookup>)> &Reply) {
   if (Home.m_Host == m_Settings.m_Self) {
     Reply(findHere(Key));
     return;
--- a/ragwortmux/Process/SessionPoints.h
+++ b/ragwortmux/Process/SessionPoints.h
@@ -48,14 +48,14 @@
   ///@name For this process's own callers
   /// Stores a position; \p Reply gets true once it counts as stored.
   void store(const SessionName &Session, const GroupId &Group,
-             const LogPoint &Point, std::function<void(bool)> Reply);
+             const LogPoint &Point, const std::function<void(bool)> &Reply);
   /// Makes a session known that find() did not know for \p LookedUpBy, at the
   /// position that a read at the primary has seen since.
   void establish(RequestId LookedUpBy, const SessionName &Session,
                  const GroupId &Group, const LogPoint &Point);
   /// Looks a position up; nothing if it is not known for certain.
   void find(RequestId Request, const SessionName &Session, const GroupId &Group,
-            std::function<void(std::optional<LogPoint>)> Reply);
+            const std::function<void(std::optional<LogPoint>)> &Reply);
 
   ///@name For other processes
   bool storeHere(const SessionPointEntry &Entry);
@@ -69,9 +69,9 @@
   homesOf(const SessionName &Session,
           const std::vector<EntryAddress> &Hosts) const;
   void storeAt(const EntryAddress &Home, const SessionPointEntry &Entry,
-               std::function<void(bool)> Reply);
+               const std::function<void(bool)> &Reply);
   void findAt(const EntryAddress &Home, const SessionPointKey &Key,
-              std::function<void(std::optional<SessionLookup>)> Reply);
+              const std::function<void(std::optional<SessionLookup>)> &Reply);
   void storeAtOneOf(const std::vector<EntryAddress> &Homes,
                     const SessionPointEntry &Entry,
                     std::function<void(bool)> Reply);
--- a/tests/Process/CallerCalls.cpp
+++ b/tests/Process/CallerCalls.cpp
@@ -2,7 +2,6 @@
 
 #include "ragwortmux/Process/Support/UuidV7.h"
 
-#include <chrono>
 #include <random>
 
 namespace ragwortmux {
@@ -27,10 +26,10 @@
   return Refused;
 }
 
-std::string makeKey() {
-  static std::mt19937_64 Random(std::random_device{}());
+std::string makeKey(std::chrono::hours Age) {
+  thread_local std::mt19937_64 Random(std::random_device{}());
   const auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
+      std::chrono::system_clock::now() - Age);
   return makeRequestKey(Now, [] { return Random(); }).value();
 }
 
--- a/tests/Process/CallerCalls.h
+++ b/tests/Process/CallerCalls.h
@@ -3,6 +3,7 @@
 
 #include "tests/StandIn/PgClient.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -20,8 +21,8 @@
 PgAnswer runOnce(std::uint16_t Port, const std::string &Entry,
                  const std::string &Sql, const CallerSettings &Settings = {});
 
-/// A fresh request key.
-std::string makeKey();
+/// A fresh request key; \p Age makes one of that long ago.
+std::string makeKey(std::chrono::hours Age = std::chrono::hours(0));
 
 } // namespace ragwortmux
 
--- a/tests/Process/Cluster.cpp
+++ b/tests/Process/Cluster.cpp
@@ -1,7 +1,5 @@
 #include "Cluster.h"
 
-#include "HttpCall.h"
-
 #include <boost/json.hpp>
 
 #include <arpa/inet.h>
@@ -104,7 +102,8 @@
   }
   const auto Put = [this](const char *Name, const char *Class) {
     return waitUntil([&] {
-      return putEntry(0, Name, Class, 0, std::string("create-") + Name) == 200;
+      return putEntry(0, Name, Class, 0, std::string("create-") + Name)
+                 .m_Status == 200;
     });
   };
   const bool Created = Put("bookings", "booking") && Put("writes", "write") &&
@@ -116,7 +115,7 @@
         return false;
       }
     }
-    return isInSync(m_Settings.m_Servers);
+    return m_Settings.m_Servers == 0 || isInSync(m_Settings.m_Servers);
   };
   return Created && waitUntil(AllReady);
 }
@@ -178,6 +177,23 @@
   return runOnce(m_Servers[Index].m_Port, "control", Sql);
 }
 
+bool Cluster::setFault(unsigned Index, const std::string &Name,
+                       unsigned Value) {
+  const std::string Number = std::to_string(Value);
+  return atServer(Index,
+                  "SELECT standin_fault('" + Name + "','" + Number + "')")
+             .value() == Number;
+}
+
+std::uint64_t Cluster::counter(unsigned Index, const std::string &Name) {
+  for (const auto &Row : atServer(Index, "SELECT standin_stats()").m_Rows) {
+    if (Row.at(0) == Name) {
+      return std::stoull(Row.at(1));
+    }
+  }
+  return 0;
+}
+
 std::vector<std::string> Cluster::commits() const {
   std::vector<std::string> Lines;
   for (const ServerParts &Server : m_Servers) {
@@ -213,6 +229,15 @@
   return -1;
 }
 
+unsigned Cluster::primaryNow() const {
+  int Primary = -1;
+  waitUntil([&] {
+    Primary = primary();
+    return Primary >= 0;
+  });
+  return static_cast<unsigned>(Primary);
+}
+
 int Cluster::leader() const {
   for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
     const HttpAnswer Metrics = httpCall(httpPort(Index), "GET", "/metrics");
@@ -242,24 +267,26 @@
   return false;
 }
 
-int Cluster::putEntry(unsigned Host, const std::string &Name,
-                      const std::string &Class, std::uint64_t Expected,
-                      const std::string &Change, unsigned MaxQueued) const {
+HttpAnswer Cluster::putEntry(unsigned Host, const std::string &Name,
+                             const std::string &Class, std::uint64_t Expected,
+                             const std::string &Change,
+                             const EntryNumbers &Limits) const {
   json::object Entry;
   Entry["name"] = Name;
   Entry["group"] = "ledger";
   Entry["owner"] = "owner";
   Entry["class"] = Class;
-  Entry["max_queued"] = MaxQueued;
   if (Class == "aged-read") {
     Entry["max_age_ms"] = 2000;
   }
+  for (const auto &[Limit, Value] : Limits) {
+    Entry[Limit] = Value;
+  }
   return httpCall(httpPort(Host), "PUT",
                   "/v1/catalogue/" + Name +
                       "?expect_revision=" + std::to_string(Expected) +
                       "&change_id=" + Change + "&operator=test",
-                  json::serialize(Entry))
-      .m_Status;
+                  json::serialize(Entry));
 }
 
 std::uint64_t Cluster::catalogueRevision(unsigned Index) const {
@@ -282,6 +309,12 @@
                  "INSERT INTO hires VALUES ('" + Key + "', 'dryer')", Options);
 }
 
+bool Cluster::bookUntilAcknowledged(unsigned Host,
+                                    const std::string &Key) const {
+  const std::string RequestKey = makeKey();
+  return waitUntil([&] { return book(Host, Key, RequestKey, "clerk").m_Ok; });
+}
+
 PgAnswer Cluster::read(unsigned Host, const std::string &Key,
                        const std::string &Session) const {
   return runOnce(callerPort(Host), "hires",
--- a/tests/Process/Cluster.h
+++ b/tests/Process/Cluster.h
@@ -2,6 +2,7 @@
 #define TESTS_PROCESS_CLUSTER_H
 
 #include "CallerCalls.h"
+#include "HttpCall.h"
 #include "tests/StandIn/ChildProcess.h"
 
 #include <cstdint>
@@ -12,10 +13,13 @@
 
 namespace ragwortmux {
 
+/// Limits of a catalogue entry by their JSON names.
+using EntryNumbers = std::map<std::string, unsigned>;
+
 /// How large a Cluster is.
 struct ClusterSettings final {
   unsigned m_Hosts = 3;   ///< Hosts with both roles, each in its own domain.
-  unsigned m_Servers = 3; ///< Stand-in backend servers of one group.
+  unsigned m_Servers = 3; ///< Stand-in backend servers of one group; may be 0.
   std::vector<std::string> m_HostFlags;   ///< Added to each host's flags.
   std::vector<std::string> m_ServerFlags; ///< Added to each server's flags.
 };
@@ -46,6 +50,8 @@
   std::uint16_t rpcPort(unsigned Index) const {
     return m_Hosts[Index].m_RpcPort;
   }
+  /// The value of control_peers.
+  const std::string &peers() const { return m_Peers; }
   /// Deletes the host's control log; the host must not run.
   void wipeHost(unsigned Index);
 
@@ -54,6 +60,10 @@
   ChildProcess &server(unsigned Index) { return *m_Servers[Index].m_Process; }
   /// Runs a statement at the server itself, over a control connection.
   PgAnswer atServer(unsigned Index, const std::string &Sql);
+  /// Sets a fault switch of a server; false if the server refused.
+  bool setFault(unsigned Index, const std::string &Name, unsigned Value);
+  /// A counter of `standin_stats()`; 0 if the server does not answer.
+  std::uint64_t counter(unsigned Index, const std::string &Name);
   /// The lines that all servers recorded, one per commit.
   std::vector<std::string> commits() const;
   /// How many commits of any server have \p Text in them, in the history of
@@ -65,14 +75,17 @@
   std::string status(unsigned Index) const;
   /// The primary as the leader states it; -1 while there is none.
   int primary() const;
+  /// Waits until there is a primary and returns it.
+  unsigned primaryNow() const;
   /// The host that leads; -1 if none does.
   int leader() const;
   /// True once \p Count servers are in sync and the group has a primary.
   bool isInSync(unsigned Count) const;
-  /// Creates or changes an entry; returns the HTTP status.
-  int putEntry(unsigned Host, const std::string &Name, const std::string &Class,
-               std::uint64_t Expected, const std::string &Change,
-               unsigned MaxQueued = 64) const;
+  /// Creates or changes an entry with the given limits.
+  HttpAnswer putEntry(unsigned Host, const std::string &Name,
+                      const std::string &Class, std::uint64_t Expected,
+                      const std::string &Change,
+                      const EntryNumbers &Limits = {}) const;
   /// The catalogue revision that host \p Index acts on.
   std::uint64_t catalogueRevision(unsigned Index) const;
 
@@ -80,6 +93,9 @@
   PgAnswer book(unsigned Host, const std::string &Key,
                 const std::string &RequestKey,
                 const std::string &Session = "") const;
+  /// Books for the session `clerk` until it is acknowledged, with the same
+  /// request key each time.
+  bool bookUntilAcknowledged(unsigned Host, const std::string &Key) const;
   PgAnswer read(unsigned Host, const std::string &Key,
                 const std::string &Session) const;
 
