--- /dev/null
+++ b/bench/Capacity/SlopeTable.h
@@ -0,0 +1,39 @@
+#ifndef BENCH_CAPACITY_SLOPETABLE_H
+#define BENCH_CAPACITY_SLOPETABLE_H
+
+#include <string>
+#include <vector>
+
+namespace ragwortmux {
+
+/// Measured values at several sizes, printed with the slope of each value: the
+/// rise per unit of the size by least squares.
+class SlopeTable final {
+public:
+  /// \p Size names what varies, \p Values what was measured, with units.
+  SlopeTable(std::string Title, std::string Size,
+             std::vector<std::string> Values);
+
+  /// Adds the values at one size.
+  void add(double Size, std::vector<double> Values);
+  /// Prints the table as Markdown to standard output.
+  void print() const;
+
+private:
+  struct Row final {
+    double m_Size = 0;            ///< The size.
+    std::vector<double> m_Values; ///< The values at it.
+  };
+
+  double slope(std::size_t Value) const;
+  double intercept(std::size_t Value) const;
+
+  const std::string m_Title;               ///< Heading.
+  const std::string m_Size;                ///< Name of the size.
+  const std::vector<std::string> m_Values; ///< Names of the values.
+  std::vector<Row> m_Rows;                 ///< In order of addition.
+};
+
+} // namespace ragwortmux
+
+#endif // BENCH_CAPACITY_SLOPETABLE_H
--- /dev/null
+++ b/bench/Capacity/TimedCall.h
@@ -0,0 +1,19 @@
+#ifndef BENCH_CAPACITY_TIMEDCALL_H
+#define BENCH_CAPACITY_TIMEDCALL_H
+
+#include <chrono>
+
+namespace ragwortmux {
+
+/// Runs \p Call once and returns the microseconds that it took.
+template <typename Function> double microsecondsOf(Function &&Call) {
+  const auto Begin = std::chrono::steady_clock::now();
+  Call();
+  return std::chrono::duration<double, std::micro>(
+             std::chrono::steady_clock::now() - Begin)
+      .count();
+}
+
+} // namespace ragwortmux
+
+#endif // BENCH_CAPACITY_TIMEDCALL_H
--- a/bench/Measure/LoadClient.cpp
+++ b/bench/Measure/LoadClient.cpp
@@ -269,7 +269,7 @@
 void LoadClient::read(SessionClient &Client, const Arrival &Given,
                       Random &Numbers) {
   const bool OwnSession = Given.m_Class == LoadClass::SessionRead;
-  const RowBook &Rows =
+  RowBook &Rows =
       OwnSession ? *m_Sessions[Given.m_Group] : *m_Meters[Given.m_Group];
   const std::uint32_t Row = Rows.pickRow(Numbers);
   const std::string Id = "r" + std::to_string(++m_LastId);
@@ -289,6 +289,11 @@
   const ClientAnswer Answer = Client.run(Request);
   answered(Given, Answer.m_Code);
   if (Answer.ok()) {
+    const bool NewSession = OwnSession && !Rows.noteAnswer(Row);
+    m_Record.readServed(Given.m_Class,
+                        !Answer.m_Values.empty() &&
+                            Answer.m_Values.back() == "replica",
+                        NewSession);
     checkAnswer(Given, Rows, Row, Least, Id, Answer.m_Values);
   }
 }
@@ -307,7 +312,6 @@
                           (Values.empty() ? "none" : Values[0]));
     return;
   }
-  m_Record.readServed(Given.m_Class, Values.back() == "replica");
   const auto Version = Rows.parseVersion(Row, Values[1]);
   if (!Version) {
     m_Record.violated("whole answer to the own request",
--- a/bench/Measure/Main.cpp
+++ b/bench/Measure/Main.cpp
@@ -1,4 +1,5 @@
 #include "bench/Measure/MeasureRun.h"
+#include "bench/Measure/OverheadRun.h"
 
 #include <gflags/gflags.h>
 
@@ -23,6 +24,7 @@
 
 namespace {
 
+constexpr const char *Overhead = "overhead";
 constexpr int BadUse = 2;
 constexpr std::uint16_t PortsPerRun = 100;
 constexpr std::uint32_t LifetimeReserveSeconds = 60;
@@ -51,6 +53,32 @@
   return Load;
 }
 
+/// An empty folder for the files of a run.
+ClusterSettings placesFor(const std::string &Name, std::uint16_t BasePort,
+                          const std::filesystem::path &Folder) {
+  ClusterSettings Places;
+  Places.m_Programs = RAGWORTMUX_BINARY_DIR;
+  Places.m_Folder = Folder / (Name + ".files");
+  Places.m_BasePort = BasePort;
+  Places.m_LifetimeSeconds = LifetimeReserveSeconds;
+  std::filesystem::remove_all(Places.m_Folder);
+  std::filesystem::create_directories(Places.m_Folder);
+  return Places;
+}
+
+bool measureOverhead(const std::filesystem::path &Folder) {
+  OverheadRun Run(placesFor(
+      "overhead", static_cast<std::uint16_t>(FLAGS_base_port), Folder));
+  if (!Run.run()) {
+    std::cerr << "overhead: " << Run.lastReason() << '\n';
+    return false;
+  }
+  const std::string Table = Run.summary().toMarkdown();
+  std::cout << Table << std::flush;
+  std::ofstream(Folder / "overhead.md") << Table;
+  return true;
+}
+
 bool measureUser(const std::string &User, std::uint16_t BasePort,
                  const std::filesystem::path &Folder) {
   auto Sizes = findWorkload(User);
@@ -62,15 +90,9 @@
     Sizes->m_RequestsPerSecond = FLAGS_rate;
   }
   const FaultSettings Faults = faultSettings();
-  ClusterSettings Places;
-  Places.m_Programs = RAGWORTMUX_BINARY_DIR;
-  Places.m_Folder = Folder / (User + ".files");
-  Places.m_BasePort = BasePort;
+  ClusterSettings Places = placesFor(User, BasePort, Folder);
   const auto Length = Faults.m_First + Faults.m_Period * Faults.m_Losses;
-  Places.m_LifetimeSeconds = LifetimeReserveSeconds +
-                             static_cast<std::uint32_t>(Length.count() / 1000);
-  std::filesystem::remove_all(Places.m_Folder);
-  std::filesystem::create_directories(Places.m_Folder);
+  Places.m_LifetimeSeconds += static_cast<std::uint32_t>(Length.count() / 1000);
   MeasureRun Run(*Sizes, Places, loadSettings(), Faults);
   if (!Run.run()) {
     std::cerr << User << ": " << Run.lastReason() << '\n';
@@ -92,6 +114,9 @@
     Folder = std::filesystem::temp_directory_path() / "ragwortmux-measure";
   }
   std::filesystem::create_directories(Folder);
+  if (What == Overhead) {
+    return measureOverhead(Folder) ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
   bool Kept = true;
   auto BasePort = static_cast<std::uint16_t>(FLAGS_base_port);
   for (const std::string User : {"nilerack", "haddow"}) {
@@ -109,11 +134,12 @@
 } // namespace ragwortmux
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::SetUsageMessage("measure [nilerack|haddow|all] [--quick]");
+  gflags::SetUsageMessage("measure [nilerack|haddow|all|overhead] [--quick]");
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
   std::signal(SIGPIPE, SIG_IGN);
   const std::string What = ArgumentCount > 1 ? Arguments[1] : "all";
-  if (ArgumentCount > 2 || (What != "all" && !ragwortmux::findWorkload(What))) {
+  if (ArgumentCount > 2 || (What != "all" && What != ragwortmux::Overhead &&
+                            !ragwortmux::findWorkload(What))) {
     std::cerr << gflags::ProgramUsage() << '\n';
     return ragwortmux::BadUse;
   }
--- a/bench/Measure/ProcessUsage.cpp
+++ b/bench/Measure/ProcessUsage.cpp
@@ -32,12 +32,12 @@
   return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-std::uint64_t readStatusBytes(const std::string &Folder,
-                              const std::string &Name) {
-  std::ifstream File(Folder + "/status");
+/// The number behind \p Name in a file with one field per line.
+std::uint64_t readField(const std::string &Path, const std::string &Name) {
+  std::ifstream File(Path);
   for (std::string Line; std::getline(File, Line);) {
     if (Line.starts_with(Name)) {
-      return std::stoull(Line.substr(Name.size())) * BytesPerKilobyte;
+      return std::stoull(Line.substr(Name.size()));
     }
   }
   return 0;
@@ -53,8 +53,12 @@
   }
   const std::string Folder = "/proc/" + std::to_string(Id);
   Usage.m_ProcessorSeconds = readProcessorSeconds(Folder);
-  Usage.m_ResidentBytes = readStatusBytes(Folder, "VmRSS:");
-  Usage.m_PeakBytes = readStatusBytes(Folder, "VmHWM:");
+  Usage.m_ResidentBytes =
+      readField(Folder + "/status", "VmRSS:") * BytesPerKilobyte;
+  Usage.m_PeakBytes =
+      readField(Folder + "/status", "VmHWM:") * BytesPerKilobyte;
+  Usage.m_IoBytes =
+      readField(Folder + "/io", "rchar:") + readField(Folder + "/io", "wchar:");
   return Usage;
 }
 
--- a/bench/Measure/ProcessUsage.h
+++ b/bench/Measure/ProcessUsage.h
@@ -14,6 +14,8 @@
   double m_ProcessorSeconds = 0;     ///< User and system time.
   std::uint64_t m_ResidentBytes = 0; ///< Resident memory now.
   std::uint64_t m_PeakBytes = 0;     ///< Peak of the resident memory.
+  std::uint64_t m_IoBytes = 0; ///< Read and written by read() and write() and
+                               ///< their kin, which libpq does not use.
 };
 
 /// Reads /proc of process \p Id; zeros if there is none.
--- a/bench/Measure/RowBook.cpp
+++ b/bench/Measure/RowBook.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -32,6 +33,7 @@
   const std::lock_guard Guard(m_Lock);
   Row &Found = m_Rows[Done.m_Row];
   Found.m_Acknowledged.push_back({At, Done.m_Version});
+  Found.m_Known = true;
   Found.m_Taken = false;
 }
 
@@ -44,6 +46,11 @@
   // The row stays taken: a late commit could follow a newer version.
 }
 
+bool RowBook::noteAnswer(std::uint32_t Index) {
+  const std::lock_guard Guard(m_Lock);
+  return std::exchange(m_Rows[Index].m_Known, true);
+}
+
 std::uint32_t RowBook::pickRow(Random &Numbers) const {
   return static_cast<std::uint32_t>(Numbers() % m_Rows.size());
 }
--- a/bench/Measure/RowBook.h
+++ b/bench/Measure/RowBook.h
@@ -36,6 +36,9 @@
   /// Nothing is known about the write: the row is not written any more.
   void unknown(const Write &Done);
 
+  /// A request of the row's session was answered. True if it is not the first.
+  bool noteAnswer(std::uint32_t Row);
+
   /// Any row.
   std::uint32_t pickRow(Random &Numbers) const;
   /// The newest version of a row that was acknowledged before \p At.
@@ -56,6 +59,7 @@
   };
 
   struct Row final {
+    bool m_Known = false;     ///< A request of its session was answered.
     bool m_Taken = false;     ///< Somebody writes to it, or must not.
     std::uint64_t m_Last = 0; ///< Version given out last.
     std::vector<Acknowledgement> m_Acknowledged; ///< In order.
--- a/bench/Measure/RunRecord.cpp
+++ b/bench/Measure/RunRecord.cpp
@@ -23,8 +23,9 @@
   }
 }
 
-void RunRecord::readServed(LoadClass Class, bool ByReplica) {
+void RunRecord::readServed(LoadClass Class, bool ByReplica, bool NewSession) {
   const std::lock_guard Guard(m_Lock);
+  m_FirstReads += NewSession && !ByReplica ? 1 : 0;
   ++(ByReplica ? m_ReplicaReads : m_PrimaryReads)[indexOf(Class)];
 }
 
--- a/bench/Measure/RunRecord.h
+++ b/bench/Measure/RunRecord.h
@@ -38,7 +38,8 @@
   /// A request of the load got its first answer.
   void answered(LoadClass Class, unsigned Code, Duration Latency);
   /// A read was answered by a primary or a replica.
-  void readServed(LoadClass Class, bool ByReplica);
+  /// A new session's first read must go to the primary.
+  void readServed(LoadClass Class, bool ByReplica, bool NewSession);
   /// A booking has ended; \p At is the time of its last answer.
   void bookingEnded(std::uint32_t Group, BookingRecord Booking,
                     Clock::time_point At);
@@ -60,6 +61,8 @@
   const Codes &codes(LoadClass Class) const;
   std::uint64_t replicaReads(LoadClass Class) const;
   std::uint64_t primaryReads(LoadClass Class) const;
+  /// Reads at the primary that were the first of their sessions.
+  std::uint64_t firstReads() const { return m_FirstReads; }
   const std::vector<BookingRecord> &bookings(std::uint32_t Group) const;
   const std::vector<Violation> &violations() const { return m_Violations; }
   std::uint64_t violationCount() const { return m_ViolationCount; }
@@ -78,7 +81,8 @@
   std::array<Codes, LoadClassCount> m_Codes;                  ///< By class.
   std::array<std::uint64_t, LoadClassCount> m_ReplicaReads{}; ///< By class.
   std::array<std::uint64_t, LoadClassCount> m_PrimaryReads{}; ///< By class.
-  std::vector<Group> m_Groups;                                ///< By number.
+  std::uint64_t m_FirstReads = 0;        ///< Of new sessions, at the primary.
+  std::vector<Group> m_Groups;           ///< By number.
   std::vector<Violation> m_Violations;   ///< The first ones.
   std::uint64_t m_ViolationCount = 0;    ///< All of them.
   std::uint64_t m_Resends = 0;           ///< After unknown outcomes.
--- a/bench/Measure/RunSummary.cpp
+++ b/bench/Measure/RunSummary.cpp
@@ -137,6 +137,17 @@
   return All == 0 ? 0 : static_cast<double>(Replica) / static_cast<double>(All);
 }
 
+double RunSummary::replicaShareOfAllowed() const {
+  std::uint64_t Replica = 0;
+  std::uint64_t All = 0;
+  for (const LoadClass Class : {LoadClass::SessionRead, LoadClass::AgedRead}) {
+    Replica += m_Record->replicaReads(Class);
+    All += m_Record->replicaReads(Class) + m_Record->primaryReads(Class);
+  }
+  All -= m_Record->firstReads();
+  return All == 0 ? 0 : static_cast<double>(Replica) / static_cast<double>(All);
+}
+
 bool RunSummary::promisesKept() const {
   return m_Record->violationCount() == 0;
 }
@@ -152,6 +163,8 @@
   Object["machine_load_average"] = m_MachineLoad;
   Object["replica_share_all_reads"] =
       replicaShare({LoadClass::SessionRead, LoadClass::AgedRead});
+  Object["replica_share_allowed_reads"] = replicaShareOfAllowed();
+  Object["first_reads_at_primary"] = m_Record->firstReads();
   Object["replica_share_aged_reads"] = replicaShare({LoadClass::AgedRead});
   Object["replica_share_session_reads"] =
       replicaShare({LoadClass::SessionRead});
@@ -227,6 +240,10 @@
   Text +=
       row("replica-read share of all reads",
           percent(replicaShare({LoadClass::SessionRead, LoadClass::AgedRead})));
+  Text += row("of reads that a replica may serve (all but " +
+                  std::to_string(m_Record->firstReads()) +
+                  " first reads of new sessions)",
+              percent(replicaShareOfAllowed()));
   Text += row("of aged reads; of session reads",
               percent(replicaShare({LoadClass::AgedRead})) + "; " +
                   percent(replicaShare({LoadClass::SessionRead})));
--- a/bench/Measure/RunSummary.h
+++ b/bench/Measure/RunSummary.h
@@ -49,6 +49,9 @@
   std::vector<Duration> plainGaps() const;
   /// Replica reads as a share of the reads of the given classes.
   double replicaShare(std::initializer_list<LoadClass> Classes) const;
+  /// Replica reads as a share of the reads that a replica may serve: all but
+  /// the first reads of new sessions.
+  double replicaShareOfAllowed() const;
   /// True if no promise was found broken.
   bool promisesKept() const;
 
