Keyed requests wait for the next primary like others

Cause: a keyed booking that met a change of primary was refused at once with outcome unknown, because the ledger refuses reservations of an ended term; unkeyed ones wait in the queue until their deadline. Ruled out: letting the ledger take reservations without a primary (the term of the attempt would be unknown).

--- a/ragwortmux/Request/KeyedRequests.cpp
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -61,12 +61,25 @@
     endAttempt(State);
     return;
   case ReserveStatus::Refused:
+    refused(State, Result.m_Code);
+    return;
+  }
+}
+
+void KeyedRequests::refused(RequestState &State, ResultCode Code) {
+  switch (Code) {
+  case ResultCode::NotRunKeyExpired:
+  case ResultCode::NotRunBadRequest:
     // A key that is too old or malformed is refused for good.
-    if (Result.m_Code == ResultCode::NotRunKeyExpired ||
-        Result.m_Code == ResultCode::NotRunBadRequest)
-      m_Context.finish(State, Result.m_Code);
-    else
-      m_Context.refuse(State, Result.m_Code);
+    m_Context.finish(State, Code);
+    return;
+  case ResultCode::NotRunNoPrimary:
+  case ResultCode::NotRunTermRefused:
+    // The primary is being replaced: worth waiting for, like without a key.
+    pause(State, Code);
+    return;
+  default:
+    m_Context.refuse(State, Code);
     return;
   }
 }
--- a/ragwortmux/Request/KeyedRequests.h
+++ b/ragwortmux/Request/KeyedRequests.h
@@ -38,6 +38,7 @@
   void wake(RequestState &State);
 
 private:
+  void refused(RequestState &State, ResultCode Code);
   void sendReservation(RequestState &State,
                        const std::optional<AttemptId> &Aborted);
   void pause(RequestState &State, ResultCode Reason);
