--- a/ragwortmux/Process/ControlClient.cpp
+++ b/ragwortmux/Process/ControlClient.cpp
@@ -54,6 +54,9 @@
 }
 
 void ControlClient::step() {
+  if (m_Stopped) {
+    return;
+  }
   scheduleStep(m_Settings.m_RenewalInterval);
   if (!m_Registered) {
     openSession();
--- a/ragwortmux/Process/ControlClient.h
+++ b/ragwortmux/Process/ControlClient.h
@@ -54,6 +54,8 @@
 
   /// Starts to open a session; from then on renews it.
   void start();
+  /// Opens no session and renews no more; commands still go out.
+  void stopRenewing() { m_Stopped = true; }
   /// Renews without waiting for the interval, to confirm something early.
   void renewSoon();
 
@@ -99,6 +101,7 @@
   std::size_t m_Current = 0;      ///< The host believed to lead.
   ProxyLease m_Lease;             ///< Session and lease.
   bool m_Registered = false;      ///< The leader has this listener.
+  bool m_Stopped = false;         ///< stopRenewing() was called.
   bool m_Opening = false;         ///< An openSession is under way.
   std::uint64_t m_StepNumber = 0; ///< Counts scheduled steps.
   std::vector<ServerAnnouncement> m_Announcements; ///< To be passed on.
--- a/ragwortmux/Process/ControlMessages.h
+++ b/ragwortmux/Process/ControlMessages.h
@@ -37,7 +37,7 @@
 struct SessionHomesView final {
   Revision m_Revision;                   ///< Rises with each change.
   std::vector<EntryAddress> m_Active;    ///< Looked up and stored.
-  std::vector<EntryAddress> m_Preparing; ///< Stored too.
+  std::vector<EntryAddress> m_Preparing; ///< Looked up and stored too.
 };
 
 /// What control tells an entry process.
--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -19,6 +19,8 @@
 
 /// How often a drain looks whether all has ended.
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(10);
+/// How long the end of the session is waited for at a drain.
+constexpr Duration EndSessionTimeout = std::chrono::milliseconds(500);
 /// How long the ledger is waited for.
 constexpr Duration LedgerTimeout = std::chrono::milliseconds(1500);
 
@@ -410,10 +412,20 @@
     AllDrained = AllDrained && Driver->drained();
   }
   if (AllDrained) {
-    m_DrainDone();
+    endSession();
     return;
   }
   m_Loop.after(DrainCheckInterval, [this] { checkDrained(); });
 }
 
+void EntryRole::endSession() {
+  // A change of primary need not wait for the lease of a process that has told
+  // that it will acknowledge nothing more.
+  m_LeaseUntil = Instant();
+  m_Control->stopRenewing();
+  m_Control->command(EndSession{m_Control->session()},
+                     monotonicNow() + EndSessionTimeout,
+                     [this](const CommandReply &) { m_DrainDone(); });
+}
+
 } // namespace ragwortmux
--- a/ragwortmux/Process/EntryRole.h
+++ b/ragwortmux/Process/EntryRole.h
@@ -62,6 +62,7 @@
   void sendReservation(const GroupId &Group, const ReserveRequestKey &Asked);
   void recordOutcome(const GroupId &Group, const RecordKeyOutcome &Asked);
   void checkDrained();
+  void endSession();
 
   IoLoop &m_Loop;                           ///< The event loop.
   ActorHost &m_Actors;                      ///< The actor system.
--- a/ragwortmux/Process/GroupDriver.cpp
+++ b/ragwortmux/Process/GroupDriver.cpp
@@ -163,6 +163,8 @@
 }
 
 void GroupDriver::performOne(const SendStatement &Action) {
+  logDebug(Part::Group, "Sending a statement on connection {}.",
+           Action.m_Connection.value());
   const auto Found = m_Connections.find(Action.m_Connection);
   if (Found == m_Connections.end()) {
     return;
@@ -185,7 +187,11 @@
   // The CloseConnection that follows makes the server end the statement.
 }
 
-void GroupDriver::performOne(const Answer &Action) { m_Hooks.m_Answer(Action); }
+void GroupDriver::performOne(const Answer &Action) {
+  logDebug(Part::Group, "Answering request {}: {}.", Action.m_Request.value(),
+           resultCodeInfo(Action.m_Code).m_Name);
+  m_Hooks.m_Answer(Action);
+}
 
 void GroupDriver::performOne(const ReserveRequestKey &Action) {
   logDebug(Part::Group, "Reserving {} for attempt {}.", Action.m_Key.value(),
@@ -227,10 +233,14 @@
 }
 
 void GroupDriver::performOne(const FindSessionPoint &Action) {
+  logDebug(Part::Group, "Looking up the point of session {}.",
+           Action.m_Session.value());
   m_Hooks.m_FindPoint(Action);
 }
 
 void GroupDriver::performOne(const StoreSessionPoint &Action) {
+  logDebug(Part::Group, "Storing the point of session {}.",
+           Action.m_Session.value());
   m_Hooks.m_StorePoint(Action);
 }
 
--- a/ragwortmux/Process/SessionPoints.cpp
+++ b/ragwortmux/Process/SessionPoints.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortmux/Process/IoLoop.h"
 #include "ragwortmux/Process/PeerLink.h"
+#include "ragwortmux/Process/Support/Log.h"
 
 #include <algorithm>
 #include <tuple>
@@ -45,9 +46,16 @@
   if (Homes.m_Revision <= m_Homes.m_Revision) {
     return;
   }
+  const std::vector<EntryAddress> Before = std::move(m_Homes.m_Active);
   m_Homes = Homes;
-  m_Here.setHomes(Homes.m_Revision, [this](const SessionName &Session) {
-    return isHome(Session);
+  logDebug(Part::Group, "Session homes {}: {} in force, {} in preparation.",
+           Homes.m_Revision.value(), Homes.m_Active.size(),
+           Homes.m_Preparing.size());
+  // What was stored here in preparation may be older than what a process that
+  // had not heard of it stored at the homes in force, so a home that is new to
+  // a session starts without it.
+  m_Here.setHomes(Homes.m_Revision, [&](const SessionName &Session) {
+    return isHomeOf(Session, Before) && isHomeOf(Session, m_Homes.m_Active);
   });
 }
 
@@ -76,7 +84,7 @@
   }
   const Tickets Given = std::move(Found->second);
   m_Tickets.erase(Found);
-  for (const EntryAddress &Home : homesOf(Session, m_Homes.m_Active)) {
+  for (const EntryAddress &Home : homesToAsk(Session)) {
     const auto Ticket = Given.find(Home.m_Host);
     if (Ticket == Given.end()) {
       continue;
@@ -220,12 +228,25 @@
   return *Link;
 }
 
-bool SessionPoints::isHome(const SessionName &Session) const {
-  const auto IsSelf = [this](const EntryAddress &Home) {
-    return Home.m_Host == m_Settings.m_Self;
-  };
-  return std::ranges::any_of(homesOf(Session, m_Homes.m_Active), IsSelf) ||
-         std::ranges::any_of(homesOf(Session, m_Homes.m_Preparing), IsSelf);
+bool SessionPoints::isHomeOf(const SessionName &Session,
+                             const std::vector<EntryAddress> &Hosts) const {
+  return std::ranges::any_of(homesOf(Session, Hosts),
+                             [this](const EntryAddress &Home) {
+                               return Home.m_Host == m_Settings.m_Self;
+                             });
+}
+
+std::vector<EntryAddress>
+SessionPoints::homesToAsk(const SessionName &Session) const {
+  std::vector<EntryAddress> Homes = homesOf(Session, m_Homes.m_Active);
+  // A process that has heard already that the list in preparation is in force
+  // stores there only.
+  for (const EntryAddress &Home : homesOf(Session, m_Homes.m_Preparing)) {
+    if (std::ranges::find(Homes, Home) == Homes.end()) {
+      Homes.push_back(Home);
+    }
+  }
+  return Homes;
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/SessionPoints.h
+++ b/ragwortmux/Process/SessionPoints.h
@@ -78,7 +78,9 @@
   void keepTickets(RequestId Request, const std::vector<EntryAddress> &Homes,
                    const Lookups &Found);
   PeerLink &link(const EntryAddress &Home);
-  bool isHome(const SessionName &Session) const;
+  bool isHomeOf(const SessionName &Session,
+                const std::vector<EntryAddress> &Hosts) const;
+  std::vector<EntryAddress> homesToAsk(const SessionName &Session) const;
 
   IoLoop &m_Loop;                   ///< The event loop.
   const Secret &m_Key;              ///< The cluster key.
