--- a/ragwortmux/Process/GroupDriver.cpp
+++ b/ragwortmux/Process/GroupDriver.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// What a server at its connection limit answers; the share is such a limit.
+constexpr const char *SqlStateTooManyConnections = "53300";
 /// Shortest time between two ticks of a group.
 constexpr Duration MinTick = std::chrono::milliseconds(1);
 /// Size limit of the answer to the tag of an attempt.
@@ -133,7 +135,7 @@
   const ServerView *Server = findServer(Action.m_Server);
   // The record may have changed since the core decided.
   if (Server == nullptr || !mayOpen(Action.m_Server)) {
-    send(ConnectionFailedEvent{Id, ""});
+    send(ConnectionFailedEvent{Id, SqlStateTooManyConnections});
     return;
   }
   BackendConnection::Hooks Callbacks;
