Look shares up by server

Cause: ShareBalancer walked all shares of all servers for each server, on every event of the leader, so an event cost grew with the square of the groups. Weighed and not tried: evaluating shares on ticks only. VersionTests pass (no errors). Growth with groups is linear now; an event still looks at every group, which docs/CAPACITY.md lists.

--- a/ragwortmux/Version/ShareBalancer.cpp
+++ b/ragwortmux/Version/ShareBalancer.cpp
@@ -88,12 +88,12 @@
   State.sessions().forEachSession([&](const SessionRecord &Session) {
     Parts[Session.m_Session].m_Session = Session.m_Session;
   });
-  State.shares().forEachShare([&](const ShareRecord &Share) {
-    if (Place(Share.m_Group, Share.m_Server) != Where)
-      return;
-    Parts[Share.m_Session].m_Share = Share.m_Share;
-    Parts[Share.m_Session].m_Held = Share.m_Held;
-  });
+  State.shares().forEachShareOf(Where.first, Where.second,
+                                [&](const ShareRecord &Share) {
+                                  Part &Each = Parts[Share.m_Session];
+                                  Each.m_Share = Share.m_Share;
+                                  Each.m_Held = Share.m_Held;
+                                });
   std::vector<Part> List;
   const auto Count = static_cast<std::uint32_t>(Parts.size());
   for (auto &[Session, Each] : Parts) {
--- a/ragwortmux/Version/ShareTable.cpp
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -90,13 +90,24 @@
 std::uint32_t ShareTable::held(const GroupId &Group,
                                const ServerId &Server) const {
   std::uint32_t Sum = 0;
-  for (const auto &[Known, Share] : m_Shares) {
-    if (Share.m_Group == Group && Share.m_Server == Server)
-      Sum += Share.m_Held;
-  }
+  forEachShareOf(Group, Server,
+                 [&Sum](const ShareRecord &Share) { Sum += Share.m_Held; });
   return Sum;
 }
 
+void ShareTable::forEachShareOf(
+    const GroupId &Group, const ServerId &Server,
+    const std::function<void(const ShareRecord &)> &Visit) const {
+  // Shares are ordered by group and server first.
+  auto Next = m_Shares.lower_bound({Group, Server, ControlSessionId()});
+  for (; Next != m_Shares.end(); ++Next) {
+    const ShareRecord &Share = Next->second;
+    if (Share.m_Group != Group || Share.m_Server != Server)
+      return;
+    Visit(Share);
+  }
+}
+
 void ShareTable::forEachShare(
     const std::function<void(const ShareRecord &)> &Visit) const {
   for (const auto &[Known, Share] : m_Shares)
--- a/ragwortmux/Version/ShareTable.h
+++ b/ragwortmux/Version/ShareTable.h
@@ -51,6 +51,10 @@
                       ControlSessionId Session) const;
   /// The sum of what holders may have open.
   std::uint32_t held(const GroupId &Group, const ServerId &Server) const;
+  /// Calls \p Visit for each share of one server by session.
+  void
+  forEachShareOf(const GroupId &Group, const ServerId &Server,
+                 const std::function<void(const ShareRecord &)> &Visit) const;
   /// Calls \p Visit for each share by group, server and session.
   void
   forEachShare(const std::function<void(const ShareRecord &)> &Visit) const;
