--- a/tests/Process/CallerCalls.cpp
+++ b/tests/Process/CallerCalls.cpp
@@ -9,7 +9,10 @@
 std::string callerOptions(const CallerSettings &Settings) {
   std::string Text;
   for (const auto &[Name, Value] : Settings) {
-    Text += " -c ragwortmux." + Name + "=" + Value;
+    Text += " -c ragwortmux.";
+    Text += Name;
+    Text += "=";
+    Text += Value;
   }
   return Text;
 }
--- a/tests/Process/CatalogueTest.cpp
+++ b/tests/Process/CatalogueTest.cpp
@@ -103,9 +103,7 @@
                            InForceWithin));
     }
     const auto Deleted =
-        httpCall(System.httpPort((Round + 1) % 3), "DELETE",
-                 "/v1/catalogue/" + Entry + "?operator=test&change_id=delete" +
-                     Entry + "&expect_revision=" + std::to_string(Revision));
+        System.deleteEntry((Round + 1) % 3, Entry, Revision, "delete" + Entry);
     BOOST_TEST(Deleted.m_Status == Accepted, Deleted.m_Body);
     for (const unsigned Host : {0U, 1U, 2U}) {
       BOOST_TEST(waitUntil([&] { return !accepts(System, Host, Entry); },
--- a/tests/Process/Cluster.cpp
+++ b/tests/Process/Cluster.cpp
@@ -29,7 +29,7 @@
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Length = sizeof Address;
     auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-    bind(Socket, Generic, Length);
+    static_cast<void>(bind(Socket, Generic, Length));
     getsockname(Socket, Generic, &Length);
     Ports.push_back(ntohs(Address.sin_port));
     Sockets.push_back(Socket);
@@ -59,6 +59,14 @@
   return Value;
 }
 
+/// The path of a change of the catalogue.
+std::string changePath(const std::string &Name, std::uint64_t Expected,
+                       const std::string &Change) {
+  return "/v1/catalogue/" + Name +
+         "?expect_revision=" + std::to_string(Expected) +
+         "&change_id=" + Change + "&operator=test";
+}
+
 } // namespace
 
 Cluster::Cluster(ClusterSettings Settings) : m_Settings(std::move(Settings)) {
@@ -101,10 +109,7 @@
     startServer(Index, Index == 0);
   }
   const auto Put = [this](const char *Name, const char *Class) {
-    return waitUntil([&] {
-      return putEntry(0, Name, Class, 0, std::string("create-") + Name)
-                 .m_Status == 200;
-    });
+    return createEntry(Name, Class, {});
   };
   const bool Created = Put("bookings", "booking") && Put("writes", "write") &&
                        Put("hires", "session-read") &&
@@ -282,13 +287,28 @@
   for (const auto &[Limit, Value] : Limits) {
     Entry[Limit] = Value;
   }
-  return httpCall(httpPort(Host), "PUT",
-                  "/v1/catalogue/" + Name +
-                      "?expect_revision=" + std::to_string(Expected) +
-                      "&change_id=" + Change + "&operator=test",
+  return httpCall(httpPort(Host), "PUT", changePath(Name, Expected, Change),
                   json::serialize(Entry));
 }
 
+HttpAnswer Cluster::deleteEntry(unsigned Host, const std::string &Name,
+                                std::uint64_t Expected,
+                                const std::string &Change) const {
+  return httpCall(httpPort(Host), "DELETE", changePath(Name, Expected, Change));
+}
+
+bool Cluster::createEntry(const std::string &Name, const std::string &Class,
+                          const EntryNumbers &Limits) const {
+  const bool Created = waitUntil([&] {
+    return putEntry(0, Name, Class, 0, "create-" + Name, Limits).m_Status ==
+           200;
+  });
+  return Created && std::ranges::all_of(m_Hosts, [&](const HostParts &Host) {
+           PgClient Caller(Host.m_CallerPort);
+           return waitUntil([&] { return Caller.connect("", Name); });
+         });
+}
+
 std::uint64_t Cluster::catalogueRevision(unsigned Index) const {
   const auto Revision = find(status(Index), {"process", "catalogue_revision"});
   boost::system::error_code Error;
--- a/tests/Process/Cluster.h
+++ b/tests/Process/Cluster.h
@@ -86,6 +86,13 @@
                       const std::string &Class, std::uint64_t Expected,
                       const std::string &Change,
                       const EntryNumbers &Limits = {}) const;
+  /// Deletes an entry.
+  HttpAnswer deleteEntry(unsigned Host, const std::string &Name,
+                         std::uint64_t Expected,
+                         const std::string &Change) const;
+  /// Creates an entry of the name and waits until all hosts know it.
+  bool createEntry(const std::string &Name, const std::string &Class,
+                   const EntryNumbers &Limits) const;
   /// The catalogue revision that host \p Index acts on.
   std::uint64_t catalogueRevision(unsigned Index) const;
 
--- /dev/null
+++ b/tests/Process/HostileInputTest.cpp
@@ -0,0 +1,176 @@
+#include "CallerLoad.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+constexpr unsigned MessageCount = 10000;
+constexpr unsigned MessagesPerConnection = 20;
+/// How many connections stay open at once.
+constexpr std::size_t OpenConnections = 200;
+/// How much the memory of the process may grow.
+constexpr std::uint64_t MaxGrowthKb = 64U << 10U;
+
+using Random = std::mt19937_64;
+
+std::uint64_t below(Random &Numbers, std::uint64_t Bound) {
+  return Numbers() % Bound;
+}
+
+/// A message of the callers' protocol with its length; type 0 has no byte.
+std::string pgMessage(char Type, const std::string &Body) {
+  const auto Length = htonl(static_cast<std::uint32_t>(Body.size() + 4));
+  std::string Bytes(Type == 0 ? 0 : 1, Type);
+  Bytes.append(reinterpret_cast<const char *>(&Length), sizeof Length);
+  return Bytes + Body;
+}
+
+using namespace std::string_literals;
+
+struct HostilePort final {
+  const char *m_Name;                               ///< Whose port it is.
+  std::uint16_t (Cluster::*m_Port)(unsigned) const; ///< Which port.
+  std::uint64_t m_Seed;                             ///< Of the messages.
+  std::vector<std::string> m_Valid;                 ///< What is spoiled.
+};
+
+std::ostream &operator<<(std::ostream &Stream, const HostilePort &Case) {
+  return Stream << Case.m_Name << ", seed " << Case.m_Seed;
+}
+
+const std::vector<HostilePort> Ports = {
+    {"callers",
+     &Cluster::callerPort,
+     20261201,
+     {pgMessage(0, "\0\3\0\0user\0u\0database\0stock\0\0"s),
+      pgMessage('Q', "SELECT 'intruder'\0"s),
+      pgMessage('Q', "SET ragwortmux.token = 'x'\0"s),
+      pgMessage('P', "name\0SELECT 1\0\0\0"s), pgMessage('S', ""),
+      pgMessage('X', ""), pgMessage(0, "\4\322\26\56\0\0\0\1\0\0\0\2"s),
+      pgMessage(0, "\4\322\26\57"s)}},
+    {"HTTP",
+     &Cluster::httpPort,
+     20261202,
+     {"GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n",
+      "PUT /v1/catalogue/stock?expect_revision=0&change_id=x HTTP/1.1\r\n"
+      "Authorization: Bearer x\r\nContent-Length: "
+      "17\r\n\r\n{\"name\":\"stock\"}",
+      "POST /v1/announce HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n{\"gr",
+      "POST /v1/announce HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "ffffffffff\r\n[[[[[["}},
+    {"RPC",
+     &Cluster::rpcPort,
+     20261203,
+     {"\0\0\0\0\4\0\0\0\0\0\0\0\1\0\1\0\10\0\0\0\0\0\0\0"s +
+          std::string(16, '\0'),
+      "\377\377\0\0\377\377\377\177"s + std::string(64, '\1'),
+      "\0\0\0\0\2\0\0\0\0\0\0\0\3\0\1\0\377\377\377\177\377\377\377\177"s}}};
+
+/// A valid message, cut off, spoiled, or random bytes.
+std::string spoiled(const HostilePort &Case, Random &Numbers) {
+  std::string Bytes = Case.m_Valid[below(Numbers, Case.m_Valid.size())];
+  switch (below(Numbers, 4)) {
+  case 0:
+    return Bytes;
+  case 1:
+    return Bytes.substr(0, below(Numbers, Bytes.size() + 1));
+  case 2:
+    for (unsigned Count = 0; Count < 3; ++Count) {
+      Bytes[below(Numbers, Bytes.size())] = static_cast<char>(Numbers());
+    }
+    return Bytes;
+  default:
+    Bytes.resize(below(Numbers, 400));
+    for (char &Byte : Bytes) {
+      Byte = static_cast<char>(Numbers());
+    }
+    return Bytes;
+  }
+}
+
+int openTo(std::uint16_t Port) {
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  // A refused connection shows when it is written to.
+  static_cast<void>(
+      connect(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address));
+  return Socket;
+}
+
+/// Sends all messages over connections that each stay open for a while.
+void sendSpoiled(const HostilePort &Case, std::uint16_t Port) {
+  Random Numbers(Case.m_Seed);
+  std::vector<int> Sockets(OpenConnections, -1);
+  for (unsigned Sent = 0; Sent < MessageCount;) {
+    int &Socket = Sockets[Sent / MessagesPerConnection % OpenConnections];
+    if (Socket >= 0) {
+      close(Socket);
+    }
+    Socket = openTo(Port);
+    for (unsigned Count = 0; Count < MessagesPerConnection; ++Count, ++Sent) {
+      const std::string Bytes = spoiled(Case, Numbers);
+      if (send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) < 0) {
+        // The host has closed it; the rest goes over a new one.
+        close(Socket);
+        Socket = openTo(Port);
+      }
+    }
+  }
+  for (const int Socket : Sockets) {
+    close(Socket);
+  }
+}
+
+/// Memory of a process in KiB.
+std::uint64_t residentKb(pid_t Process) {
+  std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
+  const std::string Field = "VmRSS:";
+  for (std::string Line; std::getline(Status, Line);) {
+    if (Line.starts_with(Field)) {
+      return std::stoull(Line.substr(Field.size()));
+    }
+  }
+  return 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HostileInputTest)
+
+BOOST_DATA_TEST_CASE(SpoiledMessagesHarmNobody,
+                     boost::unit_test::data::make(Ports), Case) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  // Both callers book and read through the host under attack.
+  CallerLoad Load(System, {0, 0});
+  BOOST_REQUIRE(waitUntil([&] { return Load.served() > 20; }));
+  const std::uint64_t Before = residentKb(System.host(0).processId());
+  sendSpoiled(Case, (System.*Case.m_Port)(0));
+  const unsigned Served = Load.served();
+  BOOST_TEST(waitUntil([&] { return Load.served() > Served + 20; }));
+  Load.stop();
+  BOOST_TEST(Load.faults() == "");
+  BOOST_REQUIRE(System.host(0).isRunning());
+  BOOST_TEST(residentKb(System.host(0).processId()) < Before + MaxGrowthKb);
+  for (const char *Path : {"/healthz", "/readyz"}) {
+    BOOST_TEST(httpCall(System.httpPort(0), "GET", Path).m_Status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Process/LeavingTest.cpp
@@ -0,0 +1,61 @@
+#include "CallerLoad.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+/// From then on a leaving server gets no new requests.
+constexpr auto GoneWithin = std::chrono::seconds(3);
+/// How long it is watched after that.
+constexpr auto Watched = std::chrono::milliseconds(1500);
+
+struct LeavingCase final {
+  const char *m_Name;  ///< What happens.
+  unsigned m_Server;   ///< Which server leaves; 0 is the primary.
+  const char *m_Fault; ///< How it leaves.
+};
+
+std::ostream &operator<<(std::ostream &Stream, const LeavingCase &Case) {
+  return Stream << Case.m_Name;
+}
+
+const std::vector<LeavingCase> Cases = {
+    {"a replica announces that it leaves", 1, "leave"},
+    {"the primary announces that it leaves", 0, "leave"},
+    {"a replica stops announcing itself", 1, "stop_announcing"},
+    {"the primary stops announcing itself", 0, "stop_announcing"}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LeavingTest, *boost::unit_test::label("promise-7"))
+
+BOOST_DATA_TEST_CASE(ALeavingServerGetsNoNewRequests,
+                     boost::unit_test::data::make(Cases), Case) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  CallerLoad Load(System, {0, 1, 2});
+  const auto Run = [&] {
+    return System.counter(Case.m_Server, "statements_run");
+  };
+  // The server takes part before it leaves, else the rest shows nothing.
+  const std::uint64_t Before = Run();
+  BOOST_REQUIRE(waitUntil([&] { return Run() > Before + 20; }));
+  BOOST_REQUIRE(System.setFault(Case.m_Server, Case.m_Fault, 1));
+  std::this_thread::sleep_for(GoneWithin);
+  const std::uint64_t After = Run();
+  const unsigned Served = Load.served();
+  std::this_thread::sleep_for(Watched);
+  BOOST_TEST(Run() == After);
+  BOOST_TEST(Load.served() > Served + 10);
+  Load.stop();
+  BOOST_TEST(Load.faults() == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Process/ResendTest.cpp
@@ -0,0 +1,125 @@
+#include "KeyedBooking.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <future>
+#include <latch>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+void checkRanOnce(const KeyedBooking &Booking) {
+  BOOST_TEST(Booking.runs() == 1U);
+  BOOST_TEST(Booking.value() == "1");
+}
+
+/// Checks that each host answers a resend with the recorded answer.
+void checkRecorded(const KeyedBooking &Booking) {
+  for (const unsigned Host : {0U, 1U, 2U}) {
+    const PgAnswer Again = Booking.resend(Host);
+    BOOST_TEST_CONTEXT("host " << Host << ", " << Again.m_Message) {
+      BOOST_TEST(Again.m_Ok);
+      BOOST_TEST(Again.m_Tag == "UPDATE 1");
+    }
+  }
+  checkRanOnce(Booking);
+}
+
+/// A change that recorded outcomes outlive.
+struct ChangeCase final {
+  const char *m_Name;          ///< What happens.
+  void (*m_Change)(Cluster &); ///< Makes the change.
+};
+
+std::ostream &operator<<(std::ostream &Stream, const ChangeCase &Case) {
+  return Stream << Case.m_Name;
+}
+
+const std::vector<ChangeCase> Changes = {
+    {"the primary is lost", [](Cluster &System) { System.server(0).kill(); }},
+    {"all control hosts restart", [](Cluster &System) {
+       for (const unsigned Host : {0U, 1U, 2U}) {
+         System.host(Host).kill();
+       }
+       for (const unsigned Host : {0U, 1U, 2U}) {
+         System.startHost(Host);
+       }
+     }}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ResendTest, *boost::unit_test::label("promise-6"))
+
+BOOST_AUTO_TEST_CASE(AResendGetsTheRecordedAnswerFromAnyProxy) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  KeyedBooking Booking(System, "once");
+  BOOST_REQUIRE(Booking.prepare());
+  BOOST_TEST(Booking.send(0).m_Ok);
+  checkRecorded(Booking);
+}
+
+BOOST_AUTO_TEST_CASE(TwoProxiesAtTheSameInstant) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  for (unsigned Round = 0; Round < 20; ++Round) {
+    KeyedBooking Booking(System, "race-" + std::to_string(Round));
+    BOOST_REQUIRE(Booking.prepare());
+    std::latch Start(2);
+    const auto Send = [&](unsigned Host) {
+      Start.arrive_and_wait();
+      return Booking.send(Host);
+    };
+    auto Other = std::async(std::launch::async, Send, 1);
+    const std::array Answers = {Send(0), Other.get()};
+    for (const PgAnswer &Answer : Answers) {
+      BOOST_TEST((Answer.m_Ok || Answer.m_SqlState == "55006"),
+                 Answer.m_SqlState << " " << Answer.m_Message);
+    }
+    BOOST_TEST((Answers[0].m_Ok || Answers[1].m_Ok));
+    BOOST_TEST(Booking.resend(2).m_Ok);
+    checkRanOnce(Booking);
+  }
+}
+
+BOOST_DATA_TEST_CASE(RecordedOutcomesOutlive,
+                     boost::unit_test::data::make(Changes), Case) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  std::vector<KeyedBooking> Bookings;
+  for (unsigned Number = 0; Number < 5; ++Number) {
+    Bookings.emplace_back(System, "kept-" + std::to_string(Number));
+    BOOST_REQUIRE(Bookings.back().prepare());
+    BOOST_REQUIRE(Bookings.back().send(Number % 3).m_Ok);
+  }
+  Case.m_Change(System);
+  BOOST_REQUIRE(System.bookUntilAcknowledged(1, "next"));
+  for (const KeyedBooking &Booking : Bookings) {
+    checkRecorded(Booking);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeysOutsideTheRetentionAreNotRun) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  for (const int AgeHours : {25, 1000, -25}) {
+    KeyedBooking Booking(System, "old" + std::to_string(AgeHours),
+                         makeKey(std::chrono::hours(AgeHours)));
+    BOOST_REQUIRE(Booking.prepare());
+    const PgAnswer Refused = Booking.send(0);
+    BOOST_TEST(Refused.m_SqlState == "72002", AgeHours << Refused.m_Message);
+    BOOST_TEST(Booking.runs() == 0U);
+  }
+  KeyedBooking Young(System, "young", makeKey(std::chrono::hours(23)));
+  BOOST_REQUIRE(Young.prepare());
+  BOOST_TEST(Young.send(0).m_Ok);
+  checkRecorded(Young);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
