Let idle actor threads wait instead of poll

Cause: CAF's default work-stealing policy polls for work with growing pauses, so a message to a sleeping thread waited for the next poll, twice per statement; perf showed the threads in clock_nanosleep while idle. Ruled out: the number of hops (unchanged).

--- a/ragwortmux/Process/ActorHost.cpp
+++ b/ragwortmux/Process/ActorHost.cpp
@@ -2,6 +2,7 @@
 
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
+#include <caf/atom.hpp>
 
 namespace ragwortmux {
 
@@ -12,6 +13,9 @@
 
 ActorHost::ActorHost(unsigned Threads) : m_Parts(std::make_unique<Parts>()) {
   m_Parts->m_Config.set("scheduler.max-threads", Threads);
+  // Idle threads wait for work; the default policy polls for it, which costs
+  // processor time while idle and delays a message by the pause between polls.
+  m_Parts->m_Config.set("scheduler.policy", caf::atom("sharing"));
   m_Parts->m_System = std::make_unique<caf::actor_system>(m_Parts->m_Config);
 }
 
