--- a/ragwortmux/Process/CallerConnection.cpp
+++ b/ragwortmux/Process/CallerConnection.cpp
@@ -351,12 +351,14 @@
   }
   // What arrived meanwhile is handled on a later turn, so that long pipelines
   // do not nest.
-  m_Loop.after(Duration(0), [Weak = weak_from_this()] {
-    const auto Self = Weak.lock();
-    if (Self && !Self->m_Closed) {
-      Self->handleInput();
-    }
-  });
+  if (m_Reader.bufferedBytes() > 0) {
+    m_Loop.after(Duration(0), [Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      if (Self && !Self->m_Closed) {
+        Self->handleInput();
+      }
+    });
+  }
 }
 
 void CallerConnection::cancel(std::uint32_t SecretKey) {
