--- a/ragwortmux/Core/StrongId.h
+++ b/ragwortmux/Core/StrongId.h
@@ -25,8 +25,6 @@
 
   friend constexpr bool operator==(const StrongId &,
                                    const StrongId &) = default;
-  // The linter names a variable that the compiler makes.
-  // NOLINTNEXTLINE(readability-identifier-naming)
   friend constexpr auto operator<=>(const StrongId &,
                                     const StrongId &) = default;
 
--- a/ragwortmux/Process/BackendConnection.cpp
+++ b/ragwortmux/Process/BackendConnection.cpp
@@ -50,6 +50,14 @@
 
 } // namespace
 
+std::optional<LogPoint> rowPoint(const StatementResult &Result) {
+  constexpr std::size_t PointColumns = 2;
+  if (!Result.m_Ok || Result.m_FirstRow.size() < PointColumns) {
+    return std::nullopt;
+  }
+  return parseLogPoint(Result.m_FirstRow[0] + ":" + Result.m_FirstRow[1]);
+}
+
 std::shared_ptr<BackendConnection>
 BackendConnection::open(IoLoop &Loop, BackendConnectionSettings Settings,
                         Hooks Callbacks) {
--- a/ragwortmux/Process/BackendConnection.h
+++ b/ragwortmux/Process/BackendConnection.h
@@ -54,6 +54,10 @@
       m_FirstRow; ///< Values of the first row, for control calls.
 };
 
+/// The point in the first two columns, term and position, of the first row;
+/// nothing if the statement failed or gave no such row.
+std::optional<LogPoint> rowPoint(const StatementResult &Result);
+
 /// One libpq connection to a backend server, driven by the event loop and never
 /// blocking it.
 ///
--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -10,7 +10,6 @@
 #include "ragwortmux/Process/Support/Timeline.h"
 #include "ragwortmux/Process/SystemClock.h"
 
-#include <charconv>
 #include <random>
 #include <utility>
 
@@ -50,12 +49,6 @@
   return "SELECT ragwortmux_position()";
 }
 
-std::uint64_t toNumber(const std::string &Text) {
-  std::uint64_t Value = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  return Value;
-}
-
 } // namespace
 
 /// A call to a backend server over a connection of its own.
@@ -262,13 +255,13 @@
   BackendCallResult Told;
   Told.m_Call = Call->m_Call.m_Call;
   Told.m_Reason = Reason;
-  constexpr std::size_t RoleColumn = 2;
-  if (Result && Result->m_Ok && Result->m_FirstRow.size() >= RoleColumn) {
+  if (const auto Point = Result ? rowPoint(*Result) : std::nullopt) {
+    constexpr std::size_t RoleColumn = 2;
     const std::vector<std::string> &Row = Result->m_FirstRow;
-    Told.m_Ok = true;
-    Told.m_Point = {Term(toNumber(Row[0])), LogPosition(toNumber(Row[1]))};
     const bool IsPrimary =
         Row.size() > RoleColumn && Row[RoleColumn] == "primary";
+    Told.m_Ok = true;
+    Told.m_Point = *Point;
     Told.m_Role = IsPrimary ? BackendRole::Primary : BackendRole::Replica;
   }
   m_Actor->backendCallDone(Told);
--- a/ragwortmux/Process/GroupDriver.cpp
+++ b/ragwortmux/Process/GroupDriver.cpp
@@ -215,22 +215,39 @@
     send(AttemptEndedEvent{Action.m_Request, AttemptOutcome::Failed, {}});
     return;
   }
+  Watch->second->call("SELECT ragwortmux_end_attempt('" +
+                          Action.m_Attempt.value() + "')",
+                      [Weak = weak_from_this(),
+                       Action](const std::optional<StatementResult> &Result) {
+                        if (const auto Self = Weak.lock()) {
+                          Self->attemptEnded(Action, toOutcome(Result));
+                        }
+                      });
+}
+
+void GroupDriver::attemptEnded(const EndAttempt &Action,
+                               AttemptOutcome Outcome) {
+  logDebug(Part::Group, "Ended attempt {} at {}: outcome {}.",
+           Action.m_Attempt.value(), Action.m_Server.value(),
+           static_cast<int>(Outcome));
+  const auto Watch = m_Watches.find(Action.m_Server);
+  if (Outcome != AttemptOutcome::Committed || Watch == m_Watches.end()) {
+    send(AttemptEndedEvent{Action.m_Request, Outcome, {}});
+    return;
+  }
+  // The commit lies at or before the primary's position from now on.
   Watch->second->call(
-      "SELECT ragwortmux_end_attempt('" + Action.m_Attempt.value() + "')",
-      [this, Weak = weak_from_this(),
+      "SELECT ragwortmux_position()",
+      [Weak = weak_from_this(),
        Action](const std::optional<StatementResult> &Result) {
         const auto Self = Weak.lock();
         if (!Self) {
           return;
         }
-        AttemptEndedEvent Event{Action.m_Request, toOutcome(Result), {}};
-        if (Result) {
-          Event.m_Point = Result->m_Point;
-        }
-        logDebug(Part::Group, "Ended attempt {} at {}: outcome {}.",
-                 Action.m_Attempt.value(), Action.m_Server.value(),
-                 static_cast<int>(Event.m_Outcome));
-        send(Event);
+        const auto Point = Result ? rowPoint(*Result) : std::nullopt;
+        Self->send(AttemptEndedEvent{
+            Action.m_Request,
+            Point ? AttemptOutcome::Committed : AttemptOutcome::Failed, Point});
       });
 }
 
--- a/ragwortmux/Process/GroupDriver.h
+++ b/ragwortmux/Process/GroupDriver.h
@@ -108,6 +108,7 @@
   void connectionOpened(ConnectionId Id);
   void connectionGone(ConnectionId Id, GroupEvent Event);
   void statementAnswered(ConnectionId Id, StatementResult Result);
+  void attemptEnded(const EndAttempt &Action, AttemptOutcome Outcome);
   void armTick(Instant At);
   void updateConfirmed();
   const ServerView *findServer(const ServerId &Server) const;
--- a/ragwortmux/Process/PositionWatch.cpp
+++ b/ragwortmux/Process/PositionWatch.cpp
@@ -3,7 +3,6 @@
 #include "ragwortmux/Process/IoLoop.h"
 #include "ragwortmux/Process/SystemClock.h"
 
-#include <charconv>
 #include <utility>
 
 namespace ragwortmux {
@@ -18,17 +17,9 @@
 constexpr std::chrono::milliseconds ReconnectPause(100);
 /// Bound on the answer to a question or call.
 constexpr std::size_t MaxAnswerBytes = 4096;
-/// Columns of the position functions.
-constexpr std::size_t TermColumn = 0;
-constexpr std::size_t PositionColumn = 1;
+/// Column of the role in the position functions' row.
 constexpr std::size_t RoleColumn = 2;
 
-std::uint64_t toNumber(const std::string &Text) {
-  std::uint64_t Value = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  return Value;
-}
-
 } // namespace
 
 PositionWatch::PositionWatch(IoLoop &Loop, BackendConnectionSettings Settings,
@@ -107,15 +98,15 @@
 void PositionWatch::answered(StatementResult Result) {
   if (m_RunningCall) {
     std::exchange(m_RunningCall, nullptr)(std::move(Result));
-  } else if (!Result.m_Ok || Result.m_FirstRow.size() <= RoleColumn) {
-    failed();
-    return;
   } else {
-    const std::vector<std::string> &Row = Result.m_FirstRow;
-    const LogPoint Point{Term(toNumber(Row[TermColumn])),
-                         LogPosition(toNumber(Row[PositionColumn]))};
-    m_Known = Point.m_Position;
-    m_Hooks.m_Sampled(Point, Row[RoleColumn] == "primary", m_AskedAt);
+    const auto Point = rowPoint(Result);
+    if (!Point || Result.m_FirstRow.size() <= RoleColumn) {
+      failed();
+      return;
+    }
+    m_Known = Point->m_Position;
+    m_Hooks.m_Sampled(*Point, Result.m_FirstRow[RoleColumn] == "primary",
+                      m_AskedAt);
   }
   // A hook may have stopped the watch.
   if (m_Connection != nullptr) {
--- a/ragwortmux/Request/KeyedRequests.cpp
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -137,8 +137,7 @@
   State.m_Term = State.m_AskedTerm;
   State.m_Commit = Point;
   if (!State.m_Answer)
-    State.m_Code = State.m_OfEndedSession ? ResultCode::RanEarlier
-                                          : ResultCode::RanAnswerLost;
+    State.m_Code = ResultCode::RanAnswerLost;
   m_Context.m_Writes.advance(State);
 }
 
--- a/ragwortmux/Request/WriteRequests.cpp
+++ b/ragwortmux/Request/WriteRequests.cpp
@@ -54,6 +54,12 @@
     termEnded(State);
     return;
   }
+  if (!Kept.m_Point && Kept.m_Status != TransactionStatus::Idle) {
+    // The first statement of a transaction on a connection that has not
+    // reported a position yet: nothing has been committed on it.
+    advance(State);
+    return;
+  }
   if (!Kept.m_Point || Kept.m_Point->m_Term != State.m_Term) {
     // Where the commit is cannot be told, so neither can who has it.
     lost(State);
--- /dev/null
+++ b/tests/Process/FailurePointTest.cpp
@@ -0,0 +1,169 @@
+#include "Cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+constexpr unsigned DeadlineMs = 1500;
+/// The deadline and the time to find that it is over.
+constexpr auto AnsweredWithin = std::chrono::milliseconds(DeadlineMs + 500);
+
+/// The SQLSTATEs of docs/RESULT_CODES.md that tell that nothing was run.
+bool tellsNotRun(const std::string &SqlState) {
+  static constexpr std::array NotRun = {
+      "57P03", "53300", "57014", "08001", "57P01", "72000", "3D000",
+      "72001", "72002", "40001", "72003", "55006", "0A000"};
+  return std::ranges::find(NotRun, SqlState) != NotRun.end();
+}
+
+/// Checks what the caller of a booking was told against the records.
+void checkTold(const PgAnswer &Answer, std::size_t Runs) {
+  const std::string &Told = Answer.m_SqlState;
+  BOOST_TEST_CONTEXT("told '" << Told << "' " << Answer.m_Message) {
+    if (Answer.m_Ok || Told == "72004" || Told == "72005") {
+      BOOST_TEST(Runs == 1U);
+    } else if (tellsNotRun(Told)) {
+      BOOST_TEST(Runs == 0U);
+    } else {
+      BOOST_TEST(Told == "08007");
+      BOOST_TEST(Runs <= 1U);
+    }
+  }
+}
+
+/// How the request is sent.
+enum class Sent { Keyed, Unkeyed };
+
+struct FailureCase final {
+  const char *m_Fault;                  ///< Where the server's answer is lost.
+  Sent m_Sent;                          ///< How the request is sent.
+  std::vector<std::string> m_SqlStates; ///< What may be told; empty: it ran.
+  std::size_t m_Runs;                   ///< How often it runs by the records.
+};
+
+const std::vector<FailureCase> FailurePoints = {
+    {"drop_before_run", Sent::Keyed, {""}, 1},
+    {"drop_before_run", Sent::Unkeyed, {"08007", "08001", "40001"}, 0},
+    {"drop_before_commit", Sent::Keyed, {""}, 1},
+    {"drop_before_commit", Sent::Unkeyed, {"08007", "40001"}, 0},
+    {"drop_after_commit", Sent::Keyed, {"", "72004"}, 1},
+    {"drop_after_commit", Sent::Unkeyed, {"08007"}, 1},
+    {"silent_after_commit", Sent::Keyed, {"08007", "72004"}, 1},
+    {"silent_after_commit", Sent::Unkeyed, {"08007"}, 1}};
+
+/// Sends the message and waits no longer than a deadline allows; else the
+/// answer's SQLSTATE is `late`.
+PgAnswer answeredInTime(Cluster &System, unsigned Host, const char *Entry,
+                        const std::string &Sql,
+                        const CallerSettings &Settings = {}) {
+  PgAnswer Late;
+  Late.m_SqlState = "late";
+  PgClient Caller(System.callerPort(Host));
+  if (!Caller.connect(callerOptions(Settings), Entry) || !Caller.send(Sql)) {
+    return Late;
+  }
+  return Caller.receive(AnsweredWithin).value_or(Late);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FailurePointTest, *boost::unit_test::label("promise-5"))
+
+BOOST_AUTO_TEST_CASE(SilentConnectionsAreFoundWithinTheDeadline,
+                     *boost::unit_test::label("known-red")) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  for (const auto &[Name, Class] :
+       {std::pair{"b", "booking"}, std::pair{"s", "session-read"},
+        std::pair{"a", "aged-read"}}) {
+    BOOST_REQUIRE(
+        System.createEntry(Name, Class, {{"deadline_ms", DeadlineMs}}));
+  }
+  BOOST_REQUIRE(System.book(0, "row", "", "clerk").m_Ok);
+  // Every pool has open connections that then go silent.
+  for (const unsigned Host : {0U, 1U, 2U}) {
+    for (const char *Entry : {"b", "s", "a"}) {
+      BOOST_TEST(answeredInTime(System, Host, Entry, "SELECT 'x'").m_Ok);
+    }
+  }
+  for (const unsigned Server : {0U, 1U, 2U}) {
+    BOOST_REQUIRE(System.setFault(Server, "silent_connections", 1));
+  }
+  std::vector<std::thread> Callers;
+  std::mutex Mutex;
+  std::vector<std::pair<std::string, PgAnswer>> Bookings;
+  std::vector<PgAnswer> Reads;
+  for (const unsigned Host : {0U, 1U, 2U}) {
+    for (const bool Keyed : {false, true}) {
+      Callers.emplace_back([&, Host, Keyed] {
+        const std::string Key = "'quiet-" + std::to_string(Host) +
+                                (Keyed ? "-keyed'" : "-unkeyed'");
+        const auto Answer = answeredInTime(
+            System, Host, "b", "INSERT INTO hires VALUES (" + Key + ", '1')",
+            Keyed ? CallerSettings{{"request_key", makeKey()}}
+                  : CallerSettings());
+        const std::lock_guard Lock(Mutex);
+        Bookings.emplace_back(Key, Answer);
+      });
+    }
+    for (const char *Entry : {"s", "a"}) {
+      Callers.emplace_back([&, Host, Entry] {
+        const auto Answer = answeredInTime(
+            System, Host, Entry, "SELECT v FROM hires WHERE k = 'row'",
+            {{"session", "clerk"}});
+        const std::lock_guard Lock(Mutex);
+        Reads.push_back(Answer);
+      });
+    }
+  }
+  for (std::thread &Caller : Callers) {
+    Caller.join();
+  }
+  for (const PgAnswer &Read : Reads) {
+    BOOST_TEST(Read.value() == "dryer", Read.m_SqlState << Read.m_Message);
+  }
+  BOOST_REQUIRE(System.bookUntilAcknowledged(0, "after"));
+  for (const auto &[Key, Answer] : Bookings) {
+    checkTold(Answer, System.commitsOf(Key));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhatACallerIsToldAgreesWithTheRecords) {
+  Cluster System;
+  BOOST_REQUIRE(System.start());
+  BOOST_REQUIRE(
+      System.createEntry("b", "booking", {{"deadline_ms", DeadlineMs}}));
+  unsigned Number = 0;
+  for (const FailureCase &Case : FailurePoints) {
+    const bool Keyed = Case.m_Sent == Sent::Keyed;
+    BOOST_TEST_CONTEXT(Case.m_Fault << (Keyed ? ", keyed" : ", unkeyed")) {
+      const std::string Key = "'failure-" + std::to_string(++Number) + "'";
+      const int Primary = System.primary();
+      BOOST_REQUIRE(Primary >= 0);
+      BOOST_REQUIRE(
+          System.setFault(static_cast<unsigned>(Primary), Case.m_Fault, 1));
+      const auto Answer = answeredInTime(
+          System, Number % 3, "b", "INSERT INTO hires VALUES (" + Key + ",'1')",
+          Keyed ? CallerSettings{{"request_key", makeKey()}}
+                : CallerSettings());
+      BOOST_TEST(std::ranges::count(Case.m_SqlStates, Answer.m_SqlState) == 1,
+                 Answer.m_SqlState << " " << Answer.m_Message);
+      BOOST_REQUIRE(
+          System.bookUntilAcknowledged(0, "after-" + std::to_string(Number)));
+      BOOST_TEST(System.commitsOf(Key) == Case.m_Runs);
+      checkTold(Answer, System.commitsOf(Key));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
