--- a/tests/Log/FakeDisk.h
+++ b/tests/Log/FakeDisk.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTMUX_TESTS_LOG_FAKEDISK_H
-#define RAGWORTMUX_TESTS_LOG_FAKEDISK_H
+#ifndef TESTS_LOG_FAKEDISK_H
+#define TESTS_LOG_FAKEDISK_H
 
 #include "ragwortmux/Process/Log/FileSystem.h"
 
@@ -202,4 +202,4 @@
 
 } // namespace ragwortmux
 
-#endif // RAGWORTMUX_TESTS_LOG_FAKEDISK_H
+#endif // TESTS_LOG_FAKEDISK_H
--- a/tests/Log/LogChecks.h
+++ b/tests/Log/LogChecks.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTMUX_TESTS_LOG_LOGCHECKS_H
-#define RAGWORTMUX_TESTS_LOG_LOGCHECKS_H
+#ifndef TESTS_LOG_LOGCHECKS_H
+#define TESTS_LOG_LOGCHECKS_H
 
 #include "ragwortmux/Process/Log/LogEntry.h"
 
@@ -135,4 +135,4 @@
 
 } // namespace ragwortmux
 
-#endif // RAGWORTMUX_TESTS_LOG_LOGCHECKS_H
+#endif // TESTS_LOG_LOGCHECKS_H
--- a/tests/Log/LogFaultRun.h
+++ b/tests/Log/LogFaultRun.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTMUX_TESTS_LOG_LOGFAULTRUN_H
-#define RAGWORTMUX_TESTS_LOG_LOGFAULTRUN_H
+#ifndef TESTS_LOG_LOGFAULTRUN_H
+#define TESTS_LOG_LOGFAULTRUN_H
 
 #include "tests/Log/LogNetwork.h"
 
@@ -253,4 +253,4 @@
 
 } // namespace ragwortmux
 
-#endif // RAGWORTMUX_TESTS_LOG_LOGFAULTRUN_H
+#endif // TESTS_LOG_LOGFAULTRUN_H
--- a/tests/Log/LogNetwork.h
+++ b/tests/Log/LogNetwork.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTMUX_TESTS_LOG_LOGNETWORK_H
-#define RAGWORTMUX_TESTS_LOG_LOGNETWORK_H
+#ifndef TESTS_LOG_LOGNETWORK_H
+#define TESTS_LOG_LOGNETWORK_H
 
 #include "ragwortmux/Process/Log/LogStorage.h"
 #include "ragwortmux/Process/Log/ReplicatedLog.h"
@@ -356,4 +356,4 @@
 
 } // namespace ragwortmux
 
-#endif // RAGWORTMUX_TESTS_LOG_LOGNETWORK_H
+#endif // TESTS_LOG_LOGNETWORK_H
--- a/tests/Version/StateBuilder.h
+++ b/tests/Version/StateBuilder.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTMUX_TESTS_VERSION_STATEBUILDER_H
-#define RAGWORTMUX_TESTS_VERSION_STATEBUILDER_H
+#ifndef TESTS_VERSION_STATEBUILDER_H
+#define TESTS_VERSION_STATEBUILDER_H
 
 #include "ragwortmux/Version/ControlState.h"
 
@@ -85,4 +85,4 @@
 
 } // namespace ragwortmux::test
 
-#endif // RAGWORTMUX_TESTS_VERSION_STATEBUILDER_H
+#endif // TESTS_VERSION_STATEBUILDER_H
