--- a/ragwortmux/Process/CallerConnection.cpp
+++ b/ragwortmux/Process/CallerConnection.cpp
@@ -111,7 +111,7 @@
     Error.m_Severity = "FATAL";
     std::string Bytes;
     PgMessageWriter(Bytes).errorResponse(Error);
-    write(std::move(Bytes), true);
+    write(Bytes, true);
   }
 }
 
@@ -124,7 +124,7 @@
   PgMessageWriter Writer(Bytes);
   const auto Fail = [&](const PgError &Error) {
     Writer.errorResponse(Error);
-    write(std::move(Bytes), true);
+    write(Bytes, true);
     return false;
   };
   if (Message.m_ProtocolVersion >> MajorShift != ProtocolMajor) {
@@ -162,14 +162,14 @@
   Writer.parameterStatus("integer_datetimes", "on");
   Writer.backendKeyData(m_ProcessId, m_SecretKey);
   Writer.readyForQuery(PgTransactionStatus::Idle);
-  write(std::move(Bytes), false);
+  write(Bytes, false);
   return true;
 }
 
 bool CallerConnection::handle(const PgSslRequest &) {
   std::string Bytes;
   PgMessageWriter(Bytes).encryptionRefused();
-  write(std::move(Bytes), false);
+  write(Bytes, false);
   return true;
 }
 
@@ -213,7 +213,7 @@
                   "only simple queries are supported, not the extended "
                   "protocol, COPY or function calls"));
     Writer.readyForQuery(toPg(m_Status));
-    write(std::move(Bytes), false);
+    write(Bytes, false);
     return true;
   }
   constexpr std::string_view ExtendedTypes = "PBEDC";
@@ -222,7 +222,7 @@
   }
   Writer.errorResponse(makeError("FATAL", SqlStateProtocol,
                                  "this message type is not supported"));
-  write(std::move(Bytes), true);
+  write(Bytes, true);
   return false;
 }
 
@@ -236,7 +236,7 @@
     Writer.errorResponse(makeError("ERROR", SqlStateBadValue, Fault));
   }
   Writer.readyForQuery(toPg(m_Status));
-  write(std::move(Bytes), false);
+  write(Bytes, false);
   return true;
 }
 
@@ -334,7 +334,7 @@
   }
   m_Status = Given.m_Status;
   Writer.readyForQuery(toPg(m_Status));
-  write(std::move(Bytes), false);
+  write(Bytes, false);
   finishAnswer(Code, m_Status);
 }
 
@@ -381,7 +381,7 @@
   }
   m_Status = TransactionStatus::Idle;
   Writer.readyForQuery(PgTransactionStatus::Idle);
-  write(std::move(Bytes), false);
+  write(Bytes, false);
   finishAnswer(ResultCode::OutcomeUnknown, TransactionStatus::Idle);
 }
 
@@ -391,7 +391,7 @@
   }
   std::string Bytes;
   PgMessageWriter(Bytes).errorResponse(toError(Code, "", "FATAL"));
-  write(std::move(Bytes), true);
+  write(Bytes, true);
 }
 
 void CallerConnection::drain() {
@@ -410,7 +410,7 @@
   PgMessageWriter Writer(Bytes);
   Writer.errorResponse(toError(Code, Reason, "ERROR"));
   Writer.readyForQuery(toPg(m_Status));
-  write(std::move(Bytes), false);
+  write(Bytes, false);
 }
 
 void CallerConnection::writeToken(PgMessageWriter &Writer) {
--- a/ragwortmux/Process/ControlClient.cpp
+++ b/ragwortmux/Process/ControlClient.cpp
@@ -147,8 +147,8 @@
 }
 
 void ControlClient::command(const ControlCommand &Command, Instant Deadline,
-                            std::function<void(CommandReply)> Reply) {
-  tryCommand(encodeCommand(Command), Deadline, std::move(Reply));
+                            const std::function<void(CommandReply)> &Reply) {
+  tryCommand(encodeCommand(Command), Deadline, Reply);
 }
 
 void ControlClient::tryCommand(const std::string &Bytes, Instant Deadline,
@@ -175,8 +175,8 @@
 
 void ControlClient::query(const std::string &What, const std::string &Name,
                           Instant Deadline,
-                          std::function<void(QueryReply)> Reply) {
-  tryQuery(What, Name, Deadline, std::move(Reply));
+                          const std::function<void(QueryReply)> &Reply) {
+  tryQuery(What, Name, Deadline, Reply);
 }
 
 void ControlClient::tryQuery(const std::string &What, const std::string &Name,
--- a/ragwortmux/Process/ControlClient.h
+++ b/ragwortmux/Process/ControlClient.h
@@ -61,10 +61,10 @@
 
   /// Proposes an idempotent command; tried again until \p Deadline.
   void command(const ControlCommand &Command, Instant Deadline,
-               std::function<void(CommandReply)> Reply);
+               const std::function<void(CommandReply)> &Reply);
   /// Asks about the leader's state; tried again until \p Deadline.
   void query(const std::string &What, const std::string &Name, Instant Deadline,
-             std::function<void(QueryReply)> Reply);
+             const std::function<void(QueryReply)> &Reply);
 
   /// Passes on an announcement; the newest of each server is sent.
   void announce(const ServerAnnouncement &Announcement);
--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -97,12 +97,12 @@
         });
   };
   Hooks.m_Renew = [this](const LeaseRenewal &Renewal, auto Respond) {
-    m_Actor->renew(std::move(Renewal), Respond);
+    m_Actor->renew(Renewal, Respond);
   };
   Hooks.m_Report = [this](const std::vector<ServerAnnouncement> &Announcements,
                           const std::vector<ServerSuspicion> &Suspicions,
                           auto Respond) {
-    m_Actor->report(std::move(Announcements), std::move(Suspicions), Respond);
+    m_Actor->report(Announcements, Suspicions, Respond);
   };
   Hooks.m_Command = [this](const std::string &Bytes, auto Respond) {
     std::string Reason;
@@ -114,9 +114,7 @@
     m_Actor->command(std::move(*Command), Respond);
   };
   Hooks.m_Query = [this](const std::string &What, const std::string &Name,
-                         auto Respond) {
-    m_Actor->query(std::move(What), std::move(Name), Respond);
-  };
+                         auto Respond) { m_Actor->query(What, Name, Respond); };
 }
 
 void ControlRole::start() {
