One source of random bits and one promise for reply hooks

Three places built 64 random bits from std::random_device and three turned a reply hook into a promise by hand; both are now one small header each. No behaviour changes.

--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -9,8 +9,8 @@
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/Support/Timeline.h"
 #include "ragwortmux/Process/SystemClock.h"
+#include "ragwortmux/Process/SystemRandom.h"
 
-#include <random>
 #include <utility>
 
 namespace ragwortmux {
@@ -26,12 +26,6 @@
 /// Bound on the answer to a control call.
 constexpr std::size_t MaxAnswerBytes = 4096;
 
-std::uint64_t random64() {
-  static thread_local std::random_device Device;
-  constexpr unsigned Half = 32;
-  return (static_cast<std::uint64_t>(Device()) << Half) | Device();
-}
-
 std::string callSql(const CallBackend &Call) {
   const std::string TermText = std::to_string(Call.m_Term.value());
   switch (Call.m_Kind) {
@@ -126,14 +120,14 @@
 std::unique_ptr<ControlNode> ControlRole::makeNode() {
   LogStorageSettings Storage;
   Storage.m_ClusterName = m_Settings.m_Cluster;
-  Storage.m_Random = random64;
+  Storage.m_Random = systemRandom;
   Storage.m_Note = [](const std::string &Text) {
     logWarn(Part::Log, "{}", Text);
   };
   ControlNodeSettings Node;
   Node.m_Address = formatSocketAddress(m_Settings.ownPeer()->m_Where);
   Node.m_Bootstrap = m_Settings.m_Bootstrap;
-  Node.m_Log.m_Random = random64;
+  Node.m_Log.m_Random = systemRandom;
   Node.m_Log.m_HeartbeatInterval = m_Settings.m_Heartbeat;
   Node.m_Log.m_ElectionTimeoutMin = m_Settings.m_ElectionTimeout;
   Node.m_Log.m_ElectionTimeoutMax = m_Settings.m_ElectionTimeout * 2;
--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -7,10 +7,10 @@
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/Support/Timeline.h"
 #include "ragwortmux/Process/SystemClock.h"
+#include "ragwortmux/Process/SystemRandom.h"
 
 #include <boost/json.hpp>
 
-#include <random>
 #include <utility>
 
 namespace ragwortmux {
@@ -24,12 +24,6 @@
 /// How long the ledger is waited for.
 constexpr Duration LedgerTimeout = std::chrono::milliseconds(1500);
 
-Incarnation makeIncarnation() {
-  std::random_device Random;
-  constexpr unsigned Half = 32;
-  return Incarnation((static_cast<std::uint64_t>(Random()) << Half) | Random());
-}
-
 /// The answer of a keyed request as the ledger keeps it: the commit position as
 /// `TERM:POSITION`, a line feed, and the answer.
 std::string toLedgerAnswer(const RecordKeyOutcome &Asked) {
@@ -97,7 +91,7 @@
                      const ProcessSettings &Settings, Metrics &Figures,
                      Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings), m_Metrics(Figures),
-      m_Timeline(Events), m_Run(makeIncarnation()),
+      m_Timeline(Events), m_Run(systemRandom()),
       m_Points(Loop, Settings.m_ClusterKey,
                {Settings.m_Host, m_Run.value(),
                 [this] { return monotonicNow() < m_LeaseUntil; }}) {
--- a/ragwortmux/Process/OperatorApi.cpp
+++ b/ragwortmux/Process/OperatorApi.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/OperatorApi.h"
 
 #include "ragwortmux/Process/EntryRole.h"
+#include "ragwortmux/Process/PromiseReply.h"
 #include "ragwortmux/Process/Support/BackendAnnouncement.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
 #include "ragwortmux/Process/Support/Metrics.h"
@@ -209,20 +210,16 @@
 
 kj::Promise<HttpReply> OperatorApi::query(const std::string &What,
                                           const std::string &Name) {
-  auto Pair = kj::newPromiseAndFulfiller<HttpReply>();
-  const auto Fulfiller =
-      std::make_shared<kj::Own<kj::PromiseFulfiller<HttpReply>>>(
-          kj::mv(Pair.fulfiller));
-  m_Entry->control().query(
-      What, Name, monotonicNow() + OperatorTimeout,
-      [Fulfiller](const QueryReply &Reply) {
-        (*Fulfiller)
-            ->fulfill(Reply.m_Status.ok()
-                          ? HttpReply{HttpOk, "application/json", Reply.m_Json}
-                          : resultReply(Reply.m_Status.m_Code,
-                                        Reply.m_Status.m_Reason));
+  return promiseReply<QueryReply>([&](auto Respond) {
+           m_Entry->control().query(What, Name,
+                                    monotonicNow() + OperatorTimeout, Respond);
+         })
+      .then([](QueryReply Reply) {
+        return Reply.m_Status.ok() ? HttpReply{HttpOk, "application/json",
+                                               std::move(Reply.m_Json)}
+                                   : resultReply(Reply.m_Status.m_Code,
+                                                 Reply.m_Status.m_Reason);
       });
-  return kj::mv(Pair.promise);
 }
 
 kj::Promise<HttpReply> OperatorApi::change(const HttpRequest &Request,
@@ -246,15 +243,11 @@
     }
     Command = PutEntry{*Expected, Change, Operator, *Entry};
   }
-  auto Pair = kj::newPromiseAndFulfiller<HttpReply>();
-  const auto Fulfiller =
-      std::make_shared<kj::Own<kj::PromiseFulfiller<HttpReply>>>(
-          kj::mv(Pair.fulfiller));
-  m_Entry->control().command(Command, monotonicNow() + OperatorTimeout,
-                             [Fulfiller](const CommandReply &Reply) {
-                               (*Fulfiller)->fulfill(changeReply(Reply));
-                             });
-  return kj::mv(Pair.promise);
+  return promiseReply<CommandReply>([&](auto Respond) {
+           m_Entry->control().command(Command, monotonicNow() + OperatorTimeout,
+                                      Respond);
+         })
+      .then([](const CommandReply &Reply) { return changeReply(Reply); });
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/OperatorClient.cpp
+++ b/ragwortmux/Process/OperatorClient.cpp
@@ -5,13 +5,13 @@
 #include "ragwortmux/Process/Support/Secret.h"
 #include "ragwortmux/Process/Support/UuidV7.h"
 #include "ragwortmux/Process/SystemClock.h"
+#include "ragwortmux/Process/SystemRandom.h"
 
 #include <kj/compat/http.h>
 #include <kj/debug.h>
 #include <kj/encoding.h>
 
 #include <cstdio>
-#include <random>
 
 namespace ragwortmux {
 
@@ -27,14 +27,7 @@
 }
 
 std::string newChangeId() {
-  std::random_device Device;
-  constexpr unsigned Half = 32;
-  return makeRequestKey(
-             wallNow(),
-             [&Device] {
-               return (static_cast<std::uint64_t>(Device()) << Half) | Device();
-             })
-      .value();
+  return makeRequestKey(wallNow(), systemRandom).value();
 }
 
 std::string changeQuery(const CatalogueCommand &Command) {
--- a/ragwortmux/Process/RpcServer.cpp
+++ b/ragwortmux/Process/RpcServer.cpp
@@ -4,6 +4,7 @@
 #include "ragwortmux/Process/ClusterProof.h"
 #include "ragwortmux/Process/IoLoop.h"
 #include "ragwortmux/Process/LogMessageCodec.h"
+#include "ragwortmux/Process/PromiseReply.h"
 #include "ragwortmux/Process/RpcCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Secret.h"
@@ -15,16 +16,6 @@
 
 namespace {
 
-/// Turns a reply hook into a promise: \p Start gets the hook that fulfills it.
-template <typename Reply, typename Starter>
-kj::Promise<Reply> promiseOf(Starter Start) {
-  auto Pair = kj::newPromiseAndFulfiller<Reply>();
-  auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<Reply>>>(
-      kj::mv(Pair.fulfiller));
-  Start([Fulfiller](Reply Value) { (*Fulfiller)->fulfill(std::move(Value)); });
-  return kj::mv(Pair.promise);
-}
-
 ControlStatus refusedStatus() {
   return {ResultCode::NotLeader, "this process has no control role", ""};
 }
@@ -86,7 +77,7 @@
       return kj::READY_NOW;
     }
     const auto Params = Context.getParams();
-    return promiseOf<OpenSessionReply>([&](auto Respond) {
+    return promiseReply<OpenSessionReply>([&](auto Respond) {
              m_Hooks.m_OpenSession(readRpc(Params.getHost()),
                                    Incarnation(Params.getIncarnation()),
                                    listenerOf(m_Loop, Params.getListener()),
@@ -114,7 +105,7 @@
     for (const auto Demand : Params.getDemand()) {
       Renewal.m_Demand.push_back(readRpc(Demand));
     }
-    return promiseOf<RenewReply>([&](auto Respond) {
+    return promiseReply<RenewReply>([&](auto Respond) {
              m_Hooks.m_Renew(std::move(Renewal), Respond);
            })
         .then([Context](const RenewReply &Reply) mutable {
@@ -140,7 +131,7 @@
       Suspicions.push_back(readRpc(Suspicion));
       Suspicions.back().m_Session = ControlSessionId(Params.getSession());
     }
-    return promiseOf<ControlStatus>([&](auto Respond) {
+    return promiseReply<ControlStatus>([&](auto Respond) {
              m_Hooks.m_Report(std::move(Announcements), std::move(Suspicions),
                               Respond);
            })
@@ -154,7 +145,7 @@
       writeRpc(Context.getResults().initResult().initStatus(), refusedStatus());
       return kj::READY_NOW;
     }
-    return promiseOf<CommandReply>([&](auto Respond) {
+    return promiseReply<CommandReply>([&](auto Respond) {
              m_Hooks.m_Command(toString(Context.getParams().getCommand()),
                                Respond);
            })
@@ -169,7 +160,7 @@
       return kj::READY_NOW;
     }
     const auto Params = Context.getParams();
-    return promiseOf<QueryReply>([&](auto Respond) {
+    return promiseReply<QueryReply>([&](auto Respond) {
              m_Hooks.m_Query(toString(Params.getWhat()),
                              toString(Params.getName()), Respond);
            })
--- /dev/null
+++ b/ragwortmux/Process/SystemRandom.cpp
@@ -0,0 +1,13 @@
+#include "ragwortmux/Process/SystemRandom.h"
+
+#include <random>
+
+namespace ragwortmux {
+
+std::uint64_t systemRandom() {
+  static thread_local std::random_device Device;
+  constexpr unsigned Half = 32;
+  return (static_cast<std::uint64_t>(Device()) << Half) | Device();
+}
+
+} // namespace ragwortmux
