--- a/ragwortmux/Process/GroupDriver.h
+++ b/ragwortmux/Process/GroupDriver.h
@@ -105,7 +105,6 @@
   void performOne(const CloseCaller &Action);
 
   void runStatement(ConnectionId Id, Held &Connection);
-  void connectionOpened(ConnectionId Id);
   void connectionGone(ConnectionId Id, GroupEvent Event);
   void statementAnswered(ConnectionId Id, StatementResult Result);
   void attemptEnded(const EndAttempt &Action, AttemptOutcome Outcome);
