--- a/ragwortmux/Core/Ids.h
+++ b/ragwortmux/Core/Ids.h
@@ -52,6 +52,9 @@
 using Term = StrongId<struct TermTag, std::uint64_t>;
 /// A position in a database group's replication log. 0 is the empty log.
 using LogPosition = StrongId<struct LogPositionTag, std::uint64_t>;
+/// The version that an operator gave a whole catalogue; the highest one is in
+/// force.
+using CatalogueVersion = StrongId<struct CatalogueVersionTag, std::uint64_t>;
 /// A revision of the catalogue or of another replicated record; rises with each
 /// change.
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
--- a/ragwortmux/Core/ResultCode.cpp
+++ b/ragwortmux/Core/ResultCode.cpp
@@ -54,6 +54,10 @@
     ResultCodeInfo{ResultCode::NotRunBadRequest, "not-run-bad-request", "0A000",
                    "Not run: the request is malformed or uses a feature that "
                    "is not supported."},
+    ResultCodeInfo{ResultCode::NotRunUnknownStatement,
+                   "not-run-unknown-statement", "26000",
+                   "Not run: the session has no prepared statement of this "
+                   "name."},
     ResultCodeInfo{ResultCode::OutcomeUnknown, "outcome-unknown", "08007",
                    "It is not known whether the request was run."},
     ResultCodeInfo{ResultCode::OutcomeUnknownTermEnded,
@@ -69,6 +73,12 @@
     ResultCodeInfo{
         ResultCode::RanEarlier, "ran-earlier", "72005",
         "The request was run once, earlier; this is the recorded outcome."},
+    ResultCodeInfo{ResultCode::RanFailed, "ran-failed", "58000",
+                   "The backend server ran the request and reported that it "
+                   "failed."},
+    ResultCodeInfo{ResultCode::RanTimedOut, "ran-timed-out", "57014",
+                   "The backend server ran the request and ended it because it "
+                   "took too long."},
     ResultCodeInfo{ResultCode::BadSetting, "bad-setting", "",
                    "A setting is missing or out of range."},
     ResultCodeInfo{ResultCode::BadArgument, "bad-argument", "",
--- a/ragwortmux/Core/ResultCode.h
+++ b/ragwortmux/Core/ResultCode.h
@@ -28,6 +28,7 @@
   NotRunNotCovered = 113,
   NotRunKeyInUse = 114,
   NotRunBadRequest = 115,
+  NotRunUnknownStatement = 116,
 
   // 2xx: it is not known whether the request was run.
   OutcomeUnknown = 201,
@@ -37,6 +38,8 @@
   RanAnswerTooLarge = 301,
   RanAnswerLost = 302,
   RanEarlier = 303,
+  RanFailed = 304,
+  RanTimedOut = 305,
 
   // 4xx: operators and settings.
   BadSetting = 401,
--- a/ragwortmux/Process/CommandCodec.cpp
+++ b/ragwortmux/Process/CommandCodec.cpp
@@ -193,6 +193,22 @@
           In.getActive()};
 }
 
+void write(Union::Builder Out, const ReplaceCatalogue &Command) {
+  auto Body = Out.initReplaceCatalogue();
+  Body.setVersion(Command.m_Version.value());
+  Body.setDocument(toText(Command.m_Document));
+  writeList(Body.initEntries(sizeOf(Command.m_Entries)), Command.m_Entries,
+            writeEntry);
+  writeList(Body.initGroups(sizeOf(Command.m_Groups)), Command.m_Groups,
+            writePolicy);
+}
+
+ReplaceCatalogue read(stored::ReplaceCatalogue::Reader In) {
+  return {CatalogueVersion(In.getVersion()), toString(In.getDocument()),
+          readList(In.getEntries(), readEntry),
+          readList(In.getGroups(), readPolicy)};
+}
+
 ControlCommand readCommand(Union::Reader In) {
   switch (In.which()) {
   case Union::PUT_ENTRY:
@@ -229,6 +245,8 @@
     return SetVoters{readList(In.getSetVoters(), readVoter)};
   case Union::SET_SESSION_HOMES:
     return read(In.getSetSessionHomes());
+  case Union::REPLACE_CATALOGUE:
+    return read(In.getReplaceCatalogue());
   case Union::NONE:
     break;
   }
--- a/ragwortmux/Process/CommandCodecRecords.cpp
+++ b/ragwortmux/Process/CommandCodecRecords.cpp
@@ -24,6 +24,9 @@
   Out.setDeadlineUs(Entry.m_Limits.m_RequestDeadline.count());
   Out.setMaxAnswerBytes(Entry.m_Limits.m_MaxAnswerBytes);
   Out.setMaxAgeUs(Entry.m_Limits.m_MaxAge.count());
+  Out.setLatencyTargetUs(Entry.m_Limits.m_LatencyTarget.count());
+  Out.setTransactionIdleUs(Entry.m_Limits.m_TransactionIdle.count());
+  Out.setPriority(Entry.m_Limits.m_Priority);
 }
 
 CatalogueEntry readEntry(stored::Entry::Reader In) {
@@ -31,12 +34,16 @@
   Entry.m_Name = readId<EntryName>(In.getName());
   Entry.m_Group = readId<GroupId>(In.getGroup());
   Entry.m_Owner = readId<OwnerId>(In.getOwner());
-  Entry.m_Class = readEnumeration(In.getTrafficClass(), TrafficClass::AgedRead);
+  Entry.m_Class =
+      readEnumeration(In.getTrafficClass(), TrafficClass::OwnWritesSession);
   Entry.m_Limits.m_MaxConcurrent = In.getMaxConcurrent();
   Entry.m_Limits.m_MaxQueued = In.getMaxQueued();
   Entry.m_Limits.m_RequestDeadline = Duration(In.getDeadlineUs());
   Entry.m_Limits.m_MaxAnswerBytes = In.getMaxAnswerBytes();
   Entry.m_Limits.m_MaxAge = Duration(In.getMaxAgeUs());
+  Entry.m_Limits.m_LatencyTarget = Duration(In.getLatencyTargetUs());
+  Entry.m_Limits.m_TransactionIdle = Duration(In.getTransactionIdleUs());
+  Entry.m_Limits.m_Priority = In.getPriority();
   return Entry;
 }
 
@@ -64,6 +71,7 @@
   Out.setPort(Command.m_Port);
   Out.setSlots(Command.m_Slots);
   Out.setConnectionLimit(Command.m_ConnectionLimit);
+  Out.setReplication(static_cast<std::uint8_t>(Command.m_Replication));
 }
 
 RegisterServer readRegisterServer(stored::RegisterServer::Reader In) {
@@ -73,7 +81,8 @@
           toString(In.getAddress()),
           In.getPort(),
           In.getSlots(),
-          In.getConnectionLimit()};
+          In.getConnectionLimit(),
+          readEnumeration(In.getReplication(), ReplicationMode::Delegated)};
 }
 
 void writeReserveKey(stored::ReserveKey::Builder Out,
@@ -92,6 +101,17 @@
           readId<GroupId>(In.getGroup()),     Term(In.getTerm())};
 }
 
+void writePolicy(stored::GroupPolicy::Builder Out, const GroupPolicy &Policy) {
+  Out.setGroup(toText(Policy.m_Group.value()));
+  Out.setConnectionLimit(Policy.m_ConnectionLimit);
+  Out.setSyncReplicas(Policy.m_SyncReplicas);
+}
+
+GroupPolicy readPolicy(stored::GroupPolicy::Reader In) {
+  return {readId<GroupId>(In.getGroup()), In.getConnectionLimit(),
+          In.getSyncReplicas()};
+}
+
 void writeVoter(stored::Voter::Builder Out, const VoterRecord &Voter) {
   Out.setHost(toText(Voter.m_Host.value()));
   Out.setDomain(toText(Voter.m_Domain.value()));
--- a/ragwortmux/Process/CommandCodecRecords.h
+++ b/ragwortmux/Process/CommandCodecRecords.h
@@ -94,6 +94,9 @@
                      const ReserveKey &Command);
 ReserveKey readReserveKey(stored::ReserveKey::Reader In);
 
+void writePolicy(stored::GroupPolicy::Builder Out, const GroupPolicy &Policy);
+GroupPolicy readPolicy(stored::GroupPolicy::Reader In);
+
 void writeVoter(stored::Voter::Builder Out, const VoterRecord &Voter);
 VoterRecord readVoter(stored::Voter::Reader In);
 
--- a/ragwortmux/Process/CommandCodecState.cpp
+++ b/ragwortmux/Process/CommandCodecState.cpp
@@ -57,6 +57,9 @@
   writeList(Out.initHistory(sizeOf(Data.m_History)), Data.m_History,
             writeChange);
   writeList(Out.initRecent(sizeOf(Data.m_Recent)), Data.m_Recent, writeChange);
+  Out.setVersion(Data.m_Version.value());
+  Out.setDocument(toText(Data.m_Document));
+  writeList(Out.initGroups(sizeOf(Data.m_Groups)), Data.m_Groups, writePolicy);
 }
 
 CatalogueData readCatalogue(stored::Catalogue::Reader In) {
@@ -65,7 +68,10 @@
           readList(In.getItems(), readItem),
           readList(In.getDeletions(), readDeletion),
           readList(In.getHistory(), readChange),
-          readList(In.getRecent(), readChange)};
+          readList(In.getRecent(), readChange),
+          CatalogueVersion(In.getVersion()),
+          toString(In.getDocument()),
+          readList(In.getGroups(), readPolicy)};
 }
 
 void writeSession(stored::Session::Builder Out, const SessionRecord &Session) {
@@ -90,7 +96,7 @@
   writeRegisterServer(Out.initRegistered(),
                       {Group, Server.m_Server, Server.m_Domain,
                        Server.m_Address, Server.m_Port, Server.m_Slots,
-                       Server.m_ConnectionLimit});
+                       Server.m_ConnectionLimit, ReplicationMode::InSyncSet});
   Out.setSync(static_cast<std::uint8_t>(Server.m_Sync));
   Out.setSyncRevision(Server.m_SyncRevision.value());
   Out.setLeaving(Server.m_Leaving);
@@ -123,6 +129,7 @@
     Out.setPrevious(toText(Group.m_Previous->value()));
   Out.setTermRevision(Group.m_TermRevision.value());
   Out.setLastSession(Group.m_LastSession.value());
+  Out.setReplication(static_cast<std::uint8_t>(Group.m_Replication));
   auto Servers = Out.initServers(static_cast<unsigned>(Group.m_Servers.size()));
   unsigned Position = 0;
   for (const auto &[Id, Server] : Group.m_Servers)
@@ -140,6 +147,8 @@
     Group.m_Previous = readId<ServerId>(In.getPrevious());
   Group.m_TermRevision = Revision(In.getTermRevision());
   Group.m_LastSession = ControlSessionId(In.getLastSession());
+  Group.m_Replication =
+      readEnumeration(In.getReplication(), ReplicationMode::Delegated);
   for (const auto Row : In.getServers()) {
     ServerRecord Server = readServer(Row);
     Group.m_Servers[Server.m_Server] = Server;
--- a/ragwortmux/Process/ControlQuery.cpp
+++ b/ragwortmux/Process/ControlQuery.cpp
@@ -112,6 +112,9 @@
   if (What == "status") {
     return statusJson(State);
   }
+  if (What == "document") {
+    return State.catalogue().document();
+  }
   if (What == "entry") {
     const CatalogueItem *Item = State.catalogue().find(EntryName(Name));
     return Item == nullptr ? std::nullopt
--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -206,7 +206,9 @@
   Settings.m_Reader.m_MaxMessageBytes = m_Settings.m_MaxCallerMessageBytes;
   CallerHooks Hooks;
   Hooks.m_FindEntry = [this](const EntryName &Name) {
-    return m_Catalogue.find(Name);
+    // Sessions with state are served by SessionEntryRole alone.
+    auto Entry = m_Catalogue.find(Name);
+    return Entry != nullptr && isStateful(Entry->m_Class) ? nullptr : Entry;
   };
   Hooks.m_Submit = [this](GroupRequest Request) { submit(std::move(Request)); };
   Hooks.m_Gone = [this](CallerConnectionId Caller, const GroupId &Group) {
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -61,6 +61,9 @@
   deadlineUs @6 :Int64;
   maxAnswerBytes @7 :UInt32;
   maxAgeUs @8 :Int64;
+  latencyTargetUs @9 :Int64;
+  transactionIdleUs @10 :Int64;
+  priority @11 :UInt32;
 }
 
 struct CatalogueItem {
@@ -124,6 +127,10 @@
   slots @8 :UInt32;
   connections @9 :UInt32;
   leaving @10 :Bool;
+  gone @11 :Bool;
+  delegated @12 :Bool;
+  incarnation @13 :UInt64;
+  sequence @14 :UInt64;
 }
 
 struct Demand {
@@ -182,8 +189,9 @@
   logMessage @0 (message :Data) -> ();
   # A message of the replicated log (see LogMessageCodec).
 
-  identify @1 () -> (voter :Text, blank :Bool, host :Text);
-  # The identity of this process's data folder; blank while its log is empty.
+  identify @1 (from :Text) -> (voter :Text, blank :Bool, host :Text, members :List(Text));
+  # The identity of this process's data folder; blank while its log is empty. from is the address of a control process
+  # that wants to become a member; empty: none.
 
   openSession @2 (host :EntryHost, incarnation :UInt64, listener :EntryListener) -> (status :Status, session :UInt64, leaseUs :Int64);
 
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -238,7 +238,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e03a9425b0703bc6, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e03a9425b0703bc6, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -358,7 +358,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fae48b386230b1fb, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fae48b386230b1fb, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -562,7 +562,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1f6261657427978, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b1f6261657427978, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -577,7 +577,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1ac63a2f662570a, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c1ac63a2f662570a, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1703,6 +1703,12 @@
 
   inline  ::int64_t getMaxAgeUs() const;
 
+  inline  ::int64_t getLatencyTargetUs() const;
+
+  inline  ::int64_t getTransactionIdleUs() const;
+
+  inline  ::uint32_t getPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1770,6 +1776,15 @@
   inline  ::int64_t getMaxAgeUs();
   inline void setMaxAgeUs( ::int64_t value);
 
+  inline  ::int64_t getLatencyTargetUs();
+  inline void setLatencyTargetUs( ::int64_t value);
+
+  inline  ::int64_t getTransactionIdleUs();
+  inline void setTransactionIdleUs( ::int64_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2525,6 +2540,14 @@
 
   inline bool getLeaving() const;
 
+  inline bool getGone() const;
+
+  inline bool getDelegated() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2602,6 +2625,18 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool getGone();
+  inline void setGone(bool value);
+
+  inline bool getDelegated();
+  inline void setDelegated(bool value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3678,6 +3713,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3706,6 +3744,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3757,6 +3802,9 @@
   inline bool hasHost() const;
   inline  ::capnp::Text::Reader getHost() const;
 
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3802,6 +3850,14 @@
   inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5959,6 +6015,48 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t CatalogueEntry::Reader::getLatencyTargetUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CatalogueEntry::Builder::getLatencyTargetUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setLatencyTargetUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CatalogueEntry::Reader::getTransactionIdleUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CatalogueEntry::Builder::getTransactionIdleUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setTransactionIdleUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CatalogueEntry::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CatalogueEntry::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CatalogueItem::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6808,6 +6906,62 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Announcement::Reader::getGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool Announcement::Builder::getGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Announcement::Reader::getDelegated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline bool Announcement::Builder::getDelegated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setDelegated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Announcement::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Announcement::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Demand::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7641,6 +7795,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::IdentifyParams::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::IdentifyParams::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::IdentifyParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::IdentifyParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::IdentifyParams::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::IdentifyParams::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::IdentifyParams::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::IdentifyParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::IdentifyResults::Reader::hasVoter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7723,6 +7911,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::IdentifyResults::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::IdentifyResults::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::IdentifyResults::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::IdentifyResults::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::IdentifyResults::Builder::setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Peer::IdentifyResults::Builder::setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::IdentifyResults::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::IdentifyResults::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::IdentifyResults::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::OpenSessionParams::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/Generated/Commands.capnp
+++ b/ragwortmux/Process/Generated/Commands.capnp
@@ -16,6 +16,9 @@
   deadlineUs @6 :Int64;
   maxAnswerBytes @7 :UInt32;
   maxAgeUs @8 :Int64;
+  latencyTargetUs @9 :Int64;
+  transactionIdleUs @10 :Int64;
+  priority @11 :UInt32;
 }
 
 struct PutEntry {
@@ -52,6 +55,7 @@
   port @4 :UInt16;
   slots @5 :UInt32;
   connectionLimit @6 :UInt32;
+  replication @7 :UInt8;
 }
 
 struct SetServerState {
@@ -138,6 +142,19 @@
   active @2 :Bool;
 }
 
+struct GroupPolicy {
+  group @0 :Text;
+  connectionLimit @1 :UInt32;
+  syncReplicas @2 :UInt32;
+}
+
+struct ReplaceCatalogue {
+  version @0 :UInt64;
+  document @1 :Text;
+  entries @2 :List(Entry);
+  groups @3 :List(GroupPolicy);
+}
+
 struct Command {
   union {
     none @0 :Void;
@@ -158,6 +175,7 @@
     advanceTimeMs @15 :Int64;
     setVoters @16 :List(Voter);
     setSessionHomes @17 :SetSessionHomes;
+    replaceCatalogue @18 :ReplaceCatalogue;
   }
 }
 
@@ -188,6 +206,9 @@
   deletions @3 :List(Deletion);
   history @4 :List(Change);
   recent @5 :List(Change);
+  version @6 :UInt64;
+  document @7 :Text;
+  groups @8 :List(GroupPolicy);
 }
 
 struct Session {
@@ -214,6 +235,7 @@
   termRevision @7 :UInt64;
   lastSession @8 :UInt64;
   servers @9 :List(Server);
+  replication @10 :UInt8;
 }
 
 struct Share {
--- a/ragwortmux/Process/Generated/Commands.capnp.h
+++ b/ragwortmux/Process/Generated/Commands.capnp.h
@@ -34,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(f14ff4f756af7f9e);
 CAPNP_DECLARE_SCHEMA(df07f09d05fc4061);
 CAPNP_DECLARE_SCHEMA(bca90e6401b8d50e);
+CAPNP_DECLARE_SCHEMA(beb093d1660ba23c);
+CAPNP_DECLARE_SCHEMA(919e10c01fe4a573);
 CAPNP_DECLARE_SCHEMA(b607038e4faacacf);
 CAPNP_DECLARE_SCHEMA(dcf67b3a13a975e4);
 CAPNP_DECLARE_SCHEMA(a2e505ac1b3d3038);
@@ -61,7 +63,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d1c38eeab257cad9, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d1c38eeab257cad9, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -323,6 +325,36 @@
   };
 };
 
+struct GroupPolicy {
+  GroupPolicy() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(beb093d1660ba23c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReplaceCatalogue {
+  ReplaceCatalogue() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(919e10c01fe4a573, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Command {
   Command() = delete;
 
@@ -348,6 +380,7 @@
     ADVANCE_TIME_MS,
     SET_VOTERS,
     SET_SESSION_HOMES,
+    REPLACE_CATALOGUE,
   };
 
   struct _capnpPrivate {
@@ -411,7 +444,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd1f8fb7262555f4, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cd1f8fb7262555f4, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -563,6 +596,12 @@
 
   inline  ::int64_t getMaxAgeUs() const;
 
+  inline  ::int64_t getLatencyTargetUs() const;
+
+  inline  ::int64_t getTransactionIdleUs() const;
+
+  inline  ::uint32_t getPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -630,6 +669,15 @@
   inline  ::int64_t getMaxAgeUs();
   inline void setMaxAgeUs( ::int64_t value);
 
+  inline  ::int64_t getLatencyTargetUs();
+  inline void setLatencyTargetUs( ::int64_t value);
+
+  inline  ::int64_t getTransactionIdleUs();
+  inline void setTransactionIdleUs( ::int64_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1091,6 +1139,8 @@
 
   inline  ::uint32_t getConnectionLimit() const;
 
+  inline  ::uint8_t getReplication() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1156,6 +1206,9 @@
   inline  ::uint32_t getConnectionLimit();
   inline void setConnectionLimit( ::uint32_t value);
 
+  inline  ::uint8_t getReplication();
+  inline void setReplication( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2416,6 +2469,203 @@
 };
 #endif  // !CAPNP_LITE
 
+class GroupPolicy::Reader {
+public:
+  typedef GroupPolicy Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint32_t getConnectionLimit() const;
+
+  inline  ::uint32_t getSyncReplicas() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GroupPolicy::Builder {
+public:
+  typedef GroupPolicy Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint32_t getConnectionLimit();
+  inline void setConnectionLimit( ::uint32_t value);
+
+  inline  ::uint32_t getSyncReplicas();
+  inline void setSyncReplicas( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GroupPolicy::Pipeline {
+public:
+  typedef GroupPolicy Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ReplaceCatalogue::Reader {
+public:
+  typedef ReplaceCatalogue Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ReplaceCatalogue::Builder {
+public:
+  typedef ReplaceCatalogue Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> disownGroups();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ReplaceCatalogue::Pipeline {
+public:
+  typedef ReplaceCatalogue Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Command::Reader {
 public:
   typedef Command Reads;
@@ -2504,6 +2754,10 @@
   inline bool hasSetSessionHomes() const;
   inline  ::ragwortmux::stored::SetSessionHomes::Reader getSetSessionHomes() const;
 
+  inline bool isReplaceCatalogue() const;
+  inline bool hasReplaceCatalogue() const;
+  inline  ::ragwortmux::stored::ReplaceCatalogue::Reader getReplaceCatalogue() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2669,6 +2923,14 @@
   inline void adoptSetSessionHomes(::capnp::Orphan< ::ragwortmux::stored::SetSessionHomes>&& value);
   inline ::capnp::Orphan< ::ragwortmux::stored::SetSessionHomes> disownSetSessionHomes();
 
+  inline bool isReplaceCatalogue();
+  inline bool hasReplaceCatalogue();
+  inline  ::ragwortmux::stored::ReplaceCatalogue::Builder getReplaceCatalogue();
+  inline void setReplaceCatalogue( ::ragwortmux::stored::ReplaceCatalogue::Reader value);
+  inline  ::ragwortmux::stored::ReplaceCatalogue::Builder initReplaceCatalogue();
+  inline void adoptReplaceCatalogue(::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue> disownReplaceCatalogue();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3023,6 +3285,14 @@
   inline bool hasRecent() const;
   inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
 
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3085,6 +3355,23 @@
   inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>> disownRecent();
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> disownGroups();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3341,6 +3628,8 @@
   inline bool hasServers() const;
   inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Reader getServers() const;
 
+  inline  ::uint8_t getReplication() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3415,6 +3704,9 @@
   inline void adoptServers(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>> disownServers();
 
+  inline  ::uint8_t getReplication();
+  inline void setReplication( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4098,6 +4390,48 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Entry::Reader::getLatencyTargetUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Entry::Builder::getLatencyTargetUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setLatencyTargetUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Entry::Reader::getTransactionIdleUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Entry::Builder::getTransactionIdleUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setTransactionIdleUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Entry::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Entry::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PutEntry::Reader::getExpected() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4657,6 +4991,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t RegisterServer::Reader::getReplication() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RegisterServer::Builder::getReplication() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RegisterServer::Builder::setReplication( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SetServerState::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5897,6 +6245,184 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GroupPolicy::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupPolicy::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GroupPolicy::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GroupPolicy::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GroupPolicy::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GroupPolicy::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GroupPolicy::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GroupPolicy::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t GroupPolicy::Reader::getConnectionLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GroupPolicy::Builder::getConnectionLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GroupPolicy::Builder::setConnectionLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GroupPolicy::Reader::getSyncReplicas() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GroupPolicy::Builder::getSyncReplicas() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GroupPolicy::Builder::setSyncReplicas( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReplaceCatalogue::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReplaceCatalogue::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReplaceCatalogue::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ReplaceCatalogue::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplaceCatalogue::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplaceCatalogue::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplaceCatalogue::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReplaceCatalogue::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplaceCatalogue::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReplaceCatalogue::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplaceCatalogue::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ReplaceCatalogue::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplaceCatalogue::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader ReplaceCatalogue::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder ReplaceCatalogue::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReplaceCatalogue::Builder::setEntries( ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder ReplaceCatalogue::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReplaceCatalogue::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>> ReplaceCatalogue::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ReplaceCatalogue::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplaceCatalogue::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader ReplaceCatalogue::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder ReplaceCatalogue::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReplaceCatalogue::Builder::setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder ReplaceCatalogue::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReplaceCatalogue::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> ReplaceCatalogue::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::ragwortmux::stored::Command::Which Command::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6822,6 +7348,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::isReplaceCatalogue() const {
+  return which() == Command::REPLACE_CATALOGUE;
+}
+inline bool Command::Builder::isReplaceCatalogue() {
+  return which() == Command::REPLACE_CATALOGUE;
+}
+inline bool Command::Reader::hasReplaceCatalogue() const {
+  if (which() != Command::REPLACE_CATALOGUE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasReplaceCatalogue() {
+  if (which() != Command::REPLACE_CATALOGUE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::ReplaceCatalogue::Reader Command::Reader::getReplaceCatalogue() const {
+  KJ_IREQUIRE((which() == Command::REPLACE_CATALOGUE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::ReplaceCatalogue::Builder Command::Builder::getReplaceCatalogue() {
+  KJ_IREQUIRE((which() == Command::REPLACE_CATALOGUE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setReplaceCatalogue( ::ragwortmux::stored::ReplaceCatalogue::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::ReplaceCatalogue::Builder Command::Builder::initReplaceCatalogue() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptReplaceCatalogue(
+    ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue> Command::Builder::disownReplaceCatalogue() {
+  KJ_IREQUIRE((which() == Command::REPLACE_CATALOGUE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Item::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7250,6 +7830,88 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Catalogue::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Catalogue::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Catalogue::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Catalogue::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalogue::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Catalogue::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Catalogue::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Catalogue::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Catalogue::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Catalogue::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Catalogue::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Catalogue::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalogue::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader Catalogue::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder Catalogue::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Catalogue::Builder::setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder Catalogue::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Catalogue::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> Catalogue::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Session::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7618,6 +8280,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t Group::Reader::getReplication() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Group::Builder::getReplication() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void Group::Builder::setReplication( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Share::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/RpcCodec.cpp
+++ b/ragwortmux/Process/RpcCodec.cpp
@@ -82,6 +82,9 @@
   Entry.setDeadlineUs(Limits.m_RequestDeadline.count());
   Entry.setMaxAnswerBytes(Limits.m_MaxAnswerBytes);
   Entry.setMaxAgeUs(Limits.m_MaxAge.count());
+  Entry.setLatencyTargetUs(Limits.m_LatencyTarget.count());
+  Entry.setTransactionIdleUs(Limits.m_TransactionIdle.count());
+  Entry.setPriority(Limits.m_Priority);
 }
 
 static CatalogueItem readRpc(rpc::CatalogueItem::Reader In) {
@@ -98,6 +101,9 @@
   Limits.m_RequestDeadline = Duration(Entry.getDeadlineUs());
   Limits.m_MaxAnswerBytes = Entry.getMaxAnswerBytes();
   Limits.m_MaxAge = Duration(Entry.getMaxAgeUs());
+  Limits.m_LatencyTarget = Duration(Entry.getLatencyTargetUs());
+  Limits.m_TransactionIdle = Duration(Entry.getTransactionIdleUs());
+  Limits.m_Priority = Entry.getPriority();
   return Item;
 }
 
@@ -299,6 +305,10 @@
   Out.setSlots(Announcement.m_Slots);
   Out.setConnections(Announcement.m_ConnectionLimit);
   Out.setLeaving(Announcement.m_Leaving);
+  Out.setGone(Announcement.m_Gone);
+  Out.setDelegated(Announcement.m_Delegated);
+  Out.setIncarnation(Announcement.m_Incarnation);
+  Out.setSequence(Announcement.m_Sequence);
 }
 
 ServerAnnouncement readRpc(rpc::Announcement::Reader In) {
@@ -314,6 +324,10 @@
   Announcement.m_Slots = In.getSlots();
   Announcement.m_ConnectionLimit = In.getConnections();
   Announcement.m_Leaving = In.getLeaving();
+  Announcement.m_Gone = In.getGone();
+  Announcement.m_Delegated = In.getDelegated();
+  Announcement.m_Incarnation = In.getIncarnation();
+  Announcement.m_Sequence = In.getSequence();
   return Announcement;
 }
 
--- a/ragwortmux/Process/Support/CatalogueJson.cpp
+++ b/ragwortmux/Process/Support/CatalogueJson.cpp
@@ -19,11 +19,14 @@
   std::string_view m_Word; ///< The word.
 };
 
-constexpr std::array<ClassWord, 4> ClassWords = {
+constexpr std::array<ClassWord, 7> ClassWords = {
     {{TrafficClass::Booking, "booking"},
      {TrafficClass::Write, "write"},
      {TrafficClass::SessionRead, "session-read"},
-     {TrafficClass::AgedRead, "aged-read"}}};
+     {TrafficClass::AgedRead, "aged-read"},
+     {TrafficClass::PrimarySession, "primary-session"},
+     {TrafficClass::AgedSession, "aged-session"},
+     {TrafficClass::OwnWritesSession, "own-writes-session"}}};
 
 std::uint64_t wholeMs(Duration Time) {
   return std::chrono::duration_cast<milliseconds>(Time).count();
@@ -116,11 +119,10 @@
   Fields.refuseOthers();
 
   // A stated age means nothing to the classes that must see the last write.
-  if (Class && *Class != TrafficClass::AgedRead &&
-      Entry.m_Limits.m_MaxAge > Duration(0))
+  if (Class && !allowsAge(*Class) && Entry.m_Limits.m_MaxAge > Duration(0))
     Faults.push_back({ResultCode::CatalogueInvalid, "max_age_ms",
                       std::to_string(wholeMs(Entry.m_Limits.m_MaxAge)),
-                      "0 unless class is aged-read"});
+                      "0 unless the class allows an age"});
   if (!Class || Faults.size() != Before)
     return std::nullopt;
   Entry.m_Class = *Class;
--- a/ragwortmux/Process/Support/CommandLine.cpp
+++ b/ragwortmux/Process/Support/CommandLine.cpp
@@ -134,7 +134,7 @@
   const std::optional<TrafficClass> Known = parseTrafficClass(Class);
   Parsed.m_Entry.m_Class = Known.value_or(TrafficClass::Booking);
   Parsed.m_Entry.m_Limits = readLimits(Reader);
-  if (Known && *Known != TrafficClass::AgedRead &&
+  if (Known && !allowsAge(*Known) &&
       Parsed.m_Entry.m_Limits.m_MaxAge > Duration(0))
     Reader.addFault("--max_age_ms", "above 0", "0 unless class is aged-read");
   readChange(Reader, Parsed);
--- a/ragwortmux/Version/Catalogue.cpp
+++ b/ragwortmux/Version/Catalogue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <string_view>
 
 namespace ragwortmux {
@@ -50,8 +51,8 @@
     return "max answer bytes is not within 1 KiB to 64 MiB";
   if (!isWithin<Duration>(Limits.m_MaxAge, 0ms, 24h))
     return "max age is not within 0 to 1 day";
-  if (Entry.m_Class != TrafficClass::AgedRead && Limits.m_MaxAge != 0ms)
-    return "max age is set, but the class is not AgedRead";
+  if (!allowsAge(Entry.m_Class) && Limits.m_MaxAge != 0ms)
+    return "max age is set, but the class allows no age";
   return {};
 }
 
@@ -87,7 +88,8 @@
     return "the group is not 1 to 63 printable characters";
   if (!isValidText(Entry.m_Owner.value(), MaxNameLength))
     return "the owner is not 1 to 63 printable characters";
-  if (!isWithin(Entry.m_Class, TrafficClass::Booking, TrafficClass::AgedRead))
+  if (!isWithin(Entry.m_Class, TrafficClass::Booking,
+                TrafficClass::OwnWritesSession))
     return "the class is unknown";
   return validateLimits(Entry);
 }
@@ -124,6 +126,46 @@
   return record(std::move(Change));
 }
 
+ControlResult Catalogue::replace(const ReplaceCatalogue &Command) {
+  if (Command.m_Version <= m_Version)
+    return ControlResult::made(m_Revision);
+  if (Command.m_Entries.size() > m_Settings.m_MaxEntries)
+    return ControlResult::refused(ResultCode::CatalogueInvalid,
+                                  "the catalogue has too many entries");
+  m_Version = Command.m_Version;
+  m_Document = Command.m_Document;
+  m_Groups = Command.m_Groups;
+  m_Revision = Revision(m_Revision.value() + 1);
+  removeUnlisted(Command.m_Entries);
+  for (const CatalogueEntry &Entry : Command.m_Entries) {
+    const CatalogueItem *Known = find(Entry.m_Name);
+    if (Known != nullptr && Known->m_Entry == Entry)
+      continue;
+    m_Items[Entry.m_Name] = {m_Revision, Entry};
+  }
+  forgetDeletions();
+  return ControlResult::made(m_Revision);
+}
+
+void Catalogue::removeUnlisted(const std::vector<CatalogueEntry> &Listed) {
+  std::set<EntryName> Names;
+  for (const CatalogueEntry &Entry : Listed)
+    Names.insert(Entry.m_Name);
+  std::erase_if(m_Items, [&](const auto &Known) {
+    const bool IsListed = Names.contains(Known.first);
+    if (!IsListed)
+      m_Deletions.push_back({m_Revision, Known.first});
+    return !IsListed;
+  });
+}
+
+const GroupPolicy *Catalogue::policy(const GroupId &Group) const {
+  const auto Found = std::find_if(
+      m_Groups.begin(), m_Groups.end(),
+      [&](const GroupPolicy &Policy) { return Policy.m_Group == Group; });
+  return Found == m_Groups.end() ? nullptr : &*Found;
+}
+
 std::optional<ControlResult>
 Catalogue::checkChange(const CatalogueChange &Change) const {
   if (!isValidText(Change.m_Change.value(), MaxTextLength))
@@ -185,6 +227,10 @@
     Changes.pop_front();
   while (m_Recent.size() > m_Settings.m_RememberedChanges)
     m_Recent.pop_front();
+  forgetDeletions();
+}
+
+void Catalogue::forgetDeletions() {
   while (m_Deletions.size() > m_Settings.m_RememberedDeletions) {
     const CatalogueDeletion &Oldest = m_Deletions.front();
     m_ForgottenDeletion = Oldest.m_Revision;
@@ -207,6 +253,9 @@
   for (const auto &[Name, Changes] : m_History)
     Data.m_History.insert(Data.m_History.end(), Changes.begin(), Changes.end());
   Data.m_Recent.assign(m_Recent.begin(), m_Recent.end());
+  Data.m_Version = m_Version;
+  Data.m_Document = m_Document;
+  Data.m_Groups = m_Groups;
   return Data;
 }
 
@@ -221,6 +270,9 @@
   for (const CatalogueChange &Change : Data.m_History)
     m_History[Change.m_Entry.m_Name].push_back(Change);
   m_Recent.assign(Data.m_Recent.begin(), Data.m_Recent.end());
+  m_Version = Data.m_Version;
+  m_Document = Data.m_Document;
+  m_Groups = Data.m_Groups;
 }
 
 const CatalogueItem *Catalogue::find(const EntryName &Name) const {
--- a/ragwortmux/Version/Catalogue.h
+++ b/ragwortmux/Version/Catalogue.h
@@ -15,6 +15,7 @@
 
 struct DeleteEntry;
 struct PutEntry;
+struct ReplaceCatalogue;
 
 /// The catalogue: compare-and-set on each entry's revision, idempotent by
 /// change id.
@@ -39,11 +40,21 @@
   /// Deletes an entry at log time \p Now.
   ControlResult erase(const DeleteEntry &Command, WallTime Now);
 
+  /// Replaces all entries. Only those that differ get a new revision, so that
+  /// deltas stay small.
+  ControlResult replace(const ReplaceCatalogue &Command);
+
   CatalogueData exportData() const;
   void importData(const CatalogueData &Data);
 
   /// The revision of the last change.
   Revision revision() const { return m_Revision; }
+  /// The operator's version of the whole; 0 if it was never replaced.
+  CatalogueVersion version() const { return m_Version; }
+  /// What the operator sent under version().
+  const std::string &document() const { return m_Document; }
+  /// What operators state about \p Group, or null.
+  const GroupPolicy *policy(const GroupId &Group) const;
   /// The entry \p Name, or null.
   const CatalogueItem *find(const EntryName &Name) const;
   /// Calls \p Visit for each entry by name.
@@ -66,6 +77,8 @@
                                              Revision Expected) const;
   ControlResult record(CatalogueChange Change);
   void forgetOld(const EntryName &Name);
+  void forgetDeletions();
+  void removeUnlisted(const std::vector<CatalogueEntry> &Listed);
 
   Settings m_Settings;                        ///< The bounds.
   Revision m_Revision;                        ///< The last change.
@@ -74,7 +87,10 @@
       m_History;                        ///< The last changes of each name.
   std::deque<CatalogueChange> m_Recent; ///< Changes whose ids are remembered.
   std::deque<CatalogueDeletion> m_Deletions; ///< Kept deletions, oldest first.
-  Revision m_ForgottenDeletion; ///< The newest deletion not kept any more.
+  Revision m_ForgottenDeletion;      ///< The newest deletion not kept any more.
+  CatalogueVersion m_Version;        ///< See version().
+  std::string m_Document;            ///< See document().
+  std::vector<GroupPolicy> m_Groups; ///< Policies of groups.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Version/CatalogueEntry.h
+++ b/ragwortmux/Version/CatalogueEntry.h
@@ -16,8 +16,25 @@
   Write,   ///< Repeatable write: on the primary.
   SessionRead, ///< Read that must cover the session's last write.
   AgedRead,    ///< Read that may be as old as the entry or the caller states.
+  PrimarySession,   ///< Stateful session whose reads and writes all run at the
+                    ///< primary.
+  AgedSession,      ///< Stateful session whose reads may be as old as stated.
+  OwnWritesSession, ///< Like AgedSession, but reads see the session's writes.
 };
 
+/// True for the classes whose callers hold a session with values, prepared
+/// statements and transactions of several statements.
+inline bool isStateful(TrafficClass Class) {
+  return Class >= TrafficClass::PrimarySession;
+}
+
+/// True if reads of \p Class may be of a stated age.
+inline bool allowsAge(TrafficClass Class) {
+  return Class == TrafficClass::AgedRead ||
+         Class == TrafficClass::AgedSession ||
+         Class == TrafficClass::OwnWritesSession;
+}
+
 /// The limits of a catalogue entry.
 struct EntryLimits final {
   std::uint32_t m_MaxConcurrent =
@@ -27,8 +44,14 @@
       std::chrono::seconds(5); ///< From arrival to answer; 10 ms to 10 min.
   std::uint32_t m_MaxAnswerBytes = 1U
                                    << 20U; ///< Whole answer; 1 KiB to 64 MiB.
-  Duration m_MaxAge{
-      0}; ///< AgedRead only: how old the data may be; up to 1 day.
+  Duration m_MaxAge{0}; ///< Classes that allow an age only: how old the data
+                        ///< may be; up to 1 day.
+  Duration m_LatencyTarget{0};   ///< Stateful classes: what the answer should
+                                 ///< take at most; 0: none.
+  Duration m_TransactionIdle{0}; ///< Stateful classes: how long a transaction
+                                 ///< may wait for its next statement; 0: the
+                                 ///< process's default.
+  std::uint32_t m_Priority = 0;  ///< Stateful classes: 0 goes first.
 
   friend bool operator==(const EntryLimits &, const EntryLimits &) = default;
 };
--- a/ragwortmux/Version/CatalogueRecords.h
+++ b/ragwortmux/Version/CatalogueRecords.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Core/ResultCode.h"
 #include "ragwortmux/Version/CatalogueEntry.h"
+#include "ragwortmux/Version/GroupPolicy.h"
 
 #include <string>
 #include <vector>
@@ -61,6 +62,9 @@
   std::vector<CatalogueDeletion> m_Deletions; ///< Ordered by revision.
   std::vector<CatalogueChange> m_History;     ///< Ordered by revision.
   std::vector<CatalogueChange> m_Recent; ///< Changes whose ids are remembered.
+  CatalogueVersion m_Version; ///< The operator's version; 0: never replaced.
+  std::string m_Document;     ///< What the operator sent under it.
+  std::vector<GroupPolicy> m_Groups; ///< Policies of groups.
 
   friend bool operator==(const CatalogueData &,
                          const CatalogueData &) = default;
--- a/ragwortmux/Version/ControlAction.h
+++ b/ragwortmux/Version/ControlAction.h
@@ -75,6 +75,10 @@
   std::string m_PrimaryAddress;    ///< Follow: whom.
   std::uint16_t m_PrimaryPort = 0; ///< Follow: whom.
   Duration m_Timeout{0};           ///< When to give up.
+  std::uint64_t m_FencingToken =
+      0;                ///< Promote: rises with each change of leader.
+  Instant m_ValidUntil; ///< Promote: no other leader can act before this, and
+                        ///< the call must not be sent later.
 };
 
 /// Write one line to the time line of events.
--- a/ragwortmux/Version/ControlCommand.h
+++ b/ragwortmux/Version/ControlCommand.h
@@ -4,7 +4,9 @@
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/ResultCode.h"
 #include "ragwortmux/Version/CatalogueEntry.h"
+#include "ragwortmux/Version/GroupPolicy.h"
 #include "ragwortmux/Version/GroupView.h"
+#include "ragwortmux/Version/ReplicationMode.h"
 #include "ragwortmux/Version/SessionRecord.h"
 #include "ragwortmux/Version/ShareRecord.h"
 #include "ragwortmux/Version/VoterRecord.h"
@@ -37,6 +39,17 @@
   friend bool operator==(const DeleteEntry &, const DeleteEntry &) = default;
 };
 
+/// Replaces the whole catalogue under an operator's version. A version that is
+/// not higher than the one held changes nothing and is accepted.
+struct ReplaceCatalogue final {
+  CatalogueVersion m_Version;            ///< The operator's version.
+  std::string m_Document;                ///< What the operator sent.
+  std::vector<CatalogueEntry> m_Entries; ///< All entries, names unique.
+  std::vector<GroupPolicy> m_Groups;     ///< All groups.
+  friend bool operator==(const ReplaceCatalogue &,
+                         const ReplaceCatalogue &) = default;
+};
+
 /// Opens the control session of one run of an entry process.
 struct OpenSession final {
   HostId m_Host;               ///< The entry host.
@@ -63,6 +76,8 @@
   std::uint16_t m_Port = 0;            ///< TCP port.
   std::uint32_t m_Slots = 1;           ///< Statements that it runs at once.
   std::uint32_t m_ConnectionLimit = 0; ///< Connections that it accepts in all.
+  ReplicationMode m_Replication =
+      ReplicationMode::InSyncSet; ///< Who replicates; of a new group.
   friend bool operator==(const RegisterServer &,
                          const RegisterServer &) = default;
 };
@@ -186,7 +201,7 @@
     std::variant<PutEntry, DeleteEntry, OpenSession, EndSession, RegisterServer,
                  SetServerState, EndTerm, AppointPrimary, SetInSync, SetShares,
                  ConfirmShares, ReserveKey, RecordOutcome, ResolveAttempt,
-                 AdvanceTime, SetVoters, SetSessionHomes>;
+                 AdvanceTime, SetVoters, SetSessionHomes, ReplaceCatalogue>;
 
 } // namespace ragwortmux
 
--- a/ragwortmux/Version/ControlEvents.h
+++ b/ragwortmux/Version/ControlEvents.h
@@ -47,13 +47,21 @@
   std::uint32_t m_Slots = 1;                 ///< Statements at once.
   std::uint32_t m_ConnectionLimit = 0;       ///< Connections in all.
   bool m_Leaving = false;                    ///< It leaves.
+  bool m_Gone = false;                       ///< It has ended for good.
+  bool m_Delegated = false; ///< Its group replicates by itself; m_Point is not
+                            ///< stated.
+  std::uint64_t m_Incarnation = 0; ///< Start of the server, Unix time in ms; 0:
+                                   ///< not stated.
+  std::uint64_t m_Sequence = 0;    ///< Rises with each announcement of one
+                                   ///< incarnation; 0: not stated.
 };
 
 /// What makes a proxy suspect a backend server.
 enum class SuspicionKind : std::uint8_t {
-  Refused, ///< A connection was refused.
-  Reset,   ///< An open connection was reset or closed.
-  Silent,  ///< Nothing came within a time limit.
+  Refused,    ///< A connection was refused.
+  Reset,      ///< An open connection was reset or closed.
+  Silent,     ///< Nothing came within a time limit.
+  NotPrimary, ///< The server refused a write because it is not the primary.
 };
 
 /// A proxy's report about a backend server.
@@ -71,6 +79,7 @@
 struct BackendCallResult final {
   std::uint64_t m_Call = 0; ///< CallBackend::m_Call.
   bool m_Ok = false;        ///< True if the answer row came.
+  bool m_Refused = false;   ///< Promote: this server cannot be promoted.
   LogPoint m_Point;         ///< The row's term and position.
   BackendRole m_Role =
       BackendRole::Replica; ///< Position calls: the row's role.
--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Version/ControlLeader.h"
 
+#include "ragwortmux/Version/ControlCommand.h"
 #include "ragwortmux/Version/ControlState.h"
 #include "ragwortmux/Version/DescribeCommand.h"
 
@@ -23,6 +24,7 @@
       m_Leases(m_Context, m_Updates), m_Calls(m_Context),
       m_Servers(m_Context, m_Calls),
       m_Changes(m_Context, m_Updates, m_Servers, m_Calls),
+      m_Delegated(m_Context, m_Updates, m_Servers, m_Calls),
       m_Sync(m_Context, m_Updates, m_Servers, m_Calls),
       m_Shares(m_Context, m_Updates), m_Homes(m_Context, m_Updates) {}
 
@@ -31,6 +33,7 @@
   m_IsLeader = true;
   m_Leases.becameLeader(Now);
   m_Servers.becameLeader(Now);
+  m_Delegated.becameLeader(Now);
   m_Context.note("leads the control log");
   evaluate(Now);
 }
@@ -50,6 +53,7 @@
   m_Calls.reset();
   m_Servers.reset();
   m_Changes.reset();
+  m_Delegated.reset();
   m_Sync.reset();
   m_Shares.reset();
   m_Homes.reset();
@@ -114,17 +118,19 @@
   evaluate(Now);
 }
 
-void ControlLeader::announcementReceived(const ServerAnnouncement &Announcement,
+void ControlLeader::announcementReceived(const ServerAnnouncement &Given,
                                          Instant Now) {
   if (!m_IsLeader)
     return;
-  if (!isRegistered(Announcement))
-    m_Context.propose(
-        RegisterServer{Announcement.m_Group, Announcement.m_Server,
-                       Announcement.m_Domain, Announcement.m_Address,
-                       Announcement.m_Port, Announcement.m_Slots,
-                       Announcement.m_ConnectionLimit},
-        Now);
+  ServerAnnouncement Announcement = Given;
+  // A server that has ended names only itself.
+  if (Announcement.m_Gone)
+    completeGone(Announcement);
+  const RegisterServer Command = registration(Announcement);
+  // The limit of a delegated group's servers comes with the catalogue.
+  if (!Announcement.m_Gone && Command.m_ConnectionLimit > 0 &&
+      !isRegistered(Command))
+    m_Context.propose(Command, Now);
   // Only servers that the log accepted take room.
   if (m_State.groups().findServer(Announcement.m_Group,
                                   Announcement.m_Server) == nullptr)
@@ -133,14 +139,49 @@
   evaluate(Now);
 }
 
-bool ControlLeader::isRegistered(const ServerAnnouncement &Announcement) const {
+void ControlLeader::completeGone(ServerAnnouncement &Announcement) const {
+  m_State.groups().forEachGroup([&](const GroupRecord &Group) {
+    if (!Group.m_Servers.contains(Announcement.m_Server))
+      return;
+    Announcement.m_Group = Group.m_Group;
+    Announcement.m_Delegated =
+        Group.m_Replication == ReplicationMode::Delegated;
+    const ServerWatch::Observed *Known =
+        m_Servers.find(Group.m_Group, Announcement.m_Server);
+    if (Known == nullptr)
+      return;
+    Announcement.m_Incarnation = Known->m_Incarnation;
+    Announcement.m_Sequence = Known->m_Sequence + 1;
+    Announcement.m_Role = Known->m_Role;
+  });
+}
+
+RegisterServer
+ControlLeader::registration(const ServerAnnouncement &Announcement) const {
+  RegisterServer Command{Announcement.m_Group,
+                         Announcement.m_Server,
+                         Announcement.m_Domain,
+                         Announcement.m_Address,
+                         Announcement.m_Port,
+                         Announcement.m_Slots,
+                         Announcement.m_ConnectionLimit,
+                         ReplicationMode::InSyncSet};
+  if (!Announcement.m_Delegated)
+    return Command;
+  Command.m_Replication = ReplicationMode::Delegated;
+  if (const GroupPolicy *Policy =
+          m_State.catalogue().policy(Announcement.m_Group))
+    Command.m_ConnectionLimit = Policy->m_ConnectionLimit;
+  return Command;
+}
+
+bool ControlLeader::isRegistered(const RegisterServer &Command) const {
   const ServerRecord *Known =
-      m_State.groups().findServer(Announcement.m_Group, Announcement.m_Server);
-  return Known != nullptr && Known->m_Domain == Announcement.m_Domain &&
-         Known->m_Address == Announcement.m_Address &&
-         Known->m_Port == Announcement.m_Port &&
-         Known->m_Slots == Announcement.m_Slots &&
-         Known->m_ConnectionLimit == Announcement.m_ConnectionLimit;
+      m_State.groups().findServer(Command.m_Group, Command.m_Server);
+  return Known != nullptr && Known->m_Domain == Command.m_Domain &&
+         Known->m_Address == Command.m_Address &&
+         Known->m_Port == Command.m_Port && Known->m_Slots == Command.m_Slots &&
+         Known->m_ConnectionLimit == Command.m_ConnectionLimit;
 }
 
 void ControlLeader::suspicionReported(const ServerSuspicion &Suspicion,
@@ -160,6 +201,7 @@
     return;
   m_Servers.callCompleted(*Call, Result, Now);
   m_Changes.callCompleted(*Call, Result, Now);
+  m_Delegated.callCompleted(*Call, Result, Now);
   m_Sync.callCompleted(*Call, Result);
   evaluate(Now);
 }
@@ -186,6 +228,7 @@
 void ControlLeader::evaluate(Instant Now) {
   // Steps of a change come first: callers wait for them.
   m_Changes.evaluate(Now);
+  m_Delegated.evaluate(Now);
   m_Updates.pushUpdates(Now);
   m_Sync.evaluate(Now);
   proposeServerStates(Now);
@@ -203,7 +246,9 @@
           m_Servers.announcementSilence(Group.m_Group, Id, Now) >=
           m_Context.settings().m_SilenceUnannounced;
       // A server that this leader has not heard yet stays as it is.
-      const bool IsAnnounced = !IsSilent && (IsHeard || Server.m_Announced);
+      const bool IsGone = IsHeard && Known->m_IsGone;
+      const bool IsAnnounced =
+          !IsSilent && !IsGone && (IsHeard || Server.m_Announced);
       if (IsLeaving == Server.m_Leaving && IsAnnounced == Server.m_Announced)
         continue;
       m_Context.propose(
--- a/ragwortmux/Version/ControlLeader.h
+++ b/ragwortmux/Version/ControlLeader.h
@@ -5,6 +5,7 @@
 #include "ragwortmux/Version/ControlEvents.h"
 #include "ragwortmux/Version/ControlLeaderSettings.h"
 #include "ragwortmux/Version/ControlResult.h"
+#include "ragwortmux/Version/DelegatedPrimaryChange.h"
 #include "ragwortmux/Version/HomesKeeper.h"
 #include "ragwortmux/Version/LeaderContext.h"
 #include "ragwortmux/Version/PrimaryChange.h"
@@ -61,8 +62,7 @@
   void homesConfirmed(ControlSessionId Session, Revision Confirmed,
                       Instant Now);
   /// A backend server announced itself.
-  void announcementReceived(const ServerAnnouncement &Announcement,
-                            Instant Now);
+  void announcementReceived(const ServerAnnouncement &Given, Instant Now);
   /// A proxy suspects a backend server.
   void suspicionReported(const ServerSuspicion &Suspicion, Instant Now);
   /// A backend call ended.
@@ -84,22 +84,27 @@
 
 private:
   void evaluate(Instant Now);
-  bool isRegistered(const ServerAnnouncement &Announcement) const;
+  /// Fills in what is known of a server that has ended.
+  void completeGone(ServerAnnouncement &Announcement) const;
+  RegisterServer registration(const ServerAnnouncement &Announcement) const;
+  bool isRegistered(const RegisterServer &Command) const;
   void proposeServerStates(Instant Now);
   void advanceTime(Instant Now, WallTime Wall);
   void forgetObserved();
 
-  const ControlState &m_State;             ///< The applied state.
-  LeaderContext m_Context;                 ///< Actions and pending proposals.
-  UpdateTracker m_Updates;                 ///< What each session has confirmed.
-  SessionLeases m_Leases;                  ///< Leases of sessions.
-  BackendCalls m_Calls;                    ///< Calls to backend servers.
-  ServerWatch m_Servers;                   ///< What is known about servers.
-  PrimaryChange m_Changes;                 ///< Changes of primary.
-  SyncKeeper m_Sync;                       ///< In-sync sets.
-  ShareBalancer m_Shares;                  ///< Connection shares.
-  HomesKeeper m_Homes;                     ///< Session homes.
-  bool m_IsLeader = false;                 ///< True between the two events.
+  const ControlState &m_State;        ///< The applied state.
+  LeaderContext m_Context;            ///< Actions and pending proposals.
+  UpdateTracker m_Updates;            ///< What each session has confirmed.
+  SessionLeases m_Leases;             ///< Leases of sessions.
+  BackendCalls m_Calls;               ///< Calls to backend servers.
+  ServerWatch m_Servers;              ///< What is known about servers.
+  PrimaryChange m_Changes;            ///< Changes of primary.
+  DelegatedPrimaryChange m_Delegated; ///< Changes of primary where the servers
+                                      ///< replicate by themselves.
+  SyncKeeper m_Sync;                  ///< In-sync sets.
+  ShareBalancer m_Shares;             ///< Connection shares.
+  HomesKeeper m_Homes;                ///< Session homes.
+  bool m_IsLeader = false;            ///< True between the two events.
   std::optional<Instant> m_TimeAdvancedAt; ///< When the log's time was.
 };
 
--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -49,7 +49,22 @@
       200); ///< Requests at a leaving primary may finish, once all proxies
             ///< send it no new ones.
   Duration m_HandoverLimit =
-      std::chrono::seconds(1);     ///< A leaving primary is replaced by then.
+      std::chrono::seconds(1); ///< A leaving primary is replaced by then.
+  Duration m_AskAgain = std::chrono::milliseconds(
+      60); ///< Delegated groups: between two position calls to one server.
+  Duration m_CatchUpWait = std::chrono::milliseconds(
+      500); ///< Delegated groups: how long a leaving primary's replicas may
+            ///< take to get what they lack.
+  Duration m_PromotionRefused = std::chrono::seconds(
+      1); ///< Delegated groups: a server that refused is not asked before.
+  Duration m_PromotionInFlight = std::chrono::milliseconds(
+      1500); ///< Delegated groups: how long a promotion that a replaced leader
+             ///< has ordered may still be on its way.
+  std::uint32_t m_CutOffPercent =
+      30; ///< Delegated groups: part of the proxies that must complain about a
+          ///< primary that this leader reaches.
+  Duration m_CutOffAfter = std::chrono::milliseconds(
+      600); ///< Delegated groups: for how long they must.
   std::uint32_t m_ChangeBurst = 3; ///< Changes of primary in quick succession.
   Duration m_ChangeInterval =
       std::chrono::seconds(10); ///< One more change each.
--- a/ragwortmux/Version/ControlState.cpp
+++ b/ragwortmux/Version/ControlState.cpp
@@ -164,6 +164,10 @@
   return ControlResult::made(m_Homes.m_Revision);
 }
 
+ControlResult ControlState::applyOne(const ReplaceCatalogue &Command) {
+  return m_Catalogue.replace(Command);
+}
+
 ControlStateData ControlState::exportData() const {
   ControlStateData Data;
   Data.m_Time = m_Time;
--- a/ragwortmux/Version/ControlState.h
+++ b/ragwortmux/Version/ControlState.h
@@ -67,6 +67,7 @@
   ControlResult applyOne(const AdvanceTime &Command);
   ControlResult applyOne(const SetVoters &Command);
   ControlResult applyOne(const SetSessionHomes &Command);
+  ControlResult applyOne(const ReplaceCatalogue &Command);
 
   WallTime m_Time{};                 ///< The log's own time.
   Catalogue m_Catalogue;             ///< Catalogue entries.
--- a/ragwortmux/Version/DescribeCommand.cpp
+++ b/ragwortmux/Version/DescribeCommand.cpp
@@ -35,6 +35,10 @@
          Command.m_Name.value();
 }
 
+std::string describe(const ReplaceCatalogue &Command) {
+  return "catalogue: replaced by version " + number(Command.m_Version.value());
+}
+
 std::string describe(const OpenSession &Command) {
   return "host " + Command.m_Host.value() + " opened a control session";
 }
--- a/ragwortmux/Version/GroupRecord.h
+++ b/ragwortmux/Version/GroupRecord.h
@@ -2,6 +2,7 @@
 #define RAGWORTMUX_VERSION_GROUPRECORD_H
 
 #include "ragwortmux/Version/GroupView.h"
+#include "ragwortmux/Version/ReplicationMode.h"
 
 #include <cstddef>
 #include <map>
@@ -40,6 +41,8 @@
   Revision m_TermRevision; ///< The revision that ended the previous term.
   ControlSessionId m_LastSession; ///< Sessions up to this one were open when
                                   ///< the previous term ended.
+  ReplicationMode m_Replication =
+      ReplicationMode::InSyncSet;             ///< Who replicates.
   std::map<ServerId, ServerRecord> m_Servers; ///< All known servers.
 
   friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
--- a/ragwortmux/Version/GroupTable.cpp
+++ b/ragwortmux/Version/GroupTable.cpp
@@ -41,7 +41,8 @@
 /// The first server that is Behind and does not announce itself, if any.
 std::optional<ServerId> findEvictable(const GroupRecord &Group) {
   for (const auto &[Id, Server] : Group.m_Servers) {
-    if (Server.m_Sync == SyncState::Behind && !Server.m_Announced)
+    if (Server.m_Sync == SyncState::Behind && !Server.m_Announced &&
+        Group.m_Primary != Id)
       return Id;
   }
   return std::nullopt;
@@ -71,6 +72,8 @@
 
   GroupRecord &Group = m_Groups[Command.m_Group];
   Group.m_Group = Command.m_Group;
+  if (Known == nullptr)
+    Group.m_Replication = Command.m_Replication;
   ServerRecord &Server = Group.m_Servers[Command.m_Server];
   ServerRecord Changed = Server;
   Changed.m_Server = Command.m_Server;
@@ -134,7 +137,8 @@
   if (IsFirst ? Command.m_Term == Term() : Command.m_Term != Group.m_Term)
     return refused("the term is not the group's");
   ServerRecord &Primary = Group.m_Servers[Command.m_Server];
-  if (!IsFirst && Primary.m_Sync != SyncState::InSync)
+  if (!IsFirst && Group.m_Replication == ReplicationMode::InSyncSet &&
+      Primary.m_Sync != SyncState::InSync)
     return refused("the server is not in sync");
 
   for (auto &[Id, Server] : Group.m_Servers) {
--- a/ragwortmux/Version/PrimaryChange.cpp
+++ b/ragwortmux/Version/PrimaryChange.cpp
@@ -41,6 +41,8 @@
 
 void PrimaryChange::evaluate(Instant Now) {
   m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
+    if (Group.m_Replication == ReplicationMode::Delegated)
+      return;
     if (Group.m_Term == Term())
       appointFirst(Group, Now);
     else if (!Group.m_Primary)
--- a/ragwortmux/Version/ServerWatch.cpp
+++ b/ragwortmux/Version/ServerWatch.cpp
@@ -28,12 +28,30 @@
 void ServerWatch::announcementReceived(const ServerAnnouncement &Announcement,
                                        Instant Now) {
   Observed &Known = observe(Announcement.m_Group, Announcement.m_Server);
+  if (isOutdated(Known, Announcement))
+    return;
+  Known.m_Incarnation = Announcement.m_Incarnation;
+  Known.m_Sequence = Announcement.m_Sequence;
   Known.m_LastAnnouncement = Now;
-  Known.m_IsLeaving = Announcement.m_Leaving;
+  Known.m_IsLeaving = Announcement.m_Leaving || Announcement.m_Gone;
+  Known.m_IsGone = Announcement.m_Gone;
+  if (Announcement.m_Delegated) {
+    Known.m_LastSign = std::max(Known.m_LastSign, Now);
+    Known.m_Role = Announcement.m_Role;
+    return;
+  }
   notePoint(Announcement.m_Group, Announcement.m_Server, Announcement.m_Point,
             Announcement.m_Role, Now);
 }
 
+bool ServerWatch::isOutdated(const Observed &Known,
+                             const ServerAnnouncement &Announcement) {
+  if (Announcement.m_Incarnation != Known.m_Incarnation)
+    return Announcement.m_Incarnation < Known.m_Incarnation;
+  return Announcement.m_Sequence != 0 &&
+         Announcement.m_Sequence <= Known.m_Sequence;
+}
+
 void ServerWatch::suspicionReported(const ServerSuspicion &Suspicion,
                                     Instant Now) {
   // Only open sessions and known servers take room here.
@@ -53,6 +71,13 @@
       Known.m_ProbeFailedAt = Now;
     return;
   }
+  const GroupRecord *Group = m_Context.state().groups().find(Call.m_Group);
+  if (Group != nullptr && Group->m_Replication == ReplicationMode::Delegated) {
+    // Its servers' terms are not the group's.
+    if (Call.m_Kind == BackendCallKind::Position)
+      Known.m_ProbeFailedAt.reset();
+    return;
+  }
   switch (Call.m_Kind) {
   case BackendCallKind::Position:
     Known.m_ProbeFailedAt.reset();
@@ -124,6 +149,8 @@
 
 void ServerWatch::probeSilent(Instant Now) {
   m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
+    if (Group.m_Replication == ReplicationMode::Delegated)
+      return;
     for (const auto &[Id, Server] : Group.m_Servers) {
       const bool IsPrimary = Group.m_Primary == Id;
       if (!IsPrimary && Server.m_Sync == SyncState::Behind)
@@ -196,6 +223,24 @@
       });
 }
 
+ServerWatch::Complaints ServerWatch::complaints(const GroupId &Group,
+                                                const ServerId &Server,
+                                                Instant Now) const {
+  Complaints Result;
+  const Observed *Known = find(Group, Server);
+  if (Known == nullptr)
+    return Result;
+  for (const auto &[Session, Each] : Known->m_Reports) {
+    if (Now - Each.m_At > m_Context.settings().m_EvidenceWindow)
+      continue;
+    if (Each.m_Kind == SuspicionKind::NotPrimary)
+      ++Result.m_NotPrimary;
+    else if (Each.m_Kind != SuspicionKind::Reset)
+      ++Result.m_Unreachable;
+  }
+  return Result;
+}
+
 bool ServerWatch::hasFailed(const GroupId &Group, const ServerId &Server,
                             Instant Now) const {
   const ControlLeaderSettings &Settings = m_Context.settings();
--- a/ragwortmux/Version/ServerWatch.h
+++ b/ragwortmux/Version/ServerWatch.h
@@ -34,9 +34,18 @@
     BackendRole m_Role = BackendRole::Replica; ///< Last known role.
     Instant m_AdvancedAt{};                    ///< When the point last rose.
     bool m_IsLeaving = false;    ///< Its last announcement said so.
+    bool m_IsGone = false;       ///< Its last announcement said so.
     bool m_HasRegressed = false; ///< It has lost a part of its log.
     std::map<ControlSessionId, Report> m_Reports; ///< Last one of each.
     std::optional<Instant> m_ProbeFailedAt; ///< Last failed position call.
+    std::uint64_t m_Incarnation = 0; ///< Newest one that announced itself.
+    std::uint64_t m_Sequence = 0;    ///< Newest announcement of that one.
+  };
+
+  /// How many proxies have complained about a server lately.
+  struct Complaints final {
+    std::size_t m_Unreachable = 0; ///< Could not open a connection.
+    std::size_t m_NotPrimary = 0;  ///< Were told that it is not the primary.
   };
 
   ServerWatch(LeaderContext &Context, BackendCalls &Calls)
@@ -64,6 +73,9 @@
   /// How long there has been no announcement.
   Duration announcementSilence(const GroupId &Group, const ServerId &Server,
                                Instant Now) const;
+  /// The complaints of the last ControlLeaderSettings::m_EvidenceWindow.
+  Complaints complaints(const GroupId &Group, const ServerId &Server,
+                        Instant Now) const;
   /// True if the server is to be replaced as a primary.
   bool hasFailed(const GroupId &Group, const ServerId &Server,
                  Instant Now) const;
@@ -77,6 +89,9 @@
   bool isFollowing(const GroupRecord &Group, const ServerId &Server) const;
 
 private:
+  /// True if a later announcement than \p Announcement has arrived before it.
+  static bool isOutdated(const Observed &Known,
+                         const ServerAnnouncement &Announcement);
   /// What a primary's log held at an instant.
   struct Sample final {
     Instant m_At{};         ///< When it was heard.
--- a/ragwortmux/Version/SyncKeeper.cpp
+++ b/ragwortmux/Version/SyncKeeper.cpp
@@ -16,7 +16,8 @@
 
 void SyncKeeper::evaluate(Instant Now) {
   m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
-    if (!m_Servers.isPromoted(Group))
+    if (Group.m_Replication == ReplicationMode::Delegated ||
+        !m_Servers.isPromoted(Group))
       return;
     for (const auto &[Id, Server] : Group.m_Servers) {
       if (Group.m_Primary != Id)
--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -20,14 +20,22 @@
 std::vector<ControlCommand> allCommands() {
   CatalogueEntry Entry = entry("bookings");
   Entry.m_Class = TrafficClass::AgedRead;
-  Entry.m_Limits = {7, 8, std::chrono::seconds(9), 4096, Duration(11)};
+  Entry.m_Limits = {7,
+                    8,
+                    std::chrono::seconds(9),
+                    4096,
+                    Duration(11),
+                    Duration(12),
+                    Duration(13),
+                    14};
   const FailureDomainId Domain("Hobart");
   return {
       PutEntry{Revision(3), ChangeId("c"), "op", Entry},
       DeleteEntry{Revision(4), ChangeId("d"), "op", EntryName("n")},
       OpenSession{HostId("h"), Incarnation(5), Domain, "10.1.2.3", 6},
       EndSession{ControlSessionId(7)},
-      RegisterServer{Group, Server, Domain, "10.1.2.4", 5432, 3, 35},
+      RegisterServer{Group, Server, Domain, "10.1.2.4", 5432, 3, 35,
+                     ReplicationMode::Delegated},
       SetServerState{Group, Server, true, false},
       EndTerm{Group, Term(8)},
       AppointPrimary{Group, Term(9), Server, {ServerId("t"), ServerId("u")}},
@@ -41,7 +49,9 @@
                      true},
       AdvanceTime{Start},
       SetVoters{{{HostId("h"), Domain, "id", "10.1.2.5", 9}}},
-      SetSessionHomes{Revision(10), {HostId("a"), HostId("b")}, true}};
+      SetSessionHomes{Revision(10), {HostId("a"), HostId("b")}, true},
+      ReplaceCatalogue{
+          CatalogueVersion(11), "{\"version\":11}", {Entry}, {{Group, 34, 1}}}};
 }
 
 /// A state with something in each of its parts.
@@ -57,6 +67,13 @@
   State.apply(SetVoters{{{HostId("h1"), {}, "id", "10.1.2.5", 9}}});
   State.apply(SetSessionHomes{Revision(), {HostId("h1")}, false});
   State.apply(EndTerm{TheGroup, Term(2)});
+  State.apply(RegisterServer{GroupId("delegated"), ServerId("d1"),
+                             FailureDomainId("Hobart"), "10.1.2.9", 5432, 3, 35,
+                             ReplicationMode::Delegated});
+  State.apply(ReplaceCatalogue{CatalogueVersion(7),
+                               "{\"version\":7}",
+                               {entry("bookings")},
+                               {{TheGroup, 34, 1}}});
   return State.exportData();
 }
 
