SessionCore: stateful sessions over a delegated group

Cause: sessions on the platform hold values, prepared statements and transactions of many statements over pooled connections; GroupCore knows one class a request and SQLSTATEs. Change: SessionCore decides apart from I/O where a statement runs, what waits and what is refused: read floors from positions asked for under the lease (PositionHistory), a guess of each replica's lag (ReplicaAge), placement by distance and load (placeRead), replay of session state on a connection (BackendSession), confirmation of a term's end only after commits under way have ended or 150 ms. Outcomes are typed, free of SQLSTATE.

--- a/ragwortmux/Connection/ConnectionPool.cpp
+++ b/ragwortmux/Connection/ConnectionPool.cpp
@@ -87,18 +87,29 @@
 
 std::optional<ConnectionId> ConnectionPool::take(Instant Now,
                                                  const ServerId &Server) {
+  // The one used last is taken first, so that surplus ones grow old and close.
+  return takeBest(Now, Server, [](ConnectionId) { return std::size_t{0}; });
+}
+
+std::optional<ConnectionId>
+ConnectionPool::takeBest(Instant Now, const ServerId &Server,
+                         const std::function<std::size_t(ConnectionId)> &Cost) {
   const auto Pool = m_Servers.find(Server);
   if (Pool == m_Servers.end())
     return std::nullopt;
-  // The one used last is taken first, so that surplus ones grow old and close.
   PooledConnection *Best = nullptr;
+  std::size_t BestCost = 0;
   for (auto &[Id, Connection] : m_Connections) {
     if (Connection.m_Server != Server ||
         Connection.m_State != ConnectionState::Idle ||
         Connection.m_Term != Pool->second.m_Term)
       continue;
-    if (!Best || Connection.m_Since >= Best->m_Since)
-      Best = &Connection;
+    const std::size_t EachCost = Cost(Id);
+    if (Best && (EachCost > BestCost ||
+                 (EachCost == BestCost && Connection.m_Since < Best->m_Since)))
+      continue;
+    Best = &Connection;
+    BestCost = EachCost;
   }
   if (!Best)
     return std::nullopt;
--- a/ragwortmux/Connection/ConnectionPool.h
+++ b/ragwortmux/Connection/ConnectionPool.h
@@ -4,7 +4,9 @@
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -80,6 +82,11 @@
   /// Takes a free connection of the current term; it belongs to the taker until
   /// release() or drop().
   std::optional<ConnectionId> take(Instant Now, const ServerId &Server);
+  /// Like take(), but the one with the least \p Cost; among equal ones the one
+  /// used last.
+  std::optional<ConnectionId>
+  takeBest(Instant Now, const ServerId &Server,
+           const std::function<std::size_t(ConnectionId)> &Cost);
   /// Gives back a connection that is clean: whole answer read, no transaction.
   void release(Instant Now, ConnectionId Id, PoolOrders &Orders);
   /// Closes a connection whose state is not known to be clean.
--- /dev/null
+++ b/ragwortmux/Request/CallerSession.cpp
@@ -0,0 +1,74 @@
+#include "ragwortmux/Request/CallerSession.h"
+
+namespace ragwortmux {
+
+std::optional<ResultCode> CallerSession::answerLocally(Statement &Asked) {
+  const bool Ends = Asked.m_Kind == StatementKind::Commit ||
+                    Asked.m_Kind == StatementKind::Rollback;
+  if (m_Status == TransactionStatus::Failed && !Ends)
+    return ResultCode::NotRunBadRequest;
+  switch (Asked.m_Kind) {
+  case StatementKind::SetValue:
+    changeState().m_Values[Asked.m_Name] = Asked.m_Rest;
+    return ResultCode::Ok;
+  case StatementKind::Prepare:
+    changeState().m_Prepared[Asked.m_Name] = {Asked.m_Rest, Asked.m_Writes};
+    return ResultCode::Ok;
+  case StatementKind::Deallocate:
+    return changeState().m_Prepared.erase(Asked.m_Name) > 0
+               ? ResultCode::Ok
+               : ResultCode::NotRunUnknownStatement;
+  case StatementKind::Execute:
+    if (const PreparedStatement *Known = prepared(Asked.m_Name)) {
+      Asked.m_Writes = Known->m_Writes;
+      return std::nullopt;
+    }
+    return ResultCode::NotRunUnknownStatement;
+  case StatementKind::Begin:
+  case StatementKind::BeginRead:
+    if (m_Status == TransactionStatus::Idle)
+      return std::nullopt;
+    return ResultCode::NotRunBadRequest;
+  case StatementKind::Commit:
+    if (m_Status != TransactionStatus::Idle)
+      return std::nullopt;
+    return ResultCode::NotRunBadRequest;
+  case StatementKind::Rollback:
+    // The transaction may have been rolled back already.
+    if (m_Status != TransactionStatus::Idle)
+      return std::nullopt;
+    return ResultCode::Ok;
+  case StatementKind::Read:
+  case StatementKind::Write:
+    break;
+  }
+  return std::nullopt;
+}
+
+void CallerSession::answered(TransactionStatus Status, const GroupId &Group,
+                             const std::optional<LogPoint> &Written) {
+  m_Status = Status;
+  if (!Written)
+    return;
+  m_WrittenGroup = Group;
+  m_LastWrite = Written;
+}
+
+const PreparedStatement *
+CallerSession::prepared(const std::string &Name) const {
+  const auto Found = m_State->m_Prepared.find(Name);
+  return Found == m_State->m_Prepared.end() ? nullptr : &Found->second;
+}
+
+std::optional<LogPoint> CallerSession::lastWrite(const GroupId &Group) const {
+  return Group == m_WrittenGroup ? m_LastWrite : std::nullopt;
+}
+
+SessionState &CallerSession::changeState() {
+  // A running statement keeps what it was sent with.
+  if (m_State.use_count() > 1)
+    m_State = std::make_shared<SessionState>(*m_State);
+  return *m_State;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -0,0 +1,364 @@
+#include "ragwortmux/Request/SessionCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr int PercentBase = 100;
+
+/// Connections of a delegated group are not opened for a term: its servers
+/// refuse writes by themselves once they do not lead.
+constexpr Term AnyTerm{0};
+
+} // namespace
+
+SessionCore::SessionCore(GroupId Group, const SessionCoreSettings &Settings)
+    : m_Group(std::move(Group)), m_Settings(Settings), m_Pool(Settings.m_Pool) {
+}
+
+void SessionCore::beginEvent(Instant Now, SessionActions &Actions) {
+  m_Now = Now;
+  m_Actions = &Actions;
+}
+
+void SessionCore::endEvent() {
+  confirmView();
+  dispatch();
+  setDemands();
+  m_Actions = nullptr;
+}
+
+void SessionCore::apply(const PoolOrders &Orders) {
+  for (const ConnectionId Connection : Orders.m_Close) {
+    act(CloseSessionConnection{Connection});
+    m_Sessions.erase(Connection);
+  }
+  // A closed connection needs no confirmation here: closing cannot fail.
+  PoolOrders More;
+  for (const ConnectionId Connection : Orders.m_Close)
+    m_Pool.gone(m_Now, Connection, More);
+  for (const PooledConnection &Connection : Orders.m_Open)
+    act(OpenSessionConnection{Connection.m_Id, Connection.m_Server});
+  for (const ConnectionId Connection : Orders.m_Probe)
+    act(ProbeConnection{Connection});
+  for (const ServerId &Server : Orders.m_Unreachable) {
+    act(ReportServer{Server, SuspicionKind::Refused});
+    retryReadsAt(Server);
+  }
+  for (const ServerId &Server : Orders.m_Silent) {
+    act(ReportServer{Server, SuspicionKind::Silent});
+    retryReadsAt(Server);
+  }
+  const bool HasMore =
+      !More.m_Close.empty() || !More.m_Open.empty() || !More.m_Probe.empty();
+  if (HasMore)
+    apply(More);
+}
+
+void SessionCore::submit(Instant Now, SessionRequest Given,
+                         SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  const RequestId Id = Given.m_Id;
+  const CallerConnectionId Caller = Given.m_Caller;
+  Request &State = m_Requests[Id];
+  State.m_Request = std::move(Given);
+  State.m_Deadline = State.m_Request.m_Arrived +
+                     State.m_Request.m_Entry->m_Limits.m_RequestDeadline;
+  const auto Open = m_Transactions.find(Caller);
+  if (Open != m_Transactions.end())
+    submitInTransaction(State, Open->second);
+  else if (m_Draining)
+    finish(State, ResultCode::NotRunDraining, TransactionStatus::Idle);
+  else
+    enqueue(State);
+  endEvent();
+}
+
+void SessionCore::callerGone(Instant Now, CallerConnectionId Caller,
+                             SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  std::vector<RequestId> Unsent;
+  for (auto &[Id, State] : m_Requests) {
+    if (State.m_Request.m_Caller != Caller)
+      continue;
+    State.m_CallerGone = true;
+    if (!State.m_Connection)
+      Unsent.push_back(Id);
+  }
+  rollBackFor(Caller);
+  for (const RequestId Id : Unsent) {
+    const auto Found = m_Requests.find(Id);
+    if (Found != m_Requests.end())
+      erase(Found->second);
+  }
+  // A commit that was not sent any more leaves its transaction behind.
+  rollBackFor(Caller);
+  endEvent();
+}
+
+void SessionCore::connectionOpened(Instant Now, ConnectionId Connection,
+                                   SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  PoolOrders Orders;
+  if (const PooledConnection *Known = m_Pool.find(Connection))
+    m_LastReply[Known->m_Server] = Now;
+  m_Pool.opened(Now, Connection, Orders);
+  apply(Orders);
+  endEvent();
+}
+
+void SessionCore::connectionFailed(Instant Now, ConnectionId Connection,
+                                   bool ServerAnswered,
+                                   SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  PoolOrders Orders;
+  m_Pool.failed(Now, Connection, ServerAnswered, Orders);
+  apply(Orders);
+  endEvent();
+}
+
+void SessionCore::connectionLost(Instant Now, ConnectionId Connection,
+                                 SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  m_Sessions.erase(Connection);
+  m_RollingBack.erase(Connection);
+  PoolOrders Orders;
+  m_Pool.gone(Now, Connection, Orders);
+  apply(Orders);
+  const auto Running = m_Running.find(Connection);
+  if (Running != m_Running.end()) {
+    const auto State = m_Requests.find(Running->second);
+    m_Running.erase(Running);
+    if (State != m_Requests.end()) {
+      State->second.m_Connection.reset();
+      lostStatement(State->second);
+    }
+  } else {
+    for (auto &[Caller, Open] : m_Transactions) {
+      if (Open.m_Connection == Connection)
+        Open.m_Connection.reset();
+    }
+  }
+  endEvent();
+}
+
+void SessionCore::statementAnswered(Instant Now, ConnectionId Connection,
+                                    const StatementReply &Reply,
+                                    SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  const PooledConnection *Known = m_Pool.find(Connection);
+  if (Known != nullptr)
+    m_LastReply[Known->m_Server] = Now;
+  const auto Running = m_Running.find(Connection);
+  if (Known == nullptr) {
+    // It was given up; nobody waits for this any more.
+  } else if (Known->m_State == ConnectionState::Probing) {
+    // A probe clears what the connection held.
+    m_Sessions.erase(Connection);
+    PoolOrders Orders;
+    m_Pool.probed(Now, Connection, Orders);
+    apply(Orders);
+  } else if (m_RollingBack.erase(Connection) > 0) {
+    if (Reply.m_Status == TransactionStatus::Idle)
+      releaseConnection(Connection);
+    else
+      dropConnection(Connection);
+  } else if (Running != m_Running.end()) {
+    Request &State = m_Requests.at(Running->second);
+    m_Running.erase(Running);
+    notePosition(State, Reply);
+    if (State.m_InTransaction)
+      answeredInTransaction(State, Reply);
+    else
+      answered(State, Reply);
+  }
+  endEvent();
+}
+
+void SessionCore::viewChanged(Instant Now, const GroupView &View,
+                              SessionActions &Actions) {
+  if (View.m_Revision <= m_View.m_Revision)
+    return;
+  beginEvent(Now, Actions);
+  if (View.m_Term != m_View.m_Term)
+    m_TermEndedAt = Now;
+  if (View.m_Primary && View.m_Primary != m_View.m_Primary)
+    m_History.clear();
+  const std::vector<ServerView> Before = std::move(m_View.m_Servers);
+  m_View = View;
+  PoolOrders Orders;
+  for (const ServerView &Old : Before) {
+    const ServerView *Current = server(Old.m_Server);
+    const bool Moved =
+        Current != nullptr &&
+        (Current->m_Address != Old.m_Address || Current->m_Port != Old.m_Port);
+    if (Current == nullptr || Moved)
+      m_Pool.setServer(Now, Old.m_Server, AnyTerm, 0, Orders);
+  }
+  for (const ServerView &Each : m_View.m_Servers) {
+    const bool IsUsed = takesReads(Each) || m_View.m_Primary == Each.m_Server;
+    m_Pool.setServer(Now, Each.m_Server, AnyTerm,
+                     IsUsed ? Each.m_ConnectionShare : 0, Orders);
+  }
+  apply(Orders);
+  // A wait for another primary may be over.
+  for (auto &[Id, State] : m_Requests) {
+    if (State.m_IsWaiting && State.needsPrimary())
+      State.m_NotBefore.reset();
+  }
+  endEvent();
+}
+
+void SessionCore::leaseExtended(Instant Now, Instant ValidUntil,
+                                SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  m_LeaseUntil = ValidUntil;
+  endEvent();
+}
+
+void SessionCore::drain(Instant Now, SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  m_Draining = true;
+  endEvent();
+}
+
+void SessionCore::endTransactions(Instant Now, SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  for (auto &[Caller, Open] : m_Transactions) {
+    if (!Open.m_Running)
+      giveUpTransaction(Open);
+  }
+  endEvent();
+}
+
+void SessionCore::tick(Instant Now, SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  std::vector<RequestId> Due;
+  for (const auto &[Id, State] : m_Requests) {
+    if (wakeTime(State) <= Now)
+      Due.push_back(Id);
+  }
+  for (const RequestId Id : Due) {
+    const auto Found = m_Requests.find(Id);
+    if (Found == m_Requests.end())
+      continue;
+    Request &State = Found->second;
+    if (Now >= State.m_Deadline)
+      expire(State);
+    else if (State.m_Connection)
+      checkSilence(State);
+    else if (State.m_InTransaction)
+      submitInTransaction(State, m_Transactions.at(State.m_Request.m_Caller));
+  }
+  for (auto &[Caller, Open] : m_Transactions) {
+    if (!Open.m_Running && Now >= Open.m_IdleSince + Open.m_IdleLimit)
+      giveUpTransaction(Open);
+  }
+  PoolOrders Orders;
+  m_Pool.tick(Now, Orders);
+  apply(Orders);
+  endEvent();
+}
+
+Instant SessionCore::wakeTime(const Request &State) const {
+  Instant At = State.m_Deadline;
+  if (State.m_NotBefore && !State.m_Connection)
+    At = std::min(At, *State.m_NotBefore);
+  if (State.m_Connection && !State.m_SilenceSeen)
+    At = std::min(At, State.m_SentAt +
+                          State.m_Request.m_Entry->m_Limits.m_RequestDeadline *
+                              m_Settings.m_SilentPercent / PercentBase);
+  return At;
+}
+
+std::optional<Instant> SessionCore::nextDeadline() const {
+  std::optional<Instant> Next = m_Pool.nextDeadline();
+  const auto Consider = [&Next](Instant At) {
+    Next = Next ? std::min(*Next, At) : At;
+  };
+  for (const auto &[Id, State] : m_Requests)
+    Consider(wakeTime(State));
+  for (const auto &[Caller, Open] : m_Transactions) {
+    if (!Open.m_Running && Open.m_Connection)
+      Consider(Open.m_IdleSince + Open.m_IdleLimit);
+  }
+  if (m_ConfirmedRevision != m_View.m_Revision)
+    Consider(m_TermEndedAt + m_Settings.m_HandoverWait);
+  return Next;
+}
+
+void SessionCore::confirmView() {
+  if (m_ConfirmedRevision == m_View.m_Revision)
+    return;
+  const bool IsNewTerm = m_AcknowledgedTerm != m_View.m_Term;
+  if (IsNewTerm && hasOldCommits() &&
+      m_Now < m_TermEndedAt + m_Settings.m_HandoverWait)
+    return;
+  m_ConfirmedRevision = m_View.m_Revision;
+  if (!IsNewTerm)
+    return;
+  m_AcknowledgedTerm = m_View.m_Term;
+  endOldTerms();
+}
+
+bool SessionCore::hasOldCommits() const {
+  return std::any_of(
+      m_Requests.begin(), m_Requests.end(), [this](const auto &Entry) {
+        const Request &State = Entry.second;
+        const bool Commits =
+            State.isSingleWrite() ||
+            State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+        return State.m_Connection && Commits && State.m_Term != m_View.m_Term;
+      });
+}
+
+void SessionCore::endOldTerms() {
+  std::vector<RequestId> Old;
+  for (const auto &[Id, State] : m_Requests) {
+    const bool Commits =
+        State.isSingleWrite() ||
+        State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+    if (State.m_Connection && Commits && State.m_Term != m_View.m_Term)
+      Old.push_back(Id);
+  }
+  for (const RequestId Id : Old) {
+    Request &State = m_Requests.at(Id);
+    dropStatement(State);
+    m_Transactions.erase(State.m_Request.m_Caller);
+    finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
+  }
+  for (auto &[Caller, Open] : m_Transactions) {
+    if (!Open.m_Running && !Open.m_ReadOnly && Open.m_Term != m_View.m_Term)
+      giveUpTransaction(Open);
+  }
+}
+
+const ServerView *SessionCore::server(const ServerId &Server) const {
+  const auto Found = std::find_if(
+      m_View.m_Servers.begin(), m_View.m_Servers.end(),
+      [&](const ServerView &Each) { return Each.m_Server == Server; });
+  return Found == m_View.m_Servers.end() ? nullptr : &*Found;
+}
+
+void SessionCore::note(const Request &State, SessionDecision Decision,
+                       ResultCode Code) {
+  SessionNote Note;
+  Note.m_Decision = Decision;
+  Note.m_Statement = State.m_Request.m_Statement.m_Id;
+  Note.m_Entry = State.m_Request.m_Entry->m_Name;
+  Note.m_Server = State.m_Server;
+  Note.m_Code = Code;
+  Note.m_View = m_View.m_Revision;
+  Note.m_Term = m_View.m_Term;
+  Note.m_LeaseLeft = std::max(Duration(0), m_LeaseUntil - m_Now);
+  if (State.m_Floor)
+    Note.m_FloorAge = m_Now - State.m_Floor->m_AskedAt;
+  Note.m_Waited = m_Now - State.m_Request.m_Arrived;
+  Note.m_Tries = State.m_Tries;
+  act(std::move(Note));
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -0,0 +1,458 @@
+#include "ragwortmux/Request/SessionCore.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+/// \file
+/// SessionCore's answers: what a reply or its absence means to a caller.
+
+namespace ragwortmux {
+
+namespace {
+
+constexpr std::uint32_t MaxPauseDoublings = 4;
+
+/// The result of a statement that ran, or that no other server would run.
+ResultCode finalCode(StatementOutcome Outcome) {
+  switch (Outcome) {
+  case StatementOutcome::Done:
+    return ResultCode::Ok;
+  case StatementOutcome::Failed:
+    return ResultCode::RanFailed;
+  case StatementOutcome::TimedOut:
+    return ResultCode::RanTimedOut;
+  case StatementOutcome::Busy:
+  case StatementOutcome::TooManyConnections:
+  case StatementOutcome::WrongServer:
+    return ResultCode::NotRunNoConnection;
+  case StatementOutcome::Behind:
+    return ResultCode::NotRunTooOld;
+  case StatementOutcome::NotPrimary:
+    return ResultCode::NotRunTermRefused;
+  case StatementOutcome::UnknownStatement:
+  case StatementOutcome::Malformed:
+    return ResultCode::NotRunBadRequest;
+  case StatementOutcome::ReplayFailed:
+    break;
+  }
+  return ResultCode::OutcomeUnknown;
+}
+
+/// True if the connection is fit for another caller afterwards.
+bool leavesConnectionClean(const StatementReply &Reply) {
+  switch (Reply.m_Outcome) {
+  case StatementOutcome::ReplayFailed:
+  case StatementOutcome::UnknownStatement:
+  case StatementOutcome::Malformed:
+  case StatementOutcome::WrongServer:
+  case StatementOutcome::TooManyConnections:
+    return false;
+  default:
+    return Reply.m_Status == TransactionStatus::Idle;
+  }
+}
+
+} // namespace
+
+void SessionCore::notePosition(const Request &State,
+                               const StatementReply &Reply) {
+  const bool IsPrimary =
+      m_View.m_Primary == State.m_Server && State.m_Term == m_View.m_Term;
+  if (Reply.m_Point && IsPrimary && State.m_UnderLease)
+    m_History.add(State.m_SentAt, *Reply.m_Point);
+  if (IsPrimary)
+    return;
+  ReplicaAge &Age = m_Ages[State.m_Server];
+  if (Reply.m_Outcome == StatementOutcome::Behind && State.m_Floor) {
+    Age.noteBehind(m_Now, State.m_Floor->m_AskedAt);
+    return;
+  }
+  if (!Reply.m_Point)
+    return;
+  if (const auto *Covered = m_History.newestCovered(*Reply.m_Point))
+    Age.noteCovered(m_Now, Covered->m_AskedAt);
+}
+
+void SessionCore::answered(Request &State, const StatementReply &Reply) {
+  const ConnectionId Connection = *State.m_Connection;
+  State.m_Connection.reset();
+  const bool Begins = isBegin(State.m_Request.m_Statement.m_Kind) &&
+                      Reply.m_Outcome == StatementOutcome::Done;
+  if (Begins && Reply.m_Status == TransactionStatus::InTransaction) {
+    State.m_Connection = Connection;
+    beginTransaction(State, Reply);
+    return;
+  }
+  if (leavesConnectionClean(Reply))
+    releaseConnection(Connection);
+  else
+    dropConnection(Connection);
+  if (State.m_CallerGone) {
+    erase(State);
+    return;
+  }
+  if (retriesUnrun(State, Reply))
+    return;
+  passOn(State, Reply);
+}
+
+bool SessionCore::retriesUnrun(Request &State, const StatementReply &Reply) {
+  const bool CanRetry = State.m_Tries < m_Settings.m_MaxTries;
+  const std::uint32_t Doublings = std::min(State.m_Pauses, MaxPauseDoublings);
+  switch (Reply.m_Outcome) {
+  case StatementOutcome::Busy: {
+    const Duration Pause = std::min(m_Settings.m_BusyPauseMax,
+                                    m_Settings.m_BusyPause * (1U << Doublings));
+    ++State.m_Pauses;
+    m_RefusesUntil[State.m_Server] = m_Now + m_Settings.m_BusyPause;
+    State.m_NotBefore = m_Now + (State.needsPrimary() ? Pause : Duration(0));
+    State.m_LastReason = ResultCode::NotRunQueueFull;
+    break;
+  }
+  case StatementOutcome::Behind:
+    State.m_Avoid.push_back(State.m_Server);
+    State.m_LastReason = ResultCode::NotRunTooOld;
+    break;
+  case StatementOutcome::NotPrimary:
+    act(ReportServer{State.m_Server, SuspicionKind::NotPrimary});
+    if (State.needsPrimary())
+      State.m_NotBefore = m_Now + m_Settings.m_NotPrimaryPause;
+    else
+      State.m_Avoid.push_back(State.m_Server);
+    State.m_LastReason = ResultCode::NotRunTermRefused;
+    break;
+  case StatementOutcome::WrongServer:
+  case StatementOutcome::TooManyConnections:
+  case StatementOutcome::UnknownStatement:
+    State.m_NotBefore = m_Now + m_Settings.m_NotPrimaryPause;
+    State.m_LastReason = ResultCode::NotRunNoConnection;
+    break;
+  default:
+    return false;
+  }
+  const bool MayWait = State.needsPrimary() &&
+                       Reply.m_Outcome != StatementOutcome::UnknownStatement;
+  if (!CanRetry && !MayWait)
+    return false;
+  note(State, SessionDecision::Retried, State.m_LastReason);
+  enqueue(State);
+  return true;
+}
+
+void SessionCore::beginTransaction(Request &State,
+                                   const StatementReply &Reply) {
+  const ConnectionId Connection = *State.m_Connection;
+  State.m_Connection.reset();
+  const Duration Stated = State.m_Request.m_Entry->m_Limits.m_TransactionIdle;
+  Transaction Open;
+  Open.m_Connection = Connection;
+  Open.m_Server = State.m_Server;
+  Open.m_Term = State.m_Term;
+  Open.m_ReadOnly =
+      State.m_Request.m_Statement.m_Kind == StatementKind::BeginRead;
+  Open.m_IdleSince = m_Now;
+  Open.m_IdleLimit =
+      Stated > Duration(0) ? Stated : m_Settings.m_TransactionIdle;
+  const CallerConnectionId Caller = State.m_Request.m_Caller;
+  m_Transactions[Caller] = Open;
+  if (State.m_CallerGone) {
+    erase(State);
+    rollBackFor(Caller);
+    return;
+  }
+  passOn(State, Reply);
+}
+
+void SessionCore::answeredInTransaction(Request &State,
+                                        const StatementReply &Reply) {
+  const CallerConnectionId Caller = State.m_Request.m_Caller;
+  const auto Found = m_Transactions.find(Caller);
+  const ConnectionId Connection = *State.m_Connection;
+  State.m_Connection.reset();
+  if (Found == m_Transactions.end()) {
+    dropConnection(Connection);
+    finish(State, ResultCode::OutcomeUnknown, TransactionStatus::Idle);
+    return;
+  }
+  Transaction &Open = Found->second;
+  Open.m_Running.reset();
+  Open.m_IdleSince = m_Now;
+  const bool IsStillOpen = Reply.m_Status != TransactionStatus::Idle;
+  const bool IsUnknown = Reply.m_Outcome == StatementOutcome::ReplayFailed ||
+                         Reply.m_Outcome == StatementOutcome::UnknownStatement;
+  if (Reply.m_Outcome == StatementOutcome::NotPrimary)
+    act(ReportServer{State.m_Server, SuspicionKind::NotPrimary});
+  if (Reply.m_Outcome == StatementOutcome::Busy &&
+      Reply.m_Status == TransactionStatus::InTransaction &&
+      State.m_Tries < m_Settings.m_MaxTries && !State.m_CallerGone) {
+    // Not run and still open: the same connection takes it a moment later.
+    Open.m_Running = State.m_Request.m_Id;
+    State.m_LastReason = ResultCode::NotRunQueueFull;
+    State.m_NotBefore =
+        m_Now + m_Settings.m_BusyPause *
+                    (1U << std::min(State.m_Pauses++, MaxPauseDoublings));
+    note(State, SessionDecision::Retried, State.m_LastReason);
+    return;
+  }
+  if (IsUnknown) {
+    giveUpTransaction(Open);
+    m_Transactions.erase(Found);
+    finish(State, ResultCode::NotRunRolledBack, TransactionStatus::Idle);
+    return;
+  }
+  if (IsStillOpen) {
+    Open.m_Status = Reply.m_Status;
+    if (State.m_CallerGone) {
+      erase(State);
+      rollBackFor(Caller);
+      return;
+    }
+    passOn(State, Reply);
+    return;
+  }
+  const bool Wrote = Open.m_Wrote;
+  m_Transactions.erase(Found);
+  if (leavesConnectionClean(Reply))
+    releaseConnection(Connection);
+  else
+    dropConnection(Connection);
+  if (State.m_CallerGone) {
+    erase(State);
+    return;
+  }
+  const bool Commits =
+      State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+  if (Commits && Wrote && Reply.m_Outcome == StatementOutcome::Done &&
+      !mayAcknowledge(State)) {
+    finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
+    return;
+  }
+  passOn(State, Reply);
+}
+
+bool SessionCore::mayAcknowledge(const Request &State) const {
+  return m_Now < m_LeaseUntil && State.m_Term == m_AcknowledgedTerm;
+}
+
+void SessionCore::passOn(Request &State, const StatementReply &Reply) {
+  const ResultCode Code = finalCode(Reply.m_Outcome);
+  const bool IsWrite =
+      State.isSingleWrite() ||
+      State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+  if (State.isSingleWrite() && Code == ResultCode::Ok &&
+      !mayAcknowledge(State)) {
+    finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
+    return;
+  }
+  SessionAnswer Answer;
+  Answer.m_Request = State.m_Request.m_Id;
+  Answer.m_Caller = State.m_Request.m_Caller;
+  Answer.m_Group = m_Group;
+  Answer.m_Code = Code;
+  Answer.m_Body = Reply.m_Body;
+  Answer.m_Point = Reply.m_Point;
+  const auto Open = m_Transactions.find(State.m_Request.m_Caller);
+  if (Open != m_Transactions.end())
+    Answer.m_Status = Open->second.m_Status;
+  if (IsWrite && Code == ResultCode::Ok)
+    Answer.m_Written = Reply.m_Point;
+  act(std::move(Answer));
+  note(State, SessionDecision::Answered, Code);
+  erase(State);
+}
+
+void SessionCore::lostStatement(Request &State) {
+  const Statement &Asked = State.m_Request.m_Statement;
+  if (State.m_InTransaction) {
+    const auto Open = m_Transactions.find(State.m_Request.m_Caller);
+    const bool Wrote = Open != m_Transactions.end() && Open->second.m_Wrote;
+    if (Open != m_Transactions.end())
+      m_Transactions.erase(Open);
+    // Without a commit nothing of a transaction outlives its connection.
+    const bool MayHaveCommitted =
+        Asked.m_Kind == StatementKind::Commit && Wrote;
+    finish(State,
+           MayHaveCommitted ? ResultCode::OutcomeUnknown
+                            : ResultCode::NotRunRolledBack,
+           TransactionStatus::Idle);
+    return;
+  }
+  if (State.m_CallerGone) {
+    erase(State);
+    return;
+  }
+  if (Asked.m_Writes || State.m_Tries >= m_Settings.m_MaxTries) {
+    finish(State, ResultCode::OutcomeUnknown, TransactionStatus::Idle);
+    return;
+  }
+  State.m_LastReason = ResultCode::OutcomeUnknown;
+  note(State, SessionDecision::Retried, State.m_LastReason);
+  enqueue(State);
+}
+
+void SessionCore::finish(Request &State, ResultCode Code,
+                         TransactionStatus Status) {
+  if (!State.m_CallerGone) {
+    SessionAnswer Answer;
+    Answer.m_Request = State.m_Request.m_Id;
+    Answer.m_Caller = State.m_Request.m_Caller;
+    Answer.m_Group = m_Group;
+    Answer.m_Code = Code;
+    Answer.m_Status = Status;
+    act(std::move(Answer));
+    const SessionDecision Decision = Code == ResultCode::Ok || saysNotRun(Code)
+                                         ? SessionDecision::Refused
+                                         : SessionDecision::Unknown;
+    note(State, Decision, Code);
+  }
+  erase(State);
+}
+
+void SessionCore::erase(Request &State) {
+  assert(!State.m_Connection);
+  leaveQueue(State);
+  const auto Open = m_Transactions.find(State.m_Request.m_Caller);
+  if (Open != m_Transactions.end() &&
+      Open->second.m_Running == State.m_Request.m_Id)
+    Open->second.m_Running.reset();
+  m_Requests.erase(State.m_Request.m_Id);
+}
+
+void SessionCore::releaseConnection(ConnectionId Connection) {
+  PoolOrders Orders;
+  m_Pool.release(m_Now, Connection, Orders);
+  apply(Orders);
+}
+
+void SessionCore::dropConnection(ConnectionId Connection) {
+  m_Sessions.erase(Connection);
+  m_RollingBack.erase(Connection);
+  PoolOrders Orders;
+  m_Pool.drop(m_Now, Connection, Orders);
+  apply(Orders);
+}
+
+void SessionCore::dropStatement(Request &State) {
+  const ConnectionId Connection = *State.m_Connection;
+  m_Running.erase(Connection);
+  State.m_Connection.reset();
+  const auto Open = m_Transactions.find(State.m_Request.m_Caller);
+  if (Open != m_Transactions.end())
+    Open->second.m_Connection.reset();
+  dropConnection(Connection);
+}
+
+void SessionCore::rollBackFor(CallerConnectionId Caller) {
+  const auto Found = m_Transactions.find(Caller);
+  if (Found == m_Transactions.end())
+    return;
+  const Transaction Open = Found->second;
+  if (Open.m_Running) {
+    const auto State = m_Requests.find(*Open.m_Running);
+    // A commit under way must run to its end; anything else is given up.
+    const bool Commits =
+        State != m_Requests.end() &&
+        State->second.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+    if (Commits)
+      return;
+    if (State != m_Requests.end() && State->second.m_Connection)
+      dropStatement(State->second);
+    m_Transactions.erase(Caller);
+    if (State != m_Requests.end())
+      erase(State->second);
+    return;
+  }
+  m_Transactions.erase(Found);
+  if (!Open.m_Connection)
+    return;
+  m_RollingBack.insert(*Open.m_Connection);
+  RunStatement Run;
+  Run.m_Connection = *Open.m_Connection;
+  Run.m_Statement.m_Kind = StatementKind::Rollback;
+  Run.m_IsOwn = true;
+  act(std::move(Run));
+}
+
+void SessionCore::giveUpTransaction(Transaction &Open) {
+  if (!Open.m_Connection)
+    return;
+  const ConnectionId Connection = *Open.m_Connection;
+  Open.m_Connection.reset();
+  dropConnection(Connection);
+}
+
+void SessionCore::expire(Request &State) {
+  if (State.m_Connection) {
+    const bool MayHaveCommitted =
+        State.isSingleWrite() ||
+        State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+    const bool InTransaction = State.m_InTransaction;
+    dropStatement(State);
+    m_Transactions.erase(State.m_Request.m_Caller);
+    finish(State,
+           InTransaction && !MayHaveCommitted ? ResultCode::NotRunRolledBack
+                                              : ResultCode::OutcomeUnknown,
+           TransactionStatus::Idle);
+    return;
+  }
+  if (State.m_InTransaction) {
+    const auto Open = m_Transactions.find(State.m_Request.m_Caller);
+    giveUpTransaction(Open->second);
+    m_Transactions.erase(Open);
+    finish(State, ResultCode::NotRunRolledBack, TransactionStatus::Idle);
+    return;
+  }
+  finish(State, obstacle(State), TransactionStatus::Idle);
+}
+
+void SessionCore::checkSilence(Request &State) {
+  if (State.m_SilenceSeen)
+    return;
+  const auto Last = m_LastReply.find(State.m_Server);
+  const bool IsAlive =
+      Last != m_LastReply.end() && Last->second > State.m_SentAt;
+  State.m_SilenceSeen = true;
+  if (IsAlive)
+    return;
+  // Nothing came from this server since: a new connection tells a silent
+  // connection from a silent server.
+  PoolOrders Orders;
+  m_Pool.suspect(m_Now, State.m_Server, Orders);
+  apply(Orders);
+}
+
+void SessionCore::retryReadsAt(const ServerId &Server) {
+  std::vector<RequestId> Reads;
+  for (const auto &[Id, State] : m_Requests) {
+    if (State.m_Connection && State.m_Server == Server &&
+        !State.m_InTransaction && !State.m_Request.m_Statement.m_Writes &&
+        m_Now - State.m_SentAt >= m_Settings.m_BusyPauseMax)
+      Reads.push_back(Id);
+  }
+  for (const RequestId Id : Reads) {
+    const auto Found = m_Requests.find(Id);
+    if (Found == m_Requests.end() || !Found->second.m_Connection)
+      continue;
+    Request &State = Found->second;
+    dropStatement(State);
+    State.m_Avoid.push_back(Server);
+    lostStatement(State);
+  }
+}
+
+ResultCode SessionCore::obstacle(const Request &State) const {
+  if (State.m_LastReason != ResultCode::NotRunDeadline &&
+      State.m_LastReason != ResultCode::OutcomeUnknown)
+    return State.m_LastReason;
+  if (State.needsPrimary()) {
+    if (!m_View.m_Primary)
+      return ResultCode::NotRunNoPrimary;
+    return primaryUsable() ? ResultCode::NotRunDeadline
+                           : ResultCode::NotRunNoLease;
+  }
+  return floorOf(State) ? ResultCode::NotRunNoConnection
+                        : ResultCode::NotRunTooOld;
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -0,0 +1,218 @@
+#include "ragwortmux/Request/SessionCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+/// \file
+/// SessionCore's placement: from the queue to connections.
+
+namespace ragwortmux {
+
+namespace {
+
+/// Waiting statements that one event looks at; bounds its work while many wait
+/// that cannot run.
+constexpr std::size_t MaxLooks = 64;
+
+} // namespace
+
+void SessionCore::enqueue(Request &State) {
+  assert(!State.m_Connection);
+  State.m_IsWaiting = true;
+  m_Waiting.insert({State.m_Request.m_Entry->m_Limits.m_Priority,
+                    State.m_Request.m_Arrived, State.m_Request.m_Id});
+}
+
+void SessionCore::leaveQueue(Request &State) {
+  if (!State.m_IsWaiting)
+    return;
+  State.m_IsWaiting = false;
+  m_Waiting.erase({State.m_Request.m_Entry->m_Limits.m_Priority,
+                   State.m_Request.m_Arrived, State.m_Request.m_Id});
+}
+
+void SessionCore::dispatch() {
+  std::size_t Looks = 0;
+  for (auto Next = m_Waiting.begin();
+       Next != m_Waiting.end() && Looks < MaxLooks; ++Looks) {
+    const RequestId Id = std::get<RequestId>(*Next);
+    ++Next;
+    Request &State = m_Requests.at(Id);
+    if (State.m_NotBefore && m_Now < *State.m_NotBefore)
+      continue;
+    tryPlace(State);
+  }
+}
+
+bool SessionCore::tryPlace(Request &State) {
+  return State.needsPrimary() ? tryPrimary(State) : tryRead(State);
+}
+
+bool SessionCore::primaryUsable() const {
+  return m_View.m_Primary && m_AcknowledgedTerm == m_View.m_Term &&
+         m_Now + m_Settings.m_LeaseMargin < m_LeaseUntil;
+}
+
+bool SessionCore::takesReads(const ServerView &Server) const {
+  return Server.m_Announced && !Server.m_Leaving;
+}
+
+bool SessionCore::tryPrimary(Request &State) {
+  if (!primaryUsable())
+    return false;
+  const ServerId Primary = *m_View.m_Primary;
+  const auto Connection = takeConnection(Primary, State);
+  if (!Connection)
+    return false;
+  sendOn(State, Primary, *Connection, std::nullopt);
+  return true;
+}
+
+std::optional<PositionHistory::Sample>
+SessionCore::floorOf(const Request &State) const {
+  const SessionRequest &Asked = State.m_Request;
+  const PositionHistory::Sample *Oldest =
+      m_History.oldestSince(Asked.m_Arrived - Asked.m_Entry->m_Limits.m_MaxAge +
+                            m_Settings.m_AgeMargin);
+  if (Oldest == nullptr)
+    return std::nullopt;
+  PositionHistory::Sample Floor = *Oldest;
+  if (Asked.m_Entry->m_Class != TrafficClass::OwnWritesSession ||
+      !Asked.m_LastWrite)
+    return Floor;
+  // A write of an earlier term that survived lies before the first position
+  // that the present primary has told.
+  if (Asked.m_LastWrite->m_Term < Floor.m_Point.m_Term ||
+      isBefore(*Asked.m_LastWrite, Floor.m_Point))
+    return Floor;
+  const PositionHistory::Sample *Covered =
+      m_History.newestCovered(*Asked.m_LastWrite);
+  if (Covered != nullptr)
+    Floor.m_AskedAt = Covered->m_AskedAt;
+  Floor.m_Point = *Asked.m_LastWrite;
+  return Floor;
+}
+
+std::vector<ReadPlace> SessionCore::readPlaces(const Request &State) const {
+  const auto Floor = floorOf(State);
+  std::vector<ReadPlace> Places;
+  for (const ServerView &Each : m_View.m_Servers) {
+    if (!takesReads(Each))
+      continue;
+    ReadPlace Place;
+    Place.m_Server = Each.m_Server;
+    Place.m_IsNear = Each.m_Domain == m_Settings.m_Domain;
+    Place.m_IsPrimary = m_View.m_Primary == Each.m_Server;
+    Place.m_Free = m_Pool.idle(Each.m_Server);
+    Place.m_Running = m_Pool.busy(Each.m_Server);
+    Place.m_Slots = Each.m_Slots;
+    const auto Refuses = m_RefusesUntil.find(Each.m_Server);
+    const bool IsFull =
+        Refuses != m_RefusesUntil.end() && m_Now < Refuses->second;
+    const auto Age = m_Ages.find(Each.m_Server);
+    const bool MayCover =
+        Floor && (Age == m_Ages.end() ||
+                  Age->second.isWorthTrying(m_Now, Floor->m_AskedAt));
+    Place.m_IsAllowed = !IsFull && !State.avoids(Each.m_Server) &&
+                        (Place.m_IsPrimary ? primaryUsable() : MayCover);
+    Places.push_back(std::move(Place));
+  }
+  return Places;
+}
+
+bool SessionCore::tryRead(Request &State) {
+  const auto Place = placeRead(readPlaces(State));
+  if (!Place)
+    return false;
+  const auto Connection = takeConnection(*Place, State);
+  if (!Connection)
+    return false;
+  const bool AtPrimary = m_View.m_Primary == *Place;
+  sendOn(State, *Place, *Connection, AtPrimary ? std::nullopt : floorOf(State));
+  return true;
+}
+
+std::optional<ConnectionId> SessionCore::takeConnection(const ServerId &Server,
+                                                        const Request &State) {
+  const SessionRequest &Asked = State.m_Request;
+  const PreparedStatement *Needed =
+      Asked.m_Prepared ? &*Asked.m_Prepared : nullptr;
+  return m_Pool.takeBest(m_Now, Server, [&](ConnectionId Id) {
+    return m_Sessions[Id].distance(*Asked.m_State, Needed);
+  });
+}
+
+void SessionCore::sendOn(Request &State, const ServerId &Server,
+                         ConnectionId Connection,
+                         const std::optional<PositionHistory::Sample> &Floor) {
+  leaveQueue(State);
+  const SessionRequest &Asked = State.m_Request;
+  State.m_Connection = Connection;
+  State.m_Server = Server;
+  State.m_Term = m_View.m_Term;
+  State.m_UnderLease = m_View.m_Primary == Server && primaryUsable();
+  State.m_SentAt = m_Now;
+  State.m_Floor = Floor;
+  State.m_NotBefore.reset();
+  State.m_SilenceSeen = false;
+  ++State.m_Tries;
+  m_Running[Connection] = Asked.m_Id;
+
+  RunStatement Run;
+  Run.m_Connection = Connection;
+  Run.m_Replay = m_Sessions[Connection].plan(
+      *Asked.m_State, Asked.m_Prepared ? &*Asked.m_Prepared : nullptr);
+  Run.m_Statement = Asked.m_Statement;
+  if (Floor)
+    Run.m_Floor = Floor->m_Point;
+  act(std::move(Run));
+  note(State, SessionDecision::Sent, ResultCode::Ok);
+}
+
+void SessionCore::submitInTransaction(Request &State, Transaction &Open) {
+  State.m_InTransaction = true;
+  Open.m_Running = State.m_Request.m_Id;
+  if (!Open.m_Connection) {
+    // Closed connections roll back, so nothing of it is left.
+    m_Transactions.erase(State.m_Request.m_Caller);
+    const bool Rollback =
+        State.m_Request.m_Statement.m_Kind == StatementKind::Rollback;
+    finish(State, Rollback ? ResultCode::Ok : ResultCode::NotRunRolledBack,
+           TransactionStatus::Idle);
+    return;
+  }
+  const bool NeedsLease = Open.m_Wrote && State.m_Request.m_Statement.m_Kind ==
+                                              StatementKind::Commit;
+  // A commit that can no longer be acknowledged is better not sent.
+  if (NeedsLease && (m_AcknowledgedTerm != Open.m_Term ||
+                     m_Now + m_Settings.m_LeaseMargin >= m_LeaseUntil)) {
+    giveUpTransaction(Open);
+    submitInTransaction(State, Open);
+    return;
+  }
+  Open.m_Wrote = Open.m_Wrote || State.m_Request.m_Statement.m_Writes;
+  sendOn(State, Open.m_Server, *Open.m_Connection, std::nullopt);
+  State.m_Term = Open.m_Term;
+}
+
+void SessionCore::setDemands() {
+  PoolOrders Orders;
+  std::map<ServerId, std::uint32_t> Wanted;
+  for (const QueueKey &Key : m_Waiting) {
+    const Request &State = m_Requests.at(std::get<RequestId>(Key));
+    if (State.needsPrimary()) {
+      if (m_View.m_Primary)
+        ++Wanted[*m_View.m_Primary];
+      continue;
+    }
+    for (const ReadPlace &Place : readPlaces(State)) {
+      if (Place.m_IsAllowed)
+        ++Wanted[Place.m_Server];
+    }
+  }
+  for (const ServerView &Each : m_View.m_Servers)
+    m_Pool.setDemand(m_Now, Each.m_Server, Wanted[Each.m_Server], Orders);
+  apply(Orders);
+}
+
+} // namespace ragwortmux
