--- a/ragwortmux/Main/Main.cpp
+++ b/ragwortmux/Main/Main.cpp
@@ -1,3 +1,4 @@
+#include "platform/PlatformAdapter.h"
 #include "ragwortmux/Process/Daemon.h"
 #include "ragwortmux/Process/OperatorClient.h"
 #include "ragwortmux/Process/SqlClient.h"
@@ -39,7 +40,7 @@
     return failWith(Faults);
   }
   startLog({Settings->m_LogLevel, Settings->m_LogFormat, nullptr});
-  return Daemon(std::move(*Settings)).run();
+  return Daemon(std::move(*Settings), platform::makePlatformAdapter).run();
 }
 
 int run(const CheckSettingsCommand &Command) {
--- a/ragwortmux/Process/ControlClient.cpp
+++ b/ragwortmux/Process/ControlClient.cpp
@@ -14,31 +14,51 @@
 
 /// Pause before another control host is tried.
 constexpr Duration RetryPause = std::chrono::milliseconds(30);
-/// How often reports are passed on.
+/// How long reports are gathered before they are passed on.
 constexpr Duration ReportInterval = std::chrono::milliseconds(10);
+/// Control hosts that are remembered at most.
+constexpr std::size_t MaxLinks = 64;
 
 } // namespace
 
 ControlClient::ControlClient(IoLoop &Loop, const Secret &ClusterKey,
                              ControlClientSettings Settings,
                              ControlClientHooks Hooks)
-    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Hooks(std::move(Hooks)),
-      m_Lease(m_Settings.m_Drift) {
+    : m_Loop(Loop), m_ClusterKey(ClusterKey), m_Settings(std::move(Settings)),
+      m_Hooks(std::move(Hooks)), m_Lease(m_Settings.m_Drift) {
   for (const ControlPeer &Peer : m_Settings.m_ControlPeers) {
-    PeerLinkSettings Link;
-    Link.m_OwnHost = m_Settings.m_Self.m_Host;
-    Link.m_Address = Peer.m_Where.m_Address;
-    Link.m_Port = Peer.m_Where.m_Port;
-    Link.m_CallTimeout = m_Settings.m_CallTimeout;
-    m_Links.push_back(std::make_unique<PeerLink>(Loop, ClusterKey, Link));
+    addLink(Peer.m_Where);
   }
 }
 
 ControlClient::~ControlClient() = default;
 
-void ControlClient::start() {
-  scheduleStep(Duration(0));
-  m_Loop.every(ReportInterval, [this] { sendReports(); });
+void ControlClient::start() { scheduleStep(Duration(0)); }
+
+void ControlClient::addLink(const SocketAddress &Where) {
+  PeerLinkSettings Link;
+  Link.m_OwnHost = m_Settings.m_Self.m_Host;
+  Link.m_Address = Where.m_Address;
+  Link.m_Port = Where.m_Port;
+  Link.m_CallTimeout = m_Settings.m_CallTimeout;
+  m_Links.push_back(std::make_unique<PeerLink>(m_Loop, m_ClusterKey, Link));
+}
+
+void ControlClient::addPeers(const std::vector<ControlPeer> &Peers) {
+  for (const ControlPeer &Peer : Peers) {
+    if (m_Links.size() >= MaxLinks) {
+      return;
+    }
+    const bool IsKnown = std::ranges::any_of(
+        m_Settings.m_ControlPeers, [&](const ControlPeer &Known) {
+          return Known.m_Where == Peer.m_Where;
+        });
+    if (IsKnown) {
+      continue;
+    }
+    m_Settings.m_ControlPeers.push_back(Peer);
+    addLink(Peer.m_Where);
+  }
 }
 
 void ControlClient::renewSoon() { scheduleStep(Duration(0)); }
@@ -209,6 +229,40 @@
   };
   std::erase_if(m_Announcements, Same);
   m_Announcements.push_back(Announcement);
+  reportSoon();
+}
+
+void ControlClient::deliver(const ServerAnnouncement &Announcement,
+                            Instant Deadline,
+                            const std::function<void(bool Delivered)> &Reply) {
+  leader().report(m_Lease.session(), {Announcement}, {},
+                  [this, Asked = m_Current, Announcement, Deadline,
+                   Reply](const std::optional<ControlStatus> &Status) {
+                    if (Status && Status->ok()) {
+                      Reply(true);
+                      return;
+                    }
+                    Status ? turnTo(Asked, *Status) : turnToNext(Asked);
+                    if (monotonicNow() + RetryPause >= Deadline) {
+                      Reply(false);
+                      return;
+                    }
+                    m_Loop.after(RetryPause,
+                                 [this, Announcement, Deadline, Reply] {
+                                   deliver(Announcement, Deadline, Reply);
+                                 });
+                  });
+}
+
+void ControlClient::reportSoon() {
+  if (m_ReportDue) {
+    return;
+  }
+  m_ReportDue = true;
+  m_Loop.after(ReportInterval, [this] {
+    m_ReportDue = false;
+    sendReports();
+  });
 }
 
 void ControlClient::suspect(const GroupId &Group, const ServerId &Server,
@@ -218,6 +272,7 @@
   Suspicion.m_Server = Server;
   Suspicion.m_Kind = Kind;
   m_Suspicions.push_back(Suspicion);
+  reportSoon();
 }
 
 void ControlClient::sendReports() {
@@ -238,10 +293,14 @@
 }
 
 void ControlClient::turnTo(std::size_t Asked, const ControlStatus &Status) {
-  const auto IsLeader = [&](const ControlPeer &Peer) {
-    return formatSocketAddress(Peer.m_Where) == Status.m_Leader;
-  };
-  const auto Found = std::ranges::find_if(m_Settings.m_ControlPeers, IsLeader);
+  const auto Leader = parseSocketAddress(Status.m_Leader);
+  if (!Leader) {
+    turnToNext(Asked);
+    return;
+  }
+  addPeers({{HostId(Leader->m_Address), *Leader}});
+  const auto Found = std::ranges::find(m_Settings.m_ControlPeers, *Leader,
+                                       &ControlPeer::m_Where);
   if (Found == m_Settings.m_ControlPeers.end()) {
     turnToNext(Asked);
     return;
--- a/ragwortmux/Process/ControlClient.h
+++ b/ragwortmux/Process/ControlClient.h
@@ -54,6 +54,8 @@
 
   /// Starts to open a session; from then on renews it.
   void start();
+  /// Adds control hosts that are not known yet.
+  void addPeers(const std::vector<ControlPeer> &Peers);
   /// Opens no session and renews no more; commands still go out.
   void stopRenewing() { m_Stopped = true; }
   /// Renews without waiting for the interval, to confirm something early.
@@ -68,6 +70,9 @@
 
   /// Passes on an announcement; the newest of each server is sent.
   void announce(const ServerAnnouncement &Announcement);
+  /// Passes on an announcement until the leader has taken it or \p Deadline.
+  void deliver(const ServerAnnouncement &Announcement, Instant Deadline,
+               const std::function<void(bool Delivered)> &Reply);
   /// Passes on a suspicion.
   void suspect(const GroupId &Group, const ServerId &Server,
                SuspicionKind Kind);
@@ -84,6 +89,8 @@
   void renewed(std::size_t Asked, ControlSessionId Session,
                std::uint64_t Sequence, const std::optional<RenewReply> &Reply);
   void takeUpdate(const ControlUpdate &Update);
+  void addLink(const SocketAddress &Where);
+  void reportSoon();
   void sendReports();
   void tryCommand(const std::string &Bytes, Instant Deadline,
                   const std::function<void(CommandReply)> &Reply);
@@ -95,6 +102,7 @@
   PeerLink &leader() { return *m_Links[m_Current]; }
 
   IoLoop &m_Loop;                                 ///< The event loop.
+  const Secret &m_ClusterKey;                     ///< Proved to control hosts.
   ControlClientSettings m_Settings;               ///< As given.
   ControlClientHooks m_Hooks;                     ///< As given.
   std::vector<std::unique_ptr<PeerLink>> m_Links; ///< One per control host.
@@ -103,6 +111,7 @@
   bool m_Registered = false;      ///< The leader has this listener.
   bool m_Stopped = false;         ///< stopRenewing() was called.
   bool m_Opening = false;         ///< An openSession is under way.
+  bool m_ReportDue = false;       ///< sendReports() will be called.
   std::uint64_t m_StepNumber = 0; ///< Counts scheduled steps.
   std::vector<ServerAnnouncement> m_Announcements; ///< To be passed on.
   std::vector<ServerSuspicion> m_Suspicions;       ///< To be passed on.
--- a/ragwortmux/Process/ControlMessages.h
+++ b/ragwortmux/Process/ControlMessages.h
@@ -93,6 +93,8 @@
   std::string m_Voter;  ///< Identity of its data folder; empty: no control.
   bool m_Blank = false; ///< Its log is empty.
   HostId m_Host;        ///< Its host.
+  std::vector<std::string> m_Members; ///< Addresses of the log's members, as it
+                                      ///< knows them.
 };
 
 /// Where a session's position is kept: a session of one group.
--- a/ragwortmux/Process/ControlNode.cpp
+++ b/ragwortmux/Process/ControlNode.cpp
@@ -13,6 +13,12 @@
 /// Queries confirm the leadership with tokens of their own, apart from those of
 /// ControlLeader.
 constexpr std::uint64_t QueryTokenBit = std::uint64_t{1} << 63U;
+/// Promotions confirm it with tokens of a third kind.
+constexpr std::uint64_t PromotionTokenBit = std::uint64_t{1} << 62U;
+/// Part of the time in which no other leader can be elected that is used, in
+/// percent; the rest covers clocks that run at different speeds.
+constexpr int LeadershipUsePercent = 90;
+constexpr int PercentBase = 100;
 
 } // namespace
 
@@ -157,13 +163,20 @@
   if (AllBlank && m_Settings.m_Bootstrap && identify().m_Blank) {
     LogMembership Members;
     for (const IdentifiedPeer &Peer : Peers) {
-      Members.m_Members.push_back({*Peer.m_Voter, Peer.m_Address, true});
+      if (Peer.m_IsListed) {
+        Members.m_Members.push_back({*Peer.m_Voter, Peer.m_Address, true});
+      }
     }
-    logInfo(Part::Control, "Starting a new log with {} voters.", Peers.size());
+    logInfo(Part::Control, "Starting a new log with {} voters.",
+            Members.m_Members.size());
     m_Log->bootstrap(Now, Members);
   }
   if (m_Log->isReady()) {
-    if (const auto Step = nextVoterStep(m_Log->membership(), Peers)) {
+    const auto Step = m_Settings.m_Voters == 0
+                          ? nextVoterStep(m_Log->membership(), Peers)
+                          : nextFoundVoterStep(m_Log->membership(), Peers,
+                                               m_Settings.m_Voters);
+    if (Step) {
       takeVoterStep(Now, *Step);
     }
   }
@@ -172,6 +185,9 @@
 
 IdentifyReply ControlNode::identify() const {
   IdentifyReply Reply;
+  for (const LogMember &Member : m_Log->membership().m_Members) {
+    Reply.m_Members.push_back(Member.m_Address);
+  }
   Reply.m_Voter = m_Log->self().value();
   Reply.m_Blank = m_Log->membership().m_Members.empty();
   return Reply;
@@ -335,6 +351,10 @@
 
 void ControlNode::perform(Instant Now, const LeadershipConfirmed &Action) {
   const std::uint64_t Token = Action.m_Token.value();
+  if ((Token & PromotionTokenBit) != 0) {
+    sendPromotion(Token);
+    return;
+  }
   if ((Token & QueryTokenBit) == 0) {
     m_Leader.leadershipConfirmed(Token, Now);
     return;
@@ -347,7 +367,23 @@
   }
 }
 
+void ControlNode::sendPromotion(std::uint64_t Token) {
+  const auto Found = m_Promotions.find(Token);
+  if (Found == m_Promotions.end()) {
+    return;
+  }
+  CallBackend Call = Found->second.m_Call;
+  // Those who confirmed grant nobody a vote for an election timeout.
+  Call.m_ValidUntil =
+      Found->second.m_StartedAt + m_Settings.m_Log.m_ElectionTimeoutMin *
+                                      LeadershipUsePercent / PercentBase;
+  Call.m_FencingToken = m_Log->term().value();
+  m_Promotions.erase(Found);
+  m_Hooks.m_CallBackend(Call);
+}
+
 void ControlNode::perform(Instant, const ConfirmationDropped &Action) {
+  m_Promotions.erase(Action.m_Token.value());
   const auto Found = m_Queries.find(Action.m_Token.value());
   if (Found != m_Queries.end()) {
     Found->second.m_Reply({notLeader(), ""});
@@ -430,8 +466,17 @@
   m_Hooks.m_Push(Action.m_Session, std::move(Update));
 }
 
-void ControlNode::perform(Instant, const CallBackend &Action) {
-  m_Hooks.m_CallBackend(Action);
+void ControlNode::perform(Instant Now, const CallBackend &Action) {
+  if (Action.m_Kind != BackendCallKind::Promote) {
+    m_Hooks.m_CallBackend(Action);
+    return;
+  }
+  // A leader that was replaced without its knowledge must not promote. If the
+  // confirmation is dropped, the call times out and is made again.
+  const std::uint64_t Token = PromotionTokenBit | ++m_LastQuery;
+  if (m_Log->confirmLeadership(Now, ConfirmationToken(Token))) {
+    m_Promotions[Token] = {Action, Now};
+  }
 }
 
 void ControlNode::perform(Instant, const Note &Action) {
--- a/ragwortmux/Process/ControlNode.h
+++ b/ragwortmux/Process/ControlNode.h
@@ -21,11 +21,13 @@
 
 /// How a control node is made.
 struct ControlNodeSettings final {
-  std::string m_Address;          ///< This member's address, as others know it.
-  bool m_Bootstrap = false;       ///< May start a new log.
-  ReplicatedLogSettings m_Log;    ///< Replication.
-  ControlLeaderSettings m_Leader; ///< Decisions of the leader.
-  ControlState::Settings m_State; ///< Bounds of the state.
+  std::string m_Address;    ///< This member's address, as others know it.
+  bool m_Bootstrap = false; ///< May start a new log.
+  std::size_t m_Voters = 0; ///< Voters to keep among the control hosts that are
+                            ///< found; 0: all listed hosts vote.
+  ReplicatedLogSettings m_Log;            ///< Replication.
+  ControlLeaderSettings m_Leader;         ///< Decisions of the leader.
+  ControlState::Settings m_State;         ///< Bounds of the state.
   std::uint64_t m_SnapshotEntries = 4096; ///< Entries between two snapshots.
 };
 
@@ -92,6 +94,7 @@
   const std::string &lastReason() const { return m_LastReason; }
 
 private:
+  struct PendingPromotion;
   using RenewalKey = std::pair<ControlSessionId, std::uint64_t>;
   struct PendingCommand;
   struct PendingQuery;
@@ -123,6 +126,8 @@
   /// Tells who asks for a key in use that its holder's session has ended, by
   /// leaving the session out of the record.
   void clearEndedHolder(ControlResult &Result) const;
+  /// Sends a promotion for which this node was confirmed as the leader.
+  void sendPromotion(std::uint64_t Token);
   void snapshotIfDue(Instant Now);
   void takeVoterStep(Instant Now, const VoterStep &Step);
   void failPending();
@@ -141,7 +146,9 @@
   std::map<std::uint64_t, PendingQuery> m_Queries; ///< Not confirmed yet.
   std::map<RenewalKey, Respond<RenewReply>> m_Renewals; ///< Not answered yet.
   std::uint64_t m_LastQuery = 0; ///< The last query's number.
-  LogIndex m_LastSnapshot;       ///< Entries covered by a snapshot.
+  std::map<std::uint64_t, PendingPromotion>
+      m_Promotions;        ///< Not confirmed yet.
+  LogIndex m_LastSnapshot; ///< Entries covered by a snapshot.
   std::map<VoterId, std::string> m_Identified; ///< Addresses of data folders.
   ResultCode m_LastCode = ResultCode::Ok;      ///< See lastCode().
   std::string m_LastReason;                    ///< See lastReason().
@@ -160,6 +167,12 @@
   Respond<QueryReply> m_Reply; ///< Who asks.
 };
 
+/// A promotion that waits until this node is confirmed as the leader.
+struct ControlNode::PendingPromotion final {
+  CallBackend m_Call;  ///< The call.
+  Instant m_StartedAt; ///< When the confirmation was asked for.
+};
+
 } // namespace ragwortmux
 
 #endif // RAGWORTMUX_PROCESS_CONTROLNODE_H
--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -25,6 +25,12 @@
 constexpr Duration PeerTimeout = std::chrono::milliseconds(1000);
 /// Bound on the answer to a control call.
 constexpr std::size_t MaxAnswerBytes = 4096;
+/// A control host that has not answered for so long counts as lost.
+constexpr Duration PeerLost = std::chrono::milliseconds(3000);
+/// A control host that nobody names any more is forgotten after this.
+constexpr Duration PeerForgotten = std::chrono::seconds(60);
+/// Control hosts that are remembered at most.
+constexpr std::size_t MaxFoundPeers = 64;
 
 std::string callSql(const CallBackend &Call) {
   const std::string TermText = std::to_string(Call.m_Term.value());
@@ -77,7 +83,12 @@
   Hooks.m_LogMessage = [this](LogEnvelope Envelope) {
     m_Actor->receive(std::move(Envelope));
   };
-  Hooks.m_Identify = [this] { return m_Identity; };
+  Hooks.m_Identify = [this](const std::string &From) {
+    if (parseSocketAddress(From) && m_Peers.size() < MaxFoundPeers) {
+      m_Peers[From].m_HeardOfAt = monotonicNow();
+    }
+    return m_Identity;
+  };
   Hooks.m_OpenSession = [this](const EntryAddress &Host, Incarnation Run,
                                const UpdateListener &Listener, auto Respond) {
     OpenSession Command{Host.m_Host, Run, Host.m_Domain, Host.m_Address,
@@ -111,7 +122,17 @@
                          auto Respond) { m_Actor->query(What, Name, Respond); };
 }
 
+void ControlRole::addPeers(const std::vector<ControlPeer> &Peers) {
+  for (const ControlPeer &Peer : Peers) {
+    m_Peers[formatSocketAddress(Peer.m_Where)].m_HeardOfAt = monotonicNow();
+  }
+}
+
 void ControlRole::start() {
+  for (const ControlPeer &Peer : m_Settings.m_ControlPeers) {
+    m_Peers[formatSocketAddress(Peer.m_Where)].m_IsListed = true;
+  }
+  m_Peers[ownAddress()].m_HeardOfAt = monotonicNow();
   m_Loop.every(TickInterval, [this] { m_Actor->tick(); });
   m_Loop.every(IdentifyInterval, [this] { identifyPeers(); });
   identifyPeers();
@@ -125,8 +146,9 @@
     logWarn(Part::Log, "{}", Text);
   };
   ControlNodeSettings Node;
-  Node.m_Address = formatSocketAddress(m_Settings.ownPeer()->m_Where);
+  Node.m_Address = ownAddress();
   Node.m_Bootstrap = m_Settings.m_Bootstrap;
+  Node.m_Voters = m_Settings.m_ControlVoters;
   Node.m_Log.m_Random = systemRandom;
   Node.m_Log.m_HeartbeatInterval = m_Settings.m_Heartbeat;
   Node.m_Log.m_ElectionTimeoutMin = m_Settings.m_ElectionTimeout;
@@ -138,6 +160,7 @@
   Node.m_Leader.m_Drift.m_Percent = m_Settings.m_DriftPercent;
   Node.m_Leader.m_Drift.m_Fixed = m_Settings.m_Drift;
   Node.m_Leader.m_SilenceFailed = m_Settings.m_AnnouncementSilence;
+  Node.m_Leader.m_SilenceUnannounced = m_Settings.m_ServerSilence;
   Node.m_State.m_Ledger.m_Retention =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           m_Settings.m_LedgerRetention);
@@ -203,7 +226,17 @@
                 });
 }
 
+std::string ControlRole::ownAddress() const {
+  return formatSocketAddress({m_Settings.m_Address, m_Settings.m_RpcPort});
+}
+
 void ControlRole::callBackend(const CallBackend &Call) {
+  if (m_BackendCaller) {
+    m_BackendCaller(Call, [this](const BackendCallResult &Result) {
+      m_Actor->backendCallDone(Result);
+    });
+    return;
+  }
   const auto Running = std::make_shared<BackendCall>();
   Running->m_Call = Call;
   BackendConnectionSettings Settings;
@@ -260,44 +293,76 @@
 }
 
 void ControlRole::identifyPeers() {
-  // The node's own answer first, then the others'; the round ends when all have
-  // answered or failed.
-  struct Round final {
-    std::vector<IdentifiedPeer> m_Peers; ///< In the order of the settings.
-    std::size_t m_Missing = 0;           ///< Answers still to come.
-    bool m_AllBlank = true;              ///< All answered that they are blank.
-  };
-  const auto Current = std::make_shared<Round>();
-  const auto Take = [this, Current](std::size_t Index,
-                                    const std::optional<IdentifyReply> &Reply) {
-    if (Reply && !Reply->m_Voter.empty()) {
-      Current->m_Peers[Index].m_Voter = VoterId(Reply->m_Voter);
-    }
-    Current->m_AllBlank = Current->m_AllBlank && Reply && Reply->m_Blank;
-    if (--Current->m_Missing == 0) {
-      m_Actor->peersIdentified(Current->m_Peers, Current->m_AllBlank);
-    }
-  };
-  Current->m_Missing = m_Settings.m_ControlPeers.size();
-  for (const ControlPeer &Peer : m_Settings.m_ControlPeers) {
-    const std::string Address = formatSocketAddress(Peer.m_Where);
-    const std::size_t Index = Current->m_Peers.size();
-    Current->m_Peers.push_back({Address, std::nullopt});
-    if (Peer.m_Host == m_Settings.m_Host) {
-      m_Actor->identify([this, Take, Index](const IdentifyReply &Reply) {
-        m_Identity = Reply;
-        m_Identity.m_Host = m_Settings.m_Host;
-        Take(Index, Reply);
-      });
-      continue;
+  forgetOldPeers();
+  const std::string Own = ownAddress();
+  m_Actor->identify([this, Own](const IdentifyReply &Reply) {
+    m_Identity = Reply;
+    m_Identity.m_Host = m_Settings.m_Host;
+    notePeer(Own, Reply);
+    tellPeers();
+  });
+  std::vector<std::string> Others;
+  for (const auto &[Address, Peer] : m_Peers) {
+    if (Address != Own) {
+      Others.push_back(Address);
     }
+  }
+  for (const std::string &Address : Others) {
     link(Address).identify(
-        [Take, Index](const std::optional<IdentifyReply> &Reply) {
-          Take(Index, Reply);
+        Own, [this, Address](const std::optional<IdentifyReply> &Reply) {
+          if (Reply) {
+            notePeer(Address, *Reply);
+          }
         });
   }
 }
 
+void ControlRole::notePeer(const std::string &Address,
+                           const IdentifyReply &Reply) {
+  const Instant Now = monotonicNow();
+  FoundPeer &Peer = m_Peers[Address];
+  Peer.m_Voter = Reply.m_Voter;
+  Peer.m_IsBlank = Reply.m_Blank;
+  Peer.m_AnsweredAt = Now;
+  Peer.m_HeardOfAt = Now;
+  for (const std::string &Member : Reply.m_Members) {
+    if (m_Peers.size() < MaxFoundPeers) {
+      m_Peers[Member].m_HeardOfAt = Now;
+    }
+  }
+}
+
+void ControlRole::forgetOldPeers() {
+  const Instant Now = monotonicNow();
+  std::erase_if(m_Peers, [&](const auto &Entry) {
+    return !Entry.second.m_IsListed &&
+           Now - Entry.second.m_HeardOfAt >= PeerForgotten;
+  });
+}
+
+void ControlRole::tellPeers() {
+  const Instant Now = monotonicNow();
+  std::vector<IdentifiedPeer> Peers;
+  bool AllBlank = true;
+  for (const auto &[Address, Peer] : m_Peers) {
+    const bool Answers =
+        !Peer.m_Voter.empty() && Now - Peer.m_AnsweredAt < PeerLost;
+    if (Peer.m_IsListed) {
+      AllBlank = AllBlank && Answers && Peer.m_IsBlank;
+    }
+    IdentifiedPeer Each;
+    Each.m_Address = Address;
+    Each.m_IsListed = Peer.m_IsListed;
+    if (Answers) {
+      Each.m_Voter = VoterId(Peer.m_Voter);
+    }
+    Peers.push_back(std::move(Each));
+  }
+  // A host that is not listed waits until a leader takes it in.
+  const bool IsListed = m_Peers[ownAddress()].m_IsListed;
+  m_Actor->peersIdentified(Peers, AllBlank && IsListed);
+}
+
 void ControlRole::leadershipChanged(bool Ready) {
   m_Leads = Ready;
   m_Metrics.set(Metric::ControlLeader, {}, Ready ? 1 : 0);
--- a/ragwortmux/Process/ControlRole.h
+++ b/ragwortmux/Process/ControlRole.h
@@ -5,6 +5,7 @@
 #include "ragwortmux/Process/ControlActor.h"
 #include "ragwortmux/Process/RpcServer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,6 +18,7 @@
 class Metrics;
 class PeerLink;
 class Timeline;
+struct ControlPeer;
 struct ProcessSettings;
 
 /// The control role of a process: runs the control node, connects it with the
@@ -33,6 +35,16 @@
 
   /// Reads the data folder. False with lastCode() and lastReason() on failure.
   bool open();
+  /// Makes the calls to backend servers in place of the PostgreSQL functions;
+  /// \p Done takes the result, once, on the event loop.
+  using BackendCaller = std::function<void(
+      const CallBackend &Call, std::function<void(BackendCallResult)> Done)>;
+  void setBackendCaller(BackendCaller Caller) {
+    m_BackendCaller = std::move(Caller);
+  }
+  /// Other control hosts to look for, besides the known ones.
+  void addPeers(const std::vector<ControlPeer> &Peers);
+
   /// Fills in what control answers to other processes.
   void serve(RpcServerHooks &Hooks);
   /// Starts to take part.
@@ -55,7 +67,12 @@
   void finishBackendCall(const std::shared_ptr<BackendCall> &Call,
                          const std::optional<StatementResult> &Result,
                          const std::string &Reason);
+  struct FoundPeer;
+  std::string ownAddress() const;
   void identifyPeers();
+  void notePeer(const std::string &Address, const IdentifyReply &Reply);
+  void forgetOldPeers();
+  void tellPeers();
   void leadershipChanged(bool Ready);
 
   IoLoop &m_Loop;                        ///< The event loop.
@@ -67,10 +84,22 @@
   std::map<std::string, std::unique_ptr<PeerLink>>
       m_Links; ///< Other members, by address.
   std::map<ControlSessionId, UpdateListener> m_Listeners; ///< Entry processes.
-  IdentifyReply m_Identity;               ///< As the node last said.
-  bool m_Leads = false;                   ///< See leads().
-  ResultCode m_LastCode = ResultCode::Ok; ///< See lastCode().
-  std::string m_LastReason;               ///< See lastReason().
+  IdentifyReply m_Identity;                 ///< As the node last said.
+  std::map<std::string, FoundPeer> m_Peers; ///< Control hosts, by address.
+  BackendCaller m_BackendCaller;            ///< See setBackendCaller().
+  bool m_Leads = false;                     ///< See leads().
+  ResultCode m_LastCode = ResultCode::Ok;   ///< See lastCode().
+  std::string m_LastReason;                 ///< See lastReason().
+};
+
+/// A control host that is listed, known from the log's members, or has asked to
+/// become one.
+struct ControlRole::FoundPeer final {
+  bool m_IsListed = false; ///< It is in the settings.
+  bool m_IsBlank = false;  ///< It answered that its log is empty.
+  std::string m_Voter;     ///< Its data folder; empty: has not answered.
+  Instant m_AnsweredAt;    ///< Its last answer.
+  Instant m_HeardOfAt;     ///< When somebody last named it.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned ActorThreads = 2;
 /// Exit status if the process cannot start.
 constexpr int ExitCannotStart = 3;
+/// How often the file of settings is looked at without a signal.
+constexpr Duration SettingsCheckInterval = std::chrono::seconds(2);
 /// Exit status if a drain did not end in time.
 constexpr int ExitDrainTimeout = 4;
 
@@ -33,6 +35,7 @@
 bool captureSignals() {
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
+  kj::UnixEventPort::captureSignal(SIGHUP);
   std::signal(SIGPIPE, SIG_IGN);
   return true;
 }
@@ -45,10 +48,16 @@
 
 } // namespace
 
-Daemon::Daemon(ProcessSettings Settings)
+Daemon::Daemon(ProcessSettings Settings, const MakeOutsideAdapter &MakeAdapter)
     : m_Settings(std::move(Settings)), m_Clock(wallNow),
       m_Timeline(timelineSettings(m_Settings), m_Clock),
-      m_Actors((captureSignals(), ActorThreads)) {}
+      m_Actors((captureSignals(), ActorThreads)) {
+  if (m_Settings.m_Protocol != CallerProtocol::PostgreSql) {
+    m_Adapter = MakeAdapter(m_Loop, m_Settings);
+  }
+  std::vector<SettingFault> Faults;
+  m_LoadedFile = SettingFile::read(m_Settings.m_ConfigFile, Faults);
+}
 
 Daemon::~Daemon() = default;
 
@@ -56,7 +65,11 @@
   if (!startRoles()) {
     return ExitCannotStart;
   }
-  startEndpoints();
+  if (m_Adapter) {
+    startAdaptedEndpoints();
+  } else {
+    startEndpoints();
+  }
   watchSignals();
   m_Loop.every(Timeline::FlushInterval, [this] { m_Timeline.flush(); });
   if (m_Settings.m_MaxLifetime > Duration(0)) {
@@ -81,6 +94,9 @@
       return false;
     }
   }
+  if (m_Adapter) {
+    return startAdaptedRoles();
+  }
   if (m_Settings.m_IsEntry) {
     m_Entry = std::make_unique<EntryRole>(m_Loop, m_Actors, m_Settings,
                                           m_Metrics, m_Timeline);
@@ -88,7 +104,90 @@
   return true;
 }
 
-void Daemon::startEndpoints() {
+bool Daemon::startAdaptedRoles() {
+  if (m_Control) {
+    m_Control->setBackendCaller(m_Adapter->backendCaller());
+    makeControlClient();
+  }
+  if (m_Settings.m_IsEntry) {
+    m_Sessions = std::make_unique<SessionEntryRole>(
+        m_Loop, m_Settings, m_Metrics, m_Adapter->entryHooks());
+  }
+  return true;
+}
+
+void Daemon::makeControlClient() {
+  ControlClientSettings Settings;
+  Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
+                     m_Settings.m_Address, m_Settings.m_RpcPort};
+  Settings.m_ControlPeers = m_Settings.m_ControlPeers;
+  Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
+  Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
+  m_ControlClient = std::make_unique<ControlClient>(
+      m_Loop, m_Settings.m_ClusterKey, Settings, ControlClientHooks());
+}
+
+void Daemon::startAdaptedEndpoints() {
+  startRpc();
+  if (m_Control) {
+    m_Adapter->serveControl(*m_ControlClient);
+    m_Control->start();
+  }
+  if (m_Sessions) {
+    m_Adapter->serveEntry(*m_Sessions);
+    m_Sessions->start();
+  }
+  if (m_Settings.m_MetricsPort != 0) {
+    m_Http = std::make_unique<HttpEndpoint>(
+        m_Loop,
+        [this](const HttpRequest &) -> kj::Promise<HttpReply> {
+          return HttpReply{200, "text/plain; version=0.0.4",
+                           m_Metrics.renderPrometheus()};
+        },
+        MaxJsonBytes);
+    m_Http->listen(m_Settings.m_Address, m_Settings.m_MetricsPort);
+  }
+  // The file may change without a signal.
+  m_Loop.every(SettingsCheckInterval, [this] { reloadSettings(); });
+  logInfo(Part::Process, "Started on {} as {}.", m_Settings.m_Address,
+          m_Settings.m_Host.value());
+}
+
+void Daemon::reloadSettings() {
+  std::vector<SettingFault> Faults;
+  const SettingFile File = SettingFile::read(m_Settings.m_ConfigFile, Faults);
+  if (!Faults.empty()) {
+    logWarn(Part::Process, "The settings stay as they are: {}",
+            describeAll(Faults));
+    return;
+  }
+  if (File == m_LoadedFile) {
+    return;
+  }
+  m_LoadedFile = File;
+  auto Seeds = parseSeeds(File.value("control_seeds").value_or(""));
+  if (!Seeds) {
+    logWarn(Part::Process, "The new control_seeds cannot be read.");
+    return;
+  }
+  for (ControlPeer &Peer : *Seeds) {
+    Peer.m_Host = HostId(Peer.m_Where.m_Address);
+    Peer.m_Where.m_Port = m_Settings.m_RpcPort;
+  }
+  logInfo(Part::Process,
+          "Reloaded the settings: {} control seeds are in force; "
+          "anything else is after a restart.",
+          Seeds->size());
+  if (m_Control) {
+    m_Control->addPeers(*Seeds);
+    m_ControlClient->addPeers(*Seeds);
+  }
+  if (m_Sessions) {
+    m_Sessions->addControlPeers(*Seeds);
+  }
+}
+
+std::uint16_t Daemon::startRpc() {
   RpcServerHooks Hooks;
   if (m_Control) {
     m_Control->serve(Hooks);
@@ -103,8 +202,11 @@
   }
   m_Rpc = std::make_unique<RpcServer>(m_Loop, m_Settings.m_ClusterKey,
                                       std::move(Hooks));
-  const std::uint16_t RpcPort =
-      m_Rpc->listen(m_Settings.m_Address, m_Settings.m_RpcPort);
+  return m_Rpc->listen(m_Settings.m_Address, m_Settings.m_RpcPort);
+}
+
+void Daemon::startEndpoints() {
+  const std::uint16_t RpcPort = startRpc();
   OperatorApiHooks Api;
   Api.m_Ready = [this] {
     return !m_Draining && (m_Entry == nullptr || m_Entry->isReady());
@@ -140,6 +242,14 @@
   };
   Watch(SIGTERM);
   Watch(SIGINT);
+  watchReload();
+}
+
+void Daemon::watchReload() {
+  m_Loop.spawn(m_Loop.eventPort().onSignal(SIGHUP).then([this](siginfo_t &&) {
+    reloadSettings();
+    watchReload();
+  }));
 }
 
 void Daemon::drain() {
@@ -150,7 +260,7 @@
   logInfo(Part::Process, "Draining: no new transactions.");
   m_Timeline.record(makeEvent(EventKind::DrainStarted));
   m_Metrics.set(Metric::Draining, {}, 1);
-  if (m_Entry == nullptr) {
+  if (m_Entry == nullptr && m_Sessions == nullptr) {
     stop(0);
     return;
   }
@@ -158,10 +268,16 @@
     logWarn(Part::Process, "The drain did not end in time.");
     stop(ExitDrainTimeout);
   });
-  m_Entry->drain([this] {
+  const auto Drained = [this] {
+    logInfo(Part::Process, "Drained.");
     m_Timeline.record(makeEvent(EventKind::DrainEnded));
     stop(0);
-  });
+  };
+  if (m_Sessions) {
+    m_Sessions->drain(Drained);
+  } else {
+    m_Entry->drain(Drained);
+  }
 }
 
 void Daemon::stop(int Status) {
--- a/ragwortmux/Process/Log/VoterKeeper.cpp
+++ b/ragwortmux/Process/Log/VoterKeeper.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/Log/VoterKeeper.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace ragwortmux {
 
@@ -57,4 +58,38 @@
   return std::nullopt;
 }
 
+std::optional<VoterStep>
+nextFoundVoterStep(const LogMembership &Members,
+                   std::span<const IdentifiedPeer> Peers, std::size_t Target) {
+  const auto Answers = [&](const LogMember &Member) {
+    return std::ranges::any_of(Peers, [&](const IdentifiedPeer &Peer) {
+      return Peer.m_Voter == Member.m_Id;
+    });
+  };
+  for (const IdentifiedPeer &Peer : Peers) {
+    if (!Peer.m_Voter)
+      continue;
+    if (const LogMember *Lost = findLost(Members, Peer))
+      return VoterStep{Kind::Remove, Lost->m_Id, ""};
+    if (Members.find(*Peer.m_Voter) == nullptr)
+      return VoterStep{Kind::AddLearner, *Peer.m_Voter, Peer.m_Address};
+  }
+  std::size_t Voters = 0;
+  std::size_t Answering = 0;
+  for (const LogMember &Member : Members.m_Members) {
+    Voters += Member.m_Votes ? 1 : 0;
+    Answering += Member.m_Votes && Answers(Member) ? 1 : 0;
+  }
+  for (const LogMember &Member : Members.m_Members) {
+    if (!Member.m_Votes && Answers(Member) && Answering < Target)
+      return VoterStep{Kind::Promote, Member.m_Id, ""};
+  }
+  for (const LogMember &Member : Members.m_Members) {
+    const bool IsSpare = !Member.m_Votes || Voters > Target;
+    if (IsSpare && !Answers(Member))
+      return VoterStep{Kind::Remove, Member.m_Id, ""};
+  }
+  return std::nullopt;
+}
+
 } // namespace ragwortmux
--- a/ragwortmux/Process/Log/VoterKeeper.h
+++ b/ragwortmux/Process/Log/VoterKeeper.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Process/Log/LogEntry.h"
 
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <string>
@@ -13,6 +14,7 @@
 struct IdentifiedPeer final {
   std::string m_Address;          ///< Where it is, as LogMember::m_Address.
   std::optional<VoterId> m_Voter; ///< Its data folder; none: did not answer.
+  bool m_IsListed = true;         ///< It is in the settings.
 };
 
 /// One change of the log's configuration.
@@ -38,6 +40,16 @@
 std::optional<VoterStep> nextVoterStep(const LogMembership &Members,
                                        std::span<const IdentifiedPeer> Peers);
 
+/// Like nextVoterStep for control hosts that are found while the system runs:
+/// \p Peers are all that answered lately, listed or not.
+///
+/// The number of voters that answer is kept at \p Target: a learner gets its
+/// vote when there are fewer, and a voter that does not answer is removed once
+/// there are more voters than that without it.
+std::optional<VoterStep>
+nextFoundVoterStep(const LogMembership &Members,
+                   std::span<const IdentifiedPeer> Peers, std::size_t Target);
+
 } // namespace ragwortmux
 
 #endif // RAGWORTMUX_PROCESS_LOG_VOTERKEEPER_H
--- a/ragwortmux/Process/PeerLink.cpp
+++ b/ragwortmux/Process/PeerLink.cpp
@@ -182,13 +182,21 @@
   });
 }
 
-void PeerLink::identify(Respond<IdentifyReply> Reply) {
+void PeerLink::identify(const std::string &From, Respond<IdentifyReply> Reply) {
   m_Parts->with<IdentifyReply>(Reply, [&](rpc::Peer::Client &Peer) {
+    auto Call = Peer.identifyRequest();
+    Call.setFrom(toText(From));
     m_Parts->send<IdentifyReply>(
-        Peer.identifyRequest(),
+        kj::mv(Call),
         [](auto &Result) {
-          return IdentifyReply{toString(Result.getVoter()), Result.getBlank(),
-                               HostId(toString(Result.getHost()))};
+          IdentifyReply Given{toString(Result.getVoter()),
+                              Result.getBlank(),
+                              HostId(toString(Result.getHost())),
+                              {}};
+          for (const auto Member : Result.getMembers()) {
+            Given.m_Members.push_back(toString(Member));
+          }
+          return Given;
         },
         Reply);
   });
--- a/ragwortmux/Process/PeerLink.h
+++ b/ragwortmux/Process/PeerLink.h
@@ -52,7 +52,8 @@
 
   /// Sends without waiting; the message may be lost.
   void sendLogMessage(const LogEnvelope &Envelope);
-  void identify(Respond<IdentifyReply> Reply);
+  /// \p From: own address of a control process, or empty.
+  void identify(const std::string &From, Respond<IdentifyReply> Reply);
   /// Opens a session; \p Updates gets what control pushes to it.
   void openSession(const EntryAddress &Self, Incarnation Run,
                    UpdateHandler Updates, Respond<OpenSessionReply> Reply);
--- a/ragwortmux/Process/RpcServer.cpp
+++ b/ragwortmux/Process/RpcServer.cpp
@@ -63,11 +63,19 @@
 
   kj::Promise<void> identify(IdentifyContext Context) override {
     const IdentifyReply Reply =
-        m_Hooks.m_Identify ? m_Hooks.m_Identify() : IdentifyReply();
+        m_Hooks.m_Identify
+            ? m_Hooks.m_Identify(toString(Context.getParams().getFrom()))
+            : IdentifyReply();
     auto Results = Context.getResults();
     Results.setVoter(toText(Reply.m_Voter));
     Results.setBlank(Reply.m_Blank);
     Results.setHost(toText(Reply.m_Host.value()));
+    auto Members =
+        Results.initMembers(static_cast<unsigned>(Reply.m_Members.size()));
+    unsigned Position = 0;
+    for (const std::string &Member : Reply.m_Members) {
+      Members.set(Position++, toText(Member));
+    }
     return kj::READY_NOW;
   }
 
--- a/ragwortmux/Process/RpcServer.h
+++ b/ragwortmux/Process/RpcServer.h
@@ -25,7 +25,7 @@
   /// A message of the replicated log.
   std::function<void(LogEnvelope Envelope)> m_LogMessage;
   /// Who this process is.
-  std::function<IdentifyReply()> m_Identify;
+  std::function<IdentifyReply(const std::string &From)> m_Identify;
   /// An entry process opens a control session.
   std::function<void(EntryAddress Host, Incarnation Run,
                      UpdateListener Listener, Respond<OpenSessionReply>)>
--- /dev/null
+++ b/ragwortmux/Process/SessionDriver.cpp
@@ -0,0 +1,180 @@
+#include "ragwortmux/Process/SessionDriver.h"
+
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/SystemClock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Shortest time between two ticks of a group.
+constexpr Duration MinTick = std::chrono::milliseconds(1);
+
+} // namespace
+
+SessionDriver::SessionDriver(IoLoop &Loop, GroupId Group,
+                             const SessionCoreSettings &Settings,
+                             SessionDriverHooks Hooks)
+    : m_Loop(Loop), m_Group(std::move(Group)), m_Hooks(std::move(Hooks)),
+      m_Core(m_Group, Settings), m_Life(std::make_shared<Life>()) {}
+
+SessionDriver::~SessionDriver() = default;
+
+void SessionDriver::submit(SessionRequest Request) {
+  m_Core.submit(monotonicNow(), std::move(Request), m_Actions);
+  perform();
+}
+
+void SessionDriver::callerGone(CallerConnectionId Caller) {
+  m_Core.callerGone(monotonicNow(), Caller, m_Actions);
+  perform();
+}
+
+void SessionDriver::takeView(const GroupView &View) {
+  m_Core.viewChanged(monotonicNow(), View, m_Actions);
+  perform();
+}
+
+void SessionDriver::extendLease(Instant ValidUntil) {
+  m_Core.leaseExtended(monotonicNow(), ValidUntil, m_Actions);
+  perform();
+}
+
+void SessionDriver::drain() {
+  m_Core.drain(monotonicNow(), m_Actions);
+  perform();
+}
+
+void SessionDriver::endTransactions() {
+  m_Core.endTransactions(monotonicNow(), m_Actions);
+  perform();
+}
+
+void SessionDriver::perform() {
+  // Hooks may lead to further events; their actions join the same list.
+  if (m_Performing) {
+    return;
+  }
+  m_Performing = true;
+  while (!m_Actions.empty()) {
+    const SessionActions Actions = std::exchange(m_Actions, {});
+    for (const SessionAction &Action : Actions) {
+      std::visit([this](const auto &One) { performOne(One); }, Action);
+    }
+  }
+  m_Performing = false;
+  if (m_ToldConfirmed != m_Core.confirmedRevision()) {
+    m_ToldConfirmed = m_Core.confirmedRevision();
+    m_Hooks.m_Confirmed();
+  }
+  armTick();
+}
+
+void SessionDriver::performOne(const OpenSessionConnection &Action) {
+  const ConnectionId Id = Action.m_Connection;
+  const auto &Servers = m_Core.view().m_Servers;
+  const auto Found =
+      std::ranges::find(Servers, Action.m_Server, &ServerView::m_Server);
+  if (Found == Servers.end()) {
+    m_Core.connectionFailed(monotonicNow(), Id, true, m_Actions);
+    return;
+  }
+  StatementConnectionHooks Hooks;
+  Hooks.m_Opened = [this, Id] {
+    m_Core.connectionOpened(monotonicNow(), Id, m_Actions);
+    perform();
+  };
+  Hooks.m_Failed = [this, Id, Server = Action.m_Server](
+                       bool ServerAnswered, const std::string &Reason) {
+    logInfo(Part::Pool, "Could not open a connection to {}: {}.",
+            Server.value(), Reason);
+    connectionEnded(Id);
+    m_Core.connectionFailed(monotonicNow(), Id, ServerAnswered, m_Actions);
+    perform();
+  };
+  Hooks.m_Lost = [this, Id,
+                  Server = Action.m_Server](const std::string &Reason) {
+    logInfo(Part::Pool, "Lost a connection to {}: {}.", Server.value(), Reason);
+    connectionEnded(Id);
+    m_Core.connectionLost(monotonicNow(), Id, m_Actions);
+    perform();
+  };
+  Hooks.m_Answered = [this, Id](const StatementReply &Reply) {
+    m_Core.statementAnswered(monotonicNow(), Id, Reply, m_Actions);
+    perform();
+  };
+  m_Connections[Id] = m_Hooks.m_Open(
+      {m_Group, Found->m_Server, Found->m_Address, Found->m_Port},
+      std::move(Hooks));
+}
+
+void SessionDriver::performOne(const CloseSessionConnection &Action) {
+  connectionEnded(Action.m_Connection);
+}
+
+void SessionDriver::performOne(const RunStatement &Action) {
+  const auto Found = m_Connections.find(Action.m_Connection);
+  if (Found != m_Connections.end()) {
+    Found->second->run(Action);
+  }
+}
+
+void SessionDriver::performOne(const ProbeConnection &Action) {
+  const auto Found = m_Connections.find(Action.m_Connection);
+  if (Found != m_Connections.end()) {
+    Found->second->probe();
+  }
+}
+
+void SessionDriver::performOne(const SessionAnswer &Action) {
+  m_Hooks.m_Answer(Action);
+}
+
+void SessionDriver::performOne(const ReportServer &Action) {
+  m_Hooks.m_Suspect(Action.m_Server, Action.m_Kind);
+}
+
+void SessionDriver::performOne(const SessionNote &Action) {
+  m_Hooks.m_Note(Action);
+}
+
+void SessionDriver::connectionEnded(ConnectionId Id) {
+  const auto Found = m_Connections.find(Id);
+  if (Found == m_Connections.end()) {
+    return;
+  }
+  // The connection may be the caller of this, so it is destroyed on a later
+  // turn of the loop.
+  const auto Old = std::make_shared<std::unique_ptr<StatementConnection>>(
+      std::move(Found->second));
+  m_Connections.erase(Found);
+  m_Loop.after(Duration(0), [Old] {});
+}
+
+void SessionDriver::armTick() {
+  const auto Next = m_Core.nextDeadline();
+  if (!Next) {
+    return;
+  }
+  const Instant Now = monotonicNow();
+  const Instant Due = std::max(*Next, Now + MinTick);
+  // An earlier tick arms the next one.
+  if (m_NextTick <= Due) {
+    return;
+  }
+  m_NextTick = Due;
+  m_Loop.after(Due - Now, [this, Weak = std::weak_ptr<Life>(m_Life), Due] {
+    if (Weak.expired() || m_NextTick != Due) {
+      return;
+    }
+    m_NextTick = Instant::max();
+    m_Core.tick(monotonicNow(), m_Actions);
+    perform();
+  });
+}
+
+} // namespace ragwortmux
--- /dev/null
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -0,0 +1,301 @@
+#include "ragwortmux/Process/SessionEntryRole.h"
+
+#include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/SystemClock.h"
+#include "ragwortmux/Process/SystemRandom.h"
+
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// How often a drain looks whether all has ended.
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(25);
+/// How long the end of the control session is waited for at a drain.
+constexpr Duration EndSessionTimeout = std::chrono::milliseconds(300);
+/// Part of the drain's time in which open transactions may end, in percent.
+constexpr int TransactionDrainPercent = 50;
+/// Part of the drain's time after which running statements are given up.
+constexpr int StatementDrainPercent = 90;
+constexpr int PercentBase = 100;
+/// A host without a lease for so long sends new and idle callers elsewhere.
+constexpr Duration CutOffAfter = std::chrono::milliseconds(800);
+/// How often that is looked at.
+constexpr Duration LeaseCheckInterval = std::chrono::milliseconds(250);
+
+const char *decisionName(SessionDecision Decision) {
+  switch (Decision) {
+  case SessionDecision::Sent:
+    return "sent";
+  case SessionDecision::Answered:
+    return "answered";
+  case SessionDecision::Retried:
+    return "retried";
+  case SessionDecision::Refused:
+    return "refused";
+  case SessionDecision::Unknown:
+    return "unknown";
+  case SessionDecision::RolledBack:
+    return "rolled-back";
+  }
+  return "";
+}
+
+std::int64_t toMs(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace
+
+SessionEntryRole::SessionEntryRole(IoLoop &Loop,
+                                   const ProcessSettings &Settings,
+                                   Metrics &Figures, SessionEntryHooks Hooks)
+    : m_Loop(Loop), m_Settings(Settings), m_Metrics(Figures),
+      m_Hooks(std::move(Hooks)), m_Run(systemRandom()),
+      m_Control(std::make_unique<ControlClient>(
+          Loop, Settings.m_ClusterKey, controlSettings(), controlHooks())) {}
+
+SessionEntryRole::~SessionEntryRole() = default;
+
+void SessionEntryRole::start() {
+  m_Control->start();
+  m_Loop.every(LeaseCheckInterval, [this] { watchLease(); });
+}
+
+bool SessionEntryRole::hasCatalogue() const {
+  return m_Catalogue.revision() > Revision();
+}
+
+bool SessionEntryRole::isReady() const {
+  return !m_Draining && hasCatalogue() &&
+         monotonicNow() < m_LeaseUntil + CutOffAfter;
+}
+
+void SessionEntryRole::watchLease() {
+  const bool CutOff = monotonicNow() >= m_LeaseUntil + CutOffAfter;
+  if (CutOff == m_CutOff) {
+    return;
+  }
+  m_CutOff = CutOff;
+  if (!CutOff) {
+    logInfo(Part::Control, "Control is in reach again.");
+    return;
+  }
+  logWarn(Part::Control, "Lost control: no lease since {} ms.",
+          toMs(monotonicNow() - m_LeaseUntil));
+  // Elsewhere their statements may find a host that holds a lease.
+  if (hasCatalogue()) {
+    m_Hooks.m_CloseIdleCallers();
+  }
+}
+
+GroupId SessionEntryRole::groupOf(CallerConnectionId Caller,
+                                  const CatalogueEntry &Entry) const {
+  for (const auto &[Group, Driver] : m_Groups) {
+    if (Driver->core().hasTransaction(Caller)) {
+      return Group;
+    }
+  }
+  return Entry.m_Group;
+}
+
+SessionDriver *SessionEntryRole::holderOf(CallerConnectionId Caller) const {
+  for (const auto &[Group, Driver] : m_Groups) {
+    if (Driver->core().hasTransaction(Caller)) {
+      return Driver.get();
+    }
+  }
+  return nullptr;
+}
+
+void SessionEntryRole::submit(SessionRequest Request) {
+  if (SessionDriver *Holder = holderOf(Request.m_Caller)) {
+    Holder->submit(std::move(Request));
+    return;
+  }
+  const GroupId Group = Request.m_Entry->m_Group;
+  driver(Group).submit(std::move(Request));
+}
+
+void SessionEntryRole::callerGone(CallerConnectionId Caller) {
+  for (auto &[Group, Driver] : m_Groups) {
+    Driver->callerGone(Caller);
+  }
+}
+
+void SessionEntryRole::drain(std::function<void()> Done) {
+  m_Draining = true;
+  m_DrainStarted = monotonicNow();
+  m_DrainDone = std::move(Done);
+  for (auto &[Group, Driver] : m_Groups) {
+    Driver->drain();
+  }
+  m_Hooks.m_CloseIdleCallers();
+  checkDrained();
+}
+
+void SessionEntryRole::checkDrained() {
+  const Duration Spent = monotonicNow() - m_DrainStarted;
+  const Duration Whole = m_Settings.m_DrainTimeout;
+  const bool TransactionsOver =
+      Spent * PercentBase >= Whole * TransactionDrainPercent;
+  bool AllDrained = true;
+  for (auto &[Group, Driver] : m_Groups) {
+    if (TransactionsOver) {
+      Driver->endTransactions();
+    }
+    AllDrained = AllDrained && Driver->core().pending() == 0 &&
+                 (TransactionsOver || Driver->core().openTransactions() == 0);
+  }
+  m_Hooks.m_CloseIdleCallers();
+  AllDrained =
+      AllDrained && (TransactionsOver || m_Hooks.m_CountCallers() == 0);
+  if (AllDrained || Spent * PercentBase >= Whole * StatementDrainPercent) {
+    endSession();
+    return;
+  }
+  m_Loop.after(DrainCheckInterval, [this] { checkDrained(); });
+}
+
+void SessionEntryRole::endSession() {
+  // A change of primary need not wait for the lease of a process that has told
+  // that it will acknowledge nothing more.
+  m_LeaseUntil = Instant();
+  m_Control->stopRenewing();
+  m_Control->command(EndSession{m_Control->session()},
+                     monotonicNow() + EndSessionTimeout,
+                     [this](const CommandReply &) {
+                       if (m_DrainDone) {
+                         std::exchange(m_DrainDone, nullptr)();
+                       }
+                     });
+  m_Loop.after(EndSessionTimeout, [this] {
+    if (m_DrainDone) {
+      std::exchange(m_DrainDone, nullptr)();
+    }
+  });
+}
+
+ControlClientSettings SessionEntryRole::controlSettings() const {
+  ControlClientSettings Settings;
+  Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
+                     m_Settings.m_Address, m_Settings.m_RpcPort};
+  Settings.m_Run = m_Run;
+  Settings.m_ControlPeers = m_Settings.m_ControlPeers;
+  Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
+  Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
+  Settings.m_Drift.m_Percent = m_Settings.m_DriftPercent;
+  Settings.m_Drift.m_Fixed = m_Settings.m_Drift;
+  return Settings;
+}
+
+ControlClientHooks SessionEntryRole::controlHooks() {
+  ControlClientHooks Hooks;
+  Hooks.m_Update = [this](const ControlUpdate &Update) { takeUpdate(Update); };
+  Hooks.m_Confirmation = [this] {
+    Confirmation Confirmed;
+    for (const auto &[Group, Driver] : m_Groups) {
+      Confirmed.m_Groups[Group] = Driver->core().confirmedRevision();
+    }
+    Confirmed.m_Catalogue = m_Catalogue.revision();
+    return Confirmed;
+  };
+  // Shares are even: any statement may need any server.
+  Hooks.m_Demand = [] { return std::vector<ShareDemand>(); };
+  Hooks.m_LeaseExtended = [this](Instant ValidUntil) {
+    m_LeaseUntil = ValidUntil;
+    m_Metrics.add(Metric::LeaseRenewals, {"granted"});
+    for (auto &[Group, Driver] : m_Groups) {
+      Driver->extendLease(ValidUntil);
+    }
+  };
+  Hooks.m_SessionOpened = [](ControlSessionId Session, bool Changed) {
+    if (Changed) {
+      logInfo(Part::Control, "Opened control session {}.", Session.value());
+    }
+  };
+  return Hooks;
+}
+
+SessionDriver &SessionEntryRole::driver(const GroupId &Group) {
+  auto &Driver = m_Groups[Group];
+  if (Driver == nullptr) {
+    SessionCoreSettings Settings;
+    Settings.m_Domain = m_Settings.m_FailureDomain;
+    Settings.m_Pool.m_OpenTimeout = m_Settings.m_ConnectTimeout;
+    Driver = std::make_unique<SessionDriver>(m_Loop, Group, Settings,
+                                             driverHooks(Group));
+    Driver->extendLease(m_LeaseUntil);
+    if (m_Draining) {
+      Driver->drain();
+    }
+  }
+  return *Driver;
+}
+
+SessionDriverHooks SessionEntryRole::driverHooks(const GroupId &Group) {
+  SessionDriverHooks Hooks;
+  Hooks.m_Open = m_Hooks.m_Open;
+  Hooks.m_Answer = m_Hooks.m_Answer;
+  Hooks.m_Suspect = [this, Group](const ServerId &Server, SuspicionKind Kind) {
+    m_Control->suspect(Group, Server, Kind);
+  };
+  Hooks.m_Confirmed = [this] { m_Control->renewSoon(); };
+  Hooks.m_Note = [this, Group](const SessionNote &Note) {
+    logNote(Group, Note);
+  };
+  return Hooks;
+}
+
+void SessionEntryRole::takeUpdate(const ControlUpdate &Update) {
+  if (Update.m_Catalogue && m_Catalogue.apply(*Update.m_Catalogue)) {
+    m_Metrics.set(Metric::CatalogueRevision, {},
+                  static_cast<double>(m_Catalogue.revision().value()));
+    logInfo(Part::Catalogue, "Catalogue revision {} is in force.",
+            m_Catalogue.revision().value());
+  }
+  for (const GroupView &View : Update.m_Views) {
+    SessionDriver &Driver = driver(View.m_Group);
+    const auto Before = Driver.core().view().m_Primary;
+    Driver.takeView(View);
+    if (Driver.core().view().m_Primary != Before) {
+      logInfo(Part::Group, "Group {}: term {} revision {}, primary {}.",
+              View.m_Group.value(), View.m_Term.value(),
+              View.m_Revision.value(),
+              View.m_Primary ? View.m_Primary->value() : "none");
+    }
+  }
+}
+
+void SessionEntryRole::logNote(const GroupId &Group, const SessionNote &Note) {
+  const bool IsOrdinary = Note.m_Decision == SessionDecision::Sent ||
+                          (Note.m_Decision == SessionDecision::Answered &&
+                           Note.m_Code == ResultCode::Ok);
+  const auto Entry = m_Catalogue.find(Note.m_Entry);
+  if (Note.m_Decision != SessionDecision::Sent &&
+      Note.m_Decision != SessionDecision::Retried && Entry != nullptr) {
+    const std::string Class(trafficClassName(Entry->m_Class));
+    const std::string Outcome(resultCodeInfo(Note.m_Code).m_Name);
+    m_Metrics.add(Metric::Requests, {Class, Outcome});
+    m_Metrics.observe(Metric::RequestSeconds, {Class, Outcome}, Note.m_Waited);
+  }
+  if (IsOrdinary) {
+    return;
+  }
+  logInfo(Part::Group,
+          "Statement {} of {} {}: {} {} server={} group={} term={} "
+          "revision={} lease_ms={} floor_age_ms={} waited_ms={} tries={}.",
+          Note.m_Statement.value(), Note.m_Entry.value(),
+          decisionName(Note.m_Decision), static_cast<unsigned>(Note.m_Code),
+          resultCodeInfo(Note.m_Code).m_Name, Note.m_Server.value(),
+          Group.value(), Note.m_Term.value(), Note.m_View.value(),
+          toMs(Note.m_LeaseLeft), Note.m_FloorAge ? toMs(*Note.m_FloorAge) : -1,
+          toMs(Note.m_Waited), Note.m_Tries);
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Process/Support/ControlPeer.cpp
+++ b/ragwortmux/Process/Support/ControlPeer.cpp
@@ -43,6 +43,22 @@
   }
 }
 
+std::optional<std::vector<ControlPeer>> parseSeeds(std::string_view Text) {
+  std::vector<ControlPeer> Seeds;
+  while (!Text.empty()) {
+    const std::size_t Comma = Text.find(',');
+    std::optional<SocketAddress> Where =
+        parseSocketAddress(Text.substr(0, Comma));
+    if (!Where || Seeds.size() == MaxControlPeers)
+      return std::nullopt;
+    Seeds.push_back({HostId(), std::move(*Where)});
+    if (Comma == std::string_view::npos)
+      break;
+    Text.remove_prefix(Comma + 1);
+  }
+  return Seeds;
+}
+
 bool isName(std::string_view Text) {
   constexpr std::size_t MaxNameLength = 63;
   if (Text.empty() || Text.size() > MaxNameLength)
--- a/ragwortmux/Process/Support/ControlPeer.h
+++ b/ragwortmux/Process/Support/ControlPeer.h
@@ -26,6 +26,10 @@
 std::optional<std::vector<ControlPeer>>
 parseControlPeers(std::string_view Text);
 
+/// Parses `ADDR:PORT,...`, whose hosts are not named; none if it is malformed
+/// or too long. The ports are those of another service of these hosts.
+std::optional<std::vector<ControlPeer>> parseSeeds(std::string_view Text);
+
 /// True if \p Text may name a host, failure domain, cluster, group or server: 1
 /// to 63 characters of [a-z0-9_-].
 bool isName(std::string_view Text);
--- a/ragwortmux/Process/Support/ProcessSettings.cpp
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 
 #include "ragwortmux/Process/Support/FlagParser.h"
+#include "ragwortmux/Process/Support/SettingFile.h"
 #include "ragwortmux/Process/Support/SettingTable.h"
 
 #include <fmt/format.h>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::int64_t PercentPerWhole = 100;
+/// The setting that names the file of further settings.
+constexpr const char *ConfigSetting = "config";
 
 /// Reads and checks one secret.
 Secret loadSecret(const SecretInfo &Info, const EnvironmentHook &Environment,
@@ -30,9 +33,11 @@
 /// The settings, the text of each and the faults found so far.
 class SettingLoader final {
 public:
-  SettingLoader(const ParsedFlags &Flags, const EnvironmentHook &Environment,
+  SettingLoader(const ParsedFlags &Flags, const SettingFile &File,
+                const EnvironmentHook &Environment,
                 std::vector<SettingFault> &Faults)
-      : m_Flags(Flags), m_Environment(Environment), m_Faults(Faults) {}
+      : m_Flags(Flags), m_File(File), m_Environment(Environment),
+        m_Faults(Faults) {}
 
   /// Loads each setting by itself; flags go before the environment.
   void loadEach() {
@@ -40,6 +45,8 @@
       std::optional<std::string> Text = m_Flags.value(Info.m_Name);
       if (!Text)
         Text = m_Environment(environmentName(Info.m_Name));
+      if (!Text)
+        Text = m_File.value(Info.m_Name);
       if (!Text && Info.m_IsRequired) {
         addFault(Info.m_Name, "(not set)", Info.m_Allowed);
         continue;
@@ -49,6 +56,10 @@
       if (!Info.m_Store(m_Settings, *Text))
         addFault(Info.m_Name, *Text, Info.m_Allowed);
     }
+    if (m_Settings.m_ControlPeers.empty() &&
+        areFine({"control_peers", "control_seeds"}))
+      addFault("control_peers", "(not set)", "this or control_seeds");
+    completeSeeds();
     m_Settings.m_ClusterKey =
         loadSecret(ClusterKeyInfo, m_Environment, m_Faults);
     m_Settings.m_OperatorToken = loadOperatorToken(m_Environment, m_Faults);
@@ -64,6 +75,17 @@
   ProcessSettings m_Settings; ///< What has been loaded.
 
 private:
+  /// Seeds tell no RPC port: it is the same on all hosts.
+  void completeSeeds() {
+    for (ControlPeer &Peer : m_Settings.m_ControlPeers) {
+      if (!Peer.m_Host.value().empty())
+        continue;
+      Peer.m_Host = HostId(Peer.m_Where.m_Address);
+      Peer.m_Where.m_Port = m_Settings.m_RpcPort;
+      m_HasSeeds = true;
+    }
+  }
+
   void addFault(std::string Name, std::string Value, std::string Allowed) {
     m_Faults.push_back({ResultCode::BadSetting, std::move(Name),
                         std::move(Value), std::move(Allowed)});
@@ -107,7 +129,8 @@
     }
     if (m_Settings.m_DataFolder.empty() && areFine({"data_folder"}))
       addFault("data_folder", "", "a folder, since roles has control");
-    if (!areFine({"control_peers", "host", "address", "rpc_port"}))
+    if (m_HasSeeds ||
+        !areFine({"control_peers", "host", "address", "rpc_port"}))
       return;
     const ControlPeer *Own = m_Settings.ownPeer();
     if (Own == nullptr) {
@@ -144,6 +167,8 @@
   }
 
   const ParsedFlags &m_Flags;           ///< What the command line gives.
+  const SettingFile &m_File;            ///< What the file of settings gives.
+  bool m_HasSeeds = false;              ///< Control hosts come from seeds.
   const EnvironmentHook &m_Environment; ///< Reads the environment.
   std::vector<SettingFault> &m_Faults;  ///< Where faults are added.
 };
@@ -208,7 +233,18 @@
     Faults.push_back({ResultCode::BadSetting, "argument", "(not shown)",
                       "only flags, as --name=value"});
 
-  SettingLoader Loader(Flags, Environment, Faults);
+  const std::optional<std::string> Path =
+      Flags.value(ConfigSetting) ? Flags.value(ConfigSetting)
+                                 : Environment(environmentName(ConfigSetting));
+  // A path that the setting does not allow is named by its own check.
+  ProcessSettings Checked;
+  const bool IsAllowed =
+      Path && std::ranges::any_of(allSettings(), [&](const SettingInfo &Info) {
+        return Info.m_Name == std::string_view(ConfigSetting) &&
+               Info.m_Store(Checked, *Path);
+      });
+  const SettingFile File = SettingFile::read(IsAllowed ? *Path : "", Faults);
+  SettingLoader Loader(Flags, File, Environment, Faults);
   Loader.loadEach();
   Loader.checkTogether();
   if (Faults.size() != Before)
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -17,6 +17,12 @@
 
 namespace ragwortmux {
 
+/// What callers, backend servers and operators speak.
+enum class CallerProtocol : std::uint8_t {
+  PostgreSql, ///< The product's own interfaces.
+  Platform,   ///< Those of the adapter in the folder `platform`.
+};
+
 /// All settings of `ragwortmux serve`. docs/CONFIGURATION.md describes each;
 /// the defaults are in SettingTable.cpp.
 struct ProcessSettings final {
@@ -31,6 +37,13 @@
   std::uint16_t m_RpcPort = 0;     ///< Port for RPC; 0 = ephemeral.
   std::string m_DataFolder;        ///< Folder of the control log; may be empty.
   std::vector<ControlPeer> m_ControlPeers; ///< All control hosts.
+  std::uint32_t m_ControlVoters =
+      0; ///< Voters among the control hosts that are found; 0: all listed.
+  std::string m_ConfigFile; ///< File that further settings come from; may be
+                            ///< empty.
+  CallerProtocol m_Protocol = CallerProtocol::PostgreSql; ///< Outside protocol.
+  std::optional<SocketAddress> m_PromotionAddress; ///< Who orders promotions.
+  std::uint16_t m_MetricsPort = 0;  ///< Port for metrics alone; 0: none.
   bool m_Bootstrap = false;         ///< Starts a new log with m_ControlPeers.
   Duration m_Lease{0};              ///< Length of a control session's lease.
   Duration m_RenewalInterval{0};    ///< From one renewal to the next.
@@ -40,6 +53,8 @@
   Duration m_ElectionTimeout{0};    ///< Silence before an election.
   Duration m_AnnouncementSilence{
       0};                         ///< Silence before a server counts as lost.
+  Duration m_ServerSilence{
+      0}; ///< Silence of a server before it gets no new requests.
   std::uint32_t m_MaxCallers = 0; ///< Caller connections at once.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -75,6 +75,30 @@
           false, false};
 }
 
+/// Stores the port of `PORT` or `ADDR:PORT`.
+SettingInfo listenPortSetting(const char *Name, const char *Default,
+                              std::uint16_t ProcessSettings::*Member,
+                              const char *Meaning) {
+  auto Store = [=](ProcessSettings &Settings, std::string_view Text) {
+    const std::size_t Colon = Text.rfind(':');
+    if (Colon != std::string_view::npos)
+      Text.remove_prefix(Colon + 1);
+    const std::optional<std::uint64_t> Value = parseNumber(Text, 0, MaxPort);
+    if (!Value)
+      return false;
+    Settings.*Member = static_cast<std::uint16_t>(*Value);
+    return true;
+  };
+  return {
+      Name,
+      Default,
+      fmt::format("0 to {}, or ADDR:PORT, of which the port counts", MaxPort),
+      Meaning,
+      Store,
+      false,
+      false};
+}
+
 /// Stores true or false.
 SettingInfo switchSetting(const char *Name, bool ProcessSettings::*Member,
                           const char *Meaning) {
@@ -128,6 +152,8 @@
 }
 
 bool storePeers(ProcessSettings &Settings, std::string_view Text) {
+  if (Text.empty())
+    return true;
   std::optional<std::vector<ControlPeer>> Peers = parseControlPeers(Text);
   if (!Peers)
     return false;
@@ -135,6 +161,20 @@
   return true;
 }
 
+bool storeSeeds(ProcessSettings &Settings, std::string_view Text) {
+  const auto Seeds = parseSeeds(Text);
+  if (!Seeds)
+    return false;
+  if (!Seeds->empty())
+    Settings.m_ControlPeers = *Seeds;
+  return true;
+}
+
+bool storePromotionAddress(ProcessSettings &Settings, std::string_view Text) {
+  Settings.m_PromotionAddress = parseSocketAddress(Text);
+  return Text.empty() || Settings.m_PromotionAddress.has_value();
+}
+
 /// Who the process is and where it is reached.
 std::vector<SettingInfo> placeSettings() {
   return {
@@ -155,13 +195,11 @@
        "Roles of this process.", storeRoles},
       {"address", "127.0.0.1", "an IPv4 or IPv6 number",
        "IP number to bind and to advertise.", storeAddress},
-      numberSetting("caller_port", "6432", 0, MaxPort,
-                    &ProcessSettings::m_CallerPort,
-                    "TCP port for callers; 0 takes a free one."),
-      numberSetting("http_port", "8080", 0, MaxPort,
-                    &ProcessSettings::m_HttpPort,
-                    "TCP port for HTTP: operators, announcements, metrics; 0 "
-                    "takes a free one."),
+      listenPortSetting("caller_port", "6432", &ProcessSettings::m_CallerPort,
+                        "TCP port for callers; 0 takes a free one."),
+      listenPortSetting("http_port", "8080", &ProcessSettings::m_HttpPort,
+                        "TCP port for HTTP: operators, announcements, metrics; "
+                        "0 takes a free one."),
       numberSetting("rpc_port", "7400", 0, MaxPort, &ProcessSettings::m_RpcPort,
                     "TCP port for the processes of the cluster; 0 takes a free "
                     "one."),
@@ -169,8 +207,29 @@
        fmt::format("HOST=ADDR:PORT,... with 1 to {} different hosts and "
                    "addresses",
                    MaxControlPeers),
-       "All control hosts with their RPC ports, this one included.", storePeers,
-       false, true},
+       "All control hosts with their RPC ports, this one included; "
+       "control_seeds may take its place.",
+       storePeers, false, false},
+      {"control_seeds", "",
+       fmt::format("ADDR:PORT,... with up to {} addresses", MaxControlPeers),
+       "Some control hosts, from which the others are found; their RPC port is "
+       "this host's own, whatever the port here.",
+       storeSeeds, false, false},
+      textSetting("config", "", &ProcessSettings::m_ConfigFile, true,
+                  "File of further settings, one NAME=VALUE a line; flags and "
+                  "the environment go before it. SIGHUP reads it again."),
+      choiceSetting("protocol", "postgresql",
+                    std::array<Choice<CallerProtocol>, 2>{
+                        {{"postgresql", CallerProtocol::PostgreSql},
+                         {"platform", CallerProtocol::Platform}}},
+                    &ProcessSettings::m_Protocol,
+                    "What callers, backend servers and operators speak."),
+      {"promotion_address", "", "ADDR:PORT or nothing",
+       "Where promotions are ordered; for the platform's protocol only.",
+       storePromotionAddress, false, false},
+      numberSetting("metrics_port", "0", 0, MaxPort,
+                    &ProcessSettings::m_MetricsPort,
+                    "TCP port for metrics alone; 0: only on http_port."),
   };
 }
 
@@ -181,6 +240,10 @@
   return {
       textSetting("data_folder", "", &ProcessSettings::m_DataFolder, true,
                   "Folder of the control log; the control role needs it."),
+      numberSetting("control_voters", "0", 0, MaxControlPeers,
+                    &ProcessSettings::m_ControlVoters,
+                    "How many of the control hosts that are found vote; 0: all "
+                    "of control_peers, and no others."),
       switchSetting("bootstrap", &ProcessSettings::m_Bootstrap,
                     "Starts the log of a new cluster once every host of "
                     "control_peers has answered that it holds none."),
@@ -208,6 +271,11 @@
           "announcement_silence_ms", "300", 200, 60000,
           &ProcessSettings::m_AnnouncementSilence,
           "Silence of a backend server before it counts as lost in ms."),
+      numberSetting<milliseconds>(
+          "server_silence_ms", "1000", 200, 60000,
+          &ProcessSettings::m_ServerSilence,
+          "Silence of a backend server before it gets no new requests in ms; "
+          "more than three of its announcement intervals."),
       numberSetting<hours>(
           "ledger_retention_h", "24", 1, 168,
           &ProcessSettings::m_LedgerRetention,
