--- a/ragwortmux/Process/CommandCodecRecords.cpp
+++ b/ragwortmux/Process/CommandCodecRecords.cpp
@@ -104,12 +104,12 @@
 void writePolicy(stored::GroupPolicy::Builder Out, const GroupPolicy &Policy) {
   Out.setGroup(toText(Policy.m_Group.value()));
   Out.setConnectionLimit(Policy.m_ConnectionLimit);
-  Out.setSyncReplicas(Policy.m_SyncReplicas);
+  Out.setReplicasBeforeAck(Policy.m_SyncReplicas);
 }
 
 GroupPolicy readPolicy(stored::GroupPolicy::Reader In) {
   return {readId<GroupId>(In.getGroup()), In.getConnectionLimit(),
-          In.getSyncReplicas()};
+          In.getReplicasBeforeAck()};
 }
 
 void writeVoter(stored::Voter::Builder Out, const VoterRecord &Voter) {
--- a/ragwortmux/Process/Generated/Commands.capnp
+++ b/ragwortmux/Process/Generated/Commands.capnp
@@ -145,7 +145,7 @@
 struct GroupPolicy {
   group @0 :Text;
   connectionLimit @1 :UInt32;
-  syncReplicas @2 :UInt32;
+  replicasBeforeAck @2 :UInt32;
 }
 
 struct ReplaceCatalogue {
--- a/ragwortmux/Process/Generated/Commands.capnp.c++
+++ b/ragwortmux/Process/Generated/Commands.capnp.c++
@@ -1796,7 +1796,7 @@
   0, 3, i_bca90e6401b8d50e, nullptr, nullptr, { &s_bca90e6401b8d50e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<65> b_beb093d1660ba23c = {
+static const ::capnp::_::AlignedData<66> b_beb093d1660ba23c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      60, 162,  11, 102, 209, 147, 176, 190,
      15,   0,   0,   0,   1,   0,   1,   0,
@@ -1832,10 +1832,10 @@
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0, 106,   0,   0,   0,
+     81,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     80,   0,   0,   0,   3,   0,   1,   0,
-     92,   0,   0,   0,   2,   0,   1,   0,
+     84,   0,   0,   0,   3,   0,   1,   0,
+     96,   0,   0,   0,   2,   0,   1,   0,
     103, 114, 111, 117, 112,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1853,8 +1853,9 @@
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 121, 110,  99,  82, 101, 112, 108,
-    105,  99,  97, 115,   0,   0,   0,   0,
+    114, 101, 112, 108, 105,  99,  97, 115,
+     66, 101, 102, 111, 114, 101,  65,  99,
+    107,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1868,7 +1869,7 @@
 static const uint16_t m_beb093d1660ba23c[] = {1, 0, 2};
 static const uint16_t i_beb093d1660ba23c[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_beb093d1660ba23c = {
-  0xbeb093d1660ba23c, b_beb093d1660ba23c.words, 65, nullptr, m_beb093d1660ba23c,
+  0xbeb093d1660ba23c, b_beb093d1660ba23c.words, 66, nullptr, m_beb093d1660ba23c,
   0, 3, i_beb093d1660ba23c, nullptr, nullptr, { &s_beb093d1660ba23c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/ragwortmux/Process/Generated/Commands.capnp.h
+++ b/ragwortmux/Process/Generated/Commands.capnp.h
@@ -2491,7 +2491,7 @@
 
   inline  ::uint32_t getConnectionLimit() const;
 
-  inline  ::uint32_t getSyncReplicas() const;
+  inline  ::uint32_t getReplicasBeforeAck() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2531,8 +2531,8 @@
   inline  ::uint32_t getConnectionLimit();
   inline void setConnectionLimit( ::uint32_t value);
 
-  inline  ::uint32_t getSyncReplicas();
-  inline void setSyncReplicas( ::uint32_t value);
+  inline  ::uint32_t getReplicasBeforeAck();
+  inline void setReplicasBeforeAck( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6293,16 +6293,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GroupPolicy::Reader::getSyncReplicas() const {
+inline  ::uint32_t GroupPolicy::Reader::getReplicasBeforeAck() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t GroupPolicy::Builder::getSyncReplicas() {
+inline  ::uint32_t GroupPolicy::Builder::getReplicasBeforeAck() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GroupPolicy::Builder::setSyncReplicas( ::uint32_t value) {
+inline void GroupPolicy::Builder::setReplicasBeforeAck( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -52,10 +52,10 @@
   Duration m_Heartbeat{0};          ///< From one heartbeat to the next.
   Duration m_ElectionTimeout{0};    ///< Silence before an election.
   Duration m_AnnouncementSilence{
-      0};                         ///< Silence before a server counts as lost.
+      0}; ///< Silence before a server counts as lost.
   Duration m_ServerSilence{
       0}; ///< Silence of a server before it gets no new requests.
-  std::uint32_t m_MaxCallers = 0; ///< Caller connections at once.
+  std::uint32_t m_MaxCallers = 0;            ///< Caller connections at once.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
   LogLevel m_LogLevel = LogLevel::Info;    ///< Least level that is logged.
--- a/tests/Log/VoterKeeperTest.cpp
+++ b/tests/Log/VoterKeeperTest.cpp
@@ -71,4 +71,52 @@
   BOOST_TEST((Step == Case.m_Expected));
 }
 
+namespace {
+
+const VoterId D("d");
+const LogMember LearnerD{D, "host-d", false};
+const LogMember VoterD{D, "host-d", true};
+const IdentifiedPeer PeerD{"host-d", D, false};
+
+/// Three voters are to be kept among the hosts that are found.
+const std::vector<KeeperCase> FoundCases = {
+    {"all in place", {VoterA, VoterB, VoterC}, {PeerA, PeerB, PeerC}, {}},
+    {"a silent voter stays while it cannot be spared",
+     {VoterA, VoterB, VoterC},
+     {PeerA, PeerB, SilentC},
+     {}},
+    {"a new host joins as a learner",
+     {VoterA, VoterB, VoterC},
+     {PeerA, PeerB, PeerC, PeerD},
+     VoterStep{Kind::AddLearner, D, "host-d"}},
+    {"it stays one while all voters answer",
+     {VoterA, VoterB, VoterC, LearnerD},
+     {PeerA, PeerB, PeerC, PeerD},
+     {}},
+    {"it gets the vote of a silent one",
+     {VoterA, VoterB, VoterC, LearnerD},
+     {PeerA, PeerB, SilentC, PeerD},
+     VoterStep{Kind::Promote, D, ""}},
+    {"then the silent one goes",
+     {VoterA, VoterB, VoterC, VoterD},
+     {PeerA, PeerB, PeerD},
+     VoterStep{Kind::Remove, C, ""}},
+    {"a host that lost its disk is another voter",
+     {VoterA, VoterB, VoterC},
+     {PeerA, PeerB, {"host-c", NewC}},
+     VoterStep{Kind::Remove, C, ""}},
+    {"a silent learner goes",
+     {VoterA, VoterB, VoterC, LearnerD},
+     {PeerA, PeerB, PeerC},
+     VoterStep{Kind::Remove, D, ""}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(NextStepAmongFoundHosts,
+                     boost::unit_test::data::make(FoundCases), Case) {
+  const auto Step = nextFoundVoterStep({Case.m_Members}, Case.m_Peers, 3);
+  BOOST_TEST((Step == Case.m_Expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/Platform/TextTest.cpp
@@ -0,0 +1,266 @@
+#include "platform/ConfigurationText.h"
+#include "platform/HeartbeatText.h"
+#include "platform/StatusCall.h"
+#include "platform/WireText.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ragwortmux::platform {
+
+namespace {
+
+/// A statement's text and what it is; no kind: it is not one.
+struct StatementCase final {
+  std::string m_Text;
+  std::optional<StatementKind> m_Kind;
+  std::string m_Name;
+  std::string m_Rest;
+  bool m_Writes = false;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const StatementCase &Case) {
+  return Stream << '"' << Case.m_Text << '"';
+}
+
+const std::vector<StatementCase> StatementCases = {
+    {"BEGIN", StatementKind::Begin},
+    {"BEGIN READ", StatementKind::BeginRead},
+    {"BEGIN WRITE", std::nullopt},
+    {"COMMIT", StatementKind::Commit},
+    {"COMMIT x", std::nullopt},
+    {"ROLLBACK", StatementKind::Rollback},
+    {"READ 1a4", StatementKind::Read},
+    {"READ", std::nullopt},
+    {"READ a b", std::nullopt},
+    {"WRITE 1a4 x y", StatementKind::Write, "", "", true},
+    {"WRITE 1a4", std::nullopt},
+    {"SET a b c", StatementKind::SetValue, "a", "b c"},
+    {"SET a", std::nullopt},
+    {"PREPARE s1 WRITE q2c", StatementKind::Prepare, "s1", "WRITE q2c", true},
+    {"PREPARE s1 READ q2c", StatementKind::Prepare, "s1", "READ q2c"},
+    {"PREPARE s1 DROP q2c", std::nullopt},
+    {"EXECUTE s1 1a4 data", StatementKind::Execute, "s1", "1a4 data"},
+    {"EXECUTE s1", std::nullopt},
+    {"DEALLOC s1", StatementKind::Deallocate, "s1"},
+    // Callers may not send what only this system sends.
+    {"SINCE 3.1 READ a", std::nullopt},
+    {"STATUS", std::nullopt},
+    {"DISCARD", std::nullopt},
+    {"", std::nullopt},
+    {"read a", std::nullopt},
+};
+
+/// A configuration's change of a valid one, and whether it stays valid.
+struct ConfigurationCase final {
+  std::string m_Old;
+  std::string m_New;
+  bool m_Valid;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const ConfigurationCase &Case) {
+  return Stream << Case.m_Old << " -> " << Case.m_New;
+}
+
+const std::string Configuration =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r-1","dbName":"one","pathPrefix":"/","kind":"primary",)"
+    R"("timeoutMs":1000,"targetLatencyMs":250,"priority":1,"service":"s",)"
+    R"("maxAttempts":2},)"
+    R"({"name":"r-2","dbName":"two","pathPrefix":"/",)"
+    R"("kind":"bounded_staleness","timeoutMs":2000,"targetLatencyMs":600,)"
+    R"("priority":2,"service":"s","maxAttempts":2,"maxStalenessMs":1500}],)"
+    R"("services":[{"name":"s","maxConns":34,"syncReplicas":1}],)"
+    R"("limits":{"txIdleMs":3000}})";
+
+const std::vector<ConfigurationCase> ConfigurationCases = {
+    {"", "", true},
+    {R"("service":"s")", R"("service":"t")", false},
+    {R"("timeoutMs":1000)", R"("timeoutMs":0)", false},
+    {R"("timeoutMs":1000)", R"("timeoutMs":-1)", false},
+    {R"("timeoutMs":1000)", R"("timeoutMs":"1000")", false},
+    {R"("timeoutMs":1000,)", "", false},
+    {R"("dbName":"two")", R"("dbName":"one")", false},
+    {R"("kind":"primary")", R"("kind":"other")", false},
+    {R"("version":7)", R"("version":"7")", false},
+    {R"("version":7)", R"("version":7.5)", false},
+    {R"("version":7,)", "", false},
+    {R"("services":[)", R"("services":{},"x":[)", false},
+    {R"("name":"s",)", "", false},
+    {R"("txIdleMs":3000)", R"("txIdleMs":"long")", false},
+    {R"("limits":{"txIdleMs":3000})", R"("new":[1,2])", true},
+    {R"(}})", R"(})", false},
+};
+
+std::string changed(std::string Text, const std::string &Old,
+                    const std::string &New) {
+  const std::size_t At = Text.rfind(Old);
+  BOOST_REQUIRE(At != std::string::npos);
+  return Text.replace(At, Old.size(), New);
+}
+
+/// A heartbeat's change and whether it still names a server to use.
+const std::string Heartbeat =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":3,"state":"ready","coldRemainingMs":0,"dbRole":"replica",)"
+    R"("sequence":4,"born":1700000000000})";
+
+const std::vector<ConfigurationCase> HeartbeatCases = {
+    {"", "", true},
+    {R"("state":"ready")", R"("state":"draining")", true},
+    {R"("state":"ready")", R"("state":"asleep")", false},
+    {R"("dbRole":"replica")", R"("dbRole":"primary")", true},
+    {R"("dbRole":"replica")", R"("dbRole":3)", false},
+    {R"("slots":3)", R"("slots":"3")", false},
+    {R"("slots":3,)", "", false},
+    {"10.0.0.9:8080", "10.0.0.9", false},
+    {"10.0.0.9:8080", "nowhere:1", false},
+    {R"(,"born":1700000000000)", "", true},
+    {R"("born":1700000000000)", R"("born":1.5)", false},
+    {R"("zone":"z",)", "", false},
+    {R"(})", "", false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TextTest)
+
+BOOST_DATA_TEST_CASE(StatementsAreUnderstood,
+                     boost::unit_test::data::make(StatementCases), Case) {
+  const auto Parsed = parseStatement("5c0e", Case.m_Text);
+  BOOST_REQUIRE(Parsed.has_value() == Case.m_Kind.has_value());
+  if (!Parsed)
+    return;
+  BOOST_TEST((Parsed->m_Kind == *Case.m_Kind));
+  BOOST_TEST(Parsed->m_Name == Case.m_Name);
+  BOOST_TEST(Parsed->m_Rest == Case.m_Rest);
+  BOOST_TEST(Parsed->m_Writes == Case.m_Writes);
+  BOOST_TEST(Parsed->m_Text == Case.m_Text);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdOfThisSystemIsNoCallers) {
+  BOOST_TEST(!parseStatement("-", "READ a").has_value());
+  BOOST_TEST(!parseStatement("", "READ a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AStatementIsSentBehindItsReplay) {
+  RunStatement Run;
+  Run.m_Statement = *parseStatement("5c0e", "EXECUTE s1 1a4 data");
+  Run.m_Replay.m_PreparedName = "p1";
+  Run.m_Replay.m_Steps = {{ReplayStep::Kind::Discard, "", ""},
+                          {ReplayStep::Kind::SetValue, "tenant", "7"},
+                          {ReplayStep::Kind::Prepare, "p1", "READ q2c"}};
+  Run.m_Floor = LogPoint{Term(3), LogPosition(1207)};
+  BOOST_TEST(formatRun(Run) ==
+             "QUERY - DISCARD\r\n"
+             "QUERY - SET tenant 7\r\n"
+             "QUERY - PREPARE p1 READ q2c\r\n"
+             "QUERY 5c0e SINCE 3.1207 EXECUTE p1 1a4 data\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(PositionsAndStates) {
+  BOOST_TEST((parsePosition("3.1207") == LogPoint{Term(3), LogPosition(1207)}));
+  for (const char *Text : {"-", "", "3", "3.", ".7", "3.x", "3.7 ", "-1.2"})
+    BOOST_TEST(!parsePosition(Text).has_value(), Text);
+  BOOST_TEST((parseState("E") == TransactionStatus::Failed));
+  BOOST_TEST(!parseState("X").has_value());
+  BOOST_TEST(formatReady(TransactionStatus::Idle, std::nullopt) ==
+             "READY I -\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(EveryCodeThatSaysNotRunIsAPromiseOnTheWire) {
+  const std::vector<std::string_view> Promises = {
+      "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"};
+  const std::vector<std::string_view> NotRun = {"NODB", "NOSTMT", "MALFORMED"};
+  for (const ResultCodeInfo &Info : allResultCodes()) {
+    const std::string_view Word = errorCode(Info.m_Code);
+    const bool IsPromise =
+        std::find(Promises.begin(), Promises.end(), Word) != Promises.end();
+    const bool IsOther =
+        std::find(NotRun.begin(), NotRun.end(), Word) != NotRun.end();
+    BOOST_TEST((IsPromise || IsOther) == saysNotRun(Info.m_Code), Info.m_Name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StatusRows) {
+  const auto Status = parseStatus("replica 3 3.1209 0 12 2 17");
+  BOOST_REQUIRE(Status.has_value());
+  BOOST_TEST(!Status->m_IsPrimary);
+  BOOST_TEST((Status->m_Received == LogPoint{Term(3), LogPosition(1209)}));
+  for (const char *Row : {"", "other 3 3.1", "primary 3 -", "primary"})
+    BOOST_TEST(!parseStatus(Row).has_value(), Row);
+}
+
+BOOST_DATA_TEST_CASE(ConfigurationsAreChecked,
+                     boost::unit_test::data::make(ConfigurationCases), Case) {
+  std::string Reason;
+  const auto Parsed = parseConfiguration(
+      changed(Configuration, Case.m_Old, Case.m_New), Reason);
+  BOOST_TEST(Parsed.has_value() == Case.m_Valid);
+  BOOST_TEST(Reason.empty() == Case.m_Valid);
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationBecomesACatalogue) {
+  std::string Reason;
+  const auto Parsed = parseConfiguration(Configuration, Reason);
+  BOOST_REQUIRE(Parsed.has_value());
+  BOOST_TEST(Parsed->m_Version.value() == 7U);
+  BOOST_TEST(Parsed->m_Document == Configuration);
+  BOOST_REQUIRE(Parsed->m_Entries.size() == 2U);
+  BOOST_TEST((Parsed->m_Entries[0].m_Class == TrafficClass::PrimarySession));
+  const CatalogueEntry &Two = Parsed->m_Entries[1];
+  BOOST_TEST((Two.m_Class == TrafficClass::AgedSession));
+  BOOST_TEST((Two.m_Limits.m_MaxAge == std::chrono::milliseconds(1500)));
+  BOOST_TEST((Two.m_Limits.m_RequestDeadline == std::chrono::seconds(2)));
+  BOOST_TEST((Two.m_Limits.m_TransactionIdle == std::chrono::seconds(3)));
+  BOOST_TEST(
+      (Parsed->m_Groups == std::vector<GroupPolicy>{{GroupId("s"), 34, 1}}));
+}
+
+BOOST_DATA_TEST_CASE(HeartbeatsAreChecked,
+                     boost::unit_test::data::make(HeartbeatCases), Case) {
+  const auto Parsed =
+      parseHeartbeat("i-1", changed(Heartbeat, Case.m_Old, Case.m_New));
+  BOOST_TEST(Parsed.has_value() == Case.m_Valid);
+}
+
+/// Malformed input of any kind is refused or ignored, and ends nothing.
+BOOST_AUTO_TEST_CASE(RandomInputHarmsNothing) {
+  std::mt19937_64 Random(20261204);
+  const std::vector<std::string> Seeds = {Configuration,
+                                          Heartbeat,
+                                          "PREPARE s1 WRITE q2c",
+                                          "3.1207",
+                                          "replica 3 3.1209 0 12 2 17",
+                                          "EXECUTE s1 1a4 data"};
+  for (int Run = 0; Run < 10000; ++Run) {
+    std::string Text = Seeds[Random() % Seeds.size()];
+    for (std::uint64_t Left = 1 + Random() % 6; Left > 0; --Left) {
+      const std::size_t At = Random() % (Text.size() + 1);
+      if (Random() % 3 == 0)
+        Text.resize(At);
+      else if (Random() % 2 == 0)
+        Text.insert(At, 1, static_cast<char>(Random()));
+      else if (At < Text.size())
+        Text[At] = static_cast<char>(Random());
+    }
+    std::string Reason;
+    const auto Parsed = parseConfiguration(Text, Reason);
+    BOOST_TEST_REQUIRE((Parsed.has_value() || !Reason.empty()));
+    parseHeartbeat("i-1", Text);
+    parseStatement("id", Text);
+    parsePosition(Text);
+    parseStatus(Text);
+    parseState(Text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux::platform
--- /dev/null
+++ b/tests/Request/SessionCoreTest.cpp
@@ -0,0 +1,465 @@
+#include "ragwortmux/Request/SessionCore.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <memory>
+#include <ostream>
+#include <set>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const GroupId Group("g");
+const ServerId S1("s1");
+const ServerId S2("s2");
+const ServerId S3("s3");
+
+/// A SessionCore with its time, its connections and what it decided.
+struct Fixture {
+  Fixture() : m_Core(Group, settings()) {
+    takeView(1, S1);
+    extendLease(seconds(10));
+    openAll();
+  }
+
+  static SessionCoreSettings settings() {
+    SessionCoreSettings Settings;
+    Settings.m_Domain = FailureDomainId("near");
+    return Settings;
+  }
+
+  void takeView(std::uint64_t InTerm, std::optional<ServerId> Primary,
+                std::uint32_t Share = 3) {
+    GroupView View;
+    View.m_Group = Group;
+    View.m_Revision = Revision(++m_Revision);
+    View.m_Term = Term(InTerm);
+    View.m_Primary = std::move(Primary);
+    for (const ServerId &Server : {S1, S2, S3}) {
+      ServerView Each;
+      Each.m_Server = Server;
+      Each.m_Domain = FailureDomainId(Server == S2 ? "near" : "far");
+      Each.m_Address = "10.0.0.1";
+      Each.m_Port = 1;
+      Each.m_ConnectionShare = Share;
+      Each.m_Slots = 5;
+      View.m_Servers.push_back(Each);
+    }
+    m_Core.viewChanged(m_Now, View, m_Actions);
+    take();
+  }
+
+  void extendLease(Duration Length) {
+    m_Core.leaseExtended(m_Now, m_Now + Length, m_Actions);
+    take();
+  }
+
+  /// Opens every connection that is asked for.
+  void openAll() {
+    while (!m_Opening.empty()) {
+      const OpenSessionConnection Next = m_Opening.front();
+      m_Opening.pop_front();
+      m_ServerOf[Next.m_Connection] = Next.m_Server;
+      m_Core.connectionOpened(m_Now, Next.m_Connection, m_Actions);
+      take();
+    }
+  }
+
+  void pass(Duration Length) {
+    const Instant End = m_Now + Length;
+    while (const auto Next = m_Core.nextDeadline()) {
+      if (*Next > End)
+        break;
+      m_Now = std::max(*Next, m_Now + milliseconds(1));
+      m_Core.tick(m_Now, m_Actions);
+      take();
+    }
+    m_Now = std::max(m_Now, End);
+  }
+
+  /// Submits a statement; returns its id.
+  RequestId submit(StatementKind Kind, TrafficClass Class, bool Writes = false,
+                   std::uint64_t Caller = 1,
+                   std::optional<LogPoint> LastWrite = std::nullopt) {
+    auto Entry = std::make_shared<CatalogueEntry>();
+    Entry->m_Name = EntryName("e");
+    Entry->m_Group = Group;
+    Entry->m_Class = Class;
+    Entry->m_Limits.m_RequestDeadline = seconds(1);
+    Entry->m_Limits.m_MaxAge = milliseconds(1500);
+    Entry->m_Limits.m_TransactionIdle = seconds(3);
+    SessionRequest Request;
+    Request.m_Id = RequestId(++m_LastRequest);
+    Request.m_Caller = CallerConnectionId(Caller);
+    Request.m_Entry = Entry;
+    Request.m_Statement.m_Id = StatementId("x");
+    Request.m_Statement.m_Kind = Kind;
+    Request.m_Statement.m_Writes = Writes;
+    Request.m_State = std::make_shared<SessionState>();
+    Request.m_LastWrite = LastWrite;
+    Request.m_Arrived = m_Now;
+    m_Core.submit(m_Now, Request, m_Actions);
+    take();
+    return Request.m_Id;
+  }
+
+  /// The statement that runs; fails if there is none.
+  RunStatement running() {
+    BOOST_REQUIRE(!m_Runs.empty());
+    RunStatement Next = m_Runs.front();
+    m_Runs.pop_front();
+    return Next;
+  }
+  ServerId serverOf(const RunStatement &Run) {
+    return m_ServerOf.at(Run.m_Connection);
+  }
+
+  void reply(const RunStatement &Run, StatementOutcome Outcome,
+             TransactionStatus Status, std::optional<LogPoint> Point) {
+    StatementReply Reply;
+    Reply.m_Outcome = Outcome;
+    Reply.m_Status = Status;
+    Reply.m_Point = Point;
+    Reply.m_Body = std::make_shared<const std::string>("row");
+    m_Core.statementAnswered(m_Now, Run.m_Connection, Reply, m_Actions);
+    take();
+  }
+  void done(const RunStatement &Run, std::uint64_t Position,
+            TransactionStatus Status = TransactionStatus::Idle) {
+    reply(Run, StatementOutcome::Done, Status, point(Position));
+  }
+  static LogPoint point(std::uint64_t Position, std::uint64_t InTerm = 5) {
+    return {Term(InTerm), LogPosition(Position)};
+  }
+
+  /// Lets the primary tell its position through a read of its own.
+  void sample(std::uint64_t Position) {
+    submit(StatementKind::Read, TrafficClass::PrimarySession, false, 99);
+    done(running(), Position);
+    m_Answers.clear();
+  }
+
+  SessionAnswer answer() {
+    BOOST_REQUIRE(!m_Answers.empty());
+    SessionAnswer Next = m_Answers.front();
+    m_Answers.pop_front();
+    return Next;
+  }
+
+  void take() {
+    for (const SessionAction &Action : std::exchange(m_Actions, {})) {
+      if (const auto *Open = std::get_if<OpenSessionConnection>(&Action))
+        m_Opening.push_back(*Open);
+      else if (const auto *Close = std::get_if<CloseSessionConnection>(&Action))
+        m_Closed.insert(Close->m_Connection);
+      else if (const auto *Run = std::get_if<RunStatement>(&Action))
+        m_Runs.push_back(*Run);
+      else if (const auto *Answer = std::get_if<SessionAnswer>(&Action))
+        m_Answers.push_back(*Answer);
+      else if (const auto *Report = std::get_if<ReportServer>(&Action))
+        m_Reports.push_back(*Report);
+    }
+  }
+
+  Instant m_Now{seconds(100)};
+  SessionCore m_Core;
+  SessionActions m_Actions;
+  std::uint64_t m_Revision = 0;
+  std::uint64_t m_LastRequest = 0;
+  std::deque<OpenSessionConnection> m_Opening;
+  std::deque<RunStatement> m_Runs;
+  std::deque<SessionAnswer> m_Answers;
+  std::vector<ReportServer> m_Reports;
+  std::set<ConnectionId> m_Closed;
+  std::map<ConnectionId, ServerId> m_ServerOf;
+};
+
+constexpr auto Idle = TransactionStatus::Idle;
+constexpr auto Open = TransactionStatus::InTransaction;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SessionCoreTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(WritesAndPrimaryReadsGoToThePrimaryWithoutAFloor) {
+  for (const bool Writes : {true, false}) {
+    submit(Writes ? StatementKind::Write : StatementKind::Read,
+           TrafficClass::PrimarySession, Writes);
+    const RunStatement Run = running();
+    BOOST_TEST((serverOf(Run) == S1));
+    BOOST_TEST(!Run.m_Floor.has_value());
+    done(Run, 10);
+    BOOST_TEST((answer().m_Code == ResultCode::Ok));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAPositionAnAgedReadGoesToThePrimary) {
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  BOOST_TEST((serverOf(running()) == S1));
+}
+
+BOOST_AUTO_TEST_CASE(AnAgedReadRunsNearWithTheOldestFloorThatIsYoungEnough) {
+  sample(10);
+  pass(seconds(1));
+  sample(20);
+  pass(milliseconds(300));
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  const RunStatement First = running();
+  BOOST_TEST((serverOf(First) == S2));
+  BOOST_TEST((First.m_Floor == point(10)));
+  done(First, 10);
+  pass(milliseconds(300));
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  BOOST_TEST((running().m_Floor == point(20)));
+}
+
+BOOST_AUTO_TEST_CASE(ASessionSeesItsOwnWrite) {
+  sample(10);
+  submit(StatementKind::Read, TrafficClass::OwnWritesSession, false, 1,
+         point(15));
+  BOOST_TEST((running().m_Floor == point(15)));
+  // A write of an earlier term lies before what the present primary told.
+  submit(StatementKind::Read, TrafficClass::OwnWritesSession, false, 2,
+         point(99, 4));
+  BOOST_TEST((running().m_Floor == point(10)));
+}
+
+BOOST_AUTO_TEST_CASE(AReadThatIsBehindIsTriedElsewhere) {
+  sample(10);
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  std::set<ServerId> Tried;
+  for (int Try = 0; Try < 3; ++Try) {
+    const RunStatement Run = running();
+    Tried.insert(serverOf(Run));
+    if (serverOf(Run) == S1)
+      done(Run, 20);
+    else
+      reply(Run, StatementOutcome::Behind, Idle, point(5));
+    if (!m_Answers.empty())
+      break;
+  }
+  BOOST_TEST(Tried.contains(S1));
+  BOOST_TEST((answer().m_Code == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutALeaseWhatNeedsOneIsRefusedSoonAsNotRun) {
+  extendLease(Duration(0));
+  pass(milliseconds(300));
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  BOOST_TEST(m_Runs.empty());
+  pass(milliseconds(200));
+  BOOST_TEST((answer().m_Code == ResultCode::NotRunNoLease));
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  BOOST_TEST((answer().m_Code == ResultCode::NotRunNoLease));
+}
+
+BOOST_AUTO_TEST_CASE(AWriteWhoseAnswerComesAfterTheLeaseIsNotAcknowledged) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Run = running();
+  extendLease(Duration(0));
+  done(Run, 10);
+  BOOST_TEST((answer().m_Code == ResultCode::OutcomeUnknownTermEnded));
+}
+
+BOOST_AUTO_TEST_CASE(TheEndOfATermIsConfirmedOnceItsCommitsHaveEnded) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Run = running();
+  takeView(2, std::nullopt);
+  BOOST_TEST((m_Core.confirmedRevision() < Revision(m_Revision)));
+  done(Run, 10);
+  BOOST_TEST((answer().m_Code == ResultCode::Ok));
+  BOOST_TEST((m_Core.confirmedRevision() == Revision(m_Revision)));
+}
+
+BOOST_AUTO_TEST_CASE(
+    ACommitThatDoesNotEndHoldsTheConfirmationUpForABoundedTime) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Run = running();
+  takeView(2, std::nullopt);
+  pass(settings().m_HandoverWait + milliseconds(1));
+  BOOST_TEST((answer().m_Code == ResultCode::OutcomeUnknownTermEnded));
+  BOOST_TEST((m_Core.confirmedRevision() == Revision(m_Revision)));
+  done(Run, 10);
+  BOOST_TEST(m_Answers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WritesWaitForTheNextPrimary) {
+  takeView(2, std::nullopt);
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  BOOST_TEST(m_Runs.empty());
+  pass(milliseconds(600));
+  takeView(2, S3);
+  openAll();
+  BOOST_TEST((serverOf(running()) == S3));
+}
+
+BOOST_AUTO_TEST_CASE(ATransactionKeepsItsConnectionFromItsBeginToItsEnd) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  const RunStatement Begin = running();
+  done(Begin, 10, Open);
+  BOOST_TEST((answer().m_Status == Open));
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true, 2);
+  BOOST_TEST((running().m_Connection != Begin.m_Connection));
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Write = running();
+  BOOST_TEST((Write.m_Connection == Begin.m_Connection));
+  done(Write, 10, Open);
+  submit(StatementKind::Commit, TrafficClass::PrimarySession);
+  const RunStatement Commit = running();
+  BOOST_TEST((Commit.m_Connection == Begin.m_Connection));
+  done(Commit, 11);
+  answer();
+  const SessionAnswer Committed = answer();
+  BOOST_TEST((Committed.m_Written == point(11)));
+  BOOST_TEST(!m_Core.hasTransaction(CallerConnectionId(1)));
+}
+
+/// How a connection that breaks in a transaction is told.
+struct LossCase final {
+  const char *m_Name;
+  bool m_Wrote;
+  bool m_Commits;
+  ResultCode m_Code;
+};
+std::ostream &operator<<(std::ostream &Stream, const LossCase &Case) {
+  return Stream << Case.m_Name;
+}
+const std::vector<LossCase> LossCases = {
+    {"a read is rolled back", false, false, ResultCode::NotRunRolledBack},
+    {"a write is rolled back", true, false, ResultCode::NotRunRolledBack},
+    {"a commit without writes", false, true, ResultCode::NotRunRolledBack},
+    {"a commit of writes is unknown", true, true, ResultCode::OutcomeUnknown},
+};
+
+BOOST_DATA_TEST_CASE(ALostTransactionIsToldTruly,
+                     boost::unit_test::data::make(LossCases), Case) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  done(running(), 10, Open);
+  if (Case.m_Wrote) {
+    submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+    done(running(), 10, Open);
+  }
+  m_Answers.clear();
+  submit(Case.m_Commits ? StatementKind::Commit : StatementKind::Read,
+         TrafficClass::PrimarySession);
+  const RunStatement Last = running();
+  m_Core.connectionLost(m_Now, Last.m_Connection, m_Actions);
+  take();
+  const SessionAnswer Told = answer();
+  BOOST_TEST((Told.m_Code == Case.m_Code));
+  BOOST_TEST((Told.m_Status == Idle));
+}
+
+BOOST_AUTO_TEST_CASE(ASlotRefusedInsideATransactionDoesNotEndIt) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  done(running(), 10, Open);
+  answer();
+  submit(StatementKind::Read, TrafficClass::PrimarySession);
+  reply(running(), StatementOutcome::Busy, Open, point(10));
+  BOOST_TEST(m_Answers.empty());
+  pass(milliseconds(30));
+  done(running(), 10, Open);
+  BOOST_TEST((answer().m_Code == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesIsRolledBackAndTheConnectionUsedAgain) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  done(running(), 10, Open);
+  m_Core.callerGone(m_Now, CallerConnectionId(1), m_Actions);
+  take();
+  const RunStatement Rollback = running();
+  BOOST_TEST(Rollback.m_IsOwn);
+  done(Rollback, 10);
+  BOOST_TEST(m_Closed.empty());
+  BOOST_TEST(m_Core.openTransactions() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesWhileItsStatementRunsFreesItsLocks) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  done(running(), 10, Open);
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Write = running();
+  m_Core.callerGone(m_Now, CallerConnectionId(1), m_Actions);
+  take();
+  BOOST_TEST(m_Closed.contains(Write.m_Connection));
+  BOOST_TEST(m_Core.pending() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdleTransactionEndsAtItsLimit) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  const RunStatement Begin = running();
+  done(Begin, 10, Open);
+  answer();
+  extendLease(seconds(20));
+  pass(seconds(4));
+  BOOST_TEST(m_Closed.contains(Begin.m_Connection));
+  submit(StatementKind::Read, TrafficClass::PrimarySession);
+  BOOST_TEST((answer().m_Code == ResultCode::NotRunRolledBack));
+}
+
+BOOST_AUTO_TEST_CASE(ALostAnswerOfAReadIsReadElsewhereBeforeItsDeadline) {
+  sample(10);
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  const RunStatement Silent = running();
+  pass(milliseconds(400));
+  const RunStatement Again = running();
+  BOOST_TEST((serverOf(Again) != serverOf(Silent)));
+  done(Again, 12);
+  BOOST_TEST((answer().m_Code == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(ALostAnswerOfAWriteIsUnknownAndNeverRunAgain) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  running();
+  pass(milliseconds(1001));
+  BOOST_TEST((answer().m_Code == ResultCode::OutcomeUnknown));
+  BOOST_TEST(m_Runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatIsNotThePrimaryIsReported) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  reply(running(), StatementOutcome::NotPrimary, Idle, point(10));
+  BOOST_REQUIRE(!m_Reports.empty());
+  BOOST_TEST((m_Reports.back().m_Kind == SuspicionKind::NotPrimary));
+  BOOST_TEST(m_Answers.empty());
+}
+
+// Load pattern: every host's share of a server is taken and more arrive; the
+// urgent ones go first, and nothing is sent beyond the share.
+BOOST_AUTO_TEST_CASE(UrgentStatementsGoFirstWhenConnectionsAreScarce) {
+  takeView(1, S1, 1);
+  openAll();
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true, 1);
+  const RunStatement First = running();
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true, 2);
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true, 3);
+  openAll();
+  BOOST_TEST(m_Runs.empty());
+  BOOST_TEST(m_Core.waiting() == 2U);
+  done(First, 10);
+  BOOST_TEST(m_Runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainTakesNoNewTransactionsAndLetsOpenOnesEnd) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  done(running(), 10, Open);
+  m_Core.drain(m_Now, m_Actions);
+  take();
+  m_Answers.clear();
+  submit(StatementKind::Read, TrafficClass::PrimarySession, false, 2);
+  BOOST_TEST((answer().m_Code == ResultCode::NotRunDraining));
+  submit(StatementKind::Commit, TrafficClass::PrimarySession);
+  done(running(), 10);
+  BOOST_TEST((answer().m_Code == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux
--- /dev/null
+++ b/tests/Request/SessionPartsTest.cpp
@@ -0,0 +1,278 @@
+#include "ragwortmux/Connection/BackendSession.h"
+#include "ragwortmux/Request/CallerSession.h"
+#include "ragwortmux/Request/PlaceRead.h"
+#include "ragwortmux/Request/PositionHistory.h"
+#include "ragwortmux/Request/ReplicaAge.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <vector>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Kind = ReplayStep::Kind;
+
+LogPoint at(std::uint64_t InTerm, std::uint64_t Position) {
+  return {Term(InTerm), LogPosition(Position)};
+}
+
+Instant after(int Milliseconds) { return Instant(milliseconds(Milliseconds)); }
+
+Statement statement(StatementKind What, std::string Name = "",
+                    std::string Rest = "", bool Writes = false) {
+  Statement Asked;
+  Asked.m_Id = StatementId("id");
+  Asked.m_Kind = What;
+  Asked.m_Name = std::move(Name);
+  Asked.m_Rest = std::move(Rest);
+  Asked.m_Writes = Writes;
+  return Asked;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SessionPartsTest)
+
+// Replay of a session's state on a shared connection.
+
+BOOST_AUTO_TEST_CASE(AConnectionIsBroughtToEachSessionsState) {
+  BackendSession Held;
+  const SessionState Empty;
+  SessionState Tenant;
+  Tenant.m_Values = {{"tenant", "7"}};
+  SessionState Other;
+  Other.m_Values = {{"tenant", "8"}, {"zone", "b"}};
+  const struct {
+    const SessionState *m_Wanted;
+    std::vector<ReplayStep> m_Steps;
+  } Cases[] = {
+      {&Empty, {}},
+      {&Tenant, {{Kind::SetValue, "tenant", "7"}}},
+      {&Tenant, {}},
+      {&Other,
+       {{Kind::SetValue, "tenant", "8"}, {Kind::SetValue, "zone", "b"}}},
+      // A value cannot be unset, so all are cleared.
+      {&Tenant, {{Kind::Discard, "", ""}, {Kind::SetValue, "tenant", "7"}}},
+      {&Empty, {{Kind::Discard, "", ""}}},
+      {&Empty, {}},
+  };
+  for (const auto &Case : Cases) {
+    const std::size_t Distance = Held.distance(*Case.m_Wanted, nullptr);
+    const ReplayPlan Plan = Held.plan(*Case.m_Wanted, nullptr);
+    BOOST_TEST((Plan.m_Steps == Case.m_Steps));
+    BOOST_TEST(Distance == Case.m_Steps.size());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EqualDefinitionsShareANameAndOthersNever) {
+  BackendSession Held;
+  const SessionState Empty;
+  const PreparedStatement Read{"READ a", false};
+  const PreparedStatement Write{"WRITE a", true};
+  const std::string First = Held.plan(Empty, &Read).m_PreparedName;
+  const ReplayPlan Again = Held.plan(Empty, &Read);
+  BOOST_TEST(Again.m_PreparedName == First);
+  BOOST_TEST(Again.m_Steps.empty());
+  BOOST_TEST(Held.plan(Empty, &Write).m_PreparedName != First);
+}
+
+BOOST_AUTO_TEST_CASE(ClearingForgetsPreparedStatementsToo) {
+  BackendSession Held;
+  const SessionState Empty;
+  SessionState Tenant;
+  Tenant.m_Values = {{"tenant", "7"}};
+  const PreparedStatement Read{"READ a", false};
+  Held.plan(Tenant, &Read);
+  const ReplayPlan Plan = Held.plan(Empty, &Read);
+  BOOST_REQUIRE(Plan.m_Steps.size() == 2U);
+  BOOST_TEST((Plan.m_Steps[0].m_Kind == Kind::Discard));
+  BOOST_TEST((Plan.m_Steps[1].m_Kind == Kind::Prepare));
+}
+
+// What a session answers without a backend server.
+
+BOOST_AUTO_TEST_CASE(StatementsThatNeedNoServer) {
+  struct Row final {
+    TransactionStatus m_Status;
+    Statement m_Asked;
+    std::optional<ResultCode> m_Code;
+  };
+  const auto Idle = TransactionStatus::Idle;
+  const auto Open = TransactionStatus::InTransaction;
+  const auto Failed = TransactionStatus::Failed;
+  const std::vector<Row> Rows = {
+      {Idle, statement(StatementKind::SetValue, "a", "1"), ResultCode::Ok},
+      {Open, statement(StatementKind::SetValue, "a", "1"), ResultCode::Ok},
+      {Failed, statement(StatementKind::SetValue, "a", "1"),
+       ResultCode::NotRunBadRequest},
+      {Idle, statement(StatementKind::Execute, "s"),
+       ResultCode::NotRunUnknownStatement},
+      {Idle, statement(StatementKind::Deallocate, "s"),
+       ResultCode::NotRunUnknownStatement},
+      {Idle, statement(StatementKind::Begin), std::nullopt},
+      {Open, statement(StatementKind::Begin), ResultCode::NotRunBadRequest},
+      {Failed, statement(StatementKind::Read), ResultCode::NotRunBadRequest},
+      {Failed, statement(StatementKind::Commit), std::nullopt},
+      {Failed, statement(StatementKind::Rollback), std::nullopt},
+      {Idle, statement(StatementKind::Rollback), ResultCode::Ok},
+      {Idle, statement(StatementKind::Commit), ResultCode::NotRunBadRequest},
+      {Idle, statement(StatementKind::Read), std::nullopt},
+      {Open, statement(StatementKind::Write), std::nullopt},
+  };
+  for (const Row &Each : Rows) {
+    CallerSession Session;
+    Session.answered(Each.m_Status, GroupId("g"), std::nullopt);
+    Statement Asked = Each.m_Asked;
+    BOOST_TEST((Session.answerLocally(Asked) == Each.m_Code));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ExecutingKnowsWhatWasPrepared) {
+  CallerSession Session;
+  Statement Prepare = statement(StatementKind::Prepare, "s", "WRITE a", true);
+  BOOST_TEST((Session.answerLocally(Prepare) == ResultCode::Ok));
+  Statement Execute = statement(StatementKind::Execute, "s", "1 x");
+  BOOST_TEST(!Session.answerLocally(Execute).has_value());
+  BOOST_TEST(Execute.m_Writes);
+}
+
+BOOST_AUTO_TEST_CASE(ARunningStatementKeepsTheStateItWasSentWith) {
+  CallerSession Session;
+  const auto Before = Session.state();
+  Statement Set = statement(StatementKind::SetValue, "a", "1");
+  Session.answerLocally(Set);
+  BOOST_TEST(Before->m_Values.empty());
+  BOOST_TEST(Session.state()->m_Values.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ALastWriteCountsForItsOwnGroupOnly) {
+  CallerSession Session;
+  Session.answered(TransactionStatus::Idle, GroupId("a"), at(1, 5));
+  BOOST_TEST((Session.lastWrite(GroupId("a")) == at(1, 5)));
+  BOOST_TEST(!Session.lastWrite(GroupId("b")).has_value());
+}
+
+// Positions of the primary.
+
+BOOST_AUTO_TEST_CASE(TheOldestPositionYoungEnoughIsTheFloor) {
+  PositionHistory History;
+  History.add(after(100), at(1, 10));
+  History.add(after(200), at(1, 20));
+  History.add(after(300), at(1, 30));
+  const struct {
+    int m_Since;
+    std::optional<std::uint64_t> m_Position;
+  } Cases[] = {{0, 10}, {100, 10}, {101, 20}, {300, 30}, {301, std::nullopt}};
+  for (const auto &Case : Cases) {
+    const auto *Found = History.oldestSince(after(Case.m_Since));
+    BOOST_TEST((Found != nullptr) == Case.m_Position.has_value());
+    if (Found != nullptr)
+      BOOST_TEST(Found->m_Point.m_Position.value() == *Case.m_Position);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnOvertakenAnswerAddsNothing) {
+  PositionHistory History;
+  History.add(after(100), at(2, 10));
+  History.add(after(200), at(2, 9));
+  History.add(after(300), at(1, 99));
+  BOOST_TEST((History.newest()->m_Point == at(2, 10)));
+  History.clear();
+  BOOST_TEST(History.newest() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(TheNewestCoveredSampleTellsAReplicasAge) {
+  PositionHistory History;
+  History.add(after(100), at(1, 10));
+  History.add(after(200), at(1, 20));
+  History.add(after(300), at(2, 5));
+  const struct {
+    LogPoint m_Applied;
+    std::optional<Instant> m_Covered;
+  } Cases[] = {{at(1, 9), std::nullopt},
+               {at(1, 10), after(100)},
+               {at(1, 25), after(200)},
+               {at(2, 4), after(200)},
+               {at(2, 5), after(300)}};
+  for (const auto &Case : Cases) {
+    const auto *Found = History.newestCovered(Case.m_Applied);
+    BOOST_TEST((Found != nullptr) == Case.m_Covered.has_value());
+    if (Found != nullptr)
+      BOOST_TEST((Found->m_AskedAt == *Case.m_Covered));
+  }
+}
+
+// Load pattern: replicas fall seconds behind. Each read that needs newer data
+// must not ask each of them first.
+
+BOOST_AUTO_TEST_CASE(ALaggingReplicaIsSparedReadsItCannotServe) {
+  ReplicaAge Age;
+  BOOST_TEST(Age.isWorthTrying(after(1000), after(1000)));
+  Age.noteBehind(after(1000), after(400));
+  int Tried = 0;
+  for (int Now = 1000; Now < 2000; Now += 10) {
+    if (!Age.isWorthTrying(after(Now), after(Now - 500)))
+      continue;
+    ++Tried;
+    Age.noteBehind(after(Now), after(Now - 500));
+  }
+  BOOST_TEST(Tried <= 4); // one try in 250 ms
+  BOOST_TEST(Age.isWorthTrying(after(2000), after(1000)));
+  Age.noteCovered(after(2000), after(1950));
+  BOOST_TEST(Age.isWorthTrying(after(2000), after(1990)));
+}
+
+// Load pattern: all hosts send reads to the slots of three servers.
+
+struct PlaceCase final {
+  const char *m_Name;
+  std::vector<ReadPlace> m_Places;
+  std::optional<ServerId> m_Expected;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const PlaceCase &Case) {
+  return Stream << Case.m_Name;
+}
+
+ReadPlace place(const char *Server, bool IsNear, bool IsPrimary,
+                std::uint32_t Running, std::uint32_t Free = 1,
+                bool IsAllowed = true) {
+  return {ServerId(Server), IsNear, IsPrimary, IsAllowed, Free, Running, 5};
+}
+
+const std::vector<PlaceCase> PlaceCases = {
+    {"none", {}, std::nullopt},
+    {"the near one first",
+     {place("far", false, false, 0), place("near", true, false, 0)},
+     ServerId("near")},
+    {"the near one also while it runs one more",
+     {place("far", false, false, 0), place("near", true, false, 1)},
+     ServerId("near")},
+    {"a far one before a queue",
+     {place("far", false, false, 0), place("near", true, false, 4)},
+     ServerId("far")},
+    {"a far replica spares a near primary under load",
+     {place("far", false, false, 0), place("near", true, true, 2)},
+     ServerId("far")},
+    {"not without a connection",
+     {place("far", false, false, 3), place("near", true, false, 0, 0)},
+     ServerId("far")},
+    {"not where the data are too old",
+     {place("near", true, false, 0, 1, false)},
+     std::nullopt},
+};
+
+BOOST_DATA_TEST_CASE(ReadsArePlaced, boost::unit_test::data::make(PlaceCases),
+                     Case) {
+  BOOST_TEST((placeRead(Case.m_Places) == Case.m_Expected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux
--- /dev/null
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -0,0 +1,367 @@
+#include "ragwortmux/Version/ControlLeader.h"
+#include "ragwortmux/Version/ControlState.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <ostream>
+#include <set>
+
+namespace ragwortmux {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const GroupId TheGroup("g");
+const ServerId S1("s1");
+const ServerId S2("s2");
+const ServerId S3("s3");
+
+/// A server that replicates by itself.
+struct OwnServer final {
+  bool m_Answers = true;                       ///< Control's calls arrive.
+  bool m_Announces = true;                     ///< Its announcements arrive.
+  bool m_Leaving = false;                      ///< Announces so.
+  bool m_RefusesToLead = false;                ///< Promotions are refused.
+  Duration m_PromotionTime = 300ms;            ///< From an order to the lead.
+  BackendRole m_Role = BackendRole::Replica;   ///< Its role.
+  LogPoint m_Point{Term(7), LogPosition(100)}; ///< Its own term and position.
+  std::optional<Instant> m_LeadsAt; ///< An order to lead is under way.
+};
+
+/// A leader with three servers of a delegated group and two proxies.
+struct Fixture {
+  Fixture() : m_Leader(m_State, settings()) {
+    for (const char *Host : {"h1", "h2"})
+      apply(OpenSession{HostId(Host), Incarnation(1), FailureDomainId("z"),
+                        "10.0.0.1", 1});
+    apply(ReplaceCatalogue{
+        CatalogueVersion(1), "{}", {}, {{TheGroup, 30, m_SyncReplicas}}});
+    m_Servers[S1].m_Role = BackendRole::Primary;
+    m_Servers[S2];
+    m_Servers[S3];
+    m_Leader.becameLeader(m_Now);
+    run(3s);
+  }
+
+  static ControlLeaderSettings settings() {
+    ControlLeaderSettings Settings;
+    Settings.m_SilenceUnannounced = 4s;
+    return Settings;
+  }
+
+  void run(Duration Length) {
+    for (const Instant End = m_Now + Length; m_Now < End; m_Now += 10ms)
+      step();
+  }
+
+  /// Runs until \p Holds; how long it took, 20 s if it never does.
+  template <typename Condition> Duration runUntil(Condition Holds) {
+    const Instant Start = m_Now;
+    while (!Holds() && m_Now - Start < 20s) {
+      step();
+      m_Now += 10ms;
+    }
+    return m_Now - Start;
+  }
+
+  void step() {
+    if (++m_Steps % 120 == 1)
+      announce();
+    for (auto &[Id, Server] : m_Servers) {
+      if (Server.m_LeadsAt && m_Now >= *Server.m_LeadsAt)
+        lead(Server);
+    }
+    m_Leader.tick(m_Now, WallTime(std::chrono::milliseconds(m_Steps)));
+    for (const std::uint64_t Session : {1U, 2U}) {
+      if (m_Confirms && m_Steps % 30 == 0)
+        renew(ControlSessionId(Session));
+    }
+    takeActions();
+  }
+
+  void announce() {
+    for (const auto &[Id, Server] : m_Servers) {
+      if (!Server.m_Announces)
+        continue;
+      ServerAnnouncement Each;
+      Each.m_Group = TheGroup;
+      Each.m_Server = Id;
+      Each.m_Domain = FailureDomainId("z");
+      Each.m_Address = "10.0.0.2";
+      Each.m_Port = 1;
+      Each.m_Slots = 5;
+      Each.m_Role = Server.m_Role;
+      Each.m_Leaving = Server.m_Leaving;
+      Each.m_Delegated = true;
+      Each.m_Incarnation = 1;
+      Each.m_Sequence = ++m_Sequence;
+      m_Leader.announcementReceived(Each, m_Now);
+      takeActions();
+    }
+  }
+
+  void lead(OwnServer &Server) {
+    for (auto &[Id, Other] : m_Servers)
+      Other.m_Role = BackendRole::Replica;
+    Server.m_Role = BackendRole::Primary;
+    Server.m_Point.m_Term = Term(Server.m_Point.m_Term.value() + 1);
+    Server.m_LeadsAt.reset();
+  }
+
+  void renew(ControlSessionId Session) {
+    LeaseRenewal Renewal;
+    Renewal.m_Session = Session;
+    Renewal.m_Sequence = ++m_Sequence;
+    m_Leader.renewalReceived(Renewal, m_Now);
+    takeActions();
+  }
+
+  void report(ControlSessionId Session, SuspicionKind Kind) {
+    ServerSuspicion Suspicion;
+    Suspicion.m_Session = Session;
+    Suspicion.m_Group = TheGroup;
+    Suspicion.m_Server = *m_State.groups().find(TheGroup)->m_Primary;
+    Suspicion.m_Kind = Kind;
+    m_Leader.suspicionReported(Suspicion, m_Now);
+    takeActions();
+  }
+
+  void apply(const ControlCommand &Command) {
+    const ControlResult Result = m_State.apply(Command);
+    if (const auto *Appointed = std::get_if<AppointPrimary>(&Command)) {
+      BOOST_TEST(
+          (m_Servers.at(Appointed->m_Server).m_Role == BackendRole::Primary));
+    }
+    m_Leader.applied(Command, Result, m_Now);
+  }
+
+  void takeActions() {
+    for (auto Actions = m_Leader.takeActions(); !Actions.empty();
+         Actions = m_Leader.takeActions()) {
+      for (const ControlAction &Action : Actions) {
+        if (const auto *Each = std::get_if<Propose>(&Action))
+          apply(Each->m_Command);
+        else if (const auto *Each = std::get_if<ConfirmLeadership>(&Action))
+          m_Leader.leadershipConfirmed(Each->m_Token, m_Now);
+        else if (const auto *Each = std::get_if<PushGroupView>(&Action))
+          push(*Each);
+        else if (const auto *Each = std::get_if<CallBackend>(&Action))
+          answer(*Each);
+      }
+    }
+  }
+
+  void push(const PushGroupView &Push) {
+    if (m_Confirms)
+      m_Leader.updateConfirmed(Push.m_Session, TheGroup, Push.m_View.m_Revision,
+                               m_Now);
+  }
+
+  void answer(const CallBackend &Call) {
+    OwnServer &Server = m_Servers.at(Call.m_Server);
+    BackendCallResult Result;
+    Result.m_Call = Call.m_Call;
+    Result.m_Ok = Server.m_Answers;
+    Result.m_Role = Server.m_Role;
+    Result.m_Point = Server.m_Point;
+    if (Call.m_Kind == BackendCallKind::Promote) {
+      m_Promoted.push_back(Call.m_Server);
+      Result.m_Refused = Server.m_RefusesToLead;
+      Result.m_Ok = !Server.m_RefusesToLead;
+      if (Result.m_Ok && Server.m_Role != BackendRole::Primary &&
+          !Server.m_LeadsAt)
+        Server.m_LeadsAt = m_Now + Server.m_PromotionTime;
+    }
+    m_Leader.backendCallCompleted(Result, m_Now);
+  }
+
+  const GroupRecord &group() const { return *m_State.groups().find(TheGroup); }
+  bool isLedBy(const ServerId &Server) const {
+    return group().m_Primary == Server;
+  }
+
+  Instant m_Now{1h};
+  std::uint32_t m_SyncReplicas = 0;
+  ControlState m_State;
+  ControlLeader m_Leader;
+  std::map<ServerId, OwnServer> m_Servers;
+  std::vector<ServerId> m_Promoted;
+  bool m_Confirms = true;
+  std::uint64_t m_Steps = 0;
+  std::uint64_t m_Sequence = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DelegatedGroupTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(TheServerThatLeadsIsAppointedFirst) {
+  BOOST_TEST(isLedBy(S1));
+  BOOST_TEST(m_Promoted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatsOfTwelveHundredMsKeepThePrimary) {
+  run(30s);
+  BOOST_TEST(isLedBy(S1));
+  BOOST_TEST((group().m_Term == Term(1)));
+}
+
+BOOST_AUTO_TEST_CASE(AFailedPrimaryIsReplacedByTheOneThatHoldsMost) {
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  m_Servers[S3].m_Point.m_Position = LogPosition(150);
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  BOOST_TEST((runUntil([&] { return isLedBy(S3); }) < 1500ms));
+}
+
+BOOST_AUTO_TEST_CASE(AComplaintAloneReplacesNobody) {
+  for (int Round = 0; Round < 20; ++Round) {
+    report(ControlSessionId(1), SuspicionKind::Reset);
+    run(100ms);
+  }
+  BOOST_TEST(isLedBy(S1));
+}
+
+BOOST_AUTO_TEST_CASE(APrimaryCutOffFromManyProxiesIsReplacedAfterAWhile) {
+  const Instant Start = m_Now;
+  while (isLedBy(S1) && m_Now - Start < 5s) {
+    report(ControlSessionId(1), SuspicionKind::Silent);
+    run(100ms);
+  }
+  BOOST_TEST((m_Now - Start >= 600ms));
+  BOOST_TEST((m_Now - Start < 2s));
+}
+
+BOOST_AUTO_TEST_CASE(NobodyIsPromotedWhileALeaseMayHold) {
+  m_Confirms = false;
+  m_Servers[S1].m_Answers = false;
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  run(1s);
+  BOOST_TEST(!group().m_Primary.has_value());
+  BOOST_TEST(m_Promoted.empty());
+  // The leases run out and the sessions end with them.
+  run(2s);
+  BOOST_TEST(!m_Promoted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingPrimaryIsReplacedOnceAReplicaHasCaughtUp) {
+  m_Servers[S1].m_Point.m_Position = LogPosition(200);
+  m_Servers[S1].m_Leaving = true;
+  runUntil([&] { return !group().m_Primary.has_value(); });
+  run(200ms);
+  BOOST_TEST(m_Promoted.empty());
+  m_Servers[S2].m_Point.m_Position = LogPosition(200);
+  runUntil([&] { return group().m_Primary.has_value(); });
+  BOOST_TEST(isLedBy(S2));
+}
+
+BOOST_AUTO_TEST_CASE(ARefusedPromotionGoesToAnother) {
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  m_Servers[S2].m_Point.m_Position = LogPosition(150);
+  m_Servers[S2].m_RefusesToLead = true;
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  BOOST_TEST((runUntil([&] { return isLedBy(S3); }) < 2s));
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderWaitsForPromotionsOfTheFormerOne) {
+  apply(EndTerm{TheGroup, Term(2)});
+  m_Leader.lostLeadership(m_Now);
+  m_Leader.becameLeader(m_Now);
+  run(1400ms);
+  BOOST_TEST(m_Promoted.empty());
+  run(1s);
+  BOOST_TEST(!m_Promoted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ALateAnnouncementOfAnEarlierRunIsIgnored) {
+  ServerAnnouncement Late;
+  Late.m_Group = TheGroup;
+  Late.m_Server = S1;
+  Late.m_Domain = FailureDomainId("z");
+  Late.m_Address = "10.0.0.2";
+  Late.m_Port = 1;
+  Late.m_Slots = 5;
+  Late.m_Leaving = true;
+  Late.m_Delegated = true;
+  Late.m_Incarnation = 1;
+  Late.m_Sequence = 1;
+  m_Leader.announcementReceived(Late, m_Now);
+  run(500ms);
+  BOOST_TEST(!group().m_Servers.at(S1).m_Leaving);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatHasEndedGetsNothingMore) {
+  ServerAnnouncement Gone;
+  Gone.m_Server = S2;
+  Gone.m_Gone = true;
+  m_Leader.announcementReceived(Gone, m_Now);
+  takeActions();
+  BOOST_TEST(!group().m_Servers.at(S2).m_Announced);
+  BOOST_TEST(group().m_Servers.at(S2).m_Leaving);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A service whose commits wait for a replica.
+
+namespace {
+struct SyncFixture : Fixture {
+  SyncFixture() {
+    apply(ReplaceCatalogue{CatalogueVersion(2), "{}", {}, {{TheGroup, 30, 1}}});
+  }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(ASynchronousGroupIsNotLedByWhatMayLackACommit,
+                        SyncFixture) {
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S3].m_Answers = false;
+  m_Servers[S3].m_Point.m_Position = LogPosition(150);
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  run(3s);
+  BOOST_TEST(m_Promoted.empty());
+  m_Servers[S3].m_Answers = true;
+  BOOST_TEST((runUntil([&] { return isLedBy(S3); }) < 2s));
+}
+
+// Whole catalogues.
+
+BOOST_AUTO_TEST_CASE(TheHighestVersionOfTheCatalogueIsInForce) {
+  ControlState State;
+  const auto Replace = [&](std::uint64_t Version, const char *Document,
+                           std::vector<const char *> Names) {
+    ReplaceCatalogue Command;
+    Command.m_Version = CatalogueVersion(Version);
+    Command.m_Document = Document;
+    for (const char *Name : Names) {
+      CatalogueEntry Entry;
+      Entry.m_Name = EntryName(Name);
+      Entry.m_Group = TheGroup;
+      Command.m_Entries.push_back(Entry);
+    }
+    return State.apply(Command);
+  };
+  BOOST_TEST(Replace(5, "five", {"a", "b"}).ok());
+  const Revision First = State.catalogue().revision();
+  // The same again, an older one and other content under the version held.
+  BOOST_TEST(Replace(5, "five", {"a", "b"}).ok());
+  BOOST_TEST(Replace(4, "four", {"x"}).ok());
+  BOOST_TEST(Replace(5, "other", {"y"}).ok());
+  BOOST_TEST((State.catalogue().revision() == First));
+  BOOST_TEST(State.catalogue().document() == "five");
+  BOOST_TEST(Replace(9, "nine", {"b", "c"}).ok());
+  const CatalogueDelta Delta = State.catalogue().deltaSince(First);
+  BOOST_TEST(Delta.m_Items.size() == 1U); // b has not changed
+  BOOST_TEST(Delta.m_Deletions.size() == 1U);
+  ControlState Copy;
+  Copy.importData(State.exportData());
+  BOOST_TEST(Copy.catalogue().document() == "nine");
+  BOOST_TEST((Copy.catalogue().version() == CatalogueVersion(9)));
+}
+
+} // namespace ragwortmux
