--- a/ragwortmux/Process/SessionEntryRole.cpp
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -24,7 +24,7 @@
 constexpr int StatementDrainPercent = 90;
 constexpr int PercentBase = 100;
 /// A host without a lease for so long sends new and idle callers elsewhere.
-constexpr Duration CutOffAfter = std::chrono::milliseconds(800);
+constexpr Duration CutOffAfter = std::chrono::milliseconds(300);
 /// How often that is looked at.
 constexpr Duration LeaseCheckInterval = std::chrono::milliseconds(250);
 
@@ -78,18 +78,16 @@
 
 void SessionEntryRole::watchLease() {
   const bool CutOff = monotonicNow() >= m_LeaseUntil + CutOffAfter;
-  if (CutOff == m_CutOff) {
-    return;
-  }
-  m_CutOff = CutOff;
-  if (!CutOff) {
-    logInfo(Part::Control, "Control is in reach again.");
-    return;
+  if (CutOff != m_CutOff) {
+    m_CutOff = CutOff;
+    if (CutOff) {
+      logWarn(Part::Control, "Lost control: no lease any more.");
+    } else {
+      logInfo(Part::Control, "Control is in reach.");
+    }
   }
-  logWarn(Part::Control, "Lost control: no lease since {} ms.",
-          toMs(monotonicNow() - m_LeaseUntil));
   // Elsewhere their statements may find a host that holds a lease.
-  if (hasCatalogue()) {
+  if (CutOff && hasCatalogue()) {
     m_Hooks.m_CloseIdleCallers();
   }
 }
--- a/ragwortmux/Process/SessionEntryRole.h
+++ b/ragwortmux/Process/SessionEntryRole.h
@@ -88,7 +88,7 @@
   std::unique_ptr<ControlClient> m_Control; ///< The session with control.
   std::map<GroupId, std::unique_ptr<SessionDriver>> m_Groups; ///< Groups.
   Instant m_LeaseUntil{};            ///< End of the lease.
-  bool m_CutOff = false;             ///< Idle callers were sent away.
+  bool m_CutOff = true;              ///< Without a lease for too long.
   Instant m_DrainStarted{};          ///< When drain() was called.
   std::function<void()> m_DrainDone; ///< Called once drained.
   bool m_Draining = false;           ///< drain() was called.
--- a/ragwortmux/Request/PlaceRead.cpp
+++ b/ragwortmux/Request/PlaceRead.cpp
@@ -6,7 +6,7 @@
 
 /// Costs are in parts of one statement that already runs at the server.
 constexpr std::uint32_t RunningCost = 4;
-constexpr std::uint32_t FarCost = 5;
+constexpr std::uint32_t FarCost = 10;
 constexpr std::uint32_t PrimaryCost = 3;
 
 std::uint32_t cost(const ReadPlace &Place) {
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 SessionCore::SessionCore(GroupId Group, const SessionCoreSettings &Settings)
-    : m_Group(std::move(Group)), m_Settings(Settings), m_Pool(Settings.m_Pool) {
-}
+    : m_Group(std::move(Group)), m_Settings(Settings), m_Pool(Settings.m_Pool),
+      m_Retries(Settings.m_Retry) {}
 
 void SessionCore::beginEvent(Instant Now, SessionActions &Actions) {
   m_Now = Now;
@@ -27,6 +27,7 @@
 void SessionCore::endEvent() {
   confirmView();
   dispatch();
+  refuseHopeless();
   setDemands();
   m_Actions = nullptr;
 }
@@ -61,6 +62,7 @@
 void SessionCore::submit(Instant Now, SessionRequest Given,
                          SessionActions &Actions) {
   beginEvent(Now, Actions);
+  m_Retries.addRequest();
   const RequestId Id = Given.m_Id;
   const CallerConnectionId Caller = Given.m_Caller;
   Request &State = m_Requests[Id];
@@ -285,6 +287,9 @@
     if (!Open.m_Running && Open.m_Connection)
       Consider(Open.m_IdleSince + Open.m_IdleLimit);
   }
+  const Instant PatienceEnd = m_LeaseUntil + m_Settings.m_NoLeasePatience;
+  if (!m_Waiting.empty() && m_Now < PatienceEnd)
+    Consider(PatienceEnd);
   if (m_ConfirmedRevision != m_View.m_Revision)
     Consider(m_TermEndedAt + m_Settings.m_HandoverWait);
   return Next;
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -5,6 +5,7 @@
 #include "ragwortmux/Request/PlaceRead.h"
 #include "ragwortmux/Request/PositionHistory.h"
 #include "ragwortmux/Request/ReplicaAge.h"
+#include "ragwortmux/Request/RetryBudget.h"
 #include "ragwortmux/Request/SessionCoreSettings.h"
 #include "ragwortmux/Request/SessionEvents.h"
 #include "ragwortmux/Request/SessionRequestState.h"
@@ -93,6 +94,8 @@
 
   // Placement.
   void dispatch();
+  bool isHopeless(const Request &State) const;
+  void refuseHopeless();
   bool tryPlace(Request &State);
   bool tryPrimary(Request &State);
   bool tryRead(Request &State);
@@ -160,6 +163,7 @@
   std::map<ServerId, Instant> m_RefusesUntil; ///< Servers that were full.
   PositionHistory m_History;                  ///< Positions of the primary.
   ConnectionPool m_Pool;                      ///< Connections.
+  RetryBudget m_Retries; ///< Statements that may be given up and run again.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -409,17 +409,27 @@
 void SessionCore::checkSilence(Request &State) {
   if (State.m_SilenceSeen)
     return;
+  State.m_SilenceSeen = true;
   const auto Last = m_LastReply.find(State.m_Server);
   const bool IsAlive =
       Last != m_LastReply.end() && Last->second > State.m_SentAt;
-  State.m_SilenceSeen = true;
-  if (IsAlive)
+  if (!IsAlive) {
+    // Nothing came from this server since: a new connection tells a silent
+    // connection from a silent server.
+    PoolOrders Orders;
+    m_Pool.suspect(m_Now, State.m_Server, Orders);
+    apply(Orders);
+  }
+  // The suspicion may have ended the statement already.
+  const bool IsSent = State.m_Connection.has_value();
+  const bool CanRepeat =
+      !State.m_InTransaction && !State.m_Request.m_Statement.m_Writes;
+  if (!IsSent || !CanRepeat || !m_Retries.takeRetry())
     return;
-  // Nothing came from this server since: a new connection tells a silent
-  // connection from a silent server.
-  PoolOrders Orders;
-  m_Pool.suspect(m_Now, State.m_Server, Orders);
-  apply(Orders);
+  const ServerId Server = State.m_Server;
+  dropStatement(State);
+  State.m_Avoid.push_back(Server);
+  lostStatement(State);
 }
 
 void SessionCore::retryReadsAt(const ServerId &Server) {
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -44,6 +44,27 @@
   }
 }
 
+bool SessionCore::isHopeless(const Request &State) const {
+  // Another host may hold a lease; waiting here would only use up the time of a
+  // try there.
+  const bool NoLease = m_Now >= m_LeaseUntil + m_Settings.m_NoLeasePatience;
+  return NoLease && (State.needsPrimary() || !floorOf(State));
+}
+
+void SessionCore::refuseHopeless() {
+  if (m_Now < m_LeaseUntil + m_Settings.m_NoLeasePatience)
+    return;
+  std::vector<RequestId> Hopeless;
+  for (const QueueKey &Key : m_Waiting) {
+    const RequestId Id = std::get<RequestId>(Key);
+    if (isHopeless(m_Requests.at(Id)))
+      Hopeless.push_back(Id);
+  }
+  for (const RequestId Id : Hopeless)
+    finish(m_Requests.at(Id), ResultCode::NotRunNoLease,
+           TransactionStatus::Idle);
+}
+
 bool SessionCore::tryPlace(Request &State) {
   return State.needsPrimary() ? tryPrimary(State) : tryRead(State);
 }
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Connection/ConnectionPool.h"
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Request/RetryBudget.h"
 
 #include <cstdint>
 
@@ -29,9 +30,13 @@
   Duration m_NotPrimaryPause = std::chrono::milliseconds(
       40); ///< Pause after a server said that it is not the primary.
   std::uint32_t m_SilentPercent =
-      45; ///< A statement that is not answered within this part of its time
+      35; ///< A statement that is not answered within this part of its time
           ///< makes its server suspect; reads are then run elsewhere.
-  std::uint32_t m_MaxTries = 8;  ///< Times that one statement is sent at most.
+  std::uint32_t m_MaxTries = 8; ///< Times that one statement is sent at most.
+  Duration m_NoLeasePatience = std::chrono::milliseconds(
+      400); ///< After the end of a lease, statements that need one wait so long
+            ///< for the next; after that they are refused at once.
+  RetryBudgetSettings m_Retry;   ///< Limits what is given up and run again.
   ConnectionPoolSettings m_Pool; ///< Rules of the connections.
 };
 
