--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -46,10 +46,12 @@
   for (const ConnectionId Connection : Orders.m_Probe)
     act(ProbeConnection{Connection});
   for (const ServerId &Server : Orders.m_Unreachable) {
+    m_UnreachableSince.try_emplace(Server, m_Now);
     act(ReportServer{Server, SuspicionKind::Refused});
     retryReadsAt(Server);
   }
   for (const ServerId &Server : Orders.m_Silent) {
+    m_UnreachableSince.try_emplace(Server, m_Now);
     act(ReportServer{Server, SuspicionKind::Silent});
     retryReadsAt(Server);
   }
@@ -105,8 +107,10 @@
                                    SessionActions &Actions) {
   beginEvent(Now, Actions);
   PoolOrders Orders;
-  if (const PooledConnection *Known = m_Pool.find(Connection))
+  if (const PooledConnection *Known = m_Pool.find(Connection)) {
     m_LastReply[Known->m_Server] = Now;
+    m_UnreachableSince.erase(Known->m_Server);
+  }
   m_Pool.opened(Now, Connection, Orders);
   apply(Orders);
   endEvent();
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -94,7 +94,7 @@
 
   // Placement.
   void dispatch();
-  bool isHopeless(const Request &State) const;
+  std::optional<ResultCode> whyHopeless(const Request &State) const;
   void refuseHopeless();
   bool tryPlace(Request &State);
   bool tryPrimary(Request &State);
@@ -159,10 +159,11 @@
   std::set<ConnectionId> m_RollingBack; ///< Connections with an own rollback.
   std::map<ConnectionId, BackendSession> m_Sessions; ///< What connections hold.
   std::map<ServerId, ReplicaAge> m_Ages;             ///< How far servers lag.
-  std::map<ServerId, Instant> m_LastReply;    ///< Last answer of each server.
-  std::map<ServerId, Instant> m_RefusesUntil; ///< Servers that were full.
-  PositionHistory m_History;                  ///< Positions of the primary.
-  ConnectionPool m_Pool;                      ///< Connections.
+  std::map<ServerId, Instant> m_LastReply; ///< Last answer of each server.
+  std::map<ServerId, Instant> m_UnreachableSince; ///< Servers out of reach.
+  std::map<ServerId, Instant> m_RefusesUntil;     ///< Servers that were full.
+  PositionHistory m_History;                      ///< Positions of the primary.
+  ConnectionPool m_Pool;                          ///< Connections.
   RetryBudget m_Retries; ///< Statements that may be given up and run again.
 };
 
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
+#include <vector>
 
 /// \file
 /// SessionCore's placement: from the queue to connections.
@@ -44,25 +46,30 @@
   }
 }
 
-bool SessionCore::isHopeless(const Request &State) const {
-  // Another host may hold a lease; waiting here would only use up the time of a
-  // try there.
-  const bool NoLease = m_Now >= m_LeaseUntil + m_Settings.m_NoLeasePatience;
-  return NoLease && (State.needsPrimary() || !floorOf(State));
+std::optional<ResultCode> SessionCore::whyHopeless(const Request &State) const {
+  // Another host may hold a lease or reach the primary; waiting here would only
+  // use up the time of a try there.
+  if (m_Now >= m_LeaseUntil + m_Settings.m_NoLeasePatience &&
+      (State.needsPrimary() || !floorOf(State)))
+    return ResultCode::NotRunNoLease;
+  if (!m_View.m_Primary || !State.needsPrimary())
+    return std::nullopt;
+  const auto Since = m_UnreachableSince.find(*m_View.m_Primary);
+  if (Since != m_UnreachableSince.end() &&
+      m_Now >= Since->second + m_Settings.m_UnreachablePatience)
+    return ResultCode::NotRunNoConnection;
+  return std::nullopt;
 }
 
 void SessionCore::refuseHopeless() {
-  if (m_Now < m_LeaseUntil + m_Settings.m_NoLeasePatience)
-    return;
-  std::vector<RequestId> Hopeless;
+  std::vector<std::pair<RequestId, ResultCode>> Hopeless;
   for (const QueueKey &Key : m_Waiting) {
     const RequestId Id = std::get<RequestId>(Key);
-    if (isHopeless(m_Requests.at(Id)))
-      Hopeless.push_back(Id);
+    if (const auto Code = whyHopeless(m_Requests.at(Id)))
+      Hopeless.emplace_back(Id, *Code);
   }
-  for (const RequestId Id : Hopeless)
-    finish(m_Requests.at(Id), ResultCode::NotRunNoLease,
-           TransactionStatus::Idle);
+  for (const auto &[Id, Code] : Hopeless)
+    finish(m_Requests.at(Id), Code, TransactionStatus::Idle);
 }
 
 bool SessionCore::tryPlace(Request &State) {
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -36,6 +36,9 @@
   Duration m_NoLeasePatience = std::chrono::milliseconds(
       400); ///< After the end of a lease, statements that need one wait so long
             ///< for the next; after that they are refused at once.
+  Duration m_UnreachablePatience = std::chrono::milliseconds(
+      1200); ///< A primary that this host alone cannot reach is not replaced;
+             ///< after this time statements for it are refused at once.
   RetryBudgetSettings m_Retry;   ///< Limits what is given up and run again.
   ConnectionPoolSettings m_Pool; ///< Rules of the connections.
 };
--- a/tests/Request/SessionCoreTest.cpp
+++ b/tests/Request/SessionCoreTest.cpp
@@ -260,6 +260,40 @@
   BOOST_TEST((answer().m_Code == ResultCode::NotRunNoLease));
 }
 
+// Load pattern: the primary is cut off from this host alone. While it may have
+// failed its writes wait for the next one; after that they go elsewhere.
+BOOST_AUTO_TEST_CASE(WritesToAPrimaryOutOfReachWaitOnlyWhileItMayBeReplaced) {
+  std::set<ConnectionId> Lost;
+  for (const auto &[Connection, Server] : m_ServerOf) {
+    if (Server == S1)
+      Lost.insert(Connection);
+  }
+  for (const ConnectionId Connection : Lost) {
+    m_Core.connectionLost(m_Now, Connection, m_Actions);
+    take();
+  }
+  const auto RefuseAll = [&] {
+    while (!m_Opening.empty()) {
+      const ConnectionId Next = m_Opening.front().m_Connection;
+      m_Opening.pop_front();
+      m_Core.connectionFailed(m_Now, Next, false, m_Actions);
+      take();
+    }
+  };
+  RefuseAll();
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true, 1);
+  for (int Step = 0; Step < 9; ++Step) {
+    pass(milliseconds(100));
+    RefuseAll();
+  }
+  BOOST_TEST(m_Answers.empty());
+  pass(milliseconds(500));
+  RefuseAll();
+  m_Answers.clear();
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true, 2);
+  BOOST_TEST((answer().m_Code == ResultCode::NotRunNoConnection));
+}
+
 BOOST_AUTO_TEST_CASE(AWriteWhoseAnswerComesAfterTheLeaseIsNotAcknowledged) {
   submit(StatementKind::Write, TrafficClass::PrimarySession, true);
   const RunStatement Run = running();
