A restarted host takes the place of its earlier run at once

Ruled out: the election (1.3 s of 5 s) and missing read floors (refusals as too old came from the lack of connections). Change: incarnations rise with the time of day; OpenSession ends the session of a lower one and is refused while a higher one has a session, so that a late call of an ended run ends nothing. Test: ARestartedHostTakesItsEarlierRunsPlace (failed before: the share was 0).

--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -1,13 +1,13 @@
 #include "ragwortmux/Process/EntryRole.h"
 
 #include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/StartIncarnation.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/Support/Timeline.h"
 #include "ragwortmux/Process/SystemClock.h"
-#include "ragwortmux/Process/SystemRandom.h"
 
 #include <boost/json.hpp>
 
@@ -91,7 +91,7 @@
                      const ProcessSettings &Settings, Metrics &Figures,
                      Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings), m_Metrics(Figures),
-      m_Timeline(Events), m_Run(systemRandom()),
+      m_Timeline(Events), m_Run(startIncarnation()),
       m_Points(Loop, Settings.m_ClusterKey,
                {Settings.m_Host, m_Run.value(),
                 [this] { return monotonicNow() < m_LeaseUntil; }}) {
--- a/ragwortmux/Process/SessionEntryRole.cpp
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -1,12 +1,12 @@
 #include "ragwortmux/Process/SessionEntryRole.h"
 
 #include "ragwortmux/Process/IoLoop.h"
+#include "ragwortmux/Process/StartIncarnation.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/SystemClock.h"
-#include "ragwortmux/Process/SystemRandom.h"
 
 #include <utility>
 
@@ -56,7 +56,7 @@
                                    const ProcessSettings &Settings,
                                    Metrics &Figures, SessionEntryHooks Hooks)
     : m_Loop(Loop), m_Settings(Settings), m_Metrics(Figures),
-      m_Hooks(std::move(Hooks)), m_Run(systemRandom()),
+      m_Hooks(std::move(Hooks)), m_Run(startIncarnation()),
       m_Control(std::make_unique<ControlClient>(
           Loop, Settings.m_ClusterKey, controlSettings(), controlHooks())) {}
 
--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -70,17 +70,22 @@
     m_Context.note(Text);
   if (std::holds_alternative<OpenSession>(Command) && Result.ok())
     m_Leases.sessionOpened(Result.m_Session, Now);
-  if (const auto *End = std::get_if<EndSession>(&Command)) {
-    m_Leases.sessionEnded(End->m_Session);
-    m_Updates.sessionEnded(End->m_Session);
-    m_Servers.sessionEnded(End->m_Session);
-    m_Shares.sessionEnded(End->m_Session);
-  }
+  if (Result.m_EndedSession)
+    sessionEnded(*Result.m_EndedSession);
+  if (const auto *End = std::get_if<EndSession>(&Command))
+    sessionEnded(End->m_Session);
   // Most commands are about keyed requests; no decision depends on those.
   if (!isLedgerCommand(Command))
     evaluate(Now);
 }
 
+void ControlLeader::sessionEnded(ControlSessionId Session) {
+  m_Leases.sessionEnded(Session);
+  m_Updates.sessionEnded(Session);
+  m_Servers.sessionEnded(Session);
+  m_Shares.sessionEnded(Session);
+}
+
 void ControlLeader::leadershipConfirmed(std::uint64_t Token, Instant Now) {
   if (m_IsLeader)
     m_Leases.leadershipConfirmed(Token, Now);
--- a/ragwortmux/Version/ControlLeader.h
+++ b/ragwortmux/Version/ControlLeader.h
@@ -84,6 +84,8 @@
 
 private:
   void evaluate(Instant Now);
+  /// Forgets what was observed of a session that has ended.
+  void sessionEnded(ControlSessionId Session);
   /// Fills in what is known of a server that has ended.
   void completeGone(ServerAnnouncement &Announcement) const;
   RegisterServer registration(const ServerAnnouncement &Announcement) const;
--- a/ragwortmux/Version/ControlResult.h
+++ b/ragwortmux/Version/ControlResult.h
@@ -17,6 +17,9 @@
   std::string m_Reason;               ///< One sentence for people if refused.
   Revision m_Revision; ///< The changed record's revision after the command.
   ControlSessionId m_Session; ///< OpenSession: the session.
+  std::optional<ControlSessionId>
+      m_EndedSession; ///< OpenSession: the session of the host's earlier run,
+                      ///< which it has ended.
   std::optional<CatalogueItem>
       m_Winner; ///< CatalogueConflict: the entry that stands, if it exists.
   std::optional<LedgerRecord>
--- a/ragwortmux/Version/ControlState.cpp
+++ b/ragwortmux/Version/ControlState.cpp
@@ -39,7 +39,10 @@
 }
 
 ControlResult ControlState::applyOne(const OpenSession &Command) {
-  return m_Sessions.open(Command);
+  const ControlResult Result = m_Sessions.open(Command);
+  if (Result.m_EndedSession)
+    m_Shares.endSession(*Result.m_EndedSession);
+  return Result;
 }
 
 ControlResult ControlState::applyOne(const EndSession &Command) {
--- a/ragwortmux/Version/SessionRecord.h
+++ b/ragwortmux/Version/SessionRecord.h
@@ -8,7 +8,7 @@
 
 namespace ragwortmux {
 
-/// One run of a process; chosen at random when the process starts.
+/// One run of a process; a later run of the same host has a higher one.
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
 
 /// An open control session of one entry process.
--- a/ragwortmux/Version/SessionTable.cpp
+++ b/ragwortmux/Version/SessionTable.cpp
@@ -11,12 +11,20 @@
                                   "host, domain or address is empty");
   ControlResult Result;
   for (const auto &[Id, Session] : m_Sessions) {
-    if (Session.m_Host != Command.m_Host ||
-        Session.m_Incarnation != Command.m_Incarnation)
+    if (Session.m_Host != Command.m_Host)
       continue;
-    Result.m_Session = Id;
-    return Result;
+    if (Session.m_Incarnation > Command.m_Incarnation)
+      return ControlResult::refused(ResultCode::BadArgument,
+                                    "a later run of the host has a session");
+    if (Session.m_Incarnation == Command.m_Incarnation) {
+      Result.m_Session = Id;
+      return Result;
+    }
+    // The earlier run is over: it will acknowledge nothing more.
+    Result.m_EndedSession = Id;
   }
+  if (Result.m_EndedSession)
+    m_Sessions.erase(*Result.m_EndedSession);
   m_Last = ControlSessionId(m_Last.value() + 1);
   m_Sessions[m_Last] = {.m_Session = m_Last,
                         .m_Host = Command.m_Host,
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -329,6 +329,29 @@
   BOOST_TEST((runUntil([&] { return isLedBy(S3); }) < 2s));
 }
 
+// Load pattern: all entry hosts restart at once. Their connections must not
+// stay with the sessions of their earlier runs until those leases end.
+
+BOOST_FIXTURE_TEST_CASE(ARestartedHostTakesItsEarlierRunsPlace, Fixture) {
+  const std::uint32_t Before =
+      m_State.shares().share(TheGroup, S1, ControlSessionId(1));
+  BOOST_TEST(Before > 0U);
+  const auto Open = [&](std::uint64_t Run) {
+    const OpenSession Command{HostId("h1"), Incarnation(Run),
+                              FailureDomainId("z"), "10.0.0.1", 1};
+    const ControlResult Result = m_State.apply(Command);
+    m_Leader.applied(Command, Result, m_Now);
+    return Result;
+  };
+  BOOST_TEST((Open(2).m_EndedSession == ControlSessionId(1)));
+  BOOST_TEST(m_State.sessions().find(ControlSessionId(1)) == nullptr);
+  BOOST_TEST(m_State.shares().share(TheGroup, S1, ControlSessionId(1)) == 0U);
+  // A call of the earlier run that comes late ends nothing.
+  BOOST_TEST(!Open(1).ok());
+  run(600ms);
+  BOOST_TEST(m_State.shares().share(TheGroup, S1, ControlSessionId(3)) > 0U);
+}
+
 // Whole catalogues.
 
 BOOST_AUTO_TEST_CASE(TheHighestVersionOfTheCatalogueIsInForce) {
