--- a/ragwortmux/Process/SessionEntryRole.cpp
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -25,6 +25,9 @@
 constexpr int PercentBase = 100;
 /// A host without a lease for so long sends new and idle callers elsewhere.
 constexpr Duration CutOffAfter = std::chrono::milliseconds(300);
+/// A host whose lease has less than this part left, in percent, has missed a
+/// renewal or two and asks the platform for no new callers.
+constexpr int ReadyLeasePercent = 20;
 /// How often that is looked at.
 constexpr Duration LeaseCheckInterval = std::chrono::milliseconds(250);
 
@@ -73,7 +76,8 @@
 
 bool SessionEntryRole::isReady() const {
   return !m_Draining && hasCatalogue() &&
-         monotonicNow() < m_LeaseUntil + CutOffAfter;
+         monotonicNow() + m_Settings.m_Lease * ReadyLeasePercent / PercentBase <
+             m_LeaseUntil;
 }
 
 void SessionEntryRole::watchLease() {
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -53,6 +53,8 @@
   Duration m_ElectionTimeout{0};    ///< Silence before an election.
   Duration m_AnnouncementSilence{
       0}; ///< Silence before a server counts as lost.
+  std::uint32_t m_ConnectionShareMax =
+      0; ///< Connections of one host to one server at most; 0: no bound.
   Duration m_ServerSilence{
       0}; ///< Silence of a server before it gets no new requests.
   std::uint32_t m_MaxCallers = 0;            ///< Caller connections at once.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -271,6 +271,11 @@
           "announcement_silence_ms", "300", 200, 60000,
           &ProcessSettings::m_AnnouncementSilence,
           "Silence of a backend server before it counts as lost in ms."),
+      numberSetting("connection_share_max", "0", 0, 100000,
+                    &ProcessSettings::m_ConnectionShareMax,
+                    "Connections of one entry host to one backend server at "
+                    "most, so that hosts that start later find some left at "
+                    "once; 0: no bound."),
       numberSetting<milliseconds>(
           "server_silence_ms", "1000", 200, 60000,
           &ProcessSettings::m_ServerSilence,
--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -78,7 +78,12 @@
       2); ///< A follower that does not advance is told to follow again.
   Duration m_RebalanceEvery =
       std::chrono::milliseconds(500); ///< Shares are moved at most this often.
-  std::uint32_t m_ShareFloor = 2;     ///< Each proxy's least share per server.
+  Duration m_RebalanceStarved = std::chrono::milliseconds(
+      30); ///< The same while a proxy has less than the least share.
+  std::uint32_t m_ShareCeiling =
+      0; ///< Each proxy's largest share per server, so that proxies that start
+         ///< later find some left at once; 0: none.
+  std::uint32_t m_ShareFloor = 2; ///< Each proxy's least share per server.
   Duration m_HomesStable = std::chrono::seconds(
       2); ///< The open sessions must not change so long before homes do.
   Duration m_AdvanceTimeEvery =
--- a/ragwortmux/Version/ShareBalancer.cpp
+++ b/ragwortmux/Version/ShareBalancer.cpp
@@ -47,8 +47,8 @@
   const ControlLeaderSettings &Settings = m_Context.settings();
   const Place Where{Group.m_Group, Server.m_Server};
   const auto Balanced = m_BalancedAt.find(Where);
-  if (Balanced != m_BalancedAt.end() &&
-      Now - Balanced->second < Settings.m_RebalanceEvery)
+  const bool IsFirst = Balanced == m_BalancedAt.end();
+  if (!IsFirst && Now - Balanced->second < Settings.m_RebalanceStarved)
     return;
   const std::uint32_t Budget =
       m_Context.state().shares().budget(Server.m_ConnectionLimit);
@@ -58,13 +58,20 @@
   const auto Count = static_cast<std::uint32_t>(Parts.size());
   const std::uint32_t Floor = std::min(Settings.m_ShareFloor, Budget / Count);
   std::uint32_t Held = 0;
-  for (const Part &Each : Parts)
+  bool IsStarved = false;
+  for (const Part &Each : Parts) {
     Held += Each.m_Held;
+    IsStarved = IsStarved || Each.m_Share < Floor;
+  }
+  // A host that cannot serve at all does not wait for the next round.
+  if (!IsFirst && !IsStarved &&
+      Now - Balanced->second < Settings.m_RebalanceEvery)
+    return;
   const std::uint32_t Free = Budget - std::min(Budget, Held);
   if (!isNeeded(Parts, Floor, Free))
     return;
 
-  fillTargets(Parts, Floor, Budget);
+  fillTargets(Parts, Floor, Budget, ceiling());
   SetShares Command{Group.m_Group, Server.m_Server, {}};
   std::uint32_t Left = Free;
   for (const Part &Each : Parts) {
@@ -103,6 +110,7 @@
       const auto Wanted = Known->second.find(Where);
       Each.m_Demand = Wanted == Known->second.end() ? 0 : Wanted->second;
     }
+    Each.m_Demand = std::min(Each.m_Demand, ceiling());
     List.push_back(Each);
   }
   return List;
@@ -128,8 +136,13 @@
   return Least->m_Share < Least->m_Demand && Least->m_Share + 1 < Most->m_Share;
 }
 
+std::uint32_t ShareBalancer::ceiling() const {
+  const std::uint32_t Most = m_Context.settings().m_ShareCeiling;
+  return Most == 0 ? UINT32_MAX : Most;
+}
+
 void ShareBalancer::fillTargets(std::vector<Part> &Parts, std::uint32_t Floor,
-                                std::uint32_t Budget) {
+                                std::uint32_t Budget, std::uint32_t Ceiling) {
   std::uint32_t Left = Budget;
   for (Part &Each : Parts) {
     Each.m_Target = Floor;
@@ -141,7 +154,8 @@
     while (Left > 0 && Given) {
       Given = false;
       for (Part &Each : Parts) {
-        if (Left == 0 || (OnlyWanted && Each.m_Target >= Each.m_Demand))
+        if (Left == 0 || Each.m_Target >= Ceiling ||
+            (OnlyWanted && Each.m_Target >= Each.m_Demand))
           continue;
         ++Each.m_Target;
         --Left;
--- a/ragwortmux/Version/ShareBalancer.h
+++ b/ragwortmux/Version/ShareBalancer.h
@@ -50,7 +50,9 @@
   static bool isNeeded(const std::vector<Part> &Parts, std::uint32_t Floor,
                        std::uint32_t Free);
   static void fillTargets(std::vector<Part> &Parts, std::uint32_t Floor,
-                          std::uint32_t Budget);
+                          std::uint32_t Budget, std::uint32_t Ceiling);
+  /// The largest share.
+  std::uint32_t ceiling() const;
 
   LeaderContext &m_Context;       ///< Shared.
   const UpdateTracker &m_Updates; ///< What sessions have confirmed.
