One order to lead at a time; a full primary is not a failed one

While an order waited for its answer a second one went out to a server that had become the better choice; whichever took effect last led unknown to control, and writes at the appointed one were acknowledged (ONE). After a power loss a primary had no free connection for control's call (the lost hosts' ones linger 3 s) and counted as failed, which made such changes frequent. Ruled out: lost log entries and leases that outlive a term's end; in the log the term ended and was confirmed in order. Change: one order is out until it is accepted, refused or 1 s old; the next waits until the last can no longer arrive; a refusal by the server itself is a sign of life; one proxy's complaint alone replaces nobody where there are more.

--- a/ragwortmux/Version/ControlEvents.h
+++ b/ragwortmux/Version/ControlEvents.h
@@ -80,6 +80,7 @@
   std::uint64_t m_Call = 0; ///< CallBackend::m_Call.
   bool m_Ok = false;        ///< True if the answer row came.
   bool m_Refused = false;   ///< Promote: this server cannot be promoted.
+  bool m_IsAlive = false;   ///< Not m_Ok, but the server itself said no.
   LogPoint m_Point;         ///< The row's term and position.
   BackendRole m_Role =
       BackendRole::Replica; ///< Position calls: the row's role.
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -43,19 +43,21 @@
       Known.m_FailedAt.erase(Call.m_Server);
       Known.m_Stated[Call.m_Server] = {Result.m_Point, Result.m_Role,
                                        Call.m_Number, Now};
-    } else {
+    } else if (!Result.m_IsAlive) {
       Known.m_FailedAt[Call.m_Server] = Now;
     }
     return;
   }
-  if (Call.m_Kind != BackendCallKind::Promote)
+  if (Call.m_Kind != BackendCallKind::Promote ||
+      Known.m_Ordered != Call.m_Server)
     return;
-  if (Result.m_Ok) {
-    Known.m_Promoted = Call.m_Server;
-    Known.m_PromotedAt = Now;
-  } else if (Result.m_Refused) {
+  if (Result.m_Ok && !Known.m_IsAccepted) {
+    Known.m_IsAccepted = true;
+    Known.m_AcceptedAt = Now;
+  } else if (Result.m_Refused && !Known.m_IsAccepted) {
     Known.m_RefusedUntil[Call.m_Server] =
         Now + m_Context.settings().m_PromotionRefused;
+    Known.m_Ordered.reset();
   }
 }
 
@@ -139,7 +141,9 @@
   const auto Failed = Known.m_FailedAt.find(Primary.m_Server);
   const bool ProbeFailed = Failed != Known.m_FailedAt.end() &&
                            Now - Failed->second <= Settings.m_EvidenceWindow;
-  if (ProbeFailed && Complaints.m_Unreachable > 0)
+  // One proxy's word counts only where there are no more.
+  if (ProbeFailed &&
+      Complaints.m_Unreachable >= std::min<std::size_t>(2, Sessions))
     return "cannot be reached";
   if (ProbeFailed && Silent)
     return "is silent";
@@ -166,7 +170,7 @@
 
 void DelegatedPrimaryChange::chooseNext(const GroupRecord &Group, Instant Now) {
   Progress &Known = progress(Group);
-  if (Known.m_Promoted) {
+  if (Known.m_Ordered) {
     awaitPromotion(Group, Known, Now);
     return;
   }
@@ -187,35 +191,55 @@
   const auto NotBefore = m_NotBefore.find(Group.m_Group);
   if (NotBefore != m_NotBefore.end() && Now < NotBefore->second)
     return;
-  if (!areAnswersIn(Group, Known, Now))
+  if (Now >= Known.m_NextOrderAt && areAnswersIn(Group, Known, Now))
+    promoteBest(Group, Known, Now);
+}
+
+void DelegatedPrimaryChange::promoteBest(const GroupRecord &Group,
+                                         Progress &Known, Instant Now) {
+  const ServerRecord *Choice = best(Group, Known, Now);
+  if (Choice == nullptr)
     return;
-  if (const ServerRecord *Choice = best(Group, Known, Now))
-    m_Calls.start(BackendCallKind::Promote, Group.m_Group, *Choice,
-                  Group.m_Term, Now);
+  Known.m_Ordered = Choice->m_Server;
+  Known.m_OrderedAt = Now;
+  Known.m_IsAccepted = false;
+  m_Calls.start(BackendCallKind::Promote, Group.m_Group, *Choice, Group.m_Term,
+                Now);
 }
 
 void DelegatedPrimaryChange::awaitPromotion(const GroupRecord &Group,
                                             Progress &Known, Instant Now) {
-  const ServerId Promoted = *Known.m_Promoted;
-  const auto Server = Group.m_Servers.find(Promoted);
-  const ControlLeaderSettings &Settings = m_Context.settings();
+  const auto Server = Group.m_Servers.find(*Known.m_Ordered);
   if (Server == Group.m_Servers.end() ||
-      Now - Known.m_PromotedAt >= Settings.m_PromoteTimeout) {
-    Known.m_RefusedUntil[Promoted] = Now + Settings.m_PromotionRefused;
-    Known.m_Promoted.reset();
+      Now - (Known.m_IsAccepted ? Known.m_AcceptedAt : Known.m_OrderedAt) >=
+          m_Context.settings().m_PromoteTimeout) {
+    giveUpOrder(Known, Now);
     return;
   }
-  const auto Answer = Known.m_Stated.find(Promoted);
+  // An order without a clear answer is given again, to the same server.
+  if (!Known.m_IsAccepted)
+    m_Calls.start(BackendCallKind::Promote, Group.m_Group, Server->second,
+                  Group.m_Term, Now);
+  const auto Answer = Known.m_Stated.find(*Known.m_Ordered);
   if (Answer != Known.m_Stated.end() &&
-      Answer->second.m_At >= Known.m_PromotedAt &&
+      Answer->second.m_At >= Known.m_OrderedAt &&
       Answer->second.m_Role == BackendRole::Primary) {
-    m_Context.propose(AppointPrimary{Group.m_Group, Group.m_Term, Promoted, {}},
-                      Now);
+    m_Context.propose(
+        AppointPrimary{Group.m_Group, Group.m_Term, *Known.m_Ordered, {}}, Now);
     return;
   }
   ask(Group, Server->second, Known, Now);
 }
 
+void DelegatedPrimaryChange::giveUpOrder(Progress &Known, Instant Now) const {
+  // The order may still arrive, and must not do so after the next one.
+  Known.m_RefusedUntil[*Known.m_Ordered] =
+      Now + m_Context.settings().m_PromotionInFlight +
+      m_Context.settings().m_PromotionRefused;
+  Known.m_NextOrderAt = Now + m_Context.settings().m_PromotionInFlight;
+  Known.m_Ordered.reset();
+}
+
 bool DelegatedPrimaryChange::areAnswersIn(const GroupRecord &Group,
                                           const Progress &Known,
                                           Instant Now) const {
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -59,8 +59,12 @@
     std::optional<Instant> m_EndedAt;           ///< End of the term proposed.
     std::optional<Instant> m_ConfirmedAt; ///< All sessions had confirmed it.
     std::uint64_t m_CallsBefore = 0;      ///< Calls made before that.
-    std::optional<ServerId> m_Promoted;   ///< Took the order to lead.
-    Instant m_PromotedAt{};               ///< When.
+    std::optional<ServerId> m_Ordered;    ///< Was ordered to lead; no other one
+                                          ///< is until that has come to an end.
+    Instant m_OrderedAt{};                ///< When.
+    bool m_IsAccepted = false;            ///< The order was accepted.
+    Instant m_AcceptedAt{};               ///< When.
+    Instant m_NextOrderAt{};              ///< No order to another before this.
   };
 
   Progress &progress(const GroupRecord &Group);
@@ -70,7 +74,9 @@
                          Instant Now);
   bool hasCandidate(const GroupRecord &Group, Instant Now) const;
   void chooseNext(const GroupRecord &Group, Instant Now);
+  void promoteBest(const GroupRecord &Group, Progress &Known, Instant Now);
   void awaitPromotion(const GroupRecord &Group, Progress &Known, Instant Now);
+  void giveUpOrder(Progress &Known, Instant Now) const;
   bool areAnswersIn(const GroupRecord &Group, const Progress &Known,
                     Instant Now) const;
   const ServerRecord *best(const GroupRecord &Group, const Progress &Known,
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -25,6 +25,7 @@
   bool m_Answers = true;                       ///< Control's calls arrive.
   bool m_Announces = true;                     ///< Its announcements arrive.
   bool m_Leaving = false;                      ///< Announces so.
+  bool m_IsFull = false;                       ///< Refuses calls itself.
   bool m_RefusesToLead = false;                ///< Promotions are refused.
   Duration m_PromotionTime = 300ms;            ///< From an order to the lead.
   BackendRole m_Role = BackendRole::Replica;   ///< Its role.
@@ -168,6 +169,10 @@
     Result.m_Ok = Server.m_Answers;
     Result.m_Role = Server.m_Role;
     Result.m_Point = Server.m_Point;
+    if (Call.m_Kind == BackendCallKind::Position && Server.m_IsFull) {
+      Result.m_Ok = false;
+      Result.m_IsAlive = true;
+    }
     if (Call.m_Kind == BackendCallKind::Promote) {
       m_Promoted.push_back(Call.m_Server);
       Result.m_Refused = Server.m_RefusesToLead;
@@ -175,6 +180,8 @@
       if (Result.m_Ok && Server.m_Role != BackendRole::Primary &&
           !Server.m_LeadsAt)
         Server.m_LeadsAt = m_Now + Server.m_PromotionTime;
+      if (m_LosesPromotionAnswers)
+        return;
     }
     m_Leader.backendCallCompleted(Result, m_Now);
   }
@@ -191,6 +198,7 @@
   std::map<ServerId, OwnServer> m_Servers;
   std::vector<ServerId> m_Promoted;
   bool m_Confirms = true;
+  bool m_LosesPromotionAnswers = false;
   std::uint64_t m_Steps = 0;
   std::uint64_t m_Sequence = 0;
 };
@@ -268,6 +276,40 @@
   BOOST_TEST((runUntil([&] { return isLedBy(S3); }) < 2s));
 }
 
+// Found on the bench: a second order while the first waited for its answer made
+// a server lead that nobody was told of.
+BOOST_AUTO_TEST_CASE(OnlyOneServerIsOrderedToLeadAtATime) {
+  m_LosesPromotionAnswers = true;
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  report(ControlSessionId(2), SuspicionKind::Refused);
+  runUntil([&] { return !m_Promoted.empty(); });
+  const ServerId First = m_Promoted.front();
+  const ServerId Other = First == S2 ? S3 : S2;
+  m_Servers[Other].m_Point.m_Position = LogPosition(500);
+  m_Servers[First].m_PromotionTime = 10s;
+  m_Servers[First].m_LeadsAt.reset();
+  run(900ms);
+  for (const ServerId &Server : m_Promoted)
+    BOOST_TEST((Server == First));
+  // It is given up in the end, but not before its order can have been lost.
+  const Duration Waited = runUntil([&] { return m_Promoted.back() == Other; });
+  BOOST_TEST((Waited >= 1s));
+  BOOST_TEST((Waited < 5s));
+}
+
+// Found on the bench: after a power loss a primary had no connection left for
+// control's call, and was replaced.
+BOOST_AUTO_TEST_CASE(AFullPrimaryIsNoFailedOne) {
+  m_Servers[S1].m_IsFull = true;
+  for (int Round = 0; Round < 5; ++Round) {
+    report(ControlSessionId(1), SuspicionKind::Refused);
+    run(100ms);
+  }
+  BOOST_TEST(isLedBy(S1));
+}
+
 BOOST_AUTO_TEST_CASE(ANewLeaderWaitsForPromotionsOfTheFormerOne) {
   apply(EndTerm{TheGroup, Term(2)});
   m_Leader.lostLeadership(m_Now);
