--- a/ragwortmux/Main/Main.cpp
+++ b/ragwortmux/Main/Main.cpp
@@ -39,7 +39,8 @@
   if (!Settings) {
     return failWith(Faults);
   }
-  startLog({Settings->m_LogLevel, Settings->m_LogFormat, nullptr});
+  startLog({Settings->m_LogLevel, Settings->m_LogFormat, nullptr,
+            Settings->m_LogDescriptor, Settings->m_LogLinesPerSecond});
   return Daemon(std::move(*Settings), platform::makePlatformAdapter).run();
 }
 
--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -141,6 +141,11 @@
     m_Http = std::make_unique<HttpEndpoint>(
         m_Loop,
         [this](const HttpRequest &) -> kj::Promise<HttpReply> {
+          m_Metrics.set(Metric::LogLinesLeftOut, {},
+                        static_cast<double>(logLinesLeftOut()));
+          if (m_Sessions) {
+            m_Sessions->fillMetrics();
+          }
           return HttpReply{200, "text/plain; version=0.0.4",
                            m_Metrics.renderPrometheus()};
         },
--- a/ragwortmux/Process/SessionEntryRole.cpp
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -8,6 +8,8 @@
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/SystemClock.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace ragwortmux {
@@ -289,15 +291,46 @@
   if (IsOrdinary) {
     return;
   }
-  logInfo(Part::Group,
-          "Statement {} of {} {}: {} {} server={} group={} term={} "
-          "revision={} lease_ms={} floor_age_ms={} waited_ms={} tries={}.",
-          Note.m_Statement.value(), Note.m_Entry.value(),
-          decisionName(Note.m_Decision), static_cast<unsigned>(Note.m_Code),
-          resultCodeInfo(Note.m_Code).m_Name, Note.m_Server.value(),
-          Group.value(), Note.m_Term.value(), Note.m_View.value(),
-          toMs(Note.m_LeaseLeft), Note.m_FloorAge ? toMs(*Note.m_FloorAge) : -1,
-          toMs(Note.m_Waited), Note.m_Tries);
+  const std::array Fields = {
+      LogField{"id", Note.m_Statement.value()},
+      LogField{"decision", std::string(decisionName(Note.m_Decision))},
+      LogField{"code", static_cast<std::int64_t>(Note.m_Code)},
+      LogField{"result", std::string(resultCodeInfo(Note.m_Code).m_Name)},
+      LogField{"entry", Note.m_Entry.value()},
+      LogField{"group", Group.value()},
+      LogField{"server", Note.m_Server.value()},
+      LogField{"term", static_cast<std::int64_t>(Note.m_Term.value())},
+      LogField{"revision", static_cast<std::int64_t>(Note.m_View.value())},
+      LogField{"catalogue",
+               static_cast<std::int64_t>(m_Catalogue.revision().value())},
+      LogField{"lease_left_ms", toMs(Note.m_LeaseLeft)},
+      LogField{"floor_age_ms", Note.m_FloorAge ? toMs(*Note.m_FloorAge) : -1},
+      LogField{"waited_ms", toMs(Note.m_Waited)},
+      LogField{"tries", static_cast<std::int64_t>(Note.m_Tries)}};
+  logRecord(LogLevel::Info, Part::Group, "A statement was decided on.", Fields);
+}
+
+void SessionEntryRole::fillMetrics() {
+  m_Metrics.set(Metric::Callers, {},
+                static_cast<double>(m_Hooks.m_CountCallers()));
+  m_Metrics.set(Metric::Draining, {}, m_Draining ? 1 : 0);
+  const Duration Left = std::max(Duration(0), m_LeaseUntil - monotonicNow());
+  m_Metrics.set(Metric::LeaseSeconds, {},
+                std::chrono::duration<double>(Left).count());
+  for (const auto &[Group, Driver] : m_Groups) {
+    const SessionCore &Core = Driver->core();
+    const std::string &Name = Group.value();
+    m_Metrics.set(Metric::RequestsQueued, {Name},
+                  static_cast<double>(Core.waiting()));
+    m_Metrics.set(Metric::RequestsInFlight, {Name},
+                  static_cast<double>(Core.pending() - Core.waiting()));
+    m_Metrics.set(Metric::GroupTerm, {Name},
+                  static_cast<double>(Core.view().m_Term.value()));
+    for (const ServerView &Server : Core.view().m_Servers) {
+      m_Metrics.set(Metric::BackendConnections, {Name, Server.m_Server.value()},
+                    static_cast<double>(Core.held(Server.m_Server)));
+    }
+  }
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/SessionEntryRole.h
+++ b/ragwortmux/Process/SessionEntryRole.h
@@ -52,6 +52,8 @@
     m_Control->addPeers(Peers);
   }
 
+  /// Brings the gauges of this role up to date.
+  void fillMetrics();
   /// False while this process shuts down.
   bool takesCallers() const { return !m_Draining; }
   /// True once a catalogue that control confirmed is known.
--- /dev/null
+++ b/ragwortmux/Process/Support/BoundedOutput.cpp
@@ -0,0 +1,74 @@
+#include "ragwortmux/Process/Support/BoundedOutput.h"
+
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <climits>
+#include <string>
+#include <utility>
+
+namespace ragwortmux {
+
+namespace {
+
+/// A pipe that can be written to takes so many bytes without waiting.
+constexpr std::size_t MaxLineBytes = PIPE_BUF;
+
+} // namespace
+
+BoundedOutput::BoundedOutput(BoundedOutputSettings Settings)
+    : m_Settings(std::move(Settings)) {}
+
+void BoundedOutput::write(std::string_view Line) {
+  if (!isWithinLimit() || !hasRoom()) {
+    ++m_LeftOut;
+    return;
+  }
+  if (m_Told < m_LeftOut) {
+    tellLeftOut();
+    if (!hasRoom()) {
+      ++m_LeftOut;
+      return;
+    }
+  }
+  if (Line.size() <= MaxLineBytes) {
+    writeWhole(Line);
+    return;
+  }
+  std::string Cut(Line.substr(0, MaxLineBytes - 1));
+  Cut += '\n';
+  writeWhole(Cut);
+}
+
+bool BoundedOutput::isWithinLimit() {
+  if (m_Settings.m_LinesPerSecond == 0)
+    return true;
+  const Instant Now = m_Settings.m_Now();
+  if (Now - m_SecondStarted >= std::chrono::seconds(1)) {
+    m_SecondStarted = Now;
+    m_InSecond = 0;
+  }
+  return ++m_InSecond <= m_Settings.m_LinesPerSecond;
+}
+
+bool BoundedOutput::hasRoom() const {
+  pollfd Descriptor{m_Settings.m_Descriptor, POLLOUT, 0};
+  return poll(&Descriptor, 1, 0) == 1 && (Descriptor.revents & POLLOUT) != 0;
+}
+
+void BoundedOutput::tellLeftOut() {
+  m_Told = m_LeftOut;
+  writeWhole(fmt::format("{{\"level\":\"warn\",\"part\":\"process\",\"text\":"
+                         "\"Lines were left out of this log.\","
+                         "\"left_out\":{}}}\n",
+                         m_LeftOut));
+}
+
+void BoundedOutput::writeWhole(std::string_view Line) const {
+  // A log line is not worth more than one try.
+  [[maybe_unused]] const ssize_t Written =
+      ::write(m_Settings.m_Descriptor, Line.data(), Line.size());
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Process/Support/Log.cpp
+++ b/ragwortmux/Process/Support/Log.cpp
@@ -1,10 +1,11 @@
 #include "ragwortmux/Process/Support/Log.h"
 
+#include "ragwortmux/Process/Support/BoundedOutput.h"
 #include "ragwortmux/Process/Support/JsonFields.h"
 
 #include <boost/json.hpp>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/ostream_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <array>
@@ -23,6 +24,37 @@
 constexpr std::array<std::string_view, 5> LevelNames = {
     "trace", "debug", "info", "warn", "error"};
 
+Instant steadyNow() {
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Lines left out by all sinks of this process.
+std::atomic<std::uint64_t> &leftOutCount() {
+  static std::atomic<std::uint64_t> Count = 0;
+  return Count;
+}
+
+/// Hands formatted lines to a BoundedOutput.
+class BoundedSink final : public spdlog::sinks::base_sink<std::mutex> {
+public:
+  BoundedSink(int Descriptor, std::uint32_t LinesPerSecond)
+      : m_Output({Descriptor, LinesPerSecond, steadyNow}) {}
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override {
+    spdlog::memory_buf_t Line;
+    formatter_->format(Message, Line);
+    const std::uint64_t Before = m_Output.leftOut();
+    m_Output.write({Line.data(), Line.size()});
+    leftOutCount() += m_Output.leftOut() - Before;
+  }
+  void flush_() override {}
+
+private:
+  BoundedOutput m_Output; ///< Where lines go.
+};
+
 /// The logger of the process and the form of its lines.
 struct LogState final {
   std::shared_ptr<spdlog::logger> m_Logger; ///< Never null once made.
@@ -39,7 +71,8 @@
 std::shared_ptr<const LogState> makeState(const LogSettings &Settings) {
   spdlog::sink_ptr Sink;
   if (Settings.m_Output == nullptr)
-    Sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    Sink = std::make_shared<BoundedSink>(Settings.m_Descriptor,
+                                         Settings.m_LinesPerSecond);
   else
     Sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(*Settings.m_Output);
 
@@ -78,7 +111,8 @@
   }
 }
 
-std::string jsonLine(LogLevel Level, Part From, const std::string &Sentence) {
+std::string jsonLine(LogLevel Level, Part From, const std::string &Sentence,
+                     std::span<const LogField> Fields) {
   const auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   boost::json::object Line;
@@ -86,6 +120,12 @@
   Line["level"] = LevelNames.at(static_cast<std::size_t>(Level));
   Line["part"] = partPrefix(From);
   Line["text"] = toJsonText(Sentence);
+  for (const LogField &Field : Fields) {
+    if (const auto *Number = std::get_if<std::int64_t>(&Field.m_Value))
+      Line[Field.m_Name] = *Number;
+    else
+      Line[Field.m_Name] = toJsonText(std::get<std::string>(Field.m_Value));
+  }
   return boost::json::serialize(Line);
 }
 
@@ -101,24 +141,47 @@
   stateSlot() = std::move(State);
 }
 
+std::uint64_t logLinesLeftOut() { return leftOutCount(); }
+
+/// Writes one line in the form of \p State.
+static void writeLine(const LogState &State, LogLevel Level, Part From,
+                      std::string Sentence, std::span<const LogField> Fields) {
+  if (State.m_Format == LogFormat::Json) {
+    State.m_Logger->log(
+        spdlogLevel(Level),
+        spdlog::string_view_t(jsonLine(Level, From, Sentence, Fields)));
+    return;
+  }
+  for (const LogField &Field : Fields) {
+    const std::string Value =
+        std::visit([](const auto &Each) { return fmt::format("{}", Each); },
+                   Field.m_Value);
+    Sentence += fmt::format(" {}={}", Field.m_Name, Value);
+  }
+  keepToOneLine(Sentence);
+  State.m_Logger->log(spdlogLevel(Level), "{} {}: {}",
+                      LevelNames.at(static_cast<std::size_t>(Level)),
+                      partPrefix(From), Sentence);
+}
+
 void writeLog(LogLevel Level, Part From, fmt::string_view Format,
               fmt::format_args Arguments) noexcept {
   // A log line is not worth a failed request, so every exception of fmt and
   // spdlog ends here.
   try {
     const std::shared_ptr<const LogState> State = currentState();
-    if (!State->m_Logger->should_log(spdlogLevel(Level)))
-      return;
-    std::string Sentence = fmt::vformat(Format, Arguments);
-    if (State->m_Format == LogFormat::Json) {
-      State->m_Logger->log(spdlogLevel(Level), spdlog::string_view_t(jsonLine(
-                                                   Level, From, Sentence)));
-      return;
-    }
-    keepToOneLine(Sentence);
-    State->m_Logger->log(spdlogLevel(Level), "{} {}: {}",
-                         LevelNames.at(static_cast<std::size_t>(Level)),
-                         partPrefix(From), Sentence);
+    if (State->m_Logger->should_log(spdlogLevel(Level)))
+      writeLine(*State, Level, From, fmt::vformat(Format, Arguments), {});
+  } catch (...) { // NOLINT(bugprone-empty-catch): the line is lost on purpose
+  }
+}
+
+void logRecord(LogLevel Level, Part From, std::string_view Sentence,
+               std::span<const LogField> Fields) noexcept {
+  try {
+    const std::shared_ptr<const LogState> State = currentState();
+    if (State->m_Logger->should_log(spdlogLevel(Level)))
+      writeLine(*State, Level, From, std::string(Sentence), Fields);
   } catch (...) { // NOLINT(bugprone-empty-catch): the line is lost on purpose
   }
 }
--- a/ragwortmux/Process/Support/Log.h
+++ b/ragwortmux/Process/Support/Log.h
@@ -5,8 +5,11 @@
 
 #include <cstdint>
 #include <iosfwd>
+#include <span>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 
 /// \file
 /// The log of a process: short sentences with a fixed prefix for each part.
@@ -44,9 +47,27 @@
 struct LogSettings final {
   LogLevel m_Level = LogLevel::Info;    ///< Least level that is written.
   LogFormat m_Format = LogFormat::Text; ///< Form of the lines.
-  std::ostream *m_Output = nullptr;     ///< Null: standard error.
+  std::ostream *m_Output = nullptr;     ///< Null: a descriptor.
+  int m_Descriptor = 2; ///< Without m_Output; 1 and 2: standard output, error.
+  std::uint32_t m_LinesPerSecond = 0; ///< Lines to a descriptor a second at
+                                      ///< most; 0: no limit.
 };
 
+/// A named value of a log line, besides its sentence.
+struct LogField final {
+  std::string_view m_Name;                         ///< The name.
+  std::variant<std::int64_t, std::string> m_Value; ///< The value.
+};
+
+/// Lines of this process's log that were left out so far, because their reader
+/// had no room or the limit was reached.
+std::uint64_t logLinesLeftOut();
+
+/// Writes one line with \p Fields: in JSON as members, in text behind the
+/// sentence. Never throws.
+void logRecord(LogLevel Level, Part From, std::string_view Sentence,
+               std::span<const LogField> Fields) noexcept;
+
 /// Sets up the log of this process; may be called again. Until then lines go
 /// to standard error as text, from LogLevel::Info on.
 void startLog(const LogSettings &Settings);
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -161,6 +161,13 @@
                "0 or 1",
                "1 from the start of a graceful shutdown.",
                {}},
+    MetricInfo{Metric::LogLinesLeftOut,
+               "ragwortmux_log_lines_left_out",
+               MetricKind::Gauge,
+               "lines",
+               "Log lines left out since the start, because their reader had "
+               "no room or the limit was reached.",
+               {}},
 };
 
 } // namespace
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -35,6 +35,7 @@
   Elections,
   LogSyncSeconds,
   Draining,
+  LogLinesLeftOut,
 };
 
 /// How a metric behaves.
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -62,6 +62,8 @@
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
   LogLevel m_LogLevel = LogLevel::Info;    ///< Least level that is logged.
   LogFormat m_LogFormat = LogFormat::Text; ///< Form of the log lines.
+  int m_LogDescriptor = 2;                 ///< Where log lines go.
+  std::uint32_t m_LogLinesPerSecond = 0;   ///< Log lines at most; 0: no limit.
   std::string m_TimelineFolder;  ///< Folder of the time line; empty = off.
   Duration m_LedgerRetention{0}; ///< How long outcomes are kept.
   bool m_AllowSingleServerAck = false; ///< Acknowledge on one server alone.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -340,6 +340,15 @@
                     "Least level that is logged."),
       choiceSetting("log_format", "text", Formats,
                     &ProcessSettings::m_LogFormat, "Form of the log lines."),
+      choiceSetting(
+          "log_output", "stderr",
+          std::array<Choice<int>, 2>{{{"stderr", 2}, {"stdout", 1}}},
+          &ProcessSettings::m_LogDescriptor,
+          "Where log lines go. A reader without room costs lines, never time."),
+      numberSetting("log_lines_per_s", "0", 0, 1000000,
+                    &ProcessSettings::m_LogLinesPerSecond,
+                    "Log lines a second at most; those above are counted; 0: "
+                    "no limit."),
       textSetting("timeline_folder", "", &ProcessSettings::m_TimelineFolder,
                   true, "Folder of the time line files; empty = none."),
   };
--- /dev/null
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -0,0 +1,318 @@
+#include "Socket.h"
+#include "WireStandIn.h"
+
+#include "tests/StandIn/ChildProcess.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <memory>
+
+namespace ragwortmux::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Waits until \p Holds; false after 15 s.
+bool waitUntil(const std::function<bool()> &Holds) {
+  const auto End = std::chrono::steady_clock::now() + 15s;
+  while (std::chrono::steady_clock::now() < End) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(20ms);
+  }
+  return false;
+}
+
+/// A stand-in of the platform's call that replaces a primary.
+class PromotionStandIn final {
+public:
+  explicit PromotionStandIn(ServiceStandIn &Service)
+      : m_Service(Service), m_Listener(Socket::listen("127.0.0.1")),
+        m_Thread([this] { serve(); }) {}
+  ~PromotionStandIn() {
+    m_Up = false;
+    m_Listener->shutdown();
+    m_Thread.join();
+  }
+  PromotionStandIn(const PromotionStandIn &) = delete;
+  PromotionStandIn &operator=(const PromotionStandIn &) = delete;
+
+  std::uint16_t port() const { return m_Listener->port(); }
+  std::size_t calls() const { return m_Calls; }
+
+private:
+  void serve() {
+    while (m_Up) {
+      const auto Connection = m_Listener->accept();
+      if (Connection == nullptr)
+        return;
+      std::size_t Length = 0;
+      bool HasToken = false;
+      for (auto Line = Connection->readLine(); Line && !Line->empty();
+           Line = Connection->readLine()) {
+        if (Line->starts_with("Content-Length: "))
+          Length = std::stoul(Line->substr(16));
+        HasToken = HasToken || Line->starts_with("Ragwortmux-Fencing-Token: ");
+      }
+      const std::string Body = Connection->readBytes(Length);
+      const std::size_t At = Body.find("\"id\":\"") + 6;
+      const std::lock_guard Lock(m_Service.m_Mutex);
+      if (HasToken) {
+        m_Service.m_Primary = Body.substr(At, Body.find('"', At) - At);
+        ++m_Service.m_Term;
+        ++m_Calls;
+      }
+      Connection->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
+  ServiceStandIn &m_Service;
+  std::shared_ptr<Socket> m_Listener;
+  std::atomic<bool> m_Up = true;
+  std::atomic<std::size_t> m_Calls = 0;
+  std::thread m_Thread;
+};
+
+/// A caller's session.
+class Caller final {
+public:
+  Caller(std::uint16_t Port, const std::string &Database)
+      : m_Socket(Socket::connect("127.0.0.2", Port)) {
+    BOOST_REQUIRE(m_Socket != nullptr);
+    m_Socket->write("STARTUP " + Database + " u1\r\n");
+    m_Greeting = m_Socket->readLine().value_or("");
+  }
+
+  /// Sends a statement; its answer's lines, the READY line last.
+  std::vector<std::string> ask(const std::string &Text) {
+    m_Socket->write("QUERY q" + std::to_string(++m_Last) + " " + Text + "\r\n");
+    std::vector<std::string> Lines;
+    while (Lines.empty() || !Lines.back().starts_with("READY")) {
+      const auto Line = m_Socket->readLine();
+      if (!Line)
+        break;
+      Lines.push_back(*Line);
+    }
+    return Lines;
+  }
+  bool succeeds(const std::string &Text) {
+    const auto Lines = ask(Text);
+    return Lines.size() >= 2 && Lines[Lines.size() - 2].starts_with("COMPLETE");
+  }
+
+  std::shared_ptr<Socket> m_Socket;
+  std::string m_Greeting;
+  std::uint64_t m_Last = 0;
+};
+
+constexpr const char *Configuration =
+    R"({"version":%V,"routes":[)"
+    R"({"name":"r1","dbName":"booking","pathPrefix":"/","kind":"primary",)"
+    R"("timeoutMs":1000,"service":"svc","maxAttempts":2},)"
+    R"({"name":"r2","dbName":"own","pathPrefix":"/",)"
+    R"("kind":"read_your_writes","timeoutMs":1000,"service":"svc",)"
+    R"("maxAttempts":2,"maxStalenessMs":2500}],)"
+    R"("services":[{"name":"svc","maxConns":30,"syncReplicas":0}]})";
+
+std::string configuration(int Version) {
+  std::string Text = Configuration;
+  return Text.replace(Text.find("%V"), 2, std::to_string(Version));
+}
+
+/// One control and one entry process between stand-ins.
+struct Fixture {
+  Fixture() : m_Promotion(m_Service) {
+    m_Service.m_Primary = "i-1";
+    for (const char *Id : {"i-1", "i-2", "i-3"})
+      m_Servers.push_back(
+          std::make_unique<WireStandIn>(m_Service, "svc", Id, "127.0.0.3"));
+    m_Folder = std::filesystem::temp_directory_path() /
+               ("rwm-wire-" + std::to_string(m_RpcPort));
+    std::filesystem::create_directories(m_Folder);
+    m_Control = start("control", "127.0.0.1", 0, m_ControlPort);
+    m_Entry = start("entry", "127.0.0.2", m_CallerPort, m_ReadyPort);
+    m_Beats = std::thread([this] { beat(); });
+    BOOST_REQUIRE(waitUntil([&] { return replace(1) == 200; }));
+    BOOST_REQUIRE(waitUntil([&] {
+      return call("127.0.0.2", m_ReadyPort, "GET", "/ready", "") == 200;
+    }));
+  }
+
+  ~Fixture() {
+    m_Beating = false;
+    m_Beats.join();
+    m_Entry->kill();
+    m_Control->kill();
+    std::filesystem::remove_all(m_Folder);
+  }
+
+  std::unique_ptr<ChildProcess> start(const std::string &Role,
+                                      const std::string &Address,
+                                      std::uint16_t CallerPort,
+                                      std::uint16_t HttpPort) {
+    ChildProcessSettings Settings;
+    Settings.m_Program = RAGWORTMUX_BINARY_DIR "/bin/ragwortmux";
+    const auto Text = [](std::uint16_t Port) { return std::to_string(Port); };
+    Settings.m_Arguments = {"serve",
+                            "--protocol=platform",
+                            "--roles=" + Role,
+                            "--host=" + Role + "-1",
+                            "--failure_domain=z",
+                            "--address=" + Address,
+                            "--caller_port=" + Text(CallerPort),
+                            "--http_port=" + Text(HttpPort),
+                            "--rpc_port=" + Text(m_RpcPort),
+                            "--control_seeds=127.0.0.1:1",
+                            "--drain_timeout_s=4",
+                            "--server_silence_ms=1500",
+                            "--max_lifetime_s=120"};
+    if (Role == "control") {
+      Settings.m_Arguments.push_back("--control_voters=1");
+      Settings.m_Arguments.push_back("--bootstrap=true");
+      Settings.m_Arguments.push_back("--data_folder=" + m_Folder.string());
+      Settings.m_Arguments.push_back("--promotion_address=127.0.0.1:" +
+                                     Text(m_Promotion.port()));
+    }
+    Settings.m_Environment = {
+        {"RAGWORTMUX_CLUSTER_KEY", "cluster-key-of-the-wire-test"},
+        {"RAGWORTMUX_OPERATOR_TOKEN", "operator-token-of-the-test"}};
+    auto Process = std::make_unique<ChildProcess>(Settings);
+    BOOST_REQUIRE(Process->start());
+    return Process;
+  }
+
+  int replace(int Version, std::string Body = "") {
+    if (Body.empty())
+      Body = configuration(Version);
+    return call("127.0.0.1", m_ControlPort, "POST", "/config/replace", Body);
+  }
+
+  void beat() {
+    std::uint64_t Sequence = 0;
+    while (m_Beating) {
+      ++Sequence;
+      for (const auto &Server : m_Servers) {
+        if (!Server->isUp())
+          continue;
+        const bool Leads = [&] {
+          const std::lock_guard Lock(m_Service.m_Mutex);
+          return m_Service.m_Primary == Server->id();
+        }();
+        call("127.0.0.1", m_ControlPort, "POST",
+             "/instances/" + Server->id() + "/heartbeat",
+             R"({"service":"svc","address":")" + Server->address() +
+                 R"(","zone":"z","version":"v1","slots":5,"state":"ready",)"
+                 R"("coldRemainingMs":0,"dbRole":")" +
+                 (Leads ? "primary" : "replica") + R"(","sequence":)" +
+                 std::to_string(Sequence) + "}");
+      }
+      std::this_thread::sleep_for(200ms);
+    }
+  }
+
+  ServiceStandIn m_Service;
+  PromotionStandIn m_Promotion;
+  std::vector<std::unique_ptr<WireStandIn>> m_Servers;
+  std::uint16_t m_RpcPort = freePort("127.0.0.1");
+  std::uint16_t m_ControlPort = freePort("127.0.0.1");
+  std::uint16_t m_CallerPort = freePort("127.0.0.2");
+  std::uint16_t m_ReadyPort = freePort("127.0.0.2");
+  std::filesystem::path m_Folder;
+  std::unique_ptr<ChildProcess> m_Control;
+  std::unique_ptr<ChildProcess> m_Entry;
+  std::atomic<bool> m_Beating = true;
+  std::thread m_Beats;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WireEndToEndTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(SessionsTransactionsAndAChangeOfPrimary) {
+  Caller First(m_CallerPort, "booking");
+  BOOST_TEST(First.m_Greeting == "READY I -");
+  BOOST_REQUIRE(waitUntil([&] { return First.succeeds("WRITE a one"); }));
+  BOOST_TEST(First.ask("READ a").front() == "ROW one");
+
+  // Values and prepared statements of two sessions on shared connections.
+  Caller Second(m_CallerPort, "own");
+  BOOST_TEST(First.succeeds("SET tenant 7"));
+  BOOST_TEST(First.succeeds("PREPARE s1 READ shape"));
+  BOOST_TEST(Second.succeeds("PREPARE s1 WRITE shape"));
+  BOOST_TEST(Second.succeeds("EXECUTE s1 b two"));
+  BOOST_TEST(First.ask("EXECUTE s1 b").front() == "ROW two");
+  BOOST_TEST(Second.ask("READ b").front() == "ROW two");
+  BOOST_TEST(
+      Second.ask("EXECUTE nothing b").front().starts_with("ERROR NOSTMT"));
+  for (const auto &Server : m_Servers) {
+    for (const std::string &Run : Server->runs()) {
+      const bool IsFirsts = Run.find("EXECUTE") != std::string::npos &&
+                            Run.find("two") == std::string::npos;
+      BOOST_TEST((Run.find("tenant=7") != std::string::npos) == IsFirsts, Run);
+    }
+  }
+
+  // Transactions.
+  BOOST_TEST(First.ask("BEGIN").back().starts_with("READY T"));
+  BOOST_TEST(First.succeeds("WRITE c three"));
+  BOOST_TEST(Second.ask("READ c").front() == "ROW ");
+  BOOST_TEST(First.ask("COMMIT").back().starts_with("READY I"));
+  BOOST_TEST(First.ask("READ c").front() == "ROW three");
+  BOOST_TEST(First.succeeds("BEGIN"));
+  BOOST_TEST(First.succeeds("WRITE c four"));
+  BOOST_TEST(First.succeeds("ROLLBACK"));
+  BOOST_TEST(First.ask("READ c").front() == "ROW three");
+
+  // Input that is none.
+  BOOST_TEST(First.ask("NONSENSE").front().starts_with("ERROR MALFORMED"));
+  BOOST_TEST(
+      Caller(m_CallerPort, "nobody").m_Greeting.starts_with("ERROR NODB"));
+
+  // The primary fails, and another one takes over without anybody's order.
+  m_Servers[0]->crash();
+  BOOST_REQUIRE(waitUntil([&] { return First.succeeds("WRITE d five"); }));
+  BOOST_TEST(m_Promotion.calls() >= 1U);
+  BOOST_TEST(First.ask("READ d").front() == "ROW five");
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationsAreReplacedAndReadBackExactly) {
+  const auto Read = [&] {
+    std::string Body;
+    const int Status =
+        call("127.0.0.1", m_ControlPort, "GET", "/config/read", "", &Body);
+    return Status == 200 ? Body : "status " + std::to_string(Status);
+  };
+  BOOST_TEST(Read() == configuration(1));
+  BOOST_TEST(replace(5) == 200);
+  BOOST_TEST(replace(4) == 200); // overtaken: accepted, without effect
+  BOOST_TEST(replace(6, "{\"version\":6") == 400);
+  BOOST_TEST(Read() == configuration(5));
+  // A route that is gone holds for the next transaction.
+  std::string Without = configuration(9);
+  Without.replace(Without.find("\"booking\""), 9, "\"renamed\"");
+  Caller Open(m_CallerPort, "booking");
+  BOOST_TEST(replace(9, Without) == 200);
+  BOOST_TEST(waitUntil(
+      [&] { return Open.ask("READ a").front().starts_with("ERROR NODB"); }));
+}
+
+BOOST_AUTO_TEST_CASE(AGracefulStopEndsIdleCallersAndCutsNoStatement) {
+  Caller Idle(m_CallerPort, "booking");
+  Caller Busy(m_CallerPort, "booking");
+  BOOST_REQUIRE(waitUntil([&] { return Busy.succeeds("BEGIN"); }));
+  m_Entry->terminate();
+  BOOST_TEST(!Idle.m_Socket->readLine().has_value());
+  BOOST_TEST(call("127.0.0.2", m_ReadyPort, "GET", "/ready", "") == 503);
+  BOOST_TEST(Busy.succeeds("WRITE e six"));
+  BOOST_TEST(Busy.succeeds("COMMIT"));
+  BOOST_TEST(m_Entry->waitForExit(6s).has_value());
+  BOOST_TEST(m_Service.m_Data["e"] == "six");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux::platform
