--- a/ragwortmux/Main/Main.cpp
+++ b/ragwortmux/Main/Main.cpp
@@ -5,10 +5,12 @@
 #include "ragwortmux/Process/Support/CommandLine.h"
 #include "ragwortmux/Process/Support/Commands.h"
 #include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/LogExplainer.h"
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/Support/TimelineMerger.h"
 
 #include <cstdio>
+#include <fstream>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -68,6 +70,23 @@
   return AllRead ? 0 : 1;
 }
 
+int run(const ExplainCommand &Command) {
+  LogExplainer Explainer(Command.m_Id);
+  for (const auto &Path : Command.m_Paths) {
+    std::ifstream Lines(Path);
+    if (!Lines) {
+      std::cerr << "cannot read " << Path.string() << "\n";
+      return 1;
+    }
+    Explainer.add(Lines, Path.filename().string());
+  }
+  const auto Story = Explainer.story();
+  for (const std::string &Line : Story) {
+    std::cout << Line << "\n";
+  }
+  return Story.empty() ? 1 : 0;
+}
+
 int run(const SqlCommand &Command) { return runSql(Command); }
 
 /// Commands that call an entry host with the operator's token.
--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -161,6 +161,7 @@
   Node.m_Leader.m_Drift.m_Fixed = m_Settings.m_Drift;
   Node.m_Leader.m_SilenceFailed = m_Settings.m_AnnouncementSilence;
   Node.m_Leader.m_ShareCeiling = m_Settings.m_ConnectionShareMax;
+  Node.m_Leader.m_ShareReservePercent = m_Settings.m_ConnectionReservePercent;
   Node.m_Leader.m_SilenceUnannounced = m_Settings.m_ServerSilence;
   Node.m_State.m_Ledger.m_Retention =
       std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/ragwortmux/Process/Support/CommandLine.cpp
+++ b/ragwortmux/Process/Support/CommandLine.cpp
@@ -202,6 +202,18 @@
   return Parsed;
 }
 
+Command readExplain(ArgumentReader &Reader) {
+  ExplainCommand Parsed;
+  std::vector<std::string> Given = Reader.positionalList("ID FILE...");
+  if (!Given.empty()) {
+    Parsed.m_Id = Given.front();
+    Parsed.m_Paths.assign(Given.begin() + 1, Given.end());
+  }
+  if (Parsed.m_Paths.empty())
+    Reader.addFault("FILE", "(missing)", "an id and one log file or more");
+  return Parsed;
+}
+
 Command readSql(ArgumentReader &Reader) {
   constexpr std::array Names = {"ENTRY", "TEXT"};
   SqlCommand Parsed;
@@ -235,7 +247,7 @@
   Command (*m_Read)(ArgumentReader &Reader); ///< Null: takes settings.
 };
 
-constexpr std::array<CommandInfo, 11> Commands = {
+constexpr std::array<CommandInfo, 12> Commands = {
     {{"serve", "", "Runs an entry host, a control host or both.", {}, nullptr},
      {"check-settings",
       "",
@@ -256,6 +268,11 @@
       readAt<DrainCommand>},
      {"timeline", "DIR...", "Prints the merged time line of all processes.",
       TimelineFlags, readTimeline},
+     {"explain",
+      "ID FILE...",
+      "Prints a statement's story from the JSON logs of all processes.",
+      {},
+      readExplain},
      {"sql", "ENTRY TEXT", "Runs one SQL text as a caller.", SqlFlags,
       readSql}}};
 
--- a/ragwortmux/Process/Support/Commands.h
+++ b/ragwortmux/Process/Support/Commands.h
@@ -65,6 +65,12 @@
   TimelineFilter m_Filter;                    ///< Which events are wanted.
 };
 
+/// Prints a statement's story from logs.
+struct ExplainCommand final {
+  std::string m_Id;                           ///< The statement's id.
+  std::vector<std::filesystem::path> m_Paths; ///< Log files.
+};
+
 /// Runs one SQL text as a caller.
 struct SqlCommand final {
   SocketAddress m_At;               ///< Caller port of any entry host.
@@ -80,7 +86,7 @@
 using Command =
     std::variant<HelpCommand, VersionCommand, ServeCommand,
                  CheckSettingsCommand, CatalogueCommand, StatusCommand,
-                 DrainCommand, TimelineCommand, SqlCommand>;
+                 DrainCommand, TimelineCommand, ExplainCommand, SqlCommand>;
 
 } // namespace ragwortmux
 
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -55,6 +55,8 @@
       0}; ///< Silence before a server counts as lost.
   std::uint32_t m_ConnectionShareMax =
       0; ///< Connections of one host to one server at most; 0: no bound.
+  std::uint32_t m_ConnectionReservePercent =
+      0; ///< Part of the connections that is kept for hosts that start.
   Duration m_ServerSilence{
       0}; ///< Silence of a server before it gets no new requests.
   std::uint32_t m_MaxCallers = 0;            ///< Caller connections at once.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -271,6 +271,11 @@
           "announcement_silence_ms", "300", 200, 60000,
           &ProcessSettings::m_AnnouncementSilence,
           "Silence of a backend server before it counts as lost in ms."),
+      numberSetting("connection_reserve_percent", "0", 0, 90,
+                    &ProcessSettings::m_ConnectionReservePercent,
+                    "Part of a backend server's connections that is kept for "
+                    "entry hosts that start while connections of lost ones "
+                    "linger there, in percent."),
       numberSetting("connection_share_max", "0", 0, 100000,
                     &ProcessSettings::m_ConnectionShareMax,
                     "Connections of one entry host to one backend server at "
--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -83,6 +83,10 @@
   std::uint32_t m_ShareCeiling =
       0; ///< Each proxy's largest share per server, so that proxies that start
          ///< later find some left at once; 0: none.
+  std::uint32_t m_ShareReservePercent =
+      0; ///< Part of a server's connections that is handed out only to give
+         ///< each proxy its least share: connections of lost hosts linger at
+         ///< servers, and the hosts' next runs need others.
   std::uint32_t m_ShareFloor = 2; ///< Each proxy's least share per server.
   Duration m_HomesStable = std::chrono::seconds(
       2); ///< The open sessions must not change so long before homes do.
--- a/ragwortmux/Version/ShareBalancer.cpp
+++ b/ragwortmux/Version/ShareBalancer.cpp
@@ -71,7 +71,8 @@
   if (!isNeeded(Parts, Floor, Free))
     return;
 
-  fillTargets(Parts, Floor, Budget, ceiling());
+  fillTargets(Parts, Floor, std::max(Floor * Count, unreserved(Budget)),
+              ceiling());
   SetShares Command{Group.m_Group, Server.m_Server, {}};
   std::uint32_t Left = Free;
   for (const Part &Each : Parts) {
@@ -136,6 +137,12 @@
   return Least->m_Share < Least->m_Demand && Least->m_Share + 1 < Most->m_Share;
 }
 
+std::uint32_t ShareBalancer::unreserved(std::uint32_t Budget) const {
+  constexpr std::uint32_t PercentBase = 100;
+  return Budget -
+         Budget * m_Context.settings().m_ShareReservePercent / PercentBase;
+}
+
 std::uint32_t ShareBalancer::ceiling() const {
   const std::uint32_t Most = m_Context.settings().m_ShareCeiling;
   return Most == 0 ? UINT32_MAX : Most;
--- a/ragwortmux/Version/ShareBalancer.h
+++ b/ragwortmux/Version/ShareBalancer.h
@@ -51,6 +51,8 @@
                        std::uint32_t Free);
   static void fillTargets(std::vector<Part> &Parts, std::uint32_t Floor,
                           std::uint32_t Budget, std::uint32_t Ceiling);
+  /// What of \p Budget is handed out in ordinary times.
+  std::uint32_t unreserved(std::uint32_t Budget) const;
   /// The largest share.
   std::uint32_t ceiling() const;
 
--- /dev/null
+++ b/tests/Support/LogExplainerTest.cpp
@@ -0,0 +1,76 @@
+#include "ragwortmux/Process/Support/LogExplainer.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <sstream>
+
+namespace ragwortmux {
+
+namespace {
+
+/// Lines as the processes of a played day wrote them, shortened.
+const std::string Recorded =
+    R"(  33.5388 core-1 {"time_ms":1000,"level":"info","part":"control","text":"group g: primary i-1 cannot be reached"})"
+    "\n"
+    R"(  33.5400 front-1 {"time_ms":1010,"level":"info","part":"group","text":"Group g: term 2 revision 9, primary none."})"
+    "\n"
+    R"(  33.6400 front-1 {"time_ms":1100,"level":"info","part":"group","text":"A statement was decided on.","id":"aa","decision":"unknown","code":202,"result":"outcome-unknown-term-ended","server":"i-1","lease_left_ms":700})"
+    "\n"
+    R"(  34.7000 front-1 {"time_ms":2200,"level":"info","part":"group","text":"A statement was decided on.","id":"bb","decision":"retried","code":102,"result":"not-run-queue-full","server":"i-1","waited_ms":20})"
+    "\n"
+    R"(  35.2000 front-2 {"time_ms":2700,"level":"info","part":"group","text":"A statement was decided on.","id":"bb","decision":"refused","code":102,"result":"not-run-queue-full","server":"i-1","waited_ms":1000})"
+    "\n"
+    "not a line of a log\n{\"cut short\n"
+    R"(  36.0000 front-2 {"time_ms":3500,"level":"warn","part":"control","text":"Lost control: no lease any more."})"
+    "\n"
+    R"(  36.1000 front-2 {"time_ms":3600,"level":"info","part":"group","text":"A statement was decided on.","id":"cc","decision":"refused","code":109,"result":"not-run-too-old","server":"","floor_age_ms":-1})"
+    "\n";
+
+/// A statement and what its story must name.
+struct StoryCase final {
+  const char *m_Id;
+  const char *m_Cause;
+  const char *m_Belief;
+};
+
+std::ostream &operator<<(std::ostream &Stream, const StoryCase &Case) {
+  return Stream << Case.m_Id;
+}
+
+const std::vector<StoryCase> StoryCases = {
+    {"aa", "the primary's term ended before the answer", "primary none"},
+    {"bb", "queue or concurrency limit is reached", "primary none"},
+    {"cc", "holds data young enough", "Lost control"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LogExplainerTest)
+
+BOOST_DATA_TEST_CASE(TheStoryNamesTheCauseAndTheBeliefsBefore,
+                     boost::unit_test::data::make(StoryCases), Case) {
+  std::istringstream Lines(Recorded);
+  LogExplainer Explainer(Case.m_Id);
+  Explainer.add(Lines, "file");
+  const auto Story = Explainer.story();
+  BOOST_REQUIRE(!Story.empty());
+  BOOST_TEST(Story.back().find(Case.m_Cause) != std::string::npos);
+  std::string All;
+  for (const std::string &Line : Story)
+    All += Line + "\n";
+  BOOST_TEST(All.find(Case.m_Belief) != std::string::npos, All);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownIdHasNoStory) {
+  std::istringstream Lines(Recorded);
+  LogExplainer Explainer("zz");
+  Explainer.add(Lines, "file");
+  BOOST_TEST(Explainer.story().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -35,7 +35,8 @@
 
 /// A leader with three servers of a delegated group and two proxies.
 struct Fixture {
-  Fixture() : m_Leader(m_State, settings()) {
+  explicit Fixture(const ControlLeaderSettings &Settings = settings())
+      : m_Leader(m_State, Settings) {
     for (const char *Host : {"h1", "h2"})
       apply(OpenSession{HostId(Host), Incarnation(1), FailureDomainId("z"),
                         "10.0.0.1", 1});
@@ -394,6 +395,30 @@
   BOOST_TEST(m_State.shares().share(TheGroup, S1, ControlSessionId(3)) > 0U);
 }
 
+// Load pattern: all hosts lose power while the servers still count their
+// connections. What is left must serve the next runs.
+
+namespace {
+struct ReserveFixture : Fixture {
+  ReserveFixture() : Fixture(reserving()) {}
+  static ControlLeaderSettings reserving() {
+    ControlLeaderSettings Settings = settings();
+    Settings.m_ShareReservePercent = 50;
+    return Settings;
+  }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(HalfOfTheConnectionsAreKeptForRestarts,
+                        ReserveFixture) {
+  const std::uint32_t Budget = m_State.shares().budget(30);
+  std::uint32_t Shared = 0;
+  for (const std::uint64_t Session : {1U, 2U})
+    Shared += m_State.shares().share(TheGroup, S1, ControlSessionId(Session));
+  BOOST_TEST(Shared >= 4U);
+  BOOST_TEST(Shared * 2 <= Budget + 1);
+}
+
 // Whole catalogues.
 
 BOOST_AUTO_TEST_CASE(TheHighestVersionOfTheCatalogueIsInForce) {
