Tell a read that had no connection so

Change: without a floor the primary's reach decides between 104 and 109. Test: AReadWithoutAConnectionIsToldSo, failed before.

--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -461,8 +461,9 @@
     return primaryUsable() ? ResultCode::NotRunDeadline
                            : ResultCode::NotRunNoLease;
   }
-  return floorOf(State) ? ResultCode::NotRunNoConnection
-                        : ResultCode::NotRunTooOld;
+  // With a lease the primary could have served it, whatever the age.
+  return floorOf(State) || primaryUsable() ? ResultCode::NotRunNoConnection
+                                           : ResultCode::NotRunTooOld;
 }
 
 } // namespace ragwortmux
--- a/tests/Request/SessionCoreTest.cpp
+++ b/tests/Request/SessionCoreTest.cpp
@@ -260,6 +260,15 @@
   BOOST_TEST((answer().m_Code == ResultCode::NotRunNoLease));
 }
 
+// Found with explain: a read that had no connection was said to be too old.
+BOOST_AUTO_TEST_CASE(AReadWithoutAConnectionIsToldSo) {
+  takeView(1, S1, 0);
+  extendLease(seconds(10));
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  pass(milliseconds(1001));
+  BOOST_TEST((answer().m_Code == ResultCode::NotRunNoConnection));
+}
+
 // Load pattern: the primary is cut off from this host alone. While it may have
 // failed its writes wait for the next one; after that they go elsewhere.
 BOOST_AUTO_TEST_CASE(WritesToAPrimaryOutOfReachWaitOnlyWhileItMayBeReplaced) {
