--- a/ragwortmux/Process/Support/CommandLine.cpp
+++ b/ragwortmux/Process/Support/CommandLine.cpp
@@ -43,7 +43,9 @@
      {"name", "Name of the entry, which callers use as their database."},
      {"group", "The database group that answers."},
      {"owner", "Whose requests these are."},
-     {"class", "booking, write, session-read or aged-read."},
+     {"class",
+      "booking, write, session-read, aged-read, primary-session, aged-session "
+      "or own-writes-session."},
      {"max_concurrent", "Requests running at once per entry host."},
      {"max_queued", "Requests waiting per entry host."},
      {"deadline_ms", "Time from a request's arrival to its answer in ms."},
