Only where control hosts are found may others join the log

Cause: Cluster::start() of the process tests failed in three or four programs at the same moment, in three runs: a control host remembered every process that asked who it is and gave it a vote, also where the settings list all voters. Clusters of other tests have the same key and draw ports that may change hands. Change: only with control_voters above 0 are hosts remembered that the settings do not list.

--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -84,7 +84,8 @@
     m_Actor->receive(std::move(Envelope));
   };
   Hooks.m_Identify = [this](const std::string &From) {
-    if (parseSocketAddress(From) && m_Peers.size() < MaxFoundPeers) {
+    if (findsPeers() && parseSocketAddress(From) &&
+        m_Peers.size() < MaxFoundPeers) {
       m_Peers[From].m_HeardOfAt = monotonicNow();
     }
     return m_Identity;
@@ -294,6 +295,10 @@
   m_Actor->backendCallDone(Told);
 }
 
+bool ControlRole::findsPeers() const {
+  return m_Settings.m_ControlVoters > 0;
+}
+
 void ControlRole::identifyPeers() {
   forgetOldPeers();
   const std::string Own = ownAddress();
@@ -328,7 +333,7 @@
   Peer.m_AnsweredAt = Now;
   Peer.m_HeardOfAt = Now;
   for (const std::string &Member : Reply.m_Members) {
-    if (m_Peers.size() < MaxFoundPeers) {
+    if (findsPeers() && m_Peers.size() < MaxFoundPeers) {
       m_Peers[Member].m_HeardOfAt = Now;
     }
   }
--- a/ragwortmux/Process/ControlRole.h
+++ b/ragwortmux/Process/ControlRole.h
@@ -69,6 +69,8 @@
                          const std::string &Reason);
   struct FoundPeer;
   std::string ownAddress() const;
+  /// True if control hosts that the settings do not list may take part.
+  bool findsPeers() const;
   void identifyPeers();
   void notePeer(const std::string &Address, const IdentifyReply &Reply);
   void forgetOldPeers();
