A failed primary is not waited for before an order to lead

Now a server that the leader itself found failed counts as answered for the wait; groups whose commits wait for replicas go on as soon as all servers but one have answered and a candidate holds the most. Test, red before: DelegatedGroupTest/TheFailedPrimaryItselfIsNotWaitedFor. Also two findings of formatter and linter.

--- a/ragwortmux/Process/ControlRole.cpp
+++ b/ragwortmux/Process/ControlRole.cpp
@@ -295,9 +295,7 @@
   m_Actor->backendCallDone(Told);
 }
 
-bool ControlRole::findsPeers() const {
-  return m_Settings.m_ControlVoters > 0;
-}
+bool ControlRole::findsPeers() const { return m_Settings.m_ControlVoters > 0; }
 
 void ControlRole::identifyPeers() {
   forgetOldPeers();
--- a/ragwortmux/Version/ControlState.cpp
+++ b/ragwortmux/Version/ControlState.cpp
@@ -39,7 +39,7 @@
 }
 
 ControlResult ControlState::applyOne(const OpenSession &Command) {
-  const ControlResult Result = m_Sessions.open(Command);
+  ControlResult Result = m_Sessions.open(Command);
   if (Result.m_EndedSession)
     m_Shares.endSession(*Result.m_EndedSession);
   return Result;
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -247,6 +247,7 @@
   const Duration Waited = Now - *Known.m_ConfirmedAt;
   std::size_t Servers = 0;
   std::size_t Answered = 0;
+  std::size_t Failed = 0;
   LogPosition Most;
   LogPosition MostOfCandidates;
   for (const auto &[Id, Server] : Group.m_Servers) {
@@ -254,27 +255,33 @@
       continue;
     ++Servers;
     const Stated *Answer = fresh(Known, Id);
-    if (Answer == nullptr)
+    if (Answer == nullptr) {
+      Failed += Known.m_FailedAt.contains(Id) ? 1 : 0;
       continue;
+    }
     ++Answered;
     Most = std::max(Most, Answer->m_Point.m_Position);
     if (!Server.m_Leaving)
       MostOfCandidates = std::max(MostOfCandidates, Answer->m_Point.m_Position);
   }
+  if (isSynchronous(Group)) {
+    // Every acknowledged commit is at the primary and one replica at least, so
+    // all servers but one must have answered.
+    return Answered + 1 >= std::max<std::size_t>(Servers, 2) &&
+           MostOfCandidates >= Most;
+  }
+  // A server that does not answer at all, as the one that failed, is not waited
+  // for; a leaving primary still sends what the replicas lack.
+  const bool AllIn = Answered > 0 && Answered + Failed == Servers;
+  if (AllIn && MostOfCandidates >= Most)
+    return true;
+  return Waited >= (AllIn ? Settings.m_CatchUpWait : Settings.m_FenceWait);
+}
+
+bool DelegatedPrimaryChange::isSynchronous(const GroupRecord &Group) const {
   const GroupPolicy *Policy =
       m_Context.state().catalogue().policy(Group.m_Group);
-  const bool Synchronous = Policy != nullptr && Policy->m_SyncReplicas > 0;
-  // Every acknowledged commit is at the primary and one replica at least, so
-  // all servers but one must have answered.
-  if (Synchronous && Answered + 1 < std::max<std::size_t>(Servers, 2))
-    return false;
-  if (Synchronous && MostOfCandidates < Most)
-    return false;
-  if (Answered == Servers && MostOfCandidates >= Most)
-    return true;
-  // A leaving primary still sends what the replicas lack; a dead one does not.
-  return Waited >=
-         (Answered == Servers ? Settings.m_CatchUpWait : Settings.m_FenceWait);
+  return Policy != nullptr && Policy->m_SyncReplicas > 0;
 }
 
 const ServerRecord *DelegatedPrimaryChange::best(const GroupRecord &Group,
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -79,6 +79,8 @@
   void giveUpOrder(Progress &Known, Instant Now) const;
   bool areAnswersIn(const GroupRecord &Group, const Progress &Known,
                     Instant Now) const;
+  /// True if commits of the group wait for replicas.
+  bool isSynchronous(const GroupRecord &Group) const;
   const ServerRecord *best(const GroupRecord &Group, const Progress &Known,
                            Instant Now) const;
   const Stated *fresh(const Progress &Known, const ServerId &Server) const;
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -227,6 +227,15 @@
   BOOST_TEST((runUntil([&] { return isLedBy(S3); }) < 1500ms));
 }
 
+BOOST_AUTO_TEST_CASE(TheFailedPrimaryItselfIsNotWaitedFor) {
+  m_Servers[S1].m_Answers = false;
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  report(ControlSessionId(2), SuspicionKind::Refused);
+  runUntil([&] { return !group().m_Primary.has_value(); });
+  const Duration Waited = runUntil([&] { return !m_Promoted.empty(); });
+  BOOST_TEST((Waited < settings().m_FenceWait / 2));
+}
+
 BOOST_AUTO_TEST_CASE(AComplaintAloneReplacesNobody) {
   for (int Round = 0; Round < 20; ++Round) {
     report(ControlSessionId(1), SuspicionKind::Reset);
