A replica that failed once is still waited for before an order to lead

Any server with a failed call on record counted as answered, so a replica that failed a moment ago, came back and was slower to answer than another was passed over, though it held the most commits. More than needed would have been cut back. Ruled out: that the record is cleared in time; it stays until an answer comes. Now only the primary that failed is not waited for. Test, red before: DelegatedGroupTest/AReplicaThatFailedOnceAndIsSlowIsWaitedFor.

--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -256,7 +256,9 @@
     ++Servers;
     const Stated *Answer = fresh(Known, Id);
     if (Answer == nullptr) {
-      Failed += Known.m_FailedAt.contains(Id) ? 1 : 0;
+      const bool IsFailedPrimary =
+          Group.m_Previous == Id && Known.m_FailedAt.contains(Id);
+      Failed += IsFailedPrimary ? 1 : 0;
       continue;
     }
     ++Answered;
@@ -270,8 +272,8 @@
     return Answered + 1 >= std::max<std::size_t>(Servers, 2) &&
            MostOfCandidates >= Most;
   }
-  // A server that does not answer at all, as the one that failed, is not waited
-  // for; a leaving primary still sends what the replicas lack.
+  // The primary that failed is not waited for, but a replica that did may hold
+  // the most; a leaving primary still sends what the replicas lack.
   const bool AllIn = Answered > 0 && Answered + Failed == Servers;
   if (AllIn && MostOfCandidates >= Most)
     return true;
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <ostream>
 #include <set>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -26,6 +27,7 @@
   bool m_Announces = true;                     ///< Its announcements arrive.
   bool m_Leaving = false;                      ///< Announces so.
   bool m_IsFull = false;                       ///< Refuses calls itself.
+  bool m_IsSlow = false;                       ///< Its answers are held back.
   bool m_RefusesToLead = false;                ///< Promotions are refused.
   Duration m_PromotionTime = 300ms;            ///< From an order to the lead.
   BackendRole m_Role = BackendRole::Replica;   ///< Its role.
@@ -165,6 +167,10 @@
 
   void answer(const CallBackend &Call) {
     OwnServer &Server = m_Servers.at(Call.m_Server);
+    if (Server.m_IsSlow) {
+      m_HeldBack.push_back(Call);
+      return;
+    }
     BackendCallResult Result;
     Result.m_Call = Call.m_Call;
     Result.m_Ok = Server.m_Answers;
@@ -187,6 +193,13 @@
     m_Leader.backendCallCompleted(Result, m_Now);
   }
 
+  /// Lets \p Server answer what it was asked while it was slow.
+  void answerHeldBack(OwnServer &Server) {
+    Server.m_IsSlow = false;
+    for (const CallBackend &Call : std::exchange(m_HeldBack, {}))
+      answer(Call);
+  }
+
   const GroupRecord &group() const { return *m_State.groups().find(TheGroup); }
   bool isLedBy(const ServerId &Server) const {
     return group().m_Primary == Server;
@@ -198,6 +211,7 @@
   ControlLeader m_Leader;
   std::map<ServerId, OwnServer> m_Servers;
   std::vector<ServerId> m_Promoted;
+  std::vector<CallBackend> m_HeldBack;
   bool m_Confirms = true;
   bool m_LosesPromotionAnswers = false;
   std::uint64_t m_Steps = 0;
@@ -236,6 +250,22 @@
   BOOST_TEST((Waited < settings().m_FenceWait / 2));
 }
 
+BOOST_AUTO_TEST_CASE(AReplicaThatFailedOnceAndIsSlowIsWaitedFor) {
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S3].m_Answers = false;
+  m_Servers[S3].m_Point.m_Position = LogPosition(150);
+  report(ControlSessionId(1), SuspicionKind::Refused);
+  report(ControlSessionId(2), SuspicionKind::Refused);
+  runUntil([&] { return !group().m_Primary.has_value(); });
+  step();
+  m_Servers[S3].m_Answers = true;
+  m_Servers[S3].m_IsSlow = true;
+  run(100ms);
+  answerHeldBack(m_Servers[S3]);
+  runUntil([&] { return !m_Promoted.empty(); });
+  BOOST_TEST((m_Promoted.front() == S3));
+}
+
 BOOST_AUTO_TEST_CASE(AComplaintAloneReplacesNobody) {
   for (int Round = 0; Round < 20; ++Round) {
     report(ControlSessionId(1), SuspicionKind::Reset);
