--- a/tests/Platform/WireStandIn.cpp
+++ b/tests/Platform/WireStandIn.cpp
@@ -94,7 +94,7 @@
 
 std::string WireStandIn::answer(Session &Current, std::string Text,
                                 const std::string &StatementId) {
-  const std::string Done = "COMPLETE -\r\n";
+  std::string Done = "COMPLETE -\r\n";
   std::string_view Rest = Text;
   std::string_view Word = takeWord(Rest);
   if (Word == "STATUS") {
@@ -130,7 +130,7 @@
     const std::lock_guard Lock(m_Mutex);
     std::string Values;
     for (const auto &[Name, Value] : Current.m_Values)
-      Values += " " + Name + "=" + Value;
+      Values.append(" ").append(Name).append("=").append(Value);
     m_Runs.push_back(StatementId + " " + Text + Values);
   }
   if (Word == "EXECUTE") {
@@ -146,7 +146,7 @@
 
 std::string WireStandIn::run(Session &Current, const std::string &Text) {
   const std::lock_guard Lock(m_Service.m_Mutex);
-  const std::string Signed = "COMPLETE " + m_Id + "\r\n";
+  std::string Signed = "COMPLETE " + m_Id + "\r\n";
   const bool Leads = m_Service.m_Primary == m_Id;
   std::string_view Rest = Text;
   const std::string_view Word = takeWord(Rest);
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -421,7 +421,7 @@
   const auto Open = [&](std::uint64_t Run) {
     const OpenSession Command{HostId("h1"), Incarnation(Run),
                               FailureDomainId("z"), "10.0.0.1", 1};
-    const ControlResult Result = m_State.apply(Command);
+    ControlResult Result = m_State.apply(Command);
     m_Leader.applied(Command, Result, m_Now);
     return Result;
   };
@@ -463,7 +463,7 @@
 BOOST_AUTO_TEST_CASE(TheHighestVersionOfTheCatalogueIsInForce) {
   ControlState State;
   const auto Replace = [&](std::uint64_t Version, const char *Document,
-                           std::vector<const char *> Names) {
+                           const std::vector<const char *> &Names) {
     ReplaceCatalogue Command;
     Command.m_Version = CatalogueVersion(Version);
     Command.m_Document = Document;
