One place for a process's control settings, the end of its session and seeds

Cause: three things stood twice or more. EntryRole, SessionEntryRole and Daemon each filled in ControlClientSettings; both entry roles ended the session by themselves, one with a timer on top because a call to a silent control host may outlast the deadline; ProcessSettings and Daemon each completed seeds. SessionEntryRole::groupOf was holderOf once more, sessions were counted by visiting them, and the decision "rolled-back" was never made. Now controlClientSettings, ControlClient::endSession, completeSeed, SessionTable::size and SessionDriver::group serve all of them.

--- a/ragwortmux/Process/ControlClient.cpp
+++ b/ragwortmux/Process/ControlClient.cpp
@@ -3,6 +3,7 @@
 #include "ragwortmux/Process/CommandCodec.h"
 #include "ragwortmux/Process/IoLoop.h"
 #include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/SystemClock.h"
 
 #include <algorithm>
@@ -21,6 +22,21 @@
 
 } // namespace
 
+ControlClientSettings controlClientSettings(const ProcessSettings &Settings,
+                                            std::uint16_t RpcPort,
+                                            Incarnation Run) {
+  ControlClientSettings Client;
+  Client.m_Self = {Settings.m_Host, Settings.m_FailureDomain,
+                   Settings.m_Address, RpcPort};
+  Client.m_Run = Run;
+  Client.m_ControlPeers = Settings.m_ControlPeers;
+  Client.m_RenewalInterval = Settings.m_RenewalInterval;
+  Client.m_CallTimeout = Settings.m_RequestTimeout;
+  Client.m_Drift.m_Percent = Settings.m_DriftPercent;
+  Client.m_Drift.m_Fixed = Settings.m_Drift;
+  return Client;
+}
+
 ControlClient::ControlClient(IoLoop &Loop, const Secret &ClusterKey,
                              ControlClientSettings Settings,
                              ControlClientHooks Hooks)
@@ -166,6 +182,20 @@
   m_Hooks.m_Update(Update);
 }
 
+void ControlClient::endSession(Duration Timeout, std::function<void()> Done) {
+  m_Stopped = true;
+  const auto Waiting = std::make_shared<std::function<void()>>(std::move(Done));
+  const auto Finish = [Waiting] {
+    if (const auto Told = std::exchange(*Waiting, nullptr)) {
+      Told();
+    }
+  };
+  command(EndSession{session()}, monotonicNow() + Timeout,
+          [Finish](const CommandReply &) { Finish(); });
+  // One call to a silent control host may take longer than that.
+  m_Loop.after(Timeout, Finish);
+}
+
 void ControlClient::command(const ControlCommand &Command, Instant Deadline,
                             const std::function<void(CommandReply)> &Reply) {
   tryCommand(encodeCommand(Command), Deadline, Reply);
--- a/ragwortmux/Process/ControlClient.h
+++ b/ragwortmux/Process/ControlClient.h
@@ -8,6 +8,7 @@
 #include "ragwortmux/Version/ProxyLease.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +18,7 @@
 
 class IoLoop;
 class Secret;
+struct ProcessSettings;
 
 /// How an entry process keeps in touch with control.
 struct ControlClientSettings final {
@@ -28,6 +30,12 @@
   DriftBound m_Drift;                      ///< Bound on clock drift.
 };
 
+/// How the process with \p Settings keeps in touch with control; its RPC port
+/// is \p RpcPort.
+ControlClientSettings controlClientSettings(const ProcessSettings &Settings,
+                                            std::uint16_t RpcPort,
+                                            Incarnation Run);
+
 /// What the client needs from the process; called on the event loop.
 struct ControlClientHooks final {
   /// Acts on an update; it is in force when this returns.
@@ -56,8 +64,9 @@
   void start();
   /// Adds control hosts that are not known yet.
   void addPeers(const std::vector<ControlPeer> &Peers);
-  /// Opens no session and renews no more; commands still go out.
-  void stopRenewing() { m_Stopped = true; }
+  /// Ends the session and opens no other; commands still go out. \p Done is
+  /// called once: when control has answered, after \p Timeout at the latest.
+  void endSession(Duration Timeout, std::function<void()> Done);
   /// Renews without waiting for the interval, to confirm something early.
   void renewSoon();
 
@@ -109,7 +118,7 @@
   std::size_t m_Current = 0;      ///< The host believed to lead.
   ProxyLease m_Lease;             ///< Session and lease.
   bool m_Registered = false;      ///< The leader has this listener.
-  bool m_Stopped = false;         ///< stopRenewing() was called.
+  bool m_Stopped = false;         ///< endSession() was called.
   bool m_Opening = false;         ///< An openSession is under way.
   bool m_ReportDue = false;       ///< sendReports() will be called.
   std::uint64_t m_StepNumber = 0; ///< Counts scheduled steps.
--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -117,14 +117,11 @@
 }
 
 void Daemon::makeControlClient() {
-  ControlClientSettings Settings;
-  Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
-                     m_Settings.m_Address, m_Settings.m_RpcPort};
-  Settings.m_ControlPeers = m_Settings.m_ControlPeers;
-  Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
-  Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
+  // It never opens a session, so it needs no run of its own.
   m_ControlClient = std::make_unique<ControlClient>(
-      m_Loop, m_Settings.m_ClusterKey, Settings, ControlClientHooks());
+      m_Loop, m_Settings.m_ClusterKey,
+      controlClientSettings(m_Settings, m_Settings.m_RpcPort, Incarnation()),
+      ControlClientHooks());
 }
 
 void Daemon::startAdaptedEndpoints() {
@@ -176,8 +173,7 @@
     return;
   }
   for (ControlPeer &Peer : *Seeds) {
-    Peer.m_Host = HostId(Peer.m_Where.m_Address);
-    Peer.m_Where.m_Port = m_Settings.m_RpcPort;
+    completeSeed(Peer, m_Settings.m_RpcPort);
   }
   logInfo(Part::Process,
           "Reloaded the settings: {} control seeds are in force; "
--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -160,15 +160,6 @@
 }
 
 void EntryRole::makeControl(std::uint16_t RpcPort) {
-  ControlClientSettings Settings;
-  Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
-                     m_Settings.m_Address, RpcPort};
-  Settings.m_Run = m_Run;
-  Settings.m_ControlPeers = m_Settings.m_ControlPeers;
-  Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
-  Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
-  Settings.m_Drift.m_Percent = m_Settings.m_DriftPercent;
-  Settings.m_Drift.m_Fixed = m_Settings.m_Drift;
   ControlClientHooks Hooks;
   Hooks.m_Update = [this](const ControlUpdate &Update) { takeUpdate(Update); };
   Hooks.m_Confirmation = [this] { return confirmation(); };
@@ -196,8 +187,9 @@
       m_Timeline.record(Event);
     }
   };
-  m_Control = std::make_unique<ControlClient>(m_Loop, m_Settings.m_ClusterKey,
-                                              Settings, std::move(Hooks));
+  m_Control = std::make_unique<ControlClient>(
+      m_Loop, m_Settings.m_ClusterKey,
+      controlClientSettings(m_Settings, RpcPort, m_Run), std::move(Hooks));
 }
 
 void EntryRole::makeCallers() {
@@ -418,10 +410,7 @@
   // A change of primary need not wait for the lease of a process that has told
   // that it will acknowledge nothing more.
   m_LeaseUntil = Instant();
-  m_Control->stopRenewing();
-  m_Control->command(EndSession{m_Control->session()},
-                     monotonicNow() + EndSessionTimeout,
-                     [this](const CommandReply &) { m_DrainDone(); });
+  m_Control->endSession(EndSessionTimeout, std::move(m_DrainDone));
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/SessionDriver.h
+++ b/ragwortmux/Process/SessionDriver.h
@@ -43,6 +43,7 @@
   void drain();
   void endTransactions();
 
+  const GroupId &group() const { return m_Group; }
   const SessionCore &core() const { return m_Core; }
 
 private:
--- a/ragwortmux/Process/SessionEntryRole.cpp
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -45,8 +45,6 @@
     return "refused";
   case SessionDecision::Unknown:
     return "unknown";
-  case SessionDecision::RolledBack:
-    return "rolled-back";
   }
   return "";
 }
@@ -63,7 +61,9 @@
     : m_Loop(Loop), m_Settings(Settings), m_Metrics(Figures),
       m_Hooks(std::move(Hooks)), m_Run(startIncarnation()),
       m_Control(std::make_unique<ControlClient>(
-          Loop, Settings.m_ClusterKey, controlSettings(), controlHooks())) {}
+          Loop, Settings.m_ClusterKey,
+          controlClientSettings(Settings, Settings.m_RpcPort, m_Run),
+          controlHooks())) {}
 
 SessionEntryRole::~SessionEntryRole() = default;
 
@@ -100,12 +100,8 @@
 
 GroupId SessionEntryRole::groupOf(CallerConnectionId Caller,
                                   const CatalogueEntry &Entry) const {
-  for (const auto &[Group, Driver] : m_Groups) {
-    if (Driver->core().hasTransaction(Caller)) {
-      return Group;
-    }
-  }
-  return Entry.m_Group;
+  const SessionDriver *Holder = holderOf(Caller);
+  return Holder == nullptr ? Entry.m_Group : Holder->group();
 }
 
 SessionDriver *SessionEntryRole::holderOf(CallerConnectionId Caller) const {
@@ -170,32 +166,7 @@
   // A change of primary need not wait for the lease of a process that has told
   // that it will acknowledge nothing more.
   m_LeaseUntil = Instant();
-  m_Control->stopRenewing();
-  m_Control->command(EndSession{m_Control->session()},
-                     monotonicNow() + EndSessionTimeout,
-                     [this](const CommandReply &) {
-                       if (m_DrainDone) {
-                         std::exchange(m_DrainDone, nullptr)();
-                       }
-                     });
-  m_Loop.after(EndSessionTimeout, [this] {
-    if (m_DrainDone) {
-      std::exchange(m_DrainDone, nullptr)();
-    }
-  });
-}
-
-ControlClientSettings SessionEntryRole::controlSettings() const {
-  ControlClientSettings Settings;
-  Settings.m_Self = {m_Settings.m_Host, m_Settings.m_FailureDomain,
-                     m_Settings.m_Address, m_Settings.m_RpcPort};
-  Settings.m_Run = m_Run;
-  Settings.m_ControlPeers = m_Settings.m_ControlPeers;
-  Settings.m_RenewalInterval = m_Settings.m_RenewalInterval;
-  Settings.m_CallTimeout = m_Settings.m_RequestTimeout;
-  Settings.m_Drift.m_Percent = m_Settings.m_DriftPercent;
-  Settings.m_Drift.m_Fixed = m_Settings.m_Drift;
-  return Settings;
+  m_Control->endSession(EndSessionTimeout, std::move(m_DrainDone));
 }
 
 ControlClientHooks SessionEntryRole::controlHooks() {
--- a/ragwortmux/Process/SessionEntryRole.h
+++ b/ragwortmux/Process/SessionEntryRole.h
@@ -64,13 +64,12 @@
   }
   /// Takes a statement; SessionEntryHooks::m_Answer gets the answer.
   void submit(SessionRequest Request);
-  /// The position of the caller's group, for its next request.
+  /// The group that the caller's next request goes to.
   GroupId groupOf(CallerConnectionId Caller, const CatalogueEntry &Entry) const;
   /// A caller has closed its connection.
   void callerGone(CallerConnectionId Caller);
 
 private:
-  ControlClientSettings controlSettings() const;
   ControlClientHooks controlHooks();
   SessionDriver &driver(const GroupId &Group);
   SessionDriverHooks driverHooks(const GroupId &Group);
--- a/ragwortmux/Process/Support/ControlPeer.cpp
+++ b/ragwortmux/Process/Support/ControlPeer.cpp
@@ -59,6 +59,11 @@
   return Seeds;
 }
 
+void completeSeed(ControlPeer &Seed, std::uint16_t RpcPort) {
+  Seed.m_Host = HostId(Seed.m_Where.m_Address);
+  Seed.m_Where.m_Port = RpcPort;
+}
+
 bool isName(std::string_view Text) {
   constexpr std::size_t MaxNameLength = 63;
   if (Text.empty() || Text.size() > MaxNameLength)
--- a/ragwortmux/Process/Support/ControlPeer.h
+++ b/ragwortmux/Process/Support/ControlPeer.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Process/Support/SocketAddress.h"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,10 @@
 /// or too long. The ports are those of another service of these hosts.
 std::optional<std::vector<ControlPeer>> parseSeeds(std::string_view Text);
 
+/// Names a seed's host by its address and gives it \p RpcPort, which is the
+/// same on all hosts that are found by seeds.
+void completeSeed(ControlPeer &Seed, std::uint16_t RpcPort);
+
 /// True if \p Text may name a host, failure domain, cluster, group or server: 1
 /// to 63 characters of [a-z0-9_-].
 bool isName(std::string_view Text);
--- a/ragwortmux/Process/Support/ProcessSettings.cpp
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -75,13 +75,11 @@
   ProcessSettings m_Settings; ///< What has been loaded.
 
 private:
-  /// Seeds tell no RPC port: it is the same on all hosts.
   void completeSeeds() {
     for (ControlPeer &Peer : m_Settings.m_ControlPeers) {
       if (!Peer.m_Host.value().empty())
         continue;
-      Peer.m_Host = HostId(Peer.m_Where.m_Address);
-      Peer.m_Where.m_Port = m_Settings.m_RpcPort;
+      completeSeed(Peer, m_Settings.m_RpcPort);
       m_HasSeeds = true;
     }
   }
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -79,12 +79,11 @@
 
 /// What was decided about a request or a connection, for the log.
 enum class SessionDecision : std::uint8_t {
-  Sent,       ///< Sent to a server.
-  Answered,   ///< Answered from a server's reply.
-  Retried,    ///< Goes back to the queue.
-  Refused,    ///< Ended as not run.
-  Unknown,    ///< Ended with an unknown outcome.
-  RolledBack, ///< Its transaction was given up.
+  Sent,     ///< Sent to a server.
+  Answered, ///< Answered from a server's reply.
+  Retried,  ///< Goes back to the queue.
+  Refused,  ///< Ended as not run.
+  Unknown,  ///< Ended with an unknown outcome.
 };
 
 /// One decision with the inputs that it rests on.
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -124,7 +124,7 @@
     return "leaves";
   const ServerWatch::Complaints Complaints =
       m_Servers.complaints(Group.m_Group, Primary.m_Server, Now);
-  const std::size_t Sessions = sessionCount();
+  const std::size_t Sessions = m_Context.state().sessions().size();
   const bool Silent =
       m_Servers.announcementSilence(Group.m_Group, Primary.m_Server, Now) >=
       Settings.m_SilenceUnannounced;
@@ -337,11 +337,4 @@
                 Now);
 }
 
-std::size_t DelegatedPrimaryChange::sessionCount() const {
-  std::size_t Count = 0;
-  m_Context.state().sessions().forEachSession(
-      [&](const SessionRecord &) { ++Count; });
-  return Count;
-}
-
 } // namespace ragwortmux
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -88,7 +88,6 @@
                    Instant Now) const;
   void ask(const GroupRecord &Group, const ServerRecord &Server,
            Progress &Known, Instant Now);
-  std::size_t sessionCount() const;
 
   LeaderContext &m_Context;               ///< Shared.
   const UpdateTracker &m_Updates;         ///< What sessions have confirmed.
--- a/ragwortmux/Version/ServerWatch.cpp
+++ b/ragwortmux/Version/ServerWatch.cpp
@@ -253,9 +253,7 @@
   if (Silence >= Settings.m_SilenceSuspected && isReportedDown(*Known, Now))
     return true;
   // While it announces itself, most proxies and this leader must agree.
-  std::size_t Sessions = 0;
-  m_Context.state().sessions().forEachSession(
-      [&](const SessionRecord &) { ++Sessions; });
+  const std::size_t Sessions = m_Context.state().sessions().size();
   const bool ProbeFailed =
       Known->m_ProbeFailedAt &&
       Now - *Known->m_ProbeFailedAt <= Settings.m_EvidenceWindow;
--- a/ragwortmux/Version/SessionTable.h
+++ b/ragwortmux/Version/SessionTable.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Version/ControlResult.h"
 #include "ragwortmux/Version/SessionRecord.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <vector>
@@ -29,6 +30,8 @@
 
   /// The last session id given out.
   ControlSessionId last() const { return m_Last; }
+  /// Open sessions.
+  std::size_t size() const { return m_Sessions.size(); }
   /// The open session, or null.
   const SessionRecord *find(ControlSessionId Session) const;
   /// Calls \p Visit for each open session by id.
