SessionCore: one predicate for commits, one busy pause, one floor a read

Cause: "a write of its own or a commit" was spelled out in five places, the pause after a full server in two (one without its stated maximum), "give up here, run elsewhere" in two, the start of an answer in two, and a read's floor was worked out twice on its way.

--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -315,22 +315,19 @@
 
 bool SessionCore::hasOldCommits() const {
   return std::any_of(
-      m_Requests.begin(), m_Requests.end(), [this](const auto &Entry) {
-        const Request &State = Entry.second;
-        const bool Commits =
-            State.isSingleWrite() ||
-            State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
-        return State.m_Connection && Commits && State.m_Term != m_View.m_Term;
-      });
+      m_Requests.begin(), m_Requests.end(),
+      [this](const auto &Entry) { return isOldCommit(Entry.second); });
+}
+
+bool SessionCore::isOldCommit(const Request &State) const {
+  return State.m_Connection && State.isCommit() &&
+         State.m_Term != m_View.m_Term;
 }
 
 void SessionCore::endOldTerms() {
   std::vector<RequestId> Old;
   for (const auto &[Id, State] : m_Requests) {
-    const bool Commits =
-        State.isSingleWrite() ||
-        State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
-    if (State.m_Connection && Commits && State.m_Term != m_View.m_Term)
+    if (isOldCommit(State))
       Old.push_back(Id);
   }
   for (const RequestId Id : Old) {
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -99,7 +99,9 @@
   bool tryPlace(Request &State);
   bool tryPrimary(Request &State);
   bool tryRead(Request &State);
-  std::vector<ReadPlace> readPlaces(const Request &State) const;
+  std::vector<ReadPlace>
+  readPlaces(const Request &State,
+             const std::optional<PositionHistory::Sample> &Floor) const;
   std::optional<PositionHistory::Sample> floorOf(const Request &State) const;
   void sendOn(Request &State, const ServerId &Server, ConnectionId Connection,
               const std::optional<PositionHistory::Sample> &Floor);
@@ -117,10 +119,13 @@
   void answered(Request &State, const StatementReply &Reply);
   void answeredInTransaction(Request &State, const StatementReply &Reply);
   bool retriesUnrun(Request &State, const StatementReply &Reply);
+  Duration takeBusyPause(Request &State) const;
   void notePosition(const Request &State, const StatementReply &Reply);
   void passOn(Request &State, const StatementReply &Reply);
   void beginTransaction(Request &State, const StatementReply &Reply);
   void lostStatement(Request &State);
+  void runElsewhere(Request &State);
+  SessionAnswer answerTo(const Request &State, ResultCode Code) const;
   void finish(Request &State, ResultCode Code, TransactionStatus Status);
   void erase(Request &State);
   bool mayAcknowledge(const Request &State) const;
@@ -136,6 +141,7 @@
   // Terms.
   void confirmView();
   bool hasOldCommits() const;
+  bool isOldCommit(const Request &State) const;
   void endOldTerms();
   void retryReadsAt(const ServerId &Server);
   Instant wakeTime(const Request &State) const;
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -99,12 +99,9 @@
 
 bool SessionCore::retriesUnrun(Request &State, const StatementReply &Reply) {
   const bool CanRetry = State.m_Tries < m_Settings.m_MaxTries;
-  const std::uint32_t Doublings = std::min(State.m_Pauses, MaxPauseDoublings);
   switch (Reply.m_Outcome) {
   case StatementOutcome::Busy: {
-    const Duration Pause = std::min(m_Settings.m_BusyPauseMax,
-                                    m_Settings.m_BusyPause * (1U << Doublings));
-    ++State.m_Pauses;
+    const Duration Pause = takeBusyPause(State);
     m_RefusesUntil[State.m_Server] = m_Now + m_Settings.m_BusyPause;
     State.m_NotBefore = m_Now + (State.needsPrimary() ? Pause : Duration(0));
     State.m_LastReason = ResultCode::NotRunQueueFull;
@@ -140,6 +137,13 @@
   return true;
 }
 
+Duration SessionCore::takeBusyPause(Request &State) const {
+  const std::uint32_t Doublings = std::min(State.m_Pauses, MaxPauseDoublings);
+  ++State.m_Pauses;
+  return std::min(m_Settings.m_BusyPauseMax,
+                  m_Settings.m_BusyPause * (1U << Doublings));
+}
+
 void SessionCore::beginTransaction(Request &State,
                                    const StatementReply &Reply) {
   const ConnectionId Connection = *State.m_Connection;
@@ -189,9 +193,7 @@
     // Not run and still open: the same connection takes it a moment later.
     Open.m_Running = State.m_Request.m_Id;
     State.m_LastReason = ResultCode::NotRunQueueFull;
-    State.m_NotBefore =
-        m_Now + m_Settings.m_BusyPause *
-                    (1U << std::min(State.m_Pauses++, MaxPauseDoublings));
+    State.m_NotBefore = m_Now + takeBusyPause(State);
     note(State, SessionDecision::Retried, State.m_LastReason);
     return;
   }
@@ -235,27 +237,30 @@
   return m_Now < m_LeaseUntil && State.m_Term == m_AcknowledgedTerm;
 }
 
+SessionAnswer SessionCore::answerTo(const Request &State,
+                                    ResultCode Code) const {
+  SessionAnswer Answer;
+  Answer.m_Request = State.m_Request.m_Id;
+  Answer.m_Caller = State.m_Request.m_Caller;
+  Answer.m_Group = m_Group;
+  Answer.m_Code = Code;
+  return Answer;
+}
+
 void SessionCore::passOn(Request &State, const StatementReply &Reply) {
   const ResultCode Code = finalCode(Reply.m_Outcome);
-  const bool IsWrite =
-      State.isSingleWrite() ||
-      State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
   if (State.isSingleWrite() && Code == ResultCode::Ok &&
       !mayAcknowledge(State)) {
     finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
     return;
   }
-  SessionAnswer Answer;
-  Answer.m_Request = State.m_Request.m_Id;
-  Answer.m_Caller = State.m_Request.m_Caller;
-  Answer.m_Group = m_Group;
-  Answer.m_Code = Code;
+  SessionAnswer Answer = answerTo(State, Code);
   Answer.m_Body = Reply.m_Body;
   Answer.m_Point = Reply.m_Point;
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end())
     Answer.m_Status = Open->second.m_Status;
-  if (IsWrite && Code == ResultCode::Ok)
+  if (State.isCommit() && Code == ResultCode::Ok)
     Answer.m_Written = Reply.m_Point;
   act(std::move(Answer));
   note(State, SessionDecision::Answered, Code);
@@ -294,11 +299,7 @@
 void SessionCore::finish(Request &State, ResultCode Code,
                          TransactionStatus Status) {
   if (!State.m_CallerGone) {
-    SessionAnswer Answer;
-    Answer.m_Request = State.m_Request.m_Id;
-    Answer.m_Caller = State.m_Request.m_Caller;
-    Answer.m_Group = m_Group;
-    Answer.m_Code = Code;
+    SessionAnswer Answer = answerTo(State, Code);
     Answer.m_Status = Status;
     act(std::move(Answer));
     const SessionDecision Decision = Code == ResultCode::Ok || saysNotRun(Code)
@@ -384,9 +385,7 @@
 
 void SessionCore::expire(Request &State) {
   if (State.m_Connection) {
-    const bool MayHaveCommitted =
-        State.isSingleWrite() ||
-        State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
+    const bool MayHaveCommitted = State.isCommit();
     const bool InTransaction = State.m_InTransaction;
     dropStatement(State);
     m_Transactions.erase(State.m_Request.m_Caller);
@@ -426,9 +425,12 @@
       !State.m_InTransaction && !State.m_Request.m_Statement.m_Writes;
   if (!IsSent || !CanRepeat || !m_Retries.takeRetry())
     return;
-  const ServerId Server = State.m_Server;
+  runElsewhere(State);
+}
+
+void SessionCore::runElsewhere(Request &State) {
   dropStatement(State);
-  State.m_Avoid.push_back(Server);
+  State.m_Avoid.push_back(State.m_Server);
   lostStatement(State);
 }
 
@@ -445,9 +447,7 @@
     if (Found == m_Requests.end() || !Found->second.m_Connection)
       continue;
     Request &State = Found->second;
-    dropStatement(State);
-    State.m_Avoid.push_back(Server);
-    lostStatement(State);
+    runElsewhere(State);
   }
 }
 
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -121,8 +121,9 @@
   return Floor;
 }
 
-std::vector<ReadPlace> SessionCore::readPlaces(const Request &State) const {
-  const auto Floor = floorOf(State);
+std::vector<ReadPlace> SessionCore::readPlaces(
+    const Request &State,
+    const std::optional<PositionHistory::Sample> &Floor) const {
   std::vector<ReadPlace> Places;
   for (const ServerView &Each : m_View.m_Servers) {
     if (!takesReads(Each))
@@ -149,24 +150,23 @@
 }
 
 bool SessionCore::tryRead(Request &State) {
-  const auto Place = placeRead(readPlaces(State));
+  const auto Floor = floorOf(State);
+  const auto Place = placeRead(readPlaces(State, Floor));
   if (!Place)
     return false;
   const auto Connection = takeConnection(*Place, State);
   if (!Connection)
     return false;
   const bool AtPrimary = m_View.m_Primary == *Place;
-  sendOn(State, *Place, *Connection, AtPrimary ? std::nullopt : floorOf(State));
+  sendOn(State, *Place, *Connection, AtPrimary ? std::nullopt : Floor);
   return true;
 }
 
 std::optional<ConnectionId> SessionCore::takeConnection(const ServerId &Server,
                                                         const Request &State) {
   const SessionRequest &Asked = State.m_Request;
-  const PreparedStatement *Needed =
-      Asked.m_Prepared ? &*Asked.m_Prepared : nullptr;
   return m_Pool.takeBest(m_Now, Server, [&](ConnectionId Id) {
-    return m_Sessions[Id].distance(*Asked.m_State, Needed);
+    return m_Sessions[Id].distance(*Asked.m_State, State.prepared());
   });
 }
 
@@ -188,8 +188,7 @@
 
   RunStatement Run;
   Run.m_Connection = Connection;
-  Run.m_Replay = m_Sessions[Connection].plan(
-      *Asked.m_State, Asked.m_Prepared ? &*Asked.m_Prepared : nullptr);
+  Run.m_Replay = m_Sessions[Connection].plan(*Asked.m_State, State.prepared());
   Run.m_Statement = Asked.m_Statement;
   if (Floor)
     Run.m_Floor = Floor->m_Point;
@@ -233,7 +232,7 @@
         ++Wanted[*m_View.m_Primary];
       continue;
     }
-    for (const ReadPlace &Place : readPlaces(State)) {
+    for (const ReadPlace &Place : readPlaces(State, floorOf(State))) {
       if (Place.m_IsAllowed)
         ++Wanted[Place.m_Server];
     }
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -36,6 +36,15 @@
   bool isSingleWrite() const {
     return !m_InTransaction && m_Request.m_Statement.m_Writes;
   }
+  /// True if its success makes writes durable: a write of its own or a commit.
+  bool isCommit() const {
+    return isSingleWrite() ||
+           m_Request.m_Statement.m_Kind == StatementKind::Commit;
+  }
+  /// What it executes, null if it executes nothing prepared.
+  const PreparedStatement *prepared() const {
+    return m_Request.m_Prepared ? &*m_Request.m_Prepared : nullptr;
+  }
   /// True if only the primary may run it.
   bool needsPrimary() const {
     return m_Request.m_Statement.m_Writes ||
