--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortmux/Process/ControlRole.h"
 #include "ragwortmux/Process/EntryRole.h"
+#include "ragwortmux/Process/HttpStatus.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/SystemClock.h"
@@ -143,7 +144,7 @@
           if (m_Sessions) {
             m_Sessions->fillMetrics();
           }
-          return HttpReply{200, "text/plain; version=0.0.4",
+          return HttpReply{HttpOk, PrometheusContentType,
                            m_Metrics.renderPrometheus()};
         },
         MaxJsonBytes);
--- a/ragwortmux/Process/IoLoop.cpp
+++ b/ragwortmux/Process/IoLoop.cpp
@@ -50,6 +50,16 @@
   m_Tasks.add(repeat(Interval, std::move(Work)));
 }
 
+kj::Promise<kj::Own<kj::AsyncIoStream>>
+IoLoop::connect(const std::string &Address, std::uint16_t Port) {
+  return network()
+      .parseAddress(Address, Port)
+      .then([](kj::Own<kj::NetworkAddress> &&Parsed) {
+        auto Connecting = Parsed->connect();
+        return Connecting.attach(kj::mv(Parsed));
+      });
+}
+
 void IoLoop::spawn(kj::Promise<void> Promise) { m_Tasks.add(kj::mv(Promise)); }
 
 void IoLoop::taskFailed(kj::Exception &&Error) {
--- a/ragwortmux/Process/IoLoop.h
+++ b/ragwortmux/Process/IoLoop.h
@@ -7,8 +7,10 @@
 #include <kj/async-unix.h>
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace ragwortmux {
@@ -43,6 +45,10 @@
   /// Runs \p Work every \p Interval until the loop ends.
   void every(Duration Interval, Task Work);
 
+  /// Connects to \p Address, an IP number, at \p Port.
+  kj::Promise<kj::Own<kj::AsyncIoStream>> connect(const std::string &Address,
+                                                  std::uint16_t Port);
+
   /// Keeps \p Promise running; its error, if any, is logged.
   void spawn(kj::Promise<void> Promise);
 
--- a/ragwortmux/Process/OperatorApi.cpp
+++ b/ragwortmux/Process/OperatorApi.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/OperatorApi.h"
 
 #include "ragwortmux/Process/EntryRole.h"
+#include "ragwortmux/Process/HttpStatus.h"
 #include "ragwortmux/Process/PromiseReply.h"
 #include "ragwortmux/Process/Support/BackendAnnouncement.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
@@ -21,13 +22,6 @@
 
 namespace json = boost::json;
 
-constexpr unsigned HttpOk = 200;
-constexpr unsigned HttpAccepted = 202;
-constexpr unsigned HttpBadRequest = 400;
-constexpr unsigned HttpUnauthorized = 401;
-constexpr unsigned HttpNotFound = 404;
-constexpr unsigned HttpConflict = 409;
-constexpr unsigned HttpUnavailable = 503;
 constexpr std::string_view CataloguePath = "/v1/catalogue";
 /// How long an operator's call is tried.
 constexpr Duration OperatorTimeout = std::chrono::seconds(5);
@@ -134,7 +128,7 @@
                      Ready ? "ready\n" : "not ready\n");
   }
   if (Request.m_Path == "/metrics") {
-    return HttpReply{HttpOk, "text/plain; version=0.0.4",
+    return HttpReply{HttpOk, PrometheusContentType,
                      m_Metrics.renderPrometheus()};
   }
   if (Request.m_Path == "/v1/announce" && Request.m_Method == "POST") {
--- a/ragwortmux/Process/PeerLink.cpp
+++ b/ragwortmux/Process/PeerLink.cpp
@@ -73,12 +73,7 @@
   /// Connects and proves the key.
   kj::Promise<rpc::Peer::Client>
   connect(const std::shared_ptr<Connection> &Made) {
-    return m_Loop.network()
-        .parseAddress(m_Settings.m_Address, m_Settings.m_Port)
-        .then([](kj::Own<kj::NetworkAddress> &&Address) {
-          auto Connecting = Address->connect();
-          return Connecting.attach(kj::mv(Address));
-        })
+    return m_Loop.connect(m_Settings.m_Address, m_Settings.m_Port)
         .then([Made](kj::Own<kj::AsyncIoStream> &&Stream) {
           Made->m_Stream = kj::mv(Stream);
           auto &Client = Made->m_Client.emplace(*Made->m_Stream);
--- a/ragwortmux/Process/Support/Metrics.h
+++ b/ragwortmux/Process/Support/Metrics.h
@@ -14,6 +14,10 @@
 
 namespace ragwortmux {
 
+/// Media type of renderPrometheus().
+inline constexpr const char *PrometheusContentType =
+    "text/plain; version=0.0.4";
+
 /// The values of a metric's labels, in the order of its table row.
 using MetricLabels = std::vector<std::string>;
 
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -87,20 +87,25 @@
     takeActions();
   }
 
+  static ServerAnnouncement announcementOf(const ServerId &Server) {
+    ServerAnnouncement Announcement;
+    Announcement.m_Group = TheGroup;
+    Announcement.m_Server = Server;
+    Announcement.m_Domain = FailureDomainId("z");
+    Announcement.m_Address = "10.0.0.2";
+    Announcement.m_Port = 1;
+    Announcement.m_Slots = 5;
+    Announcement.m_Delegated = true;
+    return Announcement;
+  }
+
   void announce() {
     for (const auto &[Id, Server] : m_Servers) {
       if (!Server.m_Announces)
         continue;
-      ServerAnnouncement Each;
-      Each.m_Group = TheGroup;
-      Each.m_Server = Id;
-      Each.m_Domain = FailureDomainId("z");
-      Each.m_Address = "10.0.0.2";
-      Each.m_Port = 1;
-      Each.m_Slots = 5;
+      ServerAnnouncement Each = announcementOf(Id);
       Each.m_Role = Server.m_Role;
       Each.m_Leaving = Server.m_Leaving;
-      Each.m_Delegated = true;
       Each.m_Incarnation = 1;
       Each.m_Sequence = ++m_Sequence;
       m_Leader.announcementReceived(Each, m_Now);
@@ -361,15 +366,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(ALateAnnouncementOfAnEarlierRunIsIgnored) {
-  ServerAnnouncement Late;
-  Late.m_Group = TheGroup;
-  Late.m_Server = S1;
-  Late.m_Domain = FailureDomainId("z");
-  Late.m_Address = "10.0.0.2";
-  Late.m_Port = 1;
-  Late.m_Slots = 5;
+  ServerAnnouncement Late = announcementOf(S1);
   Late.m_Leaving = true;
-  Late.m_Delegated = true;
   Late.m_Incarnation = 1;
   Late.m_Sequence = 1;
   m_Leader.announcementReceived(Late, m_Now);
