A host that knows no catalogue yet sends callers elsewhere

Callers take that as final. Ruled out: a lost record or a lost entry; the refusal came at the connection's start. Now such a host refuses with 107 (57P03, another proxy may), which callers and the test's resend take as temporary. CatalogueCache::isKnown replaces three spellings of the same question. Test, red before: CatalogueTest/AHostThatKnowsNoCatalogueYetSendsCallersElsewhere.

--- a/ragwortmux/Process/CallerConnection.cpp
+++ b/ragwortmux/Process/CallerConnection.cpp
@@ -137,6 +137,11 @@
   if (m_Hooks.m_Draining()) {
     return Fail(toError(ResultCode::NotRunDraining, "", "FATAL"));
   }
+  // A process that has just started must not deny what others know.
+  if (!m_Hooks.m_HasCatalogue()) {
+    return Fail(toError(ResultCode::NotRunNoLease,
+                        "the catalogue is not known here yet", "FATAL"));
+  }
   if (m_Hooks.m_FindEntry(m_Entry) == nullptr) {
     return Fail(
         toError(ResultCode::NotRunUnknownEntry, m_Entry.value(), "FATAL"));
--- a/ragwortmux/Process/CallerConnection.h
+++ b/ragwortmux/Process/CallerConnection.h
@@ -26,6 +26,8 @@
   /// The entry of a name; null if the catalogue has none.
   std::function<std::shared_ptr<const CatalogueEntry>(const EntryName &Name)>
       m_FindEntry;
+  /// True once the catalogue is known.
+  std::function<bool()> m_HasCatalogue;
   /// Hands a request to its group; answered by CallerConnection::answer.
   std::function<void(GroupRequest Request)> m_Submit;
   /// The caller \p Caller of \p Group has gone or has cancelled.
--- a/ragwortmux/Process/EntryRole.cpp
+++ b/ragwortmux/Process/EntryRole.cpp
@@ -123,9 +123,7 @@
   checkDrained();
 }
 
-bool EntryRole::isReady() const {
-  return !m_Draining && m_Catalogue.revision() > Revision();
-}
+bool EntryRole::isReady() const { return !m_Draining && m_Catalogue.isKnown(); }
 
 std::string EntryRole::statusJson() const {
   boost::json::object Object;
@@ -202,6 +200,7 @@
     auto Entry = m_Catalogue.find(Name);
     return Entry != nullptr && isStateful(Entry->m_Class) ? nullptr : Entry;
   };
+  Hooks.m_HasCatalogue = [this] { return m_Catalogue.isKnown(); };
   Hooks.m_Submit = [this](GroupRequest Request) { submit(std::move(Request)); };
   Hooks.m_Gone = [this](CallerConnectionId Caller, const GroupId &Group) {
     driver(Group).send(CallerGoneEvent{Caller});
--- a/ragwortmux/Process/SessionEntryRole.cpp
+++ b/ragwortmux/Process/SessionEntryRole.cpp
@@ -72,10 +72,6 @@
   m_Loop.every(LeaseCheckInterval, [this] { watchLease(); });
 }
 
-bool SessionEntryRole::hasCatalogue() const {
-  return m_Catalogue.revision() > Revision();
-}
-
 bool SessionEntryRole::isReady() const {
   return !m_Draining && hasCatalogue() &&
          monotonicNow() + m_Settings.m_Lease * ReadyLeasePercent / PercentBase <
--- a/ragwortmux/Process/SessionEntryRole.h
+++ b/ragwortmux/Process/SessionEntryRole.h
@@ -57,7 +57,7 @@
   /// False while this process shuts down.
   bool takesCallers() const { return !m_Draining; }
   /// True once a catalogue that control confirmed is known.
-  bool hasCatalogue() const;
+  bool hasCatalogue() const { return m_Catalogue.isKnown(); }
   /// The entry \p Name; null if there is none.
   std::shared_ptr<const CatalogueEntry> findEntry(const EntryName &Name) const {
     return m_Catalogue.find(Name);
--- a/ragwortmux/Version/CatalogueCache.h
+++ b/ragwortmux/Version/CatalogueCache.h
@@ -20,6 +20,8 @@
   /// The entry \p Name; null if there is none.
   std::shared_ptr<const CatalogueEntry> find(const EntryName &Name) const;
 
+  /// True once control has told a catalogue that has ever held an entry.
+  bool isKnown() const { return m_Revision > Revision(); }
   /// The newest revision known.
   Revision revision() const { return m_Revision; }
   /// The number of entries.
--- a/tests/Process/CatalogueTest.cpp
+++ b/tests/Process/CatalogueTest.cpp
@@ -257,4 +257,18 @@
   BOOST_TEST(numberOf(entryAt(System, 2, Name), "max_queued") == 9U);
 }
 
+// Without a quorum a restarted host learns no catalogue: it must not say that
+// an entry which others know does not exist.
+BOOST_AUTO_TEST_CASE(AHostThatKnowsNoCatalogueYetSendsCallersElsewhere) {
+  Cluster System(hostsOnly());
+  BOOST_REQUIRE(System.start());
+  for (const unsigned Host : {0U, 1U, 2U}) {
+    System.host(Host).kill();
+  }
+  System.startHost(2);
+  const PgAnswer Refused =
+      runOnce(System.callerPort(2), "bookings", "SELECT 1");
+  BOOST_TEST(Refused.m_SqlState == "57P03", Refused.m_Message);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
