--- a/ragwortmux/Core/Ids.h
+++ b/ragwortmux/Core/Ids.h
@@ -47,6 +47,10 @@
 /// reused.
 using ControlSessionId = StrongId<struct ControlSessionIdTag, std::uint64_t>;
 
+/// An incoming connection over which another entry process relays statements;
+/// unique within one process.
+using RelayPeerId = StrongId<struct RelayPeerIdTag, std::uint64_t>;
+
 /// The term of a database group; increases with each change of primary. 0 means
 /// none yet.
 using Term = StrongId<struct TermTag, std::uint64_t>;
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -183,6 +183,62 @@
   update @0 (session :UInt64, update :Update) -> (confirmation :Confirmation);
 }
 
+struct SessionValue {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct PreparedDefinition {
+  # A prepared statement as its caller defined it.
+  name @0 :Text;
+  definition @1 :Text;
+  writes @2 :Bool;
+}
+
+struct RelayedStatement {
+  # A caller's statement with all that the serving host needs to run it. The ids are the sender's.
+  request @0 :UInt64;
+  caller @1 :UInt64;
+  entry @2 :CatalogueEntry;
+  id @3 :Text;
+  kind @4 :UInt8;
+  text @5 :Text;
+  name @6 :Text;
+  rest @7 :Text;
+  writes @8 :Bool;
+  values @9 :List(SessionValue);
+  prepared @10 :List(PreparedDefinition);
+  # The session's prepared statements.
+  hasExecuted @11 :Bool;
+  executed @12 :PreparedDefinition;
+  # For a statement that runs a prepared statement: that one; its name is empty.
+  lastWrite @13 :Point;
+  ageUs @14 :Int64;
+  # Time since the statement arrived.
+}
+
+struct RelayedAnswer {
+  # The answer to a relayed statement. hasBody is false where there is no answer of a backend server.
+  group @0 :Text;
+  code @1 :UInt16;
+  hasBody @2 :Bool;
+  body @3 :Data;
+  status @4 :UInt8;
+  point @5 :Point;
+  written @6 :Point;
+}
+
+interface StatementRelay {
+  # Runs statements for the callers of another entry process.
+
+  run @0 (statement :RelayedStatement) -> (answer :RelayedAnswer);
+
+  callerDisconnected @1 (caller :UInt64) -> ();
+
+  ping @2 () -> ();
+  # Answered at once.
+}
+
 interface Peer {
   # Served by every process to the others of its cluster.
 
@@ -211,4 +267,7 @@
   # With a ticket, the point is stored only if the session has not been removed since the look-up that issued it.
 
   findSessionPoint @8 (session :Text, group :Text, homesRevision :UInt64) -> (point :Point, ticket :SessionTicket);
+
+  openRelay @9 () -> (relay :StatementRelay);
+  # Opens a relay to this entry process; it ends with the connection.
 }
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -46,6 +46,17 @@
 CAPNP_DECLARE_SCHEMA(85315f81fef0d3e5);
 CAPNP_DECLARE_SCHEMA(8d7015650417cb58);
 CAPNP_DECLARE_SCHEMA(f55563f04fe5f2f5);
+CAPNP_DECLARE_SCHEMA(934c031102760518);
+CAPNP_DECLARE_SCHEMA(bd65102991d9a975);
+CAPNP_DECLARE_SCHEMA(84ddac9b1e58a231);
+CAPNP_DECLARE_SCHEMA(bfd5fb1dd2c46f64);
+CAPNP_DECLARE_SCHEMA(bd8a05a40197c77f);
+CAPNP_DECLARE_SCHEMA(c56354b758801366);
+CAPNP_DECLARE_SCHEMA(d45c4fca053b060a);
+CAPNP_DECLARE_SCHEMA(ad73291dab5e71f1);
+CAPNP_DECLARE_SCHEMA(b91e1f6a18d20025);
+CAPNP_DECLARE_SCHEMA(8163a807f6e14fe4);
+CAPNP_DECLARE_SCHEMA(96ad940ff6d3c13a);
 CAPNP_DECLARE_SCHEMA(cd61a8d555c31d7a);
 CAPNP_DECLARE_SCHEMA(f81c15c03132e1e3);
 CAPNP_DECLARE_SCHEMA(c16aa8dcc0fc9291);
@@ -65,6 +76,8 @@
 CAPNP_DECLARE_SCHEMA(b99b77913e9cc426);
 CAPNP_DECLARE_SCHEMA(a206bb2fd446b863);
 CAPNP_DECLARE_SCHEMA(ef60fe115d157600);
+CAPNP_DECLARE_SCHEMA(e0009462f2cc5176);
+CAPNP_DECLARE_SCHEMA(fd87286355fb4d5d);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -489,6 +502,179 @@
   };
 };
 
+struct SessionValue {
+  SessionValue() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(934c031102760518, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PreparedDefinition {
+  PreparedDefinition() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd65102991d9a975, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayedStatement {
+  RelayedStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84ddac9b1e58a231, 4, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayedAnswer {
+  RelayedAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bfd5fb1dd2c46f64, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatementRelay {
+  StatementRelay() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct RunParams;
+  struct RunResults;
+  struct CallerDisconnectedParams;
+  struct CallerDisconnectedResults;
+  struct PingParams;
+  struct PingResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(bd8a05a40197c77f)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct StatementRelay::RunParams {
+  RunParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c56354b758801366, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatementRelay::RunResults {
+  RunResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d45c4fca053b060a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatementRelay::CallerDisconnectedParams {
+  CallerDisconnectedParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad73291dab5e71f1, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatementRelay::CallerDisconnectedResults {
+  CallerDisconnectedResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b91e1f6a18d20025, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatementRelay::PingParams {
+  PingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8163a807f6e14fe4, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatementRelay::PingResults {
+  PingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96ad940ff6d3c13a, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -515,6 +701,8 @@
   struct StoreSessionPointResults;
   struct FindSessionPointParams;
   struct FindSessionPointResults;
+  struct OpenRelayParams;
+  struct OpenRelayResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -794,6 +982,36 @@
   };
 };
 
+struct Peer::OpenRelayParams {
+  OpenRelayParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e0009462f2cc5176, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::OpenRelayResults {
+  OpenRelayResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd87286355fb4d5d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -3443,110 +3661,100 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class SessionValue::Reader {
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
+  typedef SessionValue Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::ragwortmux::rpc::Peer::LogMessageParams,  ::ragwortmux::rpc::Peer::LogMessageResults> logMessageRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::IdentifyParams,  ::ragwortmux::rpc::Peer::IdentifyResults> identifyRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::OpenSessionParams,  ::ragwortmux::rpc::Peer::OpenSessionResults> openSessionRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::RenewParams,  ::ragwortmux::rpc::Peer::RenewResults> renewRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::ReportParams,  ::ragwortmux::rpc::Peer::ReportResults> reportRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::CommandParams,  ::ragwortmux::rpc::Peer::CommandResults> commandRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::QueryParams,  ::ragwortmux::rpc::Peer::QueryResults> queryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::StoreSessionPointParams,  ::ragwortmux::rpc::Peer::StoreSessionPointResults> storeSessionPointRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ragwortmux::rpc::Peer::FindSessionPointParams,  ::ragwortmux::rpc::Peer::FindSessionPointResults> findSessionPointRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
+class SessionValue::Builder {
 public:
-  typedef Peer Serves;
+  typedef SessionValue Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::ragwortmux::rpc::Peer::LogMessageParams LogMessageParams;
-  typedef  ::ragwortmux::rpc::Peer::LogMessageResults LogMessageResults;
-  typedef ::capnp::CallContext<LogMessageParams, LogMessageResults> LogMessageContext;
-  virtual ::kj::Promise<void> logMessage(LogMessageContext context);
-  typedef  ::ragwortmux::rpc::Peer::IdentifyParams IdentifyParams;
-  typedef  ::ragwortmux::rpc::Peer::IdentifyResults IdentifyResults;
-  typedef ::capnp::CallContext<IdentifyParams, IdentifyResults> IdentifyContext;
-  virtual ::kj::Promise<void> identify(IdentifyContext context);
-  typedef  ::ragwortmux::rpc::Peer::OpenSessionParams OpenSessionParams;
-  typedef  ::ragwortmux::rpc::Peer::OpenSessionResults OpenSessionResults;
-  typedef ::capnp::CallContext<OpenSessionParams, OpenSessionResults> OpenSessionContext;
-  virtual ::kj::Promise<void> openSession(OpenSessionContext context);
-  typedef  ::ragwortmux::rpc::Peer::RenewParams RenewParams;
-  typedef  ::ragwortmux::rpc::Peer::RenewResults RenewResults;
-  typedef ::capnp::CallContext<RenewParams, RenewResults> RenewContext;
-  virtual ::kj::Promise<void> renew(RenewContext context);
-  typedef  ::ragwortmux::rpc::Peer::ReportParams ReportParams;
-  typedef  ::ragwortmux::rpc::Peer::ReportResults ReportResults;
-  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
-  virtual ::kj::Promise<void> report(ReportContext context);
-  typedef  ::ragwortmux::rpc::Peer::CommandParams CommandParams;
-  typedef  ::ragwortmux::rpc::Peer::CommandResults CommandResults;
-  typedef ::capnp::CallContext<CommandParams, CommandResults> CommandContext;
-  virtual ::kj::Promise<void> command(CommandContext context);
-  typedef  ::ragwortmux::rpc::Peer::QueryParams QueryParams;
-  typedef  ::ragwortmux::rpc::Peer::QueryResults QueryResults;
-  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
-  virtual ::kj::Promise<void> query(QueryContext context);
-  typedef  ::ragwortmux::rpc::Peer::StoreSessionPointParams StoreSessionPointParams;
-  typedef  ::ragwortmux::rpc::Peer::StoreSessionPointResults StoreSessionPointResults;
-  typedef ::capnp::CallContext<StoreSessionPointParams, StoreSessionPointResults> StoreSessionPointContext;
-  virtual ::kj::Promise<void> storeSessionPoint(StoreSessionPointContext context);
-  typedef  ::ragwortmux::rpc::Peer::FindSessionPointParams FindSessionPointParams;
-  typedef  ::ragwortmux::rpc::Peer::FindSessionPointResults FindSessionPointResults;
-  typedef ::capnp::CallContext<FindSessionPointParams, FindSessionPointResults> FindSessionPointContext;
-  virtual ::kj::Promise<void> findSessionPoint(FindSessionPointContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::ragwortmux::rpc::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::ragwortmux::rpc::Peer>();
-  }
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SessionValue::Pipeline {
+public:
+  typedef SessionValue Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LogMessageParams::Reader {
+class PreparedDefinition::Reader {
 public:
-  typedef LogMessageParams Reads;
+  typedef PreparedDefinition Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3561,8 +3769,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::capnp::Data::Reader getMessage() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasDefinition() const;
+  inline  ::capnp::Text::Reader getDefinition() const;
+
+  inline bool getWrites() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3576,9 +3789,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LogMessageParams::Builder {
+class PreparedDefinition::Builder {
 public:
-  typedef LogMessageParams Builds;
+  typedef PreparedDefinition Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3592,12 +3805,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::capnp::Data::Builder getMessage();
-  inline void setMessage( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasDefinition();
+  inline  ::capnp::Text::Builder getDefinition();
+  inline void setDefinition( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDefinition(unsigned int size);
+  inline void adoptDefinition(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDefinition();
+
+  inline bool getWrites();
+  inline void setWrites(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3609,9 +3832,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LogMessageParams::Pipeline {
+class PreparedDefinition::Pipeline {
 public:
-  typedef LogMessageParams Pipelines;
+  typedef PreparedDefinition Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3625,9 +3848,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LogMessageResults::Reader {
+class RelayedStatement::Reader {
 public:
-  typedef LogMessageResults Reads;
+  typedef RelayedStatement Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3642,6 +3865,45 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getCaller() const;
+
+  inline bool hasEntry() const;
+  inline  ::ragwortmux::rpc::CatalogueEntry::Reader getEntry() const;
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasRest() const;
+  inline  ::capnp::Text::Reader getRest() const;
+
+  inline bool getWrites() const;
+
+  inline bool hasValues() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Reader getValues() const;
+
+  inline bool hasPrepared() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Reader getPrepared() const;
+
+  inline bool getHasExecuted() const;
+
+  inline bool hasExecuted() const;
+  inline  ::ragwortmux::rpc::PreparedDefinition::Reader getExecuted() const;
+
+  inline bool hasLastWrite() const;
+  inline  ::ragwortmux::rpc::Point::Reader getLastWrite() const;
+
+  inline  ::int64_t getAgeUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3654,9 +3916,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LogMessageResults::Builder {
+class RelayedStatement::Builder {
 public:
-  typedef LogMessageResults Builds;
+  typedef RelayedStatement Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3670,6 +3932,87 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getCaller();
+  inline void setCaller( ::uint64_t value);
+
+  inline bool hasEntry();
+  inline  ::ragwortmux::rpc::CatalogueEntry::Builder getEntry();
+  inline void setEntry( ::ragwortmux::rpc::CatalogueEntry::Reader value);
+  inline  ::ragwortmux::rpc::CatalogueEntry::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry> disownEntry();
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasRest();
+  inline  ::capnp::Text::Builder getRest();
+  inline void setRest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRest(unsigned int size);
+  inline void adoptRest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRest();
+
+  inline bool getWrites();
+  inline void setWrites(bool value);
+
+  inline bool hasValues();
+  inline  ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Builder getValues();
+  inline void setValues( ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Builder initValues(unsigned int size);
+  inline void adoptValues(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>> disownValues();
+
+  inline bool hasPrepared();
+  inline  ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Builder getPrepared();
+  inline void setPrepared( ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Builder initPrepared(unsigned int size);
+  inline void adoptPrepared(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>> disownPrepared();
+
+  inline bool getHasExecuted();
+  inline void setHasExecuted(bool value);
+
+  inline bool hasExecuted();
+  inline  ::ragwortmux::rpc::PreparedDefinition::Builder getExecuted();
+  inline void setExecuted( ::ragwortmux::rpc::PreparedDefinition::Reader value);
+  inline  ::ragwortmux::rpc::PreparedDefinition::Builder initExecuted();
+  inline void adoptExecuted(::capnp::Orphan< ::ragwortmux::rpc::PreparedDefinition>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::PreparedDefinition> disownExecuted();
+
+  inline bool hasLastWrite();
+  inline  ::ragwortmux::rpc::Point::Builder getLastWrite();
+  inline void setLastWrite( ::ragwortmux::rpc::Point::Reader value);
+  inline  ::ragwortmux::rpc::Point::Builder initLastWrite();
+  inline void adoptLastWrite(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownLastWrite();
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3680,14 +4023,17 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LogMessageResults::Pipeline {
+class RelayedStatement::Pipeline {
 public:
-  typedef LogMessageResults Pipelines;
+  typedef RelayedStatement Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::rpc::CatalogueEntry::Pipeline getEntry();
+  inline  ::ragwortmux::rpc::PreparedDefinition::Pipeline getExecuted();
+  inline  ::ragwortmux::rpc::Point::Pipeline getLastWrite();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3696,9 +4042,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::IdentifyParams::Reader {
+class RelayedAnswer::Reader {
 public:
-  typedef IdentifyParams Reads;
+  typedef RelayedAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3713,8 +4059,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom() const;
-  inline  ::capnp::Text::Reader getFrom() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint16_t getCode() const;
+
+  inline bool getHasBody() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline  ::uint8_t getStatus() const;
+
+  inline bool hasPoint() const;
+  inline  ::ragwortmux::rpc::Point::Reader getPoint() const;
+
+  inline bool hasWritten() const;
+  inline  ::ragwortmux::rpc::Point::Reader getWritten() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3728,9 +4089,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::IdentifyParams::Builder {
+class RelayedAnswer::Builder {
 public:
-  typedef IdentifyParams Builds;
+  typedef RelayedAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3744,12 +4105,42 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom();
-  inline  ::capnp::Text::Builder getFrom();
-  inline void setFrom( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
+
+  inline bool getHasBody();
+  inline void setHasBody(bool value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline  ::uint8_t getStatus();
+  inline void setStatus( ::uint8_t value);
+
+  inline bool hasPoint();
+  inline  ::ragwortmux::rpc::Point::Builder getPoint();
+  inline void setPoint( ::ragwortmux::rpc::Point::Reader value);
+  inline  ::ragwortmux::rpc::Point::Builder initPoint();
+  inline void adoptPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPoint();
+
+  inline bool hasWritten();
+  inline  ::ragwortmux::rpc::Point::Builder getWritten();
+  inline void setWritten( ::ragwortmux::rpc::Point::Reader value);
+  inline  ::ragwortmux::rpc::Point::Builder initWritten();
+  inline void adoptWritten(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownWritten();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3761,14 +4152,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::IdentifyParams::Pipeline {
+class RelayedAnswer::Pipeline {
 public:
-  typedef IdentifyParams Pipelines;
+  typedef RelayedAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
+  inline  ::ragwortmux::rpc::Point::Pipeline getWritten();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3777,9 +4170,74 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::IdentifyResults::Reader {
+#if !CAPNP_LITE
+class StatementRelay::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef IdentifyResults Reads;
+  typedef StatementRelay Calls;
+  typedef StatementRelay Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::ragwortmux::rpc::StatementRelay::RunParams,  ::ragwortmux::rpc::StatementRelay::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::StatementRelay::CallerDisconnectedParams,  ::ragwortmux::rpc::StatementRelay::CallerDisconnectedResults> callerDisconnectedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::StatementRelay::PingParams,  ::ragwortmux::rpc::StatementRelay::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class StatementRelay::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef StatementRelay Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::ragwortmux::rpc::StatementRelay::RunParams RunParams;
+  typedef  ::ragwortmux::rpc::StatementRelay::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::ragwortmux::rpc::StatementRelay::CallerDisconnectedParams CallerDisconnectedParams;
+  typedef  ::ragwortmux::rpc::StatementRelay::CallerDisconnectedResults CallerDisconnectedResults;
+  typedef ::capnp::CallContext<CallerDisconnectedParams, CallerDisconnectedResults> CallerDisconnectedContext;
+  virtual ::kj::Promise<void> callerDisconnected(CallerDisconnectedContext context);
+  typedef  ::ragwortmux::rpc::StatementRelay::PingParams PingParams;
+  typedef  ::ragwortmux::rpc::StatementRelay::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+
+  inline  ::ragwortmux::rpc::StatementRelay::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::ragwortmux::rpc::StatementRelay>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class StatementRelay::RunParams::Reader {
+public:
+  typedef RunParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3794,16 +4252,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVoter() const;
-  inline  ::capnp::Text::Reader getVoter() const;
-
-  inline bool getBlank() const;
-
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+  inline bool hasStatement() const;
+  inline  ::ragwortmux::rpc::RelayedStatement::Reader getStatement() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3817,9 +4267,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::IdentifyResults::Builder {
+class StatementRelay::RunParams::Builder {
 public:
-  typedef IdentifyResults Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3833,30 +4283,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVoter();
-  inline  ::capnp::Text::Builder getVoter();
-  inline void setVoter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVoter(unsigned int size);
-  inline void adoptVoter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVoter();
-
-  inline bool getBlank();
-  inline void setBlank(bool value);
-
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+  inline bool hasStatement();
+  inline  ::ragwortmux::rpc::RelayedStatement::Builder getStatement();
+  inline void setStatement( ::ragwortmux::rpc::RelayedStatement::Reader value);
+  inline  ::ragwortmux::rpc::RelayedStatement::Builder initStatement();
+  inline void adoptStatement(::capnp::Orphan< ::ragwortmux::rpc::RelayedStatement>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::RelayedStatement> disownStatement();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3868,14 +4300,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::IdentifyResults::Pipeline {
+class StatementRelay::RunParams::Pipeline {
 public:
-  typedef IdentifyResults Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::rpc::RelayedStatement::Pipeline getStatement();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3884,9 +4317,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OpenSessionParams::Reader {
+class StatementRelay::RunResults::Reader {
 public:
-  typedef OpenSessionParams Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3901,15 +4334,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::ragwortmux::rpc::EntryHost::Reader getHost() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline bool hasListener() const;
-#if !CAPNP_LITE
-  inline  ::ragwortmux::rpc::EntryListener::Client getListener() const;
-#endif  // !CAPNP_LITE
+  inline bool hasAnswer() const;
+  inline  ::ragwortmux::rpc::RelayedAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3923,9 +4349,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OpenSessionParams::Builder {
+class StatementRelay::RunResults::Builder {
 public:
-  typedef OpenSessionParams Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3939,24 +4365,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::ragwortmux::rpc::EntryHost::Builder getHost();
-  inline void setHost( ::ragwortmux::rpc::EntryHost::Reader value);
-  inline  ::ragwortmux::rpc::EntryHost::Builder initHost();
-  inline void adoptHost(::capnp::Orphan< ::ragwortmux::rpc::EntryHost>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::EntryHost> disownHost();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline bool hasListener();
-#if !CAPNP_LITE
-  inline  ::ragwortmux::rpc::EntryListener::Client getListener();
-  inline void setListener( ::ragwortmux::rpc::EntryListener::Client&& value);
-  inline void setListener( ::ragwortmux::rpc::EntryListener::Client& value);
-  inline void adoptListener(::capnp::Orphan< ::ragwortmux::rpc::EntryListener>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::EntryListener> disownListener();
-#endif  // !CAPNP_LITE
+  inline bool hasAnswer();
+  inline  ::ragwortmux::rpc::RelayedAnswer::Builder getAnswer();
+  inline void setAnswer( ::ragwortmux::rpc::RelayedAnswer::Reader value);
+  inline  ::ragwortmux::rpc::RelayedAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::ragwortmux::rpc::RelayedAnswer>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::RelayedAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3968,16 +4382,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OpenSessionParams::Pipeline {
+class StatementRelay::RunResults::Pipeline {
 public:
-  typedef OpenSessionParams Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::EntryHost::Pipeline getHost();
-  inline  ::ragwortmux::rpc::EntryListener::Client getListener();
+  inline  ::ragwortmux::rpc::RelayedAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3986,9 +4399,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OpenSessionResults::Reader {
+class StatementRelay::CallerDisconnectedParams::Reader {
 public:
-  typedef OpenSessionResults Reads;
+  typedef CallerDisconnectedParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4003,12 +4416,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
-
-  inline  ::uint64_t getSession() const;
-
-  inline  ::int64_t getLeaseUs() const;
+  inline  ::uint64_t getCaller() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4022,9 +4430,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OpenSessionResults::Builder {
+class StatementRelay::CallerDisconnectedParams::Builder {
 public:
-  typedef OpenSessionResults Builds;
+  typedef CallerDisconnectedParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4038,18 +4446,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::ragwortmux::rpc::Status::Builder getStatus();
-  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
-  inline  ::ragwortmux::rpc::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
-
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
-
-  inline  ::int64_t getLeaseUs();
-  inline void setLeaseUs( ::int64_t value);
+  inline  ::uint64_t getCaller();
+  inline void setCaller( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4061,15 +4459,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OpenSessionResults::Pipeline {
+class StatementRelay::CallerDisconnectedParams::Pipeline {
 public:
-  typedef OpenSessionResults Pipelines;
+  typedef CallerDisconnectedParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4078,9 +4475,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RenewParams::Reader {
+class StatementRelay::CallerDisconnectedResults::Reader {
 public:
-  typedef RenewParams Reads;
+  typedef CallerDisconnectedResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4095,16 +4492,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasConfirmation() const;
-  inline  ::ragwortmux::rpc::Confirmation::Reader getConfirmation() const;
-
-  inline bool hasDemand() const;
-  inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4117,9 +4504,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RenewParams::Builder {
+class StatementRelay::CallerDisconnectedResults::Builder {
 public:
-  typedef RenewParams Builds;
+  typedef CallerDisconnectedResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4133,26 +4520,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool hasConfirmation();
-  inline  ::ragwortmux::rpc::Confirmation::Builder getConfirmation();
-  inline void setConfirmation( ::ragwortmux::rpc::Confirmation::Reader value);
-  inline  ::ragwortmux::rpc::Confirmation::Builder initConfirmation();
-  inline void adoptConfirmation(::capnp::Orphan< ::ragwortmux::rpc::Confirmation>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Confirmation> disownConfirmation();
-
-  inline bool hasDemand();
-  inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Builder getDemand();
-  inline void setDemand( ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
-  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>> disownDemand();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4163,15 +4530,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RenewParams::Pipeline {
+class StatementRelay::CallerDisconnectedResults::Pipeline {
 public:
-  typedef RenewParams Pipelines;
+  typedef CallerDisconnectedResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::Confirmation::Pipeline getConfirmation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4180,9 +4546,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RenewResults::Reader {
+class StatementRelay::PingParams::Reader {
 public:
-  typedef RenewResults Reads;
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4197,14 +4563,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
-
-  inline  ::int64_t getLeaseUs() const;
-
-  inline bool hasUpdate() const;
-  inline  ::ragwortmux::rpc::Update::Reader getUpdate() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4217,9 +4575,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RenewResults::Builder {
+class StatementRelay::PingParams::Builder {
 public:
-  typedef RenewResults Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4233,23 +4591,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::ragwortmux::rpc::Status::Builder getStatus();
-  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
-  inline  ::ragwortmux::rpc::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
-
-  inline  ::int64_t getLeaseUs();
-  inline void setLeaseUs( ::int64_t value);
-
-  inline bool hasUpdate();
-  inline  ::ragwortmux::rpc::Update::Builder getUpdate();
-  inline void setUpdate( ::ragwortmux::rpc::Update::Reader value);
-  inline  ::ragwortmux::rpc::Update::Builder initUpdate();
-  inline void adoptUpdate(::capnp::Orphan< ::ragwortmux::rpc::Update>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Update> disownUpdate();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4260,16 +4601,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RenewResults::Pipeline {
+class StatementRelay::PingParams::Pipeline {
 public:
-  typedef RenewResults Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
-  inline  ::ragwortmux::rpc::Update::Pipeline getUpdate();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4278,9 +4617,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReportParams::Reader {
+class StatementRelay::PingResults::Reader {
 public:
-  typedef ReportParams Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4295,14 +4634,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession() const;
-
-  inline bool hasAnnouncements() const;
-  inline  ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Reader getAnnouncements() const;
-
-  inline bool hasSuspicions() const;
-  inline  ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4315,9 +4646,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReportParams::Builder {
+class StatementRelay::PingResults::Builder {
 public:
-  typedef ReportParams Builds;
+  typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4331,23 +4662,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
-
-  inline bool hasAnnouncements();
-  inline  ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Builder getAnnouncements();
-  inline void setAnnouncements( ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Builder initAnnouncements(unsigned int size);
-  inline void adoptAnnouncements(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>> disownAnnouncements();
-
-  inline bool hasSuspicions();
-  inline  ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
-  inline void setSuspicions( ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
-  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4358,9 +4672,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReportParams::Pipeline {
+class StatementRelay::PingResults::Pipeline {
 public:
-  typedef ReportParams Pipelines;
+  typedef PingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4374,91 +4688,116 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReportResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ReportResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  typedef Peer Calls;
+  typedef Peer Reads;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline bool hasStatus() const;
-  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
+  ::capnp::Request< ::ragwortmux::rpc::Peer::LogMessageParams,  ::ragwortmux::rpc::Peer::LogMessageResults> logMessageRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::IdentifyParams,  ::ragwortmux::rpc::Peer::IdentifyResults> identifyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::OpenSessionParams,  ::ragwortmux::rpc::Peer::OpenSessionResults> openSessionRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::RenewParams,  ::ragwortmux::rpc::Peer::RenewResults> renewRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::ReportParams,  ::ragwortmux::rpc::Peer::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::CommandParams,  ::ragwortmux::rpc::Peer::CommandResults> commandRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::QueryParams,  ::ragwortmux::rpc::Peer::QueryResults> queryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::StoreSessionPointParams,  ::ragwortmux::rpc::Peer::StoreSessionPointResults> storeSessionPointRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::FindSessionPointParams,  ::ragwortmux::rpc::Peer::FindSessionPointResults> findSessionPointRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::OpenRelayParams,  ::ragwortmux::rpc::Peer::OpenRelayResults> openRelayRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+protected:
+  Client() = default;
 };
 
-class Peer::ReportResults::Builder {
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-  typedef ReportResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  typedef Peer Serves;
 
-  inline bool hasStatus();
-  inline  ::ragwortmux::rpc::Status::Builder getStatus();
-  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
-  inline  ::ragwortmux::rpc::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::ReportResults::Pipeline {
-public:
-  typedef ReportResults Pipelines;
+protected:
+  typedef  ::ragwortmux::rpc::Peer::LogMessageParams LogMessageParams;
+  typedef  ::ragwortmux::rpc::Peer::LogMessageResults LogMessageResults;
+  typedef ::capnp::CallContext<LogMessageParams, LogMessageResults> LogMessageContext;
+  virtual ::kj::Promise<void> logMessage(LogMessageContext context);
+  typedef  ::ragwortmux::rpc::Peer::IdentifyParams IdentifyParams;
+  typedef  ::ragwortmux::rpc::Peer::IdentifyResults IdentifyResults;
+  typedef ::capnp::CallContext<IdentifyParams, IdentifyResults> IdentifyContext;
+  virtual ::kj::Promise<void> identify(IdentifyContext context);
+  typedef  ::ragwortmux::rpc::Peer::OpenSessionParams OpenSessionParams;
+  typedef  ::ragwortmux::rpc::Peer::OpenSessionResults OpenSessionResults;
+  typedef ::capnp::CallContext<OpenSessionParams, OpenSessionResults> OpenSessionContext;
+  virtual ::kj::Promise<void> openSession(OpenSessionContext context);
+  typedef  ::ragwortmux::rpc::Peer::RenewParams RenewParams;
+  typedef  ::ragwortmux::rpc::Peer::RenewResults RenewResults;
+  typedef ::capnp::CallContext<RenewParams, RenewResults> RenewContext;
+  virtual ::kj::Promise<void> renew(RenewContext context);
+  typedef  ::ragwortmux::rpc::Peer::ReportParams ReportParams;
+  typedef  ::ragwortmux::rpc::Peer::ReportResults ReportResults;
+  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
+  virtual ::kj::Promise<void> report(ReportContext context);
+  typedef  ::ragwortmux::rpc::Peer::CommandParams CommandParams;
+  typedef  ::ragwortmux::rpc::Peer::CommandResults CommandResults;
+  typedef ::capnp::CallContext<CommandParams, CommandResults> CommandContext;
+  virtual ::kj::Promise<void> command(CommandContext context);
+  typedef  ::ragwortmux::rpc::Peer::QueryParams QueryParams;
+  typedef  ::ragwortmux::rpc::Peer::QueryResults QueryResults;
+  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
+  virtual ::kj::Promise<void> query(QueryContext context);
+  typedef  ::ragwortmux::rpc::Peer::StoreSessionPointParams StoreSessionPointParams;
+  typedef  ::ragwortmux::rpc::Peer::StoreSessionPointResults StoreSessionPointResults;
+  typedef ::capnp::CallContext<StoreSessionPointParams, StoreSessionPointResults> StoreSessionPointContext;
+  virtual ::kj::Promise<void> storeSessionPoint(StoreSessionPointContext context);
+  typedef  ::ragwortmux::rpc::Peer::FindSessionPointParams FindSessionPointParams;
+  typedef  ::ragwortmux::rpc::Peer::FindSessionPointResults FindSessionPointResults;
+  typedef ::capnp::CallContext<FindSessionPointParams, FindSessionPointResults> FindSessionPointContext;
+  virtual ::kj::Promise<void> findSessionPoint(FindSessionPointContext context);
+  typedef  ::ragwortmux::rpc::Peer::OpenRelayParams OpenRelayParams;
+  typedef  ::ragwortmux::rpc::Peer::OpenRelayResults OpenRelayResults;
+  typedef ::capnp::CallContext<OpenRelayParams, OpenRelayResults> OpenRelayContext;
+  virtual ::kj::Promise<void> openRelay(OpenRelayContext context);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline  ::ragwortmux::rpc::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::ragwortmux::rpc::Peer>();
+  }
 
-  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CommandParams::Reader {
+class Peer::LogMessageParams::Reader {
 public:
-  typedef CommandParams Reads;
+  typedef LogMessageParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4473,8 +4812,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCommand() const;
-  inline  ::capnp::Data::Reader getCommand() const;
+  inline bool hasMessage() const;
+  inline  ::capnp::Data::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4488,9 +4827,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CommandParams::Builder {
+class Peer::LogMessageParams::Builder {
 public:
-  typedef CommandParams Builds;
+  typedef LogMessageParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4504,12 +4843,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCommand();
-  inline  ::capnp::Data::Builder getCommand();
-  inline void setCommand( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initCommand(unsigned int size);
-  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
+  inline bool hasMessage();
+  inline  ::capnp::Data::Builder getMessage();
+  inline void setMessage( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4521,9 +4860,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CommandParams::Pipeline {
+class Peer::LogMessageParams::Pipeline {
 public:
-  typedef CommandParams Pipelines;
+  typedef LogMessageParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4537,9 +4876,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CommandResults::Reader {
+class Peer::LogMessageResults::Reader {
 public:
-  typedef CommandResults Reads;
+  typedef LogMessageResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4554,9 +4893,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::ragwortmux::rpc::CommandResult::Reader getResult() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4569,9 +4905,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CommandResults::Builder {
+class Peer::LogMessageResults::Builder {
 public:
-  typedef CommandResults Builds;
+  typedef LogMessageResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4585,13 +4921,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::ragwortmux::rpc::CommandResult::Builder getResult();
-  inline void setResult( ::ragwortmux::rpc::CommandResult::Reader value);
-  inline  ::ragwortmux::rpc::CommandResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::ragwortmux::rpc::CommandResult>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::CommandResult> disownResult();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4602,15 +4931,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CommandResults::Pipeline {
+class Peer::LogMessageResults::Pipeline {
 public:
-  typedef CommandResults Pipelines;
+  typedef LogMessageResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::CommandResult::Pipeline getResult();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4619,9 +4947,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryParams::Reader {
+class Peer::IdentifyParams::Reader {
 public:
-  typedef QueryParams Reads;
+  typedef IdentifyParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4636,11 +4964,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWhat() const;
-  inline  ::capnp::Text::Reader getWhat() const;
-
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4654,9 +4979,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryParams::Builder {
+class Peer::IdentifyParams::Builder {
 public:
-  typedef QueryParams Builds;
+  typedef IdentifyParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4670,19 +4995,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWhat();
-  inline  ::capnp::Text::Builder getWhat();
-  inline void setWhat( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWhat(unsigned int size);
-  inline void adoptWhat(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWhat();
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4694,9 +5012,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryParams::Pipeline {
+class Peer::IdentifyParams::Pipeline {
 public:
-  typedef QueryParams Pipelines;
+  typedef IdentifyParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4710,9 +5028,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryResults::Reader {
+class Peer::IdentifyResults::Reader {
 public:
-  typedef QueryResults Reads;
+  typedef IdentifyResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4727,11 +5045,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
+  inline bool hasVoter() const;
+  inline  ::capnp::Text::Reader getVoter() const;
 
-  inline bool hasJson() const;
-  inline  ::capnp::Text::Reader getJson() const;
+  inline bool getBlank() const;
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4745,9 +5068,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryResults::Builder {
+class Peer::IdentifyResults::Builder {
 public:
-  typedef QueryResults Builds;
+  typedef IdentifyResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4761,19 +5084,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::ragwortmux::rpc::Status::Builder getStatus();
-  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
-  inline  ::ragwortmux::rpc::Status::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
+  inline bool hasVoter();
+  inline  ::capnp::Text::Builder getVoter();
+  inline void setVoter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVoter(unsigned int size);
+  inline void adoptVoter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVoter();
 
-  inline bool hasJson();
-  inline  ::capnp::Text::Builder getJson();
-  inline void setJson( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initJson(unsigned int size);
-  inline void adoptJson(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownJson();
+  inline bool getBlank();
+  inline void setBlank(bool value);
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4785,15 +5119,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryResults::Pipeline {
+class Peer::IdentifyResults::Pipeline {
 public:
-  typedef QueryResults Pipelines;
+  typedef IdentifyResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4802,9 +5135,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::StoreSessionPointParams::Reader {
+class Peer::OpenSessionParams::Reader {
 public:
-  typedef StoreSessionPointParams Reads;
+  typedef OpenSessionParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4819,19 +5152,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession() const;
-  inline  ::capnp::Text::Reader getSession() const;
-
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline bool hasPoint() const;
-  inline  ::ragwortmux::rpc::Point::Reader getPoint() const;
+  inline bool hasHost() const;
+  inline  ::ragwortmux::rpc::EntryHost::Reader getHost() const;
 
-  inline  ::uint64_t getHomesRevision() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool hasTicket() const;
-  inline  ::ragwortmux::rpc::SessionTicket::Reader getTicket() const;
+  inline bool hasListener() const;
+#if !CAPNP_LITE
+  inline  ::ragwortmux::rpc::EntryListener::Client getListener() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4845,9 +5174,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::StoreSessionPointParams::Builder {
+class Peer::OpenSessionParams::Builder {
 public:
-  typedef StoreSessionPointParams Builds;
+  typedef OpenSessionParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4861,36 +5190,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession();
-  inline  ::capnp::Text::Builder getSession();
-  inline void setSession( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSession(unsigned int size);
-  inline void adoptSession(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSession();
+  inline bool hasHost();
+  inline  ::ragwortmux::rpc::EntryHost::Builder getHost();
+  inline void setHost( ::ragwortmux::rpc::EntryHost::Reader value);
+  inline  ::ragwortmux::rpc::EntryHost::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::ragwortmux::rpc::EntryHost>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::EntryHost> disownHost();
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool hasPoint();
-  inline  ::ragwortmux::rpc::Point::Builder getPoint();
-  inline void setPoint( ::ragwortmux::rpc::Point::Reader value);
-  inline  ::ragwortmux::rpc::Point::Builder initPoint();
-  inline void adoptPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPoint();
-
-  inline  ::uint64_t getHomesRevision();
-  inline void setHomesRevision( ::uint64_t value);
-
-  inline bool hasTicket();
-  inline  ::ragwortmux::rpc::SessionTicket::Builder getTicket();
-  inline void setTicket( ::ragwortmux::rpc::SessionTicket::Reader value);
-  inline  ::ragwortmux::rpc::SessionTicket::Builder initTicket();
-  inline void adoptTicket(::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> disownTicket();
+  inline bool hasListener();
+#if !CAPNP_LITE
+  inline  ::ragwortmux::rpc::EntryListener::Client getListener();
+  inline void setListener( ::ragwortmux::rpc::EntryListener::Client&& value);
+  inline void setListener( ::ragwortmux::rpc::EntryListener::Client& value);
+  inline void adoptListener(::capnp::Orphan< ::ragwortmux::rpc::EntryListener>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::EntryListener> disownListener();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4902,16 +5219,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::StoreSessionPointParams::Pipeline {
+class Peer::OpenSessionParams::Pipeline {
 public:
-  typedef StoreSessionPointParams Pipelines;
+  typedef OpenSessionParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
-  inline  ::ragwortmux::rpc::SessionTicket::Pipeline getTicket();
+  inline  ::ragwortmux::rpc::EntryHost::Pipeline getHost();
+  inline  ::ragwortmux::rpc::EntryListener::Client getListener();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4920,9 +5237,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::StoreSessionPointResults::Reader {
+class Peer::OpenSessionResults::Reader {
 public:
-  typedef StoreSessionPointResults Reads;
+  typedef OpenSessionResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4937,7 +5254,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getStored() const;
+  inline bool hasStatus() const;
+  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
+
+  inline  ::uint64_t getSession() const;
+
+  inline  ::int64_t getLeaseUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4951,9 +5273,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::StoreSessionPointResults::Builder {
+class Peer::OpenSessionResults::Builder {
 public:
-  typedef StoreSessionPointResults Builds;
+  typedef OpenSessionResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4967,8 +5289,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getStored();
-  inline void setStored(bool value);
+  inline bool hasStatus();
+  inline  ::ragwortmux::rpc::Status::Builder getStatus();
+  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
+  inline  ::ragwortmux::rpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
+
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
+  inline  ::int64_t getLeaseUs();
+  inline void setLeaseUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4980,14 +5312,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::StoreSessionPointResults::Pipeline {
+class Peer::OpenSessionResults::Pipeline {
 public:
-  typedef StoreSessionPointResults Pipelines;
+  typedef OpenSessionResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4996,9 +5329,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FindSessionPointParams::Reader {
+class Peer::RenewParams::Reader {
 public:
-  typedef FindSessionPointParams Reads;
+  typedef RenewParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5013,13 +5346,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession() const;
-  inline  ::capnp::Text::Reader getSession() const;
+  inline  ::uint64_t getSession() const;
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint64_t getHomesRevision() const;
+  inline bool hasConfirmation() const;
+  inline  ::ragwortmux::rpc::Confirmation::Reader getConfirmation() const;
+
+  inline bool hasDemand() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5033,9 +5368,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FindSessionPointParams::Builder {
+class Peer::RenewParams::Builder {
 public:
-  typedef FindSessionPointParams Builds;
+  typedef RenewParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5049,22 +5384,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession();
-  inline  ::capnp::Text::Builder getSession();
-  inline void setSession( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSession(unsigned int size);
-  inline void adoptSession(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSession();
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline  ::uint64_t getHomesRevision();
-  inline void setHomesRevision( ::uint64_t value);
+  inline bool hasConfirmation();
+  inline  ::ragwortmux::rpc::Confirmation::Builder getConfirmation();
+  inline void setConfirmation( ::ragwortmux::rpc::Confirmation::Reader value);
+  inline  ::ragwortmux::rpc::Confirmation::Builder initConfirmation();
+  inline void adoptConfirmation(::capnp::Orphan< ::ragwortmux::rpc::Confirmation>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Confirmation> disownConfirmation();
+
+  inline bool hasDemand();
+  inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Builder getDemand();
+  inline void setDemand( ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
+  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>> disownDemand();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5076,14 +5414,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FindSessionPointParams::Pipeline {
+class Peer::RenewParams::Pipeline {
 public:
-  typedef FindSessionPointParams Pipelines;
+  typedef RenewParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::rpc::Confirmation::Pipeline getConfirmation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5092,9 +5431,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FindSessionPointResults::Reader {
+class Peer::RenewResults::Reader {
 public:
-  typedef FindSessionPointResults Reads;
+  typedef RenewResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5109,11 +5448,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPoint() const;
-  inline  ::ragwortmux::rpc::Point::Reader getPoint() const;
+  inline bool hasStatus() const;
+  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
 
-  inline bool hasTicket() const;
-  inline  ::ragwortmux::rpc::SessionTicket::Reader getTicket() const;
+  inline  ::int64_t getLeaseUs() const;
+
+  inline bool hasUpdate() const;
+  inline  ::ragwortmux::rpc::Update::Reader getUpdate() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5127,9 +5468,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FindSessionPointResults::Builder {
+class Peer::RenewResults::Builder {
 public:
-  typedef FindSessionPointResults Builds;
+  typedef RenewResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5143,19 +5484,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPoint();
-  inline  ::ragwortmux::rpc::Point::Builder getPoint();
-  inline void setPoint( ::ragwortmux::rpc::Point::Reader value);
-  inline  ::ragwortmux::rpc::Point::Builder initPoint();
-  inline void adoptPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPoint();
+  inline bool hasStatus();
+  inline  ::ragwortmux::rpc::Status::Builder getStatus();
+  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
+  inline  ::ragwortmux::rpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
 
-  inline bool hasTicket();
-  inline  ::ragwortmux::rpc::SessionTicket::Builder getTicket();
-  inline void setTicket( ::ragwortmux::rpc::SessionTicket::Reader value);
-  inline  ::ragwortmux::rpc::SessionTicket::Builder initTicket();
-  inline void adoptTicket(::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> disownTicket();
+  inline  ::int64_t getLeaseUs();
+  inline void setLeaseUs( ::int64_t value);
+
+  inline bool hasUpdate();
+  inline  ::ragwortmux::rpc::Update::Builder getUpdate();
+  inline void setUpdate( ::ragwortmux::rpc::Update::Reader value);
+  inline  ::ragwortmux::rpc::Update::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::ragwortmux::rpc::Update>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Update> disownUpdate();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5167,16 +5511,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FindSessionPointResults::Pipeline {
+class Peer::RenewResults::Pipeline {
 public:
-  typedef FindSessionPointResults Pipelines;
+  typedef RenewResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
-  inline  ::ragwortmux::rpc::SessionTicket::Pipeline getTicket();
+  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
+  inline  ::ragwortmux::rpc::Update::Pipeline getUpdate();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5185,2558 +5529,4481 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::ReportParams::Reader {
+public:
+  typedef ReportParams Reads;
 
-#if !CAPNP_LITE
-inline Gate::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Gate::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Gate::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Gate::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Gate::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-#endif  // !CAPNP_LITE
-inline bool Gate::HelloResults::Reader::hasNonce() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Gate::HelloResults::Builder::hasNonce() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Gate::HelloResults::Reader::getNonce() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Gate::HelloResults::Builder::getNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Gate::HelloResults::Builder::setNonce( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Gate::HelloResults::Builder::initNonce(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Gate::HelloResults::Builder::adoptNonce(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> Gate::HelloResults::Builder::disownNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Gate::HelloResults::Reader::hasChallenge() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Gate::HelloResults::Builder::hasChallenge() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
 #if !CAPNP_LITE
-inline  ::ragwortmux::rpc::Challenge::Client Gate::HelloResults::Reader::getChallenge() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::ragwortmux::rpc::Challenge::Client Gate::HelloResults::Builder::getChallenge() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::ragwortmux::rpc::Challenge::Client Gate::HelloResults::Pipeline::getChallenge() {
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSession() const;
+
+  inline bool hasAnnouncements() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Reader getAnnouncements() const;
+
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportParams::Builder {
+public:
+  typedef ReportParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
+  inline bool hasAnnouncements();
+  inline  ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Builder getAnnouncements();
+  inline void setAnnouncements( ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>::Builder initAnnouncements(unsigned int size);
+  inline void adoptAnnouncements(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Announcement,  ::capnp::Kind::STRUCT>> disownAnnouncements();
+
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportParams::Pipeline {
+public:
+  typedef ReportParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReportResults::Reader {
+public:
+  typedef ReportResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReportResults::Builder {
+public:
+  typedef ReportResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::ragwortmux::rpc::Status::Builder getStatus();
+  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
+  inline  ::ragwortmux::rpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReportResults::Pipeline {
+public:
+  typedef ReportResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CommandParams::Reader {
+public:
+  typedef CommandParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCommand() const;
+  inline  ::capnp::Data::Reader getCommand() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CommandParams::Builder {
+public:
+  typedef CommandParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCommand();
+  inline  ::capnp::Data::Builder getCommand();
+  inline void setCommand( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCommand(unsigned int size);
+  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CommandParams::Pipeline {
+public:
+  typedef CommandParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CommandResults::Reader {
+public:
+  typedef CommandResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasResult() const;
+  inline  ::ragwortmux::rpc::CommandResult::Reader getResult() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CommandResults::Builder {
+public:
+  typedef CommandResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasResult();
+  inline  ::ragwortmux::rpc::CommandResult::Builder getResult();
+  inline void setResult( ::ragwortmux::rpc::CommandResult::Reader value);
+  inline  ::ragwortmux::rpc::CommandResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::ragwortmux::rpc::CommandResult>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::CommandResult> disownResult();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CommandResults::Pipeline {
+public:
+  typedef CommandResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::CommandResult::Pipeline getResult();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::QueryParams::Reader {
+public:
+  typedef QueryParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWhat() const;
+  inline  ::capnp::Text::Reader getWhat() const;
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::QueryParams::Builder {
+public:
+  typedef QueryParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWhat();
+  inline  ::capnp::Text::Builder getWhat();
+  inline void setWhat( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWhat(unsigned int size);
+  inline void adoptWhat(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWhat();
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::QueryParams::Pipeline {
+public:
+  typedef QueryParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::QueryResults::Reader {
+public:
+  typedef QueryResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
+
+  inline bool hasJson() const;
+  inline  ::capnp::Text::Reader getJson() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::QueryResults::Builder {
+public:
+  typedef QueryResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::ragwortmux::rpc::Status::Builder getStatus();
+  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
+  inline  ::ragwortmux::rpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
+
+  inline bool hasJson();
+  inline  ::capnp::Text::Builder getJson();
+  inline void setJson( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJson(unsigned int size);
+  inline void adoptJson(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJson();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::QueryResults::Pipeline {
+public:
+  typedef QueryResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StoreSessionPointParams::Reader {
+public:
+  typedef StoreSessionPointParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSession() const;
+  inline  ::capnp::Text::Reader getSession() const;
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline bool hasPoint() const;
+  inline  ::ragwortmux::rpc::Point::Reader getPoint() const;
+
+  inline  ::uint64_t getHomesRevision() const;
+
+  inline bool hasTicket() const;
+  inline  ::ragwortmux::rpc::SessionTicket::Reader getTicket() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StoreSessionPointParams::Builder {
+public:
+  typedef StoreSessionPointParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSession();
+  inline  ::capnp::Text::Builder getSession();
+  inline void setSession( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSession(unsigned int size);
+  inline void adoptSession(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSession();
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline bool hasPoint();
+  inline  ::ragwortmux::rpc::Point::Builder getPoint();
+  inline void setPoint( ::ragwortmux::rpc::Point::Reader value);
+  inline  ::ragwortmux::rpc::Point::Builder initPoint();
+  inline void adoptPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPoint();
+
+  inline  ::uint64_t getHomesRevision();
+  inline void setHomesRevision( ::uint64_t value);
+
+  inline bool hasTicket();
+  inline  ::ragwortmux::rpc::SessionTicket::Builder getTicket();
+  inline void setTicket( ::ragwortmux::rpc::SessionTicket::Reader value);
+  inline  ::ragwortmux::rpc::SessionTicket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> disownTicket();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StoreSessionPointParams::Pipeline {
+public:
+  typedef StoreSessionPointParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
+  inline  ::ragwortmux::rpc::SessionTicket::Pipeline getTicket();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StoreSessionPointResults::Reader {
+public:
+  typedef StoreSessionPointResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getStored() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StoreSessionPointResults::Builder {
+public:
+  typedef StoreSessionPointResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getStored();
+  inline void setStored(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StoreSessionPointResults::Pipeline {
+public:
+  typedef StoreSessionPointResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FindSessionPointParams::Reader {
+public:
+  typedef FindSessionPointParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSession() const;
+  inline  ::capnp::Text::Reader getSession() const;
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint64_t getHomesRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FindSessionPointParams::Builder {
+public:
+  typedef FindSessionPointParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSession();
+  inline  ::capnp::Text::Builder getSession();
+  inline void setSession( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSession(unsigned int size);
+  inline void adoptSession(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSession();
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint64_t getHomesRevision();
+  inline void setHomesRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FindSessionPointParams::Pipeline {
+public:
+  typedef FindSessionPointParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FindSessionPointResults::Reader {
+public:
+  typedef FindSessionPointResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPoint() const;
+  inline  ::ragwortmux::rpc::Point::Reader getPoint() const;
+
+  inline bool hasTicket() const;
+  inline  ::ragwortmux::rpc::SessionTicket::Reader getTicket() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FindSessionPointResults::Builder {
+public:
+  typedef FindSessionPointResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPoint();
+  inline  ::ragwortmux::rpc::Point::Builder getPoint();
+  inline void setPoint( ::ragwortmux::rpc::Point::Reader value);
+  inline  ::ragwortmux::rpc::Point::Builder initPoint();
+  inline void adoptPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPoint();
+
+  inline bool hasTicket();
+  inline  ::ragwortmux::rpc::SessionTicket::Builder getTicket();
+  inline void setTicket( ::ragwortmux::rpc::SessionTicket::Reader value);
+  inline  ::ragwortmux::rpc::SessionTicket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::ragwortmux::rpc::SessionTicket>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::SessionTicket> disownTicket();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FindSessionPointResults::Pipeline {
+public:
+  typedef FindSessionPointResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
+  inline  ::ragwortmux::rpc::SessionTicket::Pipeline getTicket();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::OpenRelayParams::Reader {
+public:
+  typedef OpenRelayParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::OpenRelayParams::Builder {
+public:
+  typedef OpenRelayParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::OpenRelayParams::Pipeline {
+public:
+  typedef OpenRelayParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::OpenRelayResults::Reader {
+public:
+  typedef OpenRelayResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRelay() const;
+#if !CAPNP_LITE
+  inline  ::ragwortmux::rpc::StatementRelay::Client getRelay() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::OpenRelayResults::Builder {
+public:
+  typedef OpenRelayResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRelay();
+#if !CAPNP_LITE
+  inline  ::ragwortmux::rpc::StatementRelay::Client getRelay();
+  inline void setRelay( ::ragwortmux::rpc::StatementRelay::Client&& value);
+  inline void setRelay( ::ragwortmux::rpc::StatementRelay::Client& value);
+  inline void adoptRelay(::capnp::Orphan< ::ragwortmux::rpc::StatementRelay>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::StatementRelay> disownRelay();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::OpenRelayResults::Pipeline {
+public:
+  typedef OpenRelayResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::StatementRelay::Client getRelay();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+#if !CAPNP_LITE
+inline Gate::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Gate::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Gate::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Gate::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Gate::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Gate::HelloResults::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gate::HelloResults::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Gate::HelloResults::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Gate::HelloResults::Builder::setNonce( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Gate::HelloResults::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Gate::HelloResults::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Gate::HelloResults::Reader::hasChallenge() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gate::HelloResults::Builder::hasChallenge() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Challenge::Client Gate::HelloResults::Reader::getChallenge() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Challenge::Client Gate::HelloResults::Builder::getChallenge() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Challenge::Client Gate::HelloResults::Pipeline::getChallenge() {
   return  ::ragwortmux::rpc::Challenge::Client(_typeless.getPointerField(1).asCap());
 }
-inline void Gate::HelloResults::Builder::setChallenge( ::ragwortmux::rpc::Challenge::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Gate::HelloResults::Builder::setChallenge( ::ragwortmux::rpc::Challenge::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Gate::HelloResults::Builder::setChallenge( ::ragwortmux::rpc::Challenge::Client& cap) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void Gate::HelloResults::Builder::adoptChallenge(
+    ::capnp::Orphan< ::ragwortmux::rpc::Challenge>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Challenge> Gate::HelloResults::Builder::disownChallenge() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+inline Challenge::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Challenge::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Challenge::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Challenge::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Challenge::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::ragwortmux::rpc::Challenge::Client& Challenge::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::ragwortmux::rpc::Challenge::Client& Challenge::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Challenge::AnswerParams::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Challenge::AnswerParams::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Challenge::AnswerParams::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Challenge::AnswerParams::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Challenge::AnswerParams::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Challenge::AnswerParams::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Gate::HelloResults::Builder::setChallenge( ::ragwortmux::rpc::Challenge::Client& cap) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void Challenge::AnswerParams::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gate::HelloResults::Builder::adoptChallenge(
-    ::capnp::Orphan< ::ragwortmux::rpc::Challenge>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::adopt(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Challenge::AnswerParams::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Challenge::AnswerParams::Reader::hasProof() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Challenge::AnswerParams::Builder::hasProof() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Challenge::AnswerParams::Reader::getProof() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Challenge::AnswerParams::Builder::getProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Challenge::AnswerParams::Builder::setProof( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Challenge::AnswerParams::Builder::initProof(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Challenge::AnswerParams::Builder::adoptProof(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::Challenge> Gate::HelloResults::Builder::disownChallenge() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Challenge>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Challenge::AnswerParams::Builder::disownProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
+inline bool Challenge::AnswerResults::Reader::hasPeer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Challenge::AnswerResults::Builder::hasPeer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
 #if !CAPNP_LITE
-inline Challenge::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Challenge::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Challenge::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Challenge::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Challenge::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::ragwortmux::rpc::Challenge::Client& Challenge::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline  ::ragwortmux::rpc::Peer::Client Challenge::AnswerResults::Reader::getPeer() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Peer::Client Challenge::AnswerResults::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Peer::Client Challenge::AnswerResults::Pipeline::getPeer() {
+  return  ::ragwortmux::rpc::Peer::Client(_typeless.getPointerField(0).asCap());
+}
+inline void Challenge::AnswerResults::Builder::setPeer( ::ragwortmux::rpc::Peer::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Challenge::AnswerResults::Builder::setPeer( ::ragwortmux::rpc::Peer::Client& cap) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void Challenge::AnswerResults::Builder::adoptPeer(
+    ::capnp::Orphan< ::ragwortmux::rpc::Peer>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Peer> Challenge::AnswerResults::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline bool Point::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Point::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Point::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Point::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Point::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Point::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Point::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Point::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Point::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SessionTicket::Reader::getGiven() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool SessionTicket::Builder::getGiven() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SessionTicket::Builder::setGiven(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SessionTicket::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SessionTicket::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SessionTicket::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SessionTicket::Reader::getRemovals() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SessionTicket::Builder::getRemovals() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SessionTicket::Builder::setRemovals( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerView::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerView::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerView::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerView::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerView::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerView::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerView::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerView::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServerView::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerView::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerView::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerView::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerView::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerView::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerView::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::ragwortmux::rpc::Challenge::Client& Challenge::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline ::capnp::Orphan< ::capnp::Text> ServerView::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-#endif  // !CAPNP_LITE
-inline bool Challenge::AnswerParams::Reader::hasHost() const {
+inline bool ServerView::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Challenge::AnswerParams::Builder::hasHost() {
+inline bool ServerView::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Challenge::AnswerParams::Reader::getHost() const {
+inline  ::capnp::Text::Reader ServerView::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Challenge::AnswerParams::Builder::getHost() {
+inline  ::capnp::Text::Builder ServerView::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Challenge::AnswerParams::Builder::setHost( ::capnp::Text::Reader value) {
+inline void ServerView::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Challenge::AnswerParams::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder ServerView::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Challenge::AnswerParams::Builder::adoptHost(
+inline void ServerView::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Challenge::AnswerParams::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> ServerView::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Challenge::AnswerParams::Reader::hasProof() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t ServerView::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Challenge::AnswerParams::Builder::hasProof() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint16_t ServerView::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Reader Challenge::AnswerParams::Reader::getProof() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void ServerView::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Data::Builder Challenge::AnswerParams::Builder::getProof() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint8_t ServerView::Reader::getSync() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Challenge::AnswerParams::Builder::setProof( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint8_t ServerView::Builder::getSync() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Builder Challenge::AnswerParams::Builder::initProof(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void ServerView::Builder::setSync( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void Challenge::AnswerParams::Builder::adoptProof(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool ServerView::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> Challenge::AnswerParams::Builder::disownProof() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool ServerView::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void ServerView::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Challenge::AnswerResults::Reader::hasPeer() const {
+inline bool ServerView::Reader::getAnnounced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerView::Builder::getAnnounced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void ServerView::Builder::setAnnounced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerView::Reader::getConnectionShare() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerView::Builder::getConnectionShare() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServerView::Builder::setConnectionShare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerView::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerView::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerView::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupView::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Challenge::AnswerResults::Builder::hasPeer() {
+inline bool GroupView::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::ragwortmux::rpc::Peer::Client Challenge::AnswerResults::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader GroupView::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::Peer::Client Challenge::AnswerResults::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder GroupView::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::Peer::Client Challenge::AnswerResults::Pipeline::getPeer() {
-  return  ::ragwortmux::rpc::Peer::Client(_typeless.getPointerField(0).asCap());
-}
-inline void Challenge::AnswerResults::Builder::setPeer( ::ragwortmux::rpc::Peer::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void GroupView::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Challenge::AnswerResults::Builder::setPeer( ::ragwortmux::rpc::Peer::Client& cap) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline  ::capnp::Text::Builder GroupView::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Challenge::AnswerResults::Builder::adoptPeer(
-    ::capnp::Orphan< ::ragwortmux::rpc::Peer>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::adopt(_builder.getPointerField(
+inline void GroupView::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::Peer> Challenge::AnswerResults::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Peer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> GroupView::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline bool Point::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t GroupView::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Point::Builder::getKnown() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t GroupView::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Point::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
+inline void GroupView::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Point::Reader::getTerm() const {
+inline  ::uint64_t GroupView::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Point::Builder::getTerm() {
+inline  ::uint64_t GroupView::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Point::Builder::setTerm( ::uint64_t value) {
+inline void GroupView::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Point::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Point::Builder::getPosition() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Point::Builder::setPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SessionTicket::Reader::getGiven() const {
+inline bool GroupView::Reader::getHasPrimary() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool SessionTicket::Builder::getGiven() {
+inline bool GroupView::Builder::getHasPrimary() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void SessionTicket::Builder::setGiven(bool value) {
+inline void GroupView::Builder::setHasPrimary(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SessionTicket::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool GroupView::Reader::hasPrimary() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupView::Builder::hasPrimary() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GroupView::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GroupView::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupView::Builder::setPrimary( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GroupView::Builder::initPrimary(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GroupView::Builder::adoptPrimary(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GroupView::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SessionTicket::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool GroupView::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void SessionTicket::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool GroupView::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t SessionTicket::Reader::getRemovals() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Reader GroupView::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t SessionTicket::Builder::getRemovals() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Builder GroupView::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SessionTicket::Builder::setRemovals( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void GroupView::Builder::setServers( ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Builder GroupView::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GroupView::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>> GroupView::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ServerView::Reader::hasServer() const {
+inline bool CatalogueEntry::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerView::Builder::hasServer() {
+inline bool CatalogueEntry::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerView::Reader::getServer() const {
+inline  ::capnp::Text::Reader CatalogueEntry::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerView::Builder::getServer() {
+inline  ::capnp::Text::Builder CatalogueEntry::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServerView::Builder::setServer( ::capnp::Text::Reader value) {
+inline void CatalogueEntry::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerView::Builder::initServer(unsigned int size) {
+inline  ::capnp::Text::Builder CatalogueEntry::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServerView::Builder::adoptServer(
+inline void CatalogueEntry::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerView::Builder::disownServer() {
+inline ::capnp::Orphan< ::capnp::Text> CatalogueEntry::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ServerView::Reader::hasDomain() const {
+inline bool CatalogueEntry::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerView::Builder::hasDomain() {
+inline bool CatalogueEntry::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerView::Reader::getDomain() const {
+inline  ::capnp::Text::Reader CatalogueEntry::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerView::Builder::getDomain() {
+inline  ::capnp::Text::Builder CatalogueEntry::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServerView::Builder::setDomain( ::capnp::Text::Reader value) {
+inline void CatalogueEntry::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerView::Builder::initDomain(unsigned int size) {
+inline  ::capnp::Text::Builder CatalogueEntry::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ServerView::Builder::adoptDomain(
+inline void CatalogueEntry::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerView::Builder::disownDomain() {
+inline ::capnp::Orphan< ::capnp::Text> CatalogueEntry::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ServerView::Reader::hasAddress() const {
+inline bool CatalogueEntry::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerView::Builder::hasAddress() {
+inline bool CatalogueEntry::Builder::hasOwner() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerView::Reader::getAddress() const {
+inline  ::capnp::Text::Reader CatalogueEntry::Reader::getOwner() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerView::Builder::getAddress() {
+inline  ::capnp::Text::Builder CatalogueEntry::Builder::getOwner() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ServerView::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void CatalogueEntry::Builder::setOwner( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerView::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder CatalogueEntry::Builder::initOwner(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ServerView::Builder::adoptAddress(
+inline void CatalogueEntry::Builder::adoptOwner(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerView::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> CatalogueEntry::Builder::disownOwner() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t ServerView::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint8_t CatalogueEntry::Reader::getTrafficClass() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ServerView::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint8_t CatalogueEntry::Builder::getTrafficClass() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerView::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void CatalogueEntry::Builder::setTrafficClass( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t ServerView::Reader::getSync() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CatalogueEntry::Reader::getMaxConcurrent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ServerView::Builder::getSync() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CatalogueEntry::Builder::getMaxConcurrent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServerView::Builder::setSync( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CatalogueEntry::Builder::setMaxConcurrent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServerView::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CatalogueEntry::Reader::getMaxQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool ServerView::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CatalogueEntry::Builder::getMaxQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServerView::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+inline void CatalogueEntry::Builder::setMaxQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServerView::Reader::getAnnounced() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+inline  ::int64_t CatalogueEntry::Reader::getDeadlineUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool ServerView::Builder::getAnnounced() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+inline  ::int64_t CatalogueEntry::Builder::getDeadlineUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServerView::Builder::setAnnounced(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+inline void CatalogueEntry::Builder::setDeadlineUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServerView::Reader::getConnectionShare() const {
+inline  ::uint32_t CatalogueEntry::Reader::getMaxAnswerBytes() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServerView::Builder::getConnectionShare() {
+inline  ::uint32_t CatalogueEntry::Builder::getMaxAnswerBytes() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ServerView::Builder::setConnectionShare( ::uint32_t value) {
+inline void CatalogueEntry::Builder::setMaxAnswerBytes( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServerView::Reader::getSlots() const {
+inline  ::int64_t CatalogueEntry::Reader::getMaxAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CatalogueEntry::Builder::getMaxAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setMaxAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CatalogueEntry::Reader::getLatencyTargetUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CatalogueEntry::Builder::getLatencyTargetUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setLatencyTargetUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CatalogueEntry::Reader::getTransactionIdleUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CatalogueEntry::Builder::getTransactionIdleUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setTransactionIdleUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CatalogueEntry::Reader::getPriority() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServerView::Builder::getSlots() {
+inline  ::uint32_t CatalogueEntry::Builder::getPriority() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void ServerView::Builder::setSlots( ::uint32_t value) {
+inline void CatalogueEntry::Builder::setPriority( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupView::Reader::hasGroup() const {
+inline  ::uint64_t CatalogueItem::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CatalogueItem::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueItem::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CatalogueItem::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupView::Builder::hasGroup() {
+inline bool CatalogueItem::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GroupView::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::ragwortmux::rpc::CatalogueEntry::Reader CatalogueItem::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GroupView::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::ragwortmux::rpc::CatalogueEntry::Builder CatalogueItem::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GroupView::Builder::setGroup( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::CatalogueEntry::Pipeline CatalogueItem::Pipeline::getEntry() {
+  return  ::ragwortmux::rpc::CatalogueEntry::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void CatalogueItem::Builder::setEntry( ::ragwortmux::rpc::CatalogueEntry::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GroupView::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::ragwortmux::rpc::CatalogueEntry::Builder CatalogueItem::Builder::initEntry() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GroupView::Builder::adoptGroup(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void CatalogueItem::Builder::adoptEntry(
+    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GroupView::Builder::disownGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry> CatalogueItem::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GroupView::Reader::getRevision() const {
+inline  ::uint64_t CatalogueDelta::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GroupView::Builder::getRevision() {
+inline  ::uint64_t CatalogueDelta::Builder::getFrom() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GroupView::Builder::setRevision( ::uint64_t value) {
+inline void CatalogueDelta::Builder::setFrom( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GroupView::Reader::getTerm() const {
+inline  ::uint64_t CatalogueDelta::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GroupView::Builder::getTerm() {
+inline  ::uint64_t CatalogueDelta::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GroupView::Builder::setTerm( ::uint64_t value) {
+inline void CatalogueDelta::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupView::Reader::getHasPrimary() const {
+inline bool CatalogueDelta::Reader::getWhole() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool GroupView::Builder::getHasPrimary() {
+inline bool CatalogueDelta::Builder::getWhole() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void GroupView::Builder::setHasPrimary(bool value) {
+inline void CatalogueDelta::Builder::setWhole(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupView::Reader::hasPrimary() const {
+inline bool CatalogueDelta::Reader::hasItems() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CatalogueDelta::Builder::hasItems() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Reader CatalogueDelta::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Builder CatalogueDelta::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CatalogueDelta::Builder::setItems( ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Builder CatalogueDelta::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CatalogueDelta::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>> CatalogueDelta::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CatalogueDelta::Reader::hasDeletions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupView::Builder::hasPrimary() {
+inline bool CatalogueDelta::Builder::hasDeletions() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GroupView::Reader::getPrimary() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CatalogueDelta::Reader::getDeletions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CatalogueDelta::Builder::getDeletions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CatalogueDelta::Builder::setDeletions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CatalogueDelta::Builder::setDeletions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CatalogueDelta::Builder::initDeletions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CatalogueDelta::Builder::adoptDeletions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CatalogueDelta::Builder::disownDeletions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryHost::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryHost::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryHost::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryHost::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryHost::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryHost::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryHost::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryHost::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryHost::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryHost::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryHost::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GroupView::Builder::getPrimary() {
+inline  ::capnp::Text::Builder EntryHost::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GroupView::Builder::setPrimary( ::capnp::Text::Reader value) {
+inline void EntryHost::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GroupView::Builder::initPrimary(unsigned int size) {
+inline  ::capnp::Text::Builder EntryHost::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GroupView::Builder::adoptPrimary(
+inline void EntryHost::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GroupView::Builder::disownPrimary() {
+inline ::capnp::Orphan< ::capnp::Text> EntryHost::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GroupView::Reader::hasServers() const {
+inline bool EntryHost::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupView::Builder::hasServers() {
+inline bool EntryHost::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Reader GroupView::Reader::getServers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EntryHost::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Builder GroupView::Builder::getServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EntryHost::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GroupView::Builder::setServers( ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EntryHost::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>::Builder GroupView::Builder::initServers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EntryHost::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void GroupView::Builder::adoptServers(
-    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EntryHost::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>> GroupView::Builder::disownServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::ServerView,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EntryHost::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool CatalogueEntry::Reader::hasName() const {
+inline  ::uint16_t EntryHost::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EntryHost::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryHost::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SessionHomes::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SessionHomes::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SessionHomes::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SessionHomes::Reader::hasActive() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CatalogueEntry::Builder::hasName() {
+inline bool SessionHomes::Builder::hasActive() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CatalogueEntry::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader SessionHomes::Reader::getActive() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CatalogueEntry::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::getActive() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CatalogueEntry::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SessionHomes::Builder::setActive( ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CatalogueEntry::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::initActive(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CatalogueEntry::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SessionHomes::Builder::adoptActive(
