+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CatalogueEntry::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>> SessionHomes::Builder::disownActive() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CatalogueEntry::Reader::hasGroup() const {
+inline bool SessionHomes::Reader::hasPreparing() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CatalogueEntry::Builder::hasGroup() {
+inline bool SessionHomes::Builder::hasPreparing() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CatalogueEntry::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader SessionHomes::Reader::getPreparing() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CatalogueEntry::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::getPreparing() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CatalogueEntry::Builder::setGroup( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SessionHomes::Builder::setPreparing( ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CatalogueEntry::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::initPreparing(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CatalogueEntry::Builder::adoptGroup(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SessionHomes::Builder::adoptPreparing(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CatalogueEntry::Builder::disownGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>> SessionHomes::Builder::disownPreparing() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CatalogueEntry::Reader::hasOwner() const {
+inline bool Update::Reader::hasViews() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CatalogueEntry::Builder::hasOwner() {
+inline bool Update::Builder::hasViews() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CatalogueEntry::Reader::getOwner() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getViews() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CatalogueEntry::Builder::getOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getViews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CatalogueEntry::Builder::setOwner( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Update::Builder::setViews( ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CatalogueEntry::Builder::initOwner(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initViews(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CatalogueEntry::Builder::adoptOwner(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Update::Builder::adoptViews(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CatalogueEntry::Builder::disownOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>> Update::Builder::disownViews() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t CatalogueEntry::Reader::getTrafficClass() const {
-  return _reader.getDataField< ::uint8_t>(
+inline bool Update::Reader::getHasCatalogue() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CatalogueEntry::Builder::getTrafficClass() {
-  return _builder.getDataField< ::uint8_t>(
+inline bool Update::Builder::getHasCatalogue() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CatalogueEntry::Builder::setTrafficClass( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void Update::Builder::setHasCatalogue(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CatalogueEntry::Reader::getMaxConcurrent() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Update::Reader::hasCatalogue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t CatalogueEntry::Builder::getMaxConcurrent() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Update::Builder::hasCatalogue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void CatalogueEntry::Builder::setMaxConcurrent( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::ragwortmux::rpc::CatalogueDelta::Reader Update::Reader::getCatalogue() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t CatalogueEntry::Reader::getMaxQueued() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::ragwortmux::rpc::CatalogueDelta::Builder Update::Builder::getCatalogue() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t CatalogueEntry::Builder::getMaxQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::CatalogueDelta::Pipeline Update::Pipeline::getCatalogue() {
+  return  ::ragwortmux::rpc::CatalogueDelta::Pipeline(_typeless.getPointerField(1));
 }
-inline void CatalogueEntry::Builder::setMaxQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Update::Builder::setCatalogue( ::ragwortmux::rpc::CatalogueDelta::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t CatalogueEntry::Reader::getDeadlineUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::ragwortmux::rpc::CatalogueDelta::Builder Update::Builder::initCatalogue() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t CatalogueEntry::Builder::getDeadlineUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Update::Builder::adoptCatalogue(
+    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueDelta>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void CatalogueEntry::Builder::setDeadlineUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueDelta> Update::Builder::disownCatalogue() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CatalogueEntry::Reader::getMaxAnswerBytes() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Update::Reader::getHasHomes() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CatalogueEntry::Builder::getMaxAnswerBytes() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Update::Builder::getHasHomes() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CatalogueEntry::Builder::setMaxAnswerBytes( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setHasHomes(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t CatalogueEntry::Reader::getMaxAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Update::Reader::hasHomes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t CatalogueEntry::Builder::getMaxAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Update::Builder::hasHomes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void CatalogueEntry::Builder::setMaxAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::ragwortmux::rpc::SessionHomes::Reader Update::Reader::getHomes() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t CatalogueEntry::Reader::getLatencyTargetUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::ragwortmux::rpc::SessionHomes::Builder Update::Builder::getHomes() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t CatalogueEntry::Builder::getLatencyTargetUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::SessionHomes::Pipeline Update::Pipeline::getHomes() {
+  return  ::ragwortmux::rpc::SessionHomes::Pipeline(_typeless.getPointerField(2));
 }
-inline void CatalogueEntry::Builder::setLatencyTargetUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Update::Builder::setHomes( ::ragwortmux::rpc::SessionHomes::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t CatalogueEntry::Reader::getTransactionIdleUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::ragwortmux::rpc::SessionHomes::Builder Update::Builder::initHomes() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t CatalogueEntry::Builder::getTransactionIdleUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void Update::Builder::adoptHomes(
+    ::capnp::Orphan< ::ragwortmux::rpc::SessionHomes>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void CatalogueEntry::Builder::setTransactionIdleUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::ragwortmux::rpc::SessionHomes> Update::Builder::disownHomes() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CatalogueEntry::Reader::getPriority() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline bool GroupAck::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t CatalogueEntry::Builder::getPriority() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline bool GroupAck::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void CatalogueEntry::Builder::setPriority( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader GroupAck::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GroupAck::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GroupAck::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GroupAck::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GroupAck::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GroupAck::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CatalogueItem::Reader::getRevision() const {
+inline  ::uint64_t GroupAck::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CatalogueItem::Builder::getRevision() {
+inline  ::uint64_t GroupAck::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CatalogueItem::Builder::setRevision( ::uint64_t value) {
+inline void GroupAck::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CatalogueItem::Reader::hasEntry() const {
+inline bool Confirmation::Reader::hasGroups() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CatalogueItem::Builder::hasEntry() {
+inline bool Confirmation::Builder::hasGroups() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ragwortmux::rpc::CatalogueEntry::Reader CatalogueItem::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::get(_reader.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Reader Confirmation::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::CatalogueEntry::Builder CatalogueItem::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::get(_builder.getPointerField(
+inline  ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Builder Confirmation::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ragwortmux::rpc::CatalogueEntry::Pipeline CatalogueItem::Pipeline::getEntry() {
-  return  ::ragwortmux::rpc::CatalogueEntry::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void CatalogueItem::Builder::setEntry( ::ragwortmux::rpc::CatalogueEntry::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::set(_builder.getPointerField(
+inline void Confirmation::Builder::setGroups( ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::rpc::CatalogueEntry::Builder CatalogueItem::Builder::initEntry() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Builder Confirmation::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CatalogueItem::Builder::adoptEntry(
-    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::adopt(_builder.getPointerField(
+inline void Confirmation::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry> CatalogueItem::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>> Confirmation::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CatalogueDelta::Reader::getFrom() const {
+inline  ::uint64_t Confirmation::Reader::getCatalogue() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CatalogueDelta::Builder::getFrom() {
+inline  ::uint64_t Confirmation::Builder::getCatalogue() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CatalogueDelta::Builder::setFrom( ::uint64_t value) {
+inline void Confirmation::Builder::setCatalogue( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CatalogueDelta::Reader::getRevision() const {
+inline  ::uint64_t Confirmation::Reader::getHomes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CatalogueDelta::Builder::getRevision() {
+inline  ::uint64_t Confirmation::Builder::getHomes() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CatalogueDelta::Builder::setRevision( ::uint64_t value) {
+inline void Confirmation::Builder::setHomes( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CatalogueDelta::Reader::getWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool CatalogueDelta::Builder::getWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void CatalogueDelta::Builder::setWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool CatalogueDelta::Reader::hasItems() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool CatalogueDelta::Builder::hasItems() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Reader CatalogueDelta::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Builder CatalogueDelta::Builder::getItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CatalogueDelta::Builder::setItems( ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>::Builder CatalogueDelta::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void CatalogueDelta::Builder::adoptItems(
-    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>> CatalogueDelta::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::CatalogueItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool CatalogueDelta::Reader::hasDeletions() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool CatalogueDelta::Builder::hasDeletions() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CatalogueDelta::Reader::getDeletions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CatalogueDelta::Builder::getDeletions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void CatalogueDelta::Builder::setDeletions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void CatalogueDelta::Builder::setDeletions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CatalogueDelta::Builder::initDeletions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void CatalogueDelta::Builder::adoptDeletions(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CatalogueDelta::Builder::disownDeletions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool EntryHost::Reader::hasHost() const {
+inline bool Announcement::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryHost::Builder::hasHost() {
+inline bool Announcement::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryHost::Reader::getHost() const {
+inline  ::capnp::Text::Reader Announcement::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryHost::Builder::getHost() {
+inline  ::capnp::Text::Builder Announcement::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryHost::Builder::setHost( ::capnp::Text::Reader value) {
+inline void Announcement::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryHost::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder Announcement::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EntryHost::Builder::adoptHost(
+inline void Announcement::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryHost::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EntryHost::Reader::hasDomain() const {
+inline bool Announcement::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryHost::Builder::hasDomain() {
+inline bool Announcement::Builder::hasServer() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryHost::Reader::getDomain() const {
+inline  ::capnp::Text::Reader Announcement::Reader::getServer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryHost::Builder::getDomain() {
+inline  ::capnp::Text::Builder Announcement::Builder::getServer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EntryHost::Builder::setDomain( ::capnp::Text::Reader value) {
+inline void Announcement::Builder::setServer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryHost::Builder::initDomain(unsigned int size) {
+inline  ::capnp::Text::Builder Announcement::Builder::initServer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EntryHost::Builder::adoptDomain(
+inline void Announcement::Builder::adoptServer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryHost::Builder::disownDomain() {
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownServer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EntryHost::Reader::hasAddress() const {
+inline bool Announcement::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryHost::Builder::hasAddress() {
+inline bool Announcement::Builder::hasDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryHost::Reader::getAddress() const {
+inline  ::capnp::Text::Reader Announcement::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryHost::Builder::getAddress() {
+inline  ::capnp::Text::Builder Announcement::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EntryHost::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void Announcement::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryHost::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Announcement::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void EntryHost::Builder::adoptAddress(
+inline void Announcement::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryHost::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t EntryHost::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t EntryHost::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EntryHost::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t SessionHomes::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SessionHomes::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SessionHomes::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SessionHomes::Reader::hasActive() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SessionHomes::Builder::hasActive() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader SessionHomes::Reader::getActive() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::getActive() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SessionHomes::Builder::setActive( ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::initActive(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SessionHomes::Builder::adoptActive(
-    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>> SessionHomes::Builder::disownActive() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SessionHomes::Reader::hasPreparing() const {
+inline bool Announcement::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SessionHomes::Builder::hasPreparing() {
+inline bool Announcement::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader SessionHomes::Reader::getPreparing() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Announcement::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::getPreparing() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Announcement::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void SessionHomes::Builder::setPreparing( ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Announcement::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>::Builder SessionHomes::Builder::initPreparing(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Announcement::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void SessionHomes::Builder::adoptPreparing(
-    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Announcement::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>> SessionHomes::Builder::disownPreparing() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::EntryHost,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Update::Reader::hasViews() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t Announcement::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Update::Builder::hasViews() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint16_t Announcement::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getViews() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getViews() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool Announcement::Reader::getPrimary() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setViews( ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline bool Announcement::Builder::getPrimary() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initViews(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void Announcement::Builder::setPrimary(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
-inline void Update::Builder::adoptViews(
-    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Announcement::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>> Update::Builder::disownViews() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupView,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Announcement::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Update::Reader::getHasCatalogue() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Announcement::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Update::Builder::getHasCatalogue() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Announcement::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setHasCatalogue(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Announcement::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Update::Reader::hasCatalogue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t Announcement::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool Update::Builder::hasCatalogue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t Announcement::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::ragwortmux::rpc::CatalogueDelta::Reader Update::Reader::getCatalogue() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::ragwortmux::rpc::CatalogueDelta::Builder Update::Builder::getCatalogue() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Announcement::Reader::getConnections() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::ragwortmux::rpc::CatalogueDelta::Pipeline Update::Pipeline::getCatalogue() {
-  return  ::ragwortmux::rpc::CatalogueDelta::Pipeline(_typeless.getPointerField(1));
+
+inline  ::uint32_t Announcement::Builder::getConnections() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Update::Builder::setCatalogue( ::ragwortmux::rpc::CatalogueDelta::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Announcement::Builder::setConnections( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
-inline  ::ragwortmux::rpc::CatalogueDelta::Builder Update::Builder::initCatalogue() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool Announcement::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::adoptCatalogue(
-    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueDelta>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool Announcement::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueDelta> Update::Builder::disownCatalogue() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueDelta>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Update::Reader::getHasHomes() const {
+inline bool Announcement::Reader::getGone() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
 
-inline bool Update::Builder::getHasHomes() {
+inline bool Announcement::Builder::getGone() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setHasHomes(bool value) {
+inline void Announcement::Builder::setGone(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Update::Reader::hasHomes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Announcement::Reader::getDelegated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
 }
-inline bool Update::Builder::hasHomes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline bool Announcement::Builder::getDelegated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
 }
-inline  ::ragwortmux::rpc::SessionHomes::Reader Update::Reader::getHomes() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setDelegated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
-inline  ::ragwortmux::rpc::SessionHomes::Builder Update::Builder::getHomes() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Announcement::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::ragwortmux::rpc::SessionHomes::Pipeline Update::Pipeline::getHomes() {
-  return  ::ragwortmux::rpc::SessionHomes::Pipeline(_typeless.getPointerField(2));
+
+inline  ::uint64_t Announcement::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Update::Builder::setHomes( ::ragwortmux::rpc::SessionHomes::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Announcement::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::ragwortmux::rpc::SessionHomes::Builder Update::Builder::initHomes() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Announcement::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::adoptHomes(
-    ::capnp::Orphan< ::ragwortmux::rpc::SessionHomes>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Announcement::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::SessionHomes> Update::Builder::disownHomes() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::SessionHomes>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupAck::Reader::hasGroup() const {
+inline bool Demand::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupAck::Builder::hasGroup() {
+inline bool Demand::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GroupAck::Reader::getGroup() const {
+inline  ::capnp::Text::Reader Demand::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GroupAck::Builder::getGroup() {
+inline  ::capnp::Text::Builder Demand::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GroupAck::Builder::setGroup( ::capnp::Text::Reader value) {
+inline void Demand::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GroupAck::Builder::initGroup(unsigned int size) {
+inline  ::capnp::Text::Builder Demand::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GroupAck::Builder::adoptGroup(
+inline void Demand::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GroupAck::Builder::disownGroup() {
+inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GroupAck::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Demand::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Demand::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Demand::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Demand::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Demand::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Demand::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Demand::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Demand::Reader::getConnections() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GroupAck::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t Demand::Builder::getConnections() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GroupAck::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Demand::Builder::setConnections( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Confirmation::Reader::hasGroups() const {
+inline bool Suspicion::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Confirmation::Builder::hasGroups() {
+inline bool Suspicion::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Reader Confirmation::Reader::getGroups() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Suspicion::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Builder Confirmation::Builder::getGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Suspicion::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Confirmation::Builder::setGroups( ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Suspicion::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>::Builder Confirmation::Builder::initGroups(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Suspicion::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Confirmation::Builder::adoptGroups(
-    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Suspicion::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>> Confirmation::Builder::disownGroups() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::GroupAck,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Suspicion::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Confirmation::Reader::getCatalogue() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Suspicion::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspicion::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Suspicion::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Suspicion::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Suspicion::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Suspicion::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Suspicion::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Suspicion::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t Suspicion::Reader::getEvidence() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Confirmation::Builder::getCatalogue() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t Suspicion::Builder::getEvidence() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Confirmation::Builder::setCatalogue( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Suspicion::Builder::setEvidence( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Confirmation::Reader::getHomes() const {
+inline  ::uint64_t Suspicion::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Confirmation::Builder::getHomes() {
+inline  ::uint64_t Suspicion::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Confirmation::Builder::setHomes( ::uint64_t value) {
+inline void Suspicion::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Announcement::Reader::hasGroup() const {
+inline  ::uint16_t Status::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Status::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Status::Reader::hasReason() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasGroup() {
+inline bool Status::Builder::hasReason() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getGroup() const {
+inline  ::capnp::Text::Reader Status::Reader::getReason() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getGroup() {
+inline  ::capnp::Text::Builder Status::Builder::getReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setGroup( ::capnp::Text::Reader value) {
+inline void Status::Builder::setReason( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initGroup(unsigned int size) {
+inline  ::capnp::Text::Builder Status::Builder::initReason(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptGroup(
+inline void Status::Builder::adoptReason(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownGroup() {
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasServer() const {
+inline bool Status::Reader::hasLeader() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasServer() {
+inline bool Status::Builder::hasLeader() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getServer() const {
+inline  ::capnp::Text::Reader Status::Reader::getLeader() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getServer() {
+inline  ::capnp::Text::Builder Status::Builder::getLeader() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setServer( ::capnp::Text::Reader value) {
+inline void Status::Builder::setLeader( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initServer(unsigned int size) {
+inline  ::capnp::Text::Builder Status::Builder::initLeader(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptServer(
+inline void Status::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LedgerRecord::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LedgerRecord::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LedgerRecord::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LedgerRecord::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LedgerRecord::Builder::setOwner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LedgerRecord::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LedgerRecord::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LedgerRecord::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LedgerRecord::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LedgerRecord::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LedgerRecord::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LedgerRecord::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LedgerRecord::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LedgerRecord::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownServer() {
+inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasDomain() const {
+inline bool LedgerRecord::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasDomain() {
+inline bool LedgerRecord::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getDomain() const {
+inline  ::capnp::Text::Reader LedgerRecord::Reader::getAttempt() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getDomain() {
+inline  ::capnp::Text::Builder LedgerRecord::Builder::getAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setDomain( ::capnp::Text::Reader value) {
+inline void LedgerRecord::Builder::setAttempt( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initDomain(unsigned int size) {
+inline  ::capnp::Text::Builder LedgerRecord::Builder::initAttempt(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptDomain(
+inline void LedgerRecord::Builder::adoptAttempt(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownDomain() {
+inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownAttempt() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasAddress() const {
+inline  ::uint64_t LedgerRecord::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LedgerRecord::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LedgerRecord::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LedgerRecord::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasAddress() {
+inline bool LedgerRecord::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getAddress() const {
+inline  ::capnp::Text::Reader LedgerRecord::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getAddress() {
+inline  ::capnp::Text::Builder LedgerRecord::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void LedgerRecord::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder LedgerRecord::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptAddress(
+inline void LedgerRecord::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Announcement::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerRecord::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Announcement::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LedgerRecord::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LedgerRecord::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Announcement::Reader::getPrimary() const {
-  return _reader.getDataField<bool>(
+inline  ::uint8_t LedgerRecord::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool Announcement::Builder::getPrimary() {
-  return _builder.getDataField<bool>(
+inline  ::uint8_t LedgerRecord::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setPrimary(bool value) {
-  _builder.setDataField<bool>(
+inline void LedgerRecord::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Announcement::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t LedgerRecord::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Announcement::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t LedgerRecord::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void LedgerRecord::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Announcement::Reader::getPosition() const {
+inline bool LedgerRecord::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LedgerRecord::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader LedgerRecord::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder LedgerRecord::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LedgerRecord::Builder::setAnswer( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder LedgerRecord::Builder::initAnswer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LedgerRecord::Builder::adoptAnswer(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> LedgerRecord::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool CommandResult::Reader::hasStatus() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CommandResult::Builder::hasStatus() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::Status::Reader CommandResult::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Status::Builder CommandResult::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Status::Pipeline CommandResult::Pipeline::getStatus() {
+  return  ::ragwortmux::rpc::Status::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void CommandResult::Builder::setStatus( ::ragwortmux::rpc::Status::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::Status::Builder CommandResult::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CommandResult::Builder::adoptStatus(
+    ::capnp::Orphan< ::ragwortmux::rpc::Status>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Status> CommandResult::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CommandResult::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Announcement::Builder::getPosition() {
+inline  ::uint64_t CommandResult::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setPosition( ::uint64_t value) {
+inline void CommandResult::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Announcement::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t CommandResult::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Announcement::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t CommandResult::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void CommandResult::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Announcement::Reader::getConnections() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool CommandResult::Reader::getHasWinner() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Announcement::Builder::getConnections() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool CommandResult::Builder::getHasWinner() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setConnections( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void CommandResult::Builder::setHasWinner(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Announcement::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+inline bool CommandResult::Reader::hasWinner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Announcement::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+inline bool CommandResult::Builder::hasWinner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Announcement::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+inline  ::ragwortmux::rpc::CatalogueItem::Reader CommandResult::Reader::getWinner() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::CatalogueItem::Builder CommandResult::Builder::getWinner() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::CatalogueItem::Pipeline CommandResult::Pipeline::getWinner() {
+  return  ::ragwortmux::rpc::CatalogueItem::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void CommandResult::Builder::setWinner( ::ragwortmux::rpc::CatalogueItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::CatalogueItem::Builder CommandResult::Builder::initWinner() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CommandResult::Builder::adoptWinner(
+    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueItem>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueItem> CommandResult::Builder::disownWinner() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::getGone() const {
+inline bool CommandResult::Reader::getHasLedger() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
-inline bool Announcement::Builder::getGone() {
+inline bool CommandResult::Builder::getHasLedger() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setGone(bool value) {
+inline void CommandResult::Builder::setHasLedger(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Announcement::Reader::getDelegated() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline bool CommandResult::Reader::hasLedger() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Announcement::Builder::getDelegated() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline bool CommandResult::Builder::hasLedger() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Announcement::Builder::setDelegated(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+inline  ::ragwortmux::rpc::LedgerRecord::Reader CommandResult::Reader::getLedger() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Announcement::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::ragwortmux::rpc::LedgerRecord::Builder CommandResult::Builder::getLedger() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::LedgerRecord::Pipeline CommandResult::Pipeline::getLedger() {
+  return  ::ragwortmux::rpc::LedgerRecord::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void CommandResult::Builder::setLedger( ::ragwortmux::rpc::LedgerRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::LedgerRecord::Builder CommandResult::Builder::initLedger() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CommandResult::Builder::adoptLedger(
+    ::capnp::Orphan< ::ragwortmux::rpc::LedgerRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::LedgerRecord> CommandResult::Builder::disownLedger() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Announcement::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline EntryListener::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline EntryListener::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline EntryListener::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline EntryListener::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline EntryListener::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::ragwortmux::rpc::EntryListener::Client& EntryListener::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void Announcement::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::ragwortmux::rpc::EntryListener::Client& EntryListener::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline  ::uint64_t Announcement::Reader::getSequence() const {
+#endif  // !CAPNP_LITE
+inline  ::uint64_t EntryListener::UpdateParams::Reader::getSession() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Announcement::Builder::getSequence() {
+inline  ::uint64_t EntryListener::UpdateParams::Builder::getSession() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setSequence( ::uint64_t value) {
+inline void EntryListener::UpdateParams::Builder::setSession( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Demand::Reader::hasGroup() const {
+inline bool EntryListener::UpdateParams::Reader::hasUpdate() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Demand::Builder::hasGroup() {
+inline bool EntryListener::UpdateParams::Builder::hasUpdate() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Demand::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::ragwortmux::rpc::Update::Reader EntryListener::UpdateParams::Reader::getUpdate() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Demand::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::ragwortmux::rpc::Update::Builder EntryListener::UpdateParams::Builder::getUpdate() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Demand::Builder::setGroup( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Update::Pipeline EntryListener::UpdateParams::Pipeline::getUpdate() {
+  return  ::ragwortmux::rpc::Update::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryListener::UpdateParams::Builder::setUpdate( ::ragwortmux::rpc::Update::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Demand::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::ragwortmux::rpc::Update::Builder EntryListener::UpdateParams::Builder::initUpdate() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Demand::Builder::adoptGroup(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void EntryListener::UpdateParams::Builder::adoptUpdate(
+    ::capnp::Orphan< ::ragwortmux::rpc::Update>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ragwortmux::rpc::Update> EntryListener::UpdateParams::Builder::disownUpdate() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Demand::Reader::hasServer() const {
+inline bool EntryListener::UpdateResults::Reader::hasConfirmation() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Demand::Builder::hasServer() {
+inline bool EntryListener::UpdateResults::Builder::hasConfirmation() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Demand::Reader::getServer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Demand::Builder::getServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Demand::Builder::setServer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::ragwortmux::rpc::Confirmation::Reader EntryListener::UpdateResults::Reader::getConfirmation() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Demand::Builder::initServer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::ragwortmux::rpc::Confirmation::Builder EntryListener::UpdateResults::Builder::getConfirmation() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Demand::Builder::adoptServer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Confirmation::Pipeline EntryListener::UpdateResults::Pipeline::getConfirmation() {
+  return  ::ragwortmux::rpc::Confirmation::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void EntryListener::UpdateResults::Builder::setConfirmation( ::ragwortmux::rpc::Confirmation::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Demand::Reader::getConnections() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::ragwortmux::rpc::Confirmation::Builder EntryListener::UpdateResults::Builder::initConfirmation() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Demand::Builder::getConnections() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void EntryListener::UpdateResults::Builder::adoptConfirmation(
+    ::capnp::Orphan< ::ragwortmux::rpc::Confirmation>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Demand::Builder::setConnections( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::ragwortmux::rpc::Confirmation> EntryListener::UpdateResults::Builder::disownConfirmation() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Suspicion::Reader::hasGroup() const {
+inline bool SessionValue::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Suspicion::Builder::hasGroup() {
+inline bool SessionValue::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Suspicion::Reader::getGroup() const {
+inline  ::capnp::Text::Reader SessionValue::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Suspicion::Builder::getGroup() {
+inline  ::capnp::Text::Builder SessionValue::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Suspicion::Builder::setGroup( ::capnp::Text::Reader value) {
+inline void SessionValue::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Suspicion::Builder::initGroup(unsigned int size) {
+inline  ::capnp::Text::Builder SessionValue::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Suspicion::Builder::adoptGroup(
+inline void SessionValue::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Suspicion::Builder::disownGroup() {
+inline ::capnp::Orphan< ::capnp::Text> SessionValue::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Suspicion::Reader::hasServer() const {
+inline bool SessionValue::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Suspicion::Builder::hasServer() {
+inline bool SessionValue::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Suspicion::Reader::getServer() const {
+inline  ::capnp::Text::Reader SessionValue::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Suspicion::Builder::getServer() {
+inline  ::capnp::Text::Builder SessionValue::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Suspicion::Builder::setServer( ::capnp::Text::Reader value) {
+inline void SessionValue::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Suspicion::Builder::initServer(unsigned int size) {
+inline  ::capnp::Text::Builder SessionValue::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Suspicion::Builder::adoptServer(
+inline void SessionValue::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Suspicion::Builder::disownServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint8_t Suspicion::Reader::getEvidence() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t Suspicion::Builder::getEvidence() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Suspicion::Builder::setEvidence( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Suspicion::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Suspicion::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Suspicion::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t Status::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Status::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Status::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> SessionValue::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Status::Reader::hasReason() const {
+inline bool PreparedDefinition::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasReason() {
+inline bool PreparedDefinition::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Status::Reader::getReason() const {
+inline  ::capnp::Text::Reader PreparedDefinition::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Status::Builder::getReason() {
+inline  ::capnp::Text::Builder PreparedDefinition::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setReason( ::capnp::Text::Reader value) {
+inline void PreparedDefinition::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Status::Builder::initReason(unsigned int size) {
+inline  ::capnp::Text::Builder PreparedDefinition::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Status::Builder::adoptReason(
+inline void PreparedDefinition::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownReason() {
+inline ::capnp::Orphan< ::capnp::Text> PreparedDefinition::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Status::Reader::hasLeader() const {
+inline bool PreparedDefinition::Reader::hasDefinition() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Status::Builder::hasLeader() {
+inline bool PreparedDefinition::Builder::hasDefinition() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Status::Reader::getLeader() const {
+inline  ::capnp::Text::Reader PreparedDefinition::Reader::getDefinition() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Status::Builder::getLeader() {
+inline  ::capnp::Text::Builder PreparedDefinition::Builder::getDefinition() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Status::Builder::setLeader( ::capnp::Text::Reader value) {
+inline void PreparedDefinition::Builder::setDefinition( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Status::Builder::initLeader(unsigned int size) {
+inline  ::capnp::Text::Builder PreparedDefinition::Builder::initDefinition(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Status::Builder::adoptLeader(
+inline void PreparedDefinition::Builder::adoptDefinition(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Status::Builder::disownLeader() {
+inline ::capnp::Orphan< ::capnp::Text> PreparedDefinition::Builder::disownDefinition() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool LedgerRecord::Reader::hasOwner() const {
+inline bool PreparedDefinition::Reader::getWrites() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool PreparedDefinition::Builder::getWrites() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PreparedDefinition::Builder::setWrites(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedStatement::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedStatement::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedStatement::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayedStatement::Reader::getCaller() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayedStatement::Builder::getCaller() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayedStatement::Builder::setCaller( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedStatement::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LedgerRecord::Builder::hasOwner() {
+inline bool RelayedStatement::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LedgerRecord::Reader::getOwner() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::ragwortmux::rpc::CatalogueEntry::Reader RelayedStatement::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::getOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::ragwortmux::rpc::CatalogueEntry::Builder RelayedStatement::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LedgerRecord::Builder::setOwner( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::CatalogueEntry::Pipeline RelayedStatement::Pipeline::getEntry() {
+  return  ::ragwortmux::rpc::CatalogueEntry::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedStatement::Builder::setEntry( ::ragwortmux::rpc::CatalogueEntry::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::initOwner(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::ragwortmux::rpc::CatalogueEntry::Builder RelayedStatement::Builder::initEntry() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LedgerRecord::Builder::adoptOwner(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RelayedStatement::Builder::adoptEntry(
+    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueEntry> RelayedStatement::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueEntry>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LedgerRecord::Reader::hasKey() const {
+inline bool RelayedStatement::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool LedgerRecord::Builder::hasKey() {
+inline bool RelayedStatement::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LedgerRecord::Reader::getKey() const {
+inline  ::capnp::Text::Reader RelayedStatement::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::getKey() {
+inline  ::capnp::Text::Builder RelayedStatement::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LedgerRecord::Builder::setKey( ::capnp::Text::Reader value) {
+inline void RelayedStatement::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder RelayedStatement::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void LedgerRecord::Builder::adoptKey(
+inline void RelayedStatement::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> RelayedStatement::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool LedgerRecord::Reader::hasAttempt() const {
+inline  ::uint8_t RelayedStatement::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RelayedStatement::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void RelayedStatement::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedStatement::Reader::hasText() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool LedgerRecord::Builder::hasAttempt() {
+inline bool RelayedStatement::Builder::hasText() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LedgerRecord::Reader::getAttempt() const {
+inline  ::capnp::Text::Reader RelayedStatement::Reader::getText() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::getAttempt() {
+inline  ::capnp::Text::Builder RelayedStatement::Builder::getText() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void LedgerRecord::Builder::setAttempt( ::capnp::Text::Reader value) {
+inline void RelayedStatement::Builder::setText( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::initAttempt(unsigned int size) {
+inline  ::capnp::Text::Builder RelayedStatement::Builder::initText(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void LedgerRecord::Builder::adoptAttempt(
+inline void RelayedStatement::Builder::adoptText(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownAttempt() {
+inline ::capnp::Orphan< ::capnp::Text> RelayedStatement::Builder::disownText() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LedgerRecord::Reader::getSession() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LedgerRecord::Builder::getSession() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LedgerRecord::Builder::setSession( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool LedgerRecord::Reader::hasGroup() const {
+inline bool RelayedStatement::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool LedgerRecord::Builder::hasGroup() {
+inline bool RelayedStatement::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LedgerRecord::Reader::getGroup() const {
+inline  ::capnp::Text::Reader RelayedStatement::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::getGroup() {
+inline  ::capnp::Text::Builder RelayedStatement::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void LedgerRecord::Builder::setGroup( ::capnp::Text::Reader value) {
+inline void RelayedStatement::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LedgerRecord::Builder::initGroup(unsigned int size) {
+inline  ::capnp::Text::Builder RelayedStatement::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void LedgerRecord::Builder::adoptGroup(
+inline void RelayedStatement::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LedgerRecord::Builder::disownGroup() {
+inline ::capnp::Orphan< ::capnp::Text> RelayedStatement::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LedgerRecord::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RelayedStatement::Reader::hasRest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedStatement::Builder::hasRest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedStatement::Reader::getRest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedStatement::Builder::getRest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void RelayedStatement::Builder::setRest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedStatement::Builder::initRest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void RelayedStatement::Builder::adoptRest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedStatement::Builder::disownRest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LedgerRecord::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RelayedStatement::Reader::getWrites() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
 }
-inline void LedgerRecord::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+
+inline bool RelayedStatement::Builder::getWrites() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+inline void RelayedStatement::Builder::setWrites(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t LedgerRecord::Reader::getPhase() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool RelayedStatement::Reader::hasValues() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedStatement::Builder::hasValues() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Reader RelayedStatement::Reader::getValues() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Builder RelayedStatement::Builder::getValues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void RelayedStatement::Builder::setValues( ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>::Builder RelayedStatement::Builder::initValues(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void RelayedStatement::Builder::adoptValues(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>> RelayedStatement::Builder::disownValues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::SessionValue,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t LedgerRecord::Builder::getPhase() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool RelayedStatement::Reader::hasPrepared() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void LedgerRecord::Builder::setPhase( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline bool RelayedStatement::Builder::hasPrepared() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Reader RelayedStatement::Reader::getPrepared() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Builder RelayedStatement::Builder::getPrepared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void RelayedStatement::Builder::setPrepared( ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>::Builder RelayedStatement::Builder::initPrepared(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void RelayedStatement::Builder::adoptPrepared(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>> RelayedStatement::Builder::disownPrepared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PreparedDefinition,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t LedgerRecord::Reader::getCode() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool RelayedStatement::Reader::getHasExecuted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t LedgerRecord::Builder::getCode() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool RelayedStatement::Builder::getHasExecuted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
 }
-inline void LedgerRecord::Builder::setCode( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void RelayedStatement::Builder::setHasExecuted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LedgerRecord::Reader::hasAnswer() const {
+inline bool RelayedStatement::Reader::hasExecuted() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool LedgerRecord::Builder::hasAnswer() {
+inline bool RelayedStatement::Builder::hasExecuted() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader LedgerRecord::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::ragwortmux::rpc::PreparedDefinition::Reader RelayedStatement::Reader::getExecuted() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::PreparedDefinition>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder LedgerRecord::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::ragwortmux::rpc::PreparedDefinition::Builder RelayedStatement::Builder::getExecuted() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::PreparedDefinition>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void LedgerRecord::Builder::setAnswer( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::PreparedDefinition::Pipeline RelayedStatement::Pipeline::getExecuted() {
+  return  ::ragwortmux::rpc::PreparedDefinition::Pipeline(_typeless.getPointerField(7));
 }
-inline  ::capnp::Data::Builder LedgerRecord::Builder::initAnswer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void RelayedStatement::Builder::setExecuted( ::ragwortmux::rpc::PreparedDefinition::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::PreparedDefinition>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void LedgerRecord::Builder::adoptAnswer(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::ragwortmux::rpc::PreparedDefinition::Builder RelayedStatement::Builder::initExecuted() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::PreparedDefinition>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void RelayedStatement::Builder::adoptExecuted(
+    ::capnp::Orphan< ::ragwortmux::rpc::PreparedDefinition>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::PreparedDefinition>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::PreparedDefinition> RelayedStatement::Builder::disownExecuted() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::PreparedDefinition>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool RelayedStatement::Reader::hasLastWrite() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedStatement::Builder::hasLastWrite() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::Point::Reader RelayedStatement::Reader::getLastWrite() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Point::Builder RelayedStatement::Builder::getLastWrite() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Point::Pipeline RelayedStatement::Pipeline::getLastWrite() {
+  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedStatement::Builder::setLastWrite( ::ragwortmux::rpc::Point::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::Point::Builder RelayedStatement::Builder::initLastWrite() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void RelayedStatement::Builder::adoptLastWrite(
+    ::capnp::Orphan< ::ragwortmux::rpc::Point>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Point> RelayedStatement::Builder::disownLastWrite() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RelayedStatement::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> LedgerRecord::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::int64_t RelayedStatement::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RelayedStatement::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CommandResult::Reader::hasStatus() const {
+inline bool RelayedAnswer::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CommandResult::Builder::hasStatus() {
+inline bool RelayedAnswer::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ragwortmux::rpc::Status::Reader CommandResult::Reader::getStatus() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RelayedAnswer::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::Status::Builder CommandResult::Builder::getStatus() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RelayedAnswer::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ragwortmux::rpc::Status::Pipeline CommandResult::Pipeline::getStatus() {
-  return  ::ragwortmux::rpc::Status::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void CommandResult::Builder::setStatus( ::ragwortmux::rpc::Status::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::set(_builder.getPointerField(
+inline void RelayedAnswer::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::rpc::Status::Builder CommandResult::Builder::initStatus() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RelayedAnswer::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CommandResult::Builder::adoptStatus(
-    ::capnp::Orphan< ::ragwortmux::rpc::Status>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::adopt(_builder.getPointerField(
+inline void RelayedAnswer::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::Status> CommandResult::Builder::disownStatus() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> RelayedAnswer::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CommandResult::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint16_t RelayedAnswer::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CommandResult::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint16_t RelayedAnswer::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CommandResult::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RelayedAnswer::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CommandResult::Reader::getSession() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t CommandResult::Builder::getSession() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void CommandResult::Builder::setSession( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool CommandResult::Reader::getHasWinner() const {
+inline bool RelayedAnswer::Reader::getHasBody() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool CommandResult::Builder::getHasWinner() {
+inline bool RelayedAnswer::Builder::getHasBody() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void CommandResult::Builder::setHasWinner(bool value) {
+inline void RelayedAnswer::Builder::setHasBody(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CommandResult::Reader::hasWinner() const {
+inline bool RelayedAnswer::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CommandResult::Builder::hasWinner() {
+inline bool RelayedAnswer::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ragwortmux::rpc::CatalogueItem::Reader CommandResult::Reader::getWinner() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader RelayedAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::CatalogueItem::Builder CommandResult::Builder::getWinner() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder RelayedAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ragwortmux::rpc::CatalogueItem::Pipeline CommandResult::Pipeline::getWinner() {
-  return  ::ragwortmux::rpc::CatalogueItem::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void CommandResult::Builder::setWinner( ::ragwortmux::rpc::CatalogueItem::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::set(_builder.getPointerField(
+inline void RelayedAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::rpc::CatalogueItem::Builder CommandResult::Builder::initWinner() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder RelayedAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CommandResult::Builder::adoptWinner(
-    ::capnp::Orphan< ::ragwortmux::rpc::CatalogueItem>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::adopt(_builder.getPointerField(
+inline void RelayedAnswer::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::CatalogueItem> CommandResult::Builder::disownWinner() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::CatalogueItem>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> RelayedAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CommandResult::Reader::getHasLedger() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RelayedAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool CommandResult::Builder::getHasLedger() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RelayedAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CommandResult::Builder::setHasLedger(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+inline void RelayedAnswer::Builder::setStatus( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CommandResult::Reader::hasLedger() const {
+inline bool RelayedAnswer::Reader::hasPoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool CommandResult::Builder::hasLedger() {
+inline bool RelayedAnswer::Builder::hasPoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ragwortmux::rpc::LedgerRecord::Reader CommandResult::Reader::getLedger() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::get(_reader.getPointerField(
+inline  ::ragwortmux::rpc::Point::Reader RelayedAnswer::Reader::getPoint() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::LedgerRecord::Builder CommandResult::Builder::getLedger() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::get(_builder.getPointerField(
+inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::getPoint() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::ragwortmux::rpc::LedgerRecord::Pipeline CommandResult::Pipeline::getLedger() {
-  return  ::ragwortmux::rpc::LedgerRecord::Pipeline(_typeless.getPointerField(2));
+inline  ::ragwortmux::rpc::Point::Pipeline RelayedAnswer::Pipeline::getPoint() {
+  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void CommandResult::Builder::setLedger( ::ragwortmux::rpc::LedgerRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::set(_builder.getPointerField(
+inline void RelayedAnswer::Builder::setPoint( ::ragwortmux::rpc::Point::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::rpc::LedgerRecord::Builder CommandResult::Builder::initLedger() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::init(_builder.getPointerField(
+inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::initPoint() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CommandResult::Builder::adoptLedger(
-    ::capnp::Orphan< ::ragwortmux::rpc::LedgerRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::adopt(_builder.getPointerField(
+inline void RelayedAnswer::Builder::adoptPoint(
+    ::capnp::Orphan< ::ragwortmux::rpc::Point>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::LedgerRecord> CommandResult::Builder::disownLedger() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::LedgerRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ragwortmux::rpc::Point> RelayedAnswer::Builder::disownPoint() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool RelayedAnswer::Reader::hasWritten() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedAnswer::Builder::hasWritten() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::Point::Reader RelayedAnswer::Reader::getWritten() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::getWritten() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
 #if !CAPNP_LITE
-inline EntryListener::Client::Client(decltype(nullptr))
+inline  ::ragwortmux::rpc::Point::Pipeline RelayedAnswer::Pipeline::getWritten() {
+  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedAnswer::Builder::setWritten( ::ragwortmux::rpc::Point::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::initWritten() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RelayedAnswer::Builder::adoptWritten(
+    ::capnp::Orphan< ::ragwortmux::rpc::Point>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Point> RelayedAnswer::Builder::disownWritten() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline StatementRelay::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline EntryListener::Client::Client(
+inline StatementRelay::Client::Client(
     ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
-inline EntryListener::Client::Client(::kj::Own<_t>&& server)
+inline StatementRelay::Client::Client(::kj::Own<_t>&& server)
     : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
-inline EntryListener::Client::Client(::kj::Promise<_t>&& promise)
+inline StatementRelay::Client::Client(::kj::Promise<_t>&& promise)
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline EntryListener::Client::Client(::kj::Exception&& exception)
+inline StatementRelay::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::ragwortmux::rpc::EntryListener::Client& EntryListener::Client::operator=(Client& other) {
+inline  ::ragwortmux::rpc::StatementRelay::Client& StatementRelay::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::ragwortmux::rpc::EntryListener::Client& EntryListener::Client::operator=(Client&& other) {
+inline  ::ragwortmux::rpc::StatementRelay::Client& StatementRelay::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
-inline  ::uint64_t EntryListener::UpdateParams::Reader::getSession() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t EntryListener::UpdateParams::Builder::getSession() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EntryListener::UpdateParams::Builder::setSession( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryListener::UpdateParams::Reader::hasUpdate() const {
+inline bool StatementRelay::RunParams::Reader::hasStatement() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryListener::UpdateParams::Builder::hasUpdate() {
+inline bool StatementRelay::RunParams::Builder::hasStatement() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ragwortmux::rpc::Update::Reader EntryListener::UpdateParams::Reader::getUpdate() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::get(_reader.getPointerField(
+inline  ::ragwortmux::rpc::RelayedStatement::Reader StatementRelay::RunParams::Reader::getStatement() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedStatement>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::Update::Builder EntryListener::UpdateParams::Builder::getUpdate() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::get(_builder.getPointerField(
+inline  ::ragwortmux::rpc::RelayedStatement::Builder StatementRelay::RunParams::Builder::getStatement() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedStatement>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::ragwortmux::rpc::Update::Pipeline EntryListener::UpdateParams::Pipeline::getUpdate() {
-  return  ::ragwortmux::rpc::Update::Pipeline(_typeless.getPointerField(0));
+inline  ::ragwortmux::rpc::RelayedStatement::Pipeline StatementRelay::RunParams::Pipeline::getStatement() {
+  return  ::ragwortmux::rpc::RelayedStatement::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryListener::UpdateParams::Builder::setUpdate( ::ragwortmux::rpc::Update::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::set(_builder.getPointerField(
+inline void StatementRelay::RunParams::Builder::setStatement( ::ragwortmux::rpc::RelayedStatement::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedStatement>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::rpc::Update::Builder EntryListener::UpdateParams::Builder::initUpdate() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::init(_builder.getPointerField(
+inline  ::ragwortmux::rpc::RelayedStatement::Builder StatementRelay::RunParams::Builder::initStatement() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedStatement>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryListener::UpdateParams::Builder::adoptUpdate(
-    ::capnp::Orphan< ::ragwortmux::rpc::Update>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::adopt(_builder.getPointerField(
+inline void StatementRelay::RunParams::Builder::adoptStatement(
+    ::capnp::Orphan< ::ragwortmux::rpc::RelayedStatement>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedStatement>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::Update> EntryListener::UpdateParams::Builder::disownUpdate() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Update>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ragwortmux::rpc::RelayedStatement> StatementRelay::RunParams::Builder::disownStatement() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedStatement>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EntryListener::UpdateResults::Reader::hasConfirmation() const {
+inline bool StatementRelay::RunResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryListener::UpdateResults::Builder::hasConfirmation() {
+inline bool StatementRelay::RunResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ragwortmux::rpc::Confirmation::Reader EntryListener::UpdateResults::Reader::getConfirmation() const {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::get(_reader.getPointerField(
+inline  ::ragwortmux::rpc::RelayedAnswer::Reader StatementRelay::RunResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ragwortmux::rpc::Confirmation::Builder EntryListener::UpdateResults::Builder::getConfirmation() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::get(_builder.getPointerField(
+inline  ::ragwortmux::rpc::RelayedAnswer::Builder StatementRelay::RunResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::ragwortmux::rpc::Confirmation::Pipeline EntryListener::UpdateResults::Pipeline::getConfirmation() {
-  return  ::ragwortmux::rpc::Confirmation::Pipeline(_typeless.getPointerField(0));
+inline  ::ragwortmux::rpc::RelayedAnswer::Pipeline StatementRelay::RunResults::Pipeline::getAnswer() {
+  return  ::ragwortmux::rpc::RelayedAnswer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryListener::UpdateResults::Builder::setConfirmation( ::ragwortmux::rpc::Confirmation::Reader value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::set(_builder.getPointerField(
+inline void StatementRelay::RunResults::Builder::setAnswer( ::ragwortmux::rpc::RelayedAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::rpc::Confirmation::Builder EntryListener::UpdateResults::Builder::initConfirmation() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::init(_builder.getPointerField(
+inline  ::ragwortmux::rpc::RelayedAnswer::Builder StatementRelay::RunResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedAnswer>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryListener::UpdateResults::Builder::adoptConfirmation(
-    ::capnp::Orphan< ::ragwortmux::rpc::Confirmation>&& value) {
-  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::adopt(_builder.getPointerField(
+inline void StatementRelay::RunResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::ragwortmux::rpc::RelayedAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::rpc::Confirmation> EntryListener::UpdateResults::Builder::disownConfirmation() {
-  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Confirmation>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::ragwortmux::rpc::RelayedAnswer> StatementRelay::RunResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::RelayedAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StatementRelay::CallerDisconnectedParams::Reader::getCaller() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StatementRelay::CallerDisconnectedParams::Builder::getCaller() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StatementRelay::CallerDisconnectedParams::Builder::setCaller( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -8970,6 +11237,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::OpenRelayResults::Reader::hasRelay() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::OpenRelayResults::Builder::hasRelay() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::StatementRelay::Client Peer::OpenRelayResults::Reader::getRelay() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::StatementRelay>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::StatementRelay::Client Peer::OpenRelayResults::Builder::getRelay() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::StatementRelay>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::StatementRelay::Client Peer::OpenRelayResults::Pipeline::getRelay() {
+  return  ::ragwortmux::rpc::StatementRelay::Client(_typeless.getPointerField(0).asCap());
+}
+inline void Peer::OpenRelayResults::Builder::setRelay( ::ragwortmux::rpc::StatementRelay::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::StatementRelay>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Peer::OpenRelayResults::Builder::setRelay( ::ragwortmux::rpc::StatementRelay::Client& cap) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::StatementRelay>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void Peer::OpenRelayResults::Builder::adoptRelay(
+    ::capnp::Orphan< ::ragwortmux::rpc::StatementRelay>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::StatementRelay>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::StatementRelay> Peer::OpenRelayResults::Builder::disownRelay() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::StatementRelay>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
 }  // namespace
 }  // namespace
 
--- a/ragwortmux/Process/Peers/PeerLink.cpp
+++ b/ragwortmux/Process/Peers/PeerLink.cpp
@@ -3,12 +3,9 @@
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Peers/CapnpBytes.h"
-#include "ragwortmux/Process/Peers/ClusterProof.h"
+#include "ragwortmux/Process/Peers/PeerConnection.h"
 #include "ragwortmux/Process/Peers/RpcCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
-#include "ragwortmux/Process/Support/Secret.h"
-
-#include <capnp/rpc-twoparty.h>
 
 namespace ragwortmux {
 
@@ -41,12 +38,6 @@
   Out.setHomesRevision(Key.m_Homes.value());
 }
 
-/// One connection to a process that serves the peer interface.
-struct Connection final {
-  kj::Own<kj::AsyncIoStream> m_Stream;       ///< The socket.
-  kj::Maybe<capnp::TwoPartyClient> m_Client; ///< RPC over it.
-};
-
 } // namespace
 
 struct PeerLink::Impl final : std::enable_shared_from_this<Impl> {
@@ -65,39 +56,16 @@
       return nullptr;
     }
     m_RetryAt = Now + m_Settings.m_ReconnectPause;
-    m_Connection = std::make_shared<Connection>();
-    rpc::Peer::Client Peer = connect(m_Connection);
+    m_Connection = std::make_shared<PeerConnection>();
+    rpc::Peer::Client Peer =
+        m_Connection->connect(m_Loop, m_Key, m_Settings.m_OwnHost,
+                              m_Settings.m_Address, m_Settings.m_Port);
     m_Peer = Peer;
     return Peer;
   }
 
-  /// Connects and proves the knowledge of the cluster key.
-  kj::Promise<rpc::Peer::Client>
-  connect(const std::shared_ptr<Connection> &NewConnection) {
-    return m_Loop.connect(m_Settings.m_Address, m_Settings.m_Port)
-        .then([NewConnection](kj::Own<kj::AsyncIoStream> &&Stream) {
-          NewConnection->m_Stream = kj::mv(Stream);
-          auto &Client =
-              NewConnection->m_Client.emplace(*NewConnection->m_Stream);
-          auto Gate = Client.bootstrap().castAs<rpc::Gate>();
-          return Gate.helloRequest().send();
-        })
-        .then([this, Self = shared_from_this()](
-                  capnp::Response<rpc::Gate::HelloResults> &&Hello) {
-          const std::string &Host = m_Settings.m_OwnHost.value();
-          const std::string Proof =
-              clusterProof(m_Key, toString(Hello.getNonce()), Host);
-          auto Request = Hello.getChallenge().answerRequest();
-          Request.setHost(toText(Host));
-          Request.setProof(toData(Proof));
-          return Request.send();
-        })
-        .then([](capnp::Response<rpc::Challenge::AnswerResults> &&Answer)
-                  -> rpc::Peer::Client { return Answer.getPeer(); });
-  }
-
   /// Drops \p Failed, unless a newer connection has replaced it.
-  void dropConnection(const std::shared_ptr<Connection> &Failed) {
+  void dropConnection(const std::shared_ptr<PeerConnection> &Failed) {
     if (Failed != m_Connection) {
       return;
     }
@@ -154,11 +122,11 @@
     m_Loop.after(Duration(0), [Respond] { Respond(std::nullopt); });
   }
 
-  IoLoop &m_Loop;                           ///< The event loop.
-  const Secret &m_Key;                      ///< The cluster key.
-  PeerLinkSettings m_Settings;              ///< Address, timeouts, limits.
-  kj::Maybe<rpc::Peer::Client> m_Peer;      ///< Set while connected.
-  std::shared_ptr<Connection> m_Connection; ///< What m_Peer runs over.
+  IoLoop &m_Loop;                               ///< The event loop.
+  const Secret &m_Key;                          ///< The cluster key.
+  PeerLinkSettings m_Settings;                  ///< Address, timeouts, limits.
+  kj::Maybe<rpc::Peer::Client> m_Peer;          ///< Set while connected.
+  std::shared_ptr<PeerConnection> m_Connection; ///< What m_Peer runs over.
   Instant m_RetryAt{};          ///< Earliest next connection attempt.
   std::size_t m_Unanswered = 0; ///< Calls without an answer yet.
 };
--- a/ragwortmux/Process/Peers/PeerLink.h
+++ b/ragwortmux/Process/Peers/PeerLink.h
@@ -28,6 +28,12 @@
       std::chrono::milliseconds(50); ///< Pause between two connection attempts.
   std::size_t m_MaxUnanswered =
       4096; ///< Limit of unanswered calls; further calls fail at once.
+  Duration m_PingInterval = std::chrono::milliseconds(
+      300); ///< RelayLink: pause between two checks of the connection while
+            ///< statements are unanswered.
+  Duration m_SilenceLimit = std::chrono::milliseconds(
+      600); ///< RelayLink: the connection is dropped if a check stays without
+            ///< an answer for this long.
 };
 
 /// RPC client for one other process of the cluster: connects on first use,
--- a/ragwortmux/Process/Peers/RpcCodec.cpp
+++ b/ragwortmux/Process/Peers/RpcCodec.cpp
@@ -68,42 +68,50 @@
   return View;
 }
 
+void writeRpc(rpc::CatalogueEntry::Builder Out, const CatalogueEntry &Entry) {
+  const EntryLimits &Limits = Entry.m_Limits;
+  Out.setName(toText(Entry.m_Name.value()));
+  Out.setGroup(toText(Entry.m_Group.value()));
+  Out.setOwner(toText(Entry.m_Owner.value()));
+  Out.setTrafficClass(static_cast<std::uint8_t>(Entry.m_Class));
+  Out.setMaxConcurrent(Limits.m_MaxConcurrent);
+  Out.setMaxQueued(Limits.m_MaxQueued);
+  Out.setDeadlineUs(Limits.m_RequestDeadline.count());
+  Out.setMaxAnswerBytes(Limits.m_MaxAnswerBytes);
+  Out.setMaxAgeUs(Limits.m_MaxAge.count());
+  Out.setLatencyTargetUs(Limits.m_LatencyTarget.count());
+  Out.setTransactionIdleUs(Limits.m_TransactionIdle.count());
+  Out.setPriority(Limits.m_Priority);
+}
+
+CatalogueEntry readRpc(rpc::CatalogueEntry::Reader In) {
+  CatalogueEntry Entry;
+  Entry.m_Name = EntryName(toString(In.getName()));
+  Entry.m_Group = GroupId(toString(In.getGroup()));
+  Entry.m_Owner = OwnerId(toString(In.getOwner()));
+  Entry.m_Class = static_cast<TrafficClass>(In.getTrafficClass());
+  EntryLimits &Limits = Entry.m_Limits;
+  Limits.m_MaxConcurrent = In.getMaxConcurrent();
+  Limits.m_MaxQueued = In.getMaxQueued();
+  Limits.m_RequestDeadline = Duration(In.getDeadlineUs());
+  Limits.m_MaxAnswerBytes = In.getMaxAnswerBytes();
+  Limits.m_MaxAge = Duration(In.getMaxAgeUs());
+  Limits.m_LatencyTarget = Duration(In.getLatencyTargetUs());
+  Limits.m_TransactionIdle = Duration(In.getTransactionIdleUs());
+  Limits.m_Priority = In.getPriority();
+  return Entry;
+}
+
 static void writeRpc(rpc::CatalogueItem::Builder Out,
                      const CatalogueItem &Item) {
   Out.setRevision(Item.m_Revision.value());
-  auto Entry = Out.initEntry();
-  const EntryLimits &Limits = Item.m_Entry.m_Limits;
-  Entry.setName(toText(Item.m_Entry.m_Name.value()));
-  Entry.setGroup(toText(Item.m_Entry.m_Group.value()));
-  Entry.setOwner(toText(Item.m_Entry.m_Owner.value()));
-  Entry.setTrafficClass(static_cast<std::uint8_t>(Item.m_Entry.m_Class));
-  Entry.setMaxConcurrent(Limits.m_MaxConcurrent);
-  Entry.setMaxQueued(Limits.m_MaxQueued);
-  Entry.setDeadlineUs(Limits.m_RequestDeadline.count());
-  Entry.setMaxAnswerBytes(Limits.m_MaxAnswerBytes);
-  Entry.setMaxAgeUs(Limits.m_MaxAge.count());
-  Entry.setLatencyTargetUs(Limits.m_LatencyTarget.count());
-  Entry.setTransactionIdleUs(Limits.m_TransactionIdle.count());
-  Entry.setPriority(Limits.m_Priority);
+  writeRpc(Out.initEntry(), Item.m_Entry);
 }
 
 static CatalogueItem readRpc(rpc::CatalogueItem::Reader In) {
   CatalogueItem Item;
   Item.m_Revision = Revision(In.getRevision());
-  const auto Entry = In.getEntry();
-  Item.m_Entry.m_Name = EntryName(toString(Entry.getName()));
-  Item.m_Entry.m_Group = GroupId(toString(Entry.getGroup()));
-  Item.m_Entry.m_Owner = OwnerId(toString(Entry.getOwner()));
-  Item.m_Entry.m_Class = static_cast<TrafficClass>(Entry.getTrafficClass());
-  EntryLimits &Limits = Item.m_Entry.m_Limits;
-  Limits.m_MaxConcurrent = Entry.getMaxConcurrent();
-  Limits.m_MaxQueued = Entry.getMaxQueued();
-  Limits.m_RequestDeadline = Duration(Entry.getDeadlineUs());
-  Limits.m_MaxAnswerBytes = Entry.getMaxAnswerBytes();
-  Limits.m_MaxAge = Duration(Entry.getMaxAgeUs());
-  Limits.m_LatencyTarget = Duration(Entry.getLatencyTargetUs());
-  Limits.m_TransactionIdle = Duration(Entry.getTransactionIdleUs());
-  Limits.m_Priority = Entry.getPriority();
+  Item.m_Entry = readRpc(In.getEntry());
   return Item;
 }
 
--- a/ragwortmux/Process/Peers/RpcCodec.h
+++ b/ragwortmux/Process/Peers/RpcCodec.h
@@ -36,6 +36,9 @@
 void writeRpc(rpc::Demand::Builder Out, const ShareDemand &Demand);
 ShareDemand readRpc(rpc::Demand::Reader In);
 
+void writeRpc(rpc::CatalogueEntry::Builder Out, const CatalogueEntry &Entry);
+CatalogueEntry readRpc(rpc::CatalogueEntry::Reader In);
+
 void writeRpc(rpc::Point::Builder Out, const std::optional<LogPoint> &Point);
 std::optional<LogPoint> readRpc(rpc::Point::Reader In);
 
--- a/ragwortmux/Process/Peers/RpcServer.cpp
+++ b/ragwortmux/Process/Peers/RpcServer.cpp
@@ -2,9 +2,11 @@
 
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/MakeReplyPromise.h"
+#include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Peers/CapnpBytes.h"
 #include "ragwortmux/Process/Peers/ClusterProof.h"
 #include "ragwortmux/Process/Peers/LogMessageCodec.h"
+#include "ragwortmux/Process/Peers/RelayCodec.h"
 #include "ragwortmux/Process/Peers/RpcCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Secret.h"
@@ -45,11 +47,76 @@
           GroupId(toString(In.getGroup())), Revision(In.getHomesRevision())};
 }
 
+/// Runs statements that another entry process relays over one connection, and
+/// ends with the connection.
+class RelayServer final : public rpc::StatementRelay::Server {
+public:
+  RelayServer(IoLoop &Loop, std::weak_ptr<const RpcServerHooks> Hooks,
+              RelayPeerId Peer)
+      : m_Loop(Loop), m_Hooks(std::move(Hooks)), m_Peer(Peer) {}
+
+  ~RelayServer() noexcept {
+    // The hook must not run in the middle of the end of a connection.
+    if (m_Hooks.expired()) {
+      return;
+    }
+    m_Loop.after(Duration(0), [Weak = m_Hooks, Peer = m_Peer] {
+      const auto Hooks = Weak.lock();
+      if (Hooks && Hooks->m_RelayClosed) {
+        Hooks->m_RelayClosed(Peer);
+      }
+    });
+  }
+  RelayServer(const RelayServer &) = delete;
+  RelayServer &operator=(const RelayServer &) = delete;
+
+protected:
+  kj::Promise<void> run(RunContext Context) override {
+    // The call ends with the connection and must not keep this object alive
+    // until the statement is answered.
+    Context.allowCancellation();
+    auto Request = readRpc(Context.getParams().getStatement(), monotonicNow());
+    Context.releaseParams();
+    const auto Hooks = m_Hooks.lock();
+    if (!Request || !Hooks || !Hooks->m_RunRelayed) {
+      SessionAnswer Refusal;
+      Refusal.m_Code = Request ? ResultCode::NotRunNoConnection
+                               : ResultCode::NotRunBadRequest;
+      writeRpc(Context.getResults().initAnswer(), Refusal);
+      return kj::READY_NOW;
+    }
+    return makeReplyPromise<SessionAnswer>([&](auto Respond) {
+             Hooks->m_RunRelayed(m_Peer, std::move(*Request), Respond);
+           })
+        .then([Context](const SessionAnswer &Answer) mutable {
+          writeRpc(Context.getResults().initAnswer(), Answer);
+        });
+  }
+
+  kj::Promise<void>
+  callerDisconnected(CallerDisconnectedContext Context) override {
+    const auto Hooks = m_Hooks.lock();
+    if (Hooks && Hooks->m_RelayedCallerDisconnected) {
+      Hooks->m_RelayedCallerDisconnected(
+          m_Peer, CallerConnectionId(Context.getParams().getCaller()));
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> ping(PingContext) override { return kj::READY_NOW; }
+
+private:
+  IoLoop &m_Loop;                              ///< The event loop.
+  std::weak_ptr<const RpcServerHooks> m_Hooks; ///< Handlers; a call may outlive
+                                               ///< the RpcServer.
+  RelayPeerId m_Peer; ///< Id of the connection for the hooks.
+};
+
 /// Serves the calls of a process that has proved that it knows the key.
 class PeerServer final : public rpc::Peer::Server {
 public:
-  PeerServer(IoLoop &Loop, const RpcServerHooks &Hooks)
-      : m_Loop(Loop), m_Hooks(Hooks) {}
+  PeerServer(IoLoop &Loop, const std::shared_ptr<const RpcServerHooks> &Hooks)
+      : m_Loop(Loop), m_Hooks(*Hooks), m_RelayHooks(Hooks) {}
 
 protected:
   kj::Promise<void> logMessage(LogMessageContext Context) override {
@@ -204,9 +271,19 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> openRelay(OpenRelayContext Context) override {
+    m_LastRelay = RelayPeerId(m_LastRelay.value() + 1);
+    Context.getResults().setRelay(
+        kj::heap<RelayServer>(m_Loop, m_RelayHooks, m_LastRelay));
+    return kj::READY_NOW;
+  }
+
 private:
   IoLoop &m_Loop;                ///< The event loop.
   const RpcServerHooks &m_Hooks; ///< Handlers; owned by RpcServer.
+  std::weak_ptr<const RpcServerHooks>
+      m_RelayHooks;        ///< The same for relays, which may live longer.
+  RelayPeerId m_LastRelay; ///< Id of the newest relay.
 };
 
 /// Serves one challenge: checks a single proof and returns the peer interface
@@ -266,14 +343,15 @@
 
 struct RpcServer::Impl final {
   Impl(IoLoop &Loop, const Secret &Key, RpcServerHooks &&ServerHooks)
-      : m_Loop(Loop), m_Hooks(std::move(ServerHooks)),
+      : m_Loop(Loop),
+        m_Hooks(std::make_shared<const RpcServerHooks>(std::move(ServerHooks))),
         m_Server(
             kj::heap<GateServer>(Key, kj::heap<PeerServer>(Loop, m_Hooks))) {}
 
-  IoLoop &m_Loop;                             ///< The event loop.
-  RpcServerHooks m_Hooks;                     ///< Handlers of the calls.
-  capnp::TwoPartyServer m_Server;             ///< Serves all connections.
-  kj::Own<kj::ConnectionReceiver> m_Receiver; ///< The listening socket.
+  IoLoop &m_Loop;                                ///< The event loop.
+  std::shared_ptr<const RpcServerHooks> m_Hooks; ///< Handlers of the calls.
+  capnp::TwoPartyServer m_Server;                ///< Serves all connections.
+  kj::Own<kj::ConnectionReceiver> m_Receiver;    ///< The listening socket.
 };
 
 RpcServer::RpcServer(IoLoop &Loop, const Secret &ClusterKey,
--- a/ragwortmux/Process/Peers/RpcServer.h
+++ b/ragwortmux/Process/Peers/RpcServer.h
@@ -15,6 +15,8 @@
 
 class IoLoop;
 class Secret;
+struct SessionAnswer;
+struct SessionRequest;
 
 /// Handlers of the calls from other processes of the cluster. Hooks run on the
 /// event loop; each reply is given once, on the event loop, at once or later. A
@@ -47,6 +49,17 @@
   std::function<bool(const SessionPointEntry &Entry)> m_StorePoint;
   /// Looks a session's position up.
   std::function<SessionLookup(const SessionPointKey &Key)> m_FindPoint;
+  /// Another entry process relays a statement; the ids of the request and its
+  /// caller are those of \p Peer. The reply may come after m_RelayClosed.
+  std::function<void(RelayPeerId Peer, SessionRequest Request,
+                     Respond<SessionAnswer>)>
+      m_RunRelayed;
+  /// A caller whose statements \p Peer relayed has disconnected.
+  std::function<void(RelayPeerId Peer, CallerConnectionId Caller)>
+      m_RelayedCallerDisconnected;
+  /// The connection from \p Peer has ended; called once for each peer, but not
+  /// when the RpcServer is destroyed.
+  std::function<void(RelayPeerId Peer)> m_RelayClosed;
 };
 
 /// Serves RPC to processes that prove that they know the cluster key.
