A lease renewal can name the groups that its entry process serves

LeaseRenewal::m_ServedGroups, the parameters servesAll and served of the renew call, and ControlClientHooks::m_ServedGroups. servesAll is set unless the hook returns a set, and it is the default on the wire, so a process that does not send it serves all groups as before. The control leader does not use the set yet: no behaviour changes.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -142,6 +142,9 @@
   Renewal.m_Catalogue = Confirmed.m_Catalogue;
   Renewal.m_Homes = Confirmed.m_Homes;
   Renewal.m_Demand = m_Hooks.m_Demand();
+  if (m_Hooks.m_ServedGroups) {
+    Renewal.m_ServedGroups = m_Hooks.m_ServedGroups();
+  }
   Renewal.m_Sequence = m_Lease.renewalSent(monotonicNow());
   leaderLink().renew(
       Renewal,
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,9 @@
   std::function<Confirmation()> m_Confirmation;
   /// Returns the number of connections that the groups could use.
   std::function<std::vector<ShareDemand>()> m_Demand;
+  /// Returns the groups that this process serves; not set, or none returned:
+  /// all groups.
+  std::function<std::optional<std::set<GroupId>>()> m_ServedGroups;
   /// Called when the lease was extended to \p ValidUntil.
   std::function<void(Instant ValidUntil)> m_LeaseExtended;
   /// Called when a session was opened; \p Changed is false if it is the session
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -195,8 +195,10 @@
 
   openSession @2 (host :EntryHost, incarnation :UInt64, listener :EntryListener) -> (status :Status, session :UInt64, leaseUs :Int64);
 
-  renew @3 (session :UInt64, sequence :UInt64, confirmation :Confirmation, demand :List(Demand))
+  renew @3 (session :UInt64, sequence :UInt64, confirmation :Confirmation, demand :List(Demand), servesAll :Bool = true,
+            served :List(Text))
       -> (status :Status, leaseUs :Int64, update :Update);
+  # served lists the groups that the entry process serves, unless servesAll is set.
 
   report @4 (session :UInt64, announcements :List(Announcement), suspicions :List(Suspicion)) -> (status :Status);
 
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -622,7 +622,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a8cf4a4ec9fdefe9, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a8cf4a4ec9fdefe9, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4105,6 +4105,11 @@
   inline bool hasDemand() const;
   inline  ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
+  inline bool getServesAll() const;
+
+  inline bool hasServed() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getServed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4153,6 +4158,17 @@
   inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::Demand,  ::capnp::Kind::STRUCT>> disownDemand();
 
+  inline bool getServesAll();
+  inline void setServesAll(bool value);
+
+  inline bool hasServed();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getServed();
+  inline void setServed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setServed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initServed(unsigned int size);
+  inline void adoptServed(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownServed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8209,6 +8225,58 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::RenewParams::Reader::getServesAll() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, true);
+}
+
+inline bool Peer::RenewParams::Builder::getServesAll() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, true);
+}
+inline void Peer::RenewParams::Builder::setServesAll(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value, true);
+}
+
+inline bool Peer::RenewParams::Reader::hasServed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RenewParams::Builder::hasServed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::RenewParams::Reader::getServed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::RenewParams::Builder::getServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::RenewParams::Builder::setServed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Peer::RenewParams::Builder::setServed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::RenewParams::Builder::initServed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::RenewParams::Builder::adoptServed(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::RenewParams::Builder::disownServed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::RenewResults::Reader::hasStatus() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/Peers/PeerLink.cpp
+++ b/ragwortmux/Process/Peers/PeerLink.cpp
@@ -231,6 +231,12 @@
     for (const ShareDemand &Row : Renewal.m_Demand) {
       writeRpc(Demand[Position++], Row);
     }
+    Call.setServesAll(!Renewal.m_ServedGroups);
+    if (Renewal.m_ServedGroups) {
+      writeRpc(Call.initServed(
+                   static_cast<unsigned>(Renewal.m_ServedGroups->size())),
+               *Renewal.m_ServedGroups);
+    }
     m_Impl->send<RenewReply>(
         kj::mv(Call),
         [](auto &Result) {
--- a/ragwortmux/Process/Peers/RpcCodec.cpp
+++ b/ragwortmux/Process/Peers/RpcCodec.cpp
@@ -356,6 +356,22 @@
           In.getConnections()};
 }
 
+void writeRpc(capnp::List<capnp::Text>::Builder Out,
+              const std::set<GroupId> &Groups) {
+  unsigned Position = 0;
+  for (const GroupId &Group : Groups) {
+    Out.set(Position++, toText(Group.value()));
+  }
+}
+
+std::set<GroupId> readRpc(capnp::List<capnp::Text>::Reader In) {
+  std::set<GroupId> Groups;
+  for (const auto Group : In) {
+    Groups.insert(GroupId(toString(Group)));
+  }
+  return Groups;
+}
+
 void writeRpc(rpc::Point::Builder Out, const std::optional<LogPoint> &Point) {
   Out.setKnown(Point.has_value());
   if (Point) {
--- a/ragwortmux/Process/Peers/RpcCodec.h
+++ b/ragwortmux/Process/Peers/RpcCodec.h
@@ -4,6 +4,8 @@
 #include "ragwortmux/Process/Generated/Cluster.capnp.h"
 #include "ragwortmux/Process/Peers/ControlMessages.h"
 
+#include <set>
+
 /// \file
 /// Conversions between the messages of ControlMessages.h and their Cap'n Proto
 /// form.
@@ -36,6 +38,10 @@
 void writeRpc(rpc::Demand::Builder Out, const ShareDemand &Demand);
 ShareDemand readRpc(rpc::Demand::Reader In);
 
+void writeRpc(capnp::List<capnp::Text>::Builder Out,
+              const std::set<GroupId> &Groups);
+std::set<GroupId> readRpc(capnp::List<capnp::Text>::Reader In);
+
 void writeRpc(rpc::Point::Builder Out, const std::optional<LogPoint> &Point);
 std::optional<LogPoint> readRpc(rpc::Point::Reader In);
 
--- a/ragwortmux/Process/Peers/RpcServer.cpp
+++ b/ragwortmux/Process/Peers/RpcServer.cpp
@@ -114,6 +114,9 @@
     for (const auto Demand : Params.getDemand()) {
       Renewal.m_Demand.push_back(readRpc(Demand));
     }
+    if (!Params.getServesAll()) {
+      Renewal.m_ServedGroups = readRpc(Params.getServed());
+    }
     return makeReplyPromise<RenewReply>([&](auto Respond) {
              m_Hooks.m_Renew(std::move(Renewal), Respond);
            })
--- a/ragwortmux/Version/ControlEvents.h
+++ b/ragwortmux/Version/ControlEvents.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,8 @@
   Revision m_Catalogue; ///< Catalogue revision that it has applied.
   Revision m_Homes;     ///< Revision of the session homes that it applies.
   std::vector<ShareDemand> m_Demand; ///< Connections that it could use.
+  std::optional<std::set<GroupId>>
+      m_ServedGroups; ///< Groups that it serves; none: all groups.
 };
 
 /// The role that a backend server announces.
