A test of the control leader with 67 sessions that open at once, which fails

On the grown deployments nearly nothing is served: the control leader steps down 0.4 to 1.4 s after the entry hosts' sessions have opened, again and again. The test opens 67 sessions of three failure domains within 100 ms beside 8 delegated groups of three servers. Its limits are those of the platform: 0.3 of a core for the leader within the 208 ms of its quorum check, and 2 Mbit/s to each entry host within a second.

--- /dev/null
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -0,0 +1,46 @@
+#include "FleetHarness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ragwortmux;
+using namespace ragwortmux::test;
+
+namespace {
+
+/// Traffic starts this long after the hosts do.
+constexpr Duration TrafficStart = 14s;
+/// Time that the sessions have to open, as seen on the grown deployments.
+constexpr Duration OpeningTime = 100ms;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlLeaderOverload)
+
+// The harness fails as soon as the leader exceeds its share of a core, or
+// control fills the link of an entry host.
+BOOST_AUTO_TEST_CASE(OpeningSessionsOfManyHostsKeepsWorkBounded,
+                     *boost::unit_test::label("known-red")) {
+  FleetHarness Fleet{FleetSize()};
+  Fleet.openAll(OpeningTime);
+  const Duration Taken =
+      Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
+  const std::size_t Pushes = Fleet.counts().m_Pushes;
+  Fleet.run(2s);
+  // Nothing changes any more, so nothing is pushed.
+  const std::size_t Settled = Fleet.counts().m_Pushes;
+  Fleet.run(1s);
+  BOOST_TEST(Fleet.counts().m_Pushes == Settled);
+  const FleetCounts &Counts = Fleet.counts();
+  BOOST_TEST_MESSAGE("serving after "
+                     << Taken.count() << " us; " << Counts.m_Events
+                     << " events, " << Pushes << " pushes then and "
+                     << Counts.m_Pushes << " later, " << Counts.m_Confirmations
+                     << " confirmations, " << Counts.m_Renewals << " renewals, "
+                     << Counts.m_Proposals << " proposals, " << Counts.m_Bytes
+                     << " bytes, " << Counts.m_Processor.count()
+                     << " us of processor time, at most "
+                     << Fleet.largestBusyTime().count()
+                     << " us within the quorum check timeout");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
