RelayCore: decisions about statements that another entry host runs

RelayRouter says which groups a host serves and to which host it relays the statements of the others. RelayCore keeps a transaction at the host at which it began, tries reads and begins again when a connection is lost, and says what a missing answer or a refusal means for the caller. Nothing uses them yet.

--- /dev/null
+++ b/ragwortmux/Request/RelayRouter.h
@@ -0,0 +1,68 @@
+#ifndef RAGWORTMUX_REQUEST_RELAYROUTER_H
+#define RAGWORTMUX_REQUEST_RELAYROUTER_H
+
+#include "ragwortmux/Connection/ChooseHomes.h"
+#include "ragwortmux/Core/Ids.h"
+#include "ragwortmux/Core/Time.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace ragwortmux {
+
+/// Identity of this host and limits of a RelayRouter.
+struct RelayRouterSettings final {
+  HostId m_Host;            ///< This host.
+  FailureDomainId m_Domain; ///< Its failure domain.
+  Duration m_FailurePause = std::chrono::milliseconds(
+      500); ///< How long a host that failed gets no new statements while
+            ///< another host can run them.
+  std::function<bool(const HostId &Host)>
+      m_IsReachable; ///< False while no connection to a host can be opened; not
+                     ///< set: all hosts are reachable.
+};
+
+/// Decides which groups this entry host serves itself, and to which host of its
+/// failure domain it relays the statements for other groups.
+class RelayRouter final {
+public:
+  explicit RelayRouter(RelayRouterSettings Settings);
+
+  /// Sets the entry hosts of all failure domains.
+  void setHosts(std::span<const HomeCandidate> Hosts);
+  /// A host did not run a statement for a reason of its own.
+  void hostFailed(Instant Now, const HostId &Host);
+  /// A host answered; it gets new statements again.
+  void hostAnswered(const HostId &Host);
+
+  /// True if this host serves \p Group.
+  bool isServing(const GroupId &Group);
+  /// Those of \p Known that this host serves; none if it serves all groups,
+  /// because no other host of its failure domain is known.
+  std::optional<std::set<GroupId>> servedGroups(const std::set<GroupId> &Known);
+  /// The host to relay a statement of \p Caller to; none if no host except
+  /// those in \p Avoid can run it. The callers are spread over the hosts.
+  std::optional<HostId> choose(Instant Now, const GroupId &Group,
+                               CallerConnectionId Caller,
+                               std::span<const HostId> Avoid);
+
+private:
+  const std::vector<HostId> &servingHosts(const GroupId &Group);
+
+  RelayRouterSettings m_Settings;    ///< Identity and limits.
+  bool m_HasHosts = false;           ///< setHosts() was called.
+  std::vector<HomeCandidate> m_Near; ///< Hosts of the own failure domain,
+                                     ///< including this one.
+  std::map<GroupId, std::vector<HostId>>
+      m_Serving; ///< Results of chooseGroupHosts() for m_Near.
+  std::map<HostId, Instant>
+      m_PausedUntil; ///< Until when a host that failed gets no statements.
+};
+
+} // namespace ragwortmux
+
+#endif // RAGWORTMUX_REQUEST_RELAYROUTER_H
--- /dev/null
+++ b/tests/Request/RelayTest.cpp
@@ -0,0 +1,478 @@
+#include "ragwortmux/Connection/ChooseGroupHosts.h"
+#include "ragwortmux/Request/RelayCore.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace ragwortmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const FailureDomainId Domain("near");
+const GroupId Group("g");
+const CallerConnectionId Caller(7);
+constexpr Duration Deadline = milliseconds(1000);
+
+Instant after(int Milliseconds) { return Instant(milliseconds(Milliseconds)); }
+
+/// Nine hosts of one failure domain, and one of another.
+std::vector<HomeCandidate> manyHosts() {
+  std::vector<HomeCandidate> Hosts = {{HostId("far"), FailureDomainId("far")}};
+  for (int Number = 0; Number < 9; ++Number)
+    Hosts.push_back({HostId("h" + std::to_string(Number)), Domain});
+  return Hosts;
+}
+
+std::vector<HostId> servingHosts() {
+  return chooseGroupHosts(Group, Domain, manyHosts());
+}
+
+bool isServingHost(const HostId &Host) {
+  const auto Hosts = servingHosts();
+  return std::find(Hosts.begin(), Hosts.end(), Host) != Hosts.end();
+}
+
+/// A host of the failure domain that does not serve Group.
+HostId relayingHost() {
+  const auto All = manyHosts();
+  const auto Found =
+      std::find_if(All.begin(), All.end(), [](const HomeCandidate &Each) {
+        return Each.m_Domain == Domain && !isServingHost(Each.m_Host);
+      });
+  return Found->m_Host;
+}
+
+RelayRouterSettings routerSettings(const HostId &Host) {
+  RelayRouterSettings Settings;
+  Settings.m_Host = Host;
+  Settings.m_Domain = Domain;
+  return Settings;
+}
+
+/// A RelayCore of a host that does not serve Group.
+struct Fixture {
+  Fixture() : m_Core(coreSettings()) { m_Core.router().setHosts(manyHosts()); }
+
+  RelayCoreSettings coreSettings() {
+    RelayCoreSettings Settings;
+    Settings.m_Router = routerSettings(relayingHost());
+    Settings.m_Router.m_IsReachable = [this](const HostId &Host) {
+      return !m_Unreachable.contains(Host);
+    };
+    return Settings;
+  }
+
+  /// Submits a statement of Caller that arrived at \p At.
+  RequestId submit(int At, StatementKind Kind, bool Writes = false) {
+    const auto Entry = std::make_shared<CatalogueEntry>();
+    Entry->m_Name = EntryName("e");
+    Entry->m_Group = Group;
+    Entry->m_Limits.m_RequestDeadline = Deadline;
+    SessionRequest Request;
+    Request.m_Id = RequestId(++m_LastRequest);
+    Request.m_Caller = Caller;
+    Request.m_Entry = Entry;
+    Request.m_Statement.m_Kind = Kind;
+    Request.m_Statement.m_Writes = Writes;
+    Request.m_State = std::make_shared<SessionState>();
+    Request.m_Arrived = after(At);
+    m_Actions.clear();
+    m_Core.submit(after(At), Request, m_Actions);
+    return Request.m_Id;
+  }
+
+  /// The host to which the last event relayed a statement; empty if none.
+  HostId relayedTo() const {
+    const auto *Sent = find<RelayStatement>();
+    return Sent == nullptr ? HostId() : Sent->m_Host;
+  }
+
+  /// The answer of the last event; null if none.
+  const SessionAnswer *answer() const { return find<SessionAnswer>(); }
+
+  void reply(int At, const HostId &Host, ResultCode Code,
+             TransactionStatus Status = TransactionStatus::Idle) {
+    SessionAnswer Reply;
+    Reply.m_Code = Code;
+    Reply.m_Status = Status;
+    m_Actions.clear();
+    m_Core.answered(after(At), Host, RequestId(m_LastRequest), Reply,
+                    m_Actions);
+  }
+
+  void loseAnswer(int At, const HostId &Host) {
+    m_Actions.clear();
+    m_Core.answered(after(At), Host, RequestId(m_LastRequest), std::nullopt,
+                    m_Actions);
+  }
+
+  /// Opens a transaction of Caller; returns its host.
+  HostId begin() {
+    submit(0, StatementKind::Begin);
+    const HostId Host = relayedTo();
+    reply(1, Host, ResultCode::Ok, TransactionStatus::InTransaction);
+    return Host;
+  }
+
+  template <typename Action> const Action *find() const {
+    for (const RelayAction &Each : m_Actions) {
+      if (const auto *Found = std::get_if<Action>(&Each))
+        return Found;
+    }
+    return nullptr;
+  }
+
+  std::set<HostId> m_Unreachable; ///< Hosts that cannot be connected to.
+  std::uint64_t m_LastRequest = 0;
+  RelayActions m_Actions; ///< Actions of the last event.
+  RelayCore m_Core;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayRouterTest)
+
+BOOST_AUTO_TEST_CASE(ServesAllGroupsOnlyWithoutOtherHostsInDomain) {
+  const std::vector<HomeCandidate> Own = {{HostId("h0"), Domain}};
+  const std::vector<HomeCandidate> Far = {
+      {HostId("f"), FailureDomainId("far")}};
+  const std::vector<HomeCandidate> Four = {{HostId("h0"), Domain},
+                                           {HostId("h1"), Domain},
+                                           {HostId("h2"), Domain},
+                                           {HostId("h3"), Domain}};
+  const std::set<GroupId> Known = {Group, GroupId("other")};
+  const struct {
+    const char *m_Name;
+    std::optional<std::vector<HomeCandidate>> m_Hosts;
+    std::optional<std::set<GroupId>> m_Served;
+  } Cases[] = {{"hosts unknown", std::nullopt, std::set<GroupId>()},
+               {"empty list", std::vector<HomeCandidate>(), std::nullopt},
+               {"only this host", Own, std::nullopt},
+               {"only other domains", Far, std::nullopt},
+               {"four hosts", Four, Known}};
+  for (const auto &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      RelayRouter Router(routerSettings(HostId("h0")));
+      if (Case.m_Hosts)
+        Router.setHosts(*Case.m_Hosts);
+      BOOST_TEST((Router.servedGroups(Known) == Case.m_Served));
+      // Without other hosts, statements run here.
+      BOOST_TEST(Router.isServing(Group));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OnlyChosenHostsServeGroup) {
+  for (const HomeCandidate &Each : manyHosts()) {
+    if (Each.m_Domain != Domain)
+      continue;
+    RelayRouter Router(routerSettings(Each.m_Host));
+    Router.setHosts(manyHosts());
+    BOOST_TEST(Router.isServing(Group) == isServingHost(Each.m_Host));
+    BOOST_TEST(Router.servedGroups({Group})->contains(Group) ==
+               isServingHost(Each.m_Host));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SpreadsCallersOverServingHosts) {
+  RelayRouter Router(routerSettings(relayingHost()));
+  Router.setHosts(manyHosts());
+  std::map<HostId, int> Chosen;
+  for (std::uint64_t Number = 0; Number < 40; ++Number)
+    ++Chosen[*Router.choose(after(0), Group, CallerConnectionId(Number), {})];
+  BOOST_TEST(Chosen.size() == MaxGroupHostsPerDomain);
+  for (const auto &[Host, Callers] : Chosen) {
+    BOOST_TEST(isServingHost(Host));
+    BOOST_TEST(Callers == 10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PausedHostIsUsedOnlyWithoutAnother) {
+  RelayRouter Router(routerSettings(relayingHost()));
+  Router.setHosts(manyHosts());
+  const HostId First = *Router.choose(after(0), Group, Caller, {});
+  Router.hostFailed(after(0), First);
+  BOOST_TEST((Router.choose(after(1), Group, Caller, {}) != First));
+  BOOST_TEST((Router.choose(after(500), Group, Caller, {}) == First));
+  Router.hostFailed(after(500), First);
+  Router.hostAnswered(First);
+  BOOST_TEST((Router.choose(after(501), Group, Caller, {}) == First));
+  for (const HostId &Host : servingHosts())
+    Router.hostFailed(after(600), Host);
+  BOOST_TEST((Router.choose(after(601), Group, Caller, {}) == First));
+  BOOST_TEST(!Router.choose(after(601), Group, Caller, servingHosts()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(RelayCoreTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(ForwardsAnswerWithOwnIds) {
+  const RequestId Request = submit(0, StatementKind::Read);
+  const HostId Host = relayedTo();
+  BOOST_TEST(isServingHost(Host));
+  BOOST_TEST(m_Core.isUsing(Host));
+  SessionAnswer Reply;
+  Reply.m_Request = RequestId(999);
+  Reply.m_Caller = CallerConnectionId(999);
+  Reply.m_Point = LogPoint{Term(1), LogPosition(5)};
+  Reply.m_Written = Reply.m_Point;
+  m_Actions.clear();
+  m_Core.answered(after(1), HostId("other"), Request, Reply, m_Actions);
+  BOOST_TEST(m_Actions.empty());
+  m_Core.answered(after(1), Host, Request, Reply, m_Actions);
+  BOOST_REQUIRE(answer() != nullptr);
+  BOOST_TEST((answer()->m_Request == Request));
+  BOOST_TEST((answer()->m_Caller == Caller));
+  BOOST_TEST((answer()->m_Group == Group));
+  BOOST_TEST((answer()->m_Written == Reply.m_Written));
+  BOOST_TEST(m_Core.pending() == 0U);
+  BOOST_TEST(!m_Core.isUsing(Host));
+}
+
+BOOST_AUTO_TEST_CASE(StatementsOfTransactionStayAtItsHost) {
+  const HostId Host = begin();
+  BOOST_TEST((m_Core.transactionGroup(Caller) == Group));
+  m_Core.router().hostFailed(after(2), Host);
+  m_Core.drain();
+  submit(3, StatementKind::Write, true);
+  BOOST_TEST((relayedTo() == Host));
+  reply(4, Host, ResultCode::RanFailed, TransactionStatus::Failed);
+  submit(5, StatementKind::Rollback);
+  BOOST_TEST((relayedTo() == Host));
+  reply(6, Host, ResultCode::Ok);
+  BOOST_TEST(!m_Core.transactionGroup(Caller));
+  BOOST_TEST(m_Core.openTransactions() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(MissingAnswerEndsStatementOrTriesNextHost) {
+  enum class Start { None, Transaction, WritingTransaction };
+  const struct {
+    const char *m_Name;
+    Start m_Start;
+    StatementKind m_Kind;
+    bool m_Writes;
+    std::optional<ResultCode> m_Code; ///< None: the next host gets it.
+  } Cases[] = {
+      {"read", Start::None, StatementKind::Read, false, std::nullopt},
+      {"begin", Start::None, StatementKind::Begin, false, std::nullopt},
+      {"begin read", Start::None, StatementKind::BeginRead, false,
+       std::nullopt},
+      {"execute of a read", Start::None, StatementKind::Execute, false,
+       std::nullopt},
+      {"write", Start::None, StatementKind::Write, true,
+       ResultCode::OutcomeUnknown},
+      {"execute of a write", Start::None, StatementKind::Execute, true,
+       ResultCode::OutcomeUnknown},
+      {"read in transaction", Start::Transaction, StatementKind::Read, false,
+       ResultCode::NotRunRolledBack},
+      {"write in transaction", Start::Transaction, StatementKind::Write, true,
+       ResultCode::NotRunRolledBack},
+      {"commit without a write", Start::Transaction, StatementKind::Commit,
+       false, ResultCode::NotRunRolledBack},
+      {"commit", Start::WritingTransaction, StatementKind::Commit, false,
+       ResultCode::OutcomeUnknown},
+      {"rollback", Start::WritingTransaction, StatementKind::Rollback, false,
+       ResultCode::NotRunRolledBack}};
+  for (const auto &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      Fixture Each;
+      if (Case.m_Start != Start::None)
+        Each.begin();
+      if (Case.m_Start == Start::WritingTransaction) {
+        Each.submit(2, StatementKind::Write, true);
+        Each.reply(3, Each.relayedTo(), ResultCode::Ok,
+                   TransactionStatus::InTransaction);
+      }
+      Each.submit(4, Case.m_Kind, Case.m_Writes);
+      const HostId First = Each.relayedTo();
+      Each.loseAnswer(5, First);
+      BOOST_TEST((Each.answer() != nullptr) == Case.m_Code.has_value());
+      BOOST_TEST(Each.m_Core.openTransactions() == 0U);
+      if (Case.m_Code) {
+        BOOST_TEST((Each.answer()->m_Code == *Case.m_Code));
+        BOOST_TEST((Each.answer()->m_Status == TransactionStatus::Idle));
+        BOOST_TEST((Each.relayedTo() == HostId()));
+        continue;
+      }
+      BOOST_TEST((Each.relayedTo() != First));
+      BOOST_TEST(isServingHost(Each.relayedTo()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsEndAtDeadlineAndAfterMaxTries) {
+  const struct {
+    StatementKind m_Kind;
+    int m_Step; ///< Milliseconds between two losses.
+    int m_Tries;
+    ResultCode m_Code;
+  } Cases[] = {{StatementKind::Read, 1, 3, ResultCode::OutcomeUnknown},
+               {StatementKind::Begin, 1, 3, ResultCode::NotRunRolledBack},
+               {StatementKind::Read, 1000, 1, ResultCode::OutcomeUnknown},
+               {StatementKind::Read, 600, 2, ResultCode::OutcomeUnknown}};
+  for (const auto &Case : Cases) {
+    Fixture Each;
+    Each.submit(0, Case.m_Kind);
+    int Tries = 0;
+    while (Each.relayedTo() != HostId()) {
+      ++Tries;
+      Each.loseAnswer(Tries * Case.m_Step, Each.relayedTo());
+    }
+    BOOST_TEST(Tries == Case.m_Tries);
+    BOOST_REQUIRE(Each.answer() != nullptr);
+    BOOST_TEST((Each.answer()->m_Code == Case.m_Code));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusalThatAnotherHostMayAvoidIsTriedOnce) {
+  const struct {
+    ResultCode m_Code;
+    bool m_IsTried;
+  } Cases[] = {{ResultCode::NotRunDraining, true},
+               {ResultCode::NotRunNoLease, true},
+               {ResultCode::NotRunNoConnection, true},
+               {ResultCode::NotRunDeadline, false},
+               {ResultCode::NotRunQueueFull, false},
+               {ResultCode::NotRunNoPrimary, false},
+               {ResultCode::RanFailed, false},
+               {ResultCode::OutcomeUnknown, false}};
+  for (const auto &Case : Cases) {
+    BOOST_TEST_CONTEXT(resultCodeInfo(Case.m_Code).m_Name) {
+      Fixture Each;
+      Each.submit(0, StatementKind::Write, true);
+      const HostId First = Each.relayedTo();
+      Each.reply(1, First, Case.m_Code);
+      BOOST_TEST((Each.relayedTo() != HostId()) == Case.m_IsTried);
+      BOOST_TEST((Each.answer() == nullptr) == Case.m_IsTried);
+      if (!Case.m_IsTried)
+        continue;
+      BOOST_TEST((Each.relayedTo() != First));
+      Each.reply(2, Each.relayedTo(), Case.m_Code);
+      BOOST_REQUIRE(Each.answer() != nullptr);
+      BOOST_TEST((Each.answer()->m_Code == Case.m_Code));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusedStatementOfTransactionIsNotTriedElsewhere) {
+  const HostId Host = begin();
+  submit(2, StatementKind::Read);
+  reply(3, Host, ResultCode::NotRunNoConnection);
+  BOOST_REQUIRE(answer() != nullptr);
+  BOOST_TEST((answer()->m_Code == ResultCode::NotRunNoConnection));
+  BOOST_TEST(m_Core.openTransactions() == 0U);
+  // The host may still have the transaction.
+  const auto *Release = find<ReleaseRelayedCaller>();
+  BOOST_REQUIRE(Release != nullptr);
+  BOOST_TEST((Release->m_Host == Host));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWithoutReachableHost) {
+  for (const HostId &Host : servingHosts())
+    m_Unreachable.insert(Host);
+  submit(0, StatementKind::Read);
+  BOOST_REQUIRE(answer() != nullptr);
+  BOOST_TEST((answer()->m_Code == ResultCode::NotRunNoConnection));
+  BOOST_TEST((relayedTo() == HostId()));
+}
+
+BOOST_AUTO_TEST_CASE(SilentHostNeverLeavesCallerWithoutAnswer) {
+  const struct {
+    bool m_InTransaction;
+    StatementKind m_Kind;
+    bool m_Writes;
+    ResultCode m_Code;
+  } Cases[] = {
+      {false, StatementKind::Read, false, ResultCode::OutcomeUnknown},
+      {false, StatementKind::Write, true, ResultCode::OutcomeUnknown},
+      {false, StatementKind::Begin, false, ResultCode::NotRunRolledBack},
+      {true, StatementKind::Write, true, ResultCode::NotRunRolledBack},
+      {true, StatementKind::Commit, false, ResultCode::NotRunRolledBack}};
+  for (const auto &Case : Cases) {
+    Fixture Each;
+    if (Case.m_InTransaction)
+      Each.begin();
+    const RequestId Request = Each.submit(2, Case.m_Kind, Case.m_Writes);
+    const auto *Sent = Each.find<RelayStatement>();
+    BOOST_REQUIRE(Sent != nullptr);
+    const HostId Host = Sent->m_Host;
+    const Instant Expiry = Each.m_Core.expiry(Sent->m_Request);
+    BOOST_TEST((Expiry > after(2) + Deadline));
+    BOOST_TEST((Expiry <= after(102) + Deadline));
+    Each.m_Actions.clear();
+    Each.m_Core.expire(Expiry, Request, Each.m_Actions);
+    BOOST_REQUIRE(Each.answer() != nullptr);
+    BOOST_TEST((Each.answer()->m_Code == Case.m_Code));
+    // The host rolls back what it may have begun.
+    const auto *Release = Each.find<ReleaseRelayedCaller>();
+    BOOST_REQUIRE(Release != nullptr);
+    BOOST_TEST((Release->m_Host == Host));
+    // Neither a second expiry nor a late answer has an effect.
+    Each.m_Actions.clear();
+    Each.m_Core.expire(Expiry, Request, Each.m_Actions);
+    BOOST_TEST(Each.m_Actions.empty());
+    Each.reply(1200, Host, ResultCode::Ok, TransactionStatus::InTransaction);
+    BOOST_TEST(Each.m_Actions.empty());
+    BOOST_TEST(Each.m_Core.openTransactions() == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LostConnectionRollsIdleTransactionBack) {
+  const struct {
+    StatementKind m_Kind;
+    ResultCode m_Code;
+  } Cases[] = {{StatementKind::Read, ResultCode::NotRunRolledBack},
+               {StatementKind::Commit, ResultCode::NotRunRolledBack},
+               {StatementKind::Rollback, ResultCode::Ok}};
+  for (const auto &Case : Cases) {
+    Fixture Each;
+    Each.m_Core.hostLost(after(2), Each.begin());
+    Each.submit(3, Case.m_Kind);
+    BOOST_REQUIRE(Each.answer() != nullptr);
+    BOOST_TEST((Each.answer()->m_Code == Case.m_Code));
+    BOOST_TEST((Each.answer()->m_Status == TransactionStatus::Idle));
+    BOOST_TEST((Each.relayedTo() == HostId()));
+    // The next transaction begins at another host.
+    Each.submit(4, StatementKind::Begin);
+    BOOST_TEST((Each.relayedTo() != HostId()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DisconnectedCallerIsReleasedAtItsHost) {
+  for (const bool InTransaction : {false, true}) {
+    Fixture Each;
+    if (InTransaction)
+      Each.begin();
+    else
+      Each.submit(0, StatementKind::Read);
+    Each.m_Actions.clear();
+    Each.m_Core.callerDisconnected(Caller, Each.m_Actions);
+    BOOST_TEST(Each.m_Actions.size() == 1U);
+    BOOST_TEST(Each.find<ReleaseRelayedCaller>() != nullptr);
+    BOOST_TEST(Each.m_Core.pending() == 0U);
+    BOOST_TEST(Each.m_Core.openTransactions() == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DrainRefusesNewAndEndsIdleTransactions) {
+  const HostId Host = begin();
+  m_Core.drain();
+  m_Actions.clear();
+  m_Core.endTransactions(m_Actions);
+  BOOST_REQUIRE(find<ReleaseRelayedCaller>() != nullptr);
+  BOOST_TEST((find<ReleaseRelayedCaller>()->m_Host == Host));
+  submit(3, StatementKind::Commit);
+  BOOST_TEST((answer()->m_Code == ResultCode::NotRunRolledBack));
+  submit(4, StatementKind::Begin);
+  BOOST_TEST((answer()->m_Code == ResultCode::NotRunDraining));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux
