Entry hosts relay statements for groups that they do not serve

At most four entry hosts of a failure domain serve a group now; each host names its groups with its lease renewals. Another host relays its callers' statements to one of the four over RelayLink. The serving host runs them like those of its own callers; what a lost connection means is decided by RelayCore, and a timer ends each statement soon after its deadline. While five or more hosts of a domain are not known, all of them serve the group, as before.

--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -203,6 +203,19 @@
       return m_Entry->sessionPoints().findLocally(Key);
     };
   }
+  if (m_SessionEntry) {
+    Hooks.m_RunRelayed = [this](RelayPeerId Peer, SessionRequest Request,
+                                RelayedCallers::Respond Reply) {
+      m_SessionEntry->runRelayed(Peer, std::move(Request), std::move(Reply));
+    };
+    Hooks.m_RelayedCallerDisconnected = [this](RelayPeerId Peer,
+                                               CallerConnectionId Caller) {
+      m_SessionEntry->relayedCallerDisconnected(Peer, Caller);
+    };
+    Hooks.m_RelayClosed = [this](RelayPeerId Peer) {
+      m_SessionEntry->relayClosed(Peer);
+    };
+  }
   m_Rpc = std::make_unique<RpcServer>(m_Loop, m_Settings.m_ClusterKey,
                                       std::move(Hooks));
   return m_Rpc->listen(m_Settings.m_Address, m_Settings.m_RpcPort);
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -51,7 +51,8 @@
       m_Control(std::make_unique<ControlClient>(
           Loop, Settings.m_ClusterKey,
           controlClientSettings(Settings, Settings.m_RpcPort, m_Incarnation),
-          controlHooks())) {}
+          controlHooks())),
+      m_Relay(Loop, Settings, relayHooks()) {}
 
 SessionEntryRole::~SessionEntryRole() = default;
 
@@ -91,8 +92,10 @@
 GroupId SessionEntryRole::groupOf(CallerConnectionId Caller,
                                   const CatalogueEntry &Entry) const {
   const SessionDriver *TransactionDriver = findTransactionDriver(Caller);
-  return TransactionDriver == nullptr ? Entry.m_Group
-                                      : TransactionDriver->group();
+  if (TransactionDriver != nullptr) {
+    return TransactionDriver->group();
+  }
+  return m_Relay.core().transactionGroup(Caller).value_or(Entry.m_Group);
 }
 
 SessionDriver *
@@ -105,7 +108,36 @@
   return nullptr;
 }
 
+bool SessionEntryRole::isRelaying(CallerConnectionId Caller,
+                                  const GroupId &Group) {
+  if (findTransactionDriver(Caller) != nullptr) {
+    return false;
+  }
+  if (m_Relay.core().transactionGroup(Caller) || !m_Relay.isServing(Group)) {
+    return true;
+  }
+  // Control has not given this host its connections yet.
+  return !hasConnections(Group) && m_Relay.hasHostFor(Caller, Group);
+}
+
+bool SessionEntryRole::hasConnections(const GroupId &Group) const {
+  const auto Found = m_Groups.find(Group);
+  return Found != m_Groups.end() &&
+         std::ranges::any_of(Found->second->core().view().m_Servers,
+                             [](const ServerView &Server) {
+                               return Server.m_ConnectionShare > 0;
+                             });
+}
+
 void SessionEntryRole::submit(SessionRequest Request) {
+  if (isRelaying(Request.m_Caller, Request.m_Entry->m_Group)) {
+    m_Relay.submit(std::move(Request));
+    return;
+  }
+  submitHere(std::move(Request));
+}
+
+void SessionEntryRole::submitHere(SessionRequest Request) {
   if (SessionDriver *TransactionDriver =
           findTransactionDriver(Request.m_Caller)) {
     TransactionDriver->submit(std::move(Request));
@@ -116,11 +148,51 @@
 }
 
 void SessionEntryRole::callerDisconnected(CallerConnectionId Caller) {
+  m_Relay.callerDisconnected(Caller);
+  disconnectHere(Caller);
+}
+
+void SessionEntryRole::disconnectHere(CallerConnectionId Caller) {
   for (auto &[Group, Driver] : m_Groups) {
     Driver->callerDisconnected(Caller);
   }
 }
 
+void SessionEntryRole::runRelayed(RelayPeerId Peer, SessionRequest Request,
+                                  RelayedCallers::Respond Reply) {
+  submitHere(
+      m_RelayedCallers.accept(Peer, std::move(Request), std::move(Reply)));
+}
+
+void SessionEntryRole::relayedCallerDisconnected(RelayPeerId Peer,
+                                                 CallerConnectionId Caller) {
+  const auto Known = m_RelayedCallers.callerDisconnected(Peer, Caller);
+  if (Known) {
+    disconnectHere(*Known);
+  }
+}
+
+void SessionEntryRole::relayClosed(RelayPeerId Peer) {
+  for (const CallerConnectionId Caller : m_RelayedCallers.peerClosed(Peer)) {
+    disconnectHere(Caller);
+  }
+}
+
+void SessionEntryRole::answer(const SessionAnswer &Response) {
+  if (!m_RelayedCallers.answer(Response)) {
+    m_Hooks.m_Answer(Response);
+  }
+}
+
+RelayClientHooks SessionEntryRole::relayHooks() {
+  RelayClientHooks Hooks;
+  Hooks.m_Answer = m_Hooks.m_Answer;
+  Hooks.m_DecisionMade = [this](const RelayDecisionRecord &Record) {
+    m_StatementLog.recordRelayed(Record);
+  };
+  return Hooks;
+}
+
 void SessionEntryRole::drain(std::function<void()> Done) {
   m_Draining = true;
   m_DrainStarted = monotonicNow();
@@ -129,6 +201,7 @@
   for (auto &[Group, Driver] : m_Groups) {
     Driver->drain();
   }
+  m_Relay.drain();
   m_Hooks.m_CloseIdleCallers();
   checkDrained();
 }
@@ -138,7 +211,12 @@
   const Duration DrainTimeout = m_Settings.m_DrainTimeout;
   const bool IsTransactionTimeOver =
       Elapsed * PercentBase >= DrainTimeout * TransactionDrainPercent;
-  bool AllDrained = true;
+  if (IsTransactionTimeOver) {
+    m_Relay.endTransactions();
+  }
+  bool AllDrained =
+      m_Relay.core().pending() == 0 &&
+      (IsTransactionTimeOver || m_Relay.core().openTransactions() == 0);
   for (auto &[Group, Driver] : m_Groups) {
     if (IsTransactionTimeOver) {
       Driver->endTransactions();
@@ -180,6 +258,7 @@
     return Confirmed;
   };
   Hooks.m_Demand = [this] { return unmetDemand(); };
+  Hooks.m_ServedGroups = [this] { return m_Relay.servedGroups(m_KnownGroups); };
   Hooks.m_LeaseExtended = [this](Instant ValidUntil) {
     m_LeaseExpiry = ValidUntil;
     m_Metrics.add(Metric::LeaseRenewals, {"granted"});
@@ -228,7 +307,7 @@
 SessionDriverHooks SessionEntryRole::driverHooks(const GroupId &Group) {
   SessionDriverHooks Hooks;
   Hooks.m_Open = m_Hooks.m_Open;
-  Hooks.m_Answer = m_Hooks.m_Answer;
+  Hooks.m_Answer = [this](const SessionAnswer &Response) { answer(Response); };
   Hooks.m_ReportSuspicion = [this, Group](const ServerId &Server,
                                           SuspicionKind Kind) {
     m_Control->reportSuspicion(Group, Server, Kind);
@@ -241,14 +320,19 @@
 }
 
 void SessionEntryRole::applyUpdate(const ControlUpdate &Update) {
-  if (Update.m_Homes) {
-    m_Homes = std::max(m_Homes, Update.m_Homes->m_Revision);
+  if (Update.m_Homes && Update.m_Homes->m_Revision >= m_Homes) {
+    m_Homes = Update.m_Homes->m_Revision;
+    // Empty while the first list is being prepared.
+    if (!Update.m_Homes->m_Active.empty()) {
+      m_Relay.setHosts(Update.m_Homes->m_Active);
+    }
   }
   if (Update.m_Catalogue && m_Catalogue.apply(*Update.m_Catalogue)) {
     m_Metrics.set(Metric::CatalogueRevision, {},
                   static_cast<double>(m_Catalogue.revision().value()));
     logInfo(Part::Catalogue, "Applied catalogue revision {}.",
             m_Catalogue.revision().value());
+    m_KnownGroups = m_Catalogue.groups();
     m_AdmissionControl.open();
   }
   for (const GroupView &View : Update.m_Views) {
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -3,14 +3,17 @@
 
 #include "ragwortmux/Connection/AdmissionControl.h"
 #include "ragwortmux/Process/Entry/ControlClient.h"
+#include "ragwortmux/Process/Entry/RelayClient.h"
 #include "ragwortmux/Process/Entry/SessionDriver.h"
 #include "ragwortmux/Process/Entry/StatementLog.h"
+#include "ragwortmux/Request/RelayedCallers.h"
 #include "ragwortmux/Version/CatalogueCache.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace ragwortmux {
@@ -31,8 +34,9 @@
 };
 
 /// The entry role of a process that serves stateful sessions: drives the
-/// decision core of each group and maintains the control session. The hooks
-/// implement the protocols of callers and backend servers.
+/// decision core of each group that this host serves, relays the statements for
+/// other groups to hosts that serve them, and maintains the control session.
+/// The hooks implement the protocols of callers and backend servers.
 ///
 /// Used on the event loop's thread only.
 class SessionEntryRole final {
@@ -73,14 +77,29 @@
   /// Releases the state of a caller that has closed its connection.
   void callerDisconnected(CallerConnectionId Caller);
 
+  /// Runs a statement that \p Peer relays; \p Reply receives the answer.
+  void runRelayed(RelayPeerId Peer, SessionRequest Request,
+                  RelayedCallers::Respond Reply);
+  /// Releases the state of a caller of \p Peer that has closed its connection.
+  void relayedCallerDisconnected(RelayPeerId Peer, CallerConnectionId Caller);
+  /// Releases the state of all callers of \p Peer.
+  void relayClosed(RelayPeerId Peer);
+
 private:
   ControlClientHooks controlHooks();
+  RelayClientHooks relayHooks();
   /// The servers to which this host could use more connections than its share
   /// allows; the other shares are sufficient.
   std::vector<ShareDemand> unmetDemand() const;
   SessionDriver &findOrCreateDriver(const GroupId &Group);
   SessionDriverHooks driverHooks(const GroupId &Group);
   SessionDriver *findTransactionDriver(CallerConnectionId Caller) const;
+  bool isRelaying(CallerConnectionId Caller, const GroupId &Group);
+  /// True if this host has connections to servers of \p Group.
+  bool hasConnections(const GroupId &Group) const;
+  void submitHere(SessionRequest Request);
+  void disconnectHere(CallerConnectionId Caller);
+  void answer(const SessionAnswer &Response);
   void applyUpdate(const ControlUpdate &Update);
   void checkDrained();
   void endSession();
@@ -93,13 +112,16 @@
   SessionEntryHooks m_Hooks;         ///< Callbacks of the adapter.
   Revision m_Homes; ///< Newest revision of session homes from control.
   CatalogueCache m_Catalogue;               ///< The catalogue in use.
+  std::set<GroupId> m_KnownGroups;          ///< Groups of the catalogue.
   StatementLog m_StatementLog;              ///< Logs and counts decisions.
   AdmissionControl m_AdmissionControl;      ///< Decides on new callers.
   Incarnation m_Incarnation;                ///< Identifies this process start.
   std::unique_ptr<ControlClient> m_Control; ///< Control session and lease.
   std::map<GroupId, std::unique_ptr<SessionDriver>>
-      m_Groups;             ///< Drivers by group.
-  Instant m_LeaseExpiry{};  ///< End of the lease.
+      m_Groups;                    ///< Drivers by group.
+  RelayClient m_Relay;             ///< Statements at other hosts.
+  RelayedCallers m_RelayedCallers; ///< Callers of other hosts.
+  Instant m_LeaseExpiry{};         ///< End of the lease.
   bool m_IsIsolated = true; ///< No lease for longer than IsolationTimeout.
   Instant m_DrainStarted{}; ///< When drain() was called.
   std::function<void()> m_DrainDone; ///< Passed to drain().
--- a/ragwortmux/Process/Entry/StatementLog.cpp
+++ b/ragwortmux/Process/Entry/StatementLog.cpp
@@ -38,9 +38,8 @@
   return static_cast<std::int64_t>(Count);
 }
 
-bool isSuccess(const SessionDecisionRecord &Record) {
-  return Record.m_Decision == SessionDecision::Answered &&
-         Record.m_Code == ResultCode::Ok;
+bool isSuccess(SessionDecision Decision, ResultCode Code) {
+  return Decision == SessionDecision::Answered && Code == ResultCode::Ok;
 }
 
 } // namespace
@@ -52,7 +51,7 @@
     ++m_Summary.m_Sent;
     m_Summary.m_LongestWait =
         std::max(m_Summary.m_LongestWait, Record.m_Waited);
-  } else if (isSuccess(Record)) {
+  } else if (isSuccess(Record.m_Decision, Record.m_Code)) {
     ++m_Summary.m_Answered;
     m_Summary.m_FromReplicas += Record.m_IsRead && !Record.m_AtPrimary ? 1 : 0;
   } else {
@@ -112,6 +111,28 @@
   logRecord(LogLevel::Info, Part::Group, "A statement was decided on.", Fields);
 }
 
+void StatementLog::recordRelayed(const RelayDecisionRecord &Record) {
+  const std::string Decision(decisionName(Record.m_Decision));
+  const std::string Result(resultCodeInfo(Record.m_Code).m_Name);
+  m_Metrics.add(Metric::RelayedStatements, {Decision, Result});
+  if (Record.m_Decision == SessionDecision::Sent ||
+      isSuccess(Record.m_Decision, Record.m_Code)) {
+    return;
+  }
+  const std::array Fields = {
+      LogField{"id", Record.m_Statement.value()},
+      LogField{"decision", Decision},
+      LogField{"code", static_cast<std::int64_t>(Record.m_Code)},
+      LogField{"result", Result},
+      LogField{"entry", Record.m_Entry.value()},
+      LogField{"group", Record.m_Group.value()},
+      LogField{"relay_host", Record.m_Host.value()},
+      LogField{"waited_ms", toMs(Record.m_Waited)},
+      LogField{"tries", static_cast<std::int64_t>(Record.m_Tries)}};
+  logRecord(LogLevel::Info, Part::Group, "A relayed statement was decided on.",
+            Fields);
+}
+
 void StatementLog::writeSummary() {
   const Summary Previous = std::exchange(m_Summary, Summary());
   if (Previous.m_Sent == 0 && Previous.m_Answered == 0) {
--- a/ragwortmux/Process/Entry/StatementLog.h
+++ b/ragwortmux/Process/Entry/StatementLog.h
@@ -2,7 +2,7 @@
 #define RAGWORTMUX_PROCESS_ENTRY_STATEMENTLOG_H
 
 #include "ragwortmux/Core/Ids.h"
-#include "ragwortmux/Request/SessionEvents.h"
+#include "ragwortmux/Request/RelayEvents.h"
 
 #include <cstdint>
 
@@ -33,6 +33,8 @@
 
   /// Logs and counts one decision about a statement of \p Group.
   void record(const GroupId &Group, const SessionDecisionRecord &Record);
+  /// Logs and counts one decision about a statement that this host relays.
+  void recordRelayed(const RelayDecisionRecord &Record);
   /// Logs the summary unless it is empty, and resets it.
   void writeSummary();
 
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -57,6 +57,14 @@
                "Reads answered, by class and role of the backend server that "
                "answered (primary or replica).",
                {"class", "role"}},
+    MetricInfo{Metric::RelayedStatements,
+               "ragwortmux_relayed_statements_total",
+               MetricKind::Counter,
+               "decisions",
+               "Decisions about statements that this host relays to another "
+               "entry host, by decision (sent, answered, retried, refused or "
+               "unknown) and result code name.",
+               {"decision", "result"}},
     MetricInfo{Metric::Callers,
                "ragwortmux_callers",
                MetricKind::Gauge,
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -18,6 +18,7 @@
   RequestsQueued,
   Retries,
   Reads,
+  RelayedStatements,
   Callers,
   CallersTotal,
   BackendConnections,
--- a/ragwortmux/Version/CatalogueCache.cpp
+++ b/ragwortmux/Version/CatalogueCache.cpp
@@ -30,4 +30,11 @@
   return Found == m_Entries.end() ? nullptr : Found->second;
 }
 
+std::set<GroupId> CatalogueCache::groups() const {
+  std::set<GroupId> Groups;
+  for (const auto &[Name, Entry] : m_Entries)
+    Groups.insert(Entry->m_Group);
+  return Groups;
+}
+
 } // namespace ragwortmux
--- a/ragwortmux/Version/CatalogueCache.h
+++ b/ragwortmux/Version/CatalogueCache.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace ragwortmux {
 
@@ -25,6 +26,8 @@
   bool isKnown() const { return m_Revision > Revision(); }
   /// The latest applied revision.
   Revision revision() const { return m_Revision; }
+  /// The groups that the entries name.
+  std::set<GroupId> groups() const;
   /// The number of entries.
   std::size_t size() const { return m_Entries.size(); }
 
--- a/tests/Process/StatementLogTest.cpp
+++ b/tests/Process/StatementLogTest.cpp
@@ -1,9 +1,11 @@
 #include "ragwortmux/Process/Entry/StatementLog.h"
+#include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Version/CatalogueCache.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <sstream>
 #include <string>
 
 using namespace ragwortmux;
@@ -80,4 +82,43 @@
                        ",result=\"outcome-unknown\"} 1"));
 }
 
+BOOST_AUTO_TEST_CASE(RelayedStatementsAreCountedAndFailuresLogged) {
+  std::ostringstream Output;
+  LogSettings Settings;
+  Settings.m_Output = &Output;
+  startLog(Settings);
+  const struct {
+    SessionDecision m_Decision;
+    ResultCode m_Code;
+    const char *m_Metric;
+    bool m_IsLogged;
+  } Cases[] = {
+      {SessionDecision::Sent, ResultCode::Ok, "sent\",result=\"ok", false},
+      {SessionDecision::Answered, ResultCode::Ok, "answered\",result=\"ok",
+       false},
+      {SessionDecision::Answered, ResultCode::RanFailed,
+       "answered\",result=\"ran-failed", true},
+      {SessionDecision::Retried, ResultCode::NotRunDraining,
+       "retried\",result=\"not-run-draining", true},
+      {SessionDecision::Refused, ResultCode::NotRunNoConnection,
+       "refused\",result=\"not-run-no-connection", true},
+      {SessionDecision::Unknown, ResultCode::OutcomeUnknown,
+       "unknown\",result=\"outcome-unknown", true}};
+  for (const auto &Case : Cases) {
+    Output.str("");
+    RelayDecisionRecord Record;
+    Record.m_Decision = Case.m_Decision;
+    Record.m_Code = Case.m_Code;
+    Record.m_Statement = StatementId("q17");
+    Record.m_Host = HostId("entry-9");
+    m_Log.recordRelayed(Record);
+    BOOST_TEST(hasMetric("ragwortmux_relayed_statements_total{decision=\"" +
+                         std::string(Case.m_Metric) + "\"} 1"));
+    const bool IsLogged = Output.str().find("q17") != std::string::npos &&
+                          Output.str().find("entry-9") != std::string::npos;
+    BOOST_TEST(IsLogged == Case.m_IsLogged);
+  }
+  startLog(LogSettings());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -114,7 +114,7 @@
   /// Opens a transaction of Caller; returns its host.
   HostId begin() {
     submit(0, StatementKind::Begin);
-    const HostId Host = relayedTo();
+    HostId Host = relayedTo();
     reply(1, Host, ResultCode::Ok, TransactionStatus::InTransaction);
     return Host;
   }
