No extra lease renewal for a record that is confirmed at once

Control saw two confirmations of each change of a group from every entry host: the reply to its push, and a renewal that the host sent at once. With n hosts and a push to each of them, that renewal doubled the leader's calls.

Cause: SessionDriver reported every newer confirmed revision, although the reply to the push carries it already. Fix: only a confirmation that comes later than the call which applied the record is reported, for example once a commit under way has ended. A record that comes with a renewal's reply is confirmed by the next renewal or by the reply to the push that is on its way.

--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -39,6 +39,9 @@
 
 void SessionDriver::applyView(const GroupView &View) {
   m_Core.viewChanged(monotonicNow(), View, m_Actions);
+  // The reply to the push that brought the record confirms this revision, so
+  // that it needs no report.
+  m_ReportedRevision = m_Core.confirmedRevision();
   perform();
 }
 
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -20,7 +20,8 @@
   std::function<void(const ServerId &Server, SuspicionKind Kind)>
       m_ReportSuspicion; ///< Reports a server that may have failed.
   std::function<void()>
-      m_RevisionConfirmed; ///< Called when a newer group record is confirmed.
+      m_RevisionConfirmed; ///< Called when a group record is confirmed later
+                           ///< than in the call that applied it.
   std::function<void(const SessionDecisionRecord &Record)>
       m_DecisionMade; ///< Called for each decision of the core.
 };
@@ -71,7 +72,8 @@
   std::map<ConnectionId, std::unique_ptr<StatementConnection>>
       m_Connections; ///< Connections by the core's connection ids.
   Instant m_NextTick = Instant::max(); ///< Time of the scheduled tick.
-  Revision m_ReportedRevision; ///< Revision last passed to m_RevisionConfirmed.
+  Revision m_ReportedRevision; ///< Newest confirmed revision that control gets
+                               ///< without another m_RevisionConfirmed.
   std::shared_ptr<LifetimeToken> m_LifetimeToken; ///< Lets timers detect that
                                                   ///< the driver was destroyed.
 };
