Tests reserve the ports of a cluster, outside the range of local ports

Cause: Cluster chose ports that were free at the moment, all of them in the kernel's range of local ports (32768 to 60999). Change: PortReservation takes a block of ports below that range, kept from other tests by a file lock. Before: PortReservationTest failed with 18 errors (each port of two clusters lay in the range). After: passes.

--- a/tests/Process/Cluster.cpp
+++ b/tests/Process/Cluster.cpp
@@ -2,11 +2,8 @@
 
 #include <boost/json.hpp>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
+#include <cassert>
 #include <filesystem>
 #include <fstream>
 
@@ -18,29 +15,8 @@
 
 /// Value of `--max_lifetime_s`.
 constexpr const char *MaxLifetimeS = "180";
-
-/// Returns ports that are free at the moment. All of them are bound before the
-/// first is released, so that they differ.
-std::vector<std::uint16_t> freePorts(std::size_t Count) {
-  std::vector<int> Sockets;
-  std::vector<std::uint16_t> Ports;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Length = sizeof Address;
-    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-    static_cast<void>(bind(Socket, Generic, Length));
-    getsockname(Socket, Generic, &Length);
-    Ports.push_back(ntohs(Address.sin_port));
-    Sockets.push_back(Socket);
-  }
-  for (const int Socket : Sockets) {
-    close(Socket);
-  }
-  return Ports;
-}
+/// Ports of a host: callers, HTTP and RPC.
+constexpr std::size_t PortsPerHost = 3;
 
 std::string loopbackAddress(std::uint16_t Port) {
   return "127.0.0.1:" + std::to_string(Port);
@@ -73,10 +49,13 @@
 
 } // namespace
 
-Cluster::Cluster(ClusterSettings Settings) : m_Settings(std::move(Settings)) {
+Cluster::Cluster(ClusterSettings Settings)
+    : m_Settings(std::move(Settings)),
+      m_Ports(m_Settings.m_Hosts * PortsPerHost + m_Settings.m_Servers) {
   std::string Template = std::filesystem::temp_directory_path() / "rwm-XXXXXX";
   m_Folder = mkdtemp(Template.data());
-  const auto Ports = freePorts(m_Settings.m_Hosts * 3 + m_Settings.m_Servers);
+  const std::vector<std::uint16_t> &Ports = m_Ports.ports();
+  assert(!Ports.empty());
   std::size_t NextPort = 0;
   for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
     HostInstance Host;
--- a/tests/Process/Cluster.h
+++ b/tests/Process/Cluster.h
@@ -3,6 +3,7 @@
 
 #include "CallerCalls.h"
 #include "HttpCall.h"
+#include "PortReservation.h"
 #include "tests/StandIn/ChildProcess.h"
 
 #include <cstdint>
@@ -127,6 +128,7 @@
   };
 
   ClusterSettings m_Settings;            ///< Settings of the constructor.
+  PortReservation m_Ports;               ///< Ports of all processes.
   std::string m_Folder;                  ///< Temporary folder of all files.
   std::string m_Peers;                   ///< Value of `--control_peers`.
   std::string m_AnnounceTo;              ///< Value of `--announce_to`.
