Number of voters follows the tolerated losses of control hosts

What users may see: an accepted configuration is gone after two control hosts have lost their disks at once. Cause: deploy/control.settings fixed three voters. Change: control_tolerated_losses, filled in by the platform, raises the number of voters to 2n+1. Evidence: ProcessSettingsTest/VotersOutnumberToleratedLosses failed with the old rule ([3 != 5] for two losses, [3 != 9] for four) and passes now. Why it holds: a majority of 2n+1 voters has n+1 copies of each committed entry, so one survives n lost disks, and the n+1 voters left can elect it. With one tolerated loss nothing changes (three voters).

--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -164,7 +164,7 @@
   ControlNodeSettings Node;
   Node.m_Address = ownAddress();
   Node.m_Bootstrap = m_Settings.m_Bootstrap;
-  Node.m_Voters = m_Settings.m_ControlVoters;
+  Node.m_Voters = m_Settings.targetVoters();
   Node.m_Log.m_Random = systemRandom;
   Node.m_Log.m_HeartbeatInterval = m_Settings.m_Heartbeat;
   Node.m_Log.m_ElectionTimeoutMin = m_Settings.m_ElectionTimeout;
--- a/ragwortmux/Process/Support/ProcessSettings.cpp
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -186,6 +186,13 @@
   return m_Lease * m_DriftPercent / PercentPerWhole + m_Drift;
 }
 
+std::size_t ProcessSettings::targetVoters() const {
+  if (m_ControlVoters == 0)
+    return 0;
+  return std::max<std::size_t>(m_ControlVoters,
+                               2 * m_ControlToleratedLosses + 1);
+}
+
 const ControlPeer *ProcessSettings::ownPeer() const {
   const auto Found =
       std::ranges::find(m_ControlPeers, m_Host, &ControlPeer::m_Host);
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -40,6 +40,8 @@
   std::uint32_t m_ControlVoters =
       0; ///< Voters among the control hosts that are found; 0: all of
          ///< m_ControlPeers and no others.
+  std::uint32_t m_ControlToleratedLosses =
+      0; ///< Control hosts that may lose their data folders at once.
   std::string m_ConfigFile; ///< File with further settings; may be empty.
   CallerProtocol m_Protocol = CallerProtocol::PostgreSql; ///< Protocol in use.
   std::optional<SocketAddress> m_PromotionAddress; ///< Promotion endpoint.
@@ -81,6 +83,9 @@
 
   /// The bound on clock drift over one lease.
   Duration driftBound() const;
+  /// Number of control hosts that are to vote: a majority must survive the
+  /// tolerated losses. 0: all of m_ControlPeers and no others.
+  std::size_t targetVoters() const;
   /// This host's own entry in m_ControlPeers; null if it is not listed.
   const ControlPeer *ownPeer() const;
 };
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -236,6 +236,9 @@
   };
 }
 
+/// Maximum of control_tolerated_losses.
+constexpr std::uint64_t MaxToleratedLosses = 100;
+
 /// Settings of the control role.
 std::vector<SettingInfo> controlSettings() {
   using std::chrono::hours;
@@ -247,6 +250,10 @@
                     &ProcessSettings::m_ControlVoters,
                     "How many of the control hosts that are found vote; 0: all "
                     "of control_peers, and no others."),
+      numberSetting("control_tolerated_losses", "0", 0, MaxToleratedLosses,
+                    &ProcessSettings::m_ControlToleratedLosses,
+                    "How many control hosts may lose their data folders at "
+                    "once; with control_voters above 0, at least 2n+1 vote."),
       switchSetting("bootstrap", &ProcessSettings::m_Bootstrap,
                     "Starts the log of a new cluster once every host of "
                     "control_peers has answered that it holds none."),
--- a/tests/Support/ProcessSettingsTest.cpp
+++ b/tests/Support/ProcessSettingsTest.cpp
@@ -211,6 +211,27 @@
   BOOST_TEST(Defaults.ownPeer() == nullptr);
 }
 
+// Guards against "accepted changes lost with the disks of two control hosts": a
+// log with three voters keeps an entry on two of them only.
+BOOST_AUTO_TEST_CASE(VotersOutnumberToleratedLosses) {
+  struct Case final {
+    const char *m_Voters;   ///< Value of control_voters.
+    const char *m_Losses;   ///< Value of control_tolerated_losses.
+    std::size_t m_Expected; ///< Number of voters.
+  };
+  const Case Cases[] = {{"0", "0", 0}, {"0", "2", 0}, {"1", "0", 1},
+                        {"3", "0", 3}, {"3", "1", 3}, {"3", "2", 5},
+                        {"5", "1", 5}, {"3", "4", 9}};
+  for (const Case &Each : Cases) {
+    EnvironmentVariables Environment = validVariables();
+    Environment["RAGWORTMUX_CONTROL_VOTERS"] = Each.m_Voters;
+    Environment["RAGWORTMUX_CONTROL_TOLERATED_LOSSES"] = Each.m_Losses;
+    const LoadResult Result = load(Environment, {});
+    BOOST_TEST_REQUIRE(Result.m_Settings.has_value());
+    BOOST_TEST(Result.m_Settings->targetVoters() == Each.m_Expected);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidSecretsAreRejectedAndNotShown) {
   const std::vector<std::string> BadSecrets = {
       "", std::string(15, 'x'), std::string(257, 'x'), "0123456789 abcdef",
