Log why a control leader stepped down

The line "No longer the leader of term N." had no reason, so a log did not tell a busy node from a slow disk or from lost messages. It now has the reason, the time since the newest heartbeat round that a quorum answered, and the load of the node over the 2 s before: longest gap between ticks, longest task with its kind, longest wait, log sync, sums of tasks, renewals and pushes.

--- a/ragwortmux/Process/Control/ControlActor.cpp
+++ b/ragwortmux/Process/Control/ControlActor.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Process/Control/ControlActor.h"
 
+#include "ragwortmux/Process/Control/ControlLoad.h"
 #include "ragwortmux/Process/Loop/ActorSystem.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
@@ -17,6 +18,8 @@
 /// Message to the actor: one call to the node.
 struct ControlTaskMessage final {
   std::function<void(ControlNode &Node, Instant Now)> m_Work; ///< The call.
+  ControlTaskKind m_Kind;                                     ///< Its kind.
+  Instant m_PostedAt; ///< When it was sent.
 };
 
 } // namespace ragwortmux
@@ -28,12 +31,15 @@
 namespace {
 
 caf::behavior controlBehavior(caf::event_based_actor *Self,
-                              const std::shared_ptr<ControlNodeOwner> &Owner) {
+                              const std::shared_ptr<ControlNodeOwner> &Owner,
+                              const std::shared_ptr<ControlLoad> &Load) {
   Self->set_default_handler(caf::drop);
-  return {[Owner](const ControlTaskMessage &Message) {
+  return {[Owner, Load](const ControlTaskMessage &Message) {
     const Instant Now = monotonicNow();
+    Load->taskStarted(Message.m_Kind, Message.m_PostedAt, Now);
     Owner->tick(Now);
     Message.m_Work(Owner->node(), Now);
+    Load->taskEnded(monotonicNow());
   }};
 }
 
@@ -44,10 +50,13 @@
 };
 
 ControlActor::ControlActor(IoLoop &Loop, ActorSystem &Actors,
-                           std::unique_ptr<ControlNodeOwner> Owner)
-    : m_Loop(Loop), m_Handle(std::make_unique<Handle>()) {
+                           std::unique_ptr<ControlNodeOwner> Owner,
+                           std::shared_ptr<ControlLoad> Load)
+    : m_Loop(Loop), m_Handle(std::make_unique<Handle>()),
+      m_Load(std::move(Load)) {
   m_Handle->m_Actor = Actors.system().spawn<caf::detached>(
-      controlBehavior, std::shared_ptr<ControlNodeOwner>(std::move(Owner)));
+      controlBehavior, std::shared_ptr<ControlNodeOwner>(std::move(Owner)),
+      m_Load);
 }
 
 ControlActor::~ControlActor() {
@@ -80,89 +89,103 @@
       [&Loop, Changed = Hooks.m_LeadershipChanged](bool Ready) {
         Loop.post([Changed, Ready] { Changed(Ready); });
       };
+  PostedHooks.m_Load = Hooks.m_Load;
   return PostedHooks;
 }
 
 void ControlActor::receive(LogEnvelope Envelope) {
-  send([Envelope = std::move(Envelope)](ControlNode &Node, Instant Now) {
-    Node.receive(Now, Envelope);
-  });
+  send(ControlTaskKind::LogMessage,
+       [Envelope = std::move(Envelope)](ControlNode &Node, Instant Now) {
+         Node.receive(Now, Envelope);
+       });
 }
 
 void ControlActor::tick() {
-  send([](ControlNode &Node, Instant Now) { Node.tick(Now, wallNow()); });
+  send(ControlTaskKind::Tick,
+       [](ControlNode &Node, Instant Now) { Node.tick(Now, wallNow()); });
 }
 
 void ControlActor::openSession(OpenSession Command,
                                Respond<OpenSessionReply> Reply) {
-  send([Command = std::move(Command),
+  send(ControlTaskKind::OpenSession,
+       [Command = std::move(Command),
         Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
-    Node.openSession(Now, Command, Reply);
-  });
+         Node.openSession(Now, Command, Reply);
+       });
 }
 
 void ControlActor::renew(LeaseRenewal Renewal, Respond<RenewReply> Reply) {
-  send([Renewal = std::move(Renewal),
+  send(ControlTaskKind::Renewal,
+       [Renewal = std::move(Renewal),
         Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
-    Node.renew(Now, Renewal, Reply);
-  });
+         Node.renew(Now, Renewal, Reply);
+       });
 }
 
 void ControlActor::report(std::vector<ServerAnnouncement> Announcements,
                           std::vector<ServerSuspicion> Suspicions,
                           Respond<ControlStatus> Reply) {
-  send([Announcements = std::move(Announcements),
+  send(ControlTaskKind::Report,
+       [Announcements = std::move(Announcements),
         Suspicions = std::move(Suspicions),
         Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
-    Node.report(Now, Announcements, Suspicions, Reply);
-  });
+         Node.report(Now, Announcements, Suspicions, Reply);
+       });
 }
 
 void ControlActor::command(ControlCommand Command,
                            Respond<CommandReply> Reply) {
-  send([Command = std::move(Command),
+  send(ControlTaskKind::Command,
+       [Command = std::move(Command),
         Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
-    Node.command(Now, Command, Reply);
-  });
+         Node.command(Now, Command, Reply);
+       });
 }
 
 void ControlActor::query(std::string QueryKind, std::string Name,
                          Respond<QueryReply> Reply) {
-  send([QueryKind = std::move(QueryKind), Name = std::move(Name),
+  send(ControlTaskKind::Query,
+       [QueryKind = std::move(QueryKind), Name = std::move(Name),
         Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
-    Node.query(Now, QueryKind, Name, Reply);
-  });
+         Node.query(Now, QueryKind, Name, Reply);
+       });
 }
 
 void ControlActor::revisionsConfirmed(ControlSessionId Session,
                                       Confirmation Confirmed) {
-  send([Session, Confirmed = std::move(Confirmed)](ControlNode &Node,
+  send(ControlTaskKind::Confirmation,
+       [Session, Confirmed = std::move(Confirmed)](ControlNode &Node,
                                                    Instant Now) {
-    Node.revisionsConfirmed(Now, Session, Confirmed);
-  });
+         Node.revisionsConfirmed(Now, Session, Confirmed);
+       });
 }
 
 void ControlActor::backendCallCompleted(BackendCallResult Result) {
-  send([Result = std::move(Result)](ControlNode &Node, Instant Now) {
-    Node.backendCallCompleted(Now, Result);
-  });
+  send(ControlTaskKind::BackendResult,
+       [Result = std::move(Result)](ControlNode &Node, Instant Now) {
+         Node.backendCallCompleted(Now, Result);
+       });
 }
 
 void ControlActor::peersIdentified(std::vector<PeerIdentity> Peers,
                                    bool AllBlank) {
-  send([Peers = std::move(Peers), AllBlank](ControlNode &Node, Instant Now) {
-    Node.peersIdentified(Now, Peers, AllBlank);
-  });
+  send(ControlTaskKind::Peers,
+       [Peers = std::move(Peers), AllBlank](ControlNode &Node, Instant Now) {
+         Node.peersIdentified(Now, Peers, AllBlank);
+       });
 }
 
 void ControlActor::identify(Respond<IdentifyReply> Reply) {
-  send([Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant) {
-    Reply(Node.identify());
-  });
+  send(ControlTaskKind::Identify,
+       [Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant) {
+         Reply(Node.identify());
+       });
 }
 
-void ControlActor::send(Task Work) {
-  caf::anon_send(m_Handle->m_Actor, ControlTaskMessage{std::move(Work)});
+void ControlActor::send(ControlTaskKind Kind, Task Work) {
+  m_Load->taskPosted();
+  caf::anon_send(m_Handle->m_Actor,
+                 ControlTaskMessage{std::move(Work), Kind, monotonicNow()});
 }
 
 template <typename Reply>
--- a/ragwortmux/Process/Control/ControlActor.h
+++ b/ragwortmux/Process/Control/ControlActor.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Process/Control/ControlNode.h"
 #include "ragwortmux/Process/Control/ControlNodeOwner.h"
+#include "ragwortmux/Process/Control/ControlTaskKind.h"
 
 #include <functional>
 #include <memory>
@@ -10,6 +11,7 @@
 namespace ragwortmux {
 
 class ActorSystem;
+class ControlLoad;
 class IoLoop;
 
 /// Runs a ControlNode in an actor with a thread of its own, because the node
@@ -20,9 +22,10 @@
 public:
   template <typename Reply> using Respond = std::function<void(Reply)>;
 
-  /// \p Owner must be open.
+  /// \p Owner must be open. \p Load measures the tasks.
   ControlActor(IoLoop &Loop, ActorSystem &Actors,
-               std::unique_ptr<ControlNodeOwner> Owner);
+               std::unique_ptr<ControlNodeOwner> Owner,
+               std::shared_ptr<ControlLoad> Load);
   ~ControlActor();
   ControlActor(const ControlActor &) = delete;
   ControlActor &operator=(const ControlActor &) = delete;
@@ -51,12 +54,13 @@
   using Task = std::function<void(ControlNode &Node, Instant Now)>;
   struct Handle;
 
-  void send(Task Work);
+  void send(ControlTaskKind Kind, Task Work);
   template <typename Reply>
   Respond<Reply> replyOnLoop(Respond<Reply> Callback) const;
 
-  IoLoop &m_Loop;                   ///< Runs hooks and replies.
-  std::unique_ptr<Handle> m_Handle; ///< Refers to the actor.
+  IoLoop &m_Loop;                      ///< Runs hooks and replies.
+  std::unique_ptr<Handle> m_Handle;    ///< Refers to the actor.
+  std::shared_ptr<ControlLoad> m_Load; ///< Measures the tasks.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -1,6 +1,9 @@
 #include "ragwortmux/Process/Control/ControlNode.h"
 
+#include "ragwortmux/Process/Control/ControlLoad.h"
 #include "ragwortmux/Process/Control/ControlQuery.h"
+#include "ragwortmux/Process/Control/LogLostLeadership.h"
+#include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Peers/CommandCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
 
@@ -269,7 +272,13 @@
 }
 
 void ControlNode::perform(Instant Now, const PersistLog &Action) {
-  if (m_Storage->persist(Action)) {
+  const Instant StartedAt = monotonicNow();
+  const bool IsDurable = m_Storage->persist(Action);
+  if (m_Hooks.m_Load) {
+    const Instant EndedAt = monotonicNow();
+    m_Hooks.m_Load->logSynced(EndedAt, EndedAt - StartedAt);
+  }
+  if (IsDurable) {
     m_Log->persisted(Now, Action.m_Sequence);
     return;
   }
@@ -360,8 +369,10 @@
 }
 
 void ControlNode::perform(Instant Now, const LostLeadership &Action) {
-  logInfo(Part::Control, "No longer the leader of term {}.",
-          Action.m_Term.value());
+  const ControlLoadSummary Load = m_Hooks.m_Load
+                                      ? m_Hooks.m_Load->summary(monotonicNow())
+                                      : ControlLoadSummary();
+  logLostLeadership(Action, Now, Load);
   m_Leader.lostLeadership(Now);
   failPending();
   m_Hooks.m_LeadershipChanged(false);
--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -19,6 +19,8 @@
 
 namespace ragwortmux {
 
+class ControlLoad;
+
 /// Settings of a ControlNode.
 struct ControlNodeSettings final {
   std::string m_Address; ///< Address at which the other members reach this one.
@@ -46,6 +48,8 @@
   /// Called when this node is ready to lead (\p Ready) and when it has lost the
   /// leadership.
   std::function<void(bool Ready)> m_LeadershipChanged;
+  /// Measures the node's work; null: nothing is measured.
+  std::shared_ptr<ControlLoad> m_Load;
 };
 
 /// The control role of one process: a member of the replicated log with its
--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Process/Control/ControlRole.h"
 
+#include "ragwortmux/Process/Control/ControlLoad.h"
 #include "ragwortmux/Process/Log/PosixFileSystem.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
@@ -65,6 +66,7 @@
                          Metrics &ProcessMetrics, Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings),
       m_Metrics(ProcessMetrics), m_Timeline(Events),
+      m_Load(std::make_shared<ControlLoad>()),
       m_Datagrams(Loop, Settings.m_ClusterKey, [this](LogEnvelope Envelope) {
         m_Actor->receive(std::move(Envelope));
       }) {}
@@ -81,7 +83,8 @@
   }
   m_Identity = Owner->node().identify();
   m_Identity.m_Host = m_Settings.m_Host;
-  m_Actor = std::make_unique<ControlActor>(m_Loop, m_Actors, std::move(Owner));
+  m_Actor = std::make_unique<ControlActor>(m_Loop, m_Actors, std::move(Owner),
+                                           m_Load);
   return true;
 }
 
@@ -207,6 +210,7 @@
     m_Timeline.record(Event);
   };
   Hooks.m_LeadershipChanged = [this](bool Ready) { leadershipChanged(Ready); };
+  Hooks.m_Load = m_Load;
   return Hooks;
 }
 
@@ -240,6 +244,7 @@
     return;
   }
   m_Metrics.add(Metric::ControlPushes, {});
+  m_Load->updatePushed(monotonicNow());
   Found->second(Session, Update,
                 [this, Session](const std::optional<Confirmation> &Confirmed) {
                   if (Confirmed) {
--- a/ragwortmux/Process/Control/ControlRole.h
+++ b/ragwortmux/Process/Control/ControlRole.h
@@ -15,6 +15,7 @@
 namespace ragwortmux {
 
 class ActorSystem;
+class ControlLoad;
 class IoLoop;
 class Metrics;
 class PeerLink;
@@ -85,6 +86,7 @@
   const ProcessSettings &m_Settings;     ///< The process's settings.
   Metrics &m_Metrics;                    ///< The process's metrics.
   Timeline &m_Timeline;                  ///< The process's timeline.
+  std::shared_ptr<ControlLoad> m_Load;   ///< Measures the node's work.
   std::unique_ptr<ControlActor> m_Actor; ///< Runs the node.
   LogDatagrams m_Datagrams;              ///< Small messages of the log.
   std::map<std::string, std::unique_ptr<PeerLink>>
--- a/ragwortmux/Process/Log/LogAction.h
+++ b/ragwortmux/Process/Log/LogAction.h
@@ -1,10 +1,13 @@
 #ifndef RAGWORTMUX_PROCESS_LOG_LOGACTION_H
 #define RAGWORTMUX_PROCESS_LOG_LOGACTION_H
 
+#include "ragwortmux/Core/Time.h"
 #include "ragwortmux/Process/Log/LogMessage.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -56,10 +59,24 @@
   LogTerm m_Term; ///< The leader's term.
 };
 
+/// Why a member is no longer the leader.
+enum class LeadershipLoss : std::uint8_t {
+  QuorumSilent = 0,  ///< No quorum answered a heartbeat round in time.
+  HigherTerm = 1,    ///< A message of a higher term arrived.
+  Removed = 2,       ///< This member is no longer a voter.
+  PersistFailed = 3, ///< The log could not be written.
+};
+
+/// Name of \p Reason in logs.
+std::string_view leadershipLossName(LeadershipLoss Reason);
+
 /// This member is no longer the leader. Proposals that are not yet applied may
 /// still be committed.
 struct LostLeadership final {
   LogTerm m_Term; ///< The term in which it was the leader.
+  LeadershipLoss m_Reason = LeadershipLoss::QuorumSilent; ///< The reason.
+  Instant m_QuorumContactAt{}; ///< Start of the newest heartbeat round that a
+                               ///< quorum answered.
 };
 
 /// This member was still the leader at some time after the call of
--- a/ragwortmux/Process/Log/ReplicatedLog.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLog.cpp
@@ -68,7 +68,7 @@
     // can elect another one.
     if (Now >= m_LeaderState->quorumContactTime(membership()) +
                    m_Settings.m_CheckQuorumTimeout)
-      becomeFollower(Now, m_HardState.m_Term);
+      becomeFollower(Now, m_HardState.m_Term, LeadershipLoss::QuorumSilent);
     return;
   }
   if (Now >= m_ElectionDueAt)
@@ -87,7 +87,7 @@
 }
 
 void ReplicatedLog::persistFailed() {
-  endLeadership();
+  endLeadership(LeadershipLoss::PersistFailed);
   m_Role = LogRole::Stopped;
   m_Leader.reset();
 }
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -138,12 +138,12 @@
   bool adoptTerm(Instant Now, const VoterId &From, const Message &Received);
   bool isLeaderAlive(Instant Now) const;
   bool canCampaign() const;
-  void becomeFollower(Instant Now, LogTerm Term);
+  void becomeFollower(Instant Now, LogTerm Term, LeadershipLoss Reason);
   void startPreVote(Instant Now);
   void startElection(Instant Now, bool Transfer);
   void countVotes(Instant Now);
   void becomeLeader(Instant Now);
-  void endLeadership();
+  void endLeadership(LeadershipLoss Reason);
   void followLeader(Instant Now, const VoterId &From);
   void requestVotes(LogTerm Term, bool PreVote, bool Transfer);
   bool shouldGrantVote(Instant Now, const VoterId &From,
--- a/ragwortmux/Process/Log/ReplicatedLogElection.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -42,7 +42,7 @@
     if constexpr (std::is_same_v<Message, VoteRequest>)
       if (!Received.m_IsTransfer && isLeaderAlive(Now))
         return false;
-    becomeFollower(Now, Received.m_Term);
+    becomeFollower(Now, Received.m_Term, LeadershipLoss::HigherTerm);
     return true;
   }
   if (Received.m_Term == m_HardState.m_Term)
@@ -129,9 +129,10 @@
           m_Log.previousMembership().isVoter(m_Self));
 }
 
-void ReplicatedLog::becomeFollower(Instant Now, LogTerm Term) {
+void ReplicatedLog::becomeFollower(Instant Now, LogTerm Term,
+                                   LeadershipLoss Reason) {
   if (m_Role == LogRole::Leader) {
-    endLeadership();
+    endLeadership(Reason);
     resetElectionTimer(Now);
   }
   m_Role = LogRole::Follower;
@@ -222,12 +223,14 @@
   appendEntry(std::move(NoOp));
 }
 
-void ReplicatedLog::endLeadership() {
+void ReplicatedLog::endLeadership(LeadershipLoss Reason) {
   if (m_Role != LogRole::Leader)
     return;
   for (ConfirmationToken Token : m_LeaderState->takeAllTokens())
     m_Actions.push_back(ConfirmationDropped{Token});
-  m_Actions.push_back(LostLeadership{m_HardState.m_Term});
+  m_Actions.push_back(
+      LostLeadership{m_HardState.m_Term, Reason,
+                     m_LeaderState->quorumContactTime(membership())});
   m_LeaderState.reset();
   m_IsReady = false;
 }
--- a/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
@@ -136,7 +136,7 @@
 
 void ReplicatedLog::stepDownIfRemoved(Instant Now) {
   if (!membership().isVoter(m_Self) && m_Log.membershipIndex() <= m_CommitIndex)
-    becomeFollower(Now, m_HardState.m_Term);
+    becomeFollower(Now, m_HardState.m_Term, LeadershipLoss::Removed);
 }
 
 void ReplicatedLog::advanceCommit() {
--- a/tests/Log/ReplicatedLogTest.cpp
+++ b/tests/Log/ReplicatedLogTest.cpp
@@ -482,6 +482,52 @@
   BOOST_CHECK(!A.log().confirmLeadership(A.m_Now, ConfirmationToken(6)));
 }
 
+struct LossCase final {
+  const char *m_Name;            ///< What ends the leadership.
+  void (*m_End)(Member &Leader); ///< Ends it.
+  LeadershipLoss m_Reason;       ///< The expected reason.
+
+  friend std::ostream &operator<<(std::ostream &Stream, const LossCase &Case) {
+    return Stream << Case.m_Name;
+  }
+};
+
+const std::vector<LossCase> Losses = {
+    {"no quorum answers",
+     [](Member &Leader) {
+       Leader.m_Now += LongSilence;
+       Leader.log().tick(Leader.m_Now);
+     },
+     LeadershipLoss::QuorumSilent},
+    {"a message of a higher term",
+     [](Member &Leader) {
+       const LogTerm Higher(Leader.log().term().value() + 1);
+       Leader.receive(Other, AppendReply{Higher, false, {}, {}, {}, 0});
+     },
+     LeadershipLoss::HigherTerm},
+    {"the log cannot be written",
+     [](Member &Leader) { Leader.log().persistFailed(); },
+     LeadershipLoss::PersistFailed}};
+
+BOOST_DATA_TEST_CASE(LostLeadershipNamesItsReason,
+                     boost::unit_test::data::make(Losses), Case) {
+  Member A({1});
+  A.becomeLeader();
+  A.m_Now += std::chrono::milliseconds(20);
+  const Instant RoundStart = A.m_Now;
+  BOOST_REQUIRE(A.log().confirmLeadership(A.m_Now, ConfirmationToken(7)));
+  A.persist();
+  const auto Round = A.removeMessages<AppendRequest>().back().m_Round;
+  A.m_Now += std::chrono::milliseconds(5);
+  A.acknowledge(2, Round);
+  Case.m_End(A);
+  A.collectActions();
+  const auto Lost = A.removeActions<LostLeadership>();
+  BOOST_REQUIRE_EQUAL(Lost.size(), 1U);
+  BOOST_CHECK(Lost[0].m_Reason == Case.m_Reason);
+  BOOST_CHECK(Lost[0].m_QuorumContactAt == RoundStart);
+}
+
 BOOST_AUTO_TEST_CASE(LeaderWithoutQuorumStepsDown, *label("promise-2")) {
   Member A({1});
   A.becomeLeader();
