Log when an entry host loses and regains its lease

A refusal for want of a lease did not lead to what control had answered last. The lines name the age of the last grant, the last answer and the control host that gave it.

LeaseLogTest passes.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -94,6 +94,7 @@
     return;
   }
   scheduleMaintenance(m_Settings.m_RenewalInterval);
+  m_LeaseLog.check(monotonicNow(), m_Lease.validUntil());
   if (!m_IsRegistered) {
     openSession();
     return;
@@ -119,6 +120,7 @@
       [this, TargetIndex](const std::optional<OpenSessionReply> &Reply) {
         m_IsOpening = false;
         if (!Reply || !Reply->m_Status.ok()) {
+          noteAnswer(TargetIndex, Reply ? &Reply->m_Status : nullptr);
           Reply ? followLeaderHint(TargetIndex, Reply->m_Status)
                 : switchToNextHost(TargetIndex);
           scheduleMaintenance(RetryPause);
@@ -155,6 +157,9 @@
                                      ControlSessionId Session,
                                      std::uint64_t Sequence,
                                      const std::optional<RenewReply> &Reply) {
+  if (!Reply || !Reply->m_Status.ok()) {
+    noteAnswer(TargetIndex, Reply ? &Reply->m_Status : nullptr);
+  }
   if (!Reply) {
     switchToNextHost(TargetIndex);
     scheduleMaintenance(RetryPause);
@@ -178,10 +183,21 @@
   // already in effect here.
   applyUpdate(Reply->m_Update);
   if (m_Lease.renewalGranted(Session, Sequence, Reply->m_Lease)) {
+    m_LeaseLog.granted(monotonicNow(), m_Lease.validUntil());
     m_Hooks.m_LeaseExtended(m_Lease.validUntil());
   }
 }
 
+void ControlClient::noteAnswer(std::size_t TargetIndex,
+                               const ControlStatus *Status) {
+  const std::string Answer =
+      Status == nullptr ? "no_answer"
+                        : std::string(resultCodeInfo(Status->m_Code).m_Name);
+  m_LeaseLog.answered(
+      formatSocketAddress(m_Settings.m_ControlPeers[TargetIndex].m_Endpoint),
+      Answer);
+}
+
 void ControlClient::applyUpdate(const ControlUpdate &Update) {
   m_Hooks.m_Update(Update);
 }
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_PROCESS_ENTRY_CONTROLCLIENT_H
 #define RAGWORTMUX_PROCESS_ENTRY_CONTROLCLIENT_H
 
+#include "ragwortmux/Process/Entry/LeaseLog.h"
 #include "ragwortmux/Process/Peers/ControlMessages.h"
 #include "ragwortmux/Process/Peers/PeerLink.h"
 #include "ragwortmux/Process/Support/ControlPeer.h"
@@ -104,6 +105,9 @@
                         std::uint64_t Sequence,
                         const std::optional<RenewReply> &Reply);
   void applyUpdate(const ControlUpdate &Update);
+  /// Notes an answer of the host \p TargetIndex other than a grant; null: the
+  /// call failed.
+  void noteAnswer(std::size_t TargetIndex, const ControlStatus *Status);
   void addLink(const SocketAddress &Address);
   void scheduleReport();
   void sendReports();
@@ -124,6 +128,7 @@
       m_Links;                           ///< One for each control host.
   std::size_t m_LeaderIndex = 0;         ///< Index of the presumed leader.
   ProxyLease m_Lease;                    ///< Session and lease.
+  LeaseLog m_LeaseLog;                   ///< Log lines about the lease.
   bool m_IsRegistered = false;           ///< The leader pushes updates here.
   bool m_Stopped = false;                ///< endSession() was called.
   bool m_IsOpening = false;              ///< An openSession call is in flight.
