Shares follow the connection limit of each server

Callers saw: at servers that accept 60 or 240 connections, control handed out 32. Cause: ShareTable capped every server's budget at 35 connections, the limit of one deployment. The limit that the server's record carries decides now; it comes from the catalogue for delegated groups.

Shares/BudgetFollowsServersLimit failed before: 'check State.shares().budget(Each.m_Limit) == Each.m_Budget has failed [32 != 57]' and '[32 != 237]'.

The bound is part of the state machine: voters with and without this change must not apply the same log.

--- a/ragwortmux/Version/ShareTable.cpp
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -77,8 +77,8 @@
 }
 
 std::uint32_t ShareTable::budget(std::uint32_t ConnectionLimit) const {
-  const std::uint32_t Limit = std::min(ConnectionLimit, m_Settings.m_MaxBudget);
-  return Limit - std::min(Limit, m_Settings.m_ControlReserve);
+  return ConnectionLimit -
+         std::min(ConnectionLimit, m_Settings.m_ControlReserve);
 }
 
 std::uint32_t ShareTable::share(const GroupId &Group, const ServerId &Server,
--- a/ragwortmux/Version/ShareTable.h
+++ b/ragwortmux/Version/ShareTable.h
@@ -23,11 +23,9 @@
 public:
   /// Bounds of the shares.
   struct Settings final {
-    std::uint32_t m_MaxBudget =
-        35; ///< Maximum number of connections per server.
     std::uint32_t m_ControlReserve =
-        3; ///< Connections of these that are reserved
-           ///< for calls of the control leader.
+        3; ///< Connections of each server that are reserved for calls of the
+           ///< control leader.
   };
 
   explicit ShareTable(const Settings &Bounds) : m_Settings(Bounds) {}
--- a/tests/Version/ShareTableTest.cpp
+++ b/tests/Version/ShareTableTest.cpp
@@ -46,6 +46,23 @@
   BOOST_TEST(!setShare(State, 1, 1).ok());
 }
 
+BOOST_AUTO_TEST_CASE(BudgetFollowsServersLimit) {
+  struct Case final {
+    std::uint32_t m_Limit;  ///< Connections that the server accepts.
+    std::uint32_t m_Budget; ///< Connections that may be granted.
+  };
+  const Case Cases[] = {{1, 0}, {4, 1}, {35, 32}, {60, 57}, {240, 237}};
+  for (const Case &Each : Cases) {
+    BOOST_TEST_CONTEXT("limit " << Each.m_Limit) {
+      ControlState State = makeState();
+      State.apply(registerServer("s1", Each.m_Limit));
+      BOOST_TEST(State.shares().budget(Each.m_Limit) == Each.m_Budget);
+      BOOST_TEST(setShare(State, 1, Each.m_Budget).ok());
+      BOOST_TEST(!setShare(State, 2, 1).ok());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RandomCommandsNeverExceedBudget) {
   // Each simulated session opens as many connections as the last view allows
   // that has reached it.
