A group's record goes to its participants, and only they are waited for

Callers saw: with 67 entry hosts nearly no request was served, because every change of one host's share was pushed to every session, confirmed by each of them, and evaluated again: work of sessions squared times groups.

A session takes part in a group if it serves the group by its last renewal, or holds a share record of it. Records, the wait for confirmations and the percentages of reports count participants only; sessions that do not serve a group get no share, and lose the one they had. A session gets no share before its first renewal. Shares change only once the set of a group's serving sessions has been unchanged for 100 ms, so that sessions that start together are served by one round.

DelegatedGroupTest RestartedHostEndsSessionOfEarlierRun now expects no share before the first renewal of the new session and one after it, where it expected one without any renewal.

--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -20,13 +20,14 @@
 
 ControlLeader::ControlLeader(const ControlState &State,
                              const ControlLeaderSettings &Settings)
-    : m_State(State), m_Context(State, Settings), m_Updates(m_Context),
-      m_Leases(m_Context, m_Updates), m_Calls(m_Context),
-      m_Servers(m_Context, m_Calls),
+    : m_State(State), m_Context(State, Settings), m_Participants(m_Context),
+      m_Updates(m_Context, m_Participants), m_Leases(m_Context, m_Updates),
+      m_Calls(m_Context), m_Servers(m_Context, m_Participants, m_Calls),
       m_Changes(m_Context, m_Updates, m_Servers, m_Calls),
-      m_Delegated(m_Context, m_Updates, m_Servers, m_Calls),
+      m_Delegated(m_Context, m_Participants, m_Updates, m_Servers, m_Calls),
       m_Sync(m_Context, m_Updates, m_Servers, m_Calls),
-      m_Shares(m_Context, m_Updates), m_Homes(m_Context, m_Updates) {}
+      m_Shares(m_Context, m_Participants, m_Updates),
+      m_Homes(m_Context, m_Updates) {}
 
 void ControlLeader::becameLeader(Instant Now) {
   discardObservations();
@@ -48,6 +49,7 @@
 
 void ControlLeader::discardObservations() {
   m_Context.reset();
+  m_Participants.reset();
   m_Updates.reset();
   m_Leases.reset();
   m_Calls.reset();
@@ -82,6 +84,7 @@
 
 void ControlLeader::sessionEnded(ControlSessionId Session) {
   m_Leases.sessionEnded(Session);
+  m_Participants.sessionEnded(Session);
   m_Updates.sessionEnded(Session);
   m_Servers.sessionEnded(Session);
   m_Shares.sessionEnded(Session);
@@ -95,6 +98,7 @@
 void ControlLeader::renewalReceived(const LeaseRenewal &Renewal, Instant Now) {
   if (!m_IsLeader)
     return;
+  m_Participants.renewalReceived(Renewal);
   m_Updates.renewalReceived(Renewal, Now);
   m_Shares.renewalReceived(Renewal);
   m_Leases.renewalReceived(Renewal, Now);
--- a/ragwortmux/Version/ControlLeader.h
+++ b/ragwortmux/Version/ControlLeader.h
@@ -6,6 +6,7 @@
 #include "ragwortmux/Version/ControlLeaderSettings.h"
 #include "ragwortmux/Version/ControlResult.h"
 #include "ragwortmux/Version/DelegatedPrimaryChange.h"
+#include "ragwortmux/Version/GroupParticipants.h"
 #include "ragwortmux/Version/InSyncSetManager.h"
 #include "ragwortmux/Version/LeaderContext.h"
 #include "ragwortmux/Version/PrimaryChange.h"
@@ -100,13 +101,14 @@
   void advanceTime(Instant Now, WallTime Wall);
   void discardObservations();
 
-  const ControlState &m_State; ///< The applied state.
-  LeaderContext m_Context;     ///< Actions and pending proposals.
-  UpdateTracker m_Updates;     ///< What each session has confirmed.
-  SessionLeases m_Leases;      ///< Leases of the control sessions.
-  BackendCalls m_Calls;        ///< Calls to backend servers.
-  ServerMonitor m_Servers;     ///< Observed state of backend servers.
-  PrimaryChange m_Changes;     ///< Changes of primary.
+  const ControlState &m_State;      ///< The applied state.
+  LeaderContext m_Context;          ///< Actions and pending proposals.
+  GroupParticipants m_Participants; ///< Who takes part in each group.
+  UpdateTracker m_Updates;          ///< What each session has confirmed.
+  SessionLeases m_Leases;           ///< Leases of the control sessions.
+  BackendCalls m_Calls;             ///< Calls to backend servers.
+  ServerMonitor m_Servers;          ///< Observed state of backend servers.
+  PrimaryChange m_Changes;          ///< Changes of primary.
   DelegatedPrimaryChange
       m_Delegated;            ///< Changes of primary in delegated groups.
   InSyncSetManager m_Sync;    ///< In-sync sets.
--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -68,9 +68,9 @@
       1500); ///< Delegated groups: how long a promote call of a replaced leader
              ///< may still be in flight.
   std::uint32_t m_UnreachablePercent =
-      30; ///< Delegated groups: percentage of the proxies that must report a
-          ///< primary as unreachable before it is replaced although this leader
-          ///< reaches it.
+      30; ///< Delegated groups: percentage of the participants that must
+          ///< report a primary as unreachable before it is replaced although
+          ///< this leader reaches it.
   Duration m_UnreachableAfter = std::chrono::milliseconds(
       600); ///< Delegated groups: how long that percentage must be reached.
   std::uint32_t m_ChangeBurst =
@@ -90,6 +90,10 @@
       500); ///< Minimum time between two changes of one server's shares.
   Duration m_StarvedRebalanceInterval = std::chrono::milliseconds(
       30); ///< The same while a proxy has less than m_ShareFloor.
+  Duration m_ShareSettleTime = std::chrono::milliseconds(
+      100); ///< Shares of a group change only after the set of sessions that
+            ///< serve it has been unchanged for this long, or has been changing
+            ///< for m_RebalanceInterval.
   std::uint32_t m_ShareCeiling =
       0; ///< Each proxy's largest share per server, so that connections are
          ///< left for proxies that start later. Proxies get more where few of
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Version/DelegatedPrimaryChange.h"
 
 #include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/GroupParticipants.h"
 #include "ragwortmux/Version/LeaderContext.h"
 #include "ragwortmux/Version/ServerMonitor.h"
 #include "ragwortmux/Version/UpdateTracker.h"
@@ -126,7 +127,8 @@
     return "leaves";
   const ServerMonitor::ReportCounts Counts =
       m_Servers.recentReports(Group.m_Group, Primary.m_Server, Now);
-  const std::size_t Sessions = m_Context.state().sessions().size();
+  const std::size_t Participants =
+      m_Participants.participants(Group.m_Group).size();
   const bool IsSilent =
       m_Servers.announcementSilence(Group.m_Group, Primary.m_Server, Now) >=
       Settings.m_SilenceUnannounced;
@@ -146,12 +148,15 @@
   const bool ProbeFailed = Failed != Change.m_PositionFailedAt.end() &&
                            Now - Failed->second <= Settings.m_EvidenceWindow;
   // A single proxy's report is enough only if there is no other proxy.
-  if (ProbeFailed && Counts.m_Unreachable >= std::min<std::size_t>(2, Sessions))
+  if (ProbeFailed &&
+      Counts.m_Unreachable >= std::clamp<std::size_t>(Participants, 1, 2))
     return "cannot be reached";
   if (ProbeFailed && IsSilent)
     return "is silent";
   // The leader reaches the primary: replace it only if many proxies do not.
-  if (Counts.m_Unreachable * 100 < Sessions * Settings.m_UnreachablePercent) {
+  if (Counts.m_Unreachable == 0 ||
+      Counts.m_Unreachable * 100 <
+          Participants * Settings.m_UnreachablePercent) {
     Change.m_UnreachableSince.reset();
     return {};
   }
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -10,6 +10,7 @@
 
 namespace ragwortmux {
 
+class GroupParticipants;
 class LeaderContext;
 class ServerMonitor;
 class UpdateTracker;
@@ -19,17 +20,19 @@
 /// Changes the primary of groups whose servers manage replication and terms by
 /// themselves (ReplicationMode::Delegated).
 ///
-/// A change ends the group's term, waits until every session has confirmed that
-/// or its lease has expired, queries the servers' positions and promotes the
-/// most advanced one. That server is appointed only once it reports the primary
-/// role: before that it may still be applying its log and would serve
-/// incomplete data.
+/// A change ends the group's term, waits until every participant has confirmed
+/// that or its lease has expired (see GroupParticipants), queries the servers'
+/// positions and promotes the most advanced one. That server is appointed only
+/// once it reports the primary role: before that it may still be applying its
+/// log and would serve incomplete data.
 class DelegatedPrimaryChange final {
 public:
-  DelegatedPrimaryChange(LeaderContext &Context, const UpdateTracker &Updates,
+  DelegatedPrimaryChange(LeaderContext &Context,
+                         const GroupParticipants &Participants,
+                         const UpdateTracker &Updates,
                          const ServerMonitor &Servers, BackendCalls &Calls)
-      : m_Context(Context), m_Updates(Updates), m_Servers(Servers),
-        m_Calls(Calls) {}
+      : m_Context(Context), m_Participants(Participants), m_Updates(Updates),
+        m_Servers(Servers), m_Calls(Calls) {}
 
   void reset() { m_Groups.clear(); }
   /// Called when this process has become leader. A change that the previous
@@ -108,8 +111,9 @@
   void requestPosition(const GroupRecord &Group, const ServerRecord &Server,
                        Progress &Change, Instant Now);
 
-  LeaderContext &m_Context;             ///< Shared.
-  const UpdateTracker &m_Updates;       ///< What sessions have confirmed.
+  LeaderContext &m_Context;                ///< Shared.
+  const GroupParticipants &m_Participants; ///< Who takes part in each group.
+  const UpdateTracker &m_Updates;          ///< What sessions have confirmed.
   const ServerMonitor &m_Servers;       ///< Observed state of backend servers.
   BackendCalls &m_Calls;                ///< Calls to backend servers.
   std::map<GroupId, Progress> m_Groups; ///< By group.
--- a/ragwortmux/Version/ServerMonitor.cpp
+++ b/ragwortmux/Version/ServerMonitor.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Version/ServerMonitor.h"
 
 #include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/GroupParticipants.h"
 #include "ragwortmux/Version/LeaderContext.h"
 
 #include <algorithm>
@@ -272,13 +273,14 @@
   if (Silence >= Settings.m_SilenceSuspected && isReportedDown(*Status, Now))
     return true;
   // While the server announces itself, it has failed only if a majority of the
-  // proxies and this leader do not reach it.
-  const std::size_t Sessions = m_Context.state().sessions().size();
+  // group's participants and this leader do not reach it.
+  const std::size_t Participants = m_Participants.participants(Group).size();
   const bool ProbeFailed =
       Status->m_ProbeFailedAt &&
       Now - *Status->m_ProbeFailedAt <= Settings.m_EvidenceWindow;
   const std::size_t Reports = countReports(*Status, Now);
-  return ProbeFailed && Reports >= MinAgreeingProxies && Reports * 2 > Sessions;
+  return ProbeFailed && Reports >= MinAgreeingProxies &&
+         Reports * 2 > Participants;
 }
 
 Duration ServerMonitor::lag(const GroupRecord &Group, const ServerId &Server,
--- a/ragwortmux/Version/ServerMonitor.h
+++ b/ragwortmux/Version/ServerMonitor.h
@@ -12,6 +12,7 @@
 
 namespace ragwortmux {
 
+class GroupParticipants;
 class LeaderContext;
 struct GroupRecord;
 
@@ -60,8 +61,9 @@
         0; ///< Proxies that have waited for an answer for a while.
   };
 
-  ServerMonitor(LeaderContext &Context, BackendCalls &Calls)
-      : m_Context(Context), m_Calls(Calls) {}
+  ServerMonitor(LeaderContext &Context, const GroupParticipants &Participants,
+                BackendCalls &Calls)
+      : m_Context(Context), m_Participants(Participants), m_Calls(Calls) {}
 
   void reset();
   void becameLeader(Instant Now);
@@ -126,8 +128,9 @@
   std::size_t countReports(const ServerStatus &Status, Instant Now) const;
   bool isReportedDown(const ServerStatus &Status, Instant Now) const;
 
-  LeaderContext &m_Context;       ///< Shared.
-  BackendCalls &m_Calls;          ///< Calls to backend servers.
+  LeaderContext &m_Context;                ///< Shared.
+  const GroupParticipants &m_Participants; ///< Who takes part in each group.
+  BackendCalls &m_Calls;                   ///< Calls to backend servers.
   Instant m_SilenceCountedFrom{}; ///< Silence is counted from this time at the
                                   ///< earliest.
   std::map<std::pair<GroupId, ServerId>, ServerStatus>
--- a/ragwortmux/Version/ShareBalancer.cpp
+++ b/ragwortmux/Version/ShareBalancer.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Version/ShareBalancer.h"
 
 #include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/GroupParticipants.h"
 #include "ragwortmux/Version/LeaderContext.h"
 #include "ragwortmux/Version/UpdateTracker.h"
 
@@ -10,6 +11,7 @@
 
 void ShareBalancer::reset() {
   m_Demand.clear();
+  m_Serving.clear();
   m_BalancedAt.clear();
 }
 
@@ -25,11 +27,32 @@
 void ShareBalancer::evaluate(Instant Now) {
   proposeConfirmations(Now);
   m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
+    if (!isSettled(Group.m_Group, Now))
+      return;
     for (const auto &[Id, Server] : Group.m_Servers)
       balance(Group, Server, Now);
   });
 }
 
+bool ShareBalancer::isSettled(const GroupId &Group, Instant Now) {
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  std::vector<ControlSessionId> Sessions = m_Participants.participants(Group);
+  std::erase_if(Sessions, [&](ControlSessionId Session) {
+    return !m_Participants.serves(Session, Group);
+  });
+  ServingSet &Serving = m_Serving[Group];
+  const bool WasSettled =
+      Now - Serving.m_ChangedAt >= Settings.m_ShareSettleTime;
+  if (Serving.m_Sessions != Sessions) {
+    Serving.m_Sessions = std::move(Sessions);
+    Serving.m_ChangedAt = Now;
+    if (WasSettled)
+      Serving.m_UnsettledSince = Now;
+  }
+  return Now - Serving.m_ChangedAt >= Settings.m_ShareSettleTime ||
+         Now - Serving.m_UnsettledSince >= Settings.m_RebalanceInterval;
+}
+
 void ShareBalancer::proposeConfirmations(Instant Now) {
   m_Context.state().shares().forEachShare([&](const ShareRecord &Share) {
     const Revision Confirmed =
@@ -54,27 +77,35 @@
   const std::uint32_t Budget =
       m_Context.state().shares().budget(Server.m_ConnectionLimit);
   std::vector<SessionShare> Shares = collectShares(Key, Budget);
-  if (Shares.empty())
-    return;
+  SetShares Command{Group.m_Group, Server.m_Server, collectWithdrawals(Key)};
   const auto Count = static_cast<std::uint32_t>(Shares.size());
-  const std::uint32_t Floor = std::min(Settings.m_ShareFloor, Budget / Count);
-  std::uint32_t MaxOpen = 0;
-  bool IsStarved = false;
-  for (const SessionShare &Each : Shares) {
-    MaxOpen += Each.m_MaxOpen;
-    IsStarved = IsStarved || Each.m_Share < Floor;
-  }
+  const std::uint32_t Floor =
+      std::min(Settings.m_ShareFloor, Budget / std::max(Count, 1U));
+  const bool IsStarved =
+      std::any_of(Shares.begin(), Shares.end(), [&](const SessionShare &Each) {
+        return Each.m_Share < Floor;
+      });
   // A session below the floor does not wait for the next regular round.
   if (!IsFirst && !IsStarved &&
       Now - Balanced->second < Settings.m_RebalanceInterval)
     return;
+  const std::uint32_t MaxOpen =
+      m_Context.state().shares().maxOpen(Group.m_Group, Server.m_Server);
   const std::uint32_t Free = Budget - std::min(Budget, MaxOpen);
-  if (!needsRebalance(Shares, Floor, Free))
+  if (needsRebalance(Shares, Floor, Free)) {
+    fillTargets(Shares, Floor, std::max(Floor * Count, unreserved(Budget)),
+                ceiling(Budget, Count));
+    addGrants(Shares, Free, Command.m_Grants);
+  }
+  if (Command.m_Grants.empty())
     return;
+  m_BalancedAt[Key] = Now;
+  m_Context.propose(Command, Now);
+}
 
-  fillTargets(Shares, Floor, std::max(Floor * Count, unreserved(Budget)),
-              ceiling(Budget, Count));
-  SetShares Command{Group.m_Group, Server.m_Server, {}};
+void ShareBalancer::addGrants(const std::vector<SessionShare> &Shares,
+                              std::uint32_t Free,
+                              std::vector<ShareGrant> &Grants) {
   std::uint32_t Left = Free;
   for (const SessionShare &Each : Shares) {
     // Connections that a session may still have open can be returned to it at
@@ -83,27 +114,26 @@
     const std::uint32_t Share = std::min(Each.m_Target, Counted + Left);
     Left -= Share - std::min(Share, Counted);
     if (Share != Each.m_Share)
-      Command.m_Grants.push_back({Each.m_Session, Share});
+      Grants.push_back({Each.m_Session, Share});
   }
-  if (Command.m_Grants.empty())
-    return;
-  m_BalancedAt[Key] = Now;
-  m_Context.propose(Command, Now);
 }
 
 std::vector<ShareBalancer::SessionShare>
 ShareBalancer::collectShares(const ServerKey &Key, std::uint32_t Budget) const {
   std::map<ControlSessionId, SessionShare> Shares;
-  const ControlState &State = m_Context.state();
-  State.sessions().forEachSession([&](const SessionRecord &Session) {
-    Shares[Session.m_Session].m_Session = Session.m_Session;
-  });
-  State.shares().forEachShareOf(Key.first, Key.second,
-                                [&](const ShareRecord &Share) {
-                                  SessionShare &Each = Shares[Share.m_Session];
-                                  Each.m_Share = Share.m_Share;
-                                  Each.m_MaxOpen = Share.m_MaxOpen;
-                                });
+  const auto Serving = m_Serving.find(Key.first);
+  if (Serving == m_Serving.end())
+    return {};
+  for (const ControlSessionId Session : Serving->second.m_Sessions)
+    Shares[Session].m_Session = Session;
+  m_Context.state().shares().forEachShareOf(
+      Key.first, Key.second, [&](const ShareRecord &Share) {
+        const auto Found = Shares.find(Share.m_Session);
+        if (Found == Shares.end())
+          return;
+        Found->second.m_Share = Share.m_Share;
+        Found->second.m_MaxOpen = Share.m_MaxOpen;
+      });
   std::vector<SessionShare> List;
   const auto Count = static_cast<std::uint32_t>(Shares.size());
   for (auto &[Session, Each] : Shares) {
@@ -114,6 +144,18 @@
   return List;
 }
 
+std::vector<ShareGrant>
+ShareBalancer::collectWithdrawals(const ServerKey &Key) const {
+  std::vector<ShareGrant> Grants;
+  m_Context.state().shares().forEachShareOf(
+      Key.first, Key.second, [&](const ShareRecord &Share) {
+        if (Share.m_Share > 0 &&
+            !m_Participants.serves(Share.m_Session, Key.first))
+          Grants.push_back({Share.m_Session, 0});
+      });
+  return Grants;
+}
+
 std::optional<std::uint32_t>
 ShareBalancer::sessionDemand(ControlSessionId Session,
                              const ServerKey &Key) const {
@@ -143,6 +185,8 @@
   }
   if (HasUnmetDemand && HasSpare)
     return true;
+  if (Shares.empty())
+    return false;
   // If the total demand exceeds the budget, the shares must be even.
   const auto [Least, Most] = std::minmax_element(
       Shares.begin(), Shares.end(),
--- a/ragwortmux/Version/ShareTable.cpp
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -95,6 +95,26 @@
   return Sum;
 }
 
+bool ShareTable::holds(const GroupId &Group, ControlSessionId Session) const {
+  bool Holds = false;
+  forEachShareOf(Group, [&](const ShareRecord &Share) {
+    Holds = Holds || Share.m_Session == Session;
+  });
+  return Holds;
+}
+
+void ShareTable::forEachShareOf(
+    const GroupId &Group,
+    const std::function<void(const ShareRecord &)> &Visit) const {
+  // Shares are ordered by group first.
+  auto Next = m_Shares.lower_bound({Group, ServerId(), ControlSessionId()});
+  for (; Next != m_Shares.end(); ++Next) {
+    if (Next->second.m_Group != Group)
+      return;
+    Visit(Next->second);
+  }
+}
+
 void ShareTable::forEachShareOf(
     const GroupId &Group, const ServerId &Server,
     const std::function<void(const ShareRecord &)> &Visit) const {
--- a/ragwortmux/Version/ShareTable.h
+++ b/ragwortmux/Version/ShareTable.h
@@ -54,6 +54,13 @@
                       ControlSessionId Session) const;
   /// The connections that all sessions together may have open.
   std::uint32_t maxOpen(const GroupId &Group, const ServerId &Server) const;
+  /// True if there is a share of \p Session, even of 0, at a server of \p
+  /// Group.
+  bool holds(const GroupId &Group, ControlSessionId Session) const;
+  /// Calls \p Visit for each share of one group by server and session.
+  void
+  forEachShareOf(const GroupId &Group,
+                 const std::function<void(const ShareRecord &)> &Visit) const;
   /// Calls \p Visit for each share of one server by session.
   void
   forEachShareOf(const GroupId &Group, const ServerId &Server,
--- a/ragwortmux/Version/UpdateTracker.cpp
+++ b/ragwortmux/Version/UpdateTracker.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortmux/Version/ControlEvents.h"
 #include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/GroupParticipants.h"
 #include "ragwortmux/Version/LeaderContext.h"
 #include "ragwortmux/Version/MakeGroupView.h"
 
@@ -62,15 +63,18 @@
 void UpdateTracker::pushUpdates(Instant Now) {
   const ControlState &State = m_Context.state();
   const Duration Retry = m_Context.settings().m_PushRetry;
-  State.sessions().forEachSession([&](const SessionRecord &Session) {
-    const ControlSessionId Id = Session.m_Session;
-    SessionProgress &Confirmations = m_Sessions[Id];
-    State.groups().forEachGroup([&](const GroupRecord &Group) {
-      Progress &Each = Confirmations.m_Groups[Group.m_Group];
+  State.groups().forEachGroup([&](const GroupRecord &Group) {
+    for (const ControlSessionId Id :
+         m_Participants.participants(Group.m_Group)) {
+      Progress &Each = m_Sessions[Id].m_Groups[Group.m_Group];
       if (Each.startPush(Group.m_Revision, Now, Retry))
         m_Context.addAction(
             PushGroupView{Id, *makeGroupView(State, Group.m_Group, Id)});
-    });
+    }
+  });
+  State.sessions().forEachSession([&](const SessionRecord &Session) {
+    const ControlSessionId Id = Session.m_Session;
+    SessionProgress &Confirmations = m_Sessions[Id];
     const Catalogue &Entries = State.catalogue();
     if (Confirmations.m_Catalogue.startPush(Entries.revision(), Now, Retry))
       m_Context.addAction(PushCatalogue{
@@ -92,14 +96,12 @@
 
 bool UpdateTracker::allConfirmed(const GroupId &Group, Revision Required,
                                  ControlSessionId Last) const {
-  bool All = true;
-  m_Context.state().sessions().forEachSession(
-      [&](const SessionRecord &Session) {
-        if (Session.m_Session <= Last &&
-            confirmed(Session.m_Session, Group) < Required)
-          All = false;
+  const std::vector<ControlSessionId> Sessions =
+      m_Participants.participants(Group);
+  return std::all_of(
+      Sessions.begin(), Sessions.end(), [&](ControlSessionId Session) {
+        return Session > Last || confirmed(Session, Group) >= Required;
       });
-  return All;
 }
 
 bool UpdateTracker::allConfirmed(const GroupId &Group,
@@ -124,7 +126,8 @@
   std::vector<GroupView> Views;
   const ControlState &State = m_Context.state();
   State.groups().forEachGroup([&](const GroupRecord &Group) {
-    if (confirmed(Session, Group.m_Group) < Group.m_Revision)
+    if (confirmed(Session, Group.m_Group) < Group.m_Revision &&
+        m_Participants.contains(Session, Group.m_Group))
       Views.push_back(*makeGroupView(State, Group.m_Group, Session));
   });
   return Views;
@@ -151,7 +154,8 @@
                        const Progress &Each = Entry.second;
                        return Each.isWaiting() &&
                               Now - Each.m_WaitingSince >
-                                  m_Context.settings().m_Lease;
+                                  m_Context.settings().m_Lease &&
+                              m_Participants.contains(Session, Entry.first);
                      });
 }
 
--- a/ragwortmux/Version/UpdateTracker.h
+++ b/ragwortmux/Version/UpdateTracker.h
@@ -10,6 +10,7 @@
 
 namespace ragwortmux {
 
+class GroupParticipants;
 class LeaderContext;
 struct GroupRecord;
 struct GroupView;
@@ -19,7 +20,8 @@
 /// homes each session has confirmed, and pushes newer ones.
 class UpdateTracker final {
 public:
-  explicit UpdateTracker(LeaderContext &Context) : m_Context(Context) {}
+  UpdateTracker(LeaderContext &Context, const GroupParticipants &Participants)
+      : m_Context(Context), m_Participants(Participants) {}
 
   /// Discards all confirmations, which a new leader has to collect anew.
   void reset() { m_Sessions.clear(); }
@@ -32,27 +34,30 @@
                           Instant Now);
   void homesConfirmed(ControlSessionId Session, Revision Confirmed,
                       Instant Now);
-  /// Pushes to each open session what it has not confirmed.
+  /// Pushes to each open session what it has not confirmed: the catalogue, the
+  /// session homes and the records of the groups in which it takes part.
   void pushUpdates(Instant Now);
 
   /// The revision of \p Group that \p Session has confirmed; 0 if unknown.
   Revision confirmed(ControlSessionId Session, const GroupId &Group) const;
-  /// True if each open session up to \p Last has confirmed \p Required.
+  /// True if each participant of \p Group up to \p Last has confirmed \p
+  /// Required; see GroupParticipants.
   bool allConfirmed(const GroupId &Group, Revision Required,
                     ControlSessionId Last) const;
-  /// True if each open session has confirmed \p Required.
+  /// True if each participant of \p Group has confirmed \p Required.
   bool allConfirmed(const GroupId &Group, Revision Required) const;
   /// True if each open session has confirmed revision \p Required of the
   /// session homes.
   bool allConfirmedHomes(Revision Required) const;
-  /// The records of all groups that \p Session has not confirmed.
+  /// The records that \p Session has not confirmed, of the groups in which it
+  /// takes part.
   std::vector<GroupView> unconfirmedViews(ControlSessionId Session) const;
   /// The catalogue revision that \p Session has confirmed.
   Revision catalogueRevision(ControlSessionId Session) const;
   /// The revision of the session homes that \p Session has confirmed.
   Revision homesRevision(ControlSessionId Session) const;
-  /// True if \p Session has not confirmed a pushed group record for longer than
-  /// the length of a lease.
+  /// True if \p Session has not confirmed a pushed record of a group in which
+  /// it takes part for longer than the length of a lease.
   bool isStalled(ControlSessionId Session, Instant Now) const;
 
 private:
@@ -78,7 +83,8 @@
 
   const SessionProgress *find(ControlSessionId Session) const;
 
-  LeaderContext &m_Context;                               ///< Shared.
+  LeaderContext &m_Context;                ///< Shared.
+  const GroupParticipants &m_Participants; ///< Who takes part in each group.
   std::map<ControlSessionId, SessionProgress> m_Sessions; ///< By session.
 };
 
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -436,6 +436,10 @@
   BOOST_TEST(m_State.shares().share(TheGroup, S1, ControlSessionId(1)) == 0U);
   // A late OpenSession of the earlier run must not end the new session.
   BOOST_TEST(!Open(1).ok());
+  // It gets a share once a renewal has said that it serves the group.
+  run(600ms);
+  BOOST_TEST(!m_State.shares().holds(TheGroup, ControlSessionId(3)));
+  renew(ControlSessionId(3));
   run(600ms);
   BOOST_TEST(m_State.shares().share(TheGroup, S1, ControlSessionId(3)) > 0U);
 }
