--- a/ragwortmux/Version/ShareTable.cpp
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -77,8 +77,8 @@
 }
 
 std::uint32_t ShareTable::budget(std::uint32_t ConnectionLimit) const {
-  const std::uint32_t Limit = std::min(ConnectionLimit, m_Settings.m_MaxBudget);
-  return Limit - std::min(Limit, m_Settings.m_ControlReserve);
+  return ConnectionLimit -
+         std::min(ConnectionLimit, m_Settings.m_ControlReserve);
 }
 
 std::uint32_t ShareTable::share(const GroupId &Group, const ServerId &Server,
@@ -95,6 +95,26 @@
   return Sum;
 }
 
+bool ShareTable::holds(const GroupId &Group, ControlSessionId Session) const {
+  bool Holds = false;
+  forEachShareOf(Group, [&](const ShareRecord &Share) {
+    Holds = Holds || Share.m_Session == Session;
+  });
+  return Holds;
+}
+
+void ShareTable::forEachShareOf(
+    const GroupId &Group,
+    const std::function<void(const ShareRecord &)> &Visit) const {
+  // Shares are ordered by group first.
+  auto Next = m_Shares.lower_bound({Group, ServerId(), ControlSessionId()});
+  for (; Next != m_Shares.end(); ++Next) {
+    if (Next->second.m_Group != Group)
+      return;
+    Visit(Next->second);
+  }
+}
+
 void ShareTable::forEachShareOf(
     const GroupId &Group, const ServerId &Server,
     const std::function<void(const ShareRecord &)> &Visit) const {
--- a/ragwortmux/Version/UpdateTracker.h
+++ b/ragwortmux/Version/UpdateTracker.h
@@ -3,56 +3,78 @@
 
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Version/CatalogueRecords.h"
+#include "ragwortmux/Version/GroupView.h"
+#include "ragwortmux/Version/SessionHomeLists.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
 namespace ragwortmux {
 
+class GroupParticipants;
 class LeaderContext;
 struct GroupRecord;
-struct GroupView;
 struct LeaseRenewal;
 
 /// Tracks which revisions of the group records, the catalogue and the session
 /// homes each session has confirmed, and pushes newer ones.
+///
+/// Nothing is pushed to a session before its first renewal at this leader: the
+/// renewal says what the session has, and the reply brings the rest.
 class UpdateTracker final {
 public:
-  explicit UpdateTracker(LeaderContext &Context) : m_Context(Context) {}
+  UpdateTracker(LeaderContext &Context, const GroupParticipants &Participants)
+      : m_Context(Context), m_Participants(Participants) {}
 
   /// Discards all confirmations, which a new leader has to collect anew.
   void reset() { m_Sessions.clear(); }
   void sessionEnded(ControlSessionId Session) { m_Sessions.erase(Session); }
-  /// Records the revisions that \p Renewal confirms.
-  void renewalReceived(const LeaseRenewal &Renewal, Instant Now);
-  void groupConfirmed(ControlSessionId Session, const GroupId &Group,
+  /// Records the revisions that \p Renewal confirms. Returns the groups of
+  /// which it confirms a newer record than known before.
+  std::vector<GroupId> renewalReceived(const LeaseRenewal &Renewal,
+                                       Instant Now);
+  /// Returns true if \p Confirmed is newer than known before.
+  bool groupConfirmed(ControlSessionId Session, const GroupId &Group,
                       Revision Confirmed, Instant Now);
   void catalogueConfirmed(ControlSessionId Session, Revision Confirmed,
                           Instant Now);
   void homesConfirmed(ControlSessionId Session, Revision Confirmed,
                       Instant Now);
-  /// Pushes to each open session what it has not confirmed.
-  void pushUpdates(Instant Now);
+  /// Pushes the record of \p Group to each participant that has not confirmed
+  /// it.
+  void pushGroup(const GroupRecord &Group, Instant Now);
+  /// Pushes the catalogue and the session homes to each session that has not
+  /// confirmed them.
+  void pushLists(Instant Now);
 
   /// The revision of \p Group that \p Session has confirmed; 0 if unknown.
   Revision confirmed(ControlSessionId Session, const GroupId &Group) const;
-  /// True if each open session up to \p Last has confirmed \p Required.
+  /// True if each participant of \p Group up to \p Last has confirmed \p
+  /// Required; see GroupParticipants.
   bool allConfirmed(const GroupId &Group, Revision Required,
                     ControlSessionId Last) const;
-  /// True if each open session has confirmed \p Required.
+  /// True if each participant of \p Group has confirmed \p Required.
   bool allConfirmed(const GroupId &Group, Revision Required) const;
   /// True if each open session has confirmed revision \p Required of the
   /// session homes.
   bool allConfirmedHomes(Revision Required) const;
-  /// The records of all groups that \p Session has not confirmed.
-  std::vector<GroupView> unconfirmedViews(ControlSessionId Session) const;
-  /// The catalogue revision that \p Session has confirmed.
-  Revision catalogueRevision(ControlSessionId Session) const;
-  /// The revision of the session homes that \p Session has confirmed.
-  Revision homesRevision(ControlSessionId Session) const;
-  /// True if \p Session has not confirmed a pushed group record for longer than
-  /// the length of a lease.
+  /// The records that \p Session has not confirmed, of the groups in which it
+  /// takes part. They count as pushed.
+  std::vector<GroupView> takeUnconfirmedViews(ControlSessionId Session,
+                                              Instant Now);
+  /// The catalogue changes that \p Session has not confirmed, if there are any.
+  /// They count as pushed.
+  std::optional<CatalogueDelta>
+  takeUnconfirmedCatalogue(ControlSessionId Session, Instant Now);
+  /// The session homes unless \p Session has confirmed them. They count as
+  /// pushed.
+  std::optional<SessionHomeLists> takeUnconfirmedHomes(ControlSessionId Session,
+                                                       Instant Now);
+  /// True if \p Session has not confirmed a pushed record of a group in which
+  /// it takes part for longer than the length of a lease.
   bool isStalled(ControlSessionId Session, Instant Now) const;
 
 private:
@@ -64,9 +86,12 @@
     Instant
         m_WaitingSince{}; ///< Since when there has been an unconfirmed push.
 
-    void confirm(Revision Confirmed, Instant Now);
+    /// Returns true if \p Confirmed is newer than known before.
+    bool confirm(Revision Confirmed, Instant Now);
     /// Returns true if \p Current has to be pushed now, and records the push.
     bool startPush(Revision Current, Instant Now, Duration Retry);
+    /// Records that \p Current is pushed now.
+    void recordPush(Revision Current, Instant Now);
     bool isWaiting() const { return m_Confirmed < m_Pushed; }
   };
 
@@ -78,7 +103,8 @@
 
   const SessionProgress *find(ControlSessionId Session) const;
 
-  LeaderContext &m_Context;                               ///< Shared.
+  LeaderContext &m_Context;                ///< Shared.
+  const GroupParticipants &m_Participants; ///< Who takes part in each group.
   std::map<ControlSessionId, SessionProgress> m_Sessions; ///< By session.
 };
 
