--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -403,6 +403,28 @@
   BOOST_TEST(m_Entry->waitForExit(6s).has_value());
 }
 
+// Guards against a close of callers that had not received their answers in
+// full.
+BOOST_AUTO_TEST_CASE(GracefulStopSendsAnswersInFull) {
+  constexpr std::size_t ItemBytes = 1000000;
+  constexpr int Reads = 7;
+  Caller Slow(m_CallerPort, "booking");
+  const std::string Item(ItemBytes, 'x');
+  BOOST_REQUIRE(waitUntil([&] { return Slow.succeeds("WRITE a " + Item); }));
+  for (int Number = 0; Number < Reads; ++Number)
+    Slow.m_Socket->write("QUERY r" + std::to_string(Number) + " READ a\r\n");
+  std::this_thread::sleep_for(1s);
+  m_Entry->terminate();
+  std::this_thread::sleep_for(200ms);
+  for (int Number = 0; Number < Reads; ++Number) {
+    BOOST_TEST((Slow.m_Socket->readLine() == "ROW " + Item));
+    BOOST_TEST(Slow.m_Socket->readLine().value_or("").starts_with("COMPLETE"));
+    BOOST_TEST(Slow.m_Socket->readLine().value_or("").starts_with("READY I"));
+  }
+  BOOST_TEST(!Slow.m_Socket->readLine().has_value());
+  BOOST_TEST(m_Entry->waitForExit(6s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
