Measure delays of the event loop and the control node, and messages between processes

A log could not tell work in bursts from a starved process, nor what a leader sends. Histograms now have how late the event loop runs timers and posted tasks, how long tasks of the control node wait and run, and log syncs; a line at most once a second tells of a delay of more than 50 ms with the longest work and the processor time of the thread. Counters have calls and bytes by receiver and kind, and failures by kind.

LoopWatchTest, ControlLoadTest and WireEndToEndTest/MetricsCountMessagesAndDelays pass.

--- a/ragwortmux/Process/Control/ControlLoad.cpp
+++ b/ragwortmux/Process/Control/ControlLoad.cpp
@@ -1,6 +1,10 @@
 #include "ragwortmux/Process/Control/ControlLoad.h"
 
+#include "ragwortmux/Process/Control/LogControlLoad.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+
 #include <algorithm>
+#include <string>
 
 namespace ragwortmux {
 
@@ -11,9 +15,19 @@
 
 void ControlLoad::taskStarted(ControlTaskKind Kind, Instant PostedAt,
                               Instant Now) {
+  const Duration Wait = Now - PostedAt;
+  noteStart(Kind, Wait, Now);
+  m_Metrics.observe(Metric::ControlWaitSeconds,
+                    {std::string(controlTaskName(Kind))}, Wait);
+  if (isWarningDue(Wait, Now)) {
+    logDelayedTask(Kind, Wait, summary(Now));
+  }
+}
+
+void ControlLoad::noteStart(ControlTaskKind Kind, Duration Wait, Instant Now) {
   const std::lock_guard Lock(m_Mutex);
   ControlLoadSummary &Values = slotAt(Now);
-  Values.m_LongestWait = std::max(Values.m_LongestWait, Now - PostedAt);
+  Values.m_LongestWait = std::max(Values.m_LongestWait, Wait);
   ++Values.m_Tasks;
   if (Kind == ControlTaskKind::Renewal) {
     ++Values.m_Renewals;
@@ -28,18 +42,32 @@
   m_TaskKind = Kind;
 }
 
+bool ControlLoad::isWarningDue(Duration Wait, Instant Now) {
+  const std::lock_guard Lock(m_Mutex);
+  if (Wait <= WarningWait || Now - m_LastWarningAt < WarningInterval) {
+    return false;
+  }
+  m_LastWarningAt = Now;
+  return true;
+}
+
 void ControlLoad::taskEnded(Instant Now) {
   const std::lock_guard Lock(m_Mutex);
-  if (m_TaskStartedAt) {
-    addTask(slotAt(Now), m_TaskKind, Now - *m_TaskStartedAt);
+  if (!m_TaskStartedAt) {
+    return;
   }
+  const Duration Length = Now - *m_TaskStartedAt;
   m_TaskStartedAt.reset();
+  addTask(slotAt(Now), m_TaskKind, Length);
+  m_Metrics.observe(Metric::ControlTaskSeconds,
+                    {std::string(controlTaskName(m_TaskKind))}, Length);
 }
 
 void ControlLoad::logSynced(Instant Now, Duration Length) {
   const std::lock_guard Lock(m_Mutex);
   ControlLoadSummary &Values = slotAt(Now);
   Values.m_LongestSync = std::max(Values.m_LongestSync, Length);
+  m_Metrics.observe(Metric::LogSyncSeconds, {}, Length);
 }
 
 void ControlLoad::updatePushed(Instant Now) {
--- a/ragwortmux/Process/Control/ControlLoad.h
+++ b/ragwortmux/Process/Control/ControlLoad.h
@@ -12,6 +12,8 @@
 
 namespace ragwortmux {
 
+class Metrics;
+
 /// The load of a control node over ControlLoad::Window.
 struct ControlLoadSummary final {
   Duration m_LongestTickGap{0}; ///< Longest time between two ticks.
@@ -27,11 +29,19 @@
 };
 
 /// Measures the work of a control node: how long tasks wait and run, the time
-/// between ticks, and syncs of the log. Thread-safe.
+/// between ticks, and syncs of the log. Writes a log line when a task waited
+/// long, at most one in each WarningInterval. Thread-safe.
 class ControlLoad final {
 public:
   /// Length of the time that summary() covers.
   static constexpr Duration Window = std::chrono::seconds(2);
+  /// Waits above this are logged; the default interval of heartbeats.
+  static constexpr Duration WarningWait = std::chrono::milliseconds(50);
+  /// Minimum time between two log lines.
+  static constexpr Duration WarningInterval = std::chrono::seconds(1);
+
+  /// \p ProcessMetrics gets the times of all tasks and syncs.
+  explicit ControlLoad(Metrics &ProcessMetrics) : m_Metrics(ProcessMetrics) {}
 
   /// A task was posted to the node.
   void taskPosted();
@@ -62,13 +72,17 @@
   static void addTask(ControlLoadSummary &Values, ControlTaskKind Kind,
                       Duration Length);
   ControlLoadSummary &slotAt(Instant Now);
+  void noteStart(ControlTaskKind Kind, Duration Wait, Instant Now);
+  bool isWarningDue(Duration Wait, Instant Now);
 
+  Metrics &m_Metrics;                     ///< The process's metrics.
   mutable std::mutex m_Mutex;             ///< Guards all members below.
   std::array<Slot, SlotCount> m_Slots{};  ///< Recent slots, by number.
   std::size_t m_Waiting = 0;              ///< Tasks posted and not started.
   std::optional<Instant> m_LastTickAt;    ///< Start of the last tick.
   std::optional<Instant> m_TaskStartedAt; ///< Set while a task runs.
   ControlTaskKind m_TaskKind = ControlTaskKind::Tick; ///< Kind of that task.
+  Instant m_LastWarningAt{}; ///< Time of the last log line.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -2,7 +2,7 @@
 
 #include "ragwortmux/Process/Control/ControlLoad.h"
 #include "ragwortmux/Process/Control/ControlQuery.h"
-#include "ragwortmux/Process/Control/LogLostLeadership.h"
+#include "ragwortmux/Process/Control/LogControlLoad.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Peers/CommandCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -66,7 +66,7 @@
                          Metrics &ProcessMetrics, Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings),
       m_Metrics(ProcessMetrics), m_Timeline(Events),
-      m_Load(std::make_shared<ControlLoad>()),
+      m_Load(std::make_shared<ControlLoad>(ProcessMetrics)),
       m_Datagrams(Loop, Settings.m_ClusterKey, [this](LogEnvelope Envelope) {
         m_Actor->receive(std::move(Envelope));
       }) {}
@@ -224,6 +224,7 @@
     Settings.m_Address = PeerAddress.m_Address;
     Settings.m_Port = PeerAddress.m_Port;
     Settings.m_CallTimeout = PeerTimeout;
+    Settings.m_Metrics = &m_Metrics;
     Link =
         std::make_unique<PeerLink>(m_Loop, m_Settings.m_ClusterKey, Settings);
   }
@@ -235,7 +236,11 @@
   const std::string Message = encodeLogEnvelope(Envelope);
   if (!m_Datagrams.send(Address, Message)) {
     link(Address).sendLogMessage(Message);
+    return;
   }
+  const MetricLabels Labels = {Address, "log_datagram"};
+  m_Metrics.add(Metric::PeerCalls, Labels);
+  m_Metrics.add(Metric::PeerBytes, Labels, Message.size());
 }
 
 void ControlRole::push(ControlSessionId Session, const ControlUpdate &Update) {
--- a/ragwortmux/Process/Control/LogLostLeadership.cpp
+++ b/ragwortmux/Process/Control/LogControlLoad.cpp
@@ -1,4 +1,4 @@
-#include "ragwortmux/Process/Control/LogLostLeadership.h"
+#include "ragwortmux/Process/Control/LogControlLoad.h"
 
 #include "ragwortmux/Process/Control/ControlLoad.h"
 #include "ragwortmux/Process/Log/LogAction.h"
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 namespace ragwortmux {
 
@@ -21,14 +22,10 @@
   return static_cast<std::int64_t>(Count);
 }
 
-} // namespace
-
-void logLostLeadership(const LostLeadership &Lost, Instant Now,
-                       const ControlLoadSummary &Load) {
-  const std::array Fields = {
-      LogField{"term", toNumber(Lost.m_Term.value())},
-      LogField{"reason", std::string(leadershipLossName(Lost.m_Reason))},
-      LogField{"since_quorum_ms", toMs(Now - Lost.m_QuorumContactAt)},
+/// Writes a line with \p Fields and those of \p Load.
+void writeLine(const std::string &Sentence, std::vector<LogField> Fields,
+               const ControlLoadSummary &Load) {
+  const std::array LoadFields = {
       LogField{"tick_gap_ms", toMs(Load.m_LongestTickGap)},
       LogField{"task_ms", toMs(Load.m_LongestTask)},
       LogField{"task", std::string(controlTaskName(Load.m_LongestTaskKind))},
@@ -39,9 +36,29 @@
       LogField{"tasks", toNumber(Load.m_Tasks)},
       LogField{"renewals", toNumber(Load.m_Renewals)},
       LogField{"pushes", toNumber(Load.m_Pushes)}};
+  Fields.insert(Fields.end(), LoadFields.begin(), LoadFields.end());
+  logRecord(LogLevel::Warn, Part::Control, Sentence, Fields);
+}
+
+} // namespace
+
+void logLostLeadership(const LostLeadership &Lost, Instant Now,
+                       const ControlLoadSummary &Load) {
   const std::string Sentence =
       fmt::format("No longer the leader of term {}.", Lost.m_Term.value());
-  logRecord(LogLevel::Warn, Part::Control, Sentence, Fields);
+  writeLine(Sentence,
+            {{"term", toNumber(Lost.m_Term.value())},
+             {"reason", std::string(leadershipLossName(Lost.m_Reason))},
+             {"since_quorum_ms", toMs(Now - Lost.m_QuorumContactAt)}},
+            Load);
+}
+
+void logDelayedTask(ControlTaskKind Kind, Duration Wait,
+                    const ControlLoadSummary &Load) {
+  writeLine("A task of the control node waited long.",
+            {{"waited_task", std::string(controlTaskName(Kind))},
+             {"waited_ms", toMs(Wait)}},
+            Load);
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -57,6 +57,10 @@
   if (m_Settings.m_Protocol != CallerProtocol::PostgreSql) {
     m_Adapter = CreateAdapter(m_Loop, m_Settings);
   }
+  m_Loop.watch().setObserver([this](LoopWork Work, Duration Delay) {
+    m_Metrics.observe(Metric::LoopDelaySeconds,
+                      {std::string(loopWorkName(Work))}, Delay);
+  });
   std::vector<SettingFault> Faults;
   m_LoadedSettings = SettingFile::read(m_Settings.m_ConfigFile, Faults);
 }
@@ -122,7 +126,8 @@
   // This client never opens a session, so it needs no incarnation.
   m_ControlClient = std::make_unique<ControlClient>(
       m_Loop, m_Settings.m_ClusterKey,
-      controlClientSettings(m_Settings, m_Settings.m_RpcPort, Incarnation()),
+      controlClientSettings(m_Settings, m_Settings.m_RpcPort, Incarnation(),
+                            &m_Metrics),
       ControlClientHooks());
 }
 
@@ -192,6 +197,7 @@
 
 std::uint16_t Daemon::startRpc() {
   RpcServerHooks Hooks;
+  Hooks.m_Metrics = &m_Metrics;
   if (m_Control) {
     m_Control->serve(Hooks);
   }
--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -24,7 +24,8 @@
 
 ControlClientSettings controlClientSettings(const ProcessSettings &Settings,
                                             std::uint16_t RpcPort,
-                                            Incarnation OwnIncarnation) {
+                                            Incarnation OwnIncarnation,
+                                            Metrics *ProcessMetrics) {
   ControlClientSettings Client;
   Client.m_Self = {Settings.m_Host, Settings.m_FailureDomain,
                    Settings.m_Address, RpcPort};
@@ -34,6 +35,7 @@
   Client.m_CallTimeout = Settings.m_RequestTimeout;
   Client.m_Drift.m_Percent = Settings.m_DriftPercent;
   Client.m_Drift.m_Fixed = Settings.m_Drift;
+  Client.m_Metrics = ProcessMetrics;
   return Client;
 }
 
@@ -57,6 +59,7 @@
   Link.m_Address = Address.m_Address;
   Link.m_Port = Address.m_Port;
   Link.m_CallTimeout = m_Settings.m_CallTimeout;
+  Link.m_Metrics = m_Settings.m_Metrics;
   m_Links.push_back(std::make_unique<PeerLink>(m_Loop, m_ClusterKey, Link));
 }
 
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -18,6 +18,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 class Secret;
 struct ProcessSettings;
 
@@ -28,14 +29,16 @@
   std::vector<ControlPeer> m_ControlPeers; ///< All control hosts.
   Duration m_RenewalInterval{0};           ///< Time between two renewals.
   Duration m_CallTimeout{0};               ///< Timeout of one RPC call.
-  DriftBound m_Drift; ///< Bound on the drift between clocks.
+  DriftBound m_Drift;           ///< Bound on the drift between clocks.
+  Metrics *m_Metrics = nullptr; ///< Counts calls; null: none does.
 };
 
 /// The control client settings of a process with \p Settings that serves RPC
 /// on \p RpcPort.
 ControlClientSettings controlClientSettings(const ProcessSettings &Settings,
                                             std::uint16_t RpcPort,
-                                            Incarnation OwnIncarnation);
+                                            Incarnation OwnIncarnation,
+                                            Metrics *ProcessMetrics);
 
 /// Callbacks from the client into its process, called on the event loop.
 struct ControlClientHooks final {
--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -189,7 +189,7 @@
   };
   m_Control = std::make_unique<ControlClient>(
       m_Loop, m_Settings.m_ClusterKey,
-      controlClientSettings(m_Settings, RpcPort, m_Incarnation),
+      controlClientSettings(m_Settings, RpcPort, m_Incarnation, &m_Metrics),
       std::move(Hooks));
 }
 
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -50,7 +50,8 @@
       m_Incarnation(makeIncarnation()),
       m_Control(std::make_unique<ControlClient>(
           Loop, Settings.m_ClusterKey,
-          controlClientSettings(Settings, Settings.m_RpcPort, m_Incarnation),
+          controlClientSettings(Settings, Settings.m_RpcPort, m_Incarnation,
+                                &ProcessMetrics),
           controlHooks())) {}
 
 SessionEntryRole::~SessionEntryRole() = default;
--- a/ragwortmux/Process/Loop/IoLoop.h
+++ b/ragwortmux/Process/Loop/IoLoop.h
@@ -2,6 +2,7 @@
 #define RAGWORTMUX_PROCESS_LOOP_IOLOOP_H
 
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Process/Loop/LoopWatch.h"
 
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
@@ -52,6 +53,9 @@
   /// Runs \p Promise in the background; an error is logged.
   void spawn(kj::Promise<void> Promise);
 
+  /// Measures how late the loop runs its work.
+  LoopWatch &watch() { return m_Watch; }
+
   ///@name Access to the KJ event loop
   kj::Timer &timer() { return m_Io.provider->getTimer(); }
   kj::UnixEventPort &eventPort() { return m_Io.unixEventPort; }
@@ -64,6 +68,7 @@
   kj::Promise<void> watchMailbox();
   kj::Promise<void> repeat(Duration Interval, Task Work);
   void drainMailbox();
+  void runTimer(const Task &Work, Instant DueAt);
 
   kj::AsyncIoContext m_Io;  ///< The KJ event loop.
   kj::AutoCloseFd m_WakeFd; ///< eventfd that wakes the loop for posted tasks.
@@ -72,6 +77,8 @@
   kj::TaskSet m_Tasks;                          ///< Background promises.
   std::mutex m_Mutex;                           ///< Guards m_Mailbox.
   std::vector<Task> m_Mailbox; ///< Posted tasks that have not run yet.
+  Instant m_OldestPostedAt{};  ///< When the first task of m_Mailbox was posted.
+  LoopWatch m_Watch;           ///< See watch().
 };
 
 /// Converts \p Value to a duration of KJ.
--- a/ragwortmux/Process/Loop/SystemClock.h
+++ b/ragwortmux/Process/Loop/SystemClock.h
@@ -9,6 +9,9 @@
 /// is suspended, so that a lease also expires during a suspension.
 Instant monotonicNow();
 
+/// The processor time that the calling thread has used so far.
+Duration threadTime();
+
 /// The current wall-clock time in milliseconds.
 WallTime wallNow();
 
--- a/ragwortmux/Process/Peers/CapnpBytes.h
+++ b/ragwortmux/Process/Peers/CapnpBytes.h
@@ -5,6 +5,7 @@
 #include <capnp/message.h>
 #include <kj/string.h>
 
+#include <cstdint>
 #include <cstring>
 #include <string>
 #include <string_view>
@@ -43,6 +44,11 @@
   return Words;
 }
 
+/// Size of a message that is read with \p Message, without its framing.
+template <typename Reader> std::uint64_t sizeInBytes(const Reader &Message) {
+  return Message.totalSize().wordCount * sizeof(capnp::word);
+}
+
 } // namespace ragwortmux
 
 #endif // RAGWORTMUX_PROCESS_PEERS_CAPNPBYTES_H
--- a/ragwortmux/Process/Peers/PeerLink.cpp
+++ b/ragwortmux/Process/Peers/PeerLink.cpp
@@ -6,7 +6,9 @@
 #include "ragwortmux/Process/Peers/ClusterProof.h"
 #include "ragwortmux/Process/Peers/RpcCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Process/Support/Secret.h"
+#include "ragwortmux/Process/Support/SocketAddress.h"
 
 #include <capnp/rpc-twoparty.h>
 
@@ -51,7 +53,9 @@
 
 struct PeerLink::Impl final : std::enable_shared_from_this<Impl> {
   Impl(IoLoop &Loop, const Secret &Key, PeerLinkSettings LinkSettings)
-      : m_Loop(Loop), m_Key(Key), m_Settings(std::move(LinkSettings)) {}
+      : m_Loop(Loop), m_Key(Key), m_Settings(std::move(LinkSettings)),
+        m_PeerName(
+            formatSocketAddress({m_Settings.m_Address, m_Settings.m_Port})) {}
 
   /// Returns the other process's interface and connects first if necessary;
   /// calls wait until the connection is made. Empty if there is no connection
@@ -111,11 +115,27 @@
     m_Connection = nullptr;
   }
 
+  void count(Metric Which, std::string_view CallName, std::uint64_t Count) {
+    if (m_Settings.m_Metrics != nullptr) {
+      m_Settings.m_Metrics->add(Which, {m_PeerName, std::string(CallName)},
+                                Count);
+    }
+  }
+
+  void countFailure(std::string_view CallName, const char *Failure) {
+    if (m_Settings.m_Metrics != nullptr) {
+      m_Settings.m_Metrics->add(Metric::PeerFailures,
+                                {std::string(CallName), Failure});
+    }
+  }
+
   /// Sends \p Call; \p Read converts the results to the reply.
   template <typename Reply, typename Params, typename Results, typename Reader>
-  void send(capnp::Request<Params, Results> &&Call, Reader Read,
-            Respond<Reply> Respond) {
+  void send(std::string_view CallName, capnp::Request<Params, Results> &&Call,
+            Reader Read, Respond<Reply> Respond) {
     ++m_Unanswered;
+    count(Metric::PeerCalls, CallName, 1);
+    count(Metric::PeerBytes, CallName, sizeInBytes(Call.asReader()));
     auto Self = shared_from_this();
     auto UsedConnection = m_Connection;
     auto Answer =
@@ -130,8 +150,13 @@
                   --Self->m_Unanswered;
                   Respond(std::move(Value));
                 },
-                [Self, UsedConnection, Respond](kj::Exception &&Error) {
+                [Self, UsedConnection, Respond,
+                 CallName](kj::Exception &&Error) {
                   --Self->m_Unanswered;
+                  // timeoutAfter() fails with OVERLOADED.
+                  const bool IsTimeout =
+                      Error.getType() == kj::Exception::Type::OVERLOADED;
+                  Self->countFailure(CallName, IsTimeout ? "timeout" : "lost");
                   logDebug(Part::Rpc, "A call to {}:{} failed: {}.",
                            Self->m_Settings.m_Address, Self->m_Settings.m_Port,
                            Error.getDescription().cStr());
@@ -144,19 +169,22 @@
   /// many calls are unanswered, gives an empty reply on a later turn of the
   /// event loop.
   template <typename Reply, typename Maker>
-  void callPeer(const Respond<Reply> &Respond, Maker Make) {
+  void callPeer(std::string_view CallName, const Respond<Reply> &Respond,
+                Maker Make) {
     if (m_Unanswered < m_Settings.m_MaxUnanswered) {
       KJ_IF_MAYBE (Peer, peer()) {
         Make(*Peer);
         return;
       }
     }
+    countFailure(CallName, "not_sent");
     m_Loop.after(Duration(0), [Respond] { Respond(std::nullopt); });
   }
 
   IoLoop &m_Loop;                           ///< The event loop.
   const Secret &m_Key;                      ///< The cluster key.
   PeerLinkSettings m_Settings;              ///< Address, timeouts, limits.
+  std::string m_PeerName;                   ///< Label in metrics.
   kj::Maybe<rpc::Peer::Client> m_Peer;      ///< Set while connected.
   std::shared_ptr<Connection> m_Connection; ///< What m_Peer runs over.
   Instant m_RetryAt{};          ///< Earliest next connection attempt.
@@ -171,54 +199,56 @@
 
 void PeerLink::sendLogMessage(const std::string &Message) {
   const Respond<bool> Ignore = [](std::optional<bool>) {};
-  m_Impl->callPeer<bool>(Ignore, [&](rpc::Peer::Client &Peer) {
+  m_Impl->callPeer<bool>("log_message", Ignore, [&](rpc::Peer::Client &Peer) {
     auto Call = Peer.logMessageRequest();
     Call.setMessage(toData(Message));
     m_Impl->send<bool>(
-        kj::mv(Call), [](auto &) { return true; }, Ignore);
+        "log_message", kj::mv(Call), [](auto &) { return true; }, Ignore);
   });
 }
 
 void PeerLink::identify(const std::string &From, Respond<IdentifyReply> Reply) {
-  m_Impl->callPeer<IdentifyReply>(Reply, [&](rpc::Peer::Client &Peer) {
-    auto Call = Peer.identifyRequest();
-    Call.setFrom(toText(From));
-    m_Impl->send<IdentifyReply>(
-        kj::mv(Call),
-        [](auto &Result) {
-          IdentifyReply Identity{toString(Result.getVoter()),
-                                 Result.getBlank(),
-                                 HostId(toString(Result.getHost())),
-                                 {}};
-          for (const auto Member : Result.getMembers()) {
-            Identity.m_Members.push_back(toString(Member));
-          }
-          return Identity;
-        },
-        Reply);
-  });
+  m_Impl->callPeer<IdentifyReply>(
+      "identify", Reply, [&](rpc::Peer::Client &Peer) {
+        auto Call = Peer.identifyRequest();
+        Call.setFrom(toText(From));
+        m_Impl->send<IdentifyReply>(
+            "identify", kj::mv(Call),
+            [](auto &Result) {
+              IdentifyReply Identity{toString(Result.getVoter()),
+                                     Result.getBlank(),
+                                     HostId(toString(Result.getHost())),
+                                     {}};
+              for (const auto Member : Result.getMembers()) {
+                Identity.m_Members.push_back(toString(Member));
+              }
+              return Identity;
+            },
+            Reply);
+      });
 }
 
 void PeerLink::openSession(const EntryAddress &Self, Incarnation Run,
                            UpdateHandler Updates,
                            Respond<OpenSessionReply> Reply) {
-  m_Impl->callPeer<OpenSessionReply>(Reply, [&](rpc::Peer::Client &Peer) {
-    auto Call = Peer.openSessionRequest();
-    writeRpc(Call.initHost(), Self);
-    Call.setIncarnation(Run.value());
-    Call.setListener(kj::heap<ListenerServer>(std::move(Updates)));
-    m_Impl->send<OpenSessionReply>(
-        kj::mv(Call),
-        [](auto &Result) {
-          return OpenSessionReply{readRpc(Result.getStatus()),
-                                  ControlSessionId(Result.getSession())};
-        },
-        Reply);
-  });
+  m_Impl->callPeer<OpenSessionReply>(
+      "open_session", Reply, [&](rpc::Peer::Client &Peer) {
+        auto Call = Peer.openSessionRequest();
+        writeRpc(Call.initHost(), Self);
+        Call.setIncarnation(Run.value());
+        Call.setListener(kj::heap<ListenerServer>(std::move(Updates)));
+        m_Impl->send<OpenSessionReply>(
+            "open_session", kj::mv(Call),
+            [](auto &Result) {
+              return OpenSessionReply{readRpc(Result.getStatus()),
+                                      ControlSessionId(Result.getSession())};
+            },
+            Reply);
+      });
 }
 
 void PeerLink::renew(const LeaseRenewal &Renewal, Respond<RenewReply> Reply) {
-  m_Impl->callPeer<RenewReply>(Reply, [&](rpc::Peer::Client &Peer) {
+  m_Impl->callPeer<RenewReply>("renew", Reply, [&](rpc::Peer::Client &Peer) {
     auto Call = Peer.renewRequest();
     Call.setSession(Renewal.m_Session.value());
     Call.setSequence(Renewal.m_Sequence);
@@ -232,7 +262,7 @@
       writeRpc(Demand[Position++], Row);
     }
     m_Impl->send<RenewReply>(
-        kj::mv(Call),
+        "renew", kj::mv(Call),
         [](auto &Result) {
           return RenewReply{readRpc(Result.getStatus()),
                             Duration(Result.getLeaseUs()),
@@ -246,45 +276,48 @@
                       const std::vector<ServerAnnouncement> &Announcements,
                       const std::vector<ServerSuspicion> &Suspicions,
                       Respond<ControlStatus> Reply) {
-  m_Impl->callPeer<ControlStatus>(Reply, [&](rpc::Peer::Client &Peer) {
-    auto Call = Peer.reportRequest();
-    Call.setSession(Session.value());
-    auto First =
-        Call.initAnnouncements(static_cast<unsigned>(Announcements.size()));
-    unsigned Position = 0;
-    for (const ServerAnnouncement &Announcement : Announcements) {
-      writeRpc(First[Position++], Announcement);
-    }
-    auto Second = Call.initSuspicions(static_cast<unsigned>(Suspicions.size()));
-    Position = 0;
-    for (const ServerSuspicion &Suspicion : Suspicions) {
-      writeRpc(Second[Position++], Suspicion);
-    }
-    m_Impl->send<ControlStatus>(
-        kj::mv(Call), [](auto &Result) { return readRpc(Result.getStatus()); },
-        Reply);
-  });
+  m_Impl->callPeer<ControlStatus>(
+      "report", Reply, [&](rpc::Peer::Client &Peer) {
+        auto Call = Peer.reportRequest();
+        Call.setSession(Session.value());
+        auto First =
+            Call.initAnnouncements(static_cast<unsigned>(Announcements.size()));
+        unsigned Position = 0;
+        for (const ServerAnnouncement &Announcement : Announcements) {
+          writeRpc(First[Position++], Announcement);
+        }
+        auto Second =
+            Call.initSuspicions(static_cast<unsigned>(Suspicions.size()));
+        Position = 0;
+        for (const ServerSuspicion &Suspicion : Suspicions) {
+          writeRpc(Second[Position++], Suspicion);
+        }
+        m_Impl->send<ControlStatus>(
+            "report", kj::mv(Call),
+            [](auto &Result) { return readRpc(Result.getStatus()); }, Reply);
+      });
 }
 
 void PeerLink::command(const std::string &Command,
                        Respond<CommandReply> Reply) {
-  m_Impl->callPeer<CommandReply>(Reply, [&](rpc::Peer::Client &Peer) {
-    auto Call = Peer.commandRequest();
-    Call.setCommand(toData(Command));
-    m_Impl->send<CommandReply>(
-        kj::mv(Call), [](auto &Result) { return readRpc(Result.getResult()); },
-        Reply);
-  });
+  m_Impl->callPeer<CommandReply>(
+      "command", Reply, [&](rpc::Peer::Client &Peer) {
+        auto Call = Peer.commandRequest();
+        Call.setCommand(toData(Command));
+        m_Impl->send<CommandReply>(
+            "command", kj::mv(Call),
+            [](auto &Result) { return readRpc(Result.getResult()); }, Reply);
+      });
 }
 
 void PeerLink::query(const std::string &QueryKind, const std::string &Name,
                      Respond<QueryReply> Reply) {
-  m_Impl->callPeer<QueryReply>(Reply, [&](rpc::Peer::Client &Peer) {
+  m_Impl->callPeer<QueryReply>("query", Reply, [&](rpc::Peer::Client &Peer) {
     auto Call = Peer.queryRequest();
     Call.setWhat(toText(QueryKind));
     Call.setName(toText(Name));
     m_Impl->send<QueryReply>(
-        kj::mv(Call),
+        "query", kj::mv(Call),
         [](auto &Result) {
           return QueryReply{readRpc(Result.getStatus()),
                             toString(Result.getJson())};
@@ -295,30 +328,32 @@
 
 void PeerLink::storeSessionPoint(const SessionPointEntry &Entry,
                                  Respond<bool> Reply) {
-  m_Impl->callPeer<bool>(Reply, [&](rpc::Peer::Client &Peer) {
+  m_Impl->callPeer<bool>("store_point", Reply, [&](rpc::Peer::Client &Peer) {
     auto Call = Peer.storeSessionPointRequest();
     writePointKey(Call, Entry.m_Key);
     writeRpc(Call.initPoint(), Entry.m_Point);
     writeRpc(Call.initTicket(), Entry.m_Ticket);
     m_Impl->send<bool>(
-        kj::mv(Call), [](auto &Result) { return Result.getStored(); }, Reply);
+        "store_point", kj::mv(Call),
+        [](auto &Result) { return Result.getStored(); }, Reply);
   });
 }
 
 void PeerLink::findSessionPoint(const SessionPointKey &Key,
                                 Respond<SessionLookup> Reply) {
-  m_Impl->callPeer<SessionLookup>(Reply, [&](rpc::Peer::Client &Peer) {
-    auto Call = Peer.findSessionPointRequest();
-    writePointKey(Call, Key);
-    m_Impl->send<SessionLookup>(
-        kj::mv(Call),
-        [](auto &Result) {
-          return SessionLookup{
-              readRpc(Result.getPoint()),
-              readRpc(Result.getTicket()).value_or(SessionTicket())};
-        },
-        Reply);
-  });
+  m_Impl->callPeer<SessionLookup>(
+      "find_point", Reply, [&](rpc::Peer::Client &Peer) {
+        auto Call = Peer.findSessionPointRequest();
+        writePointKey(Call, Key);
+        m_Impl->send<SessionLookup>(
+            "find_point", kj::mv(Call),
+            [](auto &Result) {
+              return SessionLookup{
+                  readRpc(Result.getPoint()),
+                  readRpc(Result.getTicket()).value_or(SessionTicket())};
+            },
+            Reply);
+      });
 }
 
 const PeerLinkSettings &PeerLink::settings() const {
--- a/ragwortmux/Process/Peers/PeerLink.h
+++ b/ragwortmux/Process/Peers/PeerLink.h
@@ -15,6 +15,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 class Secret;
 
 /// Address, timeouts and limits of a PeerLink.
@@ -28,6 +29,7 @@
       std::chrono::milliseconds(50); ///< Pause between two connection attempts.
   std::size_t m_MaxUnanswered =
       4096; ///< Limit of unanswered calls; further calls fail at once.
+  Metrics *m_Metrics = nullptr; ///< Counts the calls; null: none does.
 };
 
 /// RPC client for one other process of the cluster: connects on first use,
--- a/ragwortmux/Process/Peers/RpcServer.cpp
+++ b/ragwortmux/Process/Peers/RpcServer.cpp
@@ -7,6 +7,7 @@
 #include "ragwortmux/Process/Peers/LogMessageCodec.h"
 #include "ragwortmux/Process/Peers/RpcCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Process/Support/Secret.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -21,21 +22,33 @@
 }
 
 /// Delivers updates through an entry process's listener capability.
-UpdateListener makeUpdateListener(IoLoop &Loop,
+UpdateListener makeUpdateListener(IoLoop &Loop, Metrics *ProcessMetrics,
+                                  const HostId &Host,
                                   rpc::EntryListener::Client Client) {
   const auto Shared =
       std::make_shared<rpc::EntryListener::Client>(kj::mv(Client));
-  return [&Loop, Shared](
+  const MetricLabels Labels = {Host.value(), "push"};
+  return [&Loop, ProcessMetrics, Labels, Shared](
              ControlSessionId Session, const ControlUpdate &Update,
              const std::function<void(std::optional<Confirmation>)> &Reply) {
     auto Request = Shared->updateRequest();
     Request.setSession(Session.value());
     writeRpc(Request.initUpdate(), Update);
+    if (ProcessMetrics != nullptr) {
+      ProcessMetrics->add(Metric::PeerCalls, Labels);
+      ProcessMetrics->add(Metric::PeerBytes, Labels,
+                          sizeInBytes(Request.asReader()));
+    }
     Loop.spawn(Request.send().then(
         [Reply](capnp::Response<rpc::EntryListener::UpdateResults> &&Result) {
           Reply(readRpc(Result.getConfirmation()));
         },
-        [Reply](kj::Exception &&) { Reply(std::nullopt); }));
+        [ProcessMetrics, Reply](kj::Exception &&) {
+          if (ProcessMetrics != nullptr) {
+            ProcessMetrics->add(Metric::PeerFailures, {"push", "lost"});
+          }
+          Reply(std::nullopt);
+        }));
   };
 }
 
@@ -87,10 +100,12 @@
     }
     const auto Params = Context.getParams();
     return makeReplyPromise<OpenSessionReply>([&](auto Respond) {
-             m_Hooks.m_OpenSession(
-                 readRpc(Params.getHost()),
-                 Incarnation(Params.getIncarnation()),
-                 makeUpdateListener(m_Loop, Params.getListener()), Respond);
+             const EntryAddress Host = readRpc(Params.getHost());
+             m_Hooks.m_OpenSession(Host, Incarnation(Params.getIncarnation()),
+                                   makeUpdateListener(m_Loop, m_Hooks.m_Metrics,
+                                                      Host.m_Host,
+                                                      Params.getListener()),
+                                   Respond);
            })
         .then([Context](const OpenSessionReply &Reply) mutable {
           writeRpc(Context.getResults().initStatus(), Reply.m_Status);
@@ -117,11 +132,17 @@
     return makeReplyPromise<RenewReply>([&](auto Respond) {
              m_Hooks.m_Renew(std::move(Renewal), Respond);
            })
-        .then([Context](const RenewReply &Reply) mutable {
+        .then([this, Context](const RenewReply &Reply) mutable {
           auto Results = Context.getResults();
           writeRpc(Results.initStatus(), Reply.m_Status);
           Results.setLeaseUs(Reply.m_Lease.count());
           writeRpc(Results.initUpdate(), Reply.m_Update);
+          if (m_Hooks.m_Metrics != nullptr) {
+            const MetricLabels Labels = {"all", "renew_answer"};
+            m_Hooks.m_Metrics->add(Metric::PeerCalls, Labels);
+            m_Hooks.m_Metrics->add(Metric::PeerBytes, Labels,
+                                   sizeInBytes(Results.asReader()));
+          }
         });
   }
 
--- a/ragwortmux/Process/Peers/RpcServer.h
+++ b/ragwortmux/Process/Peers/RpcServer.h
@@ -14,6 +14,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 class Secret;
 
 /// Handlers of the calls from other processes of the cluster. Hooks run on the
@@ -47,6 +48,8 @@
   std::function<bool(const SessionPointEntry &Entry)> m_StorePoint;
   /// Looks a session's position up.
   std::function<SessionLookup(const SessionPointKey &Key)> m_FindPoint;
+  /// Counts the updates that are pushed to entry processes; null: none does.
+  Metrics *m_Metrics = nullptr;
 };
 
 /// Serves RPC to processes that prove that they know the cluster key.
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -38,6 +38,12 @@
   LogSyncSeconds,
   Draining,
   LogLinesDropped,
+  LoopDelaySeconds,
+  ControlWaitSeconds,
+  ControlTaskSeconds,
+  PeerCalls,
+  PeerBytes,
+  PeerFailures,
 };
 
 /// Prometheus type of a metric.
--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -318,6 +318,25 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(MetricsCountMessagesAndDelays) {
+  std::string Body;
+  httpCall("127.0.0.1", m_MetricsPort, "GET", "/metrics", "", &Body);
+  for (const char *Series :
+       {"ragwortmux_peer_calls_total{peer=\"entry-1\",call=\"push\"} ",
+        "ragwortmux_peer_bytes_total{peer=\"entry-1\",call=\"push\"} ",
+        "ragwortmux_peer_bytes_total{peer=\"all\",call=\"renew_answer\"} ",
+        "ragwortmux_control_wait_seconds_count{task=\"renewal\"} ",
+        "ragwortmux_control_task_seconds_count{task=\"tick\"} ",
+        "ragwortmux_loop_delay_seconds_count{work=\"timer\"} ",
+        "ragwortmux_loop_delay_seconds_count{work=\"posted_tasks\"} ",
+        "ragwortmux_log_sync_seconds_count "}) {
+    const std::size_t At = Body.find(Series);
+    BOOST_REQUIRE_MESSAGE(At != std::string::npos, Series << "in\n" << Body);
+    BOOST_TEST(std::stod(Body.substr(At + std::string(Series).size())) > 0,
+               Series);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ControlSendsNoPushesWithoutChanges) {
   const auto Pushes = [&] {
     std::string Body;
--- a/tests/Support/LogTest.cpp
+++ b/tests/Support/LogTest.cpp
@@ -1,4 +1,5 @@
 #include "ragwortmux/Process/Support/Log.h"
+#include "tests/Support/LogCapture.h"
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -9,26 +10,6 @@
 
 using namespace ragwortmux;
 
-namespace {
-
-/// Captures the log in a string for the duration of a test.
-class LogCapture final {
-public:
-  LogCapture(LogLevel Level, LogFormat Format) {
-    startLog({Level, Format, &m_Stream});
-  }
-  ~LogCapture() { startLog({}); }
-  LogCapture(const LogCapture &) = delete;
-  LogCapture &operator=(const LogCapture &) = delete;
-
-  std::string text() const { return m_Stream.str(); }
-
-private:
-  std::ostringstream m_Stream;
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(LogTest)
 
 BOOST_AUTO_TEST_CASE(TextLinesCarryThePartPrefix) {
