Log callers' connections that end with work left

A request without an answer left no line at its entry host. The line names the running statement and its age, unread and unsent bytes, queued messages and why the connection ended; explain shows it as the cause.

--- a/ragwortmux/Process/Support/LogExplainer.cpp
+++ b/ragwortmux/Process/Support/LogExplainer.cpp
@@ -84,13 +84,18 @@
   const bool IsContext = !Object.contains("id");
   if (!Entry.m_IsDecision && !IsContext)
     return;
-  Entry.m_Code = integerField(Object, "code");
-  Entry.m_Text = Entry.m_IsDecision
-                     ? fmt::format("{} {} {}{}", textField(Object, "decision"),
-                                   Entry.m_Code, textField(Object, "result"),
-                                   formatInputs(Object))
-                     : fmt::format("{}: {}", textField(Object, "part"),
-                                   textField(Object, "text"));
+  const std::string Decision = textField(Object, "decision");
+  const std::int64_t Code = integerField(Object, "code");
+  Entry.m_Cause = Decision == "closed"
+                      ? "The caller's connection ended before the answer: " +
+                            textField(Object, "reason") + "."
+                      : resultCodeMeaning(Code);
+  Entry.m_Text =
+      Entry.m_IsDecision
+          ? fmt::format("{} {} {}{}", Decision, Code,
+                        textField(Object, "result"), formatInputs(Object))
+          : fmt::format("{}: {}", textField(Object, "part"),
+                        textField(Object, "text"));
   m_Entries.push_back(std::move(Entry));
 }
 
@@ -126,7 +131,7 @@
                                 Decision->m_Process, Decision->m_Text));
   }
   if (!Decisions.empty())
-    Lines.push_back("cause: " + resultCodeMeaning(Decisions.back()->m_Code));
+    Lines.push_back("cause: " + Decisions.back()->m_Cause);
   return Lines;
 }
 
--- a/ragwortmux/Process/Support/LogExplainer.h
+++ b/ragwortmux/Process/Support/LogExplainer.h
@@ -34,7 +34,7 @@
     std::int64_t m_TimeMs = 0; ///< Wall-clock time at the process.
     std::string m_Process;     ///< Process that wrote the line.
     bool m_IsDecision = false; ///< False for a context line.
-    std::int64_t m_Code = 0;   ///< Decision: its result code.
+    std::string m_Cause;       ///< Decision: the cause that it names.
     std::string m_Text;        ///< Text to print.
   };
 
--- a/tests/Platform/LineStreamTest.cpp
+++ b/tests/Platform/LineStreamTest.cpp
@@ -58,6 +58,20 @@
   BOOST_TEST(Lines.hasPartialLine());
 }
 
+BOOST_AUTO_TEST_CASE(UnreadBytesIncludeThoseInTheSocket) {
+  LineStream Lines(m_Loop, kj::mv(m_Stream), hooks());
+  m_Peer->write("abc\r\nde");
+  runFor(milliseconds(20));
+  BOOST_TEST(Lines.unreadBytes() == 2U);
+  m_Peer->write("fgh\r\n");
+  std::this_thread::sleep_for(milliseconds(20));
+  BOOST_TEST(Lines.unreadBytes() == 7U);
+  // The loop's clock stood still during the sleep, which counts too.
+  runFor(milliseconds(60));
+  BOOST_TEST(Lines.unreadBytes() == 0U);
+  BOOST_TEST(Lines.unsentBytes() == 0U);
+}
+
 // Guards against an exception from the first read or write after the peer has
 // already reset the connection: it used to stop the driver of the group for
 // good.
--- a/tests/Support/LogExplainerTest.cpp
+++ b/tests/Support/LogExplainerTest.cpp
@@ -27,6 +27,8 @@
     R"(  36.0000 front-2 {"time_ms":3500,"level":"warn","part":"control","text":"Lost control: no lease any more."})"
     "\n"
     R"(  36.1000 front-2 {"time_ms":3600,"level":"info","part":"group","text":"A statement was decided on.","id":"cc","decision":"refused","code":109,"result":"not-run-too-old","server":"","floor_age_ms":-1})"
+    "\n"
+    R"(  36.2000 front-2 {"time_ms":3700,"level":"warn","part":"caller","text":"A caller's connection ended with work left.","decision":"closed","reason":"closed idle","running_ms":0,"id":"dd"})"
     "\n";
 
 /// A statement and the texts that its explanation must contain.
@@ -44,6 +46,7 @@
     {"aa", "the primary's term ended before the answer", "primary none"},
     {"bb", "queue or concurrency limit is reached", "primary none"},
     {"cc", "holds data young enough", "Lost control"},
+    {"dd", "connection ended before the answer: closed idle", "Lost control"},
 };
 
 } // namespace
