--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_PROCESS_ENTRY_CONTROLCLIENT_H
 #define RAGWORTMUX_PROCESS_ENTRY_CONTROLCLIENT_H
 
+#include "ragwortmux/Process/Entry/LeaseLog.h"
 #include "ragwortmux/Process/Peers/ControlMessages.h"
 #include "ragwortmux/Process/Peers/PeerLink.h"
 #include "ragwortmux/Process/Support/ControlPeer.h"
@@ -19,6 +20,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 class Secret;
 struct ProcessSettings;
 
@@ -29,14 +31,16 @@
   std::vector<ControlPeer> m_ControlPeers; ///< All control hosts.
   Duration m_RenewalInterval{0};           ///< Time between two renewals.
   Duration m_CallTimeout{0};               ///< Timeout of one RPC call.
-  DriftBound m_Drift; ///< Bound on the drift between clocks.
+  DriftBound m_Drift;           ///< Bound on the drift between clocks.
+  Metrics *m_Metrics = nullptr; ///< Counts calls; null: none does.
 };
 
 /// The control client settings of a process with \p Settings that serves RPC
 /// on \p RpcPort.
 ControlClientSettings controlClientSettings(const ProcessSettings &Settings,
                                             std::uint16_t RpcPort,
-                                            Incarnation OwnIncarnation);
+                                            Incarnation OwnIncarnation,
+                                            Metrics *ProcessMetrics);
 
 /// Callbacks from the client into its process, called on the event loop.
 struct ControlClientHooks final {
@@ -109,6 +113,9 @@
                         std::uint64_t Sequence,
                         const std::optional<RenewReply> &Reply);
   void applyUpdate(const ControlUpdate &Update);
+  /// Notes an answer of the host \p TargetIndex other than a grant; null: the
+  /// call failed.
+  void noteAnswer(std::size_t TargetIndex, const ControlStatus *Status);
   void addLink(const SocketAddress &Address);
   void scheduleReport();
   void sendReports();
@@ -129,6 +136,7 @@
       m_Links;                           ///< One for each control host.
   std::size_t m_LeaderIndex = 0;         ///< Index of the presumed leader.
   ProxyLease m_Lease;                    ///< Session and lease.
+  LeaseLog m_LeaseLog;                   ///< Log lines about the lease.
   bool m_IsRegistered = false;           ///< The leader pushes updates here.
   bool m_Stopped = false;                ///< endSession() was called.
   bool m_IsOpening = false;              ///< An openSession call is in flight.
--- a/ragwortmux/Version/ShareTable.h
+++ b/ragwortmux/Version/ShareTable.h
@@ -23,11 +23,9 @@
 public:
   /// Bounds of the shares.
   struct Settings final {
-    std::uint32_t m_MaxBudget =
-        35; ///< Maximum number of connections per server.
     std::uint32_t m_ControlReserve =
-        3; ///< Connections of these that are reserved
-           ///< for calls of the control leader.
+        3; ///< Connections of each server that are reserved for calls of the
+           ///< control leader.
   };
 
   explicit ShareTable(const Settings &Bounds) : m_Settings(Bounds) {}
@@ -56,6 +54,13 @@
                       ControlSessionId Session) const;
   /// The connections that all sessions together may have open.
   std::uint32_t maxOpen(const GroupId &Group, const ServerId &Server) const;
+  /// True if there is a share of \p Session, even of 0, at a server of \p
+  /// Group.
+  bool holds(const GroupId &Group, ControlSessionId Session) const;
+  /// Calls \p Visit for each share of one group by server and session.
+  void
+  forEachShareOf(const GroupId &Group,
+                 const std::function<void(const ShareRecord &)> &Visit) const;
   /// Calls \p Visit for each share of one server by session.
   void
   forEachShareOf(const GroupId &Group, const ServerId &Server,
--- a/tests/Platform/WireFixture.h
+++ b/tests/Platform/WireFixture.h
@@ -242,6 +242,16 @@
     }
   }
 
+  /// Ends control and waits until the entry process has no lease.
+  void loseLease() {
+    m_Control->kill();
+    BOOST_REQUIRE(waitUntil([&] {
+      WireCaller Probe(m_CallerPort, "booking");
+      const auto Lines = Probe.execute("READ a");
+      return !Lines.empty() && Lines.front().starts_with("ERROR BUSY 107 ");
+    }));
+  }
+
   ServiceStandIn m_Service;
   PromotionStandIn m_Promotion;
   std::vector<std::unique_ptr<WireStandIn>> m_Servers;
