--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -219,13 +219,12 @@
 
 struct RelayedAnswer {
   # The answer to a relayed statement. hasBody is false where there is no answer of a backend server.
-  group @0 :Text;
-  code @1 :UInt16;
-  hasBody @2 :Bool;
-  body @3 :Data;
-  status @4 :UInt8;
-  point @5 :Point;
-  written @6 :Point;
+  code @0 :UInt16;
+  hasBody @1 :Bool;
+  body @2 :Data;
+  status @3 :UInt8;
+  point @4 :Point;
+  written @5 :Point;
 }
 
 interface StatementRelay {
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -555,7 +555,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bfd5fb1dd2c46f64, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bfd5fb1dd2c46f64, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4059,9 +4059,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
   inline  ::uint16_t getCode() const;
 
   inline bool getHasBody() const;
@@ -4105,13 +4102,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
   inline  ::uint16_t getCode();
   inline void setCode( ::uint16_t value);
 
@@ -9700,40 +9690,6 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RelayedAnswer::Reader::hasGroup() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RelayedAnswer::Builder::hasGroup() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RelayedAnswer::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RelayedAnswer::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RelayedAnswer::Builder::setGroup( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder RelayedAnswer::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void RelayedAnswer::Builder::adoptGroup(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> RelayedAnswer::Builder::disownGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline  ::uint16_t RelayedAnswer::Reader::getCode() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -9764,36 +9720,36 @@
 
 inline bool RelayedAnswer::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayedAnswer::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Data::Reader RelayedAnswer::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Data::Builder RelayedAnswer::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RelayedAnswer::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Data::Builder RelayedAnswer::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void RelayedAnswer::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Data> RelayedAnswer::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::uint8_t RelayedAnswer::Reader::getStatus() const {
@@ -9812,80 +9768,80 @@
 
 inline bool RelayedAnswer::Reader::hasPoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayedAnswer::Builder::hasPoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::ragwortmux::rpc::Point::Reader RelayedAnswer::Reader::getPoint() const {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::getPoint() {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::ragwortmux::rpc::Point::Pipeline RelayedAnswer::Pipeline::getPoint() {
-  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(2));
+  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void RelayedAnswer::Builder::setPoint( ::ragwortmux::rpc::Point::Reader value) {
   ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::initPoint() {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void RelayedAnswer::Builder::adoptPoint(
     ::capnp::Orphan< ::ragwortmux::rpc::Point>&& value) {
   ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::ragwortmux::rpc::Point> RelayedAnswer::Builder::disownPoint() {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool RelayedAnswer::Reader::hasWritten() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool RelayedAnswer::Builder::hasWritten() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::ragwortmux::rpc::Point::Reader RelayedAnswer::Reader::getWritten() const {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::getWritten() {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::ragwortmux::rpc::Point::Pipeline RelayedAnswer::Pipeline::getWritten() {
-  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(3));
+  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void RelayedAnswer::Builder::setWritten( ::ragwortmux::rpc::Point::Reader value) {
   ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::initWritten() {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void RelayedAnswer::Builder::adoptWritten(
     ::capnp::Orphan< ::ragwortmux::rpc::Point>&& value) {
   ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::ragwortmux::rpc::Point> RelayedAnswer::Builder::disownWritten() {
   return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
--- a/ragwortmux/Process/Peers/PeerConnection.cpp
+++ b/ragwortmux/Process/Peers/PeerConnection.cpp
@@ -3,10 +3,16 @@
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Peers/CapnpBytes.h"
 #include "ragwortmux/Process/Peers/ClusterProof.h"
+#include "ragwortmux/Process/Peers/ObservedStream.h"
 #include "ragwortmux/Process/Support/Secret.h"
 
+#include <utility>
+
 namespace ragwortmux {
 
+PeerConnection::PeerConnection(std::function<void()> BytesReceived)
+    : m_BytesReceived(std::move(BytesReceived)) {}
+
 kj::Promise<rpc::Peer::Client>
 PeerConnection::connect(IoLoop &Loop, const Secret &ClusterKey,
                         const HostId &OwnHost, const std::string &Address,
@@ -14,7 +20,7 @@
   return Loop.connect(Address, Port)
       .then([this,
              Self = shared_from_this()](kj::Own<kj::AsyncIoStream> &&Stream) {
-        m_Stream = kj::mv(Stream);
+        m_Stream = kj::heap<ObservedStream>(kj::mv(Stream), m_BytesReceived);
         auto &Client = m_Client.emplace(*m_Stream);
         auto Gate = Client.bootstrap().castAs<rpc::Gate>();
         return Gate.helloRequest().send();
--- a/ragwortmux/Process/Peers/PeerConnection.h
+++ b/ragwortmux/Process/Peers/PeerConnection.h
@@ -6,6 +6,7 @@
 
 #include <capnp/rpc-twoparty.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -19,7 +20,8 @@
 class PeerConnection final
     : public std::enable_shared_from_this<PeerConnection> {
 public:
-  PeerConnection() = default;
+  /// \p BytesReceived is called whenever bytes arrive.
+  explicit PeerConnection(std::function<void()> BytesReceived = [] {});
   PeerConnection(const PeerConnection &) = delete;
   PeerConnection &operator=(const PeerConnection &) = delete;
 
@@ -31,6 +33,7 @@
                                          std::uint16_t Port);
 
 private:
+  std::function<void()> m_BytesReceived;     ///< See the constructor.
   kj::Own<kj::AsyncIoStream> m_Stream;       ///< The socket.
   kj::Maybe<capnp::TwoPartyClient> m_Client; ///< RPC over it.
 };
--- a/ragwortmux/Process/Peers/RelayCodec.cpp
+++ b/ragwortmux/Process/Peers/RelayCodec.cpp
@@ -13,6 +13,10 @@
 /// do not overflow.
 constexpr Duration MaxDuration = std::chrono::years(1);
 
+/// Largest body that is sent; Cap'n Proto refuses messages of 64 MiB, which
+/// would end the connection.
+constexpr std::size_t MaxBodyBytes = 32U << 20U;
+
 bool isValid(Duration Value) {
   return Value >= Duration(0) && Value <= MaxDuration;
 }
@@ -155,10 +159,12 @@
 }
 
 void writeRpc(rpc::RelayedAnswer::Builder Out, const SessionAnswer &Answer) {
-  Out.setGroup(toText(Answer.m_Group.value()));
-  Out.setCode(static_cast<std::uint16_t>(Answer.m_Code));
-  Out.setHasBody(Answer.m_Body != nullptr);
-  if (Answer.m_Body) {
+  const bool IsTooLarge = Answer.m_Body && Answer.m_Body->size() > MaxBodyBytes;
+  const ResultCode Code =
+      IsTooLarge ? ResultCode::RanAnswerTooLarge : Answer.m_Code;
+  Out.setCode(static_cast<std::uint16_t>(Code));
+  Out.setHasBody(Answer.m_Body && !IsTooLarge);
+  if (Out.getHasBody()) {
     Out.setBody(toData(*Answer.m_Body));
   }
   Out.setStatus(static_cast<std::uint8_t>(Answer.m_Status));
@@ -173,7 +179,6 @@
     return std::nullopt;
   }
   SessionAnswer Answer;
-  Answer.m_Group = GroupId(toString(In.getGroup()));
   Answer.m_Code = *Code;
   if (In.getHasBody()) {
     Answer.m_Body = std::make_shared<const std::string>(toString(In.getBody()));
--- a/ragwortmux/Process/Peers/RelayCodec.h
+++ b/ragwortmux/Process/Peers/RelayCodec.h
@@ -21,10 +21,11 @@
 std::optional<SessionRequest> readRpc(rpc::RelayedStatement::Reader In,
                                       Instant Now);
 
-/// Leaves out the ids of the request and its caller; the RPC call implies them.
+/// Leaves out the group and the ids of the request and its caller; the RPC call
+/// implies them. An answer that is too large for a message becomes
+/// RanAnswerTooLarge.
 void writeRpc(rpc::RelayedAnswer::Builder Out, const SessionAnswer &Answer);
-/// Leaves the ids of the request and its caller empty; none if a value is
-/// invalid.
+/// Does not set what writeRpc() leaves out; none if a value is invalid.
 std::optional<SessionAnswer> readRpc(rpc::RelayedAnswer::Reader In);
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Peers/RelayLink.cpp
+++ b/ragwortmux/Process/Peers/RelayLink.cpp
@@ -7,6 +7,7 @@
 #include "ragwortmux/Process/Peers/RelayCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -16,6 +17,8 @@
 
 /// Interval of the checks for silence.
 constexpr Duration CheckInterval = std::chrono::milliseconds(50);
+/// The pause between two attempts to connect doubles up to this.
+constexpr Duration MaxReconnectPause = std::chrono::seconds(1);
 
 /// An unanswered statement.
 struct PendingStatement final {
@@ -40,7 +43,8 @@
   Impl(IoLoop &Loop, const Secret &Key, PeerLinkSettings LinkSettings,
        RelayLinkHooks LinkHooks)
       : m_Loop(Loop), m_Key(Key), m_Settings(std::move(LinkSettings)),
-        m_Hooks(std::move(LinkHooks)) {}
+        m_Hooks(std::move(LinkHooks)),
+        m_RetryPause(m_Settings.m_ReconnectPause) {}
 
   /// Makes \p Work a task that does nothing after the end of the link.
   template <typename Function> auto whileAlive(Function Work) {
@@ -68,6 +72,7 @@
     if (Answer) {
       Answer->m_Request = Node.mapped().m_Request.m_Id;
       Answer->m_Caller = Node.mapped().m_Request.m_Caller;
+      Answer->m_Group = Node.mapped().m_Request.m_Entry->m_Group;
     }
     Node.mapped().m_Reply(std::move(Answer));
   }
@@ -101,7 +106,9 @@
   }
 
   void connect() {
-    m_Connection = std::make_shared<PeerConnection>();
+    ++m_ConnectionNumber;
+    m_Connection = std::make_shared<PeerConnection>(
+        whileAlive([](Impl &Self) { Self.m_HeardAnything = true; }));
     auto Opening = m_Connection
                        ->connect(m_Loop, m_Key, m_Settings.m_OwnHost,
                                  m_Settings.m_Address, m_Settings.m_Port)
@@ -111,23 +118,23 @@
     m_Loop.spawn(
         m_Loop.timer()
             .timeoutAfter(toKj(m_Settings.m_CallTimeout), kj::mv(Opening))
-            .then(whileAlive([Used = m_Connection](Impl &Self, auto &&Result) {
-                    Self.established(Used, Result.getRelay());
-                  }),
-                  whileAlive(
-                      [Used = m_Connection](Impl &Self, kj::Exception &&Error) {
-                        Self.drop(Used, Error.getDescription().cStr());
-                      })));
+            .then(whileAlive(
+                      [Used = m_ConnectionNumber](Impl &Self, auto &&Result) {
+                        Self.established(Used, Result.getRelay());
+                      }),
+                  whileAlive([Used = m_ConnectionNumber](
+                                 Impl &Self, kj::Exception &&Error) {
+                    Self.drop(Used, Error.getDescription().cStr());
+                  })));
   }
 
-  void established(const std::shared_ptr<PeerConnection> &Used,
-                   rpc::StatementRelay::Client Relay) {
-    if (Used != m_Connection) {
+  void established(std::uint64_t Used, rpc::StatementRelay::Client Relay) {
+    if (Used != m_ConnectionNumber) {
       return;
     }
     m_Relay = kj::mv(Relay);
     m_HasFailed = false;
-    m_HeardAnything = true;
+    m_RetryPause = m_Settings.m_ReconnectPause;
     for (auto &[Number, Statement] : m_Pending) {
       if (Statement.m_IsRefused) {
         continue;
@@ -146,7 +153,7 @@
                              Self.m_HeardAnything = true;
                              Self.answer(Number, readRpc(Result.getAnswer()));
                            }),
-                           whileAlive([Number, Used = m_Connection](
+                           whileAlive([Number, Used = m_ConnectionNumber](
                                           Impl &Self, kj::Exception &&Error) {
                              Self.callFailed(Number, Used, Error);
                            })));
@@ -154,8 +161,7 @@
     }
   }
 
-  void callFailed(std::uint64_t Number,
-                  const std::shared_ptr<PeerConnection> &Used,
+  void callFailed(std::uint64_t Number, std::uint64_t Used,
                   const kj::Exception &Error) {
     if (Error.getType() == kj::Exception::Type::DISCONNECTED) {
       drop(Used, Error.getDescription().cStr());
@@ -163,18 +169,17 @@
     answer(Number, std::nullopt);
   }
 
-  /// Ends the connection \p Failed, unless a newer one has replaced it.
-  void drop(const std::shared_ptr<PeerConnection> &Failed, const char *Reason) {
-    if (Failed != m_Connection) {
+  /// Ends the connection number \p Failed, unless it has ended.
+  void drop(std::uint64_t Failed, const char *Reason) {
+    if (Failed != m_ConnectionNumber) {
       return;
     }
-    logInfo(Part::Rpc, "The relay connection to {}:{} failed: {}.",
-            m_Settings.m_Address, m_Settings.m_Port, Reason);
     const bool WasEstablished = m_Relay != nullptr;
+    logFailure(WasEstablished, Reason);
     releaseConnection();
     m_HasFailed = true;
-    m_Loop.after(m_Settings.m_ReconnectPause,
-                 whileAlive([](Impl &Self) { Self.connect(); }));
+    m_Loop.after(m_RetryPause, whileAlive([](Impl &Self) { Self.connect(); }));
+    m_RetryPause = std::min(m_RetryPause * 2, MaxReconnectPause);
     // The replies and the hook may destroy the link.
     const auto Self = shared_from_this();
     answerAll();
@@ -183,6 +188,16 @@
     }
   }
 
+  void logFailure(bool WasEstablished, const char *Reason) const {
+    if (WasEstablished) {
+      logInfo(Part::Rpc, "Lost the relay connection to {}:{}: {}.",
+              m_Settings.m_Address, m_Settings.m_Port, Reason);
+      return;
+    }
+    logDebug(Part::Rpc, "Could not open a relay connection to {}:{}: {}.",
+             m_Settings.m_Address, m_Settings.m_Port, Reason);
+  }
+
   /// Releases the connection on a later turn of the event loop, because it must
   /// not be destroyed by one of its own callbacks.
   void releaseConnection() {
@@ -193,6 +208,7 @@
          Old = std::move(m_Connection)] {});
     m_Relay = nullptr;
     m_Connection = nullptr;
+    ++m_ConnectionNumber;
   }
 
   /// Checks the connection regularly while statements are unanswered.
@@ -224,7 +240,7 @@
       ping();
     }
     if (m_Quiet >= m_Settings.m_PingInterval + m_Settings.m_SilenceLimit) {
-      drop(m_Connection, "it has fallen silent");
+      drop(m_ConnectionNumber, "it has fallen silent");
     }
   }
 
@@ -233,9 +249,10 @@
       m_PingSent = true;
       m_Loop.spawn(Relay->pingRequest().send().then(
           whileAlive([](Impl &Self, auto &&) { Self.m_HeardAnything = true; }),
-          whileAlive([Used = m_Connection](Impl &Self, kj::Exception &&Error) {
-            Self.drop(Used, Error.getDescription().cStr());
-          })));
+          whileAlive(
+              [Used = m_ConnectionNumber](Impl &Self, kj::Exception &&Error) {
+                Self.drop(Used, Error.getDescription().cStr());
+              })));
     }
   }
 
@@ -249,11 +266,15 @@
   std::map<std::uint64_t, PendingStatement>
       m_Pending;                  ///< Unanswered statements by number.
   std::uint64_t m_LastNumber = 0; ///< Number of the newest statement.
-  bool m_HasFailed = false;       ///< The newest connection or attempt failed.
-  bool m_IsChecking = false;      ///< A check is scheduled.
-  bool m_HeardAnything = false;   ///< An answer came since the last check.
-  bool m_PingSent = false;        ///< A ping was sent since the last answer.
-  Duration m_Quiet{0};            ///< Time without any answer.
+  Duration m_RetryPause;          ///< Pause before the next attempt to connect.
+  std::uint64_t m_ConnectionNumber =
+      0; ///< Number of the connection; calls keep it and not the connection,
+         ///< which would otherwise not end before they do.
+  bool m_HasFailed = false;     ///< The newest connection or attempt failed.
+  bool m_IsChecking = false;    ///< A check is scheduled.
+  bool m_HeardAnything = false; ///< Bytes came since the last check.
+  bool m_PingSent = false;      ///< A ping was sent since bytes came.
+  Duration m_Quiet{0};          ///< Time since bytes came.
 };
 
 RelayLink::RelayLink(IoLoop &Loop, const Secret &ClusterKey,
@@ -300,7 +321,7 @@
     auto Call = Relay->callerDisconnectedRequest();
     Call.setCaller(Caller.value());
     m_Impl->m_Loop.spawn(Call.send().ignoreResult().catch_(
-        m_Impl->whileAlive([Used = m_Impl->m_Connection](
+        m_Impl->whileAlive([Used = m_Impl->m_ConnectionNumber](
                                RelayLink::Impl &Self, kj::Exception &&Error) {
           Self.drop(Used, Error.getDescription().cStr());
         })));
