The first list of session homes names all hosts that start together

Callers saw: beside the start of many hosts, every host changed its list of session homes 2 s later, in two steps with a push to each of them. Cause: the first list was set with the first open sessions. It now waits until the open hosts have been the same for 300 ms, or for 2 s since the first one.

FirstSessionHomesNameAllHostsThatStartTogether failed before: 'check Fleet.state().homes().m_Active.size() == FleetSize().m_Hosts has failed [14 != 67]'.

Its harness counts a host as serving only once all hosts are session homes, which is stricter than before.

--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -106,6 +106,10 @@
   Duration m_HomesStableFor = std::chrono::seconds(
       2); ///< The set of hosts with open sessions must be unchanged for this
           ///< long before the session homes are changed.
+  Duration m_FirstHomesStableFor = std::chrono::milliseconds(
+      300); ///< The same for the first list of session homes, which is set
+            ///< m_HomesStableFor after the first session has opened at the
+            ///< latest.
   Duration m_AdvanceTimeInterval = std::chrono::seconds(
       1); ///< Interval at which the log's time is advanced.
 };
--- a/ragwortmux/Version/SessionHomeManager.h
+++ b/ragwortmux/Version/SessionHomeManager.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
 
+#include <optional>
 #include <vector>
 
 namespace ragwortmux {
@@ -18,18 +19,21 @@
   SessionHomeManager(LeaderContext &Context, const UpdateTracker &Updates)
       : m_Context(Context), m_Updates(Updates) {}
 
-  void reset() { m_OpenHosts.clear(); }
+  void reset();
   /// Proposes the next step of a change if it is due.
   void evaluate(Instant Now);
 
 private:
   std::vector<HostId> openHosts() const;
+  /// True if the list of open hosts may become the list of session homes.
+  bool isStable(Instant Now) const;
 
   LeaderContext &m_Context;       ///< Shared.
   const UpdateTracker &m_Updates; ///< What sessions have confirmed.
   std::vector<HostId>
       m_OpenHosts;            ///< Hosts with open sessions in ascending order.
   Instant m_OpenHostsSince{}; ///< When that list last changed.
+  std::optional<Instant> m_FirstOpenedAt; ///< When the first host was seen.
 };
 
 } // namespace ragwortmux
--- a/tests/Version/ControlLeaderOverloadTest.cpp
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -18,8 +18,7 @@
 
 // The harness fails as soon as the leader exceeds its share of a core, or
 // control fills the link of an entry host.
-BOOST_AUTO_TEST_CASE(OpeningSessionsOfManyHostsKeepsWorkBounded,
-                     *boost::unit_test::label("known-red")) {
+BOOST_AUTO_TEST_CASE(OpeningSessionsOfManyHostsKeepsWorkBounded) {
   FleetHarness Fleet{FleetSize()};
   Fleet.openAll(OpeningTime);
   const Duration Taken =
@@ -43,4 +42,15 @@
                      << " us within the quorum check timeout");
 }
 
+// A list with one host alone made every host change its list 2 s later, and
+// with it the groups that it serves.
+BOOST_AUTO_TEST_CASE(FirstSessionHomesNameAllHostsThatStartTogether) {
+  FleetHarness Fleet{FleetSize()};
+  Fleet.openAll(OpeningTime);
+  const Duration Taken = Fleet.runUntil(
+      [&] { return !Fleet.state().homes().m_Active.empty(); }, TrafficStart);
+  BOOST_TEST(Fleet.state().homes().m_Active.size() == FleetSize().m_Hosts);
+  BOOST_TEST((Taken <= OpeningTime + 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -116,9 +116,12 @@
 }
 
 bool FleetHarness::isServing() const {
+  const SessionHomeLists &Homes = m_State.homes();
+  if (Homes.m_Active.size() < m_Hosts.size() || !Homes.m_Preparing.empty())
+    return false;
   return std::all_of(
-      m_Hosts.begin(), m_Hosts.end(), [this](const FleetHost &Host) {
-        if (!Host.m_Lease.isValid(m_Now) || Host.m_Homes == Revision())
+      m_Hosts.begin(), m_Hosts.end(), [&](const FleetHost &Host) {
+        if (!Host.m_Lease.isValid(m_Now) || Host.m_Homes < Homes.m_Revision)
           return false;
         return std::all_of(
             Host.m_Served.begin(), Host.m_Served.end(), [&](const auto &Group) {
--- a/tests/Version/FleetHarness.h
+++ b/tests/Version/FleetHarness.h
@@ -75,8 +75,9 @@
   /// Limit.
   Duration runUntil(const std::function<bool()> &Holds, Duration Limit);
 
-  /// True if each host has a valid lease and a connection share of at least
-  /// one at each server of the groups that it serves.
+  /// True if all hosts are session homes, and each has a valid lease and a
+  /// connection share of at least one at each server of the groups that it
+  /// serves.
   bool isServing() const;
 
   const FleetCounts &counts() const { return m_Counts; }
