MetricsCountMessagesAndDelays pushes a catalogue before it reads the metrics

The case read the metrics as soon as the entry process was ready and expected a push by then. Entry hosts name no group before they know the other hosts, so until then control may have nothing to push and the record comes with a renewal's answer: the check of call="push" failed in 3 of 3 runs. The case now changes the catalogue first, which control pushes. All series and their checks stay.

--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -80,8 +80,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(MetricsCountMessagesAndDelays) {
+  // The changed catalogue is pushed to the entry process.
+  BOOST_REQUIRE(replace(2) == 200);
   std::string Body;
-  httpCall("127.0.0.1", m_MetricsPort, "GET", "/metrics", "", &Body);
+  waitUntil([&] {
+    Body.clear();
+    httpCall("127.0.0.1", m_MetricsPort, "GET", "/metrics", "", &Body);
+    return Body.find("call=\"push\"") != std::string::npos;
+  });
   for (const char *Series :
        {"ragwortmux_peer_calls_total{peer=\"entry-1\",call=\"push\"} ",
         "ragwortmux_peer_bytes_total{peer=\"entry-1\",call=\"push\"} ",
