A change of the served groups renews the lease at once

Control assigns no connections for a group to a host until a renewal names the group. After a new list of hosts that was up to one renewal interval later than needed.

--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -341,6 +341,7 @@
     m_KnownGroups = m_Catalogue.groups();
     m_AdmissionControl.open();
   }
+  reportServedGroups();
   for (const GroupView &View : Update.m_Views) {
     SessionDriver &Driver = findOrCreateDriver(View.m_Group);
     const auto PreviousPrimary = Driver.core().view().m_Primary;
@@ -354,6 +355,15 @@
   }
 }
 
+void SessionEntryRole::reportServedGroups() {
+  auto Served = m_Relay.servedGroups(m_KnownGroups);
+  if (Served == m_ReportedGroups) {
+    return;
+  }
+  m_ReportedGroups = std::move(Served);
+  m_Control->renewNow();
+}
+
 void SessionEntryRole::updateMetrics() {
   m_Metrics.set(Metric::Callers, {},
                 static_cast<double>(m_Hooks.m_CountCallers()));
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -112,6 +113,9 @@
   void disconnectHere(CallerConnectionId Caller);
   void answer(const SessionAnswer &Response);
   void applyUpdate(const ControlUpdate &Update);
+  /// Renews the lease at once if this host serves other groups than before, so
+  /// that control assigns connections for them.
+  void reportServedGroups();
   void checkDrained();
   void endSession();
   void checkLease();
@@ -123,11 +127,13 @@
   Metrics &m_Metrics;                ///< The process's metrics.
   SessionEntryHooks m_Hooks;         ///< Callbacks of the adapter.
   Revision m_Homes; ///< Newest revision of session homes from control.
-  CatalogueCache m_Catalogue;               ///< The catalogue in use.
-  std::set<GroupId> m_KnownGroups;          ///< Groups of the catalogue.
-  StatementLog m_StatementLog;              ///< Logs and counts decisions.
-  AdmissionControl m_AdmissionControl;      ///< Decides on new callers.
-  Incarnation m_Incarnation;                ///< Identifies this process start.
+  CatalogueCache m_Catalogue; ///< The catalogue in use.
+  std::optional<std::set<GroupId>> m_ReportedGroups =
+      std::set<GroupId>();             ///< Served groups at the last report.
+  std::set<GroupId> m_KnownGroups;     ///< Groups of the catalogue.
+  StatementLog m_StatementLog;         ///< Logs and counts decisions.
+  AdmissionControl m_AdmissionControl; ///< Decides on new callers.
+  Incarnation m_Incarnation;           ///< Identifies this process start.
   std::unique_ptr<ControlClient> m_Control; ///< Control session and lease.
   std::map<GroupId, std::unique_ptr<SessionDriver>>
       m_Groups;                    ///< Drivers by group.
