RelayCore: a refusal at the deadline does not pause the host

A host that is too busy answers NotRunNoConnection at the deadline. Pausing it for that moved its callers to the other hosts of the group, which were as busy. A random run checks that each statement is answered exactly once.

--- a/ragwortmux/Request/RelayCore.cpp
+++ b/ragwortmux/Request/RelayCore.cpp
@@ -89,7 +89,9 @@
     handleLost(Now, Pending, Actions);
     return;
   }
-  if (mayRunElsewhere(Reply->m_Code)) {
+  // At the deadline, a refusal says more about the load than about the host.
+  const bool HasTime = Now < deadline(Pending.m_Request);
+  if (HasTime && mayRunElsewhere(Reply->m_Code)) {
     m_Router.hostFailed(Now, Host);
     const bool MayTry = !Pending.m_InTransaction && !Pending.m_WasRefused;
     Pending.m_WasRefused = true;
--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -360,6 +361,64 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(RefusingHostIsPausedUnlessStatementWasLate) {
+  const struct {
+    int m_RepliedAt;
+    bool m_IsPaused;
+  } Cases[] = {{999, true}, {1000, false}};
+  for (const auto &Case : Cases) {
+    Fixture Each;
+    Each.submit(0, StatementKind::Read);
+    const HostId First = Each.relayedTo();
+    Each.reply(Case.m_RepliedAt, First, ResultCode::NotRunNoConnection);
+    Each.submit(1001, StatementKind::Read);
+    BOOST_TEST((Each.relayedTo() != First) == Case.m_IsPaused);
+  }
+}
+
+// Guards against a statement that is never answered, or answered twice.
+BOOST_AUTO_TEST_CASE(EachStatementIsAnsweredOnce) {
+  std::mt19937 Random(20); // NOLINT(cert-msc32-c,cert-msc51-cpp)
+  const auto Choose = [&](std::uint32_t Count) { return Random() % Count; };
+  const StatementKind Kinds[] = {StatementKind::Read, StatementKind::Write,
+                                 StatementKind::Begin, StatementKind::Commit};
+  const ResultCode Codes[] = {ResultCode::Ok, ResultCode::NotRunNoLease,
+                              ResultCode::NotRunDeadline,
+                              ResultCode::RanFailed};
+  int At = 0;
+  for (int Run = 0; Run < 5000; ++Run) {
+    At += static_cast<int>(Choose(300));
+    const StatementKind Kind = Kinds[Choose(4)];
+    const RequestId Id = submit(At, Kind, Kind == StatementKind::Write);
+    std::size_t Answers = 0;
+    const auto Count = [&] {
+      for (const RelayAction &Each : m_Actions)
+        Answers += std::holds_alternative<SessionAnswer>(Each) ? 1 : 0;
+    };
+    Count();
+    for (int Step = 0; Step < 4; ++Step) {
+      const HostId Host = relayedTo();
+      const std::uint32_t Event = Choose(6);
+      m_Actions.clear();
+      if (Event == 0)
+        loseAnswer(At, Host);
+      else if (Event == 1)
+        m_Core.hostLost(after(At), Host);
+      else if (Event == 2)
+        reply(At, Host, ResultCode::Ok, TransactionStatus::InTransaction);
+      else
+        reply(At, Host, Codes[Choose(4)]);
+      Count();
+    }
+    m_Actions.clear();
+    m_Core.expire(after(At + 1100), Id, m_Actions);
+    Count();
+    BOOST_TEST(Answers == 1U);
+    BOOST_TEST(m_Core.pending() == 0U);
+    BOOST_TEST(m_Core.openTransactions() <= 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefusedStatementOfTransactionIsNotTriedElsewhere) {
   const HostId Host = begin();
   submit(2, StatementKind::Read);
