RelayRouter: a host that serves many groups gets fewer callers of each

Hosts are chosen for each group alone, so by chance some serve several groups and would run several times the statements of the others.

--- a/ragwortmux/Process/Entry/RelayClient.h
+++ b/ragwortmux/Process/Entry/RelayClient.h
@@ -8,6 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace ragwortmux {
@@ -38,6 +41,10 @@
 
   /// Sets the entry hosts of all failure domains.
   void setHosts(const std::vector<EntryAddress> &Hosts);
+  /// Sets all groups of the catalogue.
+  void setGroups(std::set<GroupId> Groups) {
+    m_Core.router().setGroups(std::move(Groups));
+  }
   /// Relays a statement; RelayClientHooks::m_Answer receives the answer.
   void submit(SessionRequest Request);
   /// Releases the state of a caller that has closed its connection.
@@ -52,9 +59,8 @@
     return m_Core.router().isServing(Group);
   }
   /// See RelayRouter::servedGroups().
-  std::optional<std::set<GroupId>>
-  servedGroups(const std::set<GroupId> &Known) {
-    return m_Core.router().servedGroups(Known);
+  std::optional<std::set<GroupId>> servedGroups() {
+    return m_Core.router().servedGroups();
   }
   /// True if another host can run a statement of \p Caller for \p Group.
   bool hasHostFor(CallerConnectionId Caller, const GroupId &Group);
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -264,7 +264,7 @@
     return Confirmed;
   };
   Hooks.m_Demand = [this] { return unmetDemand(); };
-  Hooks.m_ServedGroups = [this] { return m_Relay.servedGroups(m_KnownGroups); };
+  Hooks.m_ServedGroups = [this] { return m_Relay.servedGroups(); };
   Hooks.m_LeaseExtended = [this](Instant ValidUntil) {
     m_LeaseExpiry = ValidUntil;
     m_Metrics.add(Metric::LeaseRenewals, {"granted"});
@@ -338,7 +338,7 @@
                   static_cast<double>(m_Catalogue.revision().value()));
     logInfo(Part::Catalogue, "Applied catalogue revision {}.",
             m_Catalogue.revision().value());
-    m_KnownGroups = m_Catalogue.groups();
+    m_Relay.setGroups(m_Catalogue.groups());
     m_AdmissionControl.open();
   }
   reportServedGroups();
@@ -356,7 +356,7 @@
 }
 
 void SessionEntryRole::reportServedGroups() {
-  auto Served = m_Relay.servedGroups(m_KnownGroups);
+  auto Served = m_Relay.servedGroups();
   if (Served == m_ReportedGroups) {
     return;
   }
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -130,7 +130,6 @@
   CatalogueCache m_Catalogue; ///< The catalogue in use.
   std::optional<std::set<GroupId>> m_ReportedGroups =
       std::set<GroupId>();             ///< Served groups at the last report.
-  std::set<GroupId> m_KnownGroups;     ///< Groups of the catalogue.
   StatementLog m_StatementLog;         ///< Logs and counts decisions.
   AdmissionControl m_AdmissionControl; ///< Decides on new callers.
   Incarnation m_Incarnation;           ///< Identifies this process start.
--- a/ragwortmux/Request/RelayRouter.cpp
+++ b/ragwortmux/Request/RelayRouter.cpp
@@ -4,12 +4,18 @@
 #include "ragwortmux/Connection/StableHash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <utility>
 
 namespace ragwortmux {
 
 namespace {
 
+/// Limit of the start of the sequence that spreads callers; keeps its multiples
+/// exact enough.
+constexpr std::uint64_t MaxStart = 1000;
+
 bool contains(std::span<const HostId> Hosts, const HostId &Host) {
   return std::find(Hosts.begin(), Hosts.end(), Host) != Hosts.end();
 }
@@ -23,6 +29,7 @@
 void RelayRouter::setHosts(std::span<const HomeCandidate> Hosts) {
   m_HasHosts = true;
   m_Serving.clear();
+  m_GroupCounts.clear();
   m_Near = {{m_Settings.m_Host, m_Settings.m_Domain}};
   std::map<HostId, Instant> Paused;
   for (const HomeCandidate &Host : Hosts) {
@@ -37,6 +44,11 @@
   m_PausedUntil = std::move(Paused);
 }
 
+void RelayRouter::setGroups(std::set<GroupId> Groups) {
+  m_Groups = std::move(Groups);
+  m_GroupCounts.clear();
+}
+
 void RelayRouter::hostFailed(Instant Now, const HostId &Host) {
   m_PausedUntil[Host] = Now + m_Settings.m_FailurePause;
 }
@@ -56,8 +68,7 @@
   return contains(servingHosts(Group), m_Settings.m_Host);
 }
 
-std::optional<std::set<GroupId>>
-RelayRouter::servedGroups(const std::set<GroupId> &Known) {
+std::optional<std::set<GroupId>> RelayRouter::servedGroups() {
   // A host that serves a group takes part in each of its changes, so nothing is
   // claimed before the other hosts are known.
   if (!m_HasHosts)
@@ -65,34 +76,67 @@
   if (m_Near.size() == 1)
     return std::nullopt;
   std::set<GroupId> Served;
-  for (const GroupId &Group : Known) {
+  for (const GroupId &Group : m_Groups) {
     if (isServing(Group))
       Served.insert(Group);
   }
   return Served;
 }
 
+const std::map<HostId, std::uint32_t> &RelayRouter::groupCounts() {
+  if (!m_GroupCounts.empty())
+    return m_GroupCounts;
+  for (const GroupId &Group : m_Groups) {
+    for (const HostId &Host : servingHosts(Group))
+      ++m_GroupCounts[Host];
+  }
+  return m_GroupCounts;
+}
+
+bool RelayRouter::isPaused(Instant Now, const HostId &Host) const {
+  const auto Until = m_PausedUntil.find(Host);
+  return Until != m_PausedUntil.end() && Now < Until->second;
+}
+
 std::optional<HostId> RelayRouter::choose(Instant Now, const GroupId &Group,
                                           CallerConnectionId Caller,
                                           std::span<const HostId> Avoid) {
-  const std::vector<HostId> &Hosts = servingHosts(Group);
-  const std::uint64_t Start =
-      stableHash(m_Settings.m_Host.value(), Group.value()) + Caller.value();
-  std::optional<HostId> Paused;
-  for (std::size_t Step = 0; Step < Hosts.size(); ++Step) {
-    const HostId &Host = Hosts[(Start + Step) % Hosts.size()];
+  std::vector<HostId> Usable;
+  std::vector<HostId> Paused;
+  for (const HostId &Host : servingHosts(Group)) {
     const bool IsExcluded =
         Host == m_Settings.m_Host || contains(Avoid, Host) ||
         (m_Settings.m_IsReachable && !m_Settings.m_IsReachable(Host));
     if (IsExcluded)
       continue;
-    const auto Until = m_PausedUntil.find(Host);
-    if (Until == m_PausedUntil.end() || Now >= Until->second)
-      return Host;
-    if (!Paused)
-      Paused = Host;
+    (isPaused(Now, Host) ? Paused : Usable).push_back(Host);
   }
-  return Paused;
+  const std::vector<HostId> &Hosts = Usable.empty() ? Paused : Usable;
+  if (Hosts.empty())
+    return std::nullopt;
+  return chooseWeighted(Group, Caller, Hosts);
+}
+
+HostId RelayRouter::chooseWeighted(const GroupId &Group,
+                                   CallerConnectionId Caller,
+                                   const std::vector<HostId> &Hosts) {
+  const std::map<HostId, std::uint32_t> &Counts = groupCounts();
+  std::vector<double> UpperBounds;
+  double Total = 0;
+  for (const HostId &Host : Hosts) {
+    const auto Count = Counts.find(Host);
+    Total += Count == Counts.end() ? 1.0 : 1.0 / Count->second;
+    UpperBounds.push_back(Total);
+  }
+  // Multiples of the golden ratio spread successive callers evenly.
+  const std::uint64_t Start =
+      stableHash(m_Settings.m_Host.value(), Group.value()) % MaxStart;
+  const double Multiple =
+      static_cast<double>(Start + Caller.value()) * std::numbers::phi;
+  const double Position = (Multiple - std::floor(Multiple)) * Total;
+  const auto Chosen =
+      std::upper_bound(UpperBounds.begin(), UpperBounds.end() - 1, Position);
+  return Hosts[static_cast<std::size_t>(Chosen - UpperBounds.begin())];
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/RelayRouter.h
+++ b/ragwortmux/Request/RelayRouter.h
@@ -5,6 +5,7 @@
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,6 +35,8 @@
 
   /// Sets the entry hosts of all failure domains.
   void setHosts(std::span<const HomeCandidate> Hosts);
+  /// Sets all groups of the catalogue.
+  void setGroups(std::set<GroupId> Groups);
   /// A host did not run a statement for a reason of its own.
   void hostFailed(Instant Now, const HostId &Host);
   /// A host answered; it gets new statements again.
@@ -41,24 +44,32 @@
 
   /// True if this host serves \p Group.
   bool isServing(const GroupId &Group);
-  /// Those of \p Known that this host serves; none if it serves all groups,
-  /// because no other host of its failure domain is known.
-  std::optional<std::set<GroupId>> servedGroups(const std::set<GroupId> &Known);
+  /// The groups of setGroups() that this host serves; none if it serves all
+  /// groups, because no other host of its failure domain is known.
+  std::optional<std::set<GroupId>> servedGroups();
   /// The host to relay a statement of \p Caller to; none if no host except
-  /// those in \p Avoid can run it. The callers are spread over the hosts.
+  /// those in \p Avoid can run it. The callers are spread over the hosts; a
+  /// host that serves several groups gets fewer callers of each.
   std::optional<HostId> choose(Instant Now, const GroupId &Group,
                                CallerConnectionId Caller,
                                std::span<const HostId> Avoid);
 
 private:
   const std::vector<HostId> &servingHosts(const GroupId &Group);
+  const std::map<HostId, std::uint32_t> &groupCounts();
+  HostId chooseWeighted(const GroupId &Group, CallerConnectionId Caller,
+                        const std::vector<HostId> &Hosts);
+  bool isPaused(Instant Now, const HostId &Host) const;
 
   RelayRouterSettings m_Settings;    ///< Identity and limits.
   bool m_HasHosts = false;           ///< setHosts() was called.
   std::vector<HomeCandidate> m_Near; ///< Hosts of the own failure domain,
                                      ///< including this one.
   std::map<GroupId, std::vector<HostId>>
-      m_Serving; ///< Results of chooseGroupHosts() for m_Near.
+      m_Serving;              ///< Results of chooseGroupHosts() for m_Near.
+  std::set<GroupId> m_Groups; ///< All groups of the catalogue.
+  std::map<HostId, std::uint32_t>
+      m_GroupCounts; ///< Number of groups by host; computed when needed.
   std::map<HostId, Instant>
       m_PausedUntil; ///< Until when a host that failed gets no statements.
 };
