--- a/tests/Platform/RelayEndToEndTest.cpp
+++ b/tests/Platform/RelayEndToEndTest.cpp
@@ -183,6 +183,35 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LeavingServingHostRefusesNoRelayedStatement) {
+  constexpr std::size_t CallerCount = 2 * MaxGroupHostsPerDomain;
+  std::vector<WireCaller> Open;
+  std::vector<WireCaller> Idle;
+  Open.reserve(CallerCount);
+  Idle.reserve(CallerCount);
+  for (std::size_t Count = 0; Count < CallerCount; ++Count) {
+    Open.push_back(connect());
+    BOOST_REQUIRE(Open.back().succeeds("BEGIN"));
+    Idle.push_back(connect());
+  }
+  const auto Leaving =
+      std::find_if(m_Hosts.begin(), m_Hosts.end(), [&](const auto &Each) {
+        return &Each.second != m_Relaying;
+      });
+  Leaving->second.m_Process->terminate();
+  for (std::size_t Count = 0; Count < CallerCount; ++Count) {
+    const std::string Item = "h" + std::to_string(Count);
+    BOOST_TEST(Open[Count].succeeds("WRITE " + Item + " one"));
+    BOOST_TEST(
+        Idle[Count].succeeds("WRITE i" + std::to_string(Count) + " one"));
+    BOOST_TEST(Open[Count].succeeds("COMMIT"));
+    BOOST_TEST(Idle[Count].execute("READ " + Item).front() == "ROW one");
+  }
+  BOOST_TEST(Leaving->second.m_Process->waitForExit(6s).has_value());
+  for (WireCaller &Each : Open)
+    BOOST_TEST(Each.succeeds("WRITE g three"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
