--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -199,8 +199,10 @@
 
 // Guards against an overload of the hosts that happen to serve many groups.
 BOOST_AUTO_TEST_CASE(HostOfManyGroupsGetsFewerCallersOfEach) {
+  constexpr int HostCount = 26;
   std::vector<HomeCandidate> Hosts;
-  for (int Number = 0; Number < 26; ++Number)
+  Hosts.reserve(HostCount);
+  for (int Number = 0; Number < HostCount; ++Number)
     Hosts.push_back({HostId("h" + std::to_string(Number)), Domain});
   std::set<GroupId> Groups;
   for (int Number = 0; Number < 8; ++Number)
