--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -382,6 +382,28 @@
   BOOST_TEST(m_Service.m_Data["e"] == "six");
 }
 
+// Guards against a close of callers whose statement had arrived while the
+// process was busy: it was read after the decision to close and got no answer.
+BOOST_AUTO_TEST_CASE(GracefulStopAnswersStatementsThatHaveArrived) {
+  constexpr int CallerCount = 40;
+  std::vector<std::unique_ptr<Caller>> Callers;
+  Callers.reserve(CallerCount);
+  for (int Number = 0; Number < CallerCount; ++Number)
+    Callers.push_back(std::make_unique<Caller>(m_CallerPort, "booking"));
+  BOOST_REQUIRE(
+      waitUntil([&] { return Callers.front()->succeeds("WRITE a one"); }));
+  m_Entry->stop();
+  for (const auto &Each : Callers)
+    Each->m_Socket->write("QUERY late READ a\r\n");
+  m_Entry->terminate();
+  m_Entry->resume();
+  std::size_t Answered = 0;
+  for (const auto &Each : Callers)
+    Answered += Each->m_Socket->readLine().has_value() ? 1 : 0;
+  BOOST_TEST(Answered == Callers.size());
+  BOOST_TEST(m_Entry->waitForExit(6s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
