--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -228,6 +228,17 @@
     }
   }
 
+  /// Number of statements that the servers have run whose ids start with
+  /// \p IdPrefix.
+  std::size_t countExecuted(const std::string &IdPrefix) const {
+    std::size_t Count = 0;
+    for (const auto &Server : m_Servers) {
+      for (const std::string &Executed : Server->executedStatements())
+        Count += Executed.starts_with(IdPrefix) ? 1 : 0;
+    }
+    return Count;
+  }
+
   ServiceStandIn m_Service;
   PromotionStandIn m_Promotion;
   std::vector<std::unique_ptr<WireStandIn>> m_Servers;
@@ -404,6 +415,28 @@
   BOOST_TEST(m_Entry->waitForExit(6s).has_value());
 }
 
+// Guards against a close of callers that had not received their answers in
+// full.
+BOOST_AUTO_TEST_CASE(GracefulStopSendsAnswersInFull) {
+  constexpr std::size_t ItemBytes = 1000000;
+  constexpr std::size_t Reads = 7;
+  Caller Slow(m_CallerPort, "booking");
+  const std::string Item(ItemBytes, 'x');
+  BOOST_REQUIRE(waitUntil([&] { return Slow.succeeds("WRITE a " + Item); }));
+  for (std::size_t Number = 0; Number < Reads; ++Number)
+    Slow.m_Socket->write("QUERY r" + std::to_string(Number) + " READ a\r\n");
+  BOOST_REQUIRE(waitUntil([&] { return countExecuted("r") == Reads; }));
+  m_Entry->terminate();
+  std::this_thread::sleep_for(200ms);
+  for (std::size_t Number = 0; Number < Reads; ++Number) {
+    BOOST_TEST((Slow.m_Socket->readLine() == "ROW " + Item));
+    BOOST_TEST(Slow.m_Socket->readLine().value_or("").starts_with("COMPLETE"));
+    BOOST_TEST(Slow.m_Socket->readLine().value_or("").starts_with("READY I"));
+  }
+  BOOST_TEST(!Slow.m_Socket->readLine().has_value());
+  BOOST_TEST(m_Entry->waitForExit(6s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
