Entry: a host without a lease no longer closes all idle callers

Seen by callers: when control was lost, every host closed all of its idle callers every 250 ms. They reconnected at once, to hosts that closed them again or to the few that still had a lease, and statements that had just been sent were cut without an answer.

Cause: the check of the lease closed idle callers in bulk, 300 ms after the lease had ended, whether they needed an answer or not.

Before the change HostWithoutLeaseClosesCallersOnlyAfterRefusal failed: critical check Lines.size() == 2U has failed

Change: idle callers stay. A caller whose statement is refused for lack of a lease gets its answer, and its connection is closed with the answer, when nothing else of it has arrived, so that its retry reaches another host.

--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -29,8 +29,7 @@
 constexpr int PercentBase = 100;
 /// Interval of the log summaries of successful statements.
 constexpr Duration SummaryInterval = std::chrono::seconds(10);
-/// A host that has been without a lease for this time closes new and idle
-/// callers, so that they connect to another host.
+/// A host that has been without a lease for this time is reported as isolated.
 constexpr Duration IsolationTimeout = std::chrono::milliseconds(300);
 /// How long callers of a process that has just started wait for the catalogue.
 /// Must be shorter than the time that callers wait for their first answer.
@@ -82,10 +81,16 @@
       logInfo(Part::Control, "Control is reachable.");
     }
   }
-  // After reconnecting, these callers may reach a host with a valid lease.
-  if (IsIsolated && hasCatalogue()) {
-    m_Hooks.m_CloseIdleCallers();
-  }
+}
+
+bool SessionEntryRole::sendsCallersElsewhere(
+    const SessionAnswer &Response) const {
+  return Response.m_Code == ResultCode::NotRunNoLease &&
+         Response.m_Status == TransactionStatus::Idle && !hasLease();
+}
+
+bool SessionEntryRole::hasLease() const {
+  return monotonicNow() < m_LeaseExpiry;
 }
 
 GroupId SessionEntryRole::groupOf(CallerConnectionId Caller,
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -70,6 +70,11 @@
   /// The group that serves the caller's next request: that of its open
   /// transaction, else that of \p Entry.
   GroupId groupOf(CallerConnectionId Caller, const CatalogueEntry &Entry) const;
+  /// True if a caller that gets \p Response should connect to another host,
+  /// because this one has no lease. Callers are not closed before they need an
+  /// answer: when control is lost, all hosts lose their leases together, and
+  /// callers that reconnect would gain nothing.
+  bool sendsCallersElsewhere(const SessionAnswer &Response) const;
   /// Releases the state of a caller that has closed its connection.
   void callerDisconnected(CallerConnectionId Caller);
 
@@ -85,6 +90,7 @@
   void checkDrained();
   void endSession();
   void checkLease();
+  bool hasLease() const;
   bool hasCatalogue() const { return m_Catalogue.isKnown(); }
 
   IoLoop &m_Loop;                    ///< The event loop.
--- a/tests/Platform/LineStreamTest.cpp
+++ b/tests/Platform/LineStreamTest.cpp
@@ -85,6 +85,24 @@
   BOOST_CHECK_NO_THROW(Lines.write("y\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(CloseWhenSentKeepsConnectionWithUnreadInput) {
+  LineStream Lines(m_Loop, kj::mv(m_Stream), hooks());
+  Lines.write("first\r\n");
+  m_Peer->write("late\r\n");
+  // The loop does not run, so the line stays unread.
+  std::this_thread::sleep_for(milliseconds(20));
+  Lines.closeWhenSent();
+  runFor(milliseconds(50));
+  BOOST_TEST(m_Lines == "late");
+  BOOST_TEST(m_Closed == 0);
+  Lines.write("second\r\n");
+  Lines.closeWhenSent();
+  runFor(milliseconds(50));
+  BOOST_TEST(m_Closed == 1);
+  BOOST_TEST(m_Peer->readLine().value_or("") == "first");
+  BOOST_TEST(m_Peer->readLine().value_or("") == "second");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -239,6 +239,16 @@
     return Count;
   }
 
+  /// Ends control and waits until the entry process has no lease.
+  void loseLease() {
+    m_Control->kill();
+    BOOST_REQUIRE(waitUntil([&] {
+      Caller Probe(m_CallerPort, "booking");
+      const auto Lines = Probe.execute("READ a");
+      return !Lines.empty() && Lines.front().starts_with("ERROR BUSY 107 ");
+    }));
+  }
+
   ServiceStandIn m_Service;
   PromotionStandIn m_Promotion;
   std::vector<std::unique_ptr<WireStandIn>> m_Servers;
@@ -437,6 +447,22 @@
   BOOST_TEST(m_Entry->waitForExit(6s).has_value());
 }
 
+// Guards against a close of all idle callers of a host that has lost control:
+// statements on their way were cut without an answer, and all callers
+// reconnected at once.
+BOOST_AUTO_TEST_CASE(HostWithoutLeaseClosesCallersOnlyAfterRefusal) {
+  Caller Idle(m_CallerPort, "booking");
+  BOOST_REQUIRE(waitUntil([&] { return Idle.succeeds("WRITE a one"); }));
+  loseLease();
+  // Longer than the process needs to notice.
+  std::this_thread::sleep_for(1s);
+  const auto Lines = Idle.execute("READ a");
+  BOOST_REQUIRE(Lines.size() == 2U);
+  BOOST_TEST(Lines.front().starts_with("ERROR BUSY 107 "));
+  BOOST_TEST(Lines.back() == "READY I -");
+  BOOST_TEST(!Idle.m_Socket->readLine().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
