--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -463,6 +463,16 @@
   BOOST_TEST(!Idle.m_Socket->readLine().has_value());
 }
 
+// Guards against a refusal by an outdated catalogue: a host without a lease
+// cannot know which entries exist.
+BOOST_AUTO_TEST_CASE(HostWithoutLeaseDoesNotReportEntryAsUnknown) {
+  BOOST_TEST(
+      Caller(m_CallerPort, "nobody").m_Greeting.starts_with("ERROR NODB"));
+  loseLease();
+  BOOST_TEST(
+      Caller(m_CallerPort, "nobody").m_Greeting.starts_with("ERROR BUSY 107 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
