--- a/tests/Platform/CallerListenerTest.cpp
+++ b/tests/Platform/CallerListenerTest.cpp
@@ -69,6 +69,20 @@
   BOOST_TEST(m_Listener.size() == 1U);
 }
 
+// Guards against a close without an answer of callers beyond the limit.
+BOOST_AUTO_TEST_CASE(CallersBeyondLimitAreRefused) {
+  const auto First = connect();
+  const auto Second = connect();
+  const auto Third = connect();
+  Third->write("STARTUP a u1\r\n");
+  runFor(milliseconds(20));
+  BOOST_TEST(Third->readLine().value_or("").starts_with("ERROR BUSY "));
+  BOOST_TEST(!Third->readLine().has_value());
+  Third->close();
+  runFor(milliseconds(20));
+  BOOST_TEST(m_Listener.size() == MaxCallers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
