SessionCore: a read after the end of the lease is refused for that reason

Seen by callers: reads at a host that had lost its lease were refused as too old (109), although no server had been asked and another host could have served them.

Cause: a read whose deadline passed without a proven position of the primary counted as too old, whether the host had a lease or not.

Evidence: before the change ReadAfterEndOfLeaseReportsMissingLease failed: check (nextAnswer().m_Code == ResultCode::NotRunNoLease) has failed

Change: without a lease the reason is the missing lease (107). Not a fault, now guarded: a process that never had a lease refuses at once (HostThatNeverHadLeaseRefusesAtOnce passed before the change).

--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -472,8 +472,10 @@
                              : ResultCode::NotRunNoLease;
   }
   // With a lease the primary could have served the read at any age.
-  return readFloor(State) || isPrimaryUsable() ? ResultCode::NotRunNoConnection
-                                               : ResultCode::NotRunTooOld;
+  if (readFloor(State) || isPrimaryUsable())
+    return ResultCode::NotRunNoConnection;
+  return m_Now < m_LeaseExpiry ? ResultCode::NotRunTooOld
+                               : ResultCode::NotRunNoLease;
 }
 
 } // namespace ragwortmux
--- a/tests/Request/SessionCoreTest.cpp
+++ b/tests/Request/SessionCoreTest.cpp
@@ -23,9 +23,12 @@
 
 /// A SessionCore with a simulated clock and connections; records its actions.
 struct Fixture {
-  Fixture() : m_Core(Group, settings()) {
+  Fixture() : Fixture(seconds(10)) {}
+  /// A lease of the length \p Lease; none if it is 0.
+  explicit Fixture(Duration Lease) : m_Core(Group, settings()) {
     applyView(1, S1);
-    extendLease(seconds(10));
+    if (Lease > Duration(0))
+      extendLease(Lease);
     openAll();
   }
 
@@ -184,6 +187,11 @@
 constexpr auto Idle = TransactionStatus::Idle;
 constexpr auto Open = TransactionStatus::InTransaction;
 
+/// The core of a process that has not received a lease yet.
+struct FixtureWithoutLease : Fixture {
+  FixtureWithoutLease() : Fixture(Duration(0)) {}
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(SessionCoreTest, Fixture)
@@ -271,6 +279,36 @@
   BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunNoConnection));
 }
 
+// Guards against a read that a host without a lease refused as too old, though
+// no server had been asked: another host could have served it.
+BOOST_AUTO_TEST_CASE(ReadAfterEndOfLeaseReportsMissingLease) {
+  applyView(1, S1, 0);
+  extendLease(milliseconds(900));
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  advanceTime(milliseconds(1001));
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunNoLease));
+}
+
+BOOST_FIXTURE_TEST_CASE(HostThatNeverHadLeaseRefusesAtOnce,
+                        FixtureWithoutLease) {
+  struct Case final {
+    StatementKind m_Kind; ///< Kind of statement.
+    TrafficClass m_Class; ///< Class of its entry.
+    bool m_Writes;        ///< Whether it writes.
+  };
+  const std::vector<Case> Cases = {
+      {StatementKind::Write, TrafficClass::PrimarySession, true},
+      {StatementKind::Read, TrafficClass::PrimarySession, false},
+      {StatementKind::Read, TrafficClass::AgedSession, false},
+      {StatementKind::Begin, TrafficClass::OwnWritesSession, false},
+      {StatementKind::BeginRead, TrafficClass::AgedSession, false}};
+  for (const Case &Each : Cases) {
+    submit(Each.m_Kind, Each.m_Class, Each.m_Writes);
+    BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunNoLease));
+    BOOST_TEST(m_Answers.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReadRefusedByReplicasReportsMissingPrimaryConnection) {
   sample(10);
   // Writes occupy all current and future connections to the primary.
