Tests: a short loss of control keeps entry hosts in rotation

A loss of up to 1.5 s therefore takes no host out, whenever its probes are. The test guards this for the lease of the deployments (1.1 s).

--- a/tests/Connection/AdmissionControlTest.cpp
+++ b/tests/Connection/AdmissionControlTest.cpp
@@ -87,6 +87,21 @@
                                   Renewed + Lease, Lease));
 }
 
+// The load balancer probes each host once a second and removes it after two
+// failed probes. A loss of control that is shorter than that must not remove
+// any host, whenever its probes are.
+BOOST_AUTO_TEST_CASE(ShortLossOfControlKeepsHostInRotation) {
+  constexpr auto Lease = milliseconds(1100);
+  constexpr auto ProbeInterval = milliseconds(1000);
+  constexpr auto LongestLoss = milliseconds(1500);
+  const auto IsProbeFailed = [=](Duration SinceRenewal) {
+    return SinceRenewal < LongestLoss &&
+           !isReadyForCallers(Instant(SinceRenewal), Instant(Lease), Lease);
+  };
+  for (Duration Probe{0}; Probe < LongestLoss; Probe += milliseconds(10))
+    BOOST_TEST(!(IsProbeFailed(Probe) && IsProbeFailed(Probe + ProbeInterval)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux
