--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -228,6 +228,16 @@
     }
   }
 
+  /// Ends control and waits until the entry process has no lease.
+  void loseLease() {
+    m_Control->kill();
+    BOOST_REQUIRE(waitUntil([&] {
+      Caller Probe(m_CallerPort, "booking");
+      const auto Lines = Probe.execute("READ a");
+      return !Lines.empty() && Lines.front().starts_with("ERROR BUSY 107 ");
+    }));
+  }
+
   ServiceStandIn m_Service;
   PromotionStandIn m_Promotion;
   std::vector<std::unique_ptr<WireStandIn>> m_Servers;
@@ -401,6 +411,75 @@
   BOOST_TEST(m_Service.m_Data["e"] == "six");
 }
 
+// Guards against a close of callers whose statement had arrived while the
+// process was busy: it was read after the decision to close and got no answer.
+BOOST_AUTO_TEST_CASE(GracefulStopAnswersStatementsThatHaveArrived) {
+  constexpr int CallerCount = 40;
+  std::vector<std::unique_ptr<Caller>> Callers;
+  for (int Number = 0; Number < CallerCount; ++Number)
+    Callers.push_back(std::make_unique<Caller>(m_CallerPort, "booking"));
+  BOOST_REQUIRE(
+      waitUntil([&] { return Callers.front()->succeeds("WRITE a one"); }));
+  m_Entry->stop();
+  for (const auto &Each : Callers)
+    Each->m_Socket->write("QUERY late READ a\r\n");
+  m_Entry->terminate();
+  m_Entry->resume();
+  std::size_t Answered = 0;
+  for (const auto &Each : Callers)
+    Answered += Each->m_Socket->readLine().has_value() ? 1 : 0;
+  BOOST_TEST(Answered == Callers.size());
+  BOOST_TEST(m_Entry->waitForExit(6s).has_value());
+}
+
+// Guards against a close of callers that had not received their answers in
+// full.
+BOOST_AUTO_TEST_CASE(GracefulStopSendsAnswersInFull) {
+  constexpr std::size_t ItemBytes = 1000000;
+  constexpr int Reads = 7;
+  Caller Slow(m_CallerPort, "booking");
+  const std::string Item(ItemBytes, 'x');
+  BOOST_REQUIRE(waitUntil([&] { return Slow.succeeds("WRITE a " + Item); }));
+  for (int Number = 0; Number < Reads; ++Number)
+    Slow.m_Socket->write("QUERY r" + std::to_string(Number) + " READ a\r\n");
+  std::this_thread::sleep_for(1s);
+  m_Entry->terminate();
+  std::this_thread::sleep_for(200ms);
+  for (int Number = 0; Number < Reads; ++Number) {
+    BOOST_TEST((Slow.m_Socket->readLine() == "ROW " + Item));
+    BOOST_TEST(Slow.m_Socket->readLine().value_or("").starts_with("COMPLETE"));
+    BOOST_TEST(Slow.m_Socket->readLine().value_or("").starts_with("READY I"));
+  }
+  BOOST_TEST(!Slow.m_Socket->readLine().has_value());
+  BOOST_TEST(m_Entry->waitForExit(6s).has_value());
+}
+
+// Guards against a close of all idle callers of a host that has lost control:
+// statements on their way were cut without an answer, and all callers
+// reconnected at once.
+BOOST_AUTO_TEST_CASE(HostWithoutLeaseClosesCallersOnlyAfterRefusal) {
+  Caller Idle(m_CallerPort, "booking");
+  BOOST_REQUIRE(waitUntil([&] { return Idle.succeeds("WRITE a one"); }));
+  loseLease();
+  // Longer than the process needs to notice.
+  std::this_thread::sleep_for(1s);
+  const auto Lines = Idle.execute("READ a");
+  BOOST_REQUIRE(Lines.size() == 2U);
+  BOOST_TEST(Lines.front().starts_with("ERROR BUSY 107 "));
+  BOOST_TEST(Lines.back() == "READY I -");
+  BOOST_TEST(!Idle.m_Socket->readLine().has_value());
+}
+
+// Guards against a refusal by an outdated catalogue: a host without a lease
+// cannot know which entries exist.
+BOOST_AUTO_TEST_CASE(HostWithoutLeaseDoesNotReportEntryAsUnknown) {
+  BOOST_TEST(
+      Caller(m_CallerPort, "nobody").m_Greeting.starts_with("ERROR NODB"));
+  loseLease();
+  BOOST_TEST(
+      Caller(m_CallerPort, "nobody").m_Greeting.starts_with("ERROR BUSY 107 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
