LeaseLog: a grant that has run out is no lease

After a start, lines said that a lease was lost 0 ms after its grant, though none had been valid: an answer to an earlier renewal of the session carries no lease, and the client took it for an extension. LeaseLogTest/GrantOfNoLengthIsNoLease failed before ("check m_Log.text().empty() has failed"). Such an answer now counts as one without a grant.

--- a/ragwortmux/Process/Entry/LeaseLog.cpp
+++ b/ragwortmux/Process/Entry/LeaseLog.cpp
@@ -23,6 +23,11 @@
 }
 
 void LeaseLog::granted(Instant Now, Instant ValidUntil) {
+  if (ValidUntil <= Now) {
+    ++m_FailedAnswers;
+    m_LastAnswer = "late_grant";
+    return;
+  }
   if (!m_HasLease) {
     const bool IsFirst = m_LostAt == Instant();
     const std::array Fields = {
--- a/ragwortmux/Process/Entry/LeaseLog.h
+++ b/ragwortmux/Process/Entry/LeaseLog.h
@@ -15,7 +15,7 @@
   /// Control host \p Host answered a renewal or the opening of a session with
   /// \p Answer, the name of a result code or `no_answer`.
   void answered(const std::string &Host, std::string Answer);
-  /// The lease is valid until \p ValidUntil.
+  /// The lease was extended to \p ValidUntil, which may have passed already.
   void granted(Instant Now, Instant ValidUntil);
   /// Writes a line if the lease that is valid until \p ValidUntil has run out.
   /// To be called at each renewal.
--- a/tests/Process/LeaseLogTest.cpp
+++ b/tests/Process/LeaseLogTest.cpp
@@ -56,6 +56,17 @@
       m_Log.text());
 }
 
+// Guards against lines about a lease that was lost as soon as it was granted:
+// an answer to an earlier renewal of the session carries no lease.
+BOOST_AUTO_TEST_CASE(GrantOfNoLengthIsNoLease) {
+  m_Lease.granted(Start, Start - milliseconds(40));
+  m_Lease.check(Start + milliseconds(5), Start - milliseconds(40));
+  BOOST_TEST(m_Log.text().empty());
+  m_Lease.granted(Start + milliseconds(10), Start + milliseconds(100));
+  BOOST_TEST(m_Log.contains("failed_answers=1 last_answer=late_grant"),
+             m_Log.text());
+}
+
 BOOST_AUTO_TEST_CASE(LeaseThatEndsWithItsSessionIsLost) {
   m_Lease.granted(Start, Start + milliseconds(100));
   m_Lease.answered("h1:1", "unauthorized");
