--- a/bench/EntryHosts/EntryHostsRun.cpp
+++ b/bench/EntryHosts/EntryHostsRun.cpp
@@ -64,11 +64,11 @@
     }
     waitFor(AttemptPause);
   }
+  m_StartMs = wallMs();
   if (!m_Hosts.startEntry()) {
     m_LastReason = m_Hosts.lastReason();
     return false;
   }
-  m_StartMs = wallMs();
   m_Hosts.limit();
   startCallers();
   std::vector<double> ControlBefore;
--- a/bench/EntryHosts/HostProcesses.cpp
+++ b/bench/EntryHosts/HostProcesses.cpp
@@ -51,7 +51,7 @@
     m_Control.push_back(
         start("control", Index,
               {flag("address", controlAddress(Index)), flag("caller_port", 0),
-               flag("control_voters", m_Settings.m_ControlHosts),
+               flag("control_voters", m_Settings.m_ControlVoters),
                flag("bootstrap", "true"), flag("data_folder", Data),
                flag("promotion_address", "127.0.0.1:1"),
                flag("server_silence_ms", 4200), flag("connection_share_max", 5),
--- a/bench/EntryHosts/RunSettings.h
+++ b/bench/EntryHosts/RunSettings.h
@@ -10,13 +10,14 @@
 
 /// Size and load of a run with many entry hosts.
 struct RunSettings final {
-  std::uint32_t m_EntryHosts = 60;  ///< Entry processes.
-  std::uint32_t m_ControlHosts = 3; ///< Control processes, all voters.
-  std::uint32_t m_Domains = 3;      ///< Failure domains.
-  std::uint32_t m_Groups = 8;       ///< Database groups.
-  std::uint32_t m_Servers = 3;      ///< Backend servers of a group.
-  std::uint32_t m_Connections = 60; ///< Connections that a server takes.
-  std::uint32_t m_Callers = 600;    ///< Callers, one statement at a time.
+  std::uint32_t m_EntryHosts = 60;   ///< Entry processes.
+  std::uint32_t m_ControlHosts = 3;  ///< Control processes.
+  std::uint32_t m_ControlVoters = 3; ///< Of these, voters at most.
+  std::uint32_t m_Domains = 3;       ///< Failure domains.
+  std::uint32_t m_Groups = 8;        ///< Database groups.
+  std::uint32_t m_Servers = 3;       ///< Backend servers of a group.
+  std::uint32_t m_Connections = 60;  ///< Connections that a server takes.
+  std::uint32_t m_Callers = 600;     ///< Callers, one statement at a time.
   Duration m_Pause = std::chrono::seconds(1);   ///< Between two statements.
   Duration m_Length = std::chrono::seconds(20); ///< Length of the load.
   double m_ControlShare =
