--- a/ragwortmux/Process/Peers/RpcCodec.h
+++ b/ragwortmux/Process/Peers/RpcCodec.h
@@ -38,6 +38,9 @@
 void writeRpc(rpc::Demand::Builder Out, const ShareDemand &Demand);
 ShareDemand readRpc(rpc::Demand::Reader In);
 
+void writeRpc(rpc::CatalogueEntry::Builder Out, const CatalogueEntry &Entry);
+CatalogueEntry readRpc(rpc::CatalogueEntry::Reader In);
+
 void writeRpc(capnp::List<capnp::Text>::Builder Out,
               const std::set<GroupId> &Groups);
 std::set<GroupId> readRpc(capnp::List<capnp::Text>::Reader In);
