Tests: MetricsCountMessagesAndDelays causes the push that it counts

The case relied on a push in the first moments of the entry process. It replaces the configuration now and waits for the push; the series checked are the same.

--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -80,8 +80,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(MetricsCountMessagesAndDelays) {
+  // A record that is new with the session comes with the answer to a renewal; a
+  // replaced configuration is pushed.
+  BOOST_TEST(replace(2) == 200);
   std::string Body;
-  httpCall("127.0.0.1", m_MetricsPort, "GET", "/metrics", "", &Body);
+  BOOST_REQUIRE(waitUntil([&] {
+    httpCall("127.0.0.1", m_MetricsPort, "GET", "/metrics", "", &Body);
+    return Body.find("call=\"push\"") != std::string::npos;
+  }));
   for (const char *Series :
        {"ragwortmux_peer_calls_total{peer=\"entry-1\",call=\"push\"} ",
         "ragwortmux_peer_bytes_total{peer=\"entry-1\",call=\"push\"} ",
