RelayLink: a statement that is too large for a message is refused as not run

It got the answer that its outcome is unknown, though nothing was sent.

An answer that cannot be decoded now counts as a failure of its call, so its statement gets its reply; before, nothing would have caught the error. No test covers this: a connection of the tests cannot send such a message. The check for silence starts anew with each connection.

--- a/ragwortmux/Process/Peers/RelayCodec.cpp
+++ b/ragwortmux/Process/Peers/RelayCodec.cpp
@@ -13,8 +13,8 @@
 /// do not overflow.
 constexpr Duration MaxDuration = std::chrono::years(1);
 
-/// Largest body that is sent; Cap'n Proto refuses messages of 64 MiB, which
-/// would end the connection.
+/// Largest body that is sent; a message of Cap'n Proto must be below 64 MiB,
+/// and the error of a larger one does not tell that the statement ran.
 constexpr std::size_t MaxBodyBytes = 32U << 20U;
 
 bool isValid(Duration Value) {
--- a/ragwortmux/Process/Peers/RelayLink.cpp
+++ b/ragwortmux/Process/Peers/RelayLink.cpp
@@ -20,6 +20,11 @@
 /// The pause between two attempts to connect doubles up to this.
 constexpr Duration MaxReconnectPause = std::chrono::seconds(1);
 
+/// Largest statement that is sent, with the session's state; a message of Cap'n
+/// Proto must be below 64 MiB, and the error of a larger one does not tell that
+/// the statement did not run.
+constexpr std::uint64_t MaxStatementWords = (32U << 20U) / sizeof(capnp::word);
+
 /// An unanswered statement.
 struct PendingStatement final {
   SessionRequest m_Request;                  ///< The statement.
@@ -135,6 +140,7 @@
     m_Relay = kj::mv(Relay);
     m_HasFailed = false;
     m_RetryPause = m_Settings.m_ReconnectPause;
+    resetCheck();
     for (auto &[Number, Statement] : m_Pending) {
       if (Statement.m_IsRefused) {
         continue;
@@ -147,16 +153,21 @@
     KJ_IF_MAYBE (Relay, m_Relay) {
       auto Call = Relay->runRequest();
       writeRpc(Call.initStatement(), Statement.m_Request, monotonicNow());
+      if (Call.totalSize().wordCount > MaxStatementWords) {
+        refuseLater(Number, Statement, ResultCode::NotRunBadRequest);
+        return;
+      }
       Statement.m_IsSent = true;
-      m_Loop.spawn(
-          Call.send().then(whileAlive([Number](Impl &Self, auto &&Result) {
-                             Self.m_HeardAnything = true;
-                             Self.answer(Number, readRpc(Result.getAnswer()));
-                           }),
-                           whileAlive([Number, Used = m_ConnectionNumber](
-                                          Impl &Self, kj::Exception &&Error) {
-                             Self.callFailed(Number, Used, Error);
-                           })));
+      auto Reading = Call.send().then(
+          [](auto &&Result) { return readRpc(Result.getAnswer()); });
+      m_Loop.spawn(Reading.then(
+          whileAlive([Number](Impl &Self, std::optional<SessionAnswer> Answer) {
+            Self.answer(Number, std::move(Answer));
+          }),
+          whileAlive([Number, Used = m_ConnectionNumber](
+                         Impl &Self, kj::Exception &&Error) {
+            Self.callFailed(Number, Used, Error);
+          })));
       scheduleCheck();
     }
   }
@@ -225,16 +236,15 @@
 
   void check() {
     if (m_Pending.empty() || m_Relay == nullptr) {
-      m_Quiet = Duration(0);
+      resetCheck();
       return;
     }
     scheduleCheck();
     // Time is counted in checks: a pause of this process must not pass for
     // silence of the other one.
     m_Quiet += CheckInterval;
-    if (std::exchange(m_HeardAnything, false)) {
-      m_Quiet = Duration(0);
-      m_PingSent = false;
+    if (m_HeardAnything) {
+      resetCheck();
     }
     if (m_Quiet >= m_Settings.m_PingInterval && !m_PingSent) {
       ping();
@@ -244,11 +254,17 @@
     }
   }
 
+  void resetCheck() {
+    m_HeardAnything = false;
+    m_PingSent = false;
+    m_Quiet = Duration(0);
+  }
+
   void ping() {
     KJ_IF_MAYBE (Relay, m_Relay) {
       m_PingSent = true;
       m_Loop.spawn(Relay->pingRequest().send().then(
-          whileAlive([](Impl &Self, auto &&) { Self.m_HeardAnything = true; }),
+          [](auto &&) {}, // The connection reports the bytes of the answer.
           whileAlive(
               [Used = m_ConnectionNumber](Impl &Self, kj::Exception &&Error) {
                 Self.drop(Used, Error.getDescription().cStr());
--- a/ragwortmux/Process/Peers/RelayLink.h
+++ b/ragwortmux/Process/Peers/RelayLink.h
@@ -41,8 +41,8 @@
 
   /// Runs \p Request on the other process. An empty reply means that it is
   /// unknown whether the statement ran. A statement that was certainly not sent
-  /// gets NotRunNoConnection, or NotRunQueueFull beyond the limit of unanswered
-  /// statements.
+  /// gets NotRunNoConnection, NotRunQueueFull beyond the limit of unanswered
+  /// statements, or NotRunBadRequest if it is too large for a message.
   void run(const SessionRequest &Request, Respond<SessionAnswer> Reply);
   /// Tells the other process that \p Caller has closed its connection.
   void callerDisconnected(CallerConnectionId Caller);
--- a/tests/Process/RelayLinkTest.cpp
+++ b/tests/Process/RelayLinkTest.cpp
@@ -197,13 +197,18 @@
     m_Link = std::make_unique<RelayLink>(m_Loop, m_Key, Settings, Hooks);
   }
 
-  /// Runs a statement of \p Caller; its outcome is in m_Outcomes.
-  void run(std::uint64_t Caller) {
-    m_Link->run(makeRequest(Caller), [this, Caller](auto Answer) {
+  /// Records a reply in m_Outcomes.
+  RelayLink::Respond<SessionAnswer> replyTo(std::uint64_t Caller) {
+    return [this, Caller](std::optional<SessionAnswer> Answer) {
       Outcome &Result = m_Outcomes[Caller];
       ++Result.m_Replies;
       Result.m_Answer = std::move(Answer);
-    });
+    };
+  }
+
+  /// Runs a statement of \p Caller; its outcome is in m_Outcomes.
+  void run(std::uint64_t Caller) {
+    m_Link->run(makeRequest(Caller), replyTo(Caller));
   }
 
   void runFor(Duration Length) {
@@ -473,6 +478,28 @@
   BOOST_TEST(m_Lost == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(ATooLargeStatementKeepsTheConnection, Fixture) {
+  constexpr std::size_t Pieces = 70;
+  constexpr std::size_t PieceBytes = 1U << 20U;
+  startPeer();
+  startLink();
+  run(1);
+  BOOST_REQUIRE(waitForArrivals(1));
+  SessionState State;
+  for (std::size_t Index = 0; Index < Pieces; ++Index) {
+    State.m_Values[std::to_string(Index)] = std::string(PieceBytes, 'x');
+  }
+  SessionRequest Large = makeRequest(2);
+  Large.m_State = std::make_shared<const SessionState>(std::move(State));
+  m_Link->run(Large, replyTo(2));
+  BOOST_REQUIRE(waitForReply(2));
+  BOOST_TEST(wasNotRun(2, ResultCode::NotRunBadRequest));
+  m_Peer->answer(0, makeAnswer(""));
+  BOOST_REQUIRE(waitForReply(1));
+  BOOST_TEST(m_Outcomes[1].m_Answer.has_value());
+  BOOST_TEST(m_Lost == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(APauseOfTheSenderKeepsItsConnection, Fixture) {
   startPeer();
   startLink();
@@ -571,6 +598,25 @@
   BOOST_TEST(m_Lost == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(ASlowStatementKeepsANewConnection, Fixture) {
+  startPeer();
+  startLink();
+  run(1);
+  BOOST_REQUIRE(waitForArrivals(1));
+  m_Peer->block();
+  const bool Replied = waitForReply(1);
+  m_Peer->unblock();
+  BOOST_REQUIRE(Replied);
+  BOOST_REQUIRE(waitFor([&] { return m_Link->isUsable(); }));
+  run(2);
+  BOOST_REQUIRE(waitForArrivals(2));
+  runFor(LongerThanSilence);
+  m_Peer->answer(1, makeAnswer(""));
+  BOOST_REQUIRE(waitForReply(2));
+  BOOST_TEST(m_Outcomes[2].m_Answer.has_value());
+  BOOST_TEST(m_Lost == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(AReplyMayDestroyTheLink, Fixture) {
   startPeer();
   startLink();
