--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Process/Control/ControlRole.h"
 
+#include "ragwortmux/Process/Control/ControlLoad.h"
 #include "ragwortmux/Process/Log/PosixFileSystem.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
@@ -65,6 +66,7 @@
                          Metrics &ProcessMetrics, Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings),
       m_Metrics(ProcessMetrics), m_Timeline(Events),
+      m_Load(std::make_shared<ControlLoad>(ProcessMetrics)),
       m_Datagrams(Loop, Settings.m_ClusterKey, [this](LogEnvelope Envelope) {
         m_Actor->receive(std::move(Envelope));
       }) {}
@@ -81,7 +83,8 @@
   }
   m_Identity = Owner->node().identify();
   m_Identity.m_Host = m_Settings.m_Host;
-  m_Actor = std::make_unique<ControlActor>(m_Loop, m_Actors, std::move(Owner));
+  m_Actor = std::make_unique<ControlActor>(m_Loop, m_Actors, std::move(Owner),
+                                           m_Load);
   return true;
 }
 
@@ -164,7 +167,7 @@
   ControlNodeSettings Node;
   Node.m_Address = ownAddress();
   Node.m_Bootstrap = m_Settings.m_Bootstrap;
-  Node.m_Voters = m_Settings.m_ControlVoters;
+  Node.m_Voters = m_Settings.targetVoters();
   Node.m_Log.m_Random = systemRandom;
   Node.m_Log.m_HeartbeatInterval = m_Settings.m_Heartbeat;
   Node.m_Log.m_ElectionTimeoutMin = m_Settings.m_ElectionTimeout;
@@ -207,6 +210,7 @@
     m_Timeline.record(Event);
   };
   Hooks.m_LeadershipChanged = [this](bool Ready) { leadershipChanged(Ready); };
+  Hooks.m_Load = m_Load;
   return Hooks;
 }
 
@@ -220,6 +224,7 @@
     Settings.m_Address = PeerAddress.m_Address;
     Settings.m_Port = PeerAddress.m_Port;
     Settings.m_CallTimeout = PeerTimeout;
+    Settings.m_Metrics = &m_Metrics;
     Link =
         std::make_unique<PeerLink>(m_Loop, m_Settings.m_ClusterKey, Settings);
   }
@@ -231,7 +236,11 @@
   const std::string Message = encodeLogEnvelope(Envelope);
   if (!m_Datagrams.send(Address, Message)) {
     link(Address).sendLogMessage(Message);
+    return;
   }
+  const MetricLabels Labels = {Address, "log_datagram"};
+  m_Metrics.add(Metric::PeerCalls, Labels);
+  m_Metrics.add(Metric::PeerBytes, Labels, Message.size());
 }
 
 void ControlRole::push(ControlSessionId Session, const ControlUpdate &Update) {
@@ -240,6 +249,7 @@
     return;
   }
   m_Metrics.add(Metric::ControlPushes, {});
+  m_Load->updatePushed(monotonicNow());
   Found->second(Session, Update,
                 [this, Session](const std::optional<Confirmation> &Confirmed) {
                   if (Confirmed) {
--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -24,7 +24,8 @@
 
 ControlClientSettings controlClientSettings(const ProcessSettings &Settings,
                                             std::uint16_t RpcPort,
-                                            Incarnation OwnIncarnation) {
+                                            Incarnation OwnIncarnation,
+                                            Metrics *ProcessMetrics) {
   ControlClientSettings Client;
   Client.m_Self = {Settings.m_Host, Settings.m_FailureDomain,
                    Settings.m_Address, RpcPort};
@@ -34,6 +35,7 @@
   Client.m_CallTimeout = Settings.m_RequestTimeout;
   Client.m_Drift.m_Percent = Settings.m_DriftPercent;
   Client.m_Drift.m_Fixed = Settings.m_Drift;
+  Client.m_Metrics = ProcessMetrics;
   return Client;
 }
 
@@ -57,6 +59,7 @@
   Link.m_Address = Address.m_Address;
   Link.m_Port = Address.m_Port;
   Link.m_CallTimeout = m_Settings.m_CallTimeout;
+  Link.m_Metrics = m_Settings.m_Metrics;
   m_Links.push_back(std::make_unique<PeerLink>(m_Loop, m_ClusterKey, Link));
 }
 
@@ -94,6 +97,7 @@
     return;
   }
   scheduleMaintenance(m_Settings.m_RenewalInterval);
+  m_LeaseLog.check(monotonicNow(), m_Lease.validUntil());
   if (!m_IsRegistered) {
     openSession();
     return;
@@ -119,6 +123,7 @@
       [this, TargetIndex](const std::optional<OpenSessionReply> &Reply) {
         m_IsOpening = false;
         if (!Reply || !Reply->m_Status.ok()) {
+          noteAnswer(TargetIndex, Reply ? &Reply->m_Status : nullptr);
           Reply ? followLeaderHint(TargetIndex, Reply->m_Status)
                 : switchToNextHost(TargetIndex);
           scheduleMaintenance(RetryPause);
@@ -142,6 +147,9 @@
   Renewal.m_Catalogue = Confirmed.m_Catalogue;
   Renewal.m_Homes = Confirmed.m_Homes;
   Renewal.m_Demand = m_Hooks.m_Demand();
+  if (m_Hooks.m_ServedGroups) {
+    Renewal.m_ServedGroups = m_Hooks.m_ServedGroups();
+  }
   Renewal.m_Sequence = m_Lease.renewalSent(monotonicNow());
   leaderLink().renew(
       Renewal,
@@ -155,6 +163,9 @@
                                      ControlSessionId Session,
                                      std::uint64_t Sequence,
                                      const std::optional<RenewReply> &Reply) {
+  if (!Reply || !Reply->m_Status.ok()) {
+    noteAnswer(TargetIndex, Reply ? &Reply->m_Status : nullptr);
+  }
   if (!Reply) {
     switchToNextHost(TargetIndex);
     scheduleMaintenance(RetryPause);
@@ -178,10 +189,21 @@
   // already in effect here.
   applyUpdate(Reply->m_Update);
   if (m_Lease.renewalGranted(Session, Sequence, Reply->m_Lease)) {
+    m_LeaseLog.granted(monotonicNow(), m_Lease.validUntil());
     m_Hooks.m_LeaseExtended(m_Lease.validUntil());
   }
 }
 
+void ControlClient::noteAnswer(std::size_t TargetIndex,
+                               const ControlStatus *Status) {
+  const std::string Answer =
+      Status == nullptr ? "no_answer"
+                        : std::string(resultCodeInfo(Status->m_Code).m_Name);
+  m_LeaseLog.answered(
+      formatSocketAddress(m_Settings.m_ControlPeers[TargetIndex].m_Endpoint),
+      Answer);
+}
+
 void ControlClient::applyUpdate(const ControlUpdate &Update) {
   m_Hooks.m_Update(Update);
 }
--- a/ragwortmux/Process/Peers/PeerLink.h
+++ b/ragwortmux/Process/Peers/PeerLink.h
@@ -15,6 +15,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 class Secret;
 
 /// Address, timeouts and limits of a PeerLink.
@@ -34,6 +35,7 @@
   Duration m_SilenceLimit = std::chrono::milliseconds(
       600); ///< RelayLink: the connection is dropped if a check stays without
             ///< an answer for this long.
+  Metrics *m_Metrics = nullptr; ///< Counts the calls; null: none does.
 };
 
 /// RPC client for one other process of the cluster: connects on first use,
--- a/ragwortmux/Process/Peers/RpcServer.h
+++ b/ragwortmux/Process/Peers/RpcServer.h
@@ -14,6 +14,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 class Secret;
 struct SessionAnswer;
 struct SessionRequest;
@@ -60,6 +61,8 @@
   /// The connection from \p Peer has ended; called once for each peer, but not
   /// when the RpcServer is destroyed.
   std::function<void(RelayPeerId Peer)> m_RelayClosed;
+  /// Counts the updates that are pushed to entry processes; null: none does.
+  Metrics *m_Metrics = nullptr;
 };
 
 /// Serves RPC to processes that prove that they know the cluster key.
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -57,6 +57,14 @@
                "Reads answered, by class and role of the backend server that "
                "answered (primary or replica).",
                {"class", "role"}},
+    MetricInfo{Metric::RelayedStatements,
+               "ragwortmux_relayed_statements_total",
+               MetricKind::Counter,
+               "decisions",
+               "Decisions about statements that this host relays to another "
+               "entry host, by decision (sent, answered, retried, refused or "
+               "unknown) and result code name.",
+               {"decision", "result"}},
     MetricInfo{Metric::Callers,
                "ragwortmux_callers",
                MetricKind::Gauge,
@@ -182,6 +190,45 @@
                "Log lines left out since the start, because their reader had "
                "no room or the limit was reached.",
                {}},
+    MetricInfo{Metric::LoopDelaySeconds,
+               "ragwortmux_loop_delay_seconds",
+               MetricKind::Histogram,
+               "seconds",
+               "Time by which the event loop ran work late, by kind of work "
+               "(posted_tasks or timer).",
+               {"work"}},
+    MetricInfo{Metric::ControlWaitSeconds,
+               "ragwortmux_control_wait_seconds",
+               MetricKind::Histogram,
+               "seconds",
+               "Time that a task of the control node waited to be run.",
+               {"task"}},
+    MetricInfo{Metric::ControlTaskSeconds,
+               "ragwortmux_control_task_seconds",
+               MetricKind::Histogram,
+               "seconds",
+               "Time that a task of the control node ran.",
+               {"task"}},
+    MetricInfo{Metric::PeerCalls,
+               "ragwortmux_peer_calls_total",
+               MetricKind::Counter,
+               "calls",
+               "Calls, pushes, renewal answers and datagrams sent to other "
+               "processes of the cluster, by process and call.",
+               {"peer", "call"}},
+    MetricInfo{Metric::PeerBytes,
+               "ragwortmux_peer_bytes_total",
+               MetricKind::Counter,
+               "bytes",
+               "Bytes of these messages, without framing.",
+               {"peer", "call"}},
+    MetricInfo{Metric::PeerFailures,
+               "ragwortmux_peer_failures_total",
+               MetricKind::Counter,
+               "calls",
+               "Calls to other processes of the cluster that failed, by call "
+               "and kind of failure (timeout, lost or not_sent).",
+               {"call", "failure"}},
 };
 
 } // namespace
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -18,6 +18,7 @@
   RequestsQueued,
   Retries,
   Reads,
+  RelayedStatements,
   Callers,
   CallersTotal,
   BackendConnections,
@@ -38,6 +39,12 @@
   LogSyncSeconds,
   Draining,
   LogLinesDropped,
+  LoopDelaySeconds,
+  ControlWaitSeconds,
+  ControlTaskSeconds,
+  PeerCalls,
+  PeerBytes,
+  PeerFailures,
 };
 
 /// Prometheus type of a metric.
