A session that is still open is opened again without a log entry

After a change of leader every entry host opens its session at the new leader and renews its lease behind that. Each of these calls wrote an entry to the control log, although the state did not change: as many entries and evaluations as there are hosts, before the first renewals. The leader now answers from its state, which has every entry of earlier leaders. Whether it still leads is decided by the quorum round of the renewal, as before.

ControlNodeTest/ReopeningOpenSessionWritesNoLogEntry failed before: 'check !Leader.m_Node->hasFailed() has failed', since the entry met a disk that takes none.

--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -71,6 +71,16 @@
 
 void ControlNode::openSession(Instant Now, const OpenSession &Command,
                               const Respond<OpenSessionReply> &Reply) {
+  // After a change of leader all processes open their sessions again, which
+  // needs no log entries as long as those are open.
+  const SessionRecord *Open =
+      isServing()
+          ? m_State.sessions().find(Command.m_Host, Command.m_Incarnation)
+          : nullptr;
+  if (Open != nullptr) {
+    Reply({{}, Open->m_Session});
+    return;
+  }
   command(Now, Command, [Reply](const CommandReply &Outcome) {
     OpenSessionReply Opened;
     Opened.m_Status = Outcome.m_Status;
--- a/ragwortmux/Version/SessionTable.cpp
+++ b/ragwortmux/Version/SessionTable.cpp
@@ -2,6 +2,8 @@
 
 #include "ragwortmux/Version/ControlCommand.h"
 
+#include <algorithm>
+
 namespace ragwortmux {
 
 ControlResult SessionTable::open(const OpenSession &Command) {
@@ -55,6 +57,15 @@
   return Found == m_Sessions.end() ? nullptr : &Found->second;
 }
 
+const SessionRecord *SessionTable::find(const HostId &Host,
+                                        Incarnation Run) const {
+  const auto Found =
+      std::find_if(m_Sessions.begin(), m_Sessions.end(), [&](const auto &Each) {
+        return Each.second.m_Host == Host && Each.second.m_Incarnation == Run;
+      });
+  return Found == m_Sessions.end() ? nullptr : &Found->second;
+}
+
 void SessionTable::forEachSession(
     const std::function<void(const SessionRecord &)> &Visit) const {
   for (const auto &[Id, Session] : m_Sessions)
--- a/ragwortmux/Version/SessionTable.h
+++ b/ragwortmux/Version/SessionTable.h
@@ -33,6 +33,8 @@
   std::size_t size() const { return m_Sessions.size(); }
   /// The open session, or null.
   const SessionRecord *find(ControlSessionId Session) const;
+  /// The open session of \p Run of \p Host, or null.
+  const SessionRecord *find(const HostId &Host, Incarnation Run) const;
   /// Calls \p Visit for each open session by id.
   void
   forEachSession(const std::function<void(const SessionRecord &)> &Visit) const;
--- /dev/null
+++ b/tests/Process/ControlNodeTest.cpp
@@ -0,0 +1,128 @@
+#include "ragwortmux/Process/Control/ControlNode.h"
+#include "tests/Log/FakeDisk.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *Address = "127.0.0.1:1";
+
+/// The only voter of a control log, which leads it.
+struct LeadingNode {
+  LeadingNode() {
+    LogStorageSettings Storage;
+    Storage.m_ClusterName = "test";
+    Storage.m_Random = [this] { return ++m_Random; };
+    ControlNodeSettings Settings;
+    Settings.m_Address = Address;
+    Settings.m_Bootstrap = true;
+    Settings.m_Log.m_Random = [this] { return ++m_Random; };
+    ControlNodeHooks Hooks;
+    Hooks.m_SendLog = [](const std::string &, const LogEnvelope &) {};
+    Hooks.m_Push = [this](ControlSessionId, const ControlUpdate &Update) {
+      m_Pushed.push_back(Update);
+    };
+    Hooks.m_CallBackend = [](const CallBackend &) {};
+    Hooks.m_WriteTimeline = [](const std::string &) {};
+    Hooks.m_LeadershipChanged = [this](bool Leads) { m_IsLeader = Leads; };
+    m_Node = std::make_unique<ControlNode>(
+        std::move(Settings),
+        std::make_unique<LogStorage>(std::move(Storage),
+                                     std::make_unique<FakeFileSystem>(m_Disk)),
+        std::move(Hooks));
+    BOOST_REQUIRE(m_Node->open(m_Now));
+    PeerIdentity Self;
+    Self.m_Voter = VoterId(m_Node->identify().m_Voter);
+    Self.m_Address = Address;
+    Self.m_IsListed = true;
+    m_Node->peersIdentified(m_Now, {Self}, true);
+    advance(seconds(2));
+    BOOST_REQUIRE(m_IsLeader);
+  }
+
+  void advance(Duration Length) {
+    for (const Instant End = m_Now + Length; m_Now < End;
+         m_Now += milliseconds(10))
+      m_Node->tick(m_Now, WallTime(milliseconds(1)));
+  }
+
+  /// Opens the session of the host's run; 0 if that is refused.
+  ControlSessionId open(std::uint64_t Run) {
+    ControlSessionId Session;
+    m_Node->openSession(
+        m_Now,
+        {HostId("h"), Incarnation(Run), FailureDomainId("d"), "10.0.0.1", 7000},
+        [&](const OpenSessionReply &Reply) {
+          if (Reply.m_Status.ok())
+            Session = Reply.m_Session;
+        });
+    return Session;
+  }
+
+  /// Renews the lease of \p Session; true if it is granted.
+  bool renew(ControlSessionId Session) {
+    bool Granted = false;
+    LeaseRenewal Renewal;
+    Renewal.m_Session = Session;
+    Renewal.m_Sequence = ++m_Sequence;
+    m_Node->renew(m_Now, Renewal, [&](const RenewReply &Reply) {
+      Granted = Reply.m_Status.ok() && Reply.m_Lease > Duration(0);
+    });
+    advance(milliseconds(100));
+    return Granted;
+  }
+
+  Instant m_Now{std::chrono::hours(1)};
+  std::uint64_t m_Random = 0;
+  std::uint64_t m_Sequence = 0;
+  bool m_IsLeader = false;
+  std::vector<ControlUpdate> m_Pushed;
+  std::shared_ptr<FakeDisk> m_Disk = std::make_shared<FakeDisk>();
+  std::unique_ptr<ControlNode> m_Node;
+};
+
+ServerAnnouncement announcement(const std::string &Group) {
+  ServerAnnouncement Announcement;
+  Announcement.m_Group = GroupId(Group);
+  Announcement.m_Server = ServerId("s");
+  Announcement.m_Domain = FailureDomainId("d");
+  Announcement.m_Address = "10.0.0.2";
+  Announcement.m_Port = 5432;
+  Announcement.m_ConnectionLimit = 35;
+  return Announcement;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlNodeTest)
+
+// After a change of leader all entry hosts open their sessions again; one log
+// entry for each of them delayed the renewals behind them.
+BOOST_AUTO_TEST_CASE(ReopeningOpenSessionWritesNoLogEntry) {
+  LeadingNode Leader;
+  const ControlSessionId Session = Leader.open(2);
+  BOOST_REQUIRE((Session != ControlSessionId()));
+  BOOST_REQUIRE(Leader.renew(Session));
+  // A log entry could not be written now.
+  Leader.m_Disk->injectFailure(0, false);
+  BOOST_TEST((Leader.open(2) == Session));
+  BOOST_TEST(!Leader.m_Node->hasFailed());
+  Leader.m_Disk->clearFault();
+  BOOST_TEST(Leader.renew(Session));
+  // Another run of the host needs an entry; an earlier one is refused.
+  const ControlSessionId Next = Leader.open(3);
+  BOOST_TEST((Next > Session));
+  BOOST_TEST((Leader.open(2) == ControlSessionId()));
+  BOOST_TEST(!Leader.renew(Session));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
