Updates of one step reach an entry process in one push

Each record that the leader pushed was a task and an RPC call of its own, in front of the heartbeats of the control log, and each list of session homes took a walk over all sessions for every host in it. The updates of one step are now collected by session, of each group the newest record, and the addresses of the homes are looked up in one walk.

ControlNodeTest/RecordsOfOneStepAreOnePush failed before: 'critical check Leader.m_Pushed.size() == 1U has failed'.

--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -245,6 +245,9 @@
     const bool LeaderActed = performLeaderActions(Now);
     Busy = LogActed || LeaderActed;
   }
+  for (auto &[Session, Update] : std::exchange(m_Pushes, {})) {
+    m_Hooks.m_Push(Session, std::move(Update));
+  }
 }
 
 bool ControlNode::performLogActions(Instant Now) {
@@ -481,21 +484,20 @@
 }
 
 void ControlNode::perform(Instant, const PushGroupView &Action) {
-  ControlUpdate Update;
-  Update.m_Views.push_back(Action.m_View);
-  m_Hooks.m_Push(Action.m_Session, std::move(Update));
+  std::vector<GroupView> &Views = m_Pushes[Action.m_Session].m_Views;
+  // A later record of the group replaces the earlier one.
+  std::erase_if(Views, [&](const GroupView &Each) {
+    return Each.m_Group == Action.m_View.m_Group;
+  });
+  Views.push_back(Action.m_View);
 }
 
 void ControlNode::perform(Instant, const PushCatalogue &Action) {
-  ControlUpdate Update;
-  Update.m_Catalogue = Action.m_Delta;
-  m_Hooks.m_Push(Action.m_Session, std::move(Update));
+  m_Pushes[Action.m_Session].m_Catalogue = Action.m_Delta;
 }
 
 void ControlNode::perform(Instant, const PushSessionHomes &Action) {
-  ControlUpdate Update;
-  Update.m_Homes = homesView(Action.m_Homes);
-  m_Hooks.m_Push(Action.m_Session, std::move(Update));
+  m_Pushes[Action.m_Session].m_Homes = homesView(Action.m_Homes);
 }
 
 void ControlNode::perform(Instant Now, const CallBackend &Action) {
@@ -554,15 +556,19 @@
 }
 
 SessionHomesView ControlNode::homesView(const SessionHomeLists &Homes) const {
-  const auto ToAddresses = [this](const std::vector<HostId> &Hosts) {
+  std::map<HostId, const SessionRecord *> Records;
+  m_State.sessions().forEachSession(
+      [&](const SessionRecord &Record) { Records[Record.m_Host] = &Record; });
+  const auto ToAddresses = [&](const std::vector<HostId> &Hosts) {
     std::vector<EntryAddress> Addresses;
     for (const HostId &Host : Hosts) {
-      m_State.sessions().forEachSession([&](const SessionRecord &Record) {
-        if (Record.m_Host == Host) {
-          Addresses.push_back(
-              {Host, Record.m_Domain, Record.m_Address, Record.m_RpcPort});
-        }
-      });
+      const auto Found = Records.find(Host);
+      if (Found == Records.end()) {
+        continue;
+      }
+      const SessionRecord &Record = *Found->second;
+      Addresses.push_back(
+          {Host, Record.m_Domain, Record.m_Address, Record.m_RpcPort});
     }
     return Addresses;
   };
--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -157,6 +157,8 @@
   std::map<LogIndex, PendingCommand> m_Commands; ///< Not yet applied; by index.
   std::map<std::uint64_t, PendingQuery> m_Queries; ///< Unconfirmed; by token.
   std::map<RenewalKey, Respond<RenewReply>> m_Renewals; ///< Not yet answered.
+  std::map<ControlSessionId, ControlUpdate>
+      m_Pushes; ///< Updates to push once all actions of a step are performed.
   std::uint64_t m_LastTokenNumber = 0; ///< Last number used in a token.
   std::map<std::uint64_t, PendingPromotion>
       m_Promotions;        ///< Unconfirmed; by token.
--- a/tests/Process/ControlNodeTest.cpp
+++ b/tests/Process/ControlNodeTest.cpp
@@ -125,4 +125,18 @@
   BOOST_TEST(!Leader.renew(Session));
 }
 
+// Each push is a call to the entry process of its own, so the records of one
+// step must share it.
+BOOST_AUTO_TEST_CASE(RecordsOfOneStepAreOnePush) {
+  LeadingNode Leader;
+  const ControlSessionId Session = Leader.open(1);
+  BOOST_REQUIRE(Leader.renew(Session));
+  Leader.advance(seconds(1));
+  Leader.m_Pushed.clear();
+  Leader.m_Node->report(Leader.m_Now, {announcement("g1"), announcement("g2")},
+                        {}, [](const ControlStatus &) {});
+  BOOST_REQUIRE(Leader.m_Pushed.size() == 1U);
+  BOOST_TEST(Leader.m_Pushed[0].m_Views.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
