Ticks of a control node that is late do not pile up

A tick was posted every 20 ms whether or not the last one had been handled. A node that had been held up first handled all of them, each with an evaluation of all groups, before the answers of the other voters that had come in behind them. Now at most one tick waits. By reading only: no test shows the backlog.

--- a/ragwortmux/Process/Control/ControlActor.cpp
+++ b/ragwortmux/Process/Control/ControlActor.cpp
@@ -45,7 +45,8 @@
 
 ControlActor::ControlActor(IoLoop &Loop, ActorSystem &Actors,
                            std::unique_ptr<ControlNodeOwner> Owner)
-    : m_Loop(Loop), m_Handle(std::make_unique<Handle>()) {
+    : m_Loop(Loop), m_Handle(std::make_unique<Handle>()),
+      m_IsTickPending(std::make_shared<std::atomic<bool>>(false)) {
   m_Handle->m_Actor = Actors.system().spawn<caf::detached>(
       controlBehavior, std::shared_ptr<ControlNodeOwner>(std::move(Owner)));
 }
@@ -90,7 +91,14 @@
 }
 
 void ControlActor::tick() {
-  send([](ControlNode &Node, Instant Now) { Node.tick(Now, wallNow()); });
+  // If the actor is late, ticks must not pile up before its other messages.
+  if (m_IsTickPending->exchange(true)) {
+    return;
+  }
+  send([IsPending = m_IsTickPending](ControlNode &Node, Instant Now) {
+    *IsPending = false;
+    Node.tick(Now, wallNow());
+  });
 }
 
 void ControlActor::openSession(OpenSession Command,
--- a/ragwortmux/Process/Control/ControlActor.h
+++ b/ragwortmux/Process/Control/ControlActor.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Process/Control/ControlNode.h"
 #include "ragwortmux/Process/Control/ControlNodeOwner.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -57,6 +58,8 @@
 
   IoLoop &m_Loop;                   ///< Runs hooks and replies.
   std::unique_ptr<Handle> m_Handle; ///< Refers to the actor.
+  std::shared_ptr<std::atomic<bool>>
+      m_IsTickPending; ///< A tick waits to be handled by the actor.
 };
 
 } // namespace ragwortmux
