A test that a new control leader pushes nothing that the sessions have

With 67 hosts that serve, another process becomes the leader: every lease goes on, no session is opened anew, nothing is pushed.

--- a/tests/Version/ControlLeaderOverloadTest.cpp
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -53,4 +53,26 @@
   BOOST_TEST((Taken <= OpeningTime + 500ms));
 }
 
+// The renewals tell a new leader what the sessions have. Pushing everything to
+// everyone made it step down like the leader before it.
+BOOST_AUTO_TEST_CASE(NewLeaderPushesNothingThatSessionsHave) {
+  FleetHarness Fleet{FleetSize()};
+  Fleet.openAll(OpeningTime);
+  Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
+  Fleet.run(2s);
+  const FleetCounts Before = Fleet.counts();
+  Fleet.changeLeader();
+  for (Duration Passed{0}; Passed < 2s; Passed += 100ms) {
+    Fleet.run(100ms);
+    BOOST_TEST(Fleet.isServing());
+  }
+  BOOST_TEST(Fleet.counts().m_Pushes == Before.m_Pushes);
+  BOOST_TEST(Fleet.state().sessions().size() == FleetSize().m_Hosts);
+  BOOST_TEST_MESSAGE(Fleet.counts().m_Proposals - Before.m_Proposals
+                     << " proposals, "
+                     << Fleet.counts().m_Renewals - Before.m_Renewals
+                     << " renewals, " << Fleet.counts().m_Bytes - Before.m_Bytes
+                     << " bytes in 2 s");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
