Capacity: the control leader at 67 sessions and 8 groups

The leader part of the capacity tool lets a session renew with the groups at whose servers it has shares, and runs 8 groups with 16, 32 and 67 sessions.

--- a/bench/Capacity/LeaderDriver.cpp
+++ b/bench/Capacity/LeaderDriver.cpp
@@ -17,6 +17,9 @@
 LeaderDriver::LeaderDriver(const StateSizes &Sizes)
     : m_Sizes(Sizes), m_Leader(m_State, ControlLeaderSettings()) {
   fillState(m_State, Sizes);
+  m_State.shares().forEachShare([this](const ShareRecord &Share) {
+    m_Served[Share.m_Session].insert(Share.m_Group);
+  });
   m_Leader.becameLeader(m_Now);
   processActions();
 }
@@ -85,6 +88,7 @@
     Renewal.m_Session = ControlSessionId(Host + 1);
     Renewal.m_Sequence = m_Sequence;
     Renewal.m_Confirmed = m_Confirmed;
+    Renewal.m_ServedGroups = m_Served[Renewal.m_Session];
     Renewal.m_Catalogue = m_State.catalogue().revision();
     Renewal.m_Homes = m_State.homes().m_Revision;
     ++Count;
--- a/bench/Capacity/LeaderDriver.h
+++ b/bench/Capacity/LeaderDriver.h
@@ -5,6 +5,7 @@
 #include "ragwortmux/Version/ControlLeader.h"
 
 #include <map>
+#include <set>
 
 namespace ragwortmux {
 
@@ -18,7 +19,8 @@
 
 /// Runs a ControlLeader in simulated time without failures: each server
 /// announces itself every 100 ms and each session renews its lease every 300
-/// ms.
+/// ms. A session serves the groups at whose servers fillState() gives it
+/// shares.
 class LeaderDriver final {
 public:
   explicit LeaderDriver(const StateSizes &Sizes);
@@ -41,6 +43,8 @@
   Instant m_Now{std::chrono::seconds(1)}; ///< Simulated time.
   std::uint64_t m_Sequence = 0;           ///< Of the last renewals.
   std::uint64_t m_Proposals = 0;          ///< Commands so far.
+  std::map<ControlSessionId, std::set<GroupId>>
+      m_Served; ///< Groups that each session serves.
   std::map<GroupId, Revision>
       m_Confirmed; ///< Revisions that each session confirms.
 };
--- a/bench/Capacity/LeaderSlopes.cpp
+++ b/bench/Capacity/LeaderSlopes.cpp
@@ -37,6 +37,11 @@
     addPoint(Sessions, Size, {3, Size, 0, 0});
   }
   Sessions.print();
+  SlopeTable Fleet("Control leader by sessions, 8 groups", "sessions", Values);
+  for (const std::uint32_t Size : {16U, 32U, 67U}) {
+    addPoint(Fleet, Size, {8, Size, 0, 0});
+  }
+  Fleet.print();
 }
 
 } // namespace ragwortmux
