--- a/ragwortmux/Process/Control/ControlActor.cpp
+++ b/ragwortmux/Process/Control/ControlActor.cpp
@@ -53,7 +53,8 @@
                            std::unique_ptr<ControlNodeOwner> Owner,
                            std::shared_ptr<ControlLoad> Load)
     : m_Loop(Loop), m_Handle(std::make_unique<Handle>()),
-      m_Load(std::move(Load)) {
+      m_Load(std::move(Load)),
+      m_IsTickPending(std::make_shared<std::atomic<bool>>(false)) {
   m_Handle->m_Actor = Actors.system().spawn<caf::detached>(
       controlBehavior, std::shared_ptr<ControlNodeOwner>(std::move(Owner)),
       m_Load);
@@ -101,8 +102,15 @@
 }
 
 void ControlActor::tick() {
+  // If the actor is late, ticks must not pile up before its other messages.
+  if (m_IsTickPending->exchange(true)) {
+    return;
+  }
   send(ControlTaskKind::Tick,
-       [](ControlNode &Node, Instant Now) { Node.tick(Now, wallNow()); });
+       [IsPending = m_IsTickPending](ControlNode &Node, Instant Now) {
+         *IsPending = false;
+         Node.tick(Now, wallNow());
+       });
 }
 
 void ControlActor::openSession(OpenSession Command,
--- a/ragwortmux/Process/Control/ControlActor.h
+++ b/ragwortmux/Process/Control/ControlActor.h
@@ -5,6 +5,7 @@
 #include "ragwortmux/Process/Control/ControlNodeOwner.h"
 #include "ragwortmux/Process/Control/ControlTaskKind.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -61,6 +62,8 @@
   IoLoop &m_Loop;                      ///< Runs hooks and replies.
   std::unique_ptr<Handle> m_Handle;    ///< Refers to the actor.
   std::shared_ptr<ControlLoad> m_Load; ///< Measures the tasks.
+  std::shared_ptr<std::atomic<bool>>
+      m_IsTickPending; ///< A tick waits to be handled by the actor.
 };
 
 } // namespace ragwortmux
