--- a/tests/Platform/WireFixture.h
+++ b/tests/Platform/WireFixture.h
@@ -242,6 +242,17 @@
     }
   }
 
+  /// Number of statements that the servers have run whose ids start with
+  /// \p IdPrefix.
+  std::size_t countExecuted(const std::string &IdPrefix) const {
+    std::size_t Count = 0;
+    for (const auto &Server : m_Servers) {
+      for (const std::string &Executed : Server->executedStatements())
+        Count += Executed.starts_with(IdPrefix) ? 1 : 0;
+    }
+    return Count;
+  }
+
   /// Ends control and waits until the entry process has no lease.
   void loseLease() {
     m_Control->kill();
