An update that its reply confirms causes no renewal

Each record that control pushed cost the leader a lease renewal of the host, with its part in a quorum round, besides the reply that had confirmed the record already. renewNow() now has no effect while a pushed update is applied. What takes effect after the reply is still confirmed by a renewal at once.

ControlClientTest/PushConfirmedByItsReplyCausesNoRenewal failed before: 'check Control.m_Renewals == 1U + Each.m_Renewals has failed [2 != 1]'.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -77,7 +77,12 @@
   }
 }
 
-void ControlClient::renewNow() { scheduleMaintenance(Duration(0)); }
+void ControlClient::renewNow() {
+  // The reply to the update that is being applied confirms the revisions.
+  if (!m_IsConfirming) {
+    scheduleMaintenance(Duration(0));
+  }
+}
 
 void ControlClient::scheduleMaintenance(Duration Delay) {
   const std::uint64_t Number = ++m_MaintenanceNumber;
@@ -110,11 +115,8 @@
   leaderLink().openSession(
       m_Settings.m_Self, m_Settings.m_Incarnation,
       [this](ControlSessionId Session, const ControlUpdate &Update) {
-        if (Session == m_Lease.session()) {
-          applyUpdate(Update);
-          return m_Hooks.m_Confirmation();
-        }
-        return Confirmation();
+        return Session == m_Lease.session() ? confirmUpdate(Update)
+                                            : Confirmation();
       },
       [this, TargetIndex](const std::optional<OpenSessionReply> &Reply) {
         m_IsOpening = false;
@@ -189,6 +191,13 @@
   m_Hooks.m_Update(Update);
 }
 
+Confirmation ControlClient::confirmUpdate(const ControlUpdate &Update) {
+  m_IsConfirming = true;
+  KJ_DEFER(m_IsConfirming = false);
+  applyUpdate(Update);
+  return m_Hooks.m_Confirmation();
+}
+
 void ControlClient::endSession(Duration Timeout, std::function<void()> Done) {
   m_Stopped = true;
   const auto PendingCallback =
