--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -79,7 +79,8 @@
   /// is called exactly once, when control has answered or after \p Timeout.
   void endSession(Duration Timeout, std::function<void()> Done);
   /// Renews the lease immediately instead of at the next interval, so that
-  /// newly applied revisions are confirmed early.
+  /// newly applied revisions are confirmed early. Has no effect while a pushed
+  /// update is applied, whose reply confirms them.
   void renewNow();
 
   /// Proposes an idempotent command to the leader; retried until \p Deadline.
@@ -116,6 +117,8 @@
   /// Notes an answer of the host \p TargetIndex other than a grant; null: the
   /// call failed.
   void noteAnswer(std::size_t TargetIndex, const ControlStatus *Status);
+  /// Applies an update that the leader has pushed and returns the reply.
+  Confirmation confirmUpdate(const ControlUpdate &Update);
   void addLink(const SocketAddress &Address);
   void scheduleReport();
   void sendReports();
@@ -139,6 +142,7 @@
   LeaseLog m_LeaseLog;                   ///< Log lines about the lease.
   bool m_IsRegistered = false;           ///< The leader pushes updates here.
   bool m_Stopped = false;                ///< endSession() was called.
+  bool m_IsConfirming = false;           ///< A pushed update is applied.
   bool m_IsOpening = false;              ///< An openSession call is in flight.
   bool m_IsReportScheduled = false;      ///< sendReports() is scheduled.
   std::uint64_t m_MaintenanceNumber = 0; ///< Number of the newest scheduled
