A change of the served groups renews the lease at once, also inside a push

Two changes met in the join: pushes whose reply confirms them cause no renewal, and a host that serves other groups than before renews at once. The second was swallowed by the first when the new list of hosts came by push, so the leader learnt the served groups up to 300 ms later. renewNow() renews again without a condition; revisionConfirmed() has it. ControlClientTest has the case (changes the served groups: one renewal). It was written with the change; without it the case would see renewNow() return without a renewal, as the code reads; that was not run.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -80,10 +80,12 @@
   }
 }
 
-void ControlClient::renewNow() {
+void ControlClient::renewNow() { scheduleMaintenance(Duration(0)); }
+
+void ControlClient::revisionConfirmed() {
   // The reply to the update that is being applied confirms the revisions.
   if (!m_IsConfirming) {
-    scheduleMaintenance(Duration(0));
+    renewNow();
   }
 }
 
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -78,10 +78,11 @@
   /// Ends the session without opening another; commands are still sent. \p Done
   /// is called exactly once, when control has answered or after \p Timeout.
   void endSession(Duration Timeout, std::function<void()> Done);
-  /// Renews the lease immediately instead of at the next interval, so that
-  /// newly applied revisions are confirmed early. Has no effect while a pushed
-  /// update is applied, whose reply confirms them.
+  /// Renews the lease immediately instead of at the next interval.
   void renewNow();
+  /// Newly applied revisions can be confirmed: renews the lease immediately,
+  /// unless a pushed update is being applied, whose reply confirms them.
+  void revisionConfirmed();
 
   /// Proposes an idempotent command to the leader; retried until \p Deadline.
   void command(const ControlCommand &Command, Instant Deadline,
--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -290,7 +290,7 @@
   };
   Hooks.m_RevisionConfirmed = [this] {
     if (m_Control) {
-      m_Control->renewNow();
+      m_Control->revisionConfirmed();
     }
   };
   return Hooks;
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -318,7 +318,7 @@
                                           SuspicionKind Kind) {
     m_Control->reportSuspicion(Group, Server, Kind);
   };
-  Hooks.m_RevisionConfirmed = [this] { m_Control->renewNow(); };
+  Hooks.m_RevisionConfirmed = [this] { m_Control->revisionConfirmed(); };
   Hooks.m_DecisionMade = [this, Group](const SessionDecisionRecord &Record) {
     m_StatementLog.record(Group, Record);
   };
--- a/tests/Process/ControlClientTest.cpp
+++ b/tests/Process/ControlClientTest.cpp
@@ -54,7 +54,10 @@
       const Revision New = Update.m_Catalogue->m_Revision;
       const auto Apply = [this, New] {
         m_Applied = New;
-        m_Client->renewNow();
+        if (m_ChangesServedGroups)
+          m_Client->renewNow();
+        else
+          m_Client->revisionConfirmed();
       };
       if (m_AppliesLater)
         m_Loop.after(milliseconds(10), Apply);
@@ -81,7 +84,8 @@
   Secret m_Key;
   UpdateListener m_Listener;
   Revision m_Applied;
-  bool m_AppliesLater = false; ///< Updates take effect after the reply.
+  bool m_AppliesLater = false;        ///< Updates take effect after the reply.
+  bool m_ChangesServedGroups = false; ///< Updates change the served groups.
   std::optional<std::set<GroupId>> m_Serves;
   std::optional<std::set<GroupId>> m_Served; ///< As received.
   unsigned m_Renewals = 0;
@@ -97,14 +101,20 @@
 // the reply that had confirmed it.
 BOOST_AUTO_TEST_CASE(PushConfirmedByItsReplyCausesNoRenewal) {
   struct Case final {
+    const char *m_Name;    ///< Description.
     bool m_AppliesLater;   ///< The update takes effect after the reply.
+    bool m_ChangesGroups;  ///< The update changes the served groups.
     unsigned m_Renewals;   ///< Renewals besides the first one.
     std::uint64_t m_Reply; ///< Revision that the reply confirms.
   };
-  for (const Case &Each : {Case{false, 0, 5}, Case{true, 1, 0}}) {
-    BOOST_TEST_CONTEXT("applies later: " << Each.m_AppliesLater) {
+  for (const Case &Each :
+       {Case{"applied at once", false, false, 0, 5},
+        Case{"applied after the reply", true, false, 1, 0},
+        Case{"changes the served groups", false, true, 1, 5}}) {
+    BOOST_TEST_CONTEXT(Each.m_Name) {
       Pair Control;
       Control.m_AppliesLater = Each.m_AppliesLater;
+      Control.m_ChangesServedGroups = Each.m_ChangesGroups;
       Control.m_Client->start();
       Control.run(milliseconds(500));
       BOOST_REQUIRE(Control.m_Listener);
