The renewal for changed groups is sent after the update has been applied

The reply to a push confirms revisions, so a renewal that is asked for while the push is applied is not needed for them and may be left out. The reply does not name the served groups; their renewal is asked for on the next turn of the event loop.

--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -361,7 +361,9 @@
     return;
   }
   m_ReportedGroups = std::move(Served);
-  m_Control->renewNow();
+  // Not while an update is applied: the reply to a push confirms its revisions,
+  // but it does not name the groups.
+  m_Loop.after(Duration(0), [this] { m_Control->renewNow(); });
 }
 
 void SessionEntryRole::updateMetrics() {
