--- a/bench/EntryHosts/EntryHostsRun.cpp
+++ b/bench/EntryHosts/EntryHostsRun.cpp
@@ -75,7 +75,11 @@
   for (std::uint32_t Host = 0; Host < m_Settings.m_ControlHosts; ++Host) {
     ControlBefore.push_back(m_Hosts.controlSeconds(Host));
   }
-  waitFor(m_Settings.m_Length / 2);
+  waitFor(m_Settings.m_Length / 4);
+  if (m_Settings.m_LosesLeader) {
+    loseLeader();
+  }
+  waitFor(m_Settings.m_Length / 4);
   // In a thread, because the call blocks and the servers and callers run here.
   auto Replaced =
       std::async(std::launch::async, [this] { return putConfiguration(2); });
@@ -141,9 +145,14 @@
 }
 
 bool EntryHostsRun::putConfiguration(int Version) {
-  return platform::httpCall(m_Hosts.controlAddress(0), m_Settings.m_HttpPort,
-                            "POST", "/config/replace",
-                            configuration(Version)) == HttpOk;
+  for (std::uint32_t Host = 0; Host < m_Settings.m_ControlHosts; ++Host) {
+    if (platform::httpCall(m_Hosts.controlAddress(Host), m_Settings.m_HttpPort,
+                           "POST", "/config/replace",
+                           configuration(Version)) == HttpOk) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void EntryHostsRun::startCallers() {
@@ -165,13 +174,26 @@
   m_Loop.timer().afterDelay(toKj(Length)).wait(m_Loop.waitScope());
 }
 
+std::string EntryHostsRun::controlMetrics(std::uint32_t Host) const {
+  std::string Body;
+  platform::httpCall(m_Hosts.controlAddress(Host), m_Settings.m_MetricsPort,
+                     "GET", "/metrics", "", &Body);
+  return Body;
+}
+
+void EntryHostsRun::loseLeader() {
+  for (std::uint32_t Host = 0; Host < m_Settings.m_ControlHosts; ++Host) {
+    if (sumOf(controlMetrics(Host), "ragwortmux_control_leader ") > 0) {
+      m_Hosts.killControl(Host);
+      return;
+    }
+  }
+}
+
 std::string EntryHostsRun::metricRows() const {
   std::string Text;
   for (std::uint32_t Host = 0; Host < m_Settings.m_ControlHosts; ++Host) {
-    std::string Body;
-    platform::httpCall(m_Hosts.controlAddress(Host), m_Settings.m_MetricsPort,
-                       "GET", "/metrics", "", &Body);
-    Text += Body + "\n";
+    Text += controlMetrics(Host) + "\n";
   }
   std::ofstream(m_Settings.m_Folder / "control-metrics.txt") << Text;
   const std::string Calls = "ragwortmux_peer_calls_total{peer=\"";
@@ -217,6 +239,8 @@
       "| processor share of control processes, highest; mean of entry "
       "processes | {:.1f}%; {:.1f}% | |\n",
       *std::ranges::max_element(m_ControlShares) * 100, m_EntryShare * 100);
+  Table += fmt::format("| control leader killed | {} | |\n",
+                       m_Settings.m_LosesLeader ? "yes" : "no");
   std::uint64_t Refused = 0;
   std::size_t Peak = 0;
   for (const auto &Server : m_Servers) {
--- a/bench/EntryHosts/EntryHostsRun.h
+++ b/bench/EntryHosts/EntryHostsRun.h
@@ -39,6 +39,8 @@
   bool putConfiguration(int Version);
   std::string configuration(int Version) const;
   void startCallers();
+  void loseLeader();
+  std::string controlMetrics(std::uint32_t Host) const;
   void waitFor(Duration Length);
   std::string metricRows() const;
 
--- a/bench/EntryHosts/HostProcesses.cpp
+++ b/bench/EntryHosts/HostProcesses.cpp
@@ -128,6 +128,11 @@
   m_Limiter.start();
 }
 
+void HostProcesses::killControl(std::uint32_t Index) {
+  m_Limiter.remove(m_Control[Index]->processId());
+  m_Control[Index]->kill();
+}
+
 void HostProcesses::stop() {
   m_Limiter.stop();
   for (auto *List : {&m_Entry, &m_Control}) {
--- a/bench/EntryHosts/HostProcesses.h
+++ b/bench/EntryHosts/HostProcesses.h
@@ -26,6 +26,8 @@
   bool startEntry();
   /// Limits the processor time of all processes from now on.
   void limit();
+  /// Kills control process \p Index.
+  void killControl(std::uint32_t Index);
   /// Ends all processes; their logs stay readable.
   void stop();
 
--- a/bench/EntryHosts/Main.cpp
+++ b/bench/EntryHosts/Main.cpp
@@ -17,6 +17,8 @@
               "Processor share of a control process; 0: unlimited");
 DEFINE_double(entry_share, 0.12,
               "Processor share of an entry process; 0: unlimited");
+DEFINE_bool(lose_leader, false,
+            "Kills the control leader after a quarter of the load");
 DEFINE_string(output, "", "Folder for logs and data; empty: one in /tmp");
 
 namespace ragwortmux {
@@ -38,6 +40,7 @@
   Settings.m_Length = std::chrono::seconds(FLAGS_seconds);
   Settings.m_ControlShare = FLAGS_control_share;
   Settings.m_EntryShare = FLAGS_entry_share;
+  Settings.m_LosesLeader = FLAGS_lose_leader;
   Settings.m_RpcPort = platform::findFreePort(Local);
   Settings.m_HttpPort = platform::findFreePort(Local);
   Settings.m_CallerPort = platform::findFreePort(Local);
--- a/bench/EntryHosts/ProcessorLimiter.cpp
+++ b/bench/EntryHosts/ProcessorLimiter.cpp
@@ -38,6 +38,12 @@
   m_Thread = std::thread([this] { run(); });
 }
 
+void ProcessorLimiter::remove(pid_t Id) {
+  const std::lock_guard Lock(m_Mutex);
+  std::erase_if(m_Processes,
+                [Id](const Limited &Process) { return Process.m_Id == Id; });
+}
+
 void ProcessorLimiter::stop() {
   m_IsRunning = false;
   if (m_Thread.joinable()) {
@@ -54,11 +60,14 @@
 void ProcessorLimiter::run() {
   Instant PeriodEnd = monotonicNow() + Period;
   while (m_IsRunning) {
-    if (monotonicNow() >= PeriodEnd) {
-      PeriodEnd = std::max(PeriodEnd + Period, monotonicNow());
-      std::ranges::for_each(m_Processes, beginPeriod);
+    {
+      const std::lock_guard Lock(m_Mutex);
+      if (monotonicNow() >= PeriodEnd) {
+        PeriodEnd = std::max(PeriodEnd + Period, monotonicNow());
+        std::ranges::for_each(m_Processes, beginPeriod);
+      }
+      std::ranges::for_each(m_Processes, suspendIfUsedUp);
     }
-    std::ranges::for_each(m_Processes, suspendIfUsedUp);
     std::this_thread::sleep_for(CheckInterval);
   }
 }
--- a/bench/EntryHosts/ProcessorLimiter.h
+++ b/bench/EntryHosts/ProcessorLimiter.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <ctime>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -27,6 +28,8 @@
   /// Limits process \p Id to \p Share of one processor; before start().
   void add(pid_t Id, double Share);
   void start();
+  /// Ends the limit of process \p Id, before it is reaped.
+  void remove(pid_t Id);
   /// Ends the limits and resumes all processes.
   void stop();
 
@@ -45,6 +48,7 @@
   static void suspendIfUsedUp(Limited &Process);
 
   std::vector<Limited> m_Processes;      ///< All limited processes.
+  std::mutex m_Mutex;                    ///< Guards m_Processes.
   std::atomic<bool> m_IsRunning = false; ///< False: the thread ends.
   std::thread m_Thread;                  ///< Runs run().
 };
--- a/bench/EntryHosts/RunSettings.h
+++ b/bench/EntryHosts/RunSettings.h
@@ -23,6 +23,8 @@
   double m_ControlShare =
       0.3;                    ///< Processor share of a control process; 0: all.
   double m_EntryShare = 0.12; ///< Processor share of an entry process; 0: all.
+  bool m_LosesLeader = false; ///< The control leader is killed after a
+                              ///< quarter of the load.
   std::uint16_t m_RpcPort = 0;     ///< RPC port of all processes.
   std::uint16_t m_HttpPort = 0;    ///< HTTP port of all processes.
   std::uint16_t m_CallerPort = 0;  ///< Caller port of the entry processes.
