--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -361,9 +361,7 @@
     return;
   }
   m_ReportedGroups = std::move(Served);
-  // Not while an update is applied: the reply to a push confirms its revisions,
-  // but it does not name the groups.
-  m_Loop.after(Duration(0), [this] { m_Control->renewNow(); });
+  m_Control->renewNow();
 }
 
 void SessionEntryRole::updateMetrics() {
