Tests, known red: entry hosts that restart together learn of each other

A process that restarts gets the session homes with its first renewal, without the hosts that have no open session at that moment, and confirms their revision. If the others come back before the list changes, the revision stays, and the process never gets their addresses. It then serves groups that others serve; one that knows no other host serves all groups.

FleetHarness lists addresses as ControlNode::homesView() does, of hosts with an open session only, and its hosts count themselves like RelayRouter; before, it listed hosts without a session, so the fault could not be seen with it.

--- a/tests/Process/ControlNodeTest.cpp
+++ b/tests/Process/ControlNodeTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,8 +29,11 @@
     Settings.m_Log.m_Random = [this] { return ++m_Random; };
     ControlNodeHooks Hooks;
     Hooks.m_SendLog = [](const std::string &, const LogEnvelope &) {};
-    Hooks.m_Push = [this](ControlSessionId, const ControlUpdate &Update) {
+    Hooks.m_Push = [this](ControlSessionId Session,
+                          const ControlUpdate &Update) {
       m_Pushed.push_back(Update);
+      if (Update.m_Homes)
+        m_Homes[Session] = *Update.m_Homes;
     };
     Hooks.m_CallBackend = [](const CallBackend &) {};
     Hooks.m_WriteTimeline = [](const std::string &) {};
@@ -56,26 +60,30 @@
   }
 
   /// Opens the session of the host's run; 0 if that is refused.
-  ControlSessionId open(std::uint64_t Run) {
+  ControlSessionId open(std::uint64_t Run, const std::string &Host = "h") {
     ControlSessionId Session;
-    m_Node->openSession(
-        m_Now,
-        {HostId("h"), Incarnation(Run), FailureDomainId("d"), "10.0.0.1", 7000},
-        [&](const OpenSessionReply &Reply) {
-          if (Reply.m_Status.ok())
-            Session = Reply.m_Session;
-        });
+    m_Node->openSession(m_Now,
+                        {HostId(Host), Incarnation(Run), FailureDomainId("d"),
+                         "10.0.0.1", 7000},
+                        [&](const OpenSessionReply &Reply) {
+                          if (Reply.m_Status.ok())
+                            Session = Reply.m_Session;
+                        });
     return Session;
   }
 
-  /// Renews the lease of \p Session; true if it is granted.
+  /// Renews the lease of \p Session, which has the newest session homes that
+  /// renewals have brought it; true if it is granted.
   bool renew(ControlSessionId Session) {
     bool Granted = false;
     LeaseRenewal Renewal;
     Renewal.m_Session = Session;
     Renewal.m_Sequence = ++m_Sequence;
+    Renewal.m_Homes = m_Homes[Session].m_Revision;
     m_Node->renew(m_Now, Renewal, [&](const RenewReply &Reply) {
       Granted = Reply.m_Status.ok() && Reply.m_Lease > Duration(0);
+      if (Reply.m_Update.m_Homes)
+        m_Homes[Session] = *Reply.m_Update.m_Homes;
     });
     advance(milliseconds(100));
     return Granted;
@@ -86,6 +94,8 @@
   std::uint64_t m_Sequence = 0;
   bool m_IsLeader = false;
   std::vector<ControlUpdate> m_Pushed;
+  std::map<ControlSessionId, SessionHomesView>
+      m_Homes; ///< Newest session homes of each session.
   std::shared_ptr<FakeDisk> m_Disk = std::make_shared<FakeDisk>();
   std::unique_ptr<ControlNode> m_Node;
 };
@@ -139,4 +149,33 @@
   BOOST_TEST(Leader.m_Pushed[0].m_Views.size() == 2U);
 }
 
+// Entry hosts that were down for longer than a lease restart one after the
+// other. One that opens its session before the others must get their addresses
+// too: an entry host that knows no other serves every group.
+BOOST_AUTO_TEST_CASE(HostsThatRestartTogetherLearnOfEachOther,
+                     *boost::unit_test::label("known-red")) {
+  LeadingNode Leader;
+  const auto RenewAll = [&](const std::vector<ControlSessionId> &Sessions,
+                            int Rounds) {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      for (const ControlSessionId Session : Sessions)
+        BOOST_REQUIRE(Leader.renew(Session));
+    }
+  };
+  const std::vector<ControlSessionId> Before = {Leader.open(1, "h1"),
+                                                Leader.open(1, "h2")};
+  // The list of both hosts is prepared and comes into force.
+  RenewAll(Before, 40);
+  BOOST_REQUIRE(Leader.m_Homes[Before[0]].m_Active.size() == 2U);
+  BOOST_REQUIRE(Leader.m_Homes[Before[1]].m_Active.size() == 2U);
+  // Both hosts are down until their sessions have ended.
+  Leader.advance(milliseconds(1700));
+  const ControlSessionId First = Leader.open(2, "h1");
+  BOOST_REQUIRE(Leader.renew(First));
+  const ControlSessionId Second = Leader.open(2, "h2");
+  RenewAll({First, Second}, 50);
+  BOOST_TEST(Leader.m_Homes[Second].m_Active.size() == 2U);
+  BOOST_TEST(Leader.m_Homes[First].m_Active.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/ControlLeaderOverloadTest.cpp
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+#include <string>
+#include <vector>
+
 using namespace ragwortmux;
 using namespace ragwortmux::test;
 
@@ -75,4 +79,38 @@
                      << " bytes in 2 s");
 }
 
+// Hosts that are back before the list of session homes has changed must serve
+// the groups of that list and no others, or all of them take part in all groups
+// again, as before the set of a group's hosts was bounded.
+BOOST_AUTO_TEST_CASE(RestartOfAllHostsKeepsParticipantsBounded,
+                     *boost::unit_test::label("known-red")) {
+  for (const Duration Down : {500ms, 2000ms}) {
+    BOOST_TEST_CONTEXT("down for " << Down.count() << " us") {
+      FleetHarness Fleet{FleetSize()};
+      Fleet.openAll(OpeningTime);
+      Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
+      Fleet.run(2s);
+      std::vector<std::set<GroupId>> Served;
+      for (const FleetHost &Host : Fleet.hosts())
+        Served.push_back(Host.m_Served);
+      Fleet.restartAll(Down, OpeningTime);
+      Fleet.run(10s);
+      std::size_t Differing = 0;
+      std::size_t Participations = 0;
+      for (std::size_t Host = 0; Host < Served.size(); ++Host) {
+        Differing += Fleet.hosts()[Host].m_Served == Served[Host] ? 0 : 1;
+        for (std::uint32_t Group = 0; Group < FleetSize().m_Groups; ++Group)
+          Participations += Fleet.state().shares().holds(
+                                GroupId("group-" + std::to_string(Group)),
+                                Fleet.hosts()[Host].m_Session)
+                                ? 1
+                                : 0;
+      }
+      BOOST_TEST(Differing == 0U);
+      BOOST_TEST(Participations ==
+                 FleetSize().m_Groups * FleetSize().m_Domains * 4);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <set>
 
 namespace ragwortmux::test {
 
@@ -84,7 +85,7 @@
     schedule(Within * Part / Parts, [this, Host] {
       const FleetHost &Opened = m_Hosts[Host];
       lead([&] {
-        apply(OpenSession{Opened.m_Host, Incarnation(1), Opened.m_Domain,
+        apply(OpenSession{Opened.m_Host, Incarnation(m_Run), Opened.m_Domain,
                           "10.0.0." + std::to_string(Host), 7000});
       });
       schedule(MessageDelay, [this, Host] { renew(Host); });
@@ -92,6 +93,20 @@
   }
 }
 
+void FleetHarness::restartAll(Duration Down, Duration Within) {
+  m_Scheduled.clear();
+  ++m_Run;
+  for (FleetHost &Host : m_Hosts) {
+    FleetHost Restarted;
+    Restarted.m_Host = Host.m_Host;
+    Restarted.m_Domain = Host.m_Domain;
+    Restarted.m_Received = Host.m_Received;
+    Host = Restarted;
+  }
+  run(Down);
+  openAll(Within);
+}
+
 void FleetHarness::changeLeader() {
   m_Leader = std::make_unique<ControlLeader>(m_State, leaderSettings());
   m_Scheduled.clear();
@@ -322,10 +337,16 @@
 }
 
 SessionHomesView FleetHarness::homesView(const SessionHomeLists &Homes) const {
-  const auto ToAddresses = [this](const std::vector<HostId> &Hosts) {
+  // Like ControlNode::homesView(): only hosts with open sessions have an
+  // address.
+  std::set<HostId> Open;
+  m_State.sessions().forEachSession(
+      [&](const SessionRecord &Record) { Open.insert(Record.m_Host); });
+  const auto ToAddresses = [&](const std::vector<HostId> &Hosts) {
     std::vector<EntryAddress> Addresses;
     for (const FleetHost &Host : m_Hosts) {
-      if (std::binary_search(Hosts.begin(), Hosts.end(), Host.m_Host))
+      const bool IsOpen = Open.contains(Host.m_Host);
+      if (IsOpen && std::binary_search(Hosts.begin(), Hosts.end(), Host.m_Host))
         Addresses.push_back({Host.m_Host, Host.m_Domain, "10.0.0.1", 7000});
     }
     return Addresses;
@@ -353,7 +374,8 @@
         std::max(Host.m_Catalogue, Update.m_Catalogue->m_Revision);
   if (Update.m_Homes && Host.m_Homes < Update.m_Homes->m_Revision) {
     Host.m_Homes = Update.m_Homes->m_Revision;
-    Host.m_Served = servedGroups(Host, Update.m_Homes->m_Active);
+    if (!Update.m_Homes->m_Active.empty())
+      Host.m_Served = servedGroups(Host, Update.m_Homes->m_Active);
   }
 }
 
@@ -386,14 +408,12 @@
       return stableHash(Each.value(), Group.value());
     };
     const std::uint64_t Own = Weight(Host.m_Host);
-    bool IsActive = false;
     std::size_t Preferred = 0;
     for (const EntryAddress &Other : Active) {
-      IsActive = IsActive || Other.m_Host == Host.m_Host;
       if (Other.m_Domain == Host.m_Domain && Weight(Other.m_Host) > Own)
         ++Preferred;
     }
-    if (IsActive && Preferred < HostsPerDomain)
+    if (Preferred < HostsPerDomain)
       Served.insert(Group);
   }
   return Served;
--- a/tests/Version/FleetHarness.h
+++ b/tests/Version/FleetHarness.h
@@ -66,6 +66,9 @@
 
   /// Opens the sessions of all hosts, evenly spread over \p Within from now.
   void openAll(Duration Within);
+  /// Ends the processes of all hosts at once; new ones open their sessions
+  /// after \p Down, evenly spread over \p Within.
+  void restartAll(Duration Down, Duration Within);
   /// Makes another process the leader; sessions stay open and messages in
   /// flight are lost.
   void changeLeader();
@@ -125,6 +128,7 @@
   std::multimap<Instant, std::function<void()>>
       m_Scheduled;             ///< Events to come, by time.
   FleetCounts m_Counts;        ///< What the leader has done.
+  std::uint64_t m_Run = 1;     ///< Run of the hosts' processes.
   std::uint64_t m_Steps = 0;   ///< Number of completed steps.
   std::uint64_t m_Reports = 0; ///< Number of announcements so far.
   std::deque<std::pair<Instant, Duration>>
