Tests, known red: the end of an idle relay connection is noticed

RelayLink notices the end of its connection only with a statement or a check under way. After a restart of the serving host, the next statement is written to the ended connection, and a write becomes outcome unknown although it was not sent.

Seen: RelayLinkTest.cpp: check m_Lost == 1 has failed [0 != 1]; check m_Outcomes[2].m_Answer.has_value() has failed.

--- a/tests/Process/RelayLinkTest.cpp
+++ b/tests/Process/RelayLinkTest.cpp
@@ -420,6 +420,26 @@
   }
 }
 
+// A serving host restarts while nothing is under way on a connection to it. The
+// next statement is certainly not run there, so a write must not become outcome
+// unknown, and the transactions on the connection are lost.
+BOOST_FIXTURE_TEST_CASE(TheEndOfAnIdleConnectionIsNoticed, Fixture,
+                        *boost::unit_test::label("known-red")) {
+  startPeer();
+  startLink();
+  run(1);
+  BOOST_REQUIRE(waitForArrivals(1));
+  m_Peer->answer(0, makeAnswer("done"));
+  BOOST_REQUIRE(waitForReply(1));
+  m_Peer.reset();
+  runFor(LongerThanSilence);
+  BOOST_TEST(m_Lost == 1);
+  run(2);
+  BOOST_REQUIRE(waitForReply(2));
+  BOOST_TEST(m_Outcomes[2].m_Answer.has_value());
+  BOOST_TEST(wasNotRun(2, ResultCode::NotRunNoConnection));
+}
+
 BOOST_FIXTURE_TEST_CASE(ASlowStatementKeepsItsConnection, Fixture) {
   startPeer();
   startLink();
