Tests, known red: a missing answer in a transaction releases the caller

RelayLink::callFailed() and an unreadable answer give an empty reply without ending the connection. The caller gets NotRunRolledBack, but the serving host keeps the transaction, and the caller's next statement there runs inside it.

Seen: RelayTest.cpp(390): critical check Released != nullptr has failed.

--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -376,6 +376,21 @@
   }
 }
 
+// A call may fail, or its answer be unreadable, while the connection stays. The
+// caller is told that its transaction was rolled back, so the host must roll it
+// back: the caller's next statement at that host would run inside it.
+BOOST_AUTO_TEST_CASE(MissingAnswerInTransactionReleasesCaller,
+                     *boost::unit_test::label("known-red")) {
+  const HostId Host = begin();
+  submit(2, StatementKind::Write, true);
+  loseAnswer(3, Host);
+  BOOST_REQUIRE(answer() != nullptr);
+  BOOST_TEST((answer()->m_Code == ResultCode::NotRunRolledBack));
+  const auto *Released = find<ReleaseRelayedCaller>();
+  BOOST_REQUIRE(Released != nullptr);
+  BOOST_TEST((Released->m_Host == Host));
+}
+
 // Guards against a statement that is never answered, or answered twice.
 BOOST_AUTO_TEST_CASE(EachStatementIsAnsweredOnce) {
   std::mt19937 Random(20); // NOLINT(cert-msc32-c,cert-msc51-cpp)
