Tests, known red: a catalogue on its way is not pushed again

UpdateTracker pushes what is unconfirmed again after 150 ms, and each renewal is answered with it too, whether or not the first copy can have arrived. On a link of 2 Mbit/s the copies delay the answers of the renewals behind them.

FleetHarness delivers updates as fast as the link of an entry host passes them on; before, each took 1 ms.

--- a/tests/Version/ControlLeaderOverloadTest.cpp
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -113,4 +113,27 @@
   }
 }
 
+// A catalogue takes longer than m_PushRetry on the link of an entry host. What
+// is still on its way must not be sent again: the copies delay the answers of
+// the renewals behind them.
+BOOST_AUTO_TEST_CASE(CatalogueOnItsWayIsNotPushedAgain,
+                     *boost::unit_test::label("known-red")) {
+  FleetHarness Fleet{FleetSize()};
+  Fleet.openAll(OpeningTime);
+  Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
+  Fleet.run(2s);
+  const std::size_t Before = Fleet.counts().m_Pushes;
+  const std::size_t BytesBefore = Fleet.counts().m_Bytes;
+  Fleet.replaceCatalogue(390);
+  BOOST_TEST((Fleet.counts().m_Pushes - Before == FleetSize().m_Hosts));
+  for (Duration Passed{0}; Passed < 3s; Passed += 100ms) {
+    Fleet.run(100ms);
+    BOOST_TEST(Fleet.isServing());
+  }
+  BOOST_TEST(Fleet.counts().m_Pushes - Before == FleetSize().m_Hosts);
+  BOOST_TEST_MESSAGE(
+      (Fleet.counts().m_Bytes - BytesBefore) / FleetSize().m_Hosts
+      << " bytes to each host in 3 s");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -73,6 +73,7 @@
         FailureDomainId("domain-" + std::to_string(Host % Size.m_Domains));
   }
   m_State.apply(AdvanceTime{Start});
+  m_Policies = Policies;
   m_State.apply(ReplaceCatalogue{CatalogueVersion(1), "{}", {}, Policies});
   lead([this] { m_Leader->becameLeader(m_Now); });
   run(3s);
@@ -107,6 +108,18 @@
   openAll(Within);
 }
 
+void FleetHarness::replaceCatalogue(std::uint32_t Entries) {
+  ReplaceCatalogue Command{CatalogueVersion(2), "{}", {}, m_Policies};
+  for (std::uint32_t Number = 0; Number < Entries; ++Number) {
+    CatalogueEntry &Entry = Command.m_Entries.emplace_back();
+    Entry.m_Name = EntryName("entry-" + std::to_string(Number));
+    Entry.m_Group = m_Policies.front().m_Group;
+    Entry.m_Owner = OwnerId("owner");
+    Entry.m_Class = TrafficClass::PrimarySession;
+  }
+  lead([&] { apply(Command); });
+}
+
 void FleetHarness::changeLeader() {
   m_Leader = std::make_unique<ControlLeader>(m_State, leaderSettings());
   m_Scheduled.clear();
@@ -273,8 +286,7 @@
   Update.m_Catalogue = Action.m_Catalogue;
   if (Action.m_Homes)
     Update.m_Homes = homesView(*Action.m_Homes);
-  countBytes(*Host, Update);
-  schedule(MessageDelay, [this, Host, Update, Action] {
+  schedule(countBytes(*Host, Update), [this, Host, Update, Action] {
     receive(*Host, Update);
     Host->m_Lease.renewalGranted(Action.m_Session, Action.m_Sequence,
                                  Action.m_Length);
@@ -320,8 +332,7 @@
   if (Host == nullptr)
     return;
   ++m_Counts.m_Pushes;
-  countBytes(*Host, Update);
-  schedule(MessageDelay, [this, Host, Update] {
+  schedule(countBytes(*Host, Update), [this, Host, Update] {
     receive(*Host, Update);
     schedule(MessageDelay, [this, Host] {
       ++m_Counts.m_Confirmations;
@@ -379,7 +390,8 @@
   }
 }
 
-void FleetHarness::countBytes(FleetHost &Host, const ControlUpdate &Update) {
+Duration FleetHarness::countBytes(FleetHost &Host,
+                                  const ControlUpdate &Update) {
   capnp::MallocMessageBuilder Message;
   writeRpc(Message.initRoot<rpc::Update>(), Update);
   const std::size_t Bytes =
@@ -396,6 +408,10 @@
                             << Recent << " bytes to " << Host.m_Host.value()
                             << " within one second, after " << m_Counts.m_Pushes
                             << " pushes to all hosts");
+  Host.m_LinkFreeAt =
+      std::max(Host.m_LinkFreeAt, m_Now) +
+      std::chrono::microseconds(Bytes * 1'000'000 / LinkBytesPerSecond);
+  return Host.m_LinkFreeAt - m_Now + MessageDelay;
 }
 
 std::set<GroupId>
--- a/tests/Version/FleetHarness.h
+++ b/tests/Version/FleetHarness.h
@@ -50,12 +50,14 @@
   Revision m_Homes;                     ///< Session homes that it applies.
   std::set<GroupId> m_Served;           ///< Groups that it serves.
   std::deque<std::pair<Instant, std::size_t>>
-      m_Received; ///< Bytes received in the last second.
+      m_Received;         ///< Bytes received in the last second.
+  Instant m_LinkFreeAt{}; ///< When its link has passed on all that was sent.
 };
 
 /// Runs a control leader with the settings of the deployments and many entry
-/// hosts in simulated time. Every message takes 1 ms in each direction and a
-/// command 2 ms until it is applied. The processor time is real.
+/// hosts in simulated time. Every message takes 1 ms in each direction, an
+/// update to an entry host also what its link needs, and a command 2 ms until
+/// it is applied. The processor time is real.
 ///
 /// Fails as soon as the leader exceeds a limit of the platform: its share of a
 /// core within the time in which a quorum must have answered it, or the link
@@ -69,6 +71,8 @@
   /// Ends the processes of all hosts at once; new ones open their sessions
   /// after \p Down, evenly spread over \p Within.
   void restartAll(Duration Down, Duration Within);
+  /// Replaces the catalogue by \p Entries entries of the first group.
+  void replaceCatalogue(std::uint32_t Entries);
   /// Makes another process the leader; sessions stay open and messages in
   /// flight are lost.
   void changeLeader();
@@ -111,8 +115,9 @@
   SessionHomesView homesView(const SessionHomeLists &Homes) const;
   FleetHost *find(ControlSessionId Session);
   void receive(FleetHost &Host, const ControlUpdate &Update);
-  /// Counts the encoded size of \p Update to \p Host.
-  void countBytes(FleetHost &Host, const ControlUpdate &Update);
+  /// Counts the encoded size of \p Update to \p Host; returns how long the
+  /// update takes.
+  Duration countBytes(FleetHost &Host, const ControlUpdate &Update);
   void checkProcessorTime();
   /// The groups that \p Host serves with the homes \p Active: the four hosts
   /// of a failure domain with the greatest weights serve a group.
@@ -126,11 +131,12 @@
   std::vector<std::pair<GroupId, ServerId>> m_Servers; ///< All servers.
   Instant m_Now{std::chrono::hours(1)};                ///< The simulated time.
   std::multimap<Instant, std::function<void()>>
-      m_Scheduled;             ///< Events to come, by time.
-  FleetCounts m_Counts;        ///< What the leader has done.
-  std::uint64_t m_Run = 1;     ///< Run of the hosts' processes.
-  std::uint64_t m_Steps = 0;   ///< Number of completed steps.
-  std::uint64_t m_Reports = 0; ///< Number of announcements so far.
+      m_Scheduled;                     ///< Events to come, by time.
+  FleetCounts m_Counts;                ///< What the leader has done.
+  std::vector<GroupPolicy> m_Policies; ///< Of all groups.
+  std::uint64_t m_Run = 1;             ///< Run of the hosts' processes.
+  std::uint64_t m_Steps = 0;           ///< Number of completed steps.
+  std::uint64_t m_Reports = 0;         ///< Number of announcements so far.
   std::deque<std::pair<Instant, Duration>>
       m_BusyTimes;               ///< Recent processor times of the leader.
   Duration m_LargestBusyTime{0}; ///< See largestBusyTime().
