--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <set>
 
 namespace ragwortmux::test {
 
@@ -72,6 +73,7 @@
         FailureDomainId("domain-" + std::to_string(Host % Size.m_Domains));
   }
   m_State.apply(AdvanceTime{Start});
+  m_Policies = Policies;
   m_State.apply(ReplaceCatalogue{CatalogueVersion(1), "{}", {}, Policies});
   lead([this] { m_Leader->becameLeader(m_Now); });
   run(3s);
@@ -84,7 +86,7 @@
     schedule(Within * Part / Parts, [this, Host] {
       const FleetHost &Opened = m_Hosts[Host];
       lead([&] {
-        apply(OpenSession{Opened.m_Host, Incarnation(1), Opened.m_Domain,
+        apply(OpenSession{Opened.m_Host, Incarnation(m_Run), Opened.m_Domain,
                           "10.0.0." + std::to_string(Host), 7000});
       });
       schedule(MessageDelay, [this, Host] { renew(Host); });
@@ -92,6 +94,32 @@
   }
 }
 
+void FleetHarness::restartAll(Duration Down, Duration Within) {
+  m_Scheduled.clear();
+  ++m_Run;
+  for (FleetHost &Host : m_Hosts) {
+    FleetHost Restarted;
+    Restarted.m_Host = Host.m_Host;
+    Restarted.m_Domain = Host.m_Domain;
+    Restarted.m_Received = Host.m_Received;
+    Host = Restarted;
+  }
+  run(Down);
+  openAll(Within);
+}
+
+void FleetHarness::replaceCatalogue(std::uint32_t Entries) {
+  ReplaceCatalogue Command{CatalogueVersion(2), "{}", {}, m_Policies};
+  for (std::uint32_t Number = 0; Number < Entries; ++Number) {
+    CatalogueEntry &Entry = Command.m_Entries.emplace_back();
+    Entry.m_Name = EntryName("entry-" + std::to_string(Number));
+    Entry.m_Group = m_Policies.front().m_Group;
+    Entry.m_Owner = OwnerId("owner");
+    Entry.m_Class = TrafficClass::PrimarySession;
+  }
+  lead([&] { apply(Command); });
+}
+
 void FleetHarness::changeLeader() {
   m_Leader = std::make_unique<ControlLeader>(m_State, leaderSettings());
   m_Scheduled.clear();
@@ -258,8 +286,7 @@
   Update.m_Catalogue = Action.m_Catalogue;
   if (Action.m_Homes)
     Update.m_Homes = homesView(*Action.m_Homes);
-  countBytes(*Host, Update);
-  schedule(MessageDelay, [this, Host, Update, Action] {
+  schedule(countBytes(*Host, Update), [this, Host, Update, Action] {
     receive(*Host, Update);
     Host->m_Lease.renewalGranted(Action.m_Session, Action.m_Sequence,
                                  Action.m_Length);
@@ -305,8 +332,7 @@
   if (Host == nullptr)
     return;
   ++m_Counts.m_Pushes;
-  countBytes(*Host, Update);
-  schedule(MessageDelay, [this, Host, Update] {
+  schedule(countBytes(*Host, Update), [this, Host, Update] {
     receive(*Host, Update);
     schedule(MessageDelay, [this, Host] {
       ++m_Counts.m_Confirmations;
@@ -322,10 +348,16 @@
 }
 
 SessionHomesView FleetHarness::homesView(const SessionHomeLists &Homes) const {
-  const auto ToAddresses = [this](const std::vector<HostId> &Hosts) {
+  // Like ControlNode::homesView(): only hosts with open sessions have an
+  // address.
+  std::set<HostId> Open;
+  m_State.sessions().forEachSession(
+      [&](const SessionRecord &Record) { Open.insert(Record.m_Host); });
+  const auto ToAddresses = [&](const std::vector<HostId> &Hosts) {
     std::vector<EntryAddress> Addresses;
     for (const FleetHost &Host : m_Hosts) {
-      if (std::binary_search(Hosts.begin(), Hosts.end(), Host.m_Host))
+      const bool IsOpen = Open.contains(Host.m_Host);
+      if (IsOpen && std::binary_search(Hosts.begin(), Hosts.end(), Host.m_Host))
         Addresses.push_back({Host.m_Host, Host.m_Domain, "10.0.0.1", 7000});
     }
     return Addresses;
@@ -353,11 +385,13 @@
         std::max(Host.m_Catalogue, Update.m_Catalogue->m_Revision);
   if (Update.m_Homes && Host.m_Homes < Update.m_Homes->m_Revision) {
     Host.m_Homes = Update.m_Homes->m_Revision;
-    Host.m_Served = servedGroups(Host, Update.m_Homes->m_Active);
+    if (!Update.m_Homes->m_Active.empty())
+      Host.m_Served = servedGroups(Host, Update.m_Homes->m_Active);
   }
 }
 
-void FleetHarness::countBytes(FleetHost &Host, const ControlUpdate &Update) {
+Duration FleetHarness::countBytes(FleetHost &Host,
+                                  const ControlUpdate &Update) {
   capnp::MallocMessageBuilder Message;
   writeRpc(Message.initRoot<rpc::Update>(), Update);
   const std::size_t Bytes =
@@ -374,6 +408,10 @@
                             << Recent << " bytes to " << Host.m_Host.value()
                             << " within one second, after " << m_Counts.m_Pushes
                             << " pushes to all hosts");
+  Host.m_LinkFreeAt =
+      std::max(Host.m_LinkFreeAt, m_Now) +
+      std::chrono::microseconds(Bytes * 1'000'000 / LinkBytesPerSecond);
+  return Host.m_LinkFreeAt - m_Now + MessageDelay;
 }
 
 std::set<GroupId>
@@ -386,14 +424,12 @@
       return stableHash(Each.value(), Group.value());
     };
     const std::uint64_t Own = Weight(Host.m_Host);
-    bool IsActive = false;
     std::size_t Preferred = 0;
     for (const EntryAddress &Other : Active) {
-      IsActive = IsActive || Other.m_Host == Host.m_Host;
       if (Other.m_Domain == Host.m_Domain && Weight(Other.m_Host) > Own)
         ++Preferred;
     }
-    if (IsActive && Preferred < HostsPerDomain)
+    if (Preferred < HostsPerDomain)
       Served.insert(Group);
   }
   return Served;
