Revert: an update that its reply confirms causes no renewal

With LeavingTest failed in 3 of 3 runs (PostgreSQL entry role, load average 16): 'check Load.completedBookings() > CompletedBefore + 10 has failed [180 <= 187]' and 'check StatementsRun() == After has failed [721 != 527]'. Without it two runs passed at a load average of 15 to 18, as did the whole process tests on. RenewalNamesServedGroups, the test of the wire form, stays.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -77,12 +77,7 @@
   }
 }
 
-void ControlClient::renewNow() {
-  // The reply to the update that is being applied confirms the revisions.
-  if (!m_IsConfirming) {
-    scheduleMaintenance(Duration(0));
-  }
-}
+void ControlClient::renewNow() { scheduleMaintenance(Duration(0)); }
 
 void ControlClient::scheduleMaintenance(Duration Delay) {
   const std::uint64_t Number = ++m_MaintenanceNumber;
@@ -115,8 +110,11 @@
   leaderLink().openSession(
       m_Settings.m_Self, m_Settings.m_Incarnation,
       [this](ControlSessionId Session, const ControlUpdate &Update) {
-        return Session == m_Lease.session() ? confirmUpdate(Update)
-                                            : Confirmation();
+        if (Session == m_Lease.session()) {
+          applyUpdate(Update);
+          return m_Hooks.m_Confirmation();
+        }
+        return Confirmation();
       },
       [this, TargetIndex](const std::optional<OpenSessionReply> &Reply) {
         m_IsOpening = false;
@@ -191,13 +189,6 @@
   m_Hooks.m_Update(Update);
 }
 
-Confirmation ControlClient::confirmUpdate(const ControlUpdate &Update) {
-  m_IsConfirming = true;
-  KJ_DEFER(m_IsConfirming = false);
-  applyUpdate(Update);
-  return m_Hooks.m_Confirmation();
-}
-
 void ControlClient::endSession(Duration Timeout, std::function<void()> Done) {
   m_Stopped = true;
   const auto PendingCallback =
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -75,8 +75,7 @@
   /// is called exactly once, when control has answered or after \p Timeout.
   void endSession(Duration Timeout, std::function<void()> Done);
   /// Renews the lease immediately instead of at the next interval, so that
-  /// newly applied revisions are confirmed early. Has no effect while a pushed
-  /// update is applied, whose reply confirms them.
+  /// newly applied revisions are confirmed early.
   void renewNow();
 
   /// Proposes an idempotent command to the leader; retried until \p Deadline.
@@ -110,8 +109,6 @@
                         std::uint64_t Sequence,
                         const std::optional<RenewReply> &Reply);
   void applyUpdate(const ControlUpdate &Update);
-  /// Applies an update that the leader has pushed and returns the reply.
-  Confirmation confirmUpdate(const ControlUpdate &Update);
   void addLink(const SocketAddress &Address);
   void scheduleReport();
   void sendReports();
@@ -134,7 +131,6 @@
   ProxyLease m_Lease;                    ///< Session and lease.
   bool m_IsRegistered = false;           ///< The leader pushes updates here.
   bool m_Stopped = false;                ///< endSession() was called.
-  bool m_IsConfirming = false;           ///< A pushed update is applied.
   bool m_IsOpening = false;              ///< An openSession call is in flight.
   bool m_IsReportScheduled = false;      ///< sendReports() is scheduled.
   std::uint64_t m_MaintenanceNumber = 0; ///< Number of the newest scheduled
