--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -82,13 +82,6 @@
 
 void ControlClient::renewNow() { scheduleMaintenance(Duration(0)); }
 
-void ControlClient::revisionConfirmed() {
-  // The reply to the update that is being applied confirms the revisions.
-  if (!m_IsConfirming) {
-    renewNow();
-  }
-}
-
 void ControlClient::scheduleMaintenance(Duration Delay) {
   const std::uint64_t Number = ++m_MaintenanceNumber;
   m_Loop.after(Delay, [this, Number] {
@@ -121,8 +114,11 @@
   leaderLink().openSession(
       m_Settings.m_Self, m_Settings.m_Incarnation,
       [this](ControlSessionId Session, const ControlUpdate &Update) {
-        return Session == m_Lease.session() ? confirmUpdate(Update)
-                                            : Confirmation();
+        if (Session != m_Lease.session()) {
+          return Confirmation();
+        }
+        applyUpdate(Update);
+        return m_Hooks.m_Confirmation();
       },
       [this, TargetIndex](const std::optional<OpenSessionReply> &Reply) {
         m_IsOpening = false;
@@ -212,13 +208,6 @@
   m_Hooks.m_Update(Update);
 }
 
-Confirmation ControlClient::confirmUpdate(const ControlUpdate &Update) {
-  m_IsConfirming = true;
-  KJ_DEFER(m_IsConfirming = false);
-  applyUpdate(Update);
-  return m_Hooks.m_Confirmation();
-}
-
 void ControlClient::endSession(Duration Timeout, std::function<void()> Done) {
   m_Stopped = true;
   const auto PendingCallback =
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -78,11 +78,9 @@
   /// Ends the session without opening another; commands are still sent. \p Done
   /// is called exactly once, when control has answered or after \p Timeout.
   void endSession(Duration Timeout, std::function<void()> Done);
-  /// Renews the lease immediately instead of at the next interval.
+  /// Renews the lease immediately instead of at the next interval, for example
+  /// to confirm newly applied revisions early.
   void renewNow();
-  /// Newly applied revisions can be confirmed: renews the lease immediately,
-  /// unless a pushed update is being applied, whose reply confirms them.
-  void revisionConfirmed();
 
   /// Proposes an idempotent command to the leader; retried until \p Deadline.
   void command(const ControlCommand &Command, Instant Deadline,
@@ -118,8 +116,6 @@
   /// Notes an answer of the host \p TargetIndex other than a grant; null: the
   /// call failed.
   void noteAnswer(std::size_t TargetIndex, const ControlStatus *Status);
-  /// Applies an update that the leader has pushed and returns the reply.
-  Confirmation confirmUpdate(const ControlUpdate &Update);
   void addLink(const SocketAddress &Address);
   void scheduleReport();
   void sendReports();
@@ -143,7 +139,6 @@
   LeaseLog m_LeaseLog;                   ///< Log lines about the lease.
   bool m_IsRegistered = false;           ///< The leader pushes updates here.
   bool m_Stopped = false;                ///< endSession() was called.
-  bool m_IsConfirming = false;           ///< A pushed update is applied.
   bool m_IsOpening = false;              ///< An openSession call is in flight.
   bool m_IsReportScheduled = false;      ///< sendReports() is scheduled.
   std::uint64_t m_MaintenanceNumber = 0; ///< Number of the newest scheduled
