A relay connection that ends while idle is noticed

Callers whose serving host had restarted got outcome unknown for a write that was never sent, and statements of a transaction that had ended with the connection were still sent there.

Cause: RelayLink looked at its connection only while a statement was unanswered. The end of an idle connection was found by the next statement, which was marked as sent before the call failed; m_Lost was called only then.

Evidence: RelayLinkTest.cpp(436): check m_Lost == 1 has failed [0 != 1]; and, for a statement right after the end, RelayLinkTest.cpp(459): check wasNotRun(2, ResultCode::NotRunNoConnection) has failed.

An established connection is now checked for its end at a fixed interval, and before each statement. The check creates a request without sending it: Cap'n Proto gives a request of an ended connection no brand. A statement for an ended connection stays unsent and is refused when the connection is dropped, on a later turn of the event loop. A host that falls silent without closing an idle connection is still noticed only with the next statement.

TheEndOfAnIdleConnectionIsNoticed is no longer known red.

--- a/ragwortmux/Process/Peers/RelayLink.cpp
+++ b/ragwortmux/Process/Peers/RelayLink.cpp
@@ -17,6 +17,8 @@
 
 /// Interval of the checks for silence.
 constexpr Duration CheckInterval = std::chrono::milliseconds(50);
+/// Interval of the checks for the end of an established connection.
+constexpr Duration EndCheckInterval = std::chrono::milliseconds(250);
 /// The pause between two attempts to connect doubles up to this.
 constexpr Duration MaxReconnectPause = std::chrono::seconds(1);
 
@@ -147,9 +149,48 @@
       }
       send(Number, Statement);
     }
+    watchEnd(Used);
+  }
+
+  /// Drops the connection number \p Used soon after its end, also while no
+  /// statement is unanswered.
+  void watchEnd(std::uint64_t Used) {
+    if (Used != m_ConnectionNumber) {
+      return;
+    }
+    if (hasEnded()) {
+      drop(Used, "it has ended");
+      return;
+    }
+    m_Loop.after(EndCheckInterval,
+                 whileAlive([Used](Impl &Self) { Self.watchEnd(Used); }));
+  }
+
+  /// True if the established connection is known to have ended. Sends nothing.
+  bool hasEnded() {
+    KJ_IF_MAYBE (Relay, m_Relay) {
+      // A new request belongs to its connection only until that has ended.
+      kj::Own<capnp::RequestHook> Unsent =
+          capnp::RequestHook::from(Relay->pingRequest());
+      return Unsent->getBrand() == nullptr;
+    }
+    return false;
+  }
+
+  /// Drops an ended connection on a later turn of the event loop, which answers
+  /// the statements that were not sent over it.
+  void dropLater() {
+    m_Loop.after(Duration(0),
+                 whileAlive([Used = m_ConnectionNumber](Impl &Self) {
+                   Self.drop(Used, "it has ended");
+                 }));
   }
 
   void send(std::uint64_t Number, PendingStatement &Statement) {
+    if (hasEnded()) {
+      dropLater();
+      return;
+    }
     KJ_IF_MAYBE (Relay, m_Relay) {
       auto Call = Relay->runRequest();
       writeRpc(Call.initStatement(), Statement.m_Request, monotonicNow());
--- a/tests/Process/RelayLinkTest.cpp
+++ b/tests/Process/RelayLinkTest.cpp
@@ -30,6 +30,8 @@
 constexpr Duration WaitLimit = std::chrono::seconds(10);
 /// How long a test looks for an event that must not happen.
 constexpr Duration QuietTime = milliseconds(200);
+/// Shorter than the interval of the checks for the end of a connection.
+constexpr Duration ShorterThanEndCheck = milliseconds(20);
 /// Later than the end of a silent connection.
 constexpr Duration LongerThanSilence = milliseconds(1500);
 
@@ -235,6 +237,17 @@
     return waitFor([&] { return m_Peer->statements() >= Count; });
   }
 
+  /// Runs a statement of caller 1 to its end, then ends the peer.
+  void endIdleConnection() {
+    startPeer();
+    startLink();
+    run(1);
+    BOOST_REQUIRE(waitForArrivals(1));
+    m_Peer->answer(0, makeAnswer("done"));
+    BOOST_REQUIRE(waitForReply(1));
+    m_Peer.reset();
+  }
+
   bool wasNotRun(std::uint64_t Caller, ResultCode Code) {
     const Outcome &Result = m_Outcomes[Caller];
     return Result.m_Answer && Result.m_Answer->m_Code == Code &&
@@ -423,15 +436,8 @@
 // A serving host restarts while nothing is under way on a connection to it. The
 // next statement is certainly not run there, so a write must not become outcome
 // unknown, and the transactions on the connection are lost.
-BOOST_FIXTURE_TEST_CASE(TheEndOfAnIdleConnectionIsNoticed, Fixture,
-                        *boost::unit_test::label("known-red")) {
-  startPeer();
-  startLink();
-  run(1);
-  BOOST_REQUIRE(waitForArrivals(1));
-  m_Peer->answer(0, makeAnswer("done"));
-  BOOST_REQUIRE(waitForReply(1));
-  m_Peer.reset();
+BOOST_FIXTURE_TEST_CASE(TheEndOfAnIdleConnectionIsNoticed, Fixture) {
+  endIdleConnection();
   runFor(LongerThanSilence);
   BOOST_TEST(m_Lost == 1);
   run(2);
@@ -440,6 +446,20 @@
   BOOST_TEST(wasNotRun(2, ResultCode::NotRunNoConnection));
 }
 
+// The statement follows the end of the connection before a check for it.
+BOOST_FIXTURE_TEST_CASE(AStatementIsNotSentOverAnEndedConnection, Fixture) {
+  endIdleConnection();
+  runFor(ShorterThanEndCheck);
+  run(2);
+  // The caller of run() must not be called back from within.
+  BOOST_TEST(m_Outcomes[2].m_Replies == 0);
+  BOOST_REQUIRE(waitForReply(2));
+  BOOST_TEST(wasNotRun(2, ResultCode::NotRunNoConnection));
+  runFor(QuietTime);
+  BOOST_TEST(m_Outcomes[2].m_Replies == 1);
+  BOOST_TEST(m_Lost == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(ASlowStatementKeepsItsConnection, Fixture) {
   startPeer();
   startLink();
