A lease of a new control session does not cover old group records

What callers saw: after a host had been cut off for longer than its lease and had opened another control session, it could acknowledge a commit under the term of the record that it still had, though the term had ended meanwhile. It could also use connections that control had assigned to other hosts.

Cause: control waits only for hosts that serve a group or have a share record in it. The new session of such a host may have neither, so the host gets no record of the group and is not waited for, but its lease extended the old record.

Evidence: without the change, SessionCoreTest fails, among others, with "LeaseOfNewSessionDoesNotCoverWriteUnderOldRecord": check (nextAnswer().m_Code == ResultCode::OutcomeUnknownTermEnded) has failed, "LeaseOfNewSessionDoesNotCoverCommitUnderOldRecord": check m_Runs.empty() has failed, "SharesOfOldSessionAreNotUsedUnderNewOne": check m_Core.connectionCount(Server) == 1U has failed [2 != 1].

Why it works: when the session changes, the record is outdated until control sends it, or a newer one, under the new session. Until then the lease does not cover the group: nothing is sent to the primary, nothing is acknowledged, and one connection a server remains. Outdated records are not confirmed, so that control sends them again. Commits of an earlier term end at once with the first record of the new session, because control may not have waited for them.

--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -50,6 +50,13 @@
   perform();
 }
 
+void SessionDriver::controlSessionChanged() {
+  m_Core.controlSessionChanged(monotonicNow(), m_Actions);
+  // The first renewal of the new session reports this state.
+  m_ReportedRevision = m_Core.confirmedRevision();
+  perform();
+}
+
 void SessionDriver::drain() {
   m_Core.drain(monotonicNow(), m_Actions);
   perform();
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -43,6 +43,7 @@
   void callerDisconnected(CallerConnectionId Caller);
   void applyView(const GroupView &View);
   void extendLease(Instant ValidUntil);
+  void controlSessionChanged();
   void drain();
   void endTransactions();
 
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -255,7 +255,10 @@
   Hooks.m_Confirmation = [this] {
     Confirmation Confirmed;
     for (const auto &[Group, Driver] : m_Groups) {
-      Confirmed.m_Groups[Group] = Driver->core().confirmedRevision();
+      // Control sends a record again that its new session has not confirmed.
+      if (!Driver->core().isRecordOutdated()) {
+        Confirmed.m_Groups[Group] = Driver->core().confirmedRevision();
+      }
     }
     Confirmed.m_Catalogue = m_Catalogue.revision();
     // Positions of stateful sessions are stored with their callers only, so a
@@ -272,14 +275,21 @@
       Driver->extendLease(ValidUntil);
     }
   };
-  Hooks.m_SessionOpened = [](ControlSessionId Session, bool Changed) {
+  Hooks.m_SessionOpened = [this](ControlSessionId Session, bool Changed) {
     if (Changed) {
       logInfo(Part::Control, "Opened control session {}.", Session.value());
+      controlSessionChanged();
     }
   };
   return Hooks;
 }
 
+void SessionEntryRole::controlSessionChanged() {
+  for (auto &[Group, Driver] : m_Groups) {
+    Driver->controlSessionChanged();
+  }
+}
+
 std::vector<ShareDemand> SessionEntryRole::unmetDemand() const {
   std::vector<ShareDemand> Unmet;
   for (const auto &[Group, Driver] : m_Groups) {
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -113,6 +113,8 @@
   void disconnectHere(CallerConnectionId Caller);
   void answer(const SessionAnswer &Response);
   void applyUpdate(const ControlUpdate &Update);
+  /// The groups' records may be outdated until control sends them again.
+  void controlSessionChanged();
   /// Renews the lease at once if this host serves other groups than before, so
   /// that control assigns connections for them.
   void reportServedGroups();
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -187,10 +187,13 @@
 
 void SessionCore::viewChanged(Instant Now, const GroupView &View,
                               SessionActions &Actions) {
-  if (View.m_Revision <= m_View.m_Revision)
+  const bool WasOutdated = m_IsRecordOutdated;
+  if (View.m_Revision < m_View.m_Revision ||
+      (!WasOutdated && View.m_Revision == m_View.m_Revision))
     return;
   beginEvent(Now, Actions);
-  if (View.m_Term != m_View.m_Term)
+  m_IsRecordOutdated = false;
+  if (!WasOutdated && View.m_Term != m_View.m_Term)
     m_TermEndedAt = Now;
   if (View.m_Primary && View.m_Primary != m_View.m_Primary)
     m_History.clear();
@@ -216,10 +219,24 @@
   endEvent();
 }
 
+void SessionCore::controlSessionChanged(Instant Now, SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  m_IsRecordOutdated = m_View.m_Revision != Revision();
+  m_RecordOutdatedSince = Now;
+  m_TermEndedAt = Instant();
+  applyShares();
+  endEvent();
+}
+
+Instant SessionCore::leaseExpiry() const {
+  return m_IsRecordOutdated ? std::min(m_LeaseExpiry, m_RecordOutdatedSince)
+                            : m_LeaseExpiry;
+}
+
 void SessionCore::applyShares() {
   // After the lease has expired, control may have assigned the shares to other
   // hosts.
-  m_HasFullShares = m_Now < m_LeaseExpiry;
+  m_HasFullShares = m_Now < leaseExpiry();
   PoolActions FromPool;
   for (const ServerView &Each : m_View.m_Servers) {
     const bool IsUsed = acceptsReads(Each) || m_View.m_Primary == Each.m_Server;
@@ -282,7 +299,7 @@
   PoolActions FromPool;
   m_Pool.tick(Now, FromPool);
   apply(FromPool);
-  if (m_HasFullShares && m_Now >= m_LeaseExpiry)
+  if (m_HasFullShares && m_Now >= leaseExpiry())
     applyShares();
   endEvent();
 }
@@ -309,11 +326,11 @@
     if (!Open.m_Running && Open.m_Connection)
       Consider(Open.m_IdleSince + Open.m_IdleLimit);
   }
-  const Instant RefusalStart = m_LeaseExpiry + m_Settings.m_NoLeaseTimeout;
+  const Instant RefusalStart = leaseExpiry() + m_Settings.m_NoLeaseTimeout;
   if (!m_Waiting.empty() && m_Now < RefusalStart)
     Consider(RefusalStart);
   if (m_HasFullShares)
-    Consider(m_LeaseExpiry);
+    Consider(leaseExpiry());
   if (m_ConfirmedRevision != m_View.m_Revision)
     Consider(m_TermEndedAt + m_Settings.m_HandoverWait);
   return Next;
@@ -379,7 +396,7 @@
   Record.m_Code = Code;
   Record.m_View = m_View.m_Revision;
   Record.m_Term = m_View.m_Term;
-  Record.m_LeaseLeft = std::max(Duration(0), m_LeaseExpiry - m_Now);
+  Record.m_LeaseLeft = std::max(Duration(0), leaseExpiry() - m_Now);
   if (State.m_Floor)
     Record.m_FloorAge = m_Now - State.m_Floor->m_QuerySentAt;
   Record.m_Waited = m_Now - State.m_Request.m_Arrived;
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -48,8 +48,14 @@
   void statementAnswered(Instant Now, ConnectionId Connection,
                          const StatementReply &Reply, SessionActions &Actions);
 
-  /// Applies a newer group record; a record that is not newer is ignored.
+  /// Applies a newer group record, or the same one if it was outdated; other
+  /// records are ignored.
   void viewChanged(Instant Now, const GroupView &View, SessionActions &Actions);
+  /// Control has opened another session for this host. The record may be
+  /// outdated: without a share in the group the host is not waited for when the
+  /// term ends. Until a record arrives under the new session, the lease does
+  /// not cover the group.
+  void controlSessionChanged(Instant Now, SessionActions &Actions);
   /// Extends the lease on the newest record to \p ValidUntil. A record that
   /// came with the same renewal must be passed to viewChanged() first.
   void leaseExtended(Instant Now, Instant ValidUntil, SessionActions &Actions);
@@ -63,8 +69,12 @@
   /// Time of the next timer that tick() has to handle.
   std::optional<Instant> nextDeadline() const;
   /// Revision of the newest record in full effect: writes of earlier terms are
-  /// no longer acknowledged.
-  Revision confirmedRevision() const { return m_ConfirmedRevision; }
+  /// no longer acknowledged. 0 if the record is outdated.
+  Revision confirmedRevision() const {
+    return m_IsRecordOutdated ? Revision() : m_ConfirmedRevision;
+  }
+  /// True if the record arrived under an earlier control session.
+  bool isRecordOutdated() const { return m_IsRecordOutdated; }
   /// True if \p Caller has a transaction open here.
   bool hasTransaction(CallerConnectionId Caller) const {
     return m_Transactions.contains(Caller);
@@ -149,6 +159,7 @@
   ResultCode notRunReason(const Request &State) const;
 
   // Terms and shares.
+  Instant leaseExpiry() const;
   void applyShares();
   void confirmView();
   bool hasCommitsOfEndedTerm() const;
@@ -163,11 +174,14 @@
   Instant m_Now;  ///< Time of the event under way.
   SessionActions *m_Actions = nullptr; ///< Actions of the event under way.
 
-  GroupView m_View;             ///< Newest group record.
-  Instant m_LeaseExpiry;        ///< End of the lease.
-  Instant m_TermEndedAt;        ///< When the record of the newest term arrived.
+  GroupView m_View;                ///< Newest group record.
+  Instant m_LeaseExpiry;           ///< End of the lease; see leaseExpiry().
+  Instant m_RecordOutdatedSince;   ///< When the control session changed.
+  bool m_IsRecordOutdated = false; ///< See isRecordOutdated().
+  Instant m_TermEndedAt;        ///< When the record of the newest term arrived;
+                                ///< 0 if control may not wait for this host.
   Term m_AcknowledgedTerm;      ///< Term whose commits may be acknowledged.
-  Revision m_ConfirmedRevision; ///< See confirmedRevision().
+  Revision m_ConfirmedRevision; ///< Newest record in full effect.
   bool m_Draining = false;      ///< drain() was called.
   bool m_HasFullShares = false; ///< The pool uses the connection shares of the
                                 ///< record; false without a lease.
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -238,7 +238,7 @@
 }
 
 bool SessionCore::canAcknowledge(const Request &State) const {
-  return m_Now < m_LeaseExpiry && State.m_Term == m_AcknowledgedTerm;
+  return m_Now < leaseExpiry() && State.m_Term == m_AcknowledgedTerm;
 }
 
 SessionAnswer SessionCore::answerTo(const Request &State,
@@ -474,7 +474,7 @@
   // With a lease the primary could have served the read at any age.
   if (readFloor(State) || isPrimaryUsable())
     return ResultCode::NotRunNoConnection;
-  return m_Now < m_LeaseExpiry ? ResultCode::NotRunTooOld
+  return m_Now < leaseExpiry() ? ResultCode::NotRunTooOld
                                : ResultCode::NotRunNoLease;
 }
 
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -83,7 +83,7 @@
 }
 
 bool SessionCore::isLeaseLost() const {
-  return m_Now >= m_LeaseExpiry + m_Settings.m_NoLeaseTimeout;
+  return m_Now >= leaseExpiry() + m_Settings.m_NoLeaseTimeout;
 }
 
 bool SessionCore::isPrimaryUnreachable() const {
@@ -124,7 +124,7 @@
 
 bool SessionCore::isPrimaryUsable() const {
   return m_View.m_Primary && m_AcknowledgedTerm == m_View.m_Term &&
-         m_Now + m_Settings.m_LeaseMargin < m_LeaseExpiry;
+         m_Now + m_Settings.m_LeaseMargin < leaseExpiry();
 }
 
 bool SessionCore::acceptsReads(const ServerView &Server) const {
@@ -259,7 +259,7 @@
                                               StatementKind::Commit;
   // Do not send a commit that could no longer be acknowledged.
   if (NeedsLease && (m_AcknowledgedTerm != Open.m_Term ||
-                     m_Now + m_Settings.m_LeaseMargin >= m_LeaseExpiry)) {
+                     m_Now + m_Settings.m_LeaseMargin >= leaseExpiry())) {
     abandonTransaction(Open);
     submitInTransaction(State, Open);
     return;
--- a/tests/Process/SessionDriverTest.cpp
+++ b/tests/Process/SessionDriverTest.cpp
@@ -112,4 +112,14 @@
   BOOST_TEST(m_Confirmations == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ChangeOfControlSessionNeedsNoRenewal) {
+  applyView(1, 1);
+  m_Driver.controlSessionChanged();
+  BOOST_TEST((m_Driver.core().confirmedRevision() == Revision()));
+  applyView(1, 1);
+  BOOST_TEST((m_Driver.core().confirmedRevision() == Revision(1)));
+  runFor(milliseconds(20));
+  BOOST_TEST(m_Confirmations == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Request/SessionCoreTest.cpp
+++ b/tests/Request/SessionCoreTest.cpp
@@ -64,6 +64,18 @@
     collectActions();
   }
 
+  /// Control opens another session and grants a lease under it.
+  void changeControlSession() {
+    m_Core.controlSessionChanged(m_Now, m_Actions);
+    collectActions();
+    extendLease(seconds(10));
+  }
+  /// Control sends the newest record once more.
+  void repeatView(std::uint64_t InTerm, std::optional<ServerId> Primary) {
+    --m_Revision;
+    applyView(InTerm, std::move(Primary));
+  }
+
   /// Opens all requested connections.
   void openAll() {
     while (!m_Opening.empty()) {
@@ -583,6 +595,81 @@
   BOOST_TEST((nextAnswer().m_Code == ResultCode::Ok));
 }
 
+// Guards against an acknowledgement under a record of the previous control
+// session: without a share the host is not waited for when the term ends.
+BOOST_AUTO_TEST_CASE(LeaseOfNewSessionDoesNotCoverWriteUnderOldRecord) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Run = nextRunning();
+  changeControlSession();
+  replyDone(Run, 10);
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::OutcomeUnknownTermEnded));
+}
+
+BOOST_AUTO_TEST_CASE(LeaseOfNewSessionDoesNotCoverCommitUnderOldRecord) {
+  submit(StatementKind::Begin, TrafficClass::PrimarySession);
+  replyDone(nextRunning(), 10, Open);
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  replyDone(nextRunning(), 10, Open);
+  m_Answers.clear();
+  changeControlSession();
+  submit(StatementKind::Commit, TrafficClass::PrimarySession);
+  BOOST_TEST(m_Runs.empty());
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunRolledBack));
+}
+
+// Control may have ended the term without waiting for this host, so running
+// commits get no time to complete.
+BOOST_AUTO_TEST_CASE(FirstRecordOfNewSessionEndsOldTermAtOnce) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Run = nextRunning();
+  changeControlSession();
+  applyView(2, S3);
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::OutcomeUnknownTermEnded));
+  BOOST_TEST((m_Core.confirmedRevision() == Revision(m_Revision)));
+  replyDone(Run, 10);
+  BOOST_TEST(m_Answers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(SessionChangeEndsTermWhoseEndIsUnconfirmed) {
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  const RunStatement Run = nextRunning();
+  applyView(2, S3);
+  changeControlSession();
+  repeatView(2, S3);
+  replyDone(Run, 10);
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::OutcomeUnknownTermEnded));
+  BOOST_TEST(m_Answers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WritesWaitForFirstRecordOfNewSession) {
+  changeControlSession();
+  BOOST_TEST((m_Core.confirmedRevision() == Revision()));
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  BOOST_TEST(m_Runs.empty());
+  repeatView(1, S1);
+  BOOST_TEST((m_Core.confirmedRevision() == Revision(m_Revision)));
+  replyDone(nextRunning(), 10);
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(WritesAreRefusedIfNewSessionSendsNoRecord) {
+  changeControlSession();
+  submit(StatementKind::Write, TrafficClass::PrimarySession, true);
+  advanceTime(settings().m_NoLeaseTimeout);
+  BOOST_TEST(m_Runs.empty());
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunNoLease));
+}
+
+BOOST_AUTO_TEST_CASE(SharesOfOldSessionAreNotUsedUnderNewOne) {
+  changeControlSession();
+  for (const ServerId &Server : {S1, S2, S3})
+    BOOST_TEST(m_Core.connectionCount(Server) == 1U);
+  repeatView(1, S1);
+  openAll();
+  for (const ServerId &Server : {S1, S2, S3})
+    BOOST_TEST(m_Core.connectionCount(Server) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(OneConnectionPerServerRemainsAfterLease) {
   // Other hosts may have this host's shares by then, and a server counts the
   // connections of all hosts.
