The end of a control session ends the lease of each group

What callers saw: a write that was answered after a draining host had ended its control session could still be acknowledged, though a change of primary no longer waits for this host.

Cause: endSession() cleared only the role's lease; the decision cores of the groups kept theirs. A renewal that was under way could also extend it again.

Evidence: without the change, ProcessTests fails with "SessionEntryRoleTest/NothingIsAcknowledgedAfterEndOfSession": check (m_Answers.front() == ResultCode::OutcomeUnknownTermEnded) has failed.

Why it works: one function sets the lease of the role and of all groups; after the end of the session no renewal extends it. The driver's function is named setLease(), since it also ends the lease.

--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -45,7 +45,7 @@
   perform();
 }
 
-void SessionDriver::extendLease(Instant ValidUntil) {
+void SessionDriver::setLease(Instant ValidUntil) {
   m_Core.leaseExtended(monotonicNow(), ValidUntil, m_Actions);
   perform();
 }
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -42,7 +42,8 @@
   void submit(SessionRequest Request);
   void callerDisconnected(CallerConnectionId Caller);
   void applyView(const GroupView &View);
-  void extendLease(Instant ValidUntil);
+  /// Sets the end of the lease; an instant that has passed ends it.
+  void setLease(Instant ValidUntil);
   void controlSessionChanged();
   void drain();
   void endTransactions();
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -245,7 +245,8 @@
 void SessionEntryRole::endSession() {
   // Ending the session lets a change of primary proceed without waiting for
   // this host's lease, so nothing may be acknowledged from now on.
-  m_LeaseExpiry = Instant();
+  m_IsSessionEnded = true;
+  setLease(Instant());
   m_Control->endSession(EndSessionTimeout, std::move(m_DrainDone));
 }
 
@@ -269,10 +270,10 @@
   Hooks.m_Demand = [this] { return unmetDemand(); };
   Hooks.m_ServedGroups = [this] { return m_Relay.servedGroups(); };
   Hooks.m_LeaseExtended = [this](Instant ValidUntil) {
-    m_LeaseExpiry = ValidUntil;
     m_Metrics.add(Metric::LeaseRenewals, {"granted"});
-    for (auto &[Group, Driver] : m_Groups) {
-      Driver->extendLease(ValidUntil);
+    // A renewal may have been under way when the session was ended.
+    if (!m_IsSessionEnded) {
+      setLease(ValidUntil);
     }
   };
   Hooks.m_SessionOpened = [this](ControlSessionId Session, bool Changed) {
@@ -284,6 +285,13 @@
   return Hooks;
 }
 
+void SessionEntryRole::setLease(Instant ValidUntil) {
+  m_LeaseExpiry = ValidUntil;
+  for (auto &[Group, Driver] : m_Groups) {
+    Driver->setLease(ValidUntil);
+  }
+}
+
 void SessionEntryRole::controlSessionChanged() {
   for (auto &[Group, Driver] : m_Groups) {
     Driver->controlSessionChanged();
@@ -312,7 +320,7 @@
     Settings.m_Pool.m_OpenTimeout = m_Settings.m_ConnectTimeout;
     Driver = std::make_unique<SessionDriver>(m_Loop, Group, Settings,
                                              driverHooks(Group));
-    Driver->extendLease(m_LeaseExpiry);
+    Driver->setLease(m_LeaseExpiry);
     if (m_Draining) {
       Driver->drain();
     }
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -113,6 +113,8 @@
   void disconnectHere(CallerConnectionId Caller);
   void answer(const SessionAnswer &Response);
   void applyUpdate(const ControlUpdate &Update);
+  /// Sets the end of the lease of this host and of all its groups.
+  void setLease(Instant ValidUntil);
   /// The groups' records may be outdated until control sends them again.
   void controlSessionChanged();
   /// Renews the lease at once if this host serves other groups than before, so
@@ -145,6 +147,7 @@
   Instant m_DrainStarted{}; ///< When drain() was called.
   std::function<void()> m_DrainDone; ///< Passed to drain().
   bool m_Draining = false;           ///< drain() was called.
+  bool m_IsSessionEnded = false;     ///< endSession() was called.
 };
 
 } // namespace ragwortmux
--- a/tests/Process/SessionDriverTest.cpp
+++ b/tests/Process/SessionDriverTest.cpp
@@ -98,7 +98,7 @@
 
 BOOST_AUTO_TEST_CASE(RecordConfirmedLaterIsReportedOnce) {
   applyView(1, 1);
-  m_Driver.extendLease(monotonicNow() + std::chrono::seconds(10));
+  m_Driver.setLease(monotonicNow() + std::chrono::seconds(10));
   submitWrite();
   m_Loop.after(milliseconds(50), [this] {
     BOOST_TEST(m_Sent == 1);
--- /dev/null
+++ b/tests/Process/SessionEntryRoleTest.cpp
@@ -0,0 +1,181 @@
+#include "ragwortmux/Process/Entry/SessionEntryRole.h"
+#include "ragwortmux/Process/Loop/IoLoop.h"
+#include "ragwortmux/Process/Loop/SystemClock.h"
+#include "ragwortmux/Process/Peers/RpcServer.h"
+#include "ragwortmux/Process/Support/Metrics.h"
+#include "ragwortmux/Process/Support/ProcessSettings.h"
+#include "ragwortmux/Process/Support/Secret.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+using namespace ragwortmux;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const char *const Loopback = "127.0.0.1";
+const GroupId Group("g");
+const ServerId Primary("s1");
+const RelayPeerId Peer(1);
+constexpr Duration RenewalInterval = milliseconds(50);
+constexpr Duration DrainTimeout = milliseconds(200);
+
+/// A connection that opens at once; the test answers its statements.
+class ManualConnection final : public StatementConnection {
+public:
+  void run(const RunStatement & /*Statement*/) override {}
+  void probe() override {}
+};
+
+/// An entry role and a control host that grants its renewals.
+struct Fixture {
+  Fixture() : m_Settings(defaultSettings()) {
+    RpcServerHooks Hooks;
+    Hooks.m_OpenSession = [this](const EntryAddress &, Incarnation,
+                                 UpdateListener Listener, const auto &Respond) {
+      m_Listener = std::move(Listener);
+      m_FirstConfirmed.reset();
+      Respond({{}, m_Session});
+    };
+    Hooks.m_Renew = [this](const LeaseRenewal &Renewal, const auto &Respond) {
+      if (Renewal.m_Session != m_Session) {
+        Respond({{ResultCode::Unauthorized, "", ""}, {}, {}});
+        return;
+      }
+      if (!m_FirstConfirmed)
+        m_FirstConfirmed = Renewal.m_Confirmed;
+      Respond({{}, seconds(60), {}});
+    };
+    m_Settings.m_ClusterKey = Secret("one-key-of-the-cluster");
+    m_Server = std::make_unique<RpcServer>(m_Loop, m_Settings.m_ClusterKey,
+                                           std::move(Hooks));
+    m_Settings.m_Host = HostId("h");
+    m_Settings.m_FailureDomain = FailureDomainId("d");
+    m_Settings.m_Address = Loopback;
+    m_Settings.m_ControlPeers = {
+        {HostId("c"), {Loopback, m_Server->listen(Loopback, 0)}}};
+    m_Settings.m_RenewalInterval = RenewalInterval;
+    m_Settings.m_RequestTimeout = seconds(5);
+    m_Settings.m_DrainTimeout = DrainTimeout;
+    m_Role = std::make_unique<SessionEntryRole>(m_Loop, m_Settings, m_Metrics,
+                                                roleHooks());
+    m_Role->start();
+    run(milliseconds(300));
+    BOOST_REQUIRE(m_Listener);
+  }
+
+  SessionEntryHooks roleHooks() {
+    SessionEntryHooks Hooks;
+    Hooks.m_Open = [this](const StatementEndpoint &,
+                          const StatementConnectionHooks &Connection) {
+      m_Connection = Connection;
+      m_Loop.after(Duration(0), Connection.m_Opened);
+      return std::make_unique<ManualConnection>();
+    };
+    Hooks.m_Answer = [this](const SessionAnswer &Answer) {
+      m_Answers.push_back(Answer.m_Code);
+    };
+    Hooks.m_CloseIdleCallers = [] {};
+    Hooks.m_CountCallers = [] { return std::size_t(0); };
+    return Hooks;
+  }
+
+  /// Pushes the group's record and a list of entry hosts with this one only.
+  void pushRecord() {
+    ControlUpdate Update;
+    GroupView View;
+    View.m_Group = Group;
+    View.m_Revision = Revision(4);
+    View.m_Term = Term(1);
+    View.m_Primary = Primary;
+    ServerView &Server = View.m_Servers.emplace_back();
+    Server.m_Server = Primary;
+    Server.m_ConnectionShare = 1;
+    Update.m_Views.push_back(View);
+    Update.m_Homes.emplace();
+    Update.m_Homes->m_Revision = Revision(1);
+    Update.m_Homes->m_Active.push_back(
+        {m_Settings.m_Host, m_Settings.m_FailureDomain, Loopback, 1});
+    m_Listener(m_Session, Update,
+               [this](const auto &Confirmed) { m_PushConfirmed = Confirmed; });
+    run(milliseconds(100));
+  }
+
+  static SessionRequest write() {
+    const auto Entry = std::make_shared<CatalogueEntry>();
+    Entry->m_Group = Group;
+    Entry->m_Class = TrafficClass::PrimarySession;
+    Entry->m_Limits.m_RequestDeadline = seconds(5);
+    SessionRequest Request;
+    Request.m_Id = RequestId(1);
+    Request.m_Caller = CallerConnectionId(1);
+    Request.m_Entry = Entry;
+    Request.m_Statement.m_Kind = StatementKind::Write;
+    Request.m_Statement.m_Writes = true;
+    Request.m_State = std::make_shared<SessionState>();
+    Request.m_Arrived = monotonicNow();
+    return Request;
+  }
+
+  void run(Duration Length) {
+    m_Loop.timer().afterDelay(toKj(Length)).wait(m_Loop.waitScope());
+  }
+
+  ProcessSettings m_Settings;
+  Metrics m_Metrics;
+  ControlSessionId m_Session{7}; ///< The session that control knows.
+  IoLoop m_Loop;
+  UpdateListener m_Listener;
+  std::optional<std::map<GroupId, Revision>>
+      m_FirstConfirmed; ///< With the first renewal of the session.
+  std::optional<Confirmation> m_PushConfirmed; ///< In reply to the last push.
+  std::optional<StatementConnectionHooks> m_Connection;
+  std::vector<ResultCode> m_Answers;
+  std::unique_ptr<RpcServer> m_Server;
+  std::unique_ptr<SessionEntryRole> m_Role;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SessionEntryRoleTest, Fixture)
+
+// Guards against an outdated record that a new session confirms, so that
+// control never sends it again.
+BOOST_AUTO_TEST_CASE(NewSessionConfirmsNoRecordOfPreviousOne) {
+  pushRecord();
+  BOOST_REQUIRE(m_PushConfirmed);
+  BOOST_TEST((m_PushConfirmed->m_Groups.at(Group) == Revision(4)));
+  m_Session = ControlSessionId(8);
+  run(milliseconds(500));
+  BOOST_REQUIRE(m_FirstConfirmed);
+  BOOST_TEST(!m_FirstConfirmed->contains(Group));
+  m_PushConfirmed.reset();
+  pushRecord();
+  BOOST_REQUIRE(m_PushConfirmed);
+  BOOST_TEST((m_PushConfirmed->m_Groups.at(Group) == Revision(4)));
+}
+
+// Guards against an acknowledgement after the end of the session, for which a
+// change of primary no longer waits.
+BOOST_AUTO_TEST_CASE(NothingIsAcknowledgedAfterEndOfSession) {
+  pushRecord();
+  m_Role->submit(write());
+  run(milliseconds(50));
+  BOOST_REQUIRE(m_Connection);
+  m_Role->drain([] {});
+  run(DrainTimeout + milliseconds(100));
+  BOOST_REQUIRE(m_Answers.empty());
+  StatementReply Reply;
+  Reply.m_Outcome = StatementOutcome::Done;
+  m_Connection->m_Answered(Reply);
+  BOOST_REQUIRE_EQUAL(m_Answers.size(), 1U);
+  BOOST_TEST((m_Answers.front() == ResultCode::OutcomeUnknownTermEnded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
