--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -45,11 +45,18 @@
   perform();
 }
 
-void SessionDriver::extendLease(Instant ValidUntil) {
+void SessionDriver::setLease(Instant ValidUntil) {
   m_Core.leaseExtended(monotonicNow(), ValidUntil, m_Actions);
   perform();
 }
 
+void SessionDriver::controlSessionChanged() {
+  m_Core.controlSessionChanged(monotonicNow(), m_Actions);
+  // The first renewal of the new session reports this state.
+  m_ReportedRevision = m_Core.confirmedRevision();
+  perform();
+}
+
 void SessionDriver::drain() {
   m_Core.drain(monotonicNow(), m_Actions);
   perform();
--- a/tests/Process/SessionDriverTest.cpp
+++ b/tests/Process/SessionDriverTest.cpp
@@ -98,7 +98,7 @@
 
 BOOST_AUTO_TEST_CASE(RecordConfirmedLaterIsReportedOnce) {
   applyView(1, 1);
-  m_Driver.extendLease(monotonicNow() + std::chrono::seconds(10));
+  m_Driver.setLease(monotonicNow() + std::chrono::seconds(10));
   submitWrite();
   m_Loop.after(milliseconds(50), [this] {
     BOOST_TEST(m_Sent == 1);
@@ -112,4 +112,14 @@
   BOOST_TEST(m_Confirmations == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ChangeOfControlSessionNeedsNoRenewal) {
+  applyView(1, 1);
+  m_Driver.controlSessionChanged();
+  BOOST_TEST((m_Driver.core().confirmedRevision() == Revision()));
+  applyView(1, 1);
+  BOOST_TEST((m_Driver.core().confirmedRevision() == Revision(1)));
+  runFor(milliseconds(20));
+  BOOST_TEST(m_Confirmations == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
