A refused relayed statement is tried at each serving host

Callers were refused although hosts that could run the statement were free: two of the four serving hosts that drained or had no lease were enough.

Cause: RelayCore tried one other host after a refusal, and no statement was sent to more than three hosts.

Evidence: RelayTest.cpp(436): critical check (Third != HostId()) has failed; and RelayTest.cpp(423): check Tried.size() == servingHosts().size() has failed [2 != 4].

A refused statement outside a transaction now goes to the next serving host until its deadline; the limit of tries is the number of serving hosts of a failure domain. No host gets a statement twice.

--- a/ragwortmux/Request/RelayCore.cpp
+++ b/ragwortmux/Request/RelayCore.cpp
@@ -93,9 +93,8 @@
   const bool HasTime = Now < deadline(Pending.m_Request);
   if (HasTime && mayRunElsewhere(Reply->m_Code)) {
     m_Router.hostFailed(Now, Host);
-    const bool MayTry = !Pending.m_InTransaction && !Pending.m_WasRefused;
-    Pending.m_WasRefused = true;
-    if (MayTry && tryNextHost(Now, Pending, Reply->m_Code, Actions))
+    if (!Pending.m_InTransaction &&
+        tryNextHost(Now, Pending, Reply->m_Code, Actions))
       return;
   } else {
     m_Router.hostAnswered(Host);
--- a/ragwortmux/Request/RelayCore.h
+++ b/ragwortmux/Request/RelayCore.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_REQUEST_RELAYCORE_H
 #define RAGWORTMUX_REQUEST_RELAYCORE_H
 
+#include "ragwortmux/Connection/ChooseGroupHosts.h"
 #include "ragwortmux/Request/RelayEvents.h"
 #include "ragwortmux/Request/RelayRouter.h"
 
@@ -18,7 +19,8 @@
   RelayRouterSettings m_Router; ///< Identity of this host; choice of hosts.
   Duration m_AnswerMargin = std::chrono::milliseconds(
       100); ///< How long after its deadline a statement waits for its answer.
-  std::uint32_t m_MaxTries = 3; ///< Limit of hosts that a statement is sent to.
+  std::size_t m_MaxTries =
+      MaxGroupHostsPerDomain; ///< Limit of hosts that a statement is sent to.
 };
 
 /// Decision logic of an entry host for the statements that it relays to other
@@ -72,7 +74,6 @@
     HostId m_Host;                ///< Host it was last sent to.
     std::vector<HostId> m_Avoid;  ///< Hosts that failed to run it.
     bool m_InTransaction = false; ///< Runs in its caller's open transaction.
-    bool m_WasRefused = false;    ///< A host has refused it.
     std::uint32_t m_Tries = 0;    ///< Number of times it was sent.
   };
   /// A caller's open transaction at another host.
