Share of proxies that miss a primary counts connected proxies only

What callers saw: requests to a primary that the control leader reaches, but many proxies do not, kept failing, because the primary was not replaced.

Cause: the percentage was taken of all participants of the group. These include sessions that have stopped serving it and hold only shares of 0. They have no connections and never report anything.

Evidence, before (one of three connected proxies reports, five others hold shares of 0): in "DelegatedGroupTest/CountsOnlyServingProxiesAsUnreachableShare": check Proxies.isPrimary(S1) != Each.m_Replaces has failed [true == true]

Fix: the percentage is taken of the proxies with a share above 0 of the primary's connections. Only if there are none is it taken of all participants. The same number decides whether a single report is enough. The test's table covers both sides of the threshold with and without sessions that hold shares of 0.

--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -68,9 +68,9 @@
       1500); ///< Delegated groups: how long a promote call of a replaced leader
              ///< may still be in flight.
   std::uint32_t m_UnreachablePercent =
-      30; ///< Delegated groups: percentage of the participants that must
-          ///< report a primary as unreachable before it is replaced although
-          ///< this leader reaches it.
+      30; ///< Delegated groups: percentage of the participants with a share of
+          ///< the primary's connections that must report it as unreachable
+          ///< before it is replaced although this leader reaches it.
   Duration m_UnreachableAfter = std::chrono::milliseconds(
       600); ///< Delegated groups: how long that percentage must be reached.
   std::uint32_t m_ChangeBurst =
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -125,8 +125,7 @@
     return "leaves";
   const ServerMonitor::ReportCounts Counts =
       m_Servers.recentReports(Group.m_Group, Primary.m_Server, Now);
-  const std::size_t Participants =
-      m_Participants.participants(Group.m_Group).size();
+  const std::size_t Proxies = connectedProxies(Group, Primary);
   const bool IsSilent =
       m_Servers.announcementSilence(Group.m_Group, Primary.m_Server, Now) >=
       Settings.m_SilenceUnannounced;
@@ -147,14 +146,13 @@
                            Now - Failed->second <= Settings.m_EvidenceWindow;
   // A single proxy's report is enough only if there is no other proxy.
   if (ProbeFailed &&
-      Counts.m_Unreachable >= std::clamp<std::size_t>(Participants, 1, 2))
+      Counts.m_Unreachable >= std::clamp<std::size_t>(Proxies, 1, 2))
     return "cannot be reached";
   if (ProbeFailed && IsSilent)
     return "is silent";
   // The leader reaches the primary: replace it only if many proxies do not.
   if (Counts.m_Unreachable == 0 ||
-      Counts.m_Unreachable * 100 <
-          Participants * Settings.m_UnreachablePercent) {
+      Counts.m_Unreachable * 100 < Proxies * Settings.m_UnreachablePercent) {
     Change.m_UnreachableSince.reset();
     return {};
   }
@@ -165,6 +163,19 @@
              : "";
 }
 
+std::size_t
+DelegatedPrimaryChange::connectedProxies(const GroupRecord &Group,
+                                         const ServerRecord &Server) const {
+  std::size_t Connected = 0;
+  m_Context.state().shares().forEachShareOf(Group.m_Group, Server.m_Server,
+                                            [&](const ShareRecord &Share) {
+                                              if (Share.m_Share > 0)
+                                                ++Connected;
+                                            });
+  return Connected > 0 ? Connected
+                       : m_Participants.participants(Group.m_Group).size();
+}
+
 bool DelegatedPrimaryChange::hasCandidate(const GroupRecord &Group,
                                           Instant Now) const {
   return std::any_of(
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Version/BackendCalls.h"
 #include "ragwortmux/Version/LogPoint.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -92,6 +93,11 @@
   void replaceIfNeeded(const GroupRecord &Group, Instant Now);
   std::string replacementReason(const GroupRecord &Group, Progress &Change,
                                 Instant Now);
+  /// The number of proxies that may open connections to \p Server and can thus
+  /// tell whether it is reachable. If there are none yet, the number of
+  /// participants.
+  std::size_t connectedProxies(const GroupRecord &Group,
+                               const ServerRecord &Server) const;
   bool hasCandidate(const GroupRecord &Group, Instant Now) const;
   void electPrimary(const GroupRecord &Group, Instant Now);
   void promoteBest(const GroupRecord &Group, Progress &Change, Instant Now);
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -5,9 +5,12 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <ostream>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace ragwortmux {
@@ -43,9 +46,8 @@
 struct Fixture {
   explicit Fixture(const ControlLeaderSettings &Settings = settings())
       : m_Leader(m_State, Settings) {
-    for (const char *Host : {"h1", "h2"})
-      apply(OpenSession{HostId(Host), Incarnation(1), FailureDomainId("z"),
-                        "10.0.0.1", 1});
+    for (std::uint64_t Proxy = 1; Proxy <= m_Proxies; ++Proxy)
+      openProxy(Proxy);
     apply(ReplaceCatalogue{
         CatalogueVersion(1), "{}", {}, {{TheGroup, 30, m_SyncReplicas}}});
     m_Servers[S1].m_Role = BackendRole::Primary;
@@ -61,6 +63,24 @@
     return Settings;
   }
 
+  void openProxy(std::uint64_t Proxy) {
+    apply(OpenSession{HostId("h" + std::to_string(Proxy)), Incarnation(1),
+                      FailureDomainId("z"), "10.0.0.1", 1});
+  }
+
+  /// Lets \p Serving proxies serve the group. \p Stopped further ones have
+  /// served it, but hold only shares of 0 now.
+  void setProxies(std::uint64_t Serving, std::uint64_t Stopped) {
+    while (m_Proxies < Serving + Stopped)
+      openProxy(++m_Proxies);
+    run(3s);
+    m_Serving = Serving;
+    run(3s);
+    m_State.shares().forEachShareOf(TheGroup, [&](const ShareRecord &Share) {
+      BOOST_TEST((Share.m_Share > 0) == (Share.m_Session.value() <= Serving));
+    });
+  }
+
   void run(Duration Length) {
     for (const Instant End = m_Now + Length; m_Now < End; m_Now += 10ms)
       step();
@@ -84,7 +104,7 @@
         completePromotion(Server);
     }
     m_Leader.tick(m_Now, WallTime(std::chrono::milliseconds(m_Steps)));
-    for (const std::uint64_t Session : {1U, 2U}) {
+    for (std::uint64_t Session = 1; Session <= m_Proxies; ++Session) {
       if (m_Confirms && m_Steps % 30 == 0)
         renew(ControlSessionId(Session));
     }
@@ -130,6 +150,8 @@
     Renewal.m_Session = Session;
     Renewal.m_Sequence = ++m_Sequence;
     Renewal.m_Demand = m_Demands[Session.value()];
+    if (m_Serving && Session.value() > *m_Serving)
+      Renewal.m_ServedGroups = std::set<GroupId>();
     m_Leader.renewalReceived(Renewal, m_Now);
     takeActions();
   }
@@ -217,6 +239,9 @@
 
   Instant m_Now{1h};
   std::uint32_t m_SyncReplicas = 0;
+  std::uint64_t m_Proxies = 2; ///< Sessions 1 to this are open.
+  std::optional<std::uint64_t>
+      m_Serving; ///< Sessions 1 to this serve the group; none: all do.
   ControlState m_State;
   ControlLeader m_Leader;
   std::map<ServerId, DelegatedServer> m_Servers;
@@ -230,6 +255,21 @@
   std::uint64_t m_Sequence = 0;
 };
 
+/// The proxies when one of them reports the primary as unreachable.
+struct UnreachableCase final {
+  const char *m_Name;      ///< Name in messages.
+  std::uint64_t m_Serving; ///< Proxies with shares above 0.
+  std::uint64_t m_Stopped; ///< Proxies with shares of 0 only.
+  bool m_Replaces;         ///< The primary is replaced.
+};
+
+constexpr UnreachableCase UnreachableCases[] = {
+    {"one of three", 3, 0, true},
+    {"one of four", 4, 0, false},
+    {"one of three, others stopped serving", 3, 5, true},
+    {"one of four, others stopped serving", 4, 5, false},
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(DelegatedGroupTest, Fixture)
@@ -296,6 +336,21 @@
   BOOST_TEST((m_Now - Start < 2s));
 }
 
+BOOST_AUTO_TEST_CASE(CountsOnlyServingProxiesAsUnreachableShare) {
+  for (const UnreachableCase &Each : UnreachableCases) {
+    BOOST_TEST_CONTEXT(Each.m_Name) {
+      Fixture Proxies;
+      Proxies.setProxies(Each.m_Serving, Each.m_Stopped);
+      const Instant Start = Proxies.m_Now;
+      while (Proxies.isPrimary(S1) && Proxies.m_Now - Start < 3s) {
+        Proxies.report(ControlSessionId(1), SuspicionKind::Silent);
+        Proxies.run(100ms);
+      }
+      BOOST_TEST(Proxies.isPrimary(S1) != Each.m_Replaces);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DoesNotPromoteWhileLeaseMayBeValid) {
   m_Confirms = false;
   m_Servers[S1].m_Answers = false;
