A host refuses relayed statements at once that it cannot run

What callers saw: a statement that was relayed to a host without connections for its group waited there until its deadline, though other hosts serve the group.

Cause: the host submitted each relayed statement to the group's decision core, also if it does not serve the group and has no share there.

Evidence: without the change, ProcessTests fails with "SessionEntryRoleTest/RelayedStatementIsRefusedAtOnceByHostThatCannotRunIt": check (relayWrite() == ResultCode::NotRunNoConnection) has failed, before the first record and after a change of the control session.

Why it works: the host answers NotRunNoConnection unless it has reported to control that it serves the group, has a share there or holds the caller's transaction. Shares of a record of an earlier control session do not count.

--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -128,13 +128,21 @@
 
 bool SessionEntryRole::hasConnections(const GroupId &Group) const {
   const auto Found = m_Groups.find(Group);
-  return Found != m_Groups.end() &&
+  return Found != m_Groups.end() && !Found->second->core().isRecordOutdated() &&
          std::ranges::any_of(Found->second->core().view().m_Servers,
                              [](const ServerView &Server) {
                                return Server.m_ConnectionShare > 0;
                              });
 }
 
+bool SessionEntryRole::canRunHere(const SessionRequest &Request) const {
+  const GroupId &Group = Request.m_Entry->m_Group;
+  // Before the entry hosts are known, control is asked for no connections.
+  const bool IsServing = !m_ReportedGroups || m_ReportedGroups->contains(Group);
+  return IsServing || hasConnections(Group) ||
+         findTransactionDriver(Request.m_Caller) != nullptr;
+}
+
 void SessionEntryRole::submit(SessionRequest Request) {
   if (isRelaying(Request.m_Caller, Request.m_Entry->m_Group)) {
     m_Relay.submit(std::move(Request));
@@ -166,8 +174,19 @@
 
 void SessionEntryRole::runRelayed(RelayPeerId Peer, SessionRequest Request,
                                   RelayedCallers::Respond Reply) {
-  submitHere(
-      m_RelayedCallers.accept(Peer, std::move(Request), std::move(Reply)));
+  SessionRequest Accepted =
+      m_RelayedCallers.accept(Peer, std::move(Request), std::move(Reply));
+  if (canRunHere(Accepted)) {
+    submitHere(std::move(Accepted));
+    return;
+  }
+  // The other host may know a host that serves the group.
+  SessionAnswer Refusal;
+  Refusal.m_Request = Accepted.m_Id;
+  Refusal.m_Caller = Accepted.m_Caller;
+  Refusal.m_Group = Accepted.m_Entry->m_Group;
+  Refusal.m_Code = ResultCode::NotRunNoConnection;
+  answer(Refusal);
 }
 
 void SessionEntryRole::relayedCallerDisconnected(RelayPeerId Peer,
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -107,8 +107,10 @@
   SessionDriverHooks driverHooks(const GroupId &Group);
   SessionDriver *findTransactionDriver(CallerConnectionId Caller) const;
   bool isRelaying(CallerConnectionId Caller, const GroupId &Group);
-  /// True if this host has connections to servers of \p Group.
+  /// True if control has given this host connections to servers of \p Group.
   bool hasConnections(const GroupId &Group) const;
+  /// False if control gives this host no connections for the statement.
+  bool canRunHere(const SessionRequest &Request) const;
   void submitHere(SessionRequest Request);
   void disconnectHere(CallerConnectionId Caller);
   void answer(const SessionAnswer &Response);
--- a/tests/Process/SessionEntryRoleTest.cpp
+++ b/tests/Process/SessionEntryRoleTest.cpp
@@ -26,6 +26,10 @@
 constexpr Duration RenewalInterval = milliseconds(50);
 constexpr Duration DrainTimeout = milliseconds(200);
 
+/// The entry hosts that a record comes with. The role serves the group once it
+/// knows that it is an entry host.
+enum class Homes { Unknown, OnlyThisHost };
+
 /// A connection that opens at once; the test answers its statements.
 class ManualConnection final : public StatementConnection {
 public:
@@ -86,8 +90,26 @@
     return Hooks;
   }
 
-  /// Pushes the group's record and a list of entry hosts with this one only.
-  void pushRecord() {
+  /// Control knows another session than before.
+  void changeSession() {
+    m_Session = ControlSessionId(m_Session.value() + 1);
+    run(milliseconds(500));
+  }
+
+  /// Relays a write to the role; returns its answer if there is one at once.
+  std::optional<ResultCode> relayWrite() {
+    std::optional<ResultCode> Code;
+    m_Role->runRelayed(Peer, write(), [&Code](const SessionAnswer &Answer) {
+      Code = Answer.m_Code;
+    });
+    const std::optional<ResultCode> AtOnce = Code;
+    // Answers the statement if it is still under way.
+    m_Role->relayClosed(Peer);
+    return AtOnce;
+  }
+
+  /// Pushes the group's record and the list \p Known of entry hosts.
+  void pushRecord(Homes Known = Homes::OnlyThisHost) {
     ControlUpdate Update;
     GroupView View;
     View.m_Group = Group;
@@ -98,10 +120,12 @@
     Server.m_Server = Primary;
     Server.m_ConnectionShare = 1;
     Update.m_Views.push_back(View);
-    Update.m_Homes.emplace();
-    Update.m_Homes->m_Revision = Revision(1);
-    Update.m_Homes->m_Active.push_back(
-        {m_Settings.m_Host, m_Settings.m_FailureDomain, Loopback, 1});
+    if (Known == Homes::OnlyThisHost) {
+      Update.m_Homes.emplace();
+      Update.m_Homes->m_Revision = Revision(1);
+      Update.m_Homes->m_Active.push_back(
+          {m_Settings.m_Host, m_Settings.m_FailureDomain, Loopback, 1});
+    }
     m_Listener(m_Session, Update,
                [this](const auto &Confirmed) { m_PushConfirmed = Confirmed; });
     run(milliseconds(100));
@@ -151,8 +175,7 @@
   pushRecord();
   BOOST_REQUIRE(m_PushConfirmed);
   BOOST_TEST((m_PushConfirmed->m_Groups.at(Group) == Revision(4)));
-  m_Session = ControlSessionId(8);
-  run(milliseconds(500));
+  changeSession();
   BOOST_REQUIRE(m_FirstConfirmed);
   BOOST_TEST(!m_FirstConfirmed->contains(Group));
   m_PushConfirmed.reset();
@@ -161,6 +184,18 @@
   BOOST_TEST((m_PushConfirmed->m_Groups.at(Group) == Revision(4)));
 }
 
+// Guards against a relayed statement that waits for its deadline, though other
+// hosts serve its group.
+BOOST_AUTO_TEST_CASE(RelayedStatementIsRefusedAtOnceByHostThatCannotRunIt) {
+  BOOST_TEST((relayWrite() == ResultCode::NotRunNoConnection));
+  pushRecord(Homes::Unknown);
+  BOOST_TEST(!relayWrite().has_value());
+  changeSession();
+  BOOST_TEST((relayWrite() == ResultCode::NotRunNoConnection));
+  pushRecord(Homes::OnlyThisHost);
+  BOOST_TEST(!relayWrite().has_value());
+}
+
 // Guards against an acknowledgement after the end of the session, for which a
 // change of primary no longer waits.
 BOOST_AUTO_TEST_CASE(NothingIsAcknowledgedAfterEndOfSession) {
