--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -173,6 +173,7 @@
 BOOST_AUTO_TEST_CASE(GracefulStopAnswersStatementsThatHaveArrived) {
   constexpr int CallerCount = 40;
   std::vector<std::unique_ptr<WireCaller>> Callers;
+  Callers.reserve(CallerCount);
   for (int Number = 0; Number < CallerCount; ++Number)
     Callers.push_back(std::make_unique<WireCaller>(m_CallerPort, "booking"));
   BOOST_REQUIRE(
