A late reply of an earlier control session is not applied

What callers could see: after a host had opened another control session, a late renewal reply of the earlier one made an old group record count as current again, so that the new lease covered it. Cause: ControlClient applied the update of any granted reply; only the lease looked at the session. Evidence: ControlClientTest/LateReplyOfEarlierSessionIsNotApplied failed before: check m_Catalogues == ... has failed [1 != 0]. Why it works: an update counts only under the session for which control sent it.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -185,6 +185,10 @@
     scheduleMaintenance(RetryPause);
     return;
   }
+  // Records of an earlier session may be outdated.
+  if (Session != m_Lease.session()) {
+    return;
+  }
   // The update is applied first: the lease covers only revisions that are
   // already in effect here.
   applyUpdate(Reply->m_Update);
--- a/tests/Process/ControlClientTest.cpp
+++ b/tests/Process/ControlClientTest.cpp
@@ -16,7 +16,6 @@
 using std::chrono::seconds;
 
 const char *const Loopback = "127.0.0.1";
-const ControlSessionId Session(7);
 /// Longer than a case runs, so that only additional renewals are counted.
 constexpr Duration RenewalInterval = seconds(30);
 
@@ -24,14 +23,20 @@
 struct Pair final {
   Pair() : m_Key("one-key-of-the-cluster") {
     RpcServerHooks Hooks;
-    Hooks.m_OpenSession = [](const EntryAddress &, Incarnation,
-                             const UpdateListener &, const auto &Respond) {
-      Respond({{}, Session});
+    Hooks.m_OpenSession = [this](const EntryAddress &, Incarnation,
+                                 const UpdateListener &, const auto &Respond) {
+      Respond({{}, ControlSessionId(++m_Sessions)});
     };
     Hooks.m_Renew = [this](const LeaseRenewal &Renewal, const auto &Respond) {
       ++m_Renewals;
       m_Served = Renewal.m_ServedGroups;
-      Respond({{}, seconds(60), {}});
+      if (m_HoldsFirstReply && m_Renewals == 1) {
+        m_HeldReply = Respond;
+      } else if (Renewal.m_Session == m_EndedSession) {
+        Respond({{ResultCode::Unauthorized, "", ""}, Duration(0), {}});
+      } else {
+        Respond({{}, seconds(60), {}});
+      }
     };
     m_Server = std::make_unique<RpcServer>(m_Loop, m_Key, std::move(Hooks));
     ControlClientSettings Settings;
@@ -47,7 +52,9 @@
 
   ControlClientHooks clientHooks() {
     ControlClientHooks Hooks;
-    Hooks.m_Update = [](const ControlUpdate &) {};
+    Hooks.m_Update = [this](const ControlUpdate &Update) {
+      m_Catalogues += Update.m_Catalogue ? 1 : 0;
+    };
     Hooks.m_Confirmation = [] { return Confirmation(); };
     Hooks.m_Demand = [] { return std::vector<ShareDemand>(); };
     Hooks.m_ServedGroups = [this] { return m_Serves; };
@@ -64,7 +71,12 @@
   Secret m_Key;
   std::optional<std::set<GroupId>> m_Serves;
   std::optional<std::set<GroupId>> m_Served; ///< As received.
-  unsigned m_Renewals = 0;
+  unsigned m_Renewals = 0;                   ///< Renewals received.
+  std::uint64_t m_Sessions = 0;    ///< Sessions opened; also the newest id.
+  unsigned m_Catalogues = 0;       ///< Catalogues that the client applied.
+  ControlSessionId m_EndedSession; ///< Its renewals are refused.
+  bool m_HoldsFirstReply = false;  ///< The first renewal is answered later.
+  std::function<void(RenewReply)> m_HeldReply; ///< Answers that renewal.
   std::unique_ptr<RpcServer> m_Server;
   std::unique_ptr<ControlClient> m_Client;
 };
@@ -89,4 +101,28 @@
   }
 }
 
+// Guards against a late reply of an earlier session, whose group records would
+// count as current under the new one.
+BOOST_AUTO_TEST_CASE(LateReplyOfEarlierSessionIsNotApplied) {
+  for (const bool HasChanged : {false, true}) {
+    BOOST_TEST_CONTEXT("session has changed: " << HasChanged) {
+      Pair Control;
+      Control.m_HoldsFirstReply = true;
+      Control.m_EndedSession = ControlSessionId(HasChanged ? 1 : 0);
+      Control.m_Client->start();
+      Control.run(milliseconds(300));
+      BOOST_REQUIRE(Control.m_HeldReply);
+      Control.m_Client->renewNow();
+      Control.run(milliseconds(300));
+      BOOST_REQUIRE_EQUAL(Control.m_Sessions, HasChanged ? 2U : 1U);
+      RenewReply Late;
+      Late.m_Lease = seconds(60);
+      Late.m_Update.m_Catalogue.emplace();
+      Control.m_HeldReply(Late);
+      Control.run(milliseconds(300));
+      BOOST_TEST(Control.m_Catalogues == (HasChanged ? 0U : 1U));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
