entry-hosts: the configuration's text stands with the other stand-ins of the platform

bench/EntryHosts wrote the platform's names itself; wireConfiguration() in tests/Platform has them now, beside the stand-ins that it uses. The bodies of its heartbeats still stand in the bench.

--- a/bench/EntryHosts/EntryHostsRun.cpp
+++ b/bench/EntryHosts/EntryHostsRun.cpp
@@ -4,6 +4,7 @@
 #include "bench/EntryHosts/LogCounts.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
 #include "tests/Platform/Socket.h"
+#include "tests/Platform/WireConfiguration.h"
 
 #include <fmt/format.h>
 
@@ -126,25 +127,16 @@
       std::move(Heartbeats), std::move(Receivers), m_Settings.m_HttpPort);
 }
 
-std::string EntryHostsRun::configuration(int Version) const {
-  std::string Routes;
-  std::string Services;
+std::string EntryHostsRun::configuration(std::uint64_t Version) const {
+  std::vector<std::string> Services;
   for (const GroupStandIn &Group : m_Groups) {
-    const char *Comma = Routes.empty() ? "" : ",";
-    Routes += fmt::format(
-        R"({}{{"name":"r-{}","dbName":"{}","pathPrefix":"/",)"
-        R"("kind":"read_your_writes","timeoutMs":1000,"service":"{}",)"
-        R"("maxAttempts":2,"maxStalenessMs":2500}})",
-        Comma, Group.m_Name, Group.m_Name, Group.m_Name);
-    Services +=
-        fmt::format(R"({}{{"name":"{}","maxConns":{},"syncReplicas":0}})",
-                    Comma, Group.m_Name, m_Settings.m_Connections);
+    Services.push_back(Group.m_Name);
   }
-  return fmt::format(R"({{"version":{},"routes":[{}],"services":[{}]}})",
-                     Version, Routes, Services);
+  return platform::wireConfiguration(Version, Services,
+                                     m_Settings.m_Connections);
 }
 
-bool EntryHostsRun::putConfiguration(int Version) {
+bool EntryHostsRun::putConfiguration(std::uint64_t Version) {
   for (std::uint32_t Host = 0; Host < m_Settings.m_ControlHosts; ++Host) {
     if (platform::httpCall(m_Hosts.controlAddress(Host), m_Settings.m_HttpPort,
                            "POST", "/config/replace",
--- a/bench/EntryHosts/EntryHostsRun.h
+++ b/bench/EntryHosts/EntryHostsRun.h
@@ -7,6 +7,7 @@
 #include "bench/EntryHosts/ServerStandIn.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <string>
@@ -36,8 +37,8 @@
 
 private:
   void startServers();
-  bool putConfiguration(int Version);
-  std::string configuration(int Version) const;
+  bool putConfiguration(std::uint64_t Version);
+  std::string configuration(std::uint64_t Version) const;
   void startCallers();
   void loseLeader();
   std::string controlMetrics(std::uint32_t Host) const;
