Logs: a refusal for a missing entry names catalogue and lease; control says when all sessions have a revision

Now a refusal has a line with entry, code, catalogue revision and what is left of the lease, and the leader writes how long it took until all sessions had a revision, or how many lack it after the length of a lease: two lines a revision at most (CatalogueProgressLogTest, StatementLogTest).

--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -91,6 +91,17 @@
          Response.m_Status == TransactionStatus::Idle && !hasLease();
 }
 
+ResultCode
+SessionEntryRole::refuseMissingEntry(const EntryName &Name,
+                                     const StatementId &Statement) const {
+  const ResultCode Code =
+      hasLease() ? ResultCode::NotRunUnknownEntry : ResultCode::NotRunNoLease;
+  const Duration LeaseLeft =
+      std::max(Duration(0), m_LeaseExpiry - monotonicNow());
+  m_StatementLog.recordMissingEntry(Name, Statement, Code, LeaseLeft);
+  return Code;
+}
+
 bool SessionEntryRole::hasLease() const {
   return monotonicNow() < m_LeaseExpiry;
 }
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -70,12 +70,11 @@
   std::shared_ptr<const CatalogueEntry> findEntry(const EntryName &Name) const {
     return m_Catalogue.find(Name);
   }
-  /// The result for a request whose entry findEntry() does not find. Without a
+  /// The result for \p Statement, which is empty for a caller that connects,
+  /// if findEntry() does not find its entry \p Name; it is logged. Without a
   /// lease this host cannot know whether its catalogue is current.
-  ResultCode missingEntryCode() const {
-    return hasLease() ? ResultCode::NotRunUnknownEntry
-                      : ResultCode::NotRunNoLease;
-  }
+  ResultCode refuseMissingEntry(const EntryName &Name,
+                                const StatementId &Statement) const;
   /// Runs a statement; SessionEntryHooks::m_Answer receives the answer.
   void submit(SessionRequest Request);
   /// The group that serves the caller's next request: that of its open
--- a/ragwortmux/Process/Entry/StatementLog.cpp
+++ b/ragwortmux/Process/Entry/StatementLog.cpp
@@ -133,6 +133,22 @@
             Fields);
 }
 
+void StatementLog::recordMissingEntry(const EntryName &Entry,
+                                      const StatementId &Statement,
+                                      ResultCode Code,
+                                      Duration LeaseLeft) const {
+  const std::array Fields = {
+      LogField{"id", Statement.value()},
+      LogField{"decision", std::string(decisionName(SessionDecision::Refused))},
+      LogField{"code", static_cast<std::int64_t>(Code)},
+      LogField{"result", std::string(resultCodeInfo(Code).m_Name)},
+      LogField{"entry", Entry.value()},
+      LogField{"catalogue", toCount(m_Catalogue.revision().value())},
+      LogField{"lease_left_ms", toMs(LeaseLeft)}};
+  logRecord(LogLevel::Info, Part::Catalogue, "The catalogue has no such entry.",
+            Fields);
+}
+
 void StatementLog::writeSummary() {
   const Summary Previous = std::exchange(m_Summary, Summary());
   if (Previous.m_Sent == 0 && Previous.m_Answered == 0) {
--- a/ragwortmux/Process/Entry/StatementLog.h
+++ b/ragwortmux/Process/Entry/StatementLog.h
@@ -35,6 +35,10 @@
   void record(const GroupId &Group, const SessionDecisionRecord &Record);
   /// Logs and counts one decision about a statement that this host relays.
   void recordRelayed(const RelayDecisionRecord &Record);
+  /// Logs the refusal of a caller or of \p Statement, which is empty for a
+  /// caller that connects, because the catalogue has no entry \p Entry.
+  void recordMissingEntry(const EntryName &Entry, const StatementId &Statement,
+                          ResultCode Code, Duration LeaseLeft) const;
   /// Logs the summary unless it is empty, and resets it.
   void writeSummary();
 
--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -258,6 +258,7 @@
   m_Servers.probeServers(Now);
   evaluateAllGroups(Now);
   m_Updates.pushLists(Now);
+  m_Updates.logCatalogueProgress(Now);
   m_Shares.evaluate(Now);
   m_Homes.evaluate(Now);
 }
--- a/ragwortmux/Version/UpdateTracker.cpp
+++ b/ragwortmux/Version/UpdateTracker.cpp
@@ -10,6 +10,16 @@
 
 namespace ragwortmux {
 
+UpdateTracker::UpdateTracker(LeaderContext &Context,
+                             const GroupParticipants &Participants)
+    : m_Context(Context), m_Participants(Participants),
+      m_CatalogueLog(Context.settings().m_Lease) {}
+
+void UpdateTracker::reset() {
+  m_Sessions.clear();
+  m_CatalogueLog.reset();
+}
+
 bool UpdateTracker::Progress::confirm(Revision Confirmed, Instant Now) {
   if (Confirmed <= m_Confirmed)
     return false;
@@ -120,6 +130,18 @@
   });
 }
 
+void UpdateTracker::logCatalogueProgress(Instant Now) {
+  CatalogueProgressLog::Progress Progress;
+  Progress.m_Newest = m_Context.state().catalogue().revision();
+  Progress.m_Sessions = m_Context.state().sessions().size();
+  for (const auto &[Session, Confirmations] : m_Sessions) {
+    if (Confirmations.m_Catalogue.m_Confirmed >= Progress.m_Newest)
+      ++Progress.m_Confirmed;
+  }
+  if (auto Line = m_CatalogueLog.update(Progress, Now))
+    m_Context.addTimelineLine(std::move(*Line));
+}
+
 Revision UpdateTracker::confirmed(ControlSessionId Session,
                                   const GroupId &Group) const {
   const SessionProgress *Confirmations = find(Session);
--- a/ragwortmux/Version/UpdateTracker.h
+++ b/ragwortmux/Version/UpdateTracker.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Version/CatalogueProgressLog.h"
 #include "ragwortmux/Version/CatalogueRecords.h"
 #include "ragwortmux/Version/GroupView.h"
 #include "ragwortmux/Version/SessionHomeLists.h"
@@ -26,11 +27,10 @@
 /// renewal says what the session has, and the reply brings the rest.
 class UpdateTracker final {
 public:
-  UpdateTracker(LeaderContext &Context, const GroupParticipants &Participants)
-      : m_Context(Context), m_Participants(Participants) {}
+  UpdateTracker(LeaderContext &Context, const GroupParticipants &Participants);
 
   /// Discards all confirmations, which a new leader has to collect anew.
-  void reset() { m_Sessions.clear(); }
+  void reset();
   void sessionEnded(ControlSessionId Session) { m_Sessions.erase(Session); }
   /// Records the revisions that \p Renewal confirms. Returns the groups of
   /// which it confirms a newer record than known before.
@@ -52,6 +52,9 @@
   /// Pushes the catalogue and the session homes to each session that has not
   /// confirmed them, unless they are still on their way.
   void pushLists(Instant Now);
+  /// Writes to the time line when all sessions have the newest catalogue, and
+  /// if they take longer than a lease.
+  void logCatalogueProgress(Instant Now);
 
   /// The revision of \p Group that \p Session has confirmed; 0 if unknown.
   Revision confirmed(ControlSessionId Session, const GroupId &Group) const;
@@ -113,6 +116,7 @@
   LeaderContext &m_Context;                ///< Shared.
   const GroupParticipants &m_Participants; ///< Who takes part in each group.
   std::map<ControlSessionId, SessionProgress> m_Sessions; ///< By session.
+  CatalogueProgressLog m_CatalogueLog; ///< When sessions have the catalogue.
 };
 
 } // namespace ragwortmux
--- a/tests/Process/StatementLogTest.cpp
+++ b/tests/Process/StatementLogTest.cpp
@@ -121,4 +121,18 @@
   startLog(LogSettings());
 }
 
+// Without this line nobody can tell whether an outdated catalogue or the caller
+// was wrong.
+BOOST_AUTO_TEST_CASE(RefusalForMissingEntryNamesCatalogueAndLease) {
+  std::ostringstream Output;
+  LogSettings Settings;
+  Settings.m_Output = &Output;
+  startLog(Settings);
+  m_Log.recordMissingEntry(EntryName("gone"), StatementId("q18"),
+                           ResultCode::NotRunNoLease, milliseconds(0));
+  for (const char *Part : {"gone", "q18", "107", "not-run-no-lease"})
+    BOOST_TEST(Output.str().find(Part) != std::string::npos, Part);
+  startLog(LogSettings());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
