--- a/tests/Log/LogStorageTest.cpp
+++ b/tests/Log/LogStorageTest.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <limits>
 #include <ostream>
 #include <random>
 
@@ -382,6 +383,60 @@
   BOOST_CHECK(!Writer->m_Storage->persist(Changes[1]));
 }
 
+/// Opens the folder of \p Disk again after a failed write and appends an entry,
+/// which fails too while the disk is full. Null if the folder cannot be opened.
+std::unique_ptr<OpenedFolder>
+reopenAndAppend(const std::shared_ptr<FakeDisk> &Disk,
+                std::unique_ptr<OpenedFolder> Failed) {
+  if (Failed->m_Loaded && !Failed->m_Storage->discardUnsynced())
+    return Failed;
+  Failed = nullptr;
+  auto Next = open(Disk);
+  if (!Next->m_Loaded)
+    return Next;
+  const Model Found = Model::of(*Next->m_Loaded);
+  const EntryId Last =
+      Found.m_Entries.empty() ? Found.m_Snapshot : Found.m_Entries.back().m_Id;
+  const std::uint64_t Term = Found.m_Hard.m_Term.value();
+  BOOST_CHECK(!Next->m_Storage->persist(
+      change(Term, {entry(Last.m_Index.value() + 1, Term)})));
+  return Next;
+}
+
+// Guards against a voter that loses entries which it has acknowledged, or that
+// never takes part again: its disk is full when a segment is started, and still
+// full when the folder is opened again.
+BOOST_AUTO_TEST_CASE(RetainsConfirmedChangesWhileDiskStaysFull,
+                     *label("promise-9") * label("known-red")) {
+  constexpr std::uint64_t AllBytes = 4000;
+  constexpr int Attempts = 3;
+  for (std::uint64_t Room = 0; Room < AllBytes; Room += 3) {
+    BOOST_TEST_CONTEXT("room for " << Room << " bytes") {
+      const auto Disk = std::make_shared<FakeDisk>();
+      Disk->m_FreeBytes = Room;
+      Model Before;
+      Model After;
+      std::unique_ptr<OpenedFolder> Folder = open(Disk);
+      for (const PersistLog &Change : sampleChanges()) {
+        After.apply(Change);
+        if (!Folder->m_Loaded || !Folder->m_Storage->persist(Change))
+          break;
+        Before = After;
+      }
+      if (Before == After)
+        break;
+      for (int Attempt = 0; Attempt < Attempts; ++Attempt)
+        Folder = reopenAndAppend(Disk, std::move(Folder));
+      Disk->m_FreeBytes = std::numeric_limits<std::uint64_t>::max();
+      BOOST_REQUIRE(!Folder->m_Loaded || Folder->m_Storage->discardUnsynced());
+      Folder = nullptr;
+      const std::unique_ptr<OpenedFolder> Reader = open(Disk);
+      BOOST_REQUIRE_MESSAGE(Reader->m_Loaded, Reader->m_Storage->lastReason());
+      BOOST_CHECK(isBetween(Model::of(*Reader->m_Loaded), Before, After));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefusesFolderLockedByAnotherProcess, *label("promise-9")) {
   const std::shared_ptr<FakeDisk> Disk = sampleDisk(1);
   const std::unique_ptr<OpenedFolder> First = open(Disk);
--- a/tests/Process/ControlClientTest.cpp
+++ b/tests/Process/ControlClientTest.cpp
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 using namespace ragwortmux;
 
@@ -21,7 +22,8 @@
 
 /// A control client and a control host that grants its renewals.
 struct Pair final {
-  Pair() : m_Key("one-key-of-the-cluster") {
+  explicit Pair(Duration CallTimeout = seconds(5))
+      : m_Key("one-key-of-the-cluster") {
     RpcServerHooks Hooks;
     Hooks.m_OpenSession = [this](const EntryAddress &, Incarnation,
                                  const UpdateListener &, const auto &Respond) {
@@ -38,6 +40,9 @@
         Respond({{}, seconds(60), {}});
       }
     };
+    Hooks.m_Report = [this](const auto &, const auto &, const auto &Respond) {
+      m_HeldReports.push_back(Respond);
+    };
     m_Server = std::make_unique<RpcServer>(m_Loop, m_Key, std::move(Hooks));
     ControlClientSettings Settings;
     Settings.m_Self = {HostId("h"), FailureDomainId("d"), Loopback, 1};
@@ -45,7 +50,7 @@
     Settings.m_ControlPeers = {
         {HostId("c"), {Loopback, m_Server->listen(Loopback, 0)}}};
     Settings.m_RenewalInterval = RenewalInterval;
-    Settings.m_CallTimeout = seconds(5);
+    Settings.m_CallTimeout = CallTimeout;
     m_Client =
         std::make_unique<ControlClient>(m_Loop, m_Key, Settings, clientHooks());
   }
@@ -77,6 +82,8 @@
   ControlSessionId m_EndedSession; ///< Its renewals are refused.
   bool m_HoldsFirstReply = false;  ///< The first renewal is answered later.
   std::function<void(RenewReply)> m_HeldReply; ///< Answers that renewal.
+  std::vector<std::function<void(ControlStatus)>>
+      m_HeldReports; ///< Would answer the reports.
   std::unique_ptr<RpcServer> m_Server;
   std::unique_ptr<ControlClient> m_Client;
 };
@@ -125,4 +132,20 @@
   }
 }
 
+// A call without an answer ends the connection, and control pushes over that.
+// Without a new session it would push into the void while renewals succeed.
+BOOST_AUTO_TEST_CASE(UnansweredReportOpensSessionAgain,
+                     *boost::unit_test::label("known-red")) {
+  Pair Control(milliseconds(300));
+  Control.m_Client->start();
+  Control.run(milliseconds(300));
+  BOOST_REQUIRE_EQUAL(Control.m_Sessions, 1U);
+  Control.m_Client->reportSuspicion(GroupId("g"), ServerId("s"),
+                                    SuspicionKind::Silent);
+  Control.run(milliseconds(200));
+  BOOST_REQUIRE_EQUAL(Control.m_HeldReports.size(), 1U);
+  Control.run(seconds(1));
+  BOOST_TEST(Control.m_Sessions == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Process/ControlNodeTest.cpp
+++ b/tests/Process/ControlNodeTest.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,7 @@
   /// renewals have brought it; true if it is granted.
   bool renew(ControlSessionId Session) {
     bool Granted = false;
+    m_LastCatalogue.reset();
     LeaseRenewal Renewal;
     Renewal.m_Session = Session;
     Renewal.m_Sequence = ++m_Sequence;
@@ -84,11 +86,19 @@
       Granted = Reply.m_Status.ok() && Reply.m_Lease > Duration(0);
       if (Reply.m_Update.m_Homes)
         m_Homes[Session] = *Reply.m_Update.m_Homes;
+      m_LastCatalogue = Reply.m_Update.m_Catalogue;
     });
     advance(milliseconds(100));
     return Granted;
   }
 
+  void replaceCatalogue(std::uint64_t Version) {
+    ReplaceCatalogue Command;
+    Command.m_Version = CatalogueVersion(Version);
+    Command.m_Document = std::to_string(Version);
+    m_Node->command(m_Now, Command, [](const CommandReply &) {});
+  }
+
   Instant m_Now{std::chrono::hours(1)};
   std::uint64_t m_Random = 0;
   std::uint64_t m_Sequence = 0;
@@ -96,6 +106,8 @@
   std::vector<ControlUpdate> m_Pushed;
   std::map<ControlSessionId, SessionHomesView>
       m_Homes; ///< Newest session homes of each session.
+  std::optional<CatalogueDelta>
+      m_LastCatalogue; ///< What the last renewal has brought.
   std::shared_ptr<FakeDisk> m_Disk = std::make_shared<FakeDisk>();
   std::unique_ptr<ControlNode> m_Node;
 };
@@ -177,4 +189,19 @@
   BOOST_TEST(Leader.m_Homes[First].m_Active.size() == 2U);
 }
 
+// A host opens its session again because its connection has failed, and with it
+// whatever was on its way. It must not wait for the timeout of that.
+BOOST_AUTO_TEST_CASE(ReopenedSessionGetsUnconfirmedCatalogueWithItsRenewal,
+                     *boost::unit_test::label("known-red")) {
+  LeadingNode Leader;
+  const ControlSessionId Session = Leader.open(1);
+  BOOST_REQUIRE(Leader.renew(Session));
+  Leader.m_Pushed.clear();
+  Leader.replaceCatalogue(2);
+  BOOST_REQUIRE(!Leader.m_Pushed.empty());
+  BOOST_REQUIRE((Leader.open(1) == Session));
+  BOOST_TEST(Leader.renew(Session));
+  BOOST_TEST(Leader.m_LastCatalogue.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Process/SessionEntryRoleTest.cpp
+++ b/tests/Process/SessionEntryRoleTest.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -72,6 +73,7 @@
     m_Role->start();
     run(milliseconds(300));
     BOOST_REQUIRE(m_Listener);
+    pushCatalogue(entry());
   }
 
   SessionEntryHooks roleHooks() {
@@ -131,15 +133,31 @@
     run(milliseconds(100));
   }
 
+  /// Pushes the next revision of a catalogue with the only entry \p Entry.
+  void pushCatalogue(const CatalogueEntry &Entry) {
+    ControlUpdate Update;
+    CatalogueDelta &Whole = Update.m_Catalogue.emplace();
+    Whole.m_Revision = Revision(++m_Catalogue);
+    Whole.m_IsWhole = true;
+    Whole.m_Items.push_back({Whole.m_Revision, Entry});
+    m_Listener(m_Session, Update, [](const auto &) {});
+    run(milliseconds(100));
+  }
+
+  static CatalogueEntry entry() {
+    CatalogueEntry Entry;
+    Entry.m_Name = EntryName("e");
+    Entry.m_Group = Group;
+    Entry.m_Class = TrafficClass::PrimarySession;
+    Entry.m_Limits.m_RequestDeadline = seconds(5);
+    return Entry;
+  }
+
   static SessionRequest write() {
-    const auto Entry = std::make_shared<CatalogueEntry>();
-    Entry->m_Group = Group;
-    Entry->m_Class = TrafficClass::PrimarySession;
-    Entry->m_Limits.m_RequestDeadline = seconds(5);
     SessionRequest Request;
     Request.m_Id = RequestId(1);
     Request.m_Caller = CallerConnectionId(1);
-    Request.m_Entry = Entry;
+    Request.m_Entry = std::make_shared<const CatalogueEntry>(entry());
     Request.m_Statement.m_Kind = StatementKind::Write;
     Request.m_Statement.m_Writes = true;
     Request.m_State = std::make_shared<SessionState>();
@@ -154,6 +172,7 @@
   ProcessSettings m_Settings;
   Metrics m_Metrics;
   ControlSessionId m_Session{7}; ///< The session that control knows.
+  std::uint64_t m_Catalogue = 0; ///< Revision of the last pushed catalogue.
   IoLoop m_Loop;
   UpdateListener m_Listener;
   std::optional<std::map<GroupId, Revision>>
@@ -196,6 +215,37 @@
   BOOST_TEST(!relayWrite().has_value());
 }
 
+// Guards against an older version of an entry that runs after a newer one,
+// because the host that relays the statement has another catalogue.
+BOOST_AUTO_TEST_CASE(RelayedStatementOfAnotherCatalogueIsRefused,
+                     *boost::unit_test::label("known-red")) {
+  struct Row final {
+    const char *m_Name;                          ///< What differs.
+    std::function<void(CatalogueEntry &)> m_Set; ///< Changes the own entry.
+    bool m_IsRefused;                            ///< The expected outcome.
+  };
+  const std::vector<Row> Rows = {
+      {"nothing", [](CatalogueEntry &) {}, false},
+      {"the entry is not in the catalogue",
+       [](CatalogueEntry &Own) { Own.m_Name = EntryName("other"); }, true},
+      {"the group", [](CatalogueEntry &Own) { Own.m_Group = GroupId("other"); },
+       true},
+      {"the deadline",
+       [](CatalogueEntry &Own) { Own.m_Limits.m_RequestDeadline = seconds(4); },
+       true}};
+  pushRecord();
+  for (const Row &Each : Rows) {
+    BOOST_TEST_CONTEXT("differs: " << Each.m_Name) {
+      CatalogueEntry Own = entry();
+      Each.m_Set(Own);
+      pushCatalogue(Own);
+      const std::optional<ResultCode> Code = relayWrite();
+      BOOST_TEST(Code.has_value() == Each.m_IsRefused);
+      BOOST_TEST((!Code || isNotRun(*Code)));
+    }
+  }
+}
+
 // Guards against an acknowledgement after the end of the session, for which a
 // change of primary no longer waits.
 BOOST_AUTO_TEST_CASE(NothingIsAcknowledgedAfterEndOfSession) {
--- a/tests/Version/ControlLeaderOverloadTest.cpp
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -134,4 +134,32 @@
       << " bytes to each host in 3 s");
 }
 
+// Changes that follow each other faster than a host can confirm them must not
+// make control send all that is unconfirmed with each of them.
+BOOST_AUTO_TEST_CASE(ChangesInSuccessionSendUnconfirmedOnesOnce,
+                     *boost::unit_test::label("known-red")) {
+  constexpr std::uint32_t Entries = 390;
+  constexpr std::uint32_t Changes = 10;
+  const auto BytesOf = [&](std::uint32_t Count) {
+    FleetHarness Fleet{FleetSize()};
+    Fleet.openAll(OpeningTime);
+    Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
+    Fleet.run(2s);
+    const std::size_t Before = Fleet.counts().m_Bytes;
+    for (std::uint32_t Change = 0; Change < Count; ++Change) {
+      Fleet.replaceCatalogue(Entries + Change);
+      Fleet.run(20ms);
+    }
+    Fleet.run(2s);
+    for (const FleetHost &Host : Fleet.hosts())
+      BOOST_TEST((Host.m_Catalogue == Fleet.state().catalogue().revision()));
+    return Fleet.counts().m_Bytes - Before;
+  };
+  const std::size_t Once = BytesOf(1);
+  const std::size_t InSuccession = BytesOf(Changes);
+  BOOST_TEST_MESSAGE(Once << " bytes for one change, " << InSuccession
+                          << " for " << Changes);
+  BOOST_TEST(InSuccession < 2 * Once);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -74,7 +74,8 @@
   }
   m_State.apply(AdvanceTime{Start});
   m_Policies = Policies;
-  m_State.apply(ReplaceCatalogue{CatalogueVersion(1), "{}", {}, Policies});
+  m_State.apply(ReplaceCatalogue{
+      CatalogueVersion(m_CatalogueVersion), "{}", {}, Policies});
   lead([this] { m_Leader->becameLeader(m_Now); });
   run(3s);
 }
@@ -109,7 +110,8 @@
 }
 
 void FleetHarness::replaceCatalogue(std::uint32_t Entries) {
-  ReplaceCatalogue Command{CatalogueVersion(2), "{}", {}, m_Policies};
+  ReplaceCatalogue Command{
+      CatalogueVersion(++m_CatalogueVersion), "{}", {}, m_Policies};
   for (std::uint32_t Number = 0; Number < Entries; ++Number) {
     CatalogueEntry &Entry = Command.m_Entries.emplace_back();
     Entry.m_Name = EntryName("entry-" + std::to_string(Number));
--- a/tests/Version/FleetHarness.h
+++ b/tests/Version/FleetHarness.h
@@ -131,12 +131,13 @@
   std::vector<std::pair<GroupId, ServerId>> m_Servers; ///< All servers.
   Instant m_Now{std::chrono::hours(1)};                ///< The simulated time.
   std::multimap<Instant, std::function<void()>>
-      m_Scheduled;                     ///< Events to come, by time.
-  FleetCounts m_Counts;                ///< What the leader has done.
-  std::vector<GroupPolicy> m_Policies; ///< Of all groups.
-  std::uint64_t m_Run = 1;             ///< Run of the hosts' processes.
-  std::uint64_t m_Steps = 0;           ///< Number of completed steps.
-  std::uint64_t m_Reports = 0;         ///< Number of announcements so far.
+      m_Scheduled;                      ///< Events to come, by time.
+  FleetCounts m_Counts;                 ///< What the leader has done.
+  std::vector<GroupPolicy> m_Policies;  ///< Of all groups.
+  std::uint64_t m_CatalogueVersion = 1; ///< Version of the catalogue.
+  std::uint64_t m_Run = 1;              ///< Run of the hosts' processes.
+  std::uint64_t m_Steps = 0;            ///< Number of completed steps.
+  std::uint64_t m_Reports = 0;          ///< Number of announcements so far.
   std::deque<std::pair<Instant, Duration>>
       m_BusyTimes;               ///< Recent processor times of the leader.
   Duration m_LargestBusyTime{0}; ///< See largestBusyTime().
