At most one update of a list is on its way to a session

What callers could see: while configurations follow each other, entry hosts on links of 2 Mbit/s get answers late.

Cause: whether a list was on its way was asked for the newest revision, so that each change sent a session all that it had not confirmed once more.

--- /dev/null
+++ b/ragwortmux/Version/ListProgress.cpp
@@ -0,0 +1,28 @@
+#include "ragwortmux/Version/ListProgress.h"
+
+#include <algorithm>
+
+namespace ragwortmux {
+
+void ListProgress::confirm(Revision Confirmed) {
+  m_Confirmed = std::max(m_Confirmed, Confirmed);
+}
+
+void ListProgress::sent(Revision Newest, Instant Now) {
+  m_Sent = Newest;
+  m_SentAt = Now;
+  m_HasFailed = false;
+}
+
+bool ListProgress::isPushDue(Revision Newest) const {
+  return m_Confirmed < Newest && m_Confirmed >= m_Sent;
+}
+
+bool ListProgress::isReplyDue(Revision Newest, Instant Now,
+                              Duration Timeout) const {
+  const bool IsOnItsWay =
+      m_Confirmed < m_Sent && !m_HasFailed && Now - m_SentAt < Timeout;
+  return m_Confirmed < Newest && !IsOnItsWay;
+}
+
+} // namespace ragwortmux
--- a/ragwortmux/Version/UpdateTracker.cpp
+++ b/ragwortmux/Version/UpdateTracker.cpp
@@ -38,18 +38,11 @@
   return true;
 }
 
-bool UpdateTracker::Progress::isOnItsWay(Revision Current, Instant Now,
-                                         Duration Timeout) const {
-  return m_Confirmed < Current && m_Pushed >= Current && !m_PushFailed &&
-         Now - m_PushedAt < Timeout;
-}
-
 void UpdateTracker::Progress::recordPush(Revision Current, Instant Now) {
   if (!isWaiting())
     m_WaitingSince = Now;
   m_Pushed = Current;
   m_PushedAt = Now;
-  m_PushFailed = false;
 }
 
 std::vector<GroupId> UpdateTracker::renewalReceived(const LeaseRenewal &Renewal,
@@ -76,23 +69,23 @@
 }
 
 void UpdateTracker::catalogueConfirmed(ControlSessionId Session,
-                                       Revision Confirmed, Instant Now) {
+                                       Revision Confirmed, Instant /*Now*/) {
   if (m_Context.state().sessions().find(Session) != nullptr)
-    m_Sessions[Session].m_Catalogue.confirm(Confirmed, Now);
+    m_Sessions[Session].m_Catalogue.confirm(Confirmed);
 }
 
 void UpdateTracker::homesConfirmed(ControlSessionId Session, Revision Confirmed,
-                                   Instant Now) {
+                                   Instant /*Now*/) {
   if (m_Context.state().sessions().find(Session) != nullptr)
-    m_Sessions[Session].m_Homes.confirm(Confirmed, Now);
+    m_Sessions[Session].m_Homes.confirm(Confirmed);
 }
 
 void UpdateTracker::pushFailed(ControlSessionId Session) {
   const auto Found = m_Sessions.find(Session);
   if (Found == m_Sessions.end())
     return;
-  Found->second.m_Catalogue.m_PushFailed = true;
-  Found->second.m_Homes.m_PushFailed = true;
+  Found->second.m_Catalogue.sendFailed();
+  Found->second.m_Homes.sendFailed();
 }
 
 void UpdateTracker::pushGroup(const GroupRecord &Group, Instant Now) {
@@ -110,23 +103,22 @@
 
 void UpdateTracker::pushLists(Instant Now) {
   const ControlState &State = m_Context.state();
-  const Duration Retry = m_Context.settings().m_PushRetry;
-  const Duration Timeout = m_Context.settings().m_ListPushTimeout;
+  const Catalogue &Entries = State.catalogue();
+  const Revision Homes = State.homes().m_Revision;
   State.sessions().forEachSession([&](const SessionRecord &Session) {
     const ControlSessionId Id = Session.m_Session;
     if (!m_Participants.hasRenewed(Id))
       return;
-    SessionProgress &Confirmations = m_Sessions[Id];
-    const Catalogue &Entries = State.catalogue();
-    if (!Confirmations.m_Catalogue.isOnItsWay(Entries.revision(), Now,
-                                              Timeout) &&
-        Confirmations.m_Catalogue.startPush(Entries.revision(), Now, Retry))
+    SessionProgress &Progress = m_Sessions[Id];
+    if (Progress.m_Catalogue.isPushDue(Entries.revision())) {
+      Progress.m_Catalogue.sent(Entries.revision(), Now);
       m_Context.addAction(PushCatalogue{
-          Id, Entries.deltaSince(Confirmations.m_Catalogue.m_Confirmed)});
-    const Revision Homes = State.homes().m_Revision;
-    if (!Confirmations.m_Homes.isOnItsWay(Homes, Now, Timeout) &&
-        Confirmations.m_Homes.startPush(Homes, Now, Retry))
+          Id, Entries.deltaSince(Progress.m_Catalogue.confirmed())});
+    }
+    if (Progress.m_Homes.isPushDue(Homes)) {
+      Progress.m_Homes.sent(Homes, Now);
       m_Context.addAction(PushSessionHomes{Id, State.homes()});
+    }
   });
 }
 
@@ -135,7 +127,7 @@
   Progress.m_Newest = m_Context.state().catalogue().revision();
   Progress.m_Sessions = m_Context.state().sessions().size();
   for (const auto &[Session, Confirmations] : m_Sessions) {
-    if (Confirmations.m_Catalogue.m_Confirmed >= Progress.m_Newest)
+    if (Confirmations.m_Catalogue.confirmed() >= Progress.m_Newest)
       ++Progress.m_Confirmed;
   }
   if (auto Line = m_CatalogueLog.update(Progress, Now))
@@ -173,7 +165,7 @@
       [&](const SessionRecord &Session) {
         const SessionProgress *Confirmations = find(Session.m_Session);
         if (Confirmations == nullptr ||
-            Confirmations->m_Homes.m_Confirmed < Required)
+            Confirmations->m_Homes.confirmed() < Required)
           All = false;
       });
   return All;
@@ -197,24 +189,22 @@
 std::optional<CatalogueDelta>
 UpdateTracker::takeUnconfirmedCatalogue(ControlSessionId Session, Instant Now) {
   const Catalogue &Entries = m_Context.state().catalogue();
-  Progress &Confirmations = m_Sessions[Session].m_Catalogue;
-  if (Confirmations.m_Confirmed >= Entries.revision() ||
-      Confirmations.isOnItsWay(Entries.revision(), Now,
-                               m_Context.settings().m_ListPushTimeout))
+  ListProgress &Progress = m_Sessions[Session].m_Catalogue;
+  if (!Progress.isReplyDue(Entries.revision(), Now,
+                           m_Context.settings().m_ListPushTimeout))
     return std::nullopt;
-  Confirmations.recordPush(Entries.revision(), Now);
-  return Entries.deltaSince(Confirmations.m_Confirmed);
+  Progress.sent(Entries.revision(), Now);
+  return Entries.deltaSince(Progress.confirmed());
 }
 
 std::optional<SessionHomeLists>
 UpdateTracker::takeUnconfirmedHomes(ControlSessionId Session, Instant Now) {
   const SessionHomeLists &Homes = m_Context.state().homes();
-  Progress &Confirmations = m_Sessions[Session].m_Homes;
-  if (Confirmations.m_Confirmed >= Homes.m_Revision ||
-      Confirmations.isOnItsWay(Homes.m_Revision, Now,
-                               m_Context.settings().m_ListPushTimeout))
+  ListProgress &Progress = m_Sessions[Session].m_Homes;
+  if (!Progress.isReplyDue(Homes.m_Revision, Now,
+                           m_Context.settings().m_ListPushTimeout))
     return std::nullopt;
-  Confirmations.recordPush(Homes.m_Revision, Now);
+  Progress.sent(Homes.m_Revision, Now);
   return Homes;
 }
 
--- a/ragwortmux/Version/UpdateTracker.h
+++ b/ragwortmux/Version/UpdateTracker.h
@@ -6,6 +6,7 @@
 #include "ragwortmux/Version/CatalogueProgressLog.h"
 #include "ragwortmux/Version/CatalogueRecords.h"
 #include "ragwortmux/Version/GroupView.h"
+#include "ragwortmux/Version/ListProgress.h"
 #include "ragwortmux/Version/SessionHomeLists.h"
 
 #include <map>
@@ -43,14 +44,14 @@
                           Instant Now);
   void homesConfirmed(ControlSessionId Session, Revision Confirmed,
                       Instant Now);
-  /// Called when a push to \p Session has failed: the lists are sent again
-  /// without waiting for the end of m_ListPushTimeout.
+  /// Called when a push to \p Session has failed: the next reply brings the
+  /// lists without waiting for the end of m_ListPushTimeout.
   void pushFailed(ControlSessionId Session);
   /// Pushes the record of \p Group to each participant that has not confirmed
   /// it.
   void pushGroup(const GroupRecord &Group, Instant Now);
-  /// Pushes the catalogue and the session homes to each session that has not
-  /// confirmed them, unless they are still on their way.
+  /// Pushes the catalogue and the session homes to each session that lacks them
+  /// and has confirmed all that was sent before.
   void pushLists(Instant Now);
   /// Writes to the time line when all sessions have the newest catalogue, and
   /// if they take longer than a lease.
@@ -72,11 +73,11 @@
   std::vector<GroupView> takeUnconfirmedViews(ControlSessionId Session,
                                               Instant Now);
   /// The catalogue changes that \p Session has not confirmed, if there are any
-  /// and they are not on their way. They count as pushed.
+  /// and they are not on their way. They count as sent.
   std::optional<CatalogueDelta>
   takeUnconfirmedCatalogue(ControlSessionId Session, Instant Now);
   /// The session homes unless \p Session has confirmed them or they are on
-  /// their way. They count as pushed.
+  /// their way. They count as sent.
   std::optional<SessionHomeLists> takeUnconfirmedHomes(ControlSessionId Session,
                                                        Instant Now);
   /// True if \p Session has not confirmed a pushed record of a group in which
@@ -86,10 +87,9 @@
 private:
   /// A session's confirmations of one record.
   struct Progress final {
-    Revision m_Confirmed;      ///< Latest confirmed revision.
-    Revision m_Pushed;         ///< Latest pushed revision.
-    Instant m_PushedAt{};      ///< When.
-    bool m_PushFailed = false; ///< That push has failed.
+    Revision m_Confirmed; ///< Latest confirmed revision.
+    Revision m_Pushed;    ///< Latest pushed revision.
+    Instant m_PushedAt{}; ///< When.
     Instant
         m_WaitingSince{}; ///< Since when there has been an unconfirmed push.
 
@@ -97,9 +97,6 @@
     bool confirm(Revision Confirmed, Instant Now);
     /// Returns true if \p Current has to be pushed now, and records the push.
     bool startPush(Revision Current, Instant Now, Duration Retry);
-    /// True if \p Current was pushed less than \p Timeout ago without having
-    /// been confirmed or having failed.
-    bool isOnItsWay(Revision Current, Instant Now, Duration Timeout) const;
     /// Records that \p Current is pushed now.
     void recordPush(Revision Current, Instant Now);
     bool isWaiting() const { return m_Confirmed < m_Pushed; }
@@ -107,8 +104,8 @@
 
   struct SessionProgress final {
     std::map<GroupId, Progress> m_Groups; ///< Group records.
-    Progress m_Catalogue;                 ///< The catalogue.
-    Progress m_Homes;                     ///< The session homes.
+    ListProgress m_Catalogue;             ///< The catalogue.
+    ListProgress m_Homes;                 ///< The session homes.
   };
 
   const SessionProgress *find(ControlSessionId Session) const;
