PostgreSQL callers: without a lease an entry is not reported as unknown

CatalogueTest HostWithoutLeaseDoesNotReportEntryAsUnknown (two of three hosts killed) failed before and passes now.

--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -146,7 +146,7 @@
                                 "FATAL"));
   }
   if (m_Hooks.m_FindEntry(m_Entry) == nullptr) {
-    return Fail(makeResultError(ResultCode::NotRunUnknownEntry, m_Entry.value(),
+    return Fail(makeResultError(m_Hooks.m_MissingEntryCode(), m_Entry.value(),
                                 "FATAL"));
   }
   PgParameters Settings = Message.m_Options;
@@ -292,7 +292,7 @@
                          ? m_Hooks.m_FindEntry(m_Entry)
                          : m_TransactionEntry;
   if (Entry == nullptr) {
-    refuse(ResultCode::NotRunUnknownEntry, m_Entry.value());
+    refuse(m_Hooks.m_MissingEntryCode(), m_Entry.value());
     return true;
   }
   m_TransactionEntry = Entry;
--- a/ragwortmux/Process/Entry/CallerConnection.h
+++ b/ragwortmux/Process/Entry/CallerConnection.h
@@ -29,6 +29,9 @@
       m_FindEntry;
   /// Returns true once the catalogue is known.
   std::function<bool()> m_HasCatalogue;
+  /// Returns why a request is refused whose entry m_FindEntry does not find:
+  /// without a lease the catalogue may be outdated.
+  std::function<ResultCode()> m_MissingEntryCode;
   /// Passes a request to its group; CallerConnection::answer() receives the
   /// answer.
   std::function<void(GroupRequest Request)> m_Submit;
--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -204,6 +204,10 @@
     return Entry != nullptr && isStateful(Entry->m_Class) ? nullptr : Entry;
   };
   Hooks.m_HasCatalogue = [this] { return m_Catalogue.isKnown(); };
+  Hooks.m_MissingEntryCode = [this] {
+    return monotonicNow() < m_LeaseExpiry ? ResultCode::NotRunUnknownEntry
+                                          : ResultCode::NotRunNoLease;
+  };
   Hooks.m_Submit = [this](GroupRequest Request) { submit(std::move(Request)); };
   Hooks.m_CallerDisconnected = [this](CallerConnectionId Caller,
                                       const GroupId &Group) {
--- a/tests/Process/CatalogueTest.cpp
+++ b/tests/Process/CatalogueTest.cpp
@@ -291,4 +291,25 @@
   BOOST_TEST(Refused.m_SqlState == "57P03", Refused.m_Message);
 }
 
+// A host that has lost control cannot know whether the entry was added since.
+BOOST_AUTO_TEST_CASE(HostWithoutLeaseDoesNotReportEntryAsUnknown) {
+  const std::string UnknownEntry = "3D000";
+  const std::string NoLease = "57P03";
+  Cluster System(hostsOnly());
+  BOOST_REQUIRE(System.start());
+  BOOST_REQUIRE(putUntilAccepted(System, 0, TestEntry, 0, "first", 1) > 0);
+  BOOST_REQUIRE(waitUntil([&] { return acceptsCallers(System, 0, TestEntry); },
+                          PropagationTimeout));
+  const auto RefusalOf = [&](const std::string &Entry) {
+    PgClient Caller(System.callerPort(0));
+    Caller.connect("", Entry);
+    return Caller.lastSqlState();
+  };
+  BOOST_TEST(waitUntil([&] { return RefusalOf("other") == UnknownEntry; }));
+  System.host(1).kill();
+  System.host(2).kill();
+  BOOST_TEST(waitUntil([&] { return RefusalOf("other") == NoLease; },
+                       PropagationTimeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
