CatalogueProgressLog: nothing is counted once all sessions have the newest revision; EntryRole: one hasLease()

The leader counted the sessions' confirmations on each tick, which is for nothing while no change is under way; the test of the log checks when it may be skipped. Three comparisons of the lease with the time of day in EntryRole are one function.

--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -96,7 +96,7 @@
       m_Incarnation(makeIncarnation()),
       m_SessionPoints(Loop, Settings.m_ClusterKey,
                       {Settings.m_Host, m_Incarnation.value(),
-                       [this] { return monotonicNow() < m_LeaseExpiry; }}) {
+                       [this] { return hasLease(); }}) {
   createCallerServer();
 }
 
@@ -125,13 +125,15 @@
   checkDrained();
 }
 
+bool EntryRole::hasLease() const { return monotonicNow() < m_LeaseExpiry; }
+
 bool EntryRole::isReady() const { return !m_Draining && m_Catalogue.isKnown(); }
 
 std::string EntryRole::statusJson() const {
   boost::json::object Object;
   Object["host"] = m_Settings.m_Host.value();
   Object["session"] = m_Control ? m_Control->session().value() : 0;
-  Object["lease_valid"] = monotonicNow() < m_LeaseExpiry;
+  Object["lease_valid"] = hasLease();
   Object["catalogue_revision"] = m_Catalogue.revision().value();
   Object["homes_revision"] = m_SessionPoints.homesRevision().value();
   Object["callers"] = m_Callers->size();
@@ -205,8 +207,8 @@
   };
   Hooks.m_HasCatalogue = [this] { return m_Catalogue.isKnown(); };
   Hooks.m_MissingEntryCode = [this] {
-    return monotonicNow() < m_LeaseExpiry ? ResultCode::NotRunUnknownEntry
-                                          : ResultCode::NotRunNoLease;
+    return hasLease() ? ResultCode::NotRunUnknownEntry
+                      : ResultCode::NotRunNoLease;
   };
   Hooks.m_Submit = [this](GroupRequest Request) { submit(std::move(Request)); };
   Hooks.m_CallerDisconnected = [this](CallerConnectionId Caller,
--- a/ragwortmux/Process/Entry/EntryRole.h
+++ b/ragwortmux/Process/Entry/EntryRole.h
@@ -54,6 +54,7 @@
   std::string statusJson() const;
 
 private:
+  bool hasLease() const;
   void createControlClient(std::uint16_t RpcPort);
   void createCallerServer();
   GroupDriver &findOrCreateDriver(const GroupId &Group);
--- a/ragwortmux/Version/CatalogueProgressLog.h
+++ b/ragwortmux/Version/CatalogueProgressLog.h
@@ -27,6 +27,11 @@
   explicit CatalogueProgressLog(Duration Limit) : m_Limit(Limit) {}
 
   void reset();
+  /// False if update() would return nothing, because all sessions are known to
+  /// have \p Newest.
+  bool isWaiting(Revision Newest) const {
+    return Newest > m_Revision || !m_IsComplete;
+  }
   /// Returns the line to write now, if there is one. Time counts from the
   /// first call with a revision.
   std::optional<std::string> update(const Progress &Now, Instant At);
--- a/ragwortmux/Version/UpdateTracker.cpp
+++ b/ragwortmux/Version/UpdateTracker.cpp
@@ -127,6 +127,8 @@
 void UpdateTracker::logCatalogueProgress(Instant Now) {
   CatalogueProgressLog::Progress Progress;
   Progress.m_Newest = m_Context.state().catalogue().revision();
+  if (!m_CatalogueLog.isWaiting(Progress.m_Newest))
+    return;
   Progress.m_Sessions = m_Context.state().sessions().size();
   for (const auto &[Session, Confirmations] : m_Sessions) {
     if (Confirmations.m_Catalogue.confirmed() >= Progress.m_Newest)
--- a/tests/Version/CatalogueProgressLogTest.cpp
+++ b/tests/Version/CatalogueProgressLogTest.cpp
@@ -46,6 +46,8 @@
           {Revision(Each.m_Newest), Each.m_Confirmed, 3}, Instant(Each.m_At));
       BOOST_TEST(Line.value_or("") ==
                  (Each.m_Line == nullptr ? "" : Each.m_Line));
+      const bool IsComplete = Each.m_Newest == 0 || Each.m_Confirmed == 3;
+      BOOST_TEST(Log.isWaiting(Revision(Each.m_Newest)) == !IsComplete);
     }
   }
 }
