--- a/tests/Process/Cluster.cpp
+++ b/tests/Process/Cluster.cpp
@@ -6,6 +6,7 @@
 #include <cassert>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 
 namespace ragwortmux {
 
@@ -97,6 +98,10 @@
   const bool Created =
       CreateEntry("bookings", "booking") && CreateEntry("writes", "write") &&
       CreateEntry("hires", "session-read") && CreateEntry("stock", "aged-read");
+  if (!Created) {
+    printStartFailure("an entry was not created or not served by all hosts");
+    return false;
+  }
   const auto AllReady = [this] {
     for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
       if (catalogueRevision(Index) < 4) {
@@ -105,7 +110,23 @@
     }
     return m_Settings.m_Servers == 0 || isInSync(m_Settings.m_Servers);
   };
-  return Created && waitUntil(AllReady);
+  if (!waitUntil(AllReady)) {
+    printStartFailure("a host lacks the catalogue or a server is not in sync");
+    return false;
+  }
+  return true;
+}
+
+void Cluster::printStartFailure(const std::string &Step) const {
+  constexpr std::size_t TailBytes = 3000;
+  std::cerr << "Cluster::start failed: " << Step << '\n';
+  for (unsigned Index = 0; Index < m_Settings.m_Hosts; ++Index) {
+    const ChildProcess &Host = *m_Hosts[Index].m_Process;
+    const std::string Text = Host.output() + Host.errors();
+    std::cerr << "host " << Index << ": " << status(Index) << '\n'
+              << Text.substr(Text.size() - std::min(Text.size(), TailBytes))
+              << '\n';
+  }
 }
 
 void Cluster::startHost(unsigned Index) {
--- a/tests/Process/Cluster.h
+++ b/tests/Process/Cluster.h
@@ -114,6 +114,9 @@
                 const std::string &Session) const;
 
 private:
+  /// Prints what start() was waiting for, and the end of each host's log.
+  void printStartFailure(const std::string &Step) const;
+
   struct HostInstance final {
     std::uint16_t m_CallerPort = 0;          ///< Port for callers.
     std::uint16_t m_HttpPort = 0;            ///< Port for HTTP.
