A draining host gets no new relayed statements until its connection ends

Cause, from the log of the relaying host that the test prints now: the draining host refuses a new statement (105) and is avoided, but the next answer in one of its open transactions counted as readiness and ended that, so that new statements went there until one met the end of the process: sent, not run, no answer. Now a host that says it drains gets none, while another host can run them, until its connection is lost or it is no longer listed.

DrainingHostGetsNoNewStatementsWhileOthersCanRunThem failed before (four times its write went to the draining host) and passes now.

--- a/ragwortmux/Request/RelayCore.cpp
+++ b/ragwortmux/Request/RelayCore.cpp
@@ -98,7 +98,9 @@
   // At the deadline, a refusal says more about the load than about the host.
   const bool HasTime = Now < deadline(Pending.m_Request);
   if (HasTime && mayRunElsewhere(Reply->m_Code)) {
-    if (isHostFault(Reply->m_Code))
+    if (Reply->m_Code == ResultCode::NotRunDraining)
+      m_Router.hostDraining(Host);
+    else if (isHostFault(Reply->m_Code))
       m_Router.hostFailed(Now, Host);
     if (!Pending.m_InTransaction &&
         tryNextHost(Now, Pending, Reply->m_Code, Actions))
@@ -183,7 +185,7 @@
 }
 
 void RelayCore::hostLost(Instant Now, const HostId &Host) {
-  m_Router.hostFailed(Now, Host);
+  m_Router.connectionLost(Now, Host);
   for (auto &[Caller, Open] : m_Transactions) {
     if (Open.m_Host == Host)
       Open.m_IsLost = true;
--- a/ragwortmux/Request/RelayRouter.cpp
+++ b/ragwortmux/Request/RelayRouter.cpp
@@ -42,6 +42,11 @@
       Paused.insert(*Known);
   }
   m_PausedUntil = std::move(Paused);
+  std::erase_if(m_Draining, [&](const HostId &Host) {
+    return std::none_of(
+        Hosts.begin(), Hosts.end(),
+        [&](const HomeCandidate &Each) { return Each.m_Host == Host; });
+  });
 }
 
 void RelayRouter::setGroups(std::set<GroupId> Groups) {
@@ -57,6 +62,11 @@
   m_PausedUntil.erase(Host);
 }
 
+void RelayRouter::connectionLost(Instant Now, const HostId &Host) {
+  m_Draining.erase(Host);
+  hostFailed(Now, Host);
+}
+
 const std::vector<HostId> &RelayRouter::servingHosts(const GroupId &Group) {
   const auto [Known, IsNew] = m_Serving.try_emplace(Group);
   if (IsNew)
@@ -95,7 +105,8 @@
 
 bool RelayRouter::isPaused(Instant Now, const HostId &Host) const {
   const auto Until = m_PausedUntil.find(Host);
-  return Until != m_PausedUntil.end() && Now < Until->second;
+  return m_Draining.contains(Host) ||
+         (Until != m_PausedUntil.end() && Now < Until->second);
 }
 
 std::optional<HostId> RelayRouter::choose(Instant Now, const GroupId &Group,
--- a/ragwortmux/Request/RelayRouter.h
+++ b/ragwortmux/Request/RelayRouter.h
@@ -39,8 +39,13 @@
   void setGroups(std::set<GroupId> Groups);
   /// A host did not run a statement for a reason of its own.
   void hostFailed(Instant Now, const HostId &Host);
-  /// A host answered; it gets new statements again.
+  /// A host refused a statement because its process drains. It gets no new ones
+  /// until connectionLost() while another host can run them.
+  void hostDraining(const HostId &Host) { m_Draining.insert(Host); }
+  /// A host answered; it gets new statements again, unless it drains.
   void hostAnswered(const HostId &Host);
+  /// The connection to a host was lost, so that its process may be another one.
+  void connectionLost(Instant Now, const HostId &Host);
 
   /// True if this host serves \p Group.
   bool isServing(const GroupId &Group);
@@ -72,6 +77,7 @@
       m_GroupCounts; ///< Number of groups by host; computed when needed.
   std::map<HostId, Instant>
       m_PausedUntil; ///< Until when a host that failed gets no statements.
+  std::set<HostId> m_Draining; ///< Hosts whose processes drain.
 };
 
 } // namespace ragwortmux
--- a/tests/Platform/RelayEndToEndTest.cpp
+++ b/tests/Platform/RelayEndToEndTest.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <sstream>
 
 namespace ragwortmux::platform {
 
@@ -97,6 +98,17 @@
     return connect().succeeds("READ a") && relayedAnswers() > Before;
   }
 
+  /// What the relaying host has logged about relayed statements.
+  std::string relayLog() const {
+    std::istringstream Log(m_Relaying->m_Process->errors());
+    std::string Found;
+    for (std::string Line; std::getline(Log, Line);) {
+      if (Line.find("relay") != std::string::npos)
+        Found += Line + '\n';
+    }
+    return Found;
+  }
+
   std::map<HostId, Host> m_Hosts;
   Host *m_Relaying = nullptr; ///< The host that serves no group.
 };
@@ -202,8 +214,9 @@
   for (std::size_t Count = 0; Count < CallerCount; ++Count) {
     const std::string Item = "h" + std::to_string(Count);
     BOOST_TEST(Open[Count].succeeds("WRITE " + Item + " one"));
-    BOOST_TEST(
-        Idle[Count].succeeds("WRITE i" + std::to_string(Count) + " one"));
+    BOOST_TEST(Idle[Count].succeeds("WRITE i" + std::to_string(Count) + " one"),
+               Idle[Count].m_LastAnswer << '\n'
+                                        << relayLog());
     BOOST_TEST(Open[Count].succeeds("COMMIT"));
     BOOST_TEST(Idle[Count].execute("READ " + Item).front() == "ROW one");
   }
--- a/tests/Platform/WireFixture.h
+++ b/tests/Platform/WireFixture.h
@@ -111,11 +111,13 @@
   }
   bool succeeds(const std::string &Text) {
     const auto Lines = execute(Text);
+    m_LastAnswer = Lines.empty() ? "none" : Lines.front();
     return Lines.size() >= 2 && Lines[Lines.size() - 2].starts_with("COMPLETE");
   }
 
   std::shared_ptr<Socket> m_Socket;
   std::string m_Greeting;
+  std::string m_LastAnswer; ///< First line of the answer to succeeds().
   std::uint64_t m_LastQuery = 0;
 };
 
--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -68,15 +68,16 @@
     return Settings;
   }
 
-  /// Submits a statement of Caller that arrived at \p At.
-  RequestId submit(int At, StatementKind Kind, bool Writes = false) {
+  /// Submits a statement of \p By that arrived at \p At.
+  RequestId submit(int At, StatementKind Kind, bool Writes = false,
+                   CallerConnectionId By = Caller) {
     const auto Entry = std::make_shared<CatalogueEntry>();
     Entry->m_Name = EntryName("e");
     Entry->m_Group = Group;
     Entry->m_Limits.m_RequestDeadline = Deadline;
     SessionRequest Request;
     Request.m_Id = RequestId(++m_LastRequest);
-    Request.m_Caller = Caller;
+    Request.m_Caller = By;
     Request.m_Entry = Entry;
     Request.m_Statement.m_Kind = Kind;
     Request.m_Statement.m_Writes = Writes;
@@ -428,6 +429,29 @@
   }
 }
 
+// Guards against a write that reaches a draining host as its process ends:
+// answers in the host's open transactions made it look ready for new ones.
+BOOST_AUTO_TEST_CASE(DrainingHostGetsNoNewStatementsWhileOthersCanRunThem) {
+  const HostId Draining = begin();
+  CallerConnectionId Other(Caller.value() + 1);
+  while (m_Core.router().choose(after(2), Group, Other, {}) != Draining)
+    Other = CallerConnectionId(Other.value() + 1);
+  submit(3, StatementKind::Write, true, Other);
+  reply(4, Draining, ResultCode::NotRunDraining);
+  reply(5, relayedTo(), ResultCode::Ok);
+  for (const int At : {100, 400, 700, 3000}) {
+    submit(At, StatementKind::Read);
+    reply(At + 1, Draining, ResultCode::Ok, TransactionStatus::InTransaction);
+    submit(At + 2, StatementKind::Write, true, Other);
+    BOOST_TEST((relayedTo() != Draining));
+    reply(At + 3, relayedTo(), ResultCode::Ok);
+  }
+  // Its next process serves again.
+  m_Core.hostLost(after(4000), Draining);
+  submit(6000, StatementKind::Write, true, Other);
+  BOOST_TEST((relayedTo() == Draining));
+}
+
 // Hosts get a change of the catalogue at slightly different times. Avoiding
 // those that have refused meanwhile would move all callers to the others.
 BOOST_AUTO_TEST_CASE(HostWithAnotherCatalogueIsNotAvoidedLater) {
