The leader's work per tick no longer grows with all groups and all hosts

A profile of the leader alone (FleetHarness, 195 hosts, 20 groups) has 76% in tick(), which evaluated all groups, shares and homes every 10 ms, with a set of participants built from all sessions each time.

Change: GroupRotation spreads the groups over ticks; participants and holders of shares are looked up in indexes; one command confirms all shares of a session up to a revision; the pending commands are found by hash; the end of a session is proposed again only after m_ProposeRetry; session homes are evaluated every 50 ms.

Tests: ControlLeaderOverload now runs at both sizes of the deployments and ticks every 10 ms like ControlRole.

Still close to the limit. Ruled out: the leader's own decisions in a settled fleet (2 to 4 ms in 208 ms).

--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -76,6 +76,7 @@
   m_Sync.reset();
   m_Shares.reset();
   m_Homes.reset();
+  m_Rotation.reset();
   m_TimeAdvancedAt.reset();
 }
 
@@ -256,10 +257,9 @@
   advanceTime(Now, Wall);
   m_Leases.tick(Now);
   m_Servers.probeServers(Now);
-  evaluateAllGroups(Now);
+  evaluateDueGroups(Now);
   m_Updates.pushLists(Now);
   m_Updates.logCatalogueProgress(Now);
-  m_Shares.evaluate(Now);
   m_Homes.evaluate(Now);
 }
 
@@ -290,6 +290,13 @@
       [&](const GroupRecord &Group) { evaluateGroup(Group.m_Group, Now); });
 }
 
+void ControlLeader::evaluateDueGroups(Instant Now) {
+  for (const GroupId &Group : m_Rotation.takeDue(m_State.groups())) {
+    evaluateGroup(Group, Now);
+    m_Shares.evaluate(*m_State.groups().find(Group), Now);
+  }
+}
+
 void ControlLeader::proposeServerStates(const GroupRecord &Group, Instant Now) {
   for (const auto &[Id, Server] : Group.m_Servers) {
     const ServerMonitor::ServerStatus *Status =
--- a/ragwortmux/Version/ControlLeader.h
+++ b/ragwortmux/Version/ControlLeader.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Version/ControlResult.h"
 #include "ragwortmux/Version/DelegatedPrimaryChange.h"
 #include "ragwortmux/Version/GroupParticipants.h"
+#include "ragwortmux/Version/GroupRotation.h"
 #include "ragwortmux/Version/InSyncSetManager.h"
 #include "ragwortmux/Version/LeaderContext.h"
 #include "ragwortmux/Version/PrimaryChange.h"
@@ -79,7 +80,7 @@
   void suspicionReported(const ServerSuspicion &Suspicion, Instant Now);
   /// Handles the outcome of a CallBackend action.
   void backendCallCompleted(const BackendCallResult &Result, Instant Now);
-  /// Runs everything that depends on time; call about every 20 ms. \p Wall is
+  /// Runs everything that depends on time; call about every 10 ms. \p Wall is
   /// the host's wall-clock time.
   void tick(Instant Now, WallTime Wall);
 
@@ -100,6 +101,8 @@
   /// Shares and session homes wait for the next tick.
   void evaluateGroup(const GroupId &Group, Instant Now);
   void evaluateAllGroups(Instant Now);
+  /// Evaluates the groups whose turn it is, with their shares.
+  void evaluateDueGroups(Instant Now);
   /// Takes the steps that the applied \p Command makes possible.
   void evaluateAfter(const ControlCommand &Command, const ControlResult &Result,
                      Instant Now);
@@ -127,6 +130,7 @@
   InSyncSetManager m_Sync;    ///< In-sync sets.
   ShareBalancer m_Shares;     ///< Connection shares.
   SessionHomeManager m_Homes; ///< Session homes.
+  GroupRotation m_Rotation;   ///< Which groups a tick evaluates.
   bool m_IsLeader = false;    ///< True from becameLeader() to lostLeadership().
   std::optional<Instant>
       m_TimeAdvancedAt; ///< When AdvanceTime was last proposed.
--- a/ragwortmux/Version/GroupParticipants.h
+++ b/ragwortmux/Version/GroupParticipants.h
@@ -30,8 +30,8 @@
 
   /// Discards what sessions have reported, which a new leader has to collect
   /// anew. Until a session's first renewal its share records decide.
-  void reset() { m_Served.clear(); }
-  void sessionEnded(ControlSessionId Session) { m_Served.erase(Session); }
+  void reset();
+  void sessionEnded(ControlSessionId Session);
   /// Records which groups the session serves.
   void renewalReceived(const LeaseRenewal &Renewal);
 
@@ -54,9 +54,16 @@
     return !Served || Served->contains(Group);
   }
 
+  /// Removes \p Session from m_SessionsByGroup and m_ServingAll.
+  void removeFromIndex(ControlSessionId Session, const ServedGroups &Served);
+
   const LeaderContext &m_Context; ///< Shared.
   std::map<ControlSessionId, ServedGroups>
       m_Served; ///< Of each session that has renewed its lease.
+  std::map<GroupId, std::set<ControlSessionId>>
+      m_SessionsByGroup; ///< The sessions that name a group as served.
+  std::set<ControlSessionId>
+      m_ServingAll; ///< The sessions that serve all groups.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Version/LeaderContext.cpp
+++ b/ragwortmux/Version/LeaderContext.cpp
@@ -1,5 +1,7 @@
 #include "ragwortmux/Version/LeaderContext.h"
 
+#include <boost/container_hash/hash.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +13,21 @@
 /// leader makes the same decisions again later.
 constexpr std::size_t MaxPending = 4096;
 
+/// Hash of the kind, group and session of \p Command. When many hosts come
+/// back at once, thousands of commands of one kind are pending.
+std::size_t hashCommand(const ControlCommand &Command) {
+  std::size_t Hash = Command.index();
+  std::visit(
+      [&Hash](const auto &Typed) {
+        if constexpr (requires { Typed.m_Group; })
+          boost::hash_combine(Hash, Typed.m_Group.value());
+        if constexpr (requires { Typed.m_Session; })
+          boost::hash_combine(Hash, Typed.m_Session.value());
+      },
+      Command);
+  return Hash;
+}
+
 } // namespace
 
 void LeaderContext::reset() {
@@ -19,23 +36,31 @@
 }
 
 void LeaderContext::propose(const ControlCommand &Command, Instant Now) {
-  const auto Found = std::find_if(
-      m_Pending.begin(), m_Pending.end(),
-      [&](const Pending &Each) { return Each.m_Command == Command; });
+  const auto Found = findPending(Command);
   if (Found == m_Pending.end() && m_Pending.size() >= MaxPending)
     return;
   if (Found == m_Pending.end())
-    m_Pending.push_back({Command, Now});
-  else if (Now - Found->m_At < m_Settings.m_ProposeRetry)
+    m_Pending.emplace(hashCommand(Command), Pending{Command, Now});
+  else if (Now - Found->second.m_At < m_Settings.m_ProposeRetry)
     return;
   else
-    Found->m_At = Now;
+    Found->second.m_At = Now;
   addAction(Propose{Command});
 }
 
 void LeaderContext::applied(const ControlCommand &Command) {
-  std::erase_if(m_Pending,
-                [&](const Pending &Each) { return Each.m_Command == Command; });
+  const auto Found = findPending(Command);
+  if (Found != m_Pending.end())
+    m_Pending.erase(Found);
+}
+
+std::unordered_multimap<std::size_t, LeaderContext::Pending>::iterator
+LeaderContext::findPending(const ControlCommand &Command) {
+  const auto [Begin, End] = m_Pending.equal_range(hashCommand(Command));
+  const auto Found = std::find_if(Begin, End, [&](const auto &Each) {
+    return Each.second.m_Command == Command;
+  });
+  return Found == End ? m_Pending.end() : Found;
 }
 
 std::vector<ControlAction> LeaderContext::takeActions() {
--- a/ragwortmux/Version/LeaderContext.h
+++ b/ragwortmux/Version/LeaderContext.h
@@ -4,7 +4,9 @@
 #include "ragwortmux/Version/ControlAction.h"
 #include "ragwortmux/Version/ControlLeaderSettings.h"
 
+#include <cstddef>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace ragwortmux {
@@ -41,15 +43,21 @@
   const ControlLeaderSettings &settings() const { return m_Settings; }
 
 private:
+  /// A command that waits for its result.
   struct Pending final {
     ControlCommand m_Command; ///< The command.
     Instant m_At;             ///< When it was last proposed.
   };
 
+  /// The entry of m_Pending with \p Command, or the end.
+  std::unordered_multimap<std::size_t, Pending>::iterator
+  findPending(const ControlCommand &Command);
+
   const ControlState &m_State;            ///< The applied state.
   const ControlLeaderSettings m_Settings; ///< The settings.
   std::vector<ControlAction> m_Actions;   ///< Actions to execute, in order.
-  std::vector<Pending> m_Pending;         ///< Proposals without a result.
+  std::unordered_multimap<std::size_t, Pending>
+      m_Pending; ///< Proposals without a result, by hash.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Version/SessionHomeManager.cpp
+++ b/ragwortmux/Version/SessionHomeManager.cpp
@@ -8,12 +8,23 @@
 
 namespace ragwortmux {
 
+namespace {
+
+/// Interval between two evaluations; each walks all sessions.
+constexpr Duration EvaluationInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
 void SessionHomeManager::reset() {
   m_OpenHosts.clear();
   m_FirstOpenedAt.reset();
+  m_EvaluatedAt = Instant();
 }
 
 void SessionHomeManager::evaluate(Instant Now) {
+  if (Now - m_EvaluatedAt < EvaluationInterval)
+    return;
+  m_EvaluatedAt = Now;
   const SessionHomeLists &Homes = m_Context.state().homes();
   const std::vector<HostId> Hosts = openHosts();
   if (Hosts != m_OpenHosts) {
--- a/ragwortmux/Version/SessionHomeManager.h
+++ b/ragwortmux/Version/SessionHomeManager.h
@@ -34,6 +34,7 @@
       m_OpenHosts;            ///< Hosts with open sessions in ascending order.
   Instant m_OpenHostsSince{}; ///< When that list last changed.
   std::optional<Instant> m_FirstOpenedAt; ///< When the first host was seen.
+  Instant m_EvaluatedAt{};                ///< When evaluate() last acted.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Version/SessionLeases.cpp
+++ b/ragwortmux/Version/SessionLeases.cpp
@@ -110,7 +110,13 @@
   for (auto &[Session, Lease] : m_Leases) {
     if (Now < Lease.m_End)
       continue;
+    const bool IsProposed =
+        Lease.m_IsEnding &&
+        Now - Lease.m_EndProposedAt < m_Context.settings().m_ProposeRetry;
+    if (IsProposed)
+      continue;
     Lease.m_IsEnding = true;
+    Lease.m_EndProposedAt = Now;
     m_Context.propose(EndSession{Session}, Now);
   }
   const bool IsRoundRunning = m_Confirmed < m_Token;
--- a/ragwortmux/Version/SessionLeases.h
+++ b/ragwortmux/Version/SessionLeases.h
@@ -51,6 +51,7 @@
     Instant m_End{}; ///< When it has certainly expired at the proxy.
     bool m_IsEnding =
         false; ///< The lease has expired; it is not granted again.
+    Instant m_EndProposedAt{}; ///< When the end was last proposed.
     std::optional<WaitingRenewal> m_Waiting; ///< The latest unanswered renewal.
   };
 
--- a/ragwortmux/Version/ShareBalancer.cpp
+++ b/ragwortmux/Version/ShareBalancer.cpp
@@ -24,14 +24,12 @@
   m_Demand[Renewal.m_Session] = std::move(Demand);
 }
 
-void ShareBalancer::evaluate(Instant Now) {
-  proposeConfirmations(Now);
-  m_Context.state().groups().forEachGroup([&](const GroupRecord &Group) {
-    if (!isSettled(Group.m_Group, Now))
-      return;
-    for (const auto &[Id, Server] : Group.m_Servers)
-      balance(Group, Server, Now);
-  });
+void ShareBalancer::evaluate(const GroupRecord &Group, Instant Now) {
+  proposeConfirmations(Group.m_Group, Now);
+  if (!isSettled(Group.m_Group, Now))
+    return;
+  for (const auto &[Id, Server] : Group.m_Servers)
+    balance(Group, Server, Now);
 }
 
 bool ShareBalancer::isSettled(const GroupId &Group, Instant Now) {
@@ -53,18 +51,23 @@
          Now - Serving.m_UnsettledSince >= Settings.m_RebalanceInterval;
 }
 
-void ShareBalancer::proposeConfirmations(Instant Now) {
-  m_Context.state().shares().forEachShare([&](const ShareRecord &Share) {
-    if (Share.m_MaxOpen <= Share.m_Share)
+void ShareBalancer::proposeConfirmations(const GroupId &Group, Instant Now) {
+  // One command confirms all shares of a session up to a revision. With the
+  // newest revision of those shares it stays equal while it is pending, so it
+  // is not proposed twice.
+  std::map<ControlSessionId, Revision> Confirmed;
+  const auto Collect = [&](const ShareRecord &Share) {
+    const bool IsConfirmed =
+        Share.m_MaxOpen > Share.m_Share &&
+        m_Updates.confirmed(Share.m_Session, Group) >= Share.m_ShareRevision;
+    if (!IsConfirmed)
       return;
-    // With the share's own revision the command stays equal while it is
-    // pending, so it is not proposed twice.
-    if (m_Updates.confirmed(Share.m_Session, Share.m_Group) >=
-        Share.m_ShareRevision)
-      m_Context.propose(
-          ConfirmShares{Share.m_Group, Share.m_Session, Share.m_ShareRevision},
-          Now);
-  });
+    Revision &Newest = Confirmed[Share.m_Session];
+    Newest = std::max(Newest, Share.m_ShareRevision);
+  };
+  m_Context.state().shares().forEachShareOf(Group, Collect);
+  for (const auto &[Session, Newest] : Confirmed)
+    m_Context.propose(ConfirmShares{Group, Session, Newest}, Now);
 }
 
 void ShareBalancer::balance(const GroupRecord &Group,
@@ -138,7 +141,8 @@
   std::vector<SessionShare> List;
   const auto Count = static_cast<std::uint32_t>(Shares.size());
   for (auto &[Session, Each] : Shares) {
-    Each.m_Demand = sessionDemand(Session, Key).value_or(Budget / Count);
+    Each.m_Demand =
+        sessionDemand(Session, Key, Each.m_Share).value_or(Budget / Count);
     Each.m_Demand = std::min(Each.m_Demand, ceiling(Budget, Count));
     List.push_back(Each);
   }
@@ -158,8 +162,8 @@
 }
 
 std::optional<std::uint32_t>
-ShareBalancer::sessionDemand(ControlSessionId Session,
-                             const ServerKey &Key) const {
+ShareBalancer::sessionDemand(ControlSessionId Session, const ServerKey &Key,
+                             std::uint32_t Share) const {
   const auto Demands = m_Demand.find(Session);
   if (Demands == m_Demand.end())
     return std::nullopt;
@@ -171,7 +175,7 @@
   const auto OfGroup = Demands->second.lower_bound({Key.first, ServerId()});
   if (OfGroup != Demands->second.end() && OfGroup->first.first == Key.first)
     return 0;
-  return m_Context.state().shares().share(Key.first, Key.second, Session);
+  return Share;
 }
 
 bool ShareBalancer::needsRebalance(const std::vector<SessionShare> &Shares,
--- a/ragwortmux/Version/ShareBalancer.h
+++ b/ragwortmux/Version/ShareBalancer.h
@@ -35,8 +35,8 @@
   void reset();
   void renewalReceived(const LeaseRenewal &Renewal);
   void sessionEnded(ControlSessionId Session) { m_Demand.erase(Session); }
-  /// Proposes due changes of shares.
-  void evaluate(Instant Now);
+  /// Proposes due changes of the shares of \p Group.
+  void evaluate(const GroupRecord &Group, Instant Now);
 
 private:
   /// One session's share of one server's connections.
@@ -58,7 +58,7 @@
 
   using ServerKey = std::pair<GroupId, ServerId>;
 
-  void proposeConfirmations(Instant Now);
+  void proposeConfirmations(const GroupId &Group, Instant Now);
   /// Updates the sessions that serve \p Group. True if shares may change now;
   /// see ControlLeaderSettings::m_ShareSettleTime.
   bool isSettled(const GroupId &Group, Instant Now);
@@ -69,10 +69,11 @@
                                           std::uint32_t Budget) const;
   /// Grants of 0 to the sessions that have a share but do not serve the group.
   std::vector<ShareGrant> collectWithdrawals(const ServerKey &Key) const;
-  /// The connections that \p Session could use; none if it has not reported a
-  /// demand yet.
+  /// The connections that \p Session with \p Share of them could use; none if
+  /// it has not reported a demand yet.
   std::optional<std::uint32_t> sessionDemand(ControlSessionId Session,
-                                             const ServerKey &Key) const;
+                                             const ServerKey &Key,
+                                             std::uint32_t Share) const;
   static bool needsRebalance(const std::vector<SessionShare> &Shares,
                              std::uint32_t Floor, std::uint32_t Free);
   static void fillTargets(std::vector<SessionShare> &Shares,
--- a/ragwortmux/Version/ShareTable.cpp
+++ b/ragwortmux/Version/ShareTable.cpp
@@ -26,7 +26,11 @@
                                   "the shares exceed the server's budget");
 
   for (const auto &[Session, Connections] : Grants) {
-    ShareRecord &Share = m_Shares[{Command.m_Group, Command.m_Server, Session}];
+    const Key Id{Command.m_Group, Command.m_Server, Session};
+    const auto [Found, IsNew] = m_Shares.try_emplace(Id);
+    if (IsNew)
+      addToIndex(Id);
+    ShareRecord &Share = Found->second;
     Share.m_Group = Command.m_Group;
     Share.m_Server = Command.m_Server;
     Share.m_Session = Session;
@@ -40,11 +44,14 @@
 }
 
 ControlResult ShareTable::confirm(const ConfirmShares &Command) {
-  for (auto &[Id, Share] : m_Shares) {
-    if (Share.m_Group != Command.m_Group ||
-        Share.m_Session != Command.m_Session)
-      continue;
-    if (Share.m_ShareRevision <= Command.m_Revision)
+  // Shares are ordered by group first.
+  auto Next =
+      m_Shares.lower_bound({Command.m_Group, ServerId(), ControlSessionId()});
+  for (; Next != m_Shares.end() && Next->first.m_Group == Command.m_Group;
+       ++Next) {
+    ShareRecord &Share = Next->second;
+    if (Share.m_Session == Command.m_Session &&
+        Share.m_ShareRevision <= Command.m_Revision)
       Share.m_MaxOpen = Share.m_Share;
   }
   return ControlResult::accepted(Command.m_Revision);
@@ -54,11 +61,16 @@
   std::erase_if(m_Shares, [Session](const auto &Entry) {
     return Entry.first.m_Session == Session;
   });
+  m_GroupsBySession.erase(Session);
 }
 
 void ShareTable::removeServer(const GroupId &Group, const ServerId &Server) {
   std::erase_if(m_Shares, [&](const auto &Entry) {
-    return Entry.first.m_Group == Group && Entry.first.m_Server == Server;
+    const bool IsRemoved =
+        Entry.first.m_Group == Group && Entry.first.m_Server == Server;
+    if (IsRemoved)
+      removeFromIndex(Entry.first);
+    return IsRemoved;
   });
 }
 
@@ -72,8 +84,25 @@
 
 void ShareTable::importData(const std::vector<ShareRecord> &Shares) {
   m_Shares.clear();
-  for (const ShareRecord &Share : Shares)
-    m_Shares[{Share.m_Group, Share.m_Server, Share.m_Session}] = Share;
+  m_GroupsBySession.clear();
+  for (const ShareRecord &Share : Shares) {
+    const Key Id{Share.m_Group, Share.m_Server, Share.m_Session};
+    if (m_Shares.insert_or_assign(Id, Share).second)
+      addToIndex(Id);
+  }
+}
+
+void ShareTable::addToIndex(const Key &Id) {
+  ++m_GroupsBySession[Id.m_Session][Id.m_Group];
+}
+
+void ShareTable::removeFromIndex(const Key &Id) {
+  const auto Session = m_GroupsBySession.find(Id.m_Session);
+  const auto Group = Session->second.find(Id.m_Group);
+  if (--Group->second == 0)
+    Session->second.erase(Group);
+  if (Session->second.empty())
+    m_GroupsBySession.erase(Session);
 }
 
 std::uint32_t ShareTable::budget(std::uint32_t ConnectionLimit) const {
@@ -96,11 +125,8 @@
 }
 
 bool ShareTable::holds(const GroupId &Group, ControlSessionId Session) const {
-  bool Holds = false;
-  forEachShareOf(Group, [&](const ShareRecord &Share) {
-    Holds = Holds || Share.m_Session == Session;
-  });
-  return Holds;
+  const auto Groups = m_GroupsBySession.find(Session);
+  return Groups != m_GroupsBySession.end() && Groups->second.contains(Group);
 }
 
 void ShareTable::forEachShareOf(
--- a/ragwortmux/Version/ShareTable.h
+++ b/ragwortmux/Version/ShareTable.h
@@ -77,8 +77,15 @@
     friend auto operator<=>(const Key &, const Key &) = default;
   };
 
+  /// Counts a share that was added.
+  void addToIndex(const Key &Id);
+  /// Stops counting a share that is removed.
+  void removeFromIndex(const Key &Id);
+
   Settings m_Settings;                 ///< The bounds.
   std::map<Key, ShareRecord> m_Shares; ///< All shares.
+  std::map<ControlSessionId, std::map<GroupId, std::size_t>>
+      m_GroupsBySession; ///< Number of shares of each session by group.
 };
 
 } // namespace ragwortmux
--- a/tests/Version/ControlLeaderOverloadTest.cpp
+++ b/tests/Version/ControlLeaderOverloadTest.cpp
@@ -1,16 +1,32 @@
 #include "FleetHarness.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <ostream>
+
 #include <set>
 #include <string>
 #include <vector>
 
 using namespace ragwortmux;
+
+namespace ragwortmux::test {
+
+static std::ostream &operator<<(std::ostream &Stream, const FleetSize &Size) {
+  return Stream << Size.m_Hosts << " hosts, " << Size.m_Groups << " groups";
+}
+
+} // namespace ragwortmux::test
+
 using namespace ragwortmux::test;
 
 namespace {
 
+/// The sizes of the deployments.
+const std::vector<FleetSize> Sizes = {{67, 3, 8, 60}, {195, 5, 20, 144}};
+
 /// Traffic starts this long after the hosts do.
 constexpr Duration TrafficStart = 14s;
 /// Time that the sessions have to open, as seen on the grown deployments.
@@ -22,8 +38,9 @@
 
 // The harness fails as soon as the leader exceeds its share of a core, or
 // control fills the link of an entry host.
-BOOST_AUTO_TEST_CASE(OpeningSessionsOfManyHostsKeepsWorkBounded) {
-  FleetHarness Fleet{FleetSize()};
+BOOST_DATA_TEST_CASE(OpeningSessionsOfManyHostsKeepsWorkBounded,
+                     boost::unit_test::data::make(Sizes), Size) {
+  FleetHarness Fleet{Size};
   Fleet.openAll(OpeningTime);
   const Duration Taken =
       Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
@@ -48,19 +65,21 @@
 
 // A list with one host alone made every host change its list 2 s later, and
 // with it the groups that it serves.
-BOOST_AUTO_TEST_CASE(FirstSessionHomesNameAllHostsThatStartTogether) {
-  FleetHarness Fleet{FleetSize()};
+BOOST_DATA_TEST_CASE(FirstSessionHomesNameAllHostsThatStartTogether,
+                     boost::unit_test::data::make(Sizes), Size) {
+  FleetHarness Fleet{Size};
   Fleet.openAll(OpeningTime);
   const Duration Taken = Fleet.runUntil(
       [&] { return !Fleet.state().homes().m_Active.empty(); }, TrafficStart);
-  BOOST_TEST(Fleet.state().homes().m_Active.size() == FleetSize().m_Hosts);
+  BOOST_TEST(Fleet.state().homes().m_Active.size() == Size.m_Hosts);
   BOOST_TEST((Taken <= OpeningTime + 500ms));
 }
 
 // The renewals tell a new leader what the sessions have. Pushing everything to
 // everyone made it step down like the leader before it.
-BOOST_AUTO_TEST_CASE(NewLeaderPushesNothingThatSessionsHave) {
-  FleetHarness Fleet{FleetSize()};
+BOOST_DATA_TEST_CASE(NewLeaderPushesNothingThatSessionsHave,
+                     boost::unit_test::data::make(Sizes), Size) {
+  FleetHarness Fleet{Size};
   Fleet.openAll(OpeningTime);
   Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
   Fleet.run(2s);
@@ -71,7 +90,7 @@
     BOOST_TEST(Fleet.isServing());
   }
   BOOST_TEST(Fleet.counts().m_Pushes == Before.m_Pushes);
-  BOOST_TEST(Fleet.state().sessions().size() == FleetSize().m_Hosts);
+  BOOST_TEST(Fleet.state().sessions().size() == Size.m_Hosts);
   BOOST_TEST_MESSAGE(Fleet.counts().m_Proposals - Before.m_Proposals
                      << " proposals, "
                      << Fleet.counts().m_Renewals - Before.m_Renewals
@@ -82,10 +101,11 @@
 // Hosts that are back before the list of session homes has changed must serve
 // the groups of that list and no others, or all of them take part in all groups
 // again, as before the set of a group's hosts was bounded.
-BOOST_AUTO_TEST_CASE(RestartOfAllHostsKeepsParticipantsBounded) {
+BOOST_DATA_TEST_CASE(RestartOfAllHostsKeepsParticipantsBounded,
+                     boost::unit_test::data::make(Sizes), Size) {
   for (const Duration Down : {500ms, 2000ms}) {
     BOOST_TEST_CONTEXT("down for " << Down.count() << " us") {
-      FleetHarness Fleet{FleetSize()};
+      FleetHarness Fleet{Size};
       Fleet.openAll(OpeningTime);
       Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
       Fleet.run(2s);
@@ -98,7 +118,7 @@
       std::size_t Participations = 0;
       for (std::size_t Host = 0; Host < Served.size(); ++Host) {
         Differing += Fleet.hosts()[Host].m_Served == Served[Host] ? 0 : 1;
-        for (std::uint32_t Group = 0; Group < FleetSize().m_Groups; ++Group)
+        for (std::uint32_t Group = 0; Group < Size.m_Groups; ++Group)
           Participations += Fleet.state().shares().holds(
                                 GroupId("group-" + std::to_string(Group)),
                                 Fleet.hosts()[Host].m_Session)
@@ -106,8 +126,7 @@
                                 : 0;
       }
       BOOST_TEST(Differing == 0U);
-      BOOST_TEST(Participations ==
-                 FleetSize().m_Groups * FleetSize().m_Domains * 4);
+      BOOST_TEST(Participations == Size.m_Groups * Size.m_Domains * 4);
     }
   }
 }
@@ -115,32 +134,33 @@
 // A catalogue takes longer than m_PushRetry on the link of an entry host. What
 // is still on its way must not be sent again: the copies delay the answers of
 // the renewals behind them.
-BOOST_AUTO_TEST_CASE(CatalogueOnItsWayIsNotPushedAgain) {
-  FleetHarness Fleet{FleetSize()};
+BOOST_DATA_TEST_CASE(CatalogueOnItsWayIsNotPushedAgain,
+                     boost::unit_test::data::make(Sizes), Size) {
+  FleetHarness Fleet{Size};
   Fleet.openAll(OpeningTime);
   Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
   Fleet.run(2s);
   const std::size_t Before = Fleet.counts().m_Pushes;
   const std::size_t BytesBefore = Fleet.counts().m_Bytes;
   Fleet.replaceCatalogue(390);
-  BOOST_TEST((Fleet.counts().m_Pushes - Before == FleetSize().m_Hosts));
+  BOOST_TEST((Fleet.counts().m_Pushes - Before == Size.m_Hosts));
   for (Duration Passed{0}; Passed < 3s; Passed += 100ms) {
     Fleet.run(100ms);
     BOOST_TEST(Fleet.isServing());
   }
-  BOOST_TEST(Fleet.counts().m_Pushes - Before == FleetSize().m_Hosts);
-  BOOST_TEST_MESSAGE(
-      (Fleet.counts().m_Bytes - BytesBefore) / FleetSize().m_Hosts
-      << " bytes to each host in 3 s");
+  BOOST_TEST(Fleet.counts().m_Pushes - Before == Size.m_Hosts);
+  BOOST_TEST_MESSAGE((Fleet.counts().m_Bytes - BytesBefore) / Size.m_Hosts
+                     << " bytes to each host in 3 s");
 }
 
 // Changes that follow each other faster than a host can confirm them must not
 // make control send all that is unconfirmed with each of them.
-BOOST_AUTO_TEST_CASE(ChangesInSuccessionSendUnconfirmedOnesOnce) {
+BOOST_DATA_TEST_CASE(ChangesInSuccessionSendUnconfirmedOnesOnce,
+                     boost::unit_test::data::make(Sizes), Size) {
   constexpr std::uint32_t Entries = 390;
   constexpr std::uint32_t Changes = 10;
   const auto BytesOf = [&](std::uint32_t Count) {
-    FleetHarness Fleet{FleetSize()};
+    FleetHarness Fleet{Size};
     Fleet.openAll(OpeningTime);
     Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
     Fleet.run(2s);
@@ -161,4 +181,24 @@
   BOOST_TEST(InSuccession < 2 * Once);
 }
 
+// Hosts that were cut off from the leader for longer than a lease come back
+// together. The ends and openings of their sessions must not use up the time in
+// which the leader has to hear from a quorum.
+BOOST_DATA_TEST_CASE(ReturnOfManyHostsKeepsWorkBounded,
+                     boost::unit_test::data::make(Sizes), Size) {
+  FleetHarness Fleet{Size};
+  Fleet.openAll(OpeningTime);
+  Fleet.runUntil([&] { return Fleet.isServing(); }, TrafficStart);
+  Fleet.run(2s);
+  const std::size_t Proposals = Fleet.counts().m_Proposals;
+  Fleet.cutOff(Size.m_Hosts * 3 / 5, 7s, OpeningTime);
+  Fleet.run(7s + OpeningTime);
+  const Duration Taken = Fleet.runUntil([&] { return Fleet.isServing(); }, 5s);
+  BOOST_TEST_MESSAGE("serving after " << Taken.count() << " us; "
+                                      << Fleet.counts().m_Proposals - Proposals
+                                      << " proposals, at most "
+                                      << Fleet.largestBusyTime().count()
+                                      << " us within the quorum check timeout");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -21,7 +21,7 @@
 constexpr Duration MessageDelay = 1ms;
 constexpr Duration CommitDelay = 2ms;
 constexpr Duration RenewalInterval = 300ms;
-constexpr std::uint64_t StepsPerTick = 20;
+constexpr std::uint64_t StepsPerTick = 10;
 constexpr std::uint64_t StepsPerAnnouncement = 1200;
 constexpr std::uint32_t ServersPerGroup = 3;
 constexpr std::size_t HostsPerDomain = 4;
@@ -84,13 +84,27 @@
   for (std::size_t Host = 0; Host < m_Hosts.size(); ++Host) {
     const auto Part = static_cast<std::int64_t>(Host);
     const auto Parts = static_cast<std::int64_t>(m_Hosts.size());
-    schedule(Within * Part / Parts, [this, Host] {
-      const FleetHost &Opened = m_Hosts[Host];
-      lead([&] {
-        apply(OpenSession{Opened.m_Host, Incarnation(m_Run), Opened.m_Domain,
-                          "10.0.0." + std::to_string(Host), 7000});
-      });
-      schedule(MessageDelay, [this, Host] { renew(Host); });
+    schedule(Within * Part / Parts, [this, Host] { open(Host); });
+  }
+}
+
+void FleetHarness::open(std::size_t Host) {
+  const FleetHost &Opened = m_Hosts[Host];
+  lead([&] {
+    apply(OpenSession{Opened.m_Host, Incarnation(m_Run), Opened.m_Domain,
+                      "10.0.0." + std::to_string(Host), 7000});
+  });
+  schedule(MessageDelay, [this, Host] { renew(Host); });
+}
+
+void FleetHarness::cutOff(std::size_t Count, Duration Length, Duration Within) {
+  for (std::size_t Host = 0; Host < Count; ++Host) {
+    m_Hosts[Host].m_IsCutOff = true;
+    const auto Part = static_cast<std::int64_t>(Host);
+    const auto Parts = static_cast<std::int64_t>(Count);
+    schedule(Length + Within * Part / Parts, [this, Host] {
+      m_Hosts[Host].m_IsCutOff = false;
+      open(Host);
     });
   }
 }
@@ -240,6 +254,9 @@
 
 void FleetHarness::renew(std::size_t Host) {
   FleetHost &Renewing = m_Hosts[Host];
+  // The session that it opens again is renewed anew.
+  if (Renewing.m_IsCutOff)
+    return;
   LeaseRenewal Renewal;
   Renewal.m_Session = Renewing.m_Session;
   Renewal.m_Sequence = Renewing.m_Lease.renewalSent(m_Now);
@@ -282,6 +299,8 @@
 void FleetHarness::handle(const GrantRenewal &Action) {
   FleetHost *Host = find(Action.m_Session);
   BOOST_REQUIRE(Host != nullptr);
+  if (Host->m_IsCutOff)
+    return;
   ++m_Counts.m_Renewals;
   ControlUpdate Update;
   Update.m_Views = Action.m_Groups;
@@ -331,7 +350,7 @@
 
 void FleetHarness::push(ControlSessionId Session, const ControlUpdate &Update) {
   FleetHost *Host = find(Session);
-  if (Host == nullptr)
+  if (Host == nullptr || Host->m_IsCutOff)
     return;
   ++m_Counts.m_Pushes;
   schedule(countBytes(*Host, Update), [this, Host, Update] {
--- a/tests/Version/FleetHarness.h
+++ b/tests/Version/FleetHarness.h
@@ -50,8 +50,9 @@
   Revision m_Homes;                     ///< Session homes that it applies.
   std::set<GroupId> m_Served;           ///< Groups that it serves.
   std::deque<std::pair<Instant, std::size_t>>
-      m_Received;         ///< Bytes received in the last second.
-  Instant m_LinkFreeAt{}; ///< When its link has passed on all that was sent.
+      m_Received;          ///< Bytes received in the last second.
+  Instant m_LinkFreeAt{};  ///< When its link has passed on all that was sent.
+  bool m_IsCutOff = false; ///< Control does not reach it.
 };
 
 /// Runs a control leader with the settings of the deployments and many entry
@@ -71,6 +72,9 @@
   /// Ends the processes of all hosts at once; new ones open their sessions
   /// after \p Down, evenly spread over \p Within.
   void restartAll(Duration Down, Duration Within);
+  /// Cuts the first \p Count hosts off from control for \p Length, longer than
+  /// a lease; they open their sessions again evenly spread over \p Within.
+  void cutOff(std::size_t Count, Duration Length, Duration Within);
   /// Replaces the catalogue by \p Entries entries of the first group.
   void replaceCatalogue(std::uint32_t Entries);
   /// Makes another process the leader; sessions stay open and messages in
@@ -95,6 +99,8 @@
   Duration largestBusyTime() const { return m_LargestBusyTime; }
 
 private:
+  /// Opens the session of one host.
+  void open(std::size_t Host);
   /// Calls the leader, and executes its actions until none is left.
   void lead(const std::function<void()> &Event);
   void schedule(Duration Delay, std::function<void()> Event);
