Control node: log messages overtake, tasks share a write, a log is applied in parts

At 10.7 and 50.4 s the leader wrote and synced once for each of some 120 and 193 openings, with 137 tasks waiting before the log's messages.

Change: ReplicatedLog hands out at most 256 entries in an ApplyEntries, and the node goes on with the next event (a tick at the latest); the actor puts log messages and ticks into CAF's urgent queue; TaskBatch lets up to 64 waiting tasks, for 10 ms at most, share one round of actions and one write.

Tests: ControlNodeTest OpeningsInOneBatchShareWrites and RestartAppliesLogInParts (neither could be stated before: no batch, no limit), TaskBatchTest.

--- a/ragwortmux/Process/Control/ControlActor.cpp
+++ b/ragwortmux/Process/Control/ControlActor.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/Control/ControlActor.h"
 
 #include "ragwortmux/Process/Control/ControlLoad.h"
+#include "ragwortmux/Process/Control/TaskBatch.h"
 #include "ragwortmux/Process/Loop/ActorSystem.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
@@ -30,15 +31,28 @@
 
 namespace {
 
+/// True if a task of \p Kind is to overtake others: the leader's quorum depends
+/// on it.
+bool isUrgent(ControlTaskKind Kind) {
+  return Kind == ControlTaskKind::LogMessage || Kind == ControlTaskKind::Tick;
+}
+
 caf::behavior controlBehavior(caf::event_based_actor *Self,
                               const std::shared_ptr<ControlNodeOwner> &Owner,
                               const std::shared_ptr<ControlLoad> &Load) {
   Self->set_default_handler(caf::drop);
-  return {[Owner, Load](const ControlTaskMessage &Message) {
+  const auto Batch = std::make_shared<TaskBatch>();
+  return {[Owner, Load, Batch](const ControlTaskMessage &Message) {
     const Instant Now = monotonicNow();
     Load->taskStarted(Message.m_Kind, Message.m_PostedAt, Now);
+    Batch->taskStarted(Now);
     Owner->tick(Now);
+    Owner->node().beginBatch();
     Message.m_Work(Owner->node(), Now);
+    const Instant End = monotonicNow();
+    if (Batch->taskEnded(End, Load->waitingTasks())) {
+      Owner->node().endBatch(End);
+    }
     Load->taskEnded(monotonicNow());
   }};
 }
@@ -197,8 +211,13 @@
 
 void ControlActor::send(ControlTaskKind Kind, Task Work) {
   m_Load->taskPosted();
-  caf::anon_send(m_Handle->m_Actor,
-                 ControlTaskMessage{std::move(Work), Kind, monotonicNow()});
+  ControlTaskMessage Message{std::move(Work), Kind, monotonicNow()};
+  if (isUrgent(Kind)) {
+    caf::anon_send<caf::message_priority::high>(m_Handle->m_Actor,
+                                                std::move(Message));
+  } else {
+    caf::anon_send(m_Handle->m_Actor, std::move(Message));
+  }
 }
 
 template <typename Reply>
--- a/ragwortmux/Process/Control/ControlLoad.cpp
+++ b/ragwortmux/Process/Control/ControlLoad.cpp
@@ -75,6 +75,11 @@
   ++slotAt(Now).m_Pushes;
 }
 
+std::size_t ControlLoad::waitingTasks() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Waiting;
+}
+
 ControlLoadSummary ControlLoad::summary(Instant Now) const {
   const std::lock_guard Lock(m_Mutex);
   ControlLoadSummary All;
--- a/ragwortmux/Process/Control/ControlLoad.h
+++ b/ragwortmux/Process/Control/ControlLoad.h
@@ -54,6 +54,8 @@
   /// An update was pushed to an entry process.
   void updatePushed(Instant Now);
 
+  /// Number of tasks that were posted and not started yet.
+  std::size_t waitingTasks() const;
   /// The load over the Window before \p Now, the running task included.
   ControlLoadSummary summary(Instant Now) const;
 
--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -32,6 +32,17 @@
   return true;
 }
 
+void ControlNode::endBatch(Instant Now) {
+  m_IsInBatch = false;
+  performActions(Now);
+}
+
+void ControlNode::eventHandled(Instant Now) {
+  if (!m_IsInBatch) {
+    performActions(Now);
+  }
+}
+
 bool ControlNode::releaseStorage() {
   assert(hasFailed());
   if (m_Storage != nullptr && !m_Storage->discardUnsynced()) {
@@ -44,7 +55,7 @@
 
 void ControlNode::receive(Instant Now, const LogEnvelope &Envelope) {
   m_Log->receive(Now, Envelope);
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::tick(Instant Now, WallTime Wall) {
@@ -89,7 +100,7 @@
   }
   m_Renewals[{Renewal.m_Session, Renewal.m_Sequence}] = std::move(Reply);
   m_Leader.renewalReceived(Renewal, Now);
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::report(Instant Now,
@@ -107,7 +118,7 @@
     m_Leader.suspicionReported(Suspicion, Now);
   }
   Reply({});
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::command(Instant Now, const ControlCommand &Command,
@@ -122,7 +133,7 @@
     return;
   }
   m_Commands[Id->m_Index] = {Id->m_Term, std::move(Reply)};
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::query(Instant Now, const std::string &QueryKind,
@@ -137,7 +148,7 @@
     return;
   }
   m_Queries[Token] = {QueryKind, Name, std::move(Reply)};
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::revisionsConfirmed(Instant Now, ControlSessionId Session,
@@ -150,7 +161,7 @@
   }
   m_Leader.catalogueConfirmed(Session, Confirmed.m_Catalogue, Now);
   m_Leader.homesConfirmed(Session, Confirmed.m_Homes, Now);
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::backendCallCompleted(Instant Now,
@@ -158,7 +169,7 @@
   if (m_Leader.isLeader()) {
     m_Leader.backendCallCompleted(Result, Now);
   }
-  performActions(Now);
+  eventHandled(Now);
 }
 
 void ControlNode::peersIdentified(Instant Now,
@@ -192,7 +203,7 @@
       startVoterStep(Now, *Step);
     }
   }
-  performActions(Now);
+  eventHandled(Now);
 }
 
 IdentifyReply ControlNode::identify() const {
--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -69,6 +69,13 @@
   /// Reads the data folder. False with lastReason() on failure.
   bool open(Instant Now);
 
+  /// Leaves the actions of the following events to endBatch(), so that many
+  /// events that arrive together need one write to the disk. tick() performs
+  /// actions all the same.
+  void beginBatch() { m_IsInBatch = true; }
+  /// Performs the actions of the events since beginBatch().
+  void endBatch(Instant Now);
+
   ///@name Events
   void receive(Instant Now, const LogEnvelope &Envelope);
   void tick(Instant Now, WallTime Wall);
@@ -114,6 +121,10 @@
   struct PendingCommand;
   struct PendingQuery;
 
+  /// Performs the actions of an event, unless a batch is open.
+  void eventHandled(Instant Now);
+  /// Performs actions until none is left, or until as many entries were applied
+  /// as one ApplyEntries action may hold; the rest follows with the next event.
   void performActions(Instant Now);
   bool performLogActions(Instant Now);
   bool performLeaderActions(Instant Now);
@@ -164,6 +175,8 @@
   std::map<RenewalKey, Respond<RenewReply>> m_Renewals; ///< Not yet answered.
   std::map<ControlSessionId, ControlUpdate>
       m_Pushes; ///< Updates to push once all actions of a step are performed.
+  bool m_IsInBatch = false;            ///< See beginBatch().
+  std::size_t m_AppliedEntries = 0;    ///< Entries applied by performActions().
   std::uint64_t m_LastTokenNumber = 0; ///< Last number used in a token.
   std::map<std::uint64_t, PendingPromotion>
       m_Promotions;        ///< Unconfirmed; by token.
--- a/ragwortmux/Process/Control/ControlNodeActions.cpp
+++ b/ragwortmux/Process/Control/ControlNodeActions.cpp
@@ -28,10 +28,12 @@
   // Actions of the log may cause actions of the leader and the reverse, so this
   // repeats until neither has any left.
   bool Busy = true;
+  m_AppliedEntries = 0;
   while (Busy) {
     const bool LogActed = performLogActions(Now);
     const bool LeaderActed = performLeaderActions(Now);
-    Busy = LogActed || LeaderActed;
+    Busy = (LogActed || LeaderActed) &&
+           m_AppliedEntries < m_Settings.m_Log.m_MaxApplyEntries;
   }
   for (auto &[Session, Update] : std::exchange(m_Pushes, {})) {
     m_Hooks.m_Push(Session, std::move(Update));
@@ -92,6 +94,7 @@
   for (const LogEntry &Entry : Action.m_Entries) {
     applyEntry(Now, Entry);
   }
+  m_AppliedEntries += Action.m_Entries.size();
   snapshotIfDue(Now);
 }
 
--- a/ragwortmux/Process/Log/ReplicatedLog.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLog.cpp
@@ -188,7 +188,8 @@
 
   // Only entries that are durable on this member are applied, so that a
   // snapshot never includes an entry that is missing in the files.
-  const LogIndex To = std::min(m_CommitIndex, Durable);
+  const LogIndex Limit(m_AppliedIndex.value() + m_Settings.m_MaxApplyEntries);
+  const LogIndex To = std::min({m_CommitIndex, Durable, Limit});
   if (To > m_AppliedIndex && m_AppliedIndex >= m_Log.previous().m_Index) {
     const std::size_t Count = To.value() - m_AppliedIndex.value();
     m_Actions.push_back(ApplyEntries{m_Log.slice(
--- a/ragwortmux/Process/Log/ReplicatedLogSettings.h
+++ b/ragwortmux/Process/Log/ReplicatedLogSettings.h
@@ -39,6 +39,10 @@
   /// Proposals are refused while the leader's uncommitted entries have at least
   /// this many payload bytes.
   std::size_t m_MaxUncommittedBytes = std::size_t{64} << 20;
+  /// Maximum number of entries in one ApplyEntries action. A leader that
+  /// applies its whole log at once after a restart sends no heartbeats
+  /// meanwhile.
+  std::size_t m_MaxApplyEntries = 256;
   /// Number of entries retained in memory and on disk that precede the last
   /// entry of a snapshot, so that a member with a small lag needs no snapshot.
   std::size_t m_TrailingEntries = 1024;
--- a/tests/Log/FakeDisk.h
+++ b/tests/Log/FakeDisk.h
@@ -49,6 +49,9 @@
     return false;
   }
 
+  /// Number of operations so far.
+  std::uint64_t operationCount() const { return m_OperationCount; }
+
   /// Ends the injected failure.
   void clearFault() { m_FailAt = std::numeric_limits<std::uint64_t>::max(); }
 
--- a/tests/Process/ControlNodeTest.cpp
+++ b/tests/Process/ControlNodeTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,10 +18,25 @@
 using std::chrono::seconds;
 
 constexpr const char *Address = "127.0.0.1:1";
+constexpr std::size_t MaxApplyEntries = 64;
 
 /// The only voter of a control log, which leads it.
 struct LeadingNode {
   LeadingNode() {
+    restart();
+    PeerIdentity Self;
+    Self.m_Voter = VoterId(m_Node->identify().m_Voter);
+    Self.m_Address = Address;
+    Self.m_IsListed = true;
+    m_Node->peersIdentified(m_Now, {Self}, true);
+    advance(seconds(2));
+    BOOST_REQUIRE(m_IsLeader);
+  }
+
+  /// Ends the process, if there is one, and starts it with its data folder.
+  void restart() {
+    m_Node = nullptr;
+    m_IsLeader = false;
     LogStorageSettings Storage;
     Storage.m_ClusterName = "test";
     Storage.m_Random = [this] { return ++m_Random; };
@@ -28,6 +44,7 @@
     Settings.m_Address = Address;
     Settings.m_Bootstrap = true;
     Settings.m_Log.m_Random = [this] { return ++m_Random; };
+    Settings.m_Log.m_MaxApplyEntries = MaxApplyEntries;
     ControlNodeHooks Hooks;
     Hooks.m_SendLog = [](const std::string &, const LogEnvelope &) {};
     Hooks.m_Push = [this](ControlSessionId Session,
@@ -45,13 +62,6 @@
                                      std::make_unique<FakeFileSystem>(m_Disk)),
         std::move(Hooks));
     BOOST_REQUIRE(m_Node->open(m_Now));
-    PeerIdentity Self;
-    Self.m_Voter = VoterId(m_Node->identify().m_Voter);
-    Self.m_Address = Address;
-    Self.m_IsListed = true;
-    m_Node->peersIdentified(m_Now, {Self}, true);
-    advance(seconds(2));
-    BOOST_REQUIRE(m_IsLeader);
   }
 
   void advance(Duration Length) {
@@ -127,6 +137,59 @@
 
 BOOST_AUTO_TEST_SUITE(ControlNodeTest)
 
+// After a cut many hosts open new sessions at once. A write to the disk for
+// each of them held up the log's messages until the leader lost its quorum.
+BOOST_AUTO_TEST_CASE(OpeningsInOneBatchShareWrites) {
+  static constexpr std::uint64_t Hosts = 50;
+  const auto OperationsFor = [](bool IsBatch) {
+    LeadingNode Leader;
+    std::vector<ControlSessionId> Opened;
+    const std::uint64_t Before = Leader.m_Disk->operationCount();
+    if (IsBatch)
+      Leader.m_Node->beginBatch();
+    for (std::uint64_t Host = 0; Host < Hosts; ++Host) {
+      const std::string Name = "h" + std::to_string(Host);
+      Leader.m_Node->openSession(Leader.m_Now,
+                                 {HostId(Name), Incarnation(1),
+                                  FailureDomainId("d"), "10.0.0.1", 7000},
+                                 [&](const OpenSessionReply &Reply) {
+                                   BOOST_TEST(Reply.m_Status.ok());
+                                   Opened.push_back(Reply.m_Session);
+                                 });
+    }
+    BOOST_TEST(Opened.size() == (IsBatch ? 0U : Hosts));
+    if (IsBatch)
+      Leader.m_Node->endBatch(Leader.m_Now);
+    BOOST_TEST(Opened.size() == Hosts);
+    return Leader.m_Disk->operationCount() - Before;
+  };
+  const std::uint64_t One = OperationsFor(false) / Hosts;
+  BOOST_TEST(OperationsFor(true) <= 2 * One);
+}
+
+// A leader that applied its whole log at once after a restart sent no
+// heartbeats meanwhile and lost its quorum, and so did each host after it.
+BOOST_AUTO_TEST_CASE(RestartAppliesLogInParts) {
+  constexpr std::uint64_t Hosts = 4 * MaxApplyEntries;
+  LeadingNode Leader;
+  for (std::uint64_t Host = 0; Host < Hosts; ++Host)
+    BOOST_REQUIRE(
+        (Leader.open(1, "h" + std::to_string(Host)) != ControlSessionId()));
+  Leader.restart();
+  std::size_t Largest = 0;
+  for (const Instant End = Leader.m_Now + seconds(5);
+       !Leader.m_IsLeader && Leader.m_Now < End;) {
+    const std::size_t Before = Leader.m_Node->state().sessions().size();
+    Leader.advance(milliseconds(10));
+    const std::size_t Applied =
+        Leader.m_Node->state().sessions().size() - Before;
+    Largest = std::max(Largest, Applied);
+  }
+  BOOST_TEST(Leader.m_IsLeader);
+  BOOST_TEST(Leader.m_Node->state().sessions().size() == Hosts);
+  BOOST_TEST(Largest <= MaxApplyEntries);
+}
+
 // After a change of leader all entry hosts open their sessions again; one log
 // entry for each of them delayed the renewals behind them.
 BOOST_AUTO_TEST_CASE(ReopeningOpenSessionWritesNoLogEntry) {
