Hosts without a control leader retry with a backoff, and report suspicions at most every 100 ms

Cause (same logs): while control had no leader, 195 hosts retried every 30 ms, which is 6,500 calls a second to five control hosts with 0.3 of a core each, in just the time in which these elected a leader; and each new leader met 1,800 to 2,700 tasks in 2 s and lost its quorum again. The processors of the entry hosts were not the limit (0.05 of a core at most, of 0.12).

Change: Backoff, 30 ms doubling to 240 ms, random between half and whole; also for the announcements that control hosts pass on. Suspicions: each once in a report, the first after 10 ms, further ones 100 ms apart.

--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
+#include "ragwortmux/Process/Loop/SystemRandom.h"
 #include "ragwortmux/Process/Peers/CommandCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/ProcessSettings.h"
@@ -13,10 +14,11 @@
 
 namespace {
 
-/// Pause before the next control host is tried.
-constexpr Duration RetryPause = std::chrono::milliseconds(30);
 /// How long reports are collected before they are sent together.
-constexpr Duration ReportInterval = std::chrono::milliseconds(10);
+constexpr Duration ReportDelay = std::chrono::milliseconds(10);
+/// Minimum time between two reports, so that many failing statements do not
+/// become as many calls.
+constexpr Duration ReportInterval = std::chrono::milliseconds(100);
 /// Limit on the number of control hosts.
 constexpr std::size_t MaxLinks = 64;
 
@@ -126,9 +128,10 @@
           noteAnswer(TargetIndex, Reply ? &Reply->m_Status : nullptr);
           Reply ? followLeaderHint(TargetIndex, Reply->m_Status)
                 : switchToNextHost(TargetIndex);
-          scheduleMaintenance(RetryPause);
+          scheduleMaintenance(m_Backoff.nextPause(systemRandom()));
           return;
         }
+        m_Backoff.reset();
         m_IsRegistered = TargetIndex == m_LeaderIndex;
         const bool Changed = Reply->m_Session != m_Lease.session();
         if (Changed) {
@@ -168,7 +171,7 @@
   }
   if (!Reply) {
     switchToNextHost(TargetIndex);
-    scheduleMaintenance(RetryPause);
+    scheduleMaintenance(m_Backoff.nextPause(systemRandom()));
     return;
   }
   if (Reply->m_Status.m_Code == ResultCode::Unauthorized) {
@@ -182,7 +185,7 @@
   }
   if (!Reply->m_Status.ok()) {
     followLeaderHint(TargetIndex, Reply->m_Status);
-    scheduleMaintenance(RetryPause);
+    scheduleMaintenance(m_Backoff.nextPause(systemRandom()));
     return;
   }
   // Records of an earlier session may be outdated.
@@ -191,6 +194,7 @@
   }
   // The update is applied first: the lease covers only revisions that are
   // already in effect here.
+  m_Backoff.reset();
   applyUpdate(Reply->m_Update);
   if (m_Lease.renewalGranted(Session, Sequence, Reply->m_Lease)) {
     m_LeaseLog.granted(monotonicNow(), m_Lease.validUntil());
@@ -229,14 +233,15 @@
 
 void ControlClient::command(const ControlCommand &Command, Instant Deadline,
                             const std::function<void(CommandReply)> &Reply) {
-  tryCommand(encodeCommand(Command), Deadline, Reply);
+  tryCommand(encodeCommand(Command), Deadline, Backoff(), Reply);
 }
 
 void ControlClient::tryCommand(const std::string &Bytes, Instant Deadline,
+                               Backoff Pauses,
                                const std::function<void(CommandReply)> &Reply) {
   leaderLink().command(
-      Bytes, [this, TargetIndex = m_LeaderIndex, Bytes, Deadline,
-              Reply](const std::optional<CommandReply> &Response) {
+      Bytes, [this, TargetIndex = m_LeaderIndex, Bytes, Deadline, Pauses,
+              Reply](const std::optional<CommandReply> &Response) mutable {
         const bool Answered =
             Response && Response->m_Status.m_Code != ResultCode::NotLeader &&
             Response->m_Status.m_Code != ResultCode::Unreachable;
@@ -246,14 +251,15 @@
         }
         Response ? followLeaderHint(TargetIndex, Response->m_Status)
                  : switchToNextHost(TargetIndex);
-        if (monotonicNow() + RetryPause >= Deadline) {
+        const Duration Pause = Pauses.nextPause(systemRandom());
+        if (monotonicNow() + Pause >= Deadline) {
           Reply({{ResultCode::Unreachable,
                   "no control leader answered before the deadline", ""},
                  {}});
           return;
         }
-        m_Loop.after(RetryPause, [this, Bytes, Deadline, Reply] {
-          tryCommand(Bytes, Deadline, Reply);
+        m_Loop.after(Pause, [this, Bytes, Deadline, Pauses, Reply] {
+          tryCommand(Bytes, Deadline, Pauses, Reply);
         });
       });
 }
@@ -261,30 +267,32 @@
 void ControlClient::query(const std::string &QueryKind, const std::string &Name,
                           Instant Deadline,
                           const std::function<void(QueryReply)> &Reply) {
-  tryQuery(QueryKind, Name, Deadline, Reply);
+  tryQuery(QueryKind, Name, Deadline, Backoff(), Reply);
 }
 
 void ControlClient::tryQuery(const std::string &QueryKind,
                              const std::string &Name, Instant Deadline,
+                             Backoff Pauses,
                              const std::function<void(QueryReply)> &Reply) {
   leaderLink().query(
       QueryKind, Name,
-      [this, TargetIndex = m_LeaderIndex, QueryKind, Name, Deadline,
-       Reply](const std::optional<QueryReply> &Response) {
+      [this, TargetIndex = m_LeaderIndex, QueryKind, Name, Deadline, Pauses,
+       Reply](const std::optional<QueryReply> &Response) mutable {
         if (Response && Response->m_Status.m_Code != ResultCode::NotLeader) {
           Reply(*Response);
           return;
         }
         Response ? followLeaderHint(TargetIndex, Response->m_Status)
                  : switchToNextHost(TargetIndex);
-        if (monotonicNow() + RetryPause >= Deadline) {
+        const Duration Pause = Pauses.nextPause(systemRandom());
+        if (monotonicNow() + Pause >= Deadline) {
           Reply({{ResultCode::Unreachable,
                   "no control leader answered before the deadline", ""},
                  ""});
           return;
         }
-        m_Loop.after(RetryPause, [this, QueryKind, Name, Deadline, Reply] {
-          tryQuery(QueryKind, Name, Deadline, Reply);
+        m_Loop.after(Pause, [this, QueryKind, Name, Deadline, Pauses, Reply] {
+          tryQuery(QueryKind, Name, Deadline, Pauses, Reply);
         });
       });
 }
@@ -302,22 +310,29 @@
 void ControlClient::deliver(const ServerAnnouncement &Announcement,
                             Instant Deadline,
                             const std::function<void(bool Delivered)> &Reply) {
+  tryDeliver(Announcement, Deadline, Backoff(), Reply);
+}
+
+void ControlClient::tryDeliver(
+    const ServerAnnouncement &Announcement, Instant Deadline, Backoff Pauses,
+    const std::function<void(bool Delivered)> &Reply) {
   leaderLink().report(
       m_Lease.session(), {Announcement}, {},
-      [this, TargetIndex = m_LeaderIndex, Announcement, Deadline,
-       Reply](const std::optional<ControlStatus> &Status) {
+      [this, TargetIndex = m_LeaderIndex, Announcement, Deadline, Pauses,
+       Reply](const std::optional<ControlStatus> &Status) mutable {
         if (Status && Status->ok()) {
           Reply(true);
           return;
         }
         Status ? followLeaderHint(TargetIndex, *Status)
                : switchToNextHost(TargetIndex);
-        if (monotonicNow() + RetryPause >= Deadline) {
+        const Duration Pause = Pauses.nextPause(systemRandom());
+        if (monotonicNow() + Pause >= Deadline) {
           Reply(false);
           return;
         }
-        m_Loop.after(RetryPause, [this, Announcement, Deadline, Reply] {
-          deliver(Announcement, Deadline, Reply);
+        m_Loop.after(Pause, [this, Announcement, Deadline, Pauses, Reply] {
+          tryDeliver(Announcement, Deadline, Pauses, Reply);
         });
       });
 }
@@ -327,8 +342,12 @@
     return;
   }
   m_IsReportScheduled = true;
-  m_Loop.after(ReportInterval, [this] {
+  const Instant Now = monotonicNow();
+  const Instant Due =
+      std::max(Now + ReportDelay, m_ReportedAt + ReportInterval);
+  m_Loop.after(Due - Now, [this] {
     m_IsReportScheduled = false;
+    m_ReportedAt = monotonicNow();
     sendReports();
   });
 }
@@ -340,7 +359,14 @@
   Suspicion.m_Group = Group;
   Suspicion.m_Server = Server;
   Suspicion.m_Kind = Kind;
-  m_Suspicions.push_back(Suspicion);
+  const bool IsNoted =
+      std::ranges::any_of(m_Suspicions, [&](const ServerSuspicion &Each) {
+        return Each.m_Group == Group && Each.m_Server == Server &&
+               Each.m_Kind == Kind;
+      });
+  if (!IsNoted) {
+    m_Suspicions.push_back(Suspicion);
+  }
   scheduleReport();
 }
 
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_PROCESS_ENTRY_CONTROLCLIENT_H
 #define RAGWORTMUX_PROCESS_ENTRY_CONTROLCLIENT_H
 
+#include "ragwortmux/Connection/Backoff.h"
 #include "ragwortmux/Process/Entry/LeaseLog.h"
 #include "ragwortmux/Process/Peers/ControlMessages.h"
 #include "ragwortmux/Process/Peers/PeerLink.h"
@@ -119,10 +120,14 @@
   void addLink(const SocketAddress &Address);
   void scheduleReport();
   void sendReports();
-  void tryCommand(const std::string &Bytes, Instant Deadline,
+  void tryCommand(const std::string &Bytes, Instant Deadline, Backoff Pauses,
                   const std::function<void(CommandReply)> &Reply);
   void tryQuery(const std::string &QueryKind, const std::string &Name,
-                Instant Deadline, const std::function<void(QueryReply)> &Reply);
+                Instant Deadline, Backoff Pauses,
+                const std::function<void(QueryReply)> &Reply);
+  void tryDeliver(const ServerAnnouncement &Announcement, Instant Deadline,
+                  Backoff Pauses,
+                  const std::function<void(bool Delivered)> &Reply);
   /// Opens the session again at the same host, because the connection over
   /// which it pushes has ended with a failed call.
   void registerAgain(std::size_t TargetIndex);
@@ -140,10 +145,12 @@
   std::size_t m_LeaderIndex = 0;         ///< Index of the presumed leader.
   ProxyLease m_Lease;                    ///< Session and lease.
   LeaseLog m_LeaseLog;                   ///< Log lines about the lease.
+  Backoff m_Backoff;                     ///< Pauses while no leader answers.
   bool m_IsRegistered = false;           ///< The leader pushes updates here.
   bool m_Stopped = false;                ///< endSession() was called.
   bool m_IsOpening = false;              ///< An openSession call is in flight.
   bool m_IsReportScheduled = false;      ///< sendReports() is scheduled.
+  Instant m_ReportedAt{};                ///< When reports were last sent.
   std::uint64_t m_MaintenanceNumber = 0; ///< Number of the newest scheduled
                                          ///< call; older ones are skipped.
   std::vector<ServerAnnouncement> m_Announcements; ///< For the next report.
