--- a/tests/Platform/TextTest.cpp
+++ b/tests/Platform/TextTest.cpp
@@ -111,6 +111,9 @@
     R"("slots":3,"state":"ready","coldRemainingMs":0,"dbRole":"replica",)"
     R"("sequence":4,"born":1700000000000})";
 
+/// The time at which the heartbeats are received: an hour after their start.
+const WallTime HeartbeatTime{std::chrono::milliseconds(1700003600000)};
+
 const std::vector<DocumentCase> HeartbeatCases = {
     {"", "", true},
     {R"("state":"ready")", R"("state":"draining")", true},
@@ -123,6 +126,19 @@
     {"10.0.0.9:8080", "nowhere:1", false},
     {R"(,"born":1700000000000)", "", true},
     {R"("born":1700000000000)", R"("born":1.5)", false},
+    {R"("born":1700000000000)", R"("born":-1)", false},
+    {R"("born":1700000000000)", R"("born":1700000043200000)", false},
+    {R"("born":1700000000000)", R"("born":9223372036854775807)", false},
+    {R"("born":1700000000000)", R"("born":1e30)", false},
+    {R"("sequence":4)", R"("sequence":9223372036854775807)", false},
+    {R"("sequence":4)", R"("sequence":-4)", false},
+    {R"("sequence":4)", R"("sequence":123456789012345678901234567890)", false},
+    {R"("slots":3)", R"("slots":0)", false},
+    {R"("slots":3)", R"("slots":1e400)", false},
+    {"10.0.0.9:8080", "10.0.0.9:0", false},
+    {"10.0.0.9:8080", "10.0.0.9:65536", false},
+    {"10.0.0.9:8080", "10.0.0.9:1000000000000000000000000000000", false},
+    {"10.0.0.9:8080", "10.0.0.9:-80", false},
     {R"("zone":"z",)", "", false},
     {R"(})", "", false},
 };
@@ -225,8 +241,8 @@
 
 BOOST_DATA_TEST_CASE(ValidatesHeartbeats,
                      boost::unit_test::data::make(HeartbeatCases), Case) {
-  const auto Parsed =
-      parseHeartbeat("i-1", replaceLast(Heartbeat, Case.m_Old, Case.m_New));
+  const auto Parsed = parseHeartbeat(
+      "i-1", replaceLast(Heartbeat, Case.m_Old, Case.m_New), HeartbeatTime);
   BOOST_TEST(Parsed.has_value() == Case.m_IsValid);
 }
 
@@ -253,7 +269,7 @@
     std::string Reason;
     const auto Parsed = parseConfiguration(Text, Reason);
     BOOST_TEST_REQUIRE((Parsed.has_value() || !Reason.empty()));
-    parseHeartbeat("i-1", Text);
+    parseHeartbeat("i-1", Text, HeartbeatTime);
     parseStatement("id", Text);
     parsePosition(Text);
     parseStatus(Text);
