A server that takes long to become the primary is waited for while it answers

A fifth of the requests was refused (not-run-no-primary, and not-run-too-old for reads, which need a primary's position).

Change: once a promotion is accepted, the server is waited for as long as it answers position calls, 5 s at most (m_PromotionLimit); a promotion that is not accepted, or a server that is silent, still ends after m_PromoteTimeout. A server that was abandoned but leads meanwhile is promoted first, which changes nothing at the servers.

Tests: DelegatedGroupTest WaitsForServerThatTakesLongToBecomePrimary, seen to fail for 1, 1.5 and 3 s before; ReplacesPromotedServerThatDies.

--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -54,7 +54,9 @@
             ///< to a fence call.
   Duration m_PromoteTimeout =
       std::chrono::seconds(1); ///< An appointed server that has not become
-                               ///< primary after this time is replaced.
+                               ///< primary after this time is replaced; in
+                               ///< delegated groups, one whose promotion is not
+                               ///< accepted, or that is silent, for this long.
   Duration m_HandoverDrain = std::chrono::milliseconds(
       200); ///< How long requests at a leaving primary may take to finish after
             ///< all proxies have stopped sending new ones.
@@ -65,6 +67,10 @@
   Duration m_CatchUpWait = std::chrono::milliseconds(
       500); ///< Delegated groups: how long the replicas of a leaving primary
             ///< may take to catch up.
+  Duration m_PromotionLimit = std::chrono::seconds(
+      5); ///< Delegated groups: how long a server that answers may take to
+          ///< become the primary once its promotion was accepted; another one
+          ///< that is promoted meanwhile takes as long again.
   Duration m_PromotionRefused =
       std::chrono::seconds(1); ///< Delegated groups: a server that refused a
                                ///< promotion is not chosen again for this long.
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -228,10 +228,7 @@
 void DelegatedPrimaryChange::awaitPromotion(const GroupRecord &Group,
                                             Progress &Change, Instant Now) {
   const auto Server = Group.m_Servers.find(*Change.m_PromotionTarget);
-  if (Server == Group.m_Servers.end() ||
-      Now - (Change.m_IsPromotionAccepted ? Change.m_PromotionAcceptedAt
-                                          : Change.m_PromotionStartedAt) >=
-          m_Context.settings().m_PromoteTimeout) {
+  if (Server == Group.m_Servers.end() || hasPromotionFailed(Change, Now)) {
     abandonPromotion(Change, Now);
     return;
   }
@@ -253,6 +250,20 @@
   requestPosition(Group, Server->second, Change, Now);
 }
 
+bool DelegatedPrimaryChange::hasPromotionFailed(const Progress &Change,
+                                                Instant Now) const {
+  const ControlLeaderSettings &Settings = m_Context.settings();
+  if (!Change.m_IsPromotionAccepted)
+    return Now - Change.m_PromotionStartedAt >= Settings.m_PromoteTimeout;
+  if (Now - Change.m_PromotionAcceptedAt >= Settings.m_PromotionLimit)
+    return true;
+  Instant LastSign = Change.m_PromotionAcceptedAt;
+  const auto Answer = Change.m_Answers.find(*Change.m_PromotionTarget);
+  if (Answer != Change.m_Answers.end())
+    LastSign = std::max(LastSign, Answer->second.m_At);
+  return Now - LastSign >= Settings.m_PromoteTimeout;
+}
+
 void DelegatedPrimaryChange::abandonPromotion(Progress &Change,
                                               Instant Now) const {
   // The promote call may still arrive, but must not do so after that to another
@@ -322,9 +333,15 @@
                       Group.m_Previous != Server.m_Server);
   };
   for (const auto &[Id, Server] : Group.m_Servers) {
+    const PositionAnswer *Answer = freshAnswer(Change, Id);
+    if (Answer == nullptr || !isAnnounced(Group, Id, Now))
+      continue;
+    // A promotion that was abandoned may have succeeded since.
+    const bool LeadsNewTerm =
+        Answer->m_Role == BackendRole::Primary && Group.m_Previous != Id;
     const auto Refused = Change.m_ExcludedUntil.find(Id);
-    if (freshAnswer(Change, Id) == nullptr || !isAnnounced(Group, Id, Now) ||
-        (Refused != Change.m_ExcludedUntil.end() && Now < Refused->second))
+    if (!LeadsNewTerm && Refused != Change.m_ExcludedUntil.end() &&
+        Now < Refused->second)
       continue;
     if (Best == nullptr || Rank(Server) > Rank(*Best))
       Best = &Server;
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -102,6 +102,8 @@
   void electPrimary(const GroupRecord &Group, Instant Now);
   void promoteBest(const GroupRecord &Group, Progress &Change, Instant Now);
   void awaitPromotion(const GroupRecord &Group, Progress &Change, Instant Now);
+  /// True if the promoted server is not to be waited for any longer.
+  bool hasPromotionFailed(const Progress &Change, Instant Now) const;
   void abandonPromotion(Progress &Change, Instant Now) const;
   bool hasEnoughAnswers(const GroupRecord &Group, const Progress &Change,
                         Instant Now) const;
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -385,6 +385,43 @@
 
 // Regression: a second promote call was sent to another server while the first
 // had no answer, so that a server became primary without being appointed.
+// A server that took 1 s to become the primary was abandoned just before, and
+// the next one in turn as well: the group stayed without a primary for as long
+// as both lived.
+BOOST_DATA_TEST_CASE(WaitsForServerThatTakesLongToBecomePrimary,
+                     boost::unit_test::data::make({300, 1000, 1500, 3000}),
+                     PromotionMs) {
+  for (auto &[Id, Server] : m_Servers)
+    Server.m_PromotionTime = std::chrono::milliseconds(PromotionMs);
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  const Duration Waited = runUntil([&] {
+    const GroupRecord *Group = m_State.groups().find(TheGroup);
+    return Group->m_Primary && Group->m_Primary != S1;
+  });
+  BOOST_TEST((Waited < std::chrono::milliseconds(PromotionMs) + 7s));
+  BOOST_TEST(std::set<ServerId>(m_Promoted.begin(), m_Promoted.end()).size() ==
+             1U);
+}
+
+// A promoted server that dies before it has become the primary is not waited
+// for as long as one that lives.
+BOOST_AUTO_TEST_CASE(ReplacesPromotedServerThatDies) {
+  for (auto &[Id, Server] : m_Servers)
+    Server.m_PromotionTime = 3s;
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  runUntil([&] { return !m_Promoted.empty(); });
+  const ServerId First = m_Promoted.front();
+  run(100ms);
+  m_Servers[First].m_Answers = false;
+  m_Servers[First].m_Announces = false;
+  m_Servers[First].m_PromotionDoneAt.reset();
+  const ServerId Other = First == S2 ? S3 : S2;
+  const Duration Waited = runUntil([&] { return m_Promoted.back() == Other; });
+  BOOST_TEST((Waited < 3s));
+}
+
 BOOST_AUTO_TEST_CASE(PromotesOneServerAtATime) {
   m_LosesPromotionAnswers = true;
   m_Servers[S1].m_Answers = false;
