Session homes are copied and translated once for all sessions

Change: the actions and updates share one immutable list; UpdateTracker copies it and ControlNode translates it once a revision. The bytes on the wire are the same, and encoding them is still done for each session.

--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -271,6 +271,14 @@
   return Status;
 }
 
+const std::shared_ptr<const SessionHomesView> &
+ControlNode::sharedHomesView(const SessionHomeLists &Homes) {
+  if (m_HomesView == nullptr || m_HomesView->m_Revision != Homes.m_Revision) {
+    m_HomesView = std::make_shared<const SessionHomesView>(homesView(Homes));
+  }
+  return m_HomesView;
+}
+
 SessionHomesView ControlNode::homesView(const SessionHomeLists &Homes) {
   const auto ToAddresses = [&](const std::vector<HostId> &Hosts) {
     std::vector<EntryAddress> Addresses;
--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -163,6 +163,9 @@
   bool isServing() const;
   ControlStatus notLeaderStatus() const;
   static SessionHomesView homesView(const SessionHomeLists &Homes);
+  /// homesView(), made once for all sessions.
+  const std::shared_ptr<const SessionHomesView> &
+  sharedHomesView(const SessionHomeLists &Homes);
 
   ControlNodeSettings m_Settings;        ///< Settings.
   std::unique_ptr<LogStorage> m_Storage; ///< Null after releaseStorage().
@@ -175,6 +178,8 @@
   std::map<RenewalKey, Respond<RenewReply>> m_Renewals; ///< Not yet answered.
   std::map<ControlSessionId, ControlUpdate>
       m_Pushes; ///< Updates to push once all actions of a step are performed.
+  std::shared_ptr<const SessionHomesView>
+      m_HomesView;                     ///< See sharedHomesView().
   bool m_IsInBatch = false;            ///< See beginBatch().
   std::size_t m_AppliedEntries = 0;    ///< Entries applied by performActions().
   std::uint64_t m_LastTokenNumber = 0; ///< Last number used in a token.
--- a/ragwortmux/Process/Control/ControlNodeActions.cpp
+++ b/ragwortmux/Process/Control/ControlNodeActions.cpp
@@ -263,7 +263,7 @@
   Reply.m_Update.m_Views = Action.m_Groups;
   Reply.m_Update.m_Catalogue = Action.m_Catalogue;
   if (Action.m_Homes) {
-    Reply.m_Update.m_Homes = homesView(*Action.m_Homes);
+    Reply.m_Update.m_Homes = sharedHomesView(*Action.m_Homes);
   }
   const auto Respond = std::move(Found->second);
   m_Renewals.erase(Found);
@@ -296,7 +296,7 @@
 }
 
 void ControlNode::perform(Instant, const PushSessionHomes &Action) {
-  m_Pushes[Action.m_Session].m_Homes = homesView(Action.m_Homes);
+  m_Pushes[Action.m_Session].m_Homes = sharedHomesView(*Action.m_Homes);
 }
 
 void ControlNode::perform(Instant Now, const CallBackend &Action) {
--- a/ragwortmux/Process/Peers/ControlMessages.h
+++ b/ragwortmux/Process/Peers/ControlMessages.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,7 +45,9 @@
 struct ControlUpdate final {
   std::vector<GroupView> m_Views;            ///< Newer records of groups.
   std::optional<CatalogueDelta> m_Catalogue; ///< Newer catalogue entries.
-  std::optional<SessionHomesView> m_Homes;   ///< The session homes.
+  std::shared_ptr<const SessionHomesView>
+      m_Homes; ///< The session homes, shared by the updates to all processes;
+               ///< null: unchanged.
 };
 
 /// The newest revisions that an entry process has taken into use.
--- a/ragwortmux/Process/Peers/RpcCodec.cpp
+++ b/ragwortmux/Process/Peers/RpcCodec.cpp
@@ -194,7 +194,7 @@
   if (Update.m_Catalogue) {
     writeRpc(Out.initCatalogue(), *Update.m_Catalogue);
   }
-  Out.setHasHomes(Update.m_Homes.has_value());
+  Out.setHasHomes(Update.m_Homes != nullptr);
   if (Update.m_Homes) {
     writeRpc(Out.initHomes(), *Update.m_Homes);
   }
@@ -209,7 +209,8 @@
     Update.m_Catalogue = readRpc(In.getCatalogue());
   }
   if (In.getHasHomes()) {
-    Update.m_Homes = readRpc(In.getHomes());
+    Update.m_Homes =
+        std::make_shared<const SessionHomesView>(readRpc(In.getHomes()));
   }
   return Update;
 }
--- a/ragwortmux/Version/ControlAction.h
+++ b/ragwortmux/Version/ControlAction.h
@@ -8,6 +8,7 @@
 #include "ragwortmux/Version/SessionHomeLists.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -41,8 +42,8 @@
                    ///< date.
   std::vector<GroupView>
       m_Groups; ///< Group records that the proxy has not confirmed.
-  std::optional<SessionHomeLists>
-      m_Homes; ///< The session homes, unless the proxy has confirmed them.
+  std::shared_ptr<const SessionHomeLists>
+      m_Homes; ///< The session homes; null if the proxy has confirmed them.
 };
 
 /// Refuses a lease renewal because the session is not open.
@@ -67,8 +68,8 @@
 /// Pushes the session homes to a proxy, which confirms them to
 /// ControlLeader::homesConfirmed.
 struct PushSessionHomes final {
-  ControlSessionId m_Session; ///< To whom.
-  SessionHomeLists m_Homes;   ///< The homes.
+  ControlSessionId m_Session;                      ///< To whom.
+  std::shared_ptr<const SessionHomeLists> m_Homes; ///< The homes, not null.
 };
 
 /// Calls a backend server; the outcome is passed to
--- a/ragwortmux/Version/UpdateTracker.cpp
+++ b/ragwortmux/Version/UpdateTracker.cpp
@@ -17,6 +17,7 @@
 
 void UpdateTracker::reset() {
   m_Sessions.clear();
+  m_SharedHomes = nullptr;
   m_CatalogueLog.reset();
 }
 
@@ -123,7 +124,7 @@
     }
     if (Progress.m_Homes.isPushDue(Homes)) {
       Progress.m_Homes.sent(Homes, Now);
-      m_Context.addAction(PushSessionHomes{Session, State.homes()});
+      m_Context.addAction(PushSessionHomes{Session, sharedHomes()});
     }
   }
 }
@@ -204,15 +205,23 @@
   return Entries.deltaSince(Progress.confirmed());
 }
 
-std::optional<SessionHomeLists>
+const std::shared_ptr<const SessionHomeLists> &UpdateTracker::sharedHomes() {
+  const SessionHomeLists &Current = m_Context.state().homes();
+  if (m_SharedHomes == nullptr ||
+      m_SharedHomes->m_Revision != Current.m_Revision)
+    m_SharedHomes = std::make_shared<const SessionHomeLists>(Current);
+  return m_SharedHomes;
+}
+
+std::shared_ptr<const SessionHomeLists>
 UpdateTracker::takeUnconfirmedHomes(ControlSessionId Session, Instant Now) {
   const SessionHomeLists &Homes = m_Context.state().homes();
   ListProgress &Progress = m_Sessions[Session].m_Homes;
   if (!Progress.isReplyDue(Homes.m_Revision, Now,
                            m_Context.settings().m_ListPushTimeout))
-    return std::nullopt;
+    return nullptr;
   Progress.sent(Homes.m_Revision, Now);
-  return Homes;
+  return sharedHomes();
 }
 
 bool UpdateTracker::isCatalogueOverdue(ControlSessionId Session,
--- a/ragwortmux/Version/UpdateTracker.h
+++ b/ragwortmux/Version/UpdateTracker.h
@@ -10,6 +10,7 @@
 #include "ragwortmux/Version/SessionHomeLists.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -79,8 +80,8 @@
   takeUnconfirmedCatalogue(ControlSessionId Session, Instant Now);
   /// The session homes unless \p Session has confirmed them or they are on
   /// their way. They count as sent.
-  std::optional<SessionHomeLists> takeUnconfirmedHomes(ControlSessionId Session,
-                                                       Instant Now);
+  std::shared_ptr<const SessionHomeLists>
+  takeUnconfirmedHomes(ControlSessionId Session, Instant Now);
   /// Records that a renewal of \p Session is answered. From then on lists are
   /// pushed to it.
   void renewalAnswered(ControlSessionId Session) {
@@ -122,10 +123,13 @@
   };
 
   const SessionProgress *find(ControlSessionId Session) const;
+  /// The session homes, copied once for all sessions: they name all hosts.
+  const std::shared_ptr<const SessionHomeLists> &sharedHomes();
 
   LeaderContext &m_Context;                ///< Shared.
   const GroupParticipants &m_Participants; ///< Who takes part in each group.
   std::map<ControlSessionId, SessionProgress> m_Sessions; ///< By session.
+  std::shared_ptr<const SessionHomeLists> m_SharedHomes; ///< See sharedHomes().
   CatalogueProgressLog m_CatalogueLog; ///< When sessions have the catalogue.
 };
 
--- a/tests/Process/SessionEntryRoleTest.cpp
+++ b/tests/Process/SessionEntryRoleTest.cpp
@@ -123,10 +123,11 @@
     Server.m_ConnectionShare = 1;
     Update.m_Views.push_back(View);
     if (Known == Homes::OnlyThisHost) {
-      Update.m_Homes.emplace();
-      Update.m_Homes->m_Revision = Revision(1);
-      Update.m_Homes->m_Active.push_back(
+      SessionHomesView List;
+      List.m_Revision = Revision(1);
+      List.m_Active.push_back(
           {m_Settings.m_Host, m_Settings.m_FailureDomain, Loopback, 1});
+      Update.m_Homes = std::make_shared<const SessionHomesView>(List);
     }
     m_Listener(m_Session, Update,
                [this](const auto &Confirmed) { m_PushConfirmed = Confirmed; });
--- a/tests/Version/CatalogueLeaseTest.cpp
+++ b/tests/Version/CatalogueLeaseTest.cpp
@@ -165,7 +165,7 @@
     m_Leader->catalogueConfirmed(m_Session, m_Cache.revision(), m_Now);
   }
   void handle(const PushSessionHomes &Action) {
-    m_Homes = Action.m_Homes.m_Revision;
+    m_Homes = Action.m_Homes->m_Revision;
     m_Leader->homesConfirmed(m_Session, m_Homes, m_Now);
   }
   // Also RefuseRenewal: the session has ended, and its lease runs out.
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -306,7 +306,8 @@
   Update.m_Views = Action.m_Groups;
   Update.m_Catalogue = Action.m_Catalogue;
   if (Action.m_Homes)
-    Update.m_Homes = homesView(*Action.m_Homes);
+    Update.m_Homes =
+        std::make_shared<const SessionHomesView>(homesView(*Action.m_Homes));
   schedule(countBytes(*Host, Update), [this, Host, Update, Action] {
     receive(*Host, Update);
     Host->m_Lease.renewalGranted(Action.m_Session, Action.m_Sequence,
@@ -333,7 +334,8 @@
 
 void FleetHarness::handle(const PushSessionHomes &Action) {
   ControlUpdate Update;
-  Update.m_Homes = homesView(Action.m_Homes);
+  Update.m_Homes =
+      std::make_shared<const SessionHomesView>(homesView(*Action.m_Homes));
   push(Action.m_Session, Update);
 }
 
--- a/tests/Version/LeaderHarness.cpp
+++ b/tests/Version/LeaderHarness.cpp
@@ -288,7 +288,7 @@
   FakeProxy *Proxy = reachable(Action.m_Session);
   if (Proxy == nullptr)
     return;
-  applyLists(*Proxy, Action.m_Delta, std::nullopt);
+  applyLists(*Proxy, Action.m_Delta, nullptr);
   m_Leader->catalogueConfirmed(Action.m_Session, Proxy->m_Catalogue, m_Now);
 }
 
@@ -300,9 +300,9 @@
   m_Leader->homesConfirmed(Action.m_Session, Proxy->m_Homes, m_Now);
 }
 
-void LeaderHarness::applyLists(FakeProxy &Proxy,
-                               const std::optional<CatalogueDelta> &Catalogue,
-                               const std::optional<SessionHomeLists> &Homes) {
+void LeaderHarness::applyLists(
+    FakeProxy &Proxy, const std::optional<CatalogueDelta> &Catalogue,
+    const std::shared_ptr<const SessionHomeLists> &Homes) {
   if (Catalogue)
     Proxy.m_Catalogue = std::max(Proxy.m_Catalogue, Catalogue->m_Revision);
   if (Homes && Proxy.m_ConfirmsHomes)
--- a/tests/Version/LeaderHarness.h
+++ b/tests/Version/LeaderHarness.h
@@ -136,7 +136,7 @@
   void applyView(FakeProxy &Proxy, const GroupView &View);
   static void applyLists(FakeProxy &Proxy,
                          const std::optional<CatalogueDelta> &Catalogue,
-                         const std::optional<SessionHomeLists> &Homes);
+                         const std::shared_ptr<const SessionHomeLists> &Homes);
   FakeProxy *reachable(ControlSessionId Session);
   BackendCallResult answer(const CallBackend &Action);
 
