--- a/ragwortmux/Process/Control/ControlNodeActions.cpp
+++ b/ragwortmux/Process/Control/ControlNodeActions.cpp
@@ -28,10 +28,12 @@
   // Actions of the log may cause actions of the leader and the reverse, so this
   // repeats until neither has any left.
   bool Busy = true;
+  m_AppliedEntries = 0;
   while (Busy) {
     const bool LogActed = performLogActions(Now);
     const bool LeaderActed = performLeaderActions(Now);
-    Busy = LogActed || LeaderActed;
+    Busy = (LogActed || LeaderActed) &&
+           m_AppliedEntries < m_Settings.m_Log.m_MaxApplyEntries;
   }
   for (auto &[Session, Update] : std::exchange(m_Pushes, {})) {
     m_Hooks.m_Push(Session, std::move(Update));
@@ -92,6 +94,7 @@
   for (const LogEntry &Entry : Action.m_Entries) {
     applyEntry(Now, Entry);
   }
+  m_AppliedEntries += Action.m_Entries.size();
   snapshotIfDue(Now);
 }
 
@@ -260,7 +263,7 @@
   Reply.m_Update.m_Views = Action.m_Groups;
   Reply.m_Update.m_Catalogue = Action.m_Catalogue;
   if (Action.m_Homes) {
-    Reply.m_Update.m_Homes = homesView(*Action.m_Homes);
+    Reply.m_Update.m_Homes = sharedHomesView(*Action.m_Homes);
   }
   const auto Respond = std::move(Found->second);
   m_Renewals.erase(Found);
@@ -293,7 +296,7 @@
 }
 
 void ControlNode::perform(Instant, const PushSessionHomes &Action) {
-  m_Pushes[Action.m_Session].m_Homes = homesView(Action.m_Homes);
+  m_Pushes[Action.m_Session].m_Homes = sharedHomesView(*Action.m_Homes);
 }
 
 void ControlNode::perform(Instant Now, const CallBackend &Action) {
--- a/ragwortmux/Version/UpdateTracker.h
+++ b/ragwortmux/Version/UpdateTracker.h
@@ -10,6 +10,7 @@
 #include "ragwortmux/Version/SessionHomeLists.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -79,8 +80,8 @@
   takeUnconfirmedCatalogue(ControlSessionId Session, Instant Now);
   /// The session homes unless \p Session has confirmed them or they are on
   /// their way. They count as sent.
-  std::optional<SessionHomeLists> takeUnconfirmedHomes(ControlSessionId Session,
-                                                       Instant Now);
+  std::shared_ptr<const SessionHomeLists>
+  takeUnconfirmedHomes(ControlSessionId Session, Instant Now);
   /// Records that a renewal of \p Session is answered. From then on lists are
   /// pushed to it.
   void renewalAnswered(ControlSessionId Session) {
@@ -97,17 +98,21 @@
   struct Progress final {
     Revision m_Confirmed; ///< Latest confirmed revision.
     Revision m_Pushed;    ///< Latest pushed revision.
-    Instant m_PushedAt{}; ///< When.
+    Term m_PushedTerm;    ///< Term of the record that was pushed.
+    std::optional<ServerId> m_PushedPrimary; ///< Its primary.
+    Instant m_PushedAt{};                    ///< When.
     Instant
         m_WaitingSince{}; ///< Since when there has been an unconfirmed push.
 
     /// Returns true if \p Confirmed is newer than known before.
     bool confirm(Revision Confirmed, Instant Now);
-    /// Returns true if \p Current has to be pushed now, and records the push.
-    bool startPush(Revision Current, Instant Now, Duration Retry);
-    /// Records that \p Current is pushed now.
-    void recordPush(Revision Current, Instant Now);
+    /// Records that \p Group is pushed now.
+    void recordPush(const GroupRecord &Group, Instant Now);
     bool isWaiting() const { return m_Confirmed < m_Pushed; }
+    /// True if \p Group has to be pushed now. Shares move many times when hosts
+    /// come and go, so that a record without a new primary waits until the one
+    /// before it has arrived, or for \p Retry.
+    bool isPushDue(const GroupRecord &Group, Instant Now, Duration Retry) const;
   };
 
   struct SessionProgress final {
@@ -118,10 +123,13 @@
   };
 
   const SessionProgress *find(ControlSessionId Session) const;
+  /// The session homes, copied once for all sessions: they name all hosts.
+  const std::shared_ptr<const SessionHomeLists> &sharedHomes();
 
   LeaderContext &m_Context;                ///< Shared.
   const GroupParticipants &m_Participants; ///< Who takes part in each group.
   std::map<ControlSessionId, SessionProgress> m_Sessions; ///< By session.
+  std::shared_ptr<const SessionHomeLists> m_SharedHomes; ///< See sharedHomes().
   CatalogueProgressLog m_CatalogueLog; ///< When sessions have the catalogue.
 };
 
--- a/tests/Version/FleetHarness.cpp
+++ b/tests/Version/FleetHarness.cpp
@@ -21,7 +21,7 @@
 constexpr Duration MessageDelay = 1ms;
 constexpr Duration CommitDelay = 2ms;
 constexpr Duration RenewalInterval = 300ms;
-constexpr std::uint64_t StepsPerTick = 20;
+constexpr std::uint64_t StepsPerTick = 10;
 constexpr std::uint64_t StepsPerAnnouncement = 1200;
 constexpr std::uint32_t ServersPerGroup = 3;
 constexpr std::size_t HostsPerDomain = 4;
@@ -84,13 +84,27 @@
   for (std::size_t Host = 0; Host < m_Hosts.size(); ++Host) {
     const auto Part = static_cast<std::int64_t>(Host);
     const auto Parts = static_cast<std::int64_t>(m_Hosts.size());
-    schedule(Within * Part / Parts, [this, Host] {
-      const FleetHost &Opened = m_Hosts[Host];
-      lead([&] {
-        apply(OpenSession{Opened.m_Host, Incarnation(m_Run), Opened.m_Domain,
-                          "10.0.0." + std::to_string(Host), 7000});
-      });
-      schedule(MessageDelay, [this, Host] { renew(Host); });
+    schedule(Within * Part / Parts, [this, Host] { open(Host); });
+  }
+}
+
+void FleetHarness::open(std::size_t Host) {
+  const FleetHost &Opened = m_Hosts[Host];
+  lead([&] {
+    apply(OpenSession{Opened.m_Host, Incarnation(m_Run), Opened.m_Domain,
+                      "10.0.0." + std::to_string(Host), 7000});
+  });
+  schedule(MessageDelay, [this, Host] { renew(Host); });
+}
+
+void FleetHarness::cutOff(std::size_t Count, Duration Length, Duration Within) {
+  for (std::size_t Host = 0; Host < Count; ++Host) {
+    m_Hosts[Host].m_IsCutOff = true;
+    const auto Part = static_cast<std::int64_t>(Host);
+    const auto Parts = static_cast<std::int64_t>(Count);
+    schedule(Length + Within * Part / Parts, [this, Host] {
+      m_Hosts[Host].m_IsCutOff = false;
+      open(Host);
     });
   }
 }
@@ -240,6 +254,9 @@
 
 void FleetHarness::renew(std::size_t Host) {
   FleetHost &Renewing = m_Hosts[Host];
+  // The session that it opens again is renewed anew.
+  if (Renewing.m_IsCutOff)
+    return;
   LeaseRenewal Renewal;
   Renewal.m_Session = Renewing.m_Session;
   Renewal.m_Sequence = Renewing.m_Lease.renewalSent(m_Now);
@@ -282,12 +299,15 @@
 void FleetHarness::handle(const GrantRenewal &Action) {
   FleetHost *Host = find(Action.m_Session);
   BOOST_REQUIRE(Host != nullptr);
+  if (Host->m_IsCutOff)
+    return;
   ++m_Counts.m_Renewals;
   ControlUpdate Update;
   Update.m_Views = Action.m_Groups;
   Update.m_Catalogue = Action.m_Catalogue;
   if (Action.m_Homes)
-    Update.m_Homes = homesView(*Action.m_Homes);
+    Update.m_Homes =
+        std::make_shared<const SessionHomesView>(homesView(*Action.m_Homes));
   schedule(countBytes(*Host, Update), [this, Host, Update, Action] {
     receive(*Host, Update);
     Host->m_Lease.renewalGranted(Action.m_Session, Action.m_Sequence,
@@ -300,6 +320,7 @@
 }
 
 void FleetHarness::handle(const PushGroupView &Action) {
+  countOvertaking(Action.m_Session, Action.m_View);
   ControlUpdate Update;
   Update.m_Views = {Action.m_View};
   push(Action.m_Session, Update);
@@ -313,7 +334,8 @@
 
 void FleetHarness::handle(const PushSessionHomes &Action) {
   ControlUpdate Update;
-  Update.m_Homes = homesView(Action.m_Homes);
+  Update.m_Homes =
+      std::make_shared<const SessionHomesView>(homesView(*Action.m_Homes));
   push(Action.m_Session, Update);
 }
 
@@ -331,13 +353,14 @@
 
 void FleetHarness::push(ControlSessionId Session, const ControlUpdate &Update) {
   FleetHost *Host = find(Session);
-  if (Host == nullptr)
+  if (Host == nullptr || Host->m_IsCutOff)
     return;
   ++m_Counts.m_Pushes;
   schedule(countBytes(*Host, Update), [this, Host, Update] {
     receive(*Host, Update);
     schedule(MessageDelay, [this, Host] {
       ++m_Counts.m_Confirmations;
+      Host->m_OnTheirWay.clear();
       lead([&] {
         for (const auto &[Group, View] : Host->m_Views)
           m_Leader->updateConfirmed(Host->m_Session, Group, View.m_Revision,
@@ -349,6 +372,18 @@
   });
 }
 
+void FleetHarness::countOvertaking(ControlSessionId Session,
+                                   const GroupView &View) {
+  FleetHost *Host = find(Session);
+  if (Host == nullptr || Host->m_IsCutOff)
+    return;
+  const auto [Earlier, IsNew] =
+      Host->m_OnTheirWay.try_emplace(View.m_Group, View.m_Term);
+  if (!IsNew && Earlier->second == View.m_Term)
+    ++m_Counts.m_Overtaking;
+  Earlier->second = View.m_Term;
+}
+
 SessionHomesView FleetHarness::homesView(const SessionHomeLists &Homes) {
   // Like ControlNode::homesView().
   const auto ToAddresses = [&](const std::vector<HostId> &Hosts) {
--- a/tests/Version/FleetHarness.h
+++ b/tests/Version/FleetHarness.h
@@ -36,6 +36,8 @@
   std::size_t m_Renewals = 0;      ///< Renewals granted.
   std::size_t m_Proposals = 0;     ///< Commands proposed.
   std::size_t m_Bytes = 0;         ///< Encoded bytes of pushes and grants.
+  std::size_t m_Overtaking = 0;    ///< Records pushed while an earlier one of
+                                   ///< the same term was on its way.
   Duration m_Processor{0};         ///< Processor time of the leader.
 };
 
@@ -50,8 +52,11 @@
   Revision m_Homes;                     ///< Session homes that it applies.
   std::set<GroupId> m_Served;           ///< Groups that it serves.
   std::deque<std::pair<Instant, std::size_t>>
-      m_Received;         ///< Bytes received in the last second.
-  Instant m_LinkFreeAt{}; ///< When its link has passed on all that was sent.
+      m_Received;          ///< Bytes received in the last second.
+  Instant m_LinkFreeAt{};  ///< When its link has passed on all that was sent.
+  bool m_IsCutOff = false; ///< Control does not reach it.
+  std::map<GroupId, Term> m_OnTheirWay; ///< Terms of the records that were
+                                        ///< pushed and are not confirmed.
 };
 
 /// Runs a control leader with the settings of the deployments and many entry
@@ -71,6 +76,9 @@
   /// Ends the processes of all hosts at once; new ones open their sessions
   /// after \p Down, evenly spread over \p Within.
   void restartAll(Duration Down, Duration Within);
+  /// Cuts the first \p Count hosts off from control for \p Length, longer than
+  /// a lease; they open their sessions again evenly spread over \p Within.
+  void cutOff(std::size_t Count, Duration Length, Duration Within);
   /// Replaces the catalogue by \p Entries entries of the first group.
   void replaceCatalogue(std::uint32_t Entries);
   /// Makes another process the leader; sessions stay open and messages in
@@ -95,6 +103,8 @@
   Duration largestBusyTime() const { return m_LargestBusyTime; }
 
 private:
+  /// Opens the session of one host.
+  void open(std::size_t Host);
   /// Calls the leader, and executes its actions until none is left.
   void lead(const std::function<void()> &Event);
   void schedule(Duration Delay, std::function<void()> Event);
@@ -112,6 +122,8 @@
   void handle(const CallBackend &Action);
   void handle(const WriteTimelineLine &) {}
   void push(ControlSessionId Session, const ControlUpdate &Update);
+  /// Counts \p View if it is pushed beside an earlier one.
+  void countOvertaking(ControlSessionId Session, const GroupView &View);
   static SessionHomesView homesView(const SessionHomeLists &Homes);
   FleetHost *find(ControlSessionId Session);
   void receive(FleetHost &Host, const ControlUpdate &Update);
