A call is waited for while its connection still receives bytes

Change: PeerLink waits beyond a call's timeout while bytes have arrived within 200 ms, up to ten timeouts. A connection without bytes fails as before, after the timeout.

Test: ControlClientTest RenewalBehindLargeUpdateIsWaitedFor, seen to fail (two sessions instead of one).

--- a/ragwortmux/Process/Peers/PeerLink.cpp
+++ b/ragwortmux/Process/Peers/PeerLink.cpp
@@ -13,6 +13,13 @@
 
 namespace {
 
+/// Interval of the checks of a connection with a call beyond its timeout.
+constexpr Duration SilenceCheckInterval = std::chrono::milliseconds(50);
+/// A connection counts as silent if nothing has arrived for this long.
+constexpr Duration SilenceTimeout = std::chrono::milliseconds(200);
+/// Largest multiple of its timeout that a call may take.
+constexpr int MaxTimeouts = 10;
+
 /// Passes updates from control to a handler.
 class ListenerServer final : public rpc::EntryListener::Server {
 public:
@@ -60,7 +67,13 @@
       return nullptr;
     }
     m_RetryAt = Now + m_Settings.m_ReconnectPause;
-    m_Connection = std::make_shared<PeerConnection>();
+    m_Connection = std::make_shared<PeerConnection>(
+        [Weak = weak_from_this(), Number = ++m_ConnectionNumber] {
+          const auto Self = Weak.lock();
+          if (Self && Self->m_ConnectionNumber == Number) {
+            Self->m_LastHeardAt = monotonicNow();
+          }
+        });
     rpc::Peer::Client Peer =
         m_Connection->connect(m_Loop, m_Key, m_Settings.m_OwnHost,
                               m_Settings.m_Address, m_Settings.m_Port);
@@ -97,6 +110,21 @@
     }
   }
 
+  /// Fails with OVERLOADED after \p Pause, or later: while bytes arrive, the
+  /// answer may be behind a large update on a slow link, and a new connection
+  /// would only bring the update again. Fails at \p Limit at the latest.
+  kj::Promise<void> waitForTimeout(Duration Pause, Instant Limit) {
+    return m_Loop.timer()
+        .afterDelay(toKj(Pause))
+        .then([this, Limit]() -> kj::Promise<void> {
+          const Instant Now = monotonicNow();
+          if (Now - m_LastHeardAt >= SilenceTimeout || Now >= Limit) {
+            return KJ_EXCEPTION(OVERLOADED, "no answer within the timeout");
+          }
+          return waitForTimeout(SilenceCheckInterval, Limit);
+        });
+  }
+
   /// Sends \p Call; \p Read converts the results to the reply.
   template <typename Reply, typename Params, typename Results, typename Reader>
   void send(std::string_view CallName, capnp::Request<Params, Results> &&Call,
@@ -110,9 +138,12 @@
         Call.send().then([Read](capnp::Response<Results> &&Result) -> Reply {
           return Read(Result);
         });
+    auto Timeout =
+        waitForTimeout(m_Settings.m_CallTimeout,
+                       monotonicNow() + m_Settings.m_CallTimeout * MaxTimeouts)
+            .then([]() -> Reply { KJ_UNREACHABLE; });
     m_Loop.spawn(
-        m_Loop.timer()
-            .timeoutAfter(toKj(m_Settings.m_CallTimeout), kj::mv(Answer))
+        Answer.exclusiveJoin(kj::mv(Timeout))
             .then(
                 [Self, Respond](Reply Value) {
                   --Self->m_Unanswered;
@@ -121,7 +152,7 @@
                 [Self, UsedConnection, Respond,
                  CallName](kj::Exception &&Error) {
                   --Self->m_Unanswered;
-                  // timeoutAfter() fails with OVERLOADED.
+                  // waitForTimeout() fails with OVERLOADED.
                   const bool IsTimeout =
                       Error.getType() == kj::Exception::Type::OVERLOADED;
                   Self->countFailure(CallName, IsTimeout ? "timeout" : "lost");
@@ -155,6 +186,8 @@
   std::string m_PeerName;                       ///< Label in metrics.
   kj::Maybe<rpc::Peer::Client> m_Peer;          ///< Set while connected.
   std::shared_ptr<PeerConnection> m_Connection; ///< What m_Peer runs over.
+  std::uint64_t m_ConnectionNumber = 0;         ///< Number of the connection.
+  Instant m_LastHeardAt{};      ///< When bytes last arrived over it.
   Instant m_RetryAt{};          ///< Earliest next connection attempt.
   std::size_t m_Unanswered = 0; ///< Calls without an answer yet.
 };
--- a/ragwortmux/Process/Peers/PeerLink.h
+++ b/ragwortmux/Process/Peers/PeerLink.h
@@ -23,8 +23,9 @@
   HostId m_OwnHost;         ///< This host; named in the proof.
   std::string m_Address;    ///< IP address of the other process.
   std::uint16_t m_Port = 0; ///< Its RPC port.
-  Duration m_CallTimeout =
-      std::chrono::milliseconds(1000); ///< Timeout of one call.
+  Duration m_CallTimeout = std::chrono::milliseconds(
+      1000); ///< Timeout of one call. PeerLink waits longer while bytes
+             ///< arrive, up to ten times as long.
   Duration m_ReconnectPause =
       std::chrono::milliseconds(50); ///< Pause between two connection attempts.
   std::size_t m_MaxUnanswered =
@@ -42,7 +43,8 @@
 /// proves the knowledge of the cluster key, and reconnects after a failure.
 ///
 /// A call that times out counts as a failure of the connection, because a
-/// connection may stay silent for ever while a new one would work. Each reply
+/// connection may stay silent for ever while a new one would work. A call whose
+/// connection still receives bytes is waited for. Each reply
 /// is given once, on the event loop; an empty reply means that it is unknown
 /// whether the other process carried out the call.
 class PeerLink final {
--- a/tests/Process/ControlClientTest.cpp
+++ b/tests/Process/ControlClientTest.cpp
@@ -26,7 +26,9 @@
       : m_Key("one-key-of-the-cluster") {
     RpcServerHooks Hooks;
     Hooks.m_OpenSession = [this](const EntryAddress &, Incarnation,
-                                 const UpdateListener &, const auto &Respond) {
+                                 const UpdateListener &Listener,
+                                 const auto &Respond) {
+      m_Listener = Listener;
       Respond({{}, ControlSessionId(++m_Sessions)});
     };
     Hooks.m_Renew = [this](const LeaseRenewal &Renewal, const auto &Respond) {
@@ -63,7 +65,7 @@
     Hooks.m_Confirmation = [] { return Confirmation(); };
     Hooks.m_Demand = [] { return std::vector<ShareDemand>(); };
     Hooks.m_ServedGroups = [this] { return m_Serves; };
-    Hooks.m_LeaseExtended = [](Instant) {};
+    Hooks.m_LeaseExtended = [this](Instant) { ++m_Extensions; };
     Hooks.m_SessionOpened = [](ControlSessionId, bool) {};
     return Hooks;
   }
@@ -79,6 +81,8 @@
   unsigned m_Renewals = 0;                   ///< Renewals received.
   std::uint64_t m_Sessions = 0;    ///< Sessions opened; also the newest id.
   unsigned m_Catalogues = 0;       ///< Catalogues that the client applied.
+  unsigned m_Extensions = 0;       ///< Times that the lease was extended.
+  UpdateListener m_Listener;       ///< Pushes to the client.
   ControlSessionId m_EndedSession; ///< Its renewals are refused.
   bool m_HoldsFirstReply = false;  ///< The first renewal is answered later.
   std::function<void(RenewReply)> m_HeldReply; ///< Answers that renewal.
@@ -147,4 +151,26 @@
   BOOST_TEST(Control.m_Sessions == 2U);
 }
 
+// On a slow link a large update takes longer than a call may take. If the
+// renewal behind it ends the connection, the update is sent again over the next
+// one, without end, and the host never gets a lease.
+BOOST_AUTO_TEST_CASE(RenewalBehindLargeUpdateIsWaitedFor) {
+  Pair Control(milliseconds(300));
+  Control.m_HoldsFirstReply = true;
+  Control.m_Client->start();
+  Control.run(milliseconds(100));
+  BOOST_REQUIRE(Control.m_HeldReply);
+  for (int Part = 0; Part < 20; ++Part) {
+    Control.m_Listener(ControlSessionId(1), ControlUpdate(),
+                       [](const std::optional<Confirmation> &) {});
+    Control.run(milliseconds(50));
+  }
+  RenewReply Late;
+  Late.m_Lease = seconds(60);
+  Control.m_HeldReply(Late);
+  Control.run(milliseconds(200));
+  BOOST_TEST(Control.m_Sessions == 1U);
+  BOOST_TEST(Control.m_Extensions == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
