--- a/ragwortmux/Request/CallerSession.cpp
+++ b/ragwortmux/Request/CallerSession.cpp
@@ -49,10 +49,8 @@
 void CallerSession::answered(TransactionStatus Status, const GroupId &Group,
                              const std::optional<LogPoint> &Written) {
   m_Status = Status;
-  if (!Written)
-    return;
-  m_WrittenGroup = Group;
-  m_LastWrite = Written;
+  if (Written)
+    m_LastWrites[Group] = *Written;
 }
 
 const PreparedStatement *
@@ -62,7 +60,9 @@
 }
 
 std::optional<LogPoint> CallerSession::lastWrite(const GroupId &Group) const {
-  return Group == m_WrittenGroup ? m_LastWrite : std::nullopt;
+  const auto Found = m_LastWrites.find(Group);
+  return Found == m_LastWrites.end() ? std::nullopt
+                                     : std::optional(Found->second);
 }
 
 SessionState &CallerSession::mutableState() {
--- a/ragwortmux/Request/CallerSession.h
+++ b/ragwortmux/Request/CallerSession.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Request/StatementReply.h"
 #include "ragwortmux/Version/LogPoint.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -35,7 +36,8 @@
   std::shared_ptr<const SessionState> state() const { return m_State; }
   /// The definition of the prepared statement \p Name, or null.
   const PreparedStatement *prepared(const std::string &Name) const;
-  /// The position of the session's last write to \p Group, if any.
+  /// The position of the session's last acknowledged write to \p Group, if any;
+  /// kept for every group, because an entry may move to another group and back.
   std::optional<LogPoint> lastWrite(const GroupId &Group) const;
 
 private:
@@ -43,8 +45,8 @@
 
   std::shared_ptr<SessionState> m_State; ///< Shared with running statements.
   TransactionStatus m_Status = TransactionStatus::Idle; ///< See status().
-  GroupId m_WrittenGroup;              ///< Group of the last write.
-  std::optional<LogPoint> m_LastWrite; ///< Position of the last write.
+  std::map<GroupId, LogPoint>
+      m_LastWrites; ///< See lastWrite(); one for each group written to.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -217,7 +217,6 @@
     forwardReply(State, Reply);
     return;
   }
-  const bool Wrote = Open.m_Wrote;
   m_Transactions.erase(Found);
   if (leavesConnectionClean(Reply))
     releaseConnection(Connection);
@@ -227,13 +226,6 @@
     erase(State);
     return;
   }
-  const bool Commits =
-      State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
-  if (Commits && Wrote && Reply.m_Outcome == StatementOutcome::Done &&
-      !canAcknowledge(State)) {
-    finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
-    return;
-  }
   forwardReply(State, Reply);
 }
 
@@ -253,7 +245,7 @@
 
 void SessionCore::forwardReply(Request &State, const StatementReply &Reply) {
   const ResultCode Code = finalCode(Reply.m_Outcome);
-  if (State.isSingleWrite() && Code == ResultCode::Ok &&
+  if (State.makesDurable() && Code == ResultCode::Ok &&
       !canAcknowledge(State)) {
     finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
     return;
@@ -264,7 +256,7 @@
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end())
     Answer.m_Status = Open->second.m_Status;
-  if (State.isCommit() && Code == ResultCode::Ok)
+  if (State.makesDurable() && Code == ResultCode::Ok)
     Answer.m_Written = Reply.m_Point;
   emit(std::move(Answer));
   recordDecision(State, SessionDecision::Answered, Code);
@@ -275,15 +267,12 @@
   const Statement &Submitted = State.m_Request.m_Statement;
   if (State.m_InTransaction) {
     const auto Open = m_Transactions.find(State.m_Request.m_Caller);
-    const bool Wrote = Open != m_Transactions.end() && Open->second.m_Wrote;
     if (Open != m_Transactions.end())
       m_Transactions.erase(Open);
     // An uncommitted transaction is rolled back when its connection closes.
-    const bool MayHaveCommitted =
-        Submitted.m_Kind == StatementKind::Commit && Wrote;
     finish(State,
-           MayHaveCommitted ? ResultCode::OutcomeUnknown
-                            : ResultCode::NotRunRolledBack,
+           State.m_CommitsWrites ? ResultCode::OutcomeUnknown
+                                 : ResultCode::NotRunRolledBack,
            TransactionStatus::Idle);
     return;
   }
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -255,11 +255,12 @@
            TransactionStatus::Idle);
     return;
   }
-  const bool NeedsLease = Open.m_Wrote && State.m_Request.m_Statement.m_Kind ==
+  State.m_CommitsWrites = Open.m_Wrote && State.m_Request.m_Statement.m_Kind ==
                                               StatementKind::Commit;
   // Do not send a commit that could no longer be acknowledged.
-  if (NeedsLease && (m_AcknowledgedTerm != Open.m_Term ||
-                     m_Now + m_Settings.m_LeaseMargin >= leaseExpiry())) {
+  if (State.m_CommitsWrites &&
+      (m_AcknowledgedTerm != Open.m_Term ||
+       m_Now + m_Settings.m_LeaseMargin >= leaseExpiry())) {
     abandonTransaction(Open);
     submitInTransaction(State, Open);
     return;
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -16,6 +16,7 @@
   SessionRequest m_Request;     ///< As submitted.
   Instant m_Deadline;           ///< Latest time for the answer.
   bool m_InTransaction = false; ///< Runs in its caller's open transaction.
+  bool m_CommitsWrites = false; ///< It commits a transaction that wrote.
   bool m_IsCallerDisconnected =
       false; ///< The caller has disconnected, so no answer is sent.
   bool m_IsWaiting = false;                 ///< The statement is in the queue.
@@ -43,12 +44,14 @@
   bool isSingleWrite() const {
     return !m_InTransaction && m_Request.m_Statement.m_Writes;
   }
-  /// True if success makes writes durable: a commit, or a write outside a
+  /// True if success may make writes durable: a commit, or a write outside a
   /// transaction.
   bool isCommit() const {
     return isSingleWrite() ||
            m_Request.m_Statement.m_Kind == StatementKind::Commit;
   }
+  /// True if success makes writes durable and not only may do so.
+  bool makesDurable() const { return isSingleWrite() || m_CommitsWrites; }
   /// Prepared statement that it executes; null if none.
   const PreparedStatement *prepared() const {
     return m_Request.m_Prepared ? &*m_Request.m_Prepared : nullptr;
