--- a/ragwortmux/Process/Generated/Commands.capnp
+++ b/ragwortmux/Process/Generated/Commands.capnp
@@ -63,6 +63,7 @@
   server @1 :Text;
   leaving @2 :Bool;
   announced @3 :Bool;
+  ended @4 :Bool;
 }
 
 struct EndTerm {
@@ -222,6 +223,7 @@
   syncRevision @2 :UInt64;
   leaving @3 :Bool;
   announced @4 :Bool;
+  ended @5 :Bool;
 }
 
 struct Group {
--- a/ragwortmux/Process/Generated/Commands.capnp.h
+++ b/ragwortmux/Process/Generated/Commands.capnp.h
@@ -1278,6 +1278,8 @@
 
   inline bool getAnnounced() const;
 
+  inline bool getEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1326,6 +1328,9 @@
   inline bool getAnnounced();
   inline void setAnnounced(bool value);
 
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3529,6 +3534,8 @@
 
   inline bool getAnnounced() const;
 
+  inline bool getEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3576,6 +3583,9 @@
   inline bool getAnnounced();
   inline void setAnnounced(bool value);
 
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5233,6 +5243,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SetServerState::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool SetServerState::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SetServerState::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndTerm::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8192,6 +8216,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Server::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline bool Server::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Group::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/Peers/CommandCodec.cpp
+++ b/ragwortmux/Process/Peers/CommandCodec.cpp
@@ -55,11 +55,12 @@
   Body.setServer(toText(Command.m_Server.value()));
   Body.setLeaving(Command.m_Leaving);
   Body.setAnnounced(Command.m_Announced);
+  Body.setEnded(Command.m_HasEnded);
 }
 
 SetServerState read(stored::SetServerState::Reader In) {
   return {readId<GroupId>(In.getGroup()), readId<ServerId>(In.getServer()),
-          In.getLeaving(), In.getAnnounced()};
+          In.getLeaving(), In.getAnnounced(), In.getEnded()};
 }
 
 void write(Union::Builder Out, const EndTerm &Command) {
--- a/ragwortmux/Process/Peers/CommandCodecState.cpp
+++ b/ragwortmux/Process/Peers/CommandCodecState.cpp
@@ -102,6 +102,7 @@
   Out.setSyncRevision(Server.m_SyncRevision.value());
   Out.setLeaving(Server.m_Leaving);
   Out.setAnnounced(Server.m_Announced);
+  Out.setEnded(Server.m_HasEnded);
 }
 
 ServerRecord readServer(stored::Server::Reader In) {
@@ -115,7 +116,8 @@
           readEnumeration(In.getSync(), SyncState::InSync),
           Revision(In.getSyncRevision()),
           In.getLeaving(),
-          In.getAnnounced()};
+          In.getAnnounced(),
+          In.getEnded()};
 }
 
 void writeGroup(stored::Group::Builder Out, const GroupRecord &Group) {
--- a/ragwortmux/Request/PositionHistory.h
+++ b/ragwortmux/Request/PositionHistory.h
@@ -9,14 +9,6 @@
 
 namespace ragwortmux {
 
-/// True if \p Left precedes \p Right in the history of a delegated group, whose
-/// terms follow each other without a gap.
-inline bool isBefore(const LogPoint &Left, const LogPoint &Right) {
-  if (Left.m_Term != Right.m_Term)
-    return Left.m_Term < Right.m_Term;
-  return Left.m_Position < Right.m_Position;
-}
-
 /// History of log positions of a delegated group's primary by query time.
 ///
 /// A position that was queried at time t under a valid lease covers every
--- a/ragwortmux/Version/ControlCommand.h
+++ b/ragwortmux/Version/ControlCommand.h
@@ -83,12 +83,13 @@
                          const RegisterServer &) = default;
 };
 
-/// Sets whether a backend server is leaving and whether it announces itself.
+/// Sets whether a backend server is leaving, announces itself and has ended.
 struct SetServerState final {
   GroupId m_Group;         ///< Its group.
   ServerId m_Server;       ///< Its id.
   bool m_Leaving = false;  ///< The server is leaving and gets no new requests.
   bool m_Announced = true; ///< The leader receives its announcements.
+  bool m_HasEnded = false; ///< The server has deregistered.
   friend bool operator==(const SetServerState &,
                          const SetServerState &) = default;
 };
--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -309,13 +309,15 @@
         m_Context.settings().m_SilenceUnannounced;
     // A server whose announcements have not reached this leader yet keeps its
     // recorded state.
-    const bool HasEnded = HasAnnounced && Status->m_HasEnded;
+    const bool HasEnded = HasAnnounced ? Status->m_HasEnded : Server.m_HasEnded;
     const bool IsAnnounced =
         !IsSilent && !HasEnded && (HasAnnounced || Server.m_Announced);
-    if (IsLeaving == Server.m_Leaving && IsAnnounced == Server.m_Announced)
+    if (IsLeaving == Server.m_Leaving && IsAnnounced == Server.m_Announced &&
+        HasEnded == Server.m_HasEnded)
       continue;
-    m_Context.propose(SetServerState{Group.m_Group, Id, IsLeaving, IsAnnounced},
-                      Now);
+    m_Context.propose(
+        SetServerState{Group.m_Group, Id, IsLeaving, IsAnnounced, HasEnded},
+        Now);
   }
 }
 
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -192,8 +192,10 @@
     awaitPromotion(Group, Change, Now);
     return;
   }
+  const bool IsSynchronous = isSynchronous(Group);
   for (const auto &[Id, Server] : Group.m_Servers) {
-    if (isAnnounced(Group, Id, Now))
+    if (isAnnounced(Group, Id, Now) ||
+        (IsSynchronous && mayHoldCommits(Group, Server)))
       requestPosition(Group, Server, Change, Now);
   }
   if (!m_Updates.allConfirmed(Group.m_Group, Group.m_TermRevision,
@@ -209,13 +211,74 @@
   const auto Earliest = m_NoPromotionBefore.find(Group.m_Group);
   if (Earliest != m_NoPromotionBefore.end() && Now < Earliest->second)
     return;
-  if (Now >= Change.m_NextPromotionAt && hasEnoughAnswers(Group, Change, Now))
-    promoteBest(Group, Change, Now);
+  if (Now < Change.m_NextPromotionAt)
+    return;
+  if (!IsSynchronous) {
+    if (hasEnoughAnswers(Group, Change, Now))
+      promoteBest(Group, Change, LogPoint(), Now);
+  } else if (const auto Acknowledged = acknowledgedPoint(Group, Change, Now)) {
+    promoteBest(Group, Change, *Acknowledged, Now);
+  } else {
+    reportMissingAnswers(Group, Change, Now);
+  }
+}
+
+bool DelegatedPrimaryChange::mayHoldCommits(const GroupRecord &Group,
+                                            const ServerRecord &Server) {
+  return !Server.m_HasEnded || Group.m_Previous == Server.m_Server;
+}
+
+std::optional<LogPoint> DelegatedPrimaryChange::acknowledgedPoint(
+    const GroupRecord &Group, const Progress &Change, Instant Now) const {
+  LogPoint Newest;
+  bool HasReplica = false;
+  bool IsReplicaMissing = false;
+  for (const auto &[Id, Server] : Group.m_Servers) {
+    if (Group.m_Previous == Id || !mayHoldCommits(Group, Server))
+      continue;
+    const PositionAnswer *Answer = freshAnswer(Change, Id);
+    HasReplica = HasReplica || Answer != nullptr;
+    IsReplicaMissing = IsReplicaMissing || Answer == nullptr;
+    if (Answer != nullptr && isBefore(Newest, Answer->m_Point))
+      Newest = Answer->m_Point;
+  }
+  // One of the replicas has each commit, and the primary itself has all.
+  if (HasReplica && !IsReplicaMissing)
+    return Newest;
+  // The other replicas may be about to answer, and the primary was replaced for
+  // a reason.
+  const Duration Waited = Now - *Change.m_TermEndConfirmedAt;
+  if (Waited < m_Context.settings().m_FenceWait)
+    return std::nullopt;
+  const PositionAnswer *OfPrimary =
+      Group.m_Previous ? freshAnswer(Change, *Group.m_Previous) : nullptr;
+  if (OfPrimary == nullptr)
+    return std::nullopt;
+  return isBefore(Newest, OfPrimary->m_Point) ? OfPrimary->m_Point : Newest;
+}
+
+void DelegatedPrimaryChange::reportMissingAnswers(const GroupRecord &Group,
+                                                  Progress &Change,
+                                                  Instant Now) {
+  const Duration Waited = Now - *Change.m_TermEndConfirmedAt;
+  if (Change.m_IsMissingReported || Waited < m_Context.settings().m_FenceWait)
+    return;
+  Change.m_IsMissingReported = true;
+  std::string Missing;
+  for (const auto &[Id, Server] : Group.m_Servers) {
+    if (mayHoldCommits(Group, Server) && freshAnswer(Change, Id) == nullptr)
+      Missing += (Missing.empty() ? "" : ", ") + Id.value();
+  }
+  m_Context.addTimelineLine("group " + Group.m_Group.value() +
+                            ": no primary until one of " + Missing +
+                            " answers, which may hold acknowledged commits");
 }
 
 void DelegatedPrimaryChange::promoteBest(const GroupRecord &Group,
-                                         Progress &Change, Instant Now) {
-  const ServerRecord *Choice = bestCandidate(Group, Change, Now);
+                                         Progress &Change,
+                                         const LogPoint &Acknowledged,
+                                         Instant Now) {
+  const ServerRecord *Choice = bestCandidate(Group, Change, Acknowledged, Now);
   if (Choice == nullptr)
     return;
   Change.m_PromotionTarget = Choice->m_Server;
@@ -302,12 +365,6 @@
       HighestOfCandidates =
           std::max(HighestOfCandidates, Answer->m_Point.m_Position);
   }
-  if (isSynchronous(Group)) {
-    // Every acknowledged commit is on the primary and on at least one replica,
-    // so the answers of all servers but one are enough.
-    return Answered + 1 >= std::max<std::size_t>(Servers, 2) &&
-           HighestOfCandidates >= Highest;
-  }
   // Do not wait for the failed primary. Wait for replicas whose calls failed,
   // because one of them may be the most advanced, and for replicas of a leaving
   // primary, which still sends them what they lack.
@@ -324,7 +381,8 @@
 }
 
 const ServerRecord *DelegatedPrimaryChange::bestCandidate(
-    const GroupRecord &Group, const Progress &Change, Instant Now) const {
+    const GroupRecord &Group, const Progress &Change,
+    const LogPoint &Acknowledged, Instant Now) const {
   const ServerRecord *Best = nullptr;
   const auto Rank = [&](const ServerRecord &Server) {
     const PositionAnswer *Answer = freshAnswer(Change, Server.m_Server);
@@ -334,7 +392,8 @@
   };
   for (const auto &[Id, Server] : Group.m_Servers) {
     const PositionAnswer *Answer = freshAnswer(Change, Id);
-    if (Answer == nullptr || !isAnnounced(Group, Id, Now))
+    if (Answer == nullptr || !isAnnounced(Group, Id, Now) ||
+        isBefore(Answer->m_Point, Acknowledged))
       continue;
     // A promotion that was abandoned may have succeeded since.
     const bool LeadsNewTerm =
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -86,6 +86,7 @@
     Instant m_PromotionAcceptedAt{}; ///< When it was accepted.
     Instant
         m_NextPromotionAt{}; ///< No promote call to another server before this.
+    bool m_IsMissingReported = false; ///< See reportMissingAnswers().
   };
 
   Progress &progress(const GroupRecord &Group);
@@ -100,7 +101,10 @@
                                const ServerRecord &Server) const;
   bool hasCandidate(const GroupRecord &Group, Instant Now) const;
   void electPrimary(const GroupRecord &Group, Instant Now);
-  void promoteBest(const GroupRecord &Group, Progress &Change, Instant Now);
+  /// Promotes the best server that has everything up to \p Acknowledged, if
+  /// there is one.
+  void promoteBest(const GroupRecord &Group, Progress &Change,
+                   const LogPoint &Acknowledged, Instant Now);
   void awaitPromotion(const GroupRecord &Group, Progress &Change, Instant Now);
   /// True if the promoted server is not to be waited for any longer.
   bool hasPromotionFailed(const Progress &Change, Instant Now) const;
@@ -110,8 +114,21 @@
   /// True if the group's primary waits for replicas before it acknowledges a
   /// commit.
   bool isSynchronous(const GroupRecord &Group) const;
+  /// True if a commit that a synchronous group has acknowledged may be on
+  /// \p Server, whether or not it is heard at the moment.
+  static bool mayHoldCommits(const GroupRecord &Group,
+                             const ServerRecord &Server);
+  /// For a synchronous group: a position that no acknowledged commit lies
+  /// beyond; none while the servers that have answered cannot tell.
+  std::optional<LogPoint> acknowledgedPoint(const GroupRecord &Group,
+                                            const Progress &Change,
+                                            Instant Now) const;
+  void reportMissingAnswers(const GroupRecord &Group, Progress &Change,
+                            Instant Now);
   const ServerRecord *bestCandidate(const GroupRecord &Group,
-                                    const Progress &Change, Instant Now) const;
+                                    const Progress &Change,
+                                    const LogPoint &Acknowledged,
+                                    Instant Now) const;
   const PositionAnswer *freshAnswer(const Progress &Change,
                                     const ServerId &Server) const;
   bool isAnnounced(const GroupRecord &Group, const ServerId &Server,
--- a/ragwortmux/Version/DescribeCommand.cpp
+++ b/ragwortmux/Version/DescribeCommand.cpp
@@ -52,7 +52,8 @@
 }
 
 std::string describe(const SetServerState &Command) {
-  const char *State = Command.m_Leaving     ? " leaves"
+  const char *State = Command.m_HasEnded    ? " has ended"
+                      : Command.m_Leaving   ? " leaves"
                       : Command.m_Announced ? " takes requests"
                                             : " does not announce itself";
   return place(Command.m_Group, Command.m_Server) + State;
--- a/ragwortmux/Version/GroupRecord.h
+++ b/ragwortmux/Version/GroupRecord.h
@@ -28,6 +28,8 @@
   Revision m_SyncRevision; ///< The group's revision that set m_Sync.
   bool m_Leaving = false;  ///< It is leaving and gets no new requests.
   bool m_Announced = true; ///< False if its announcements have stopped.
+  bool m_HasEnded = false; ///< It has deregistered, after it has handed its log
+                           ///< on; one that is only silent has not.
 
   friend bool operator==(const ServerRecord &, const ServerRecord &) = default;
 };
--- a/ragwortmux/Version/GroupTable.cpp
+++ b/ragwortmux/Version/GroupTable.cpp
@@ -39,15 +39,22 @@
          Command.m_ConnectionLimit != 0;
 }
 
-/// The first server that is Behind and does not announce itself, unless it is
-/// the primary; none if there is none.
+/// A server that is Behind and does not announce itself, unless it is the
+/// primary: the first that has ended, otherwise the first one; none if there is
+/// none. During a change of primary only servers that have ended, because a
+/// silent one may hold commits that the next primary must have.
 std::optional<ServerId> findEvictable(const GroupRecord &Group) {
+  std::optional<ServerId> Silent;
   for (const auto &[Id, Server] : Group.m_Servers) {
-    if (Server.m_Sync == SyncState::Behind && !Server.m_Announced &&
-        Group.m_Primary != Id)
+    if (Server.m_Sync != SyncState::Behind || Server.m_Announced ||
+        Group.m_Primary == Id)
+      continue;
+    if (Server.m_HasEnded)
       return Id;
+    if (!Silent && Group.m_Primary)
+      Silent = Id;
   }
-  return std::nullopt;
+  return Silent;
 }
 
 bool contains(const std::vector<ServerId> &List, const ServerId &Server) {
@@ -102,10 +109,12 @@
   GroupRecord &Group = *findMutable(Command.m_Group);
   ServerRecord &Server = Group.m_Servers[Command.m_Server];
   if (Server.m_Leaving == Command.m_Leaving &&
-      Server.m_Announced == Command.m_Announced)
+      Server.m_Announced == Command.m_Announced &&
+      Server.m_HasEnded == Command.m_HasEnded)
     return ControlResult::accepted(Group.m_Revision);
   Server.m_Leaving = Command.m_Leaving;
   Server.m_Announced = Command.m_Announced;
+  Server.m_HasEnded = Command.m_HasEnded;
   raiseRevision(Group);
   return ControlResult::accepted(Group.m_Revision);
 }
--- a/ragwortmux/Version/LogPoint.h
+++ b/ragwortmux/Version/LogPoint.h
@@ -30,6 +30,14 @@
          Applied.m_Position >= Required.m_Position;
 }
 
+/// True if \p Left precedes \p Right in the history of a delegated group, whose
+/// terms follow each other without a gap.
+inline bool isBefore(const LogPoint &Left, const LogPoint &Right) {
+  if (Left.m_Term != Right.m_Term)
+    return Left.m_Term < Right.m_Term;
+  return Left.m_Position < Right.m_Position;
+}
+
 /// Parses `TERM:POSITION`; returns none if \p Text is malformed.
 std::optional<LogPoint> parseLogPoint(std::string_view Text);
 
--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -36,7 +36,7 @@
       EndSession{ControlSessionId(7)},
       RegisterServer{Group, Server, Domain, "10.1.2.4", 5432, 3, 35,
                      ReplicationMode::Delegated},
-      SetServerState{Group, Server, true, false},
+      SetServerState{Group, Server, true, false, true},
       EndTerm{Group, Term(8)},
       AppointPrimary{Group, Term(9), Server, {ServerId("t"), ServerId("u")}},
       SetInSync{Group, Term(10), Server, Revision(2), SyncState::Joining},
--- a/tests/Version/GroupTableTest.cpp
+++ b/tests/Version/GroupTableTest.cpp
@@ -97,4 +97,23 @@
   BOOST_TEST((State.groups().findServer(TheGroup, ServerId("s2")) != nullptr));
 }
 
+// A silent server may hold commits that the next primary must have; one that
+// has ended has handed its log on.
+BOOST_AUTO_TEST_CASE(NewServerReplacesEndedOneBeforeSilentOne) {
+  ControlState State = makeState();
+  for (unsigned Number = 10; Number < 23; ++Number)
+    BOOST_TEST(State.apply(registerServer("x" + std::to_string(Number))).ok());
+  const ServerId Silent("x11");
+  const ServerId Ended("x20");
+  State.apply(SetServerState{TheGroup, Silent, false, false});
+  State.apply(SetServerState{TheGroup, Ended, true, false, true});
+  BOOST_TEST(State.groups().findServer(TheGroup, Ended)->m_HasEnded);
+  BOOST_TEST(State.apply(registerServer("y1")).ok());
+  BOOST_TEST((State.groups().findServer(TheGroup, Ended) == nullptr));
+  const Term Next(State.groups().find(TheGroup)->m_Term.value() + 1);
+  BOOST_TEST(State.apply(EndTerm{TheGroup, Next}).ok());
+  BOOST_TEST(!State.apply(registerServer("y2")).ok());
+  BOOST_TEST((State.groups().findServer(TheGroup, Silent) != nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
