--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -92,14 +92,10 @@
     if (!State.m_Connection)
       Unsent.push_back(Id);
   }
-  rollBackFor(Caller);
-  for (const RequestId Id : Unsent) {
-    const auto Found = m_Requests.find(Id);
-    if (Found != m_Requests.end())
-      erase(Found->second);
-  }
-  // If the commit was never sent, its transaction is still open; roll it back
-  // now.
+  // Statements that are not under way will not run any more, so they must not
+  // keep the transaction either: it is idle now.
+  for (const RequestId Id : Unsent)
+    erase(m_Requests.at(Id));
   rollBackFor(Caller);
   endEvent();
 }
@@ -296,6 +292,7 @@
     if (!Open.m_Running && Now >= Open.m_IdleSince + Open.m_IdleLimit)
       abandonTransaction(Open);
   }
+  dropUnansweredRollbacks();
   PoolActions FromPool;
   m_Pool.tick(Now, FromPool);
   apply(FromPool);
@@ -326,6 +323,8 @@
     if (!Open.m_Running && Open.m_Connection)
       Consider(Open.m_IdleSince + Open.m_IdleLimit);
   }
+  for (const auto &[Connection, Until] : m_RollingBack)
+    Consider(Until);
   const Instant RefusalStart = leaseExpiry() + m_Settings.m_NoLeaseTimeout;
   if (!m_Waiting.empty() && m_Now < RefusalStart)
     Consider(RefusalStart);
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -153,6 +153,8 @@
   void dropConnection(ConnectionId Connection);
   void dropStatement(Request &State);
   void rollBackFor(CallerConnectionId Caller);
+  void rollBack(ConnectionId Connection);
+  void dropUnansweredRollbacks();
   void abandonTransaction(Transaction &Open);
   void expire(Request &State);
   void checkSilence(Request &State);
@@ -186,13 +188,17 @@
   bool m_HasFullShares = false; ///< The pool uses the connection shares of the
                                 ///< record; false without a lease.
 
+  // A connection that the pool counts as busy is in exactly one of m_Running,
+  // m_Transactions and m_RollingBack, or in the first two if a statement of the
+  // transaction is under way.
   std::map<RequestId, Request> m_Requests;     ///< Unanswered statements.
   SessionQueue m_Waiting;                      ///< Statements to be sent.
   std::map<ConnectionId, RequestId> m_Running; ///< Statements under way.
   std::map<CallerConnectionId, Transaction>
       m_Transactions; ///< Open transactions.
-  std::set<ConnectionId>
-      m_RollingBack; ///< Connections on which a rollback of this proxy runs.
+  std::map<ConnectionId, Instant>
+      m_RollingBack; ///< Connections on which a rollback of this proxy runs,
+                     ///< and until when its answer is waited for.
   std::map<ConnectionId, BackendSession>
       m_Sessions; ///< Session state set on each connection.
   std::map<ServerId, ReplicaLag>
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -343,31 +343,40 @@
     return;
   const Transaction Open = Found->second;
   if (Open.m_Running) {
-    const auto State = m_Requests.find(*Open.m_Running);
+    Request &State = m_Requests.at(*Open.m_Running);
+    assert(State.m_Connection);
     // A running commit must complete; any other statement is abandoned.
-    const bool Commits =
-        State != m_Requests.end() &&
-        State->second.m_Request.m_Statement.m_Kind == StatementKind::Commit;
-    if (Commits)
+    if (State.m_Request.m_Statement.m_Kind == StatementKind::Commit)
       return;
-    if (State != m_Requests.end() && State->second.m_Connection)
-      dropStatement(State->second);
+    dropStatement(State);
     m_Transactions.erase(Caller);
-    if (State != m_Requests.end())
-      erase(State->second);
+    erase(State);
     return;
   }
   m_Transactions.erase(Found);
-  if (!Open.m_Connection)
-    return;
-  m_RollingBack.insert(*Open.m_Connection);
+  if (Open.m_Connection)
+    rollBack(*Open.m_Connection);
+}
+
+void SessionCore::rollBack(ConnectionId Connection) {
+  m_RollingBack[Connection] = m_Now + m_Settings.m_RollbackTimeout;
   RunStatement Run;
-  Run.m_Connection = *Open.m_Connection;
+  Run.m_Connection = Connection;
   Run.m_Statement.m_Kind = StatementKind::Rollback;
   Run.m_IsInternal = true;
   emit(std::move(Run));
 }
 
+void SessionCore::dropUnansweredRollbacks() {
+  std::vector<ConnectionId> Due;
+  for (const auto &[Connection, Until] : m_RollingBack) {
+    if (m_Now >= Until)
+      Due.push_back(Connection);
+  }
+  for (const ConnectionId Connection : Due)
+    dropConnection(Connection);
+}
+
 void SessionCore::abandonTransaction(Transaction &Open) {
   if (!Open.m_Connection)
     return;
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -39,6 +39,9 @@
       1; ///< Connections to each server after the lease has expired, for reads
          ///< whose age is proven. The rest of the share may belong to another
          ///< host by then.
+  Duration m_RollbackTimeout = std::chrono::seconds(
+      1); ///< How long the answer to a rollback for a caller that has left is
+          ///< waited for; closing the connection rolls back too.
   std::uint32_t m_MaxTries =
       8; ///< Maximum number of times that one statement is sent.
   Duration m_NoLeaseTimeout = std::chrono::milliseconds(
