--- a/tests/Platform/LineStreamTest.cpp
+++ b/tests/Platform/LineStreamTest.cpp
@@ -6,8 +6,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace ragwortmux::platform {
 
@@ -31,7 +33,10 @@
 
   LineStreamHooks hooks() {
     LineStreamHooks Hooks;
-    Hooks.m_Line = [this](std::string_view Line) { m_Lines += Line; };
+    Hooks.m_Line = [this](std::string_view Line) {
+      m_Lines += Line;
+      m_Received.emplace_back(Line);
+    };
     Hooks.m_Closed = [this](const std::string &) { ++m_Closed; };
     return Hooks;
   }
@@ -40,17 +45,51 @@
   std::shared_ptr<Socket> m_Listener = Socket::listen("127.0.0.1");
   std::shared_ptr<Socket> m_Peer;
   kj::Own<kj::AsyncIoStream> m_Stream;
-  std::string m_Lines;
+  std::string m_Lines;                 ///< All lines, joined.
+  std::vector<std::string> m_Received; ///< Each line.
   int m_Closed = 0;
 };
 
+/// Bytes as they arrive, and the lines that they make up.
+struct FramingCase final {
+  std::vector<std::string> m_Parts; ///< Each is received on its own.
+  std::vector<std::string> m_Lines; ///< The complete lines.
+};
+
+const std::vector<FramingCase> FramingCases = {
+    {{"a\r\nb\r\n"}, {"a", "b"}},
+    {{"\r\n\r\n"}, {"", ""}},
+    // A line feed alone is part of the line, and so is a carriage return.
+    {{"a\nb\r\n"}, {"a\nb"}},
+    {{"a\rb\r\n"}, {"a\rb"}},
+    {{"\na\n\r\n"}, {"\na\n"}},
+    {{"a\r\r\nb\r\n"}, {"a\r", "b"}},
+    {{"a\n\r\r\n"}, {"a\n\r"}},
+    {{"a\n"}, {}},
+    {{"a\n", "b\r", "\n"}, {"a\nb"}},
+    {{"a\r", "b\r", "\nc\r\n"}, {"a\rb", "c"}},
+    {{"a\r", "\r", "\n", "\n", "\r\n"}, {"a\r", "\n"}},
+    {{std::string("a\0b\r\n", 5)}, {std::string("a\0b", 3)}},
+};
+
+/// Splits \p Text at each CR LF; drops the rest without one.
+std::vector<std::string> splitLines(std::string_view Text) {
+  std::vector<std::string> Lines;
+  for (std::size_t End = Text.find("\r\n"); End != std::string_view::npos;
+       End = Text.find("\r\n")) {
+    Lines.emplace_back(Text.substr(0, End));
+    Text.remove_prefix(End + 2);
+  }
+  return Lines;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(LineStreamTest, Fixture)
 
 BOOST_AUTO_TEST_CASE(ReassemblesLinesSplitAcrossReads) {
   LineStream Lines(m_Loop, kj::mv(m_Stream), hooks());
-  for (const char *Part : {"ab", "c\r", "\nde\n", "f"}) {
+  for (const char *Part : {"ab", "c\r", "\nde\r\n", "f"}) {
     m_Peer->write(Part);
     runFor(milliseconds(5));
   }
@@ -58,6 +97,41 @@
   BOOST_TEST(Lines.hasPartialLine());
 }
 
+// Guards against a statement smuggled behind a line feed in the data of another
+// one: only CR LF ends a line.
+BOOST_AUTO_TEST_CASE(OnlyCarriageReturnAndLineFeedEndLine) {
+  LineStream Lines(m_Loop, kj::mv(m_Stream), hooks());
+  for (const FramingCase &Each : FramingCases) {
+    m_Received.clear();
+    for (const std::string &Part : Each.m_Parts) {
+      m_Peer->write(Part);
+      runFor(milliseconds(5));
+    }
+    BOOST_TEST(m_Received == Each.m_Lines, boost::test_tools::per_element());
+    // Ends a line that the row leaves open.
+    m_Peer->write("\r\n");
+    runFor(milliseconds(5));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SplitsRandomBytesAtLineEndsOnly) {
+  constexpr int Parts = 300;
+  std::mt19937 Random(1);
+  LineStream Lines(m_Loop, kj::mv(m_Stream), hooks());
+  std::string Sent;
+  for (int Part = 0; Part < Parts; ++Part) {
+    std::string Bytes;
+    for (std::size_t Count = 1 + Random() % 9; Count > 0; --Count)
+      Bytes += "\r\n\r\nab "[Random() % 7];
+    m_Peer->write(Bytes);
+    Sent += Bytes;
+    if (Random() % 2 == 0)
+      runFor(milliseconds(1));
+  }
+  runFor(milliseconds(50));
+  BOOST_TEST(m_Received == splitLines(Sent), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(UnreadBytesIncludeThoseInTheSocket) {
   LineStream Lines(m_Loop, kj::mv(m_Stream), hooks());
   m_Peer->write("abc\r\nde");
--- a/tests/Platform/Socket.cpp
+++ b/tests/Platform/Socket.cpp
@@ -7,12 +7,15 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <string_view>
 
 namespace ragwortmux::platform {
 
 namespace {
 
 constexpr int Backlog = 64;
+/// Ends a line; neither byte does alone.
+constexpr std::string_view LineEnd = "\r\n";
 constexpr timeval SocketTimeout{5, 0};
 
 sockaddr_in toSocketAddress(const std::string &Address, std::uint16_t Port) {
@@ -93,12 +96,10 @@
 
 std::optional<std::string> Socket::readLine() {
   for (;;) {
-    const std::size_t End = m_Input.find('\n');
+    const std::size_t End = m_Input.find(LineEnd);
     if (End != std::string::npos) {
       std::string Line = m_Input.substr(0, End);
-      m_Input.erase(0, End + 1);
-      if (Line.ends_with('\r'))
-        Line.pop_back();
+      m_Input.erase(0, End + LineEnd.size());
       return Line;
     }
     if (!receive())
--- a/tests/Platform/Socket.h
+++ b/tests/Platform/Socket.h
@@ -30,8 +30,8 @@
   std::uint16_t port() const;
   /// Sends all of \p Text; false if the connection is broken.
   bool write(const std::string &Text) const;
-  /// Reads a line without its terminator; none at the end of the stream or
-  /// on a timeout.
+  /// Reads a line without its CR LF, the only thing that ends it; none at the
+  /// end of the stream or on a timeout.
   std::optional<std::string> readLine();
   /// Reads \p Count bytes; fewer at the end of the stream or on a timeout.
   std::string readBytes(std::size_t Count);
--- a/tests/Platform/TextTest.cpp
+++ b/tests/Platform/TextTest.cpp
@@ -140,6 +140,10 @@
     {"10.0.0.9:8080", "10.0.0.9:1000000000000000000000000000000", false},
     {"10.0.0.9:8080", "10.0.0.9:-80", false},
     {R"("zone":"z",)", "", false},
+    {R"("service":"s")", R"("service":"")", false},
+    {R"("service":"s")", R"("service":"s t")", false},
+    {R"("service":"s")", R"("service":"s\r\nQUERY - DISCARD")", false},
+    {R"("service":"s")", R"("service":"s\u0000")", false},
     {R"(})", "", false},
 };
 
@@ -247,6 +251,13 @@
 }
 
 /// Malformed input must be rejected without a crash.
+// An id becomes a field of the message that opens a connection.
+BOOST_AUTO_TEST_CASE(RejectsServerIdsThatAreNotOneWord) {
+  for (const char *Id : {"", "i 1", "i-1\r\nQUERY x WRITE 1 2", "i-1\n", "\r"})
+    BOOST_TEST(!parseHeartbeat(Id, Heartbeat, HeartbeatTime).has_value());
+  BOOST_TEST(parseHeartbeat("i-1", Heartbeat, HeartbeatTime).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ParsersTolerateRandomInput) {
   std::mt19937_64 Random(20261204);
   const std::vector<std::string> Seeds = {Configuration,
--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -57,6 +57,26 @@
   BOOST_TEST(First.execute("READ d").front() == "ROW five");
 }
 
+// Guards against a statement smuggled inside another one: whoever chooses the
+// data of a write must not choose what else its session runs. Rows of servers
+// are data too.
+BOOST_AUTO_TEST_CASE(DataWithLineFeedsStaysOneStatement) {
+  WireCaller Caller(m_CallerPort, "booking");
+  BOOST_REQUIRE(waitUntil([&] { return Caller.succeeds("WRITE a one"); }));
+  const std::string LineBreaks[] = {"\n", "\r", "\n\r", "\n\n"};
+  for (const std::string &Break : LineBreaks) {
+    const std::string Data =
+        "two lines" + Break + "QUERY smuggled WRITE b x" + Break + "READY I -";
+    BOOST_TEST(Caller.succeeds("WRITE a " + Data));
+    BOOST_TEST(Caller.execute("READ a").front() == "ROW " + Data);
+    BOOST_TEST(Caller.succeeds("SET tenant " + Data));
+    BOOST_TEST(Caller.succeeds("PREPARE s1 WRITE shape" + Data));
+    BOOST_TEST(Caller.succeeds("EXECUTE s1 a " + Data));
+    BOOST_TEST(Caller.execute("READ a").front() == "ROW " + Data);
+  }
+  BOOST_TEST(countExecuted("smuggled") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ReplacesAndReturnsConfigurationVerbatim) {
   const auto Read = [&] {
     std::string Body;
