--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -30,7 +30,11 @@
   ReplicatedLogSettings m_Log; ///< The replicated log.
   ControlLeaderSettings m_Leader;         ///< Decisions of the leader.
   ControlState::Settings m_State;         ///< Limits of the state.
-  std::uint64_t m_SnapshotEntries = 4096; ///< Entries between snapshots.
+  std::uint64_t m_SnapshotEntries = 4096; ///< Most entries between snapshots.
+  std::size_t m_SnapshotBytes =
+      std::size_t{8} << 20; ///< Payload bytes after which a snapshot is due
+                            ///< even if there are fewer entries; more if the
+                            ///< last snapshot was larger.
 };
 
 /// Callbacks of a ControlNode into the process. They run on the thread that
@@ -112,6 +116,8 @@
   ///@name State
   IdentifyReply identify() const;
   const ControlState &state() const { return m_State; }
+  /// Payload bytes of the log entries in memory.
+  std::size_t logBytes() const { return m_Log->log().payloadBytes(); }
   ResultCode lastCode() const { return m_LastCode; }
   const std::string &lastReason() const { return m_LastReason; }
 
--- a/ragwortmux/Process/Control/ControlNodeActions.cpp
+++ b/ragwortmux/Process/Control/ControlNodeActions.cpp
@@ -7,6 +7,7 @@
 #include "ragwortmux/Process/Peers/CommandCodec.h"
 #include "ragwortmux/Process/Support/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 /// \file
@@ -137,7 +138,14 @@
 
 void ControlNode::snapshotIfDue(Instant Now) {
   const LogIndex Applied = m_Log->appliedIndex();
-  if (Applied.value() - m_LastSnapshot.value() < m_Settings.m_SnapshotEntries) {
+  const EntryLog &Log = m_Log->log();
+  const std::size_t LastBytes =
+      Log.snapshot() == nullptr ? 0 : Log.snapshot()->m_State.size();
+  const bool HasManyEntries =
+      Applied.value() - m_LastSnapshot.value() >= m_Settings.m_SnapshotEntries;
+  const bool HasManyBytes = Log.payloadBytes(m_LastSnapshot, Applied) >=
+                            std::max(m_Settings.m_SnapshotBytes, LastBytes);
+  if (!HasManyEntries && !HasManyBytes) {
     return;
   }
   m_LastSnapshot = Applied;
--- a/ragwortmux/Process/Log/EntryLog.cpp
+++ b/ragwortmux/Process/Log/EntryLog.cpp
@@ -24,7 +24,7 @@
     assert(Entry.m_Id.m_Index == next(last().m_Index));
     if (Entry.m_Id.m_Index > SnapshotIndex)
       addConfiguration(Entry);
-    m_Entries.push_back(std::move(Entry));
+    addEntry(std::move(Entry));
   }
   assert(m_Previous.m_Index <= SnapshotIndex &&
          last().m_Index >= SnapshotIndex);
@@ -34,13 +34,20 @@
   assert(Entry.m_Id.m_Index == next(last().m_Index));
   assert(Entry.m_Id.m_Term >= last().m_Term);
   addConfiguration(Entry);
+  addEntry(std::move(Entry));
+}
+
+void EntryLog::addEntry(LogEntry Entry) {
+  m_BytesUpTo.push_back(bytesUpTo(last().m_Index) + Entry.m_Payload.size());
   m_Entries.push_back(std::move(Entry));
 }
 
 void EntryLog::truncateFrom(LogIndex From) {
   assert(From > m_Previous.m_Index);
-  while (last().m_Index >= From)
+  while (last().m_Index >= From) {
     m_Entries.pop_back();
+    m_BytesUpTo.pop_back();
+  }
   while (m_Configurations.size() > 1 && m_Configurations.back().m_Index >= From)
     m_Configurations.pop_back();
 }
@@ -48,6 +55,8 @@
 void EntryLog::replaceWith(std::shared_ptr<const LogSnapshot> Snapshot) {
   assert(Snapshot);
   m_Entries.clear();
+  m_BytesUpTo.clear();
+  m_BytesBefore = 0;
   m_Previous = Snapshot->m_Last;
   m_Configurations.assign(1,
                           {Snapshot->m_Last.m_Index, Snapshot->m_Membership});
@@ -55,7 +64,7 @@
 }
 
 void EntryLog::compact(std::shared_ptr<const LogSnapshot> Snapshot,
-                       std::size_t Trailing) {
+                       std::size_t Trailing, std::size_t TrailingBytes) {
   assert(Snapshot && contains(Snapshot->m_Last));
   const LogIndex Last = Snapshot->m_Last.m_Index;
 
@@ -64,10 +73,13 @@
     m_Configurations.pop_front();
   m_Configurations.front() = {Last, Snapshot->m_Membership};
 
-  while (!m_Entries.empty() &&
-         m_Previous.m_Index.value() + Trailing < Last.value()) {
+  while (m_Previous.m_Index < Last &&
+         (m_Previous.m_Index.value() + Trailing < Last.value() ||
+          payloadBytes(m_Previous.m_Index, Last) > TrailingBytes)) {
     m_Previous = m_Entries.front().m_Id;
+    m_BytesBefore = m_BytesUpTo.front();
     m_Entries.pop_front();
+    m_BytesUpTo.pop_front();
   }
   m_Snapshot = std::move(Snapshot);
 }
@@ -109,6 +121,18 @@
   return Slice;
 }
 
+std::size_t EntryLog::payloadBytes(LogIndex After, LogIndex To) const {
+  const LogIndex From = std::max(After, m_Previous.m_Index);
+  return To <= From ? 0 : bytesUpTo(To) - bytesUpTo(From);
+}
+
+std::uint64_t EntryLog::bytesUpTo(LogIndex Index) const {
+  assert(Index >= m_Previous.m_Index && Index <= last().m_Index);
+  if (Index == m_Previous.m_Index)
+    return m_BytesBefore;
+  return m_BytesUpTo[Index.value() - m_Previous.m_Index.value() - 1];
+}
+
 LogIndex EntryLog::firstOfTerm(LogIndex Index) const {
   const std::optional<LogTerm> Term = termAt(Index);
   assert(Term);
--- a/ragwortmux/Process/Log/EntryLog.h
+++ b/ragwortmux/Process/Log/EntryLog.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Process/Log/LogEntry.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -29,9 +30,10 @@
   void replaceWith(std::shared_ptr<const LogSnapshot> Snapshot);
 
   /// Stores \p Snapshot, whose last entry must be in the log, and removes older
-  /// entries, except for the last \p Trailing entries that it covers.
+  /// entries, except for the last \p Trailing entries that it covers, as far as
+  /// they have at most \p TrailingBytes of payload.
   void compact(std::shared_ptr<const LogSnapshot> Snapshot,
-               std::size_t Trailing);
+               std::size_t Trailing, std::size_t TrailingBytes);
 
   /// The last entry; if no entries are in memory, previous().
   EntryId last() const;
@@ -50,6 +52,13 @@
   std::vector<LogEntry> slice(LogIndex From, LogIndex To,
                               std::size_t MaxEntries,
                               std::size_t MaxBytes) const;
+  /// Payload bytes of the entries in memory.
+  std::size_t payloadBytes() const {
+    return payloadBytes(m_Previous.m_Index, last().m_Index);
+  }
+  /// Payload bytes of the entries after \p After up to \p To. Entries that are
+  /// not in memory do not count.
+  std::size_t payloadBytes(LogIndex After, LogIndex To) const;
   /// The first entry in memory that has the same term as the entry \p Index.
   LogIndex firstOfTerm(LogIndex Index) const;
   /// The newest snapshot; null if there is none.
@@ -75,9 +84,15 @@
   };
 
   void addConfiguration(const LogEntry &Entry);
+  void addEntry(LogEntry Entry);
+  std::uint64_t bytesUpTo(LogIndex Index) const;
 
-  EntryId m_Previous;             ///< See previous().
-  std::deque<LogEntry> m_Entries; ///< Entries in memory, contiguous.
+  EntryId m_Previous;              ///< See previous().
+  std::deque<LogEntry> m_Entries;  ///< Entries in memory, contiguous.
+  std::uint64_t m_BytesBefore = 0; ///< Payload bytes of all removed entries.
+  std::deque<std::uint64_t>
+      m_BytesUpTo; ///< For each of m_Entries, the payload bytes of all entries
+                   ///< up to and including it.
   std::shared_ptr<const LogSnapshot> m_Snapshot; ///< See snapshot().
   std::deque<Configuration> m_Configurations;    ///< Never empty, ascending.
 };
--- a/ragwortmux/Process/Log/ReplicatedLog.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLog.cpp
@@ -138,7 +138,8 @@
   Snapshot->m_Last = {Index, *m_Log.termAt(Index)};
   Snapshot->m_Membership = m_Log.membershipAt(Index);
   Snapshot->m_State = std::move(State);
-  m_Log.compact(Snapshot, m_Settings.m_TrailingEntries);
+  m_Log.compact(Snapshot, m_Settings.m_TrailingEntries,
+                m_Settings.m_TrailingBytes);
   m_PersistQueue.compact(std::move(Snapshot), m_Log.previous());
   return true;
 }
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -161,6 +161,7 @@
   void acceptEntries(const AppendRequest &Request);
   void replicate(Instant Now);
   void sendEntries(Instant Now, PeerProgress &Peer);
+  bool canSendMore(const PeerProgress &Peer) const;
   std::size_t sendAppend(PeerProgress &Peer, std::size_t MaxEntries);
   void sendHeartbeat(PeerProgress &Peer);
   void advanceCommit();
--- a/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogReplication.cpp
@@ -194,14 +194,24 @@
     return;
   }
 
-  while (Peer.m_NextIndex <= Last &&
-         Peer.m_NextIndex.value() - Peer.m_MatchIndex.value() <=
-             m_Settings.m_MaxInFlightEntries) {
+  while (Peer.m_NextIndex <= Last && canSendMore(Peer)) {
     const std::size_t Sent = sendAppend(Peer, m_Settings.m_MaxAppendEntries);
     Peer.m_NextIndex = LogIndex(Peer.m_NextIndex.value() + Sent);
   }
 }
 
+bool ReplicatedLog::canSendMore(const PeerProgress &Peer) const {
+  const LogIndex LastSent(Peer.m_NextIndex.value() - 1);
+  if (LastSent.value() - Peer.m_MatchIndex.value() >=
+      m_Settings.m_MaxInFlightEntries)
+    return false;
+  // A member that has to catch up may lack the whole log. Whoever encodes all
+  // of it at once answers nobody else meanwhile.
+  const std::size_t InFlight = m_Log.payloadBytes(Peer.m_MatchIndex, LastSent);
+  const std::size_t Next = m_Log.at(Peer.m_NextIndex).m_Payload.size();
+  return InFlight == 0 || InFlight + Next <= m_Settings.m_MaxInFlightBytes;
+}
+
 std::size_t ReplicatedLog::sendAppend(PeerProgress &Peer,
                                       std::size_t MaxEntries) {
   const LogIndex Previous(Peer.m_NextIndex.value() - 1);
--- a/ragwortmux/Process/Log/ReplicatedLogSettings.h
+++ b/ragwortmux/Process/Log/ReplicatedLogSettings.h
@@ -34,11 +34,14 @@
   std::size_t m_MaxPayloadBytes = std::size_t{4} << 20;
   /// Maximum number of entries sent to one member and not yet acknowledged.
   std::size_t m_MaxInFlightEntries = 2048;
+  /// Maximum payload bytes sent to one member and not yet acknowledged. An
+  /// entry that is larger is sent while nothing else is under way.
+  std::size_t m_MaxInFlightBytes = std::size_t{2} << 20;
   /// Proposals are refused while at least this many entries are uncommitted.
   std::size_t m_MaxUncommittedEntries = 16384;
   /// Proposals are refused while the leader's uncommitted entries have at least
   /// this many payload bytes.
-  std::size_t m_MaxUncommittedBytes = std::size_t{64} << 20;
+  std::size_t m_MaxUncommittedBytes = std::size_t{16} << 20;
   /// Maximum number of entries in one ApplyEntries action. A leader that
   /// applies its whole log at once after a restart sends no heartbeats
   /// meanwhile.
@@ -46,6 +49,8 @@
   /// Number of entries retained in memory and on disk that precede the last
   /// entry of a snapshot, so that a member with a small lag needs no snapshot.
   std::size_t m_TrailingEntries = 1024;
+  /// Maximum payload bytes of these entries.
+  std::size_t m_TrailingBytes = std::size_t{4} << 20;
   /// A learner can be promoted to voter once it lags by at most this many
   /// entries.
   std::size_t m_CatchUpEntries = 64;
--- a/tests/Process/ControlNodeTest.cpp
+++ b/tests/Process/ControlNodeTest.cpp
@@ -102,10 +102,10 @@
     return Granted;
   }
 
-  void replaceCatalogue(std::uint64_t Version) {
+  void replaceCatalogue(std::uint64_t Version, std::size_t Bytes = 0) {
     ReplaceCatalogue Command;
     Command.m_Version = CatalogueVersion(Version);
-    Command.m_Document = std::to_string(Version);
+    Command.m_Document = std::to_string(Version) + std::string(Bytes, ' ');
     m_Node->command(m_Now, Command, [](const CommandReply &) {});
   }
 
@@ -190,6 +190,31 @@
   BOOST_TEST(Largest <= MaxApplyEntries);
 }
 
+// Each change of a large catalogue is an entry as large as the catalogue. The
+// log was limited in entries only, and some hundred changes took a host over
+// its memory.
+BOOST_AUTO_TEST_CASE(LargeChangesAreCompactedByBytes) {
+  constexpr std::uint64_t Changes = 300;
+  constexpr std::size_t Bytes = std::size_t{1} << 20;
+  constexpr std::size_t MostBytes = std::size_t{16} << 20;
+  LeadingNode Leader;
+  std::size_t Largest = 0;
+  for (std::uint64_t Version = 1; Version <= Changes; ++Version) {
+    Leader.replaceCatalogue(Version, Bytes);
+    Leader.advance(milliseconds(10));
+    Largest = std::max(Largest, Leader.m_Node->logBytes());
+  }
+  BOOST_TEST(Largest <= MostBytes);
+  BOOST_TEST(Largest >= Bytes);
+  BOOST_TEST((Leader.m_Node->state().catalogue().version() ==
+              CatalogueVersion(Changes)));
+  Leader.restart();
+  Leader.advance(seconds(2));
+  BOOST_TEST((Leader.m_Node->state().catalogue().version() ==
+              CatalogueVersion(Changes)));
+  BOOST_TEST(Leader.m_Node->logBytes() <= MostBytes);
+}
+
 // After a change of leader all entry hosts open their sessions again; one log
 // entry for each of them delayed the renewals behind them.
 BOOST_AUTO_TEST_CASE(ReopeningOpenSessionWritesNoLogEntry) {
