--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -217,7 +217,6 @@
     forwardReply(State, Reply);
     return;
   }
-  const bool Wrote = Open.m_Wrote;
   m_Transactions.erase(Found);
   if (leavesConnectionClean(Reply))
     releaseConnection(Connection);
@@ -227,13 +226,6 @@
     erase(State);
     return;
   }
-  const bool Commits =
-      State.m_Request.m_Statement.m_Kind == StatementKind::Commit;
-  if (Commits && Wrote && Reply.m_Outcome == StatementOutcome::Done &&
-      !canAcknowledge(State)) {
-    finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
-    return;
-  }
   forwardReply(State, Reply);
 }
 
@@ -253,7 +245,7 @@
 
 void SessionCore::forwardReply(Request &State, const StatementReply &Reply) {
   const ResultCode Code = finalCode(Reply.m_Outcome);
-  if (State.isSingleWrite() && Code == ResultCode::Ok &&
+  if (State.makesDurable() && Code == ResultCode::Ok &&
       !canAcknowledge(State)) {
     finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
     return;
@@ -264,7 +256,7 @@
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end())
     Answer.m_Status = Open->second.m_Status;
-  if (State.isCommit() && Code == ResultCode::Ok)
+  if (State.makesDurable() && Code == ResultCode::Ok)
     Answer.m_Written = Reply.m_Point;
   emit(std::move(Answer));
   recordDecision(State, SessionDecision::Answered, Code);
@@ -275,15 +267,12 @@
   const Statement &Submitted = State.m_Request.m_Statement;
   if (State.m_InTransaction) {
     const auto Open = m_Transactions.find(State.m_Request.m_Caller);
-    const bool Wrote = Open != m_Transactions.end() && Open->second.m_Wrote;
     if (Open != m_Transactions.end())
       m_Transactions.erase(Open);
     // An uncommitted transaction is rolled back when its connection closes.
-    const bool MayHaveCommitted =
-        Submitted.m_Kind == StatementKind::Commit && Wrote;
     finish(State,
-           MayHaveCommitted ? ResultCode::OutcomeUnknown
-                            : ResultCode::NotRunRolledBack,
+           State.m_CommitsWrites ? ResultCode::OutcomeUnknown
+                                 : ResultCode::NotRunRolledBack,
            TransactionStatus::Idle);
     return;
   }
@@ -354,31 +343,40 @@
     return;
   const Transaction Open = Found->second;
   if (Open.m_Running) {
-    const auto State = m_Requests.find(*Open.m_Running);
+    Request &State = m_Requests.at(*Open.m_Running);
+    assert(State.m_Connection);
     // A running commit must complete; any other statement is abandoned.
-    const bool Commits =
-        State != m_Requests.end() &&
-        State->second.m_Request.m_Statement.m_Kind == StatementKind::Commit;
-    if (Commits)
+    if (State.m_Request.m_Statement.m_Kind == StatementKind::Commit)
       return;
-    if (State != m_Requests.end() && State->second.m_Connection)
-      dropStatement(State->second);
+    dropStatement(State);
     m_Transactions.erase(Caller);
-    if (State != m_Requests.end())
-      erase(State->second);
+    erase(State);
     return;
   }
   m_Transactions.erase(Found);
-  if (!Open.m_Connection)
-    return;
-  m_RollingBack.insert(*Open.m_Connection);
+  if (Open.m_Connection)
+    rollBack(*Open.m_Connection);
+}
+
+void SessionCore::rollBack(ConnectionId Connection) {
+  m_RollingBack[Connection] = m_Now + m_Settings.m_RollbackTimeout;
   RunStatement Run;
-  Run.m_Connection = *Open.m_Connection;
+  Run.m_Connection = Connection;
   Run.m_Statement.m_Kind = StatementKind::Rollback;
   Run.m_IsInternal = true;
   emit(std::move(Run));
 }
 
+void SessionCore::dropUnansweredRollbacks() {
+  std::vector<ConnectionId> Due;
+  for (const auto &[Connection, Until] : m_RollingBack) {
+    if (m_Now >= Until)
+      Due.push_back(Connection);
+  }
+  for (const ConnectionId Connection : Due)
+    dropConnection(Connection);
+}
+
 void SessionCore::abandonTransaction(Transaction &Open) {
   if (!Open.m_Connection)
     return;
--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -36,7 +36,7 @@
       EndSession{ControlSessionId(7)},
       RegisterServer{Group, Server, Domain, "10.1.2.4", 5432, 3, 35,
                      ReplicationMode::Delegated},
-      SetServerState{Group, Server, true, false},
+      SetServerState{Group, Server, true, false, true},
       EndTerm{Group, Term(8)},
       AppointPrimary{Group, Term(9), Server, {ServerId("t"), ServerId("u")}},
       SetInSync{Group, Term(10), Server, Revision(2), SyncState::Joining},
@@ -70,6 +70,8 @@
   State.apply(RegisterServer{GroupId("delegated"), ServerId("d1"),
                              FailureDomainId("Hobart"), "10.1.2.9", 5432, 3, 35,
                              ReplicationMode::Delegated});
+  State.apply(SetServerState{GroupId("delegated"), ServerId("d1"), true, false,
+                             true});
   State.apply(ReplaceCatalogue{CatalogueVersion(7),
                                "{\"version\":7}",
                                {entry("bookings")},
