--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -65,8 +65,9 @@
   BOOST_REQUIRE(waitUntil([&] { return Caller.succeeds("WRITE a one"); }));
   const std::string LineBreaks[] = {"\n", "\r", "\n\r", "\n\n"};
   for (const std::string &Break : LineBreaks) {
-    const std::string Data =
-        "two lines" + Break + "QUERY smuggled WRITE b x" + Break + "READY I -";
+    std::string Data("two lines");
+    Data.append(Break).append("QUERY smuggled WRITE b x");
+    Data.append(Break).append("READY I -");
     BOOST_TEST(Caller.succeeds("WRITE a " + Data));
     BOOST_TEST(Caller.execute("READ a").front() == "ROW " + Data);
     BOOST_TEST(Caller.succeeds("SET tenant " + Data));
