--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -70,8 +70,8 @@
   State.apply(RegisterServer{GroupId("delegated"), ServerId("d1"),
                              FailureDomainId("Hobart"), "10.1.2.9", 5432, 3, 35,
                              ReplicationMode::Delegated});
-  State.apply(SetServerState{GroupId("delegated"), ServerId("d1"), true, false,
-                             true});
+  State.apply(
+      SetServerState{GroupId("delegated"), ServerId("d1"), true, false, true});
   State.apply(ReplaceCatalogue{CatalogueVersion(7),
                                "{\"version\":7}",
                                {entry("bookings")},
