--- a/ragwortmux/Connection/ConnectionPool.cpp
+++ b/ragwortmux/Connection/ConnectionPool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <numeric>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -34,11 +35,11 @@
 }
 
 void ConnectionPool::setDemand(Instant Now, const ServerId &Server,
-                               std::uint32_t Waiting, PoolActions &Actions) {
+                               ConnectionDemand Waiting, PoolActions &Actions) {
   ServerPool &Pool = m_Servers[Server];
   if (Pool.m_Waiting == Waiting)
     return;
-  Pool.m_Waiting = Waiting;
+  Pool.m_Waiting = std::move(Waiting);
   openMissing(Now, Server, Actions);
 }
 
@@ -93,12 +94,12 @@
                                                     const ServerId &Server) {
   // Preferring the most recently used connection lets surplus ones reach the
   // idle timeout and be closed.
-  return acquireCheapest(Now, Server,
+  return acquireCheapest(Now, Server, WorkspaceId(),
                          [](ConnectionId) { return std::size_t{0}; });
 }
 
 std::optional<ConnectionId> ConnectionPool::acquireCheapest(
-    Instant Now, const ServerId &Server,
+    Instant Now, const ServerId &Server, const WorkspaceId &Workspace,
     const std::function<std::size_t(ConnectionId)> &Cost) {
   const auto Pool = m_Servers.find(Server);
   if (Pool == m_Servers.end())
@@ -108,7 +109,8 @@
   for (auto &[Id, Connection] : m_Connections) {
     if (Connection.m_Server != Server ||
         Connection.m_State != ConnectionState::Idle ||
-        Connection.m_Term != Pool->second.m_Term)
+        Connection.m_Term != Pool->second.m_Term ||
+        Connection.m_Workspace != Workspace)
       continue;
     const std::size_t ConnectionCost = Cost(Id);
     if (Best &&
@@ -195,7 +197,7 @@
     if (Connection.m_State == ConnectionState::Idle) {
       // Unused for longer than the idle timeout: surplus connections are
       // closed, the others are probed.
-      if (idleCount(Server) > m_Settings.m_IdleTarget) {
+      if (idleCount(Server) > idleTarget()) {
         close(Connection, Now, Actions);
         continue;
       }
@@ -223,15 +225,42 @@
   return count(Server, ConnectionState::Idle);
 }
 
+std::uint32_t ConnectionPool::idleCount(const ServerId &Server,
+                                        const WorkspaceId &Workspace) const {
+  const auto Pool = m_Servers.find(Server);
+  if (Pool == m_Servers.end())
+    return 0;
+  const auto Counts = Pool->second.m_CountsByWorkspace.find(Workspace);
+  return Counts == Pool->second.m_CountsByWorkspace.end()
+             ? 0
+             : countIn(Counts->second, ConnectionState::Idle);
+}
+
+bool ConnectionPool::canOpen(const ServerId &Server) const {
+  return hasRoom(Server) || idleCount(Server) > 0;
+}
+
+bool ConnectionPool::hasRoom(const ServerId &Server) const {
+  const auto Pool = m_Servers.find(Server);
+  return Pool != m_Servers.end() &&
+         connectionCount(Server) < Pool->second.m_Share;
+}
+
 std::uint32_t ConnectionPool::busyCount(const ServerId &Server) const {
   return count(Server, ConnectionState::Busy);
 }
 
 std::uint32_t ConnectionPool::desiredCount(const ServerId &Server) const {
   const auto Pool = m_Servers.find(Server);
-  const std::uint32_t Waiting =
-      Pool == m_Servers.end() ? 0 : Pool->second.m_Waiting;
-  return busyCount(Server) + std::max(m_Settings.m_IdleTarget, Waiting);
+  if (Pool == m_Servers.end())
+    return idleTarget();
+  std::uint32_t Waiting = 0;
+  for (const auto &[Workspace, Count] : Pool->second.m_Waiting)
+    Waiting += Count;
+  // Idle connections of other workspaces are no use to those that wait.
+  if (m_UsesWorkspaces)
+    return connectionCount(Server) + Waiting;
+  return busyCount(Server) + std::max(idleTarget(), Waiting);
 }
 
 bool ConnectionPool::isReachable(const ServerId &Server) const {
@@ -251,7 +280,12 @@
       Consider(Connection.m_Since + Timeout);
   }
   for (const auto &[Server, Pool] : m_Servers) {
-    if (Pool.m_Failures > 0 && missingCount(Server, Pool) > 0)
+    if (Pool.m_Failures == 0)
+      continue;
+    const bool IsMissing = m_UsesWorkspaces
+                               ? !missingForWorkspaces(Pool).empty()
+                               : missingCount(Server, Pool) > 0;
+    if (IsMissing)
       Consider(Pool.m_ReopenAt);
   }
   return Next;
@@ -281,21 +315,32 @@
 
 void ConnectionPool::setState(PooledConnection &Connection,
                               ConnectionState State, Instant Now) {
-  --stateCounter(Connection);
+  removeFromCounts(Connection);
   Connection.m_State = State;
   Connection.m_Since = Now;
-  ++stateCounter(Connection);
+  addToCounts(Connection);
 }
 
 void ConnectionPool::erase(const PooledConnection &Connection) {
-  --stateCounter(Connection);
+  removeFromCounts(Connection);
   m_Connections.erase(Connection.m_Id);
 }
 
-std::uint32_t &
-ConnectionPool::stateCounter(const PooledConnection &Connection) {
-  return m_Servers[Connection.m_Server].m_Counts.at(
-      static_cast<std::size_t>(Connection.m_State));
+void ConnectionPool::addToCounts(const PooledConnection &Connection) {
+  ServerPool &Pool = m_Servers[Connection.m_Server];
+  const auto State = static_cast<std::size_t>(Connection.m_State);
+  ++Pool.m_Counts.at(State);
+  ++Pool.m_CountsByWorkspace[Connection.m_Workspace].at(State);
+}
+
+void ConnectionPool::removeFromCounts(const PooledConnection &Connection) {
+  ServerPool &Pool = m_Servers[Connection.m_Server];
+  const auto State = static_cast<std::size_t>(Connection.m_State);
+  --Pool.m_Counts.at(State);
+  const auto Counts = Pool.m_CountsByWorkspace.find(Connection.m_Workspace);
+  --Counts->second.at(State);
+  if (Counts->second == StateCounts{})
+    Pool.m_CountsByWorkspace.erase(Counts);
 }
 
 void ConnectionPool::close(PooledConnection &Connection, Instant Now,
@@ -349,16 +394,69 @@
                                   count(Server, ConnectionState::Idle) +
                                   count(Server, ConnectionState::Suspect) +
                                   count(Server, ConnectionState::Probing);
+  const auto Waiting = Pool.m_Waiting.find(WorkspaceId());
   const std::uint32_t Target =
-      std::max(m_Settings.m_IdleTarget, Pool.m_Waiting);
+      std::max(m_Settings.m_IdleTarget,
+               Waiting == Pool.m_Waiting.end() ? 0 : Waiting->second);
   std::uint32_t Count = Target > Available ? Target - Available : 0;
   if (Pool.m_NeedsProbeConnection && Opening == 0)
     Count = std::max(Count, 1U);
+  return std::min(limitOpening(Pool, Count), Pool.m_Share - Total);
+}
+
+std::uint32_t ConnectionPool::limitOpening(const ServerPool &Pool,
+                                           std::uint32_t Count) const {
   // Only one connection at a time is opened to a server that refuses
   // connections or does not answer.
-  if (Pool.m_Failures > 0 || Pool.m_NeedsProbeConnection)
-    Count = Opening > 0 ? 0 : std::min(Count, 1U);
-  return std::min(Count, Pool.m_Share - Total);
+  if (Pool.m_Failures == 0 && !Pool.m_NeedsProbeConnection)
+    return Count;
+  const bool IsOpening = countIn(Pool.m_Counts, ConnectionState::Opening) > 0;
+  return IsOpening ? 0 : std::min(Count, 1U);
+}
+
+std::vector<WorkspaceId>
+ConnectionPool::missingForWorkspaces(const ServerPool &Pool) const {
+  std::vector<WorkspaceId> Missing;
+  if (Pool.m_Share == 0)
+    return Missing;
+  // One workspace must not displace all others.
+  const std::uint32_t Most = std::max(1U, Pool.m_Share / 2);
+  for (const auto &[Workspace, Waiting] : Pool.m_Waiting) {
+    const auto Found = Pool.m_CountsByWorkspace.find(Workspace);
+    const StateCounts Counts =
+        Found == Pool.m_CountsByWorkspace.end() ? StateCounts{} : Found->second;
+    const std::uint32_t Total =
+        std::accumulate(Counts.begin(), Counts.end(), std::uint32_t{0});
+    const std::uint32_t Available = countIn(Counts, ConnectionState::Opening) +
+                                    countIn(Counts, ConnectionState::Idle);
+    const std::uint32_t Needed = Waiting > Available ? Waiting - Available : 0;
+    const std::uint32_t Allowed = Most > Total ? Most - Total : 0;
+    Missing.insert(Missing.end(), std::min(Needed, Allowed), Workspace);
+  }
+  if (Missing.empty() && Pool.m_NeedsProbeConnection)
+    Missing.push_back(Pool.m_LastWorkspace);
+  Missing.resize(
+      limitOpening(Pool, static_cast<std::uint32_t>(Missing.size())));
+  return Missing;
+}
+
+void ConnectionPool::evictIdle(Instant Now, const ServerId &Server,
+                               std::uint32_t Count, PoolActions &Actions) {
+  const ServerPool &Pool = m_Servers[Server];
+  std::vector<PooledConnection *> Idle;
+  for (auto &[Id, Connection] : m_Connections) {
+    if (Connection.m_Server == Server &&
+        Connection.m_State == ConnectionState::Idle &&
+        !Pool.m_Waiting.contains(Connection.m_Workspace))
+      Idle.push_back(&Connection);
+  }
+  std::sort(Idle.begin(), Idle.end(),
+            [](const PooledConnection *Left, const PooledConnection *Right) {
+              return Left->m_Since < Right->m_Since;
+            });
+  Idle.resize(std::min<std::size_t>(Idle.size(), Count));
+  for (PooledConnection *Connection : Idle)
+    close(*Connection, Now, Actions);
 }
 
 void ConnectionPool::openMissing(Instant Now, const ServerId &Server,
@@ -368,17 +466,39 @@
     makeRoomForProbeConnection(Now, Server, Actions);
   if (Pool.m_Failures > 0 && Now < Pool.m_ReopenAt)
     return;
-  for (std::uint32_t Remaining = missingCount(Server, Pool); Remaining > 0;
-       --Remaining) {
-    PooledConnection Connection;
-    Connection.m_Id = ConnectionId(++m_LastId);
-    Connection.m_Server = Server;
-    Connection.m_Term = Pool.m_Term;
-    Connection.m_Since = Now;
-    m_Connections.emplace(Connection.m_Id, Connection);
-    ++stateCounter(Connection);
-    Actions.m_Open.push_back(Connection);
+  if (!m_UsesWorkspaces) {
+    for (std::uint32_t Remaining = missingCount(Server, Pool); Remaining > 0;
+         --Remaining)
+      open(Now, Server, WorkspaceId(), Actions);
+    return;
   }
+  const std::vector<WorkspaceId> Missing = missingForWorkspaces(Pool);
+  std::uint32_t Unplaced = 0;
+  for (const WorkspaceId &Workspace : Missing) {
+    if (hasRoom(Server))
+      open(Now, Server, Workspace, Actions);
+    else
+      ++Unplaced;
+  }
+  // The next connections are opened once these are closed.
+  const std::uint32_t Closing = count(Server, ConnectionState::Closing);
+  if (Unplaced > Closing)
+    evictIdle(Now, Server, Unplaced - Closing, Actions);
+}
+
+void ConnectionPool::open(Instant Now, const ServerId &Server,
+                          const WorkspaceId &Workspace, PoolActions &Actions) {
+  ServerPool &Pool = m_Servers[Server];
+  PooledConnection Connection;
+  Connection.m_Id = ConnectionId(++m_LastId);
+  Connection.m_Server = Server;
+  Connection.m_Workspace = Workspace;
+  Connection.m_Term = Pool.m_Term;
+  Connection.m_Since = Now;
+  Pool.m_LastWorkspace = Workspace;
+  m_Connections.emplace(Connection.m_Id, Connection);
+  addToCounts(Connection);
+  Actions.m_Open.push_back(Connection);
 }
 
 void ConnectionPool::makeRoomForProbeConnection(Instant Now,
--- a/ragwortmux/Core/Ids.h
+++ b/ragwortmux/Core/Ids.h
@@ -24,6 +24,10 @@
 using EntryName = StrongId<struct EntryNameTag, std::string>;
 /// The owner named by a catalogue entry.
 using OwnerId = StrongId<struct OwnerIdTag, std::string>;
+/// A workspace: a customer whose callers share keys and limits.
+using WorkspaceId = StrongId<struct WorkspaceIdTag, std::string>;
+/// SHA-256 digest of a caller key; 32 bytes.
+using KeyDigest = StrongId<struct KeyDigestTag, std::string>;
 /// Name of a session, chosen by its caller; may move between entry hosts.
 using SessionName = StrongId<struct SessionNameTag, std::string>;
 /// A caller's idempotency key: a UUID of version 7, whose leading 48 bits are
--- a/ragwortmux/Core/ResultCode.cpp
+++ b/ragwortmux/Core/ResultCode.cpp
@@ -62,6 +62,11 @@
                    "not-run-catalogue-differs", "57P03",
                    "Not run: the proxy that serves the group has another "
                    "version of the catalogue entry; ask again."},
+    ResultCodeInfo{ResultCode::NotRunUnknownKey, "not-run-unknown-key", "28P01",
+                   "Not run: the caller's key belongs to no workspace."},
+    ResultCodeInfo{ResultCode::NotRunRateLimited, "not-run-rate-limited",
+                   "53400",
+                   "Not run: the workspace has reached its rate limit."},
     ResultCodeInfo{ResultCode::OutcomeUnknown, "outcome-unknown", "08007",
                    "It is not known whether the request was run."},
     ResultCodeInfo{ResultCode::OutcomeUnknownTermEnded,
--- a/ragwortmux/Core/ResultCode.h
+++ b/ragwortmux/Core/ResultCode.h
@@ -30,6 +30,8 @@
   NotRunBadRequest = 115,
   NotRunUnknownStatement = 116,
   NotRunCatalogueDiffers = 117,
+  NotRunUnknownKey = 118,
+  NotRunRateLimited = 119,
 
   // 2xx: it is not known whether the request was run.
   OutcomeUnknown = 201,
--- a/ragwortmux/Process/Backend/StatementConnection.h
+++ b/ragwortmux/Process/Backend/StatementConnection.h
@@ -13,6 +13,7 @@
 /// The server to which a statement connection is opened.
 struct StatementEndpoint final {
   GroupId m_Group;          ///< Expected group of the server.
+  WorkspaceId m_Workspace;  ///< Workspace to connect for; empty: none.
   ServerId m_Server;        ///< Expected id of the server.
   std::string m_Address;    ///< IP address.
   std::uint16_t m_Port = 0; ///< TCP port.
--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -45,6 +45,10 @@
   perform();
 }
 
+void SessionDriver::setUsesWorkspaces(bool UsesWorkspaces) {
+  m_Core.setUsesWorkspaces(UsesWorkspaces);
+}
+
 void SessionDriver::setLease(Instant ValidUntil) {
   m_Core.leaseExtended(monotonicNow(), ValidUntil, m_Actions);
   perform();
@@ -132,9 +136,10 @@
     m_Core.statementAnswered(monotonicNow(), Id, Reply, m_Actions);
     perform();
   };
-  m_Connections[Id] = m_Hooks.m_Open(
-      {m_Group, Found->m_Server, Found->m_Address, Found->m_Port},
-      std::move(Hooks));
+  m_Connections[Id] =
+      m_Hooks.m_Open({m_Group, Action.m_Workspace, Found->m_Server,
+                      Found->m_Address, Found->m_Port},
+                     std::move(Hooks));
 }
 
 void SessionDriver::performAction(const CloseSessionConnection &Action) {
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -42,6 +42,8 @@
   void submit(SessionRequest Request);
   void callerDisconnected(CallerConnectionId Caller);
   void applyView(const GroupView &View);
+  /// Sets whether callers of the group belong to workspaces.
+  void setUsesWorkspaces(bool UsesWorkspaces);
   /// Sets the end of the lease; an instant that has passed ends it.
   void setLease(Instant ValidUntil);
   void controlSessionChanged();
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -102,6 +102,17 @@
   return Code;
 }
 
+ResultCode
+SessionEntryRole::refuseUnknownKey(const EntryName &Name,
+                                   const StatementId &Statement) const {
+  const ResultCode Code =
+      hasLease() ? ResultCode::NotRunUnknownKey : ResultCode::NotRunNoLease;
+  const Duration LeaseLeft =
+      std::max(Duration(0), m_LeaseExpiry - monotonicNow());
+  m_StatementLog.recordUnknownKey(Name, Statement, Code, LeaseLeft);
+  return Code;
+}
+
 bool SessionEntryRole::hasLease() const {
   return monotonicNow() < m_LeaseExpiry;
 }
@@ -160,7 +171,11 @@
     return true;
   }
   const auto Own = m_Catalogue.find(Request.m_Entry->m_Name);
-  return Own != nullptr && *Own == *Request.m_Entry;
+  if (Own == nullptr || *Own != *Request.m_Entry) {
+    return false;
+  }
+  return !Own->m_RequiresKey ||
+         m_Catalogue.workspace(Request.m_Workspace) != nullptr;
 }
 
 ResultCode SessionEntryRole::checkRelayed(const SessionRequest &Request) const {
@@ -370,6 +385,7 @@
     Settings.m_Pool.m_OpenTimeout = m_Settings.m_ConnectTimeout;
     Driver = std::make_unique<SessionDriver>(m_Loop, Group, Settings,
                                              driverHooks(Group));
+    Driver->setUsesWorkspaces(m_KeyedGroups.contains(Group));
     Driver->setLease(m_LeaseExpiry);
     if (m_Draining) {
       Driver->drain();
@@ -407,6 +423,10 @@
     logInfo(Part::Catalogue, "Applied catalogue revision {}.",
             m_Catalogue.revision().value());
     m_Relay.setGroups(m_Catalogue.groups());
+    m_KeyedGroups = m_Catalogue.keyedGroups();
+    for (auto &[Group, Driver] : m_Groups) {
+      Driver->setUsesWorkspaces(m_KeyedGroups.contains(Group));
+    }
     m_AdmissionControl.open();
   }
   reportServedGroups();
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -70,11 +70,19 @@
   std::shared_ptr<const CatalogueEntry> findEntry(const EntryName &Name) const {
     return m_Catalogue.find(Name);
   }
+  /// The workspace that holds \p Key; null if there is none.
+  std::shared_ptr<const Workspace> findWorkspace(const KeyDigest &Key) const {
+    return m_Catalogue.findWorkspace(Key);
+  }
   /// The result for \p Statement, which is empty for a caller that connects,
   /// if findEntry() does not find its entry \p Name; it is logged. Without a
   /// lease this host cannot know whether its catalogue is current.
   ResultCode refuseMissingEntry(const EntryName &Name,
                                 const StatementId &Statement) const;
+  /// Like refuseMissingEntry(), if findWorkspace() does not find the key of a
+  /// caller of the entry \p Name.
+  ResultCode refuseUnknownKey(const EntryName &Name,
+                              const StatementId &Statement) const;
   /// Runs a statement; SessionEntryHooks::m_Answer receives the answer.
   void submit(SessionRequest Request);
   /// The group that serves the caller's next request: that of its open
@@ -110,7 +118,8 @@
   bool hasConnections(const GroupId &Group) const;
   /// False if control gives this host no connections for the statement.
   bool canRunHere(const SessionRequest &Request) const;
-  /// False if this host knows the statement's entry differently.
+  /// False if this host knows the statement's entry differently, or does not
+  /// know its workspace.
   bool hasSameEntry(const SessionRequest &Request) const;
   /// Ok, or why a relayed statement is not run here.
   ResultCode checkRelayed(const SessionRequest &Request) const;
@@ -136,7 +145,8 @@
   Metrics &m_Metrics;                ///< The process's metrics.
   SessionEntryHooks m_Hooks;         ///< Callbacks of the adapter.
   Revision m_Homes; ///< Newest revision of session homes from control.
-  CatalogueCache m_Catalogue; ///< The catalogue in use.
+  CatalogueCache m_Catalogue;      ///< The catalogue in use.
+  std::set<GroupId> m_KeyedGroups; ///< Groups whose callers need keys.
   std::optional<std::set<GroupId>> m_ReportedGroups =
       std::set<GroupId>();             ///< Served groups at the last report.
   StatementLog m_StatementLog;         ///< Logs and counts decisions.
--- a/ragwortmux/Process/Entry/StatementLog.cpp
+++ b/ragwortmux/Process/Entry/StatementLog.cpp
@@ -137,6 +137,22 @@
                                       const StatementId &Statement,
                                       ResultCode Code,
                                       Duration LeaseLeft) const {
+  recordRefusedCaller("The catalogue has no such entry.", Entry, Statement,
+                      Code, LeaseLeft);
+}
+
+void StatementLog::recordUnknownKey(const EntryName &Entry,
+                                    const StatementId &Statement,
+                                    ResultCode Code, Duration LeaseLeft) const {
+  recordRefusedCaller("No workspace holds the caller's key.", Entry, Statement,
+                      Code, LeaseLeft);
+}
+
+void StatementLog::recordRefusedCaller(std::string_view Text,
+                                       const EntryName &Entry,
+                                       const StatementId &Statement,
+                                       ResultCode Code,
+                                       Duration LeaseLeft) const {
   const std::array Fields = {
       LogField{"id", Statement.value()},
       LogField{"decision", std::string(decisionName(SessionDecision::Refused))},
@@ -145,8 +161,7 @@
       LogField{"entry", Entry.value()},
       LogField{"catalogue", toCount(m_Catalogue.revision().value())},
       LogField{"lease_left_ms", toMs(LeaseLeft)}};
-  logRecord(LogLevel::Info, Part::Catalogue, "The catalogue has no such entry.",
-            Fields);
+  logRecord(LogLevel::Info, Part::Catalogue, Text, Fields);
 }
 
 void StatementLog::writeSummary() {
--- a/ragwortmux/Process/Entry/StatementLog.h
+++ b/ragwortmux/Process/Entry/StatementLog.h
@@ -39,12 +39,18 @@
   /// caller that connects, because the catalogue has no entry \p Entry.
   void recordMissingEntry(const EntryName &Entry, const StatementId &Statement,
                           ResultCode Code, Duration LeaseLeft) const;
+  /// The same, because no workspace holds the caller's key.
+  void recordUnknownKey(const EntryName &Entry, const StatementId &Statement,
+                        ResultCode Code, Duration LeaseLeft) const;
   /// Logs the summary unless it is empty, and resets it.
   void writeSummary();
 
   const Summary &summary() const { return m_Summary; }
 
 private:
+  void recordRefusedCaller(std::string_view Text, const EntryName &Entry,
+                           const StatementId &Statement, ResultCode Code,
+                           Duration LeaseLeft) const;
   void count(const SessionDecisionRecord &Record);
   void writeLine(const GroupId &Group,
                  const SessionDecisionRecord &Record) const;
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -64,6 +64,7 @@
   latencyTargetUs @9 :Int64;
   transactionIdleUs @10 :Int64;
   priority @11 :UInt32;
+  requiresKey @12 :Bool;
 }
 
 struct CatalogueItem {
@@ -71,6 +72,19 @@
   entry @1 :CatalogueEntry;
 }
 
+struct Workspace {
+  name @0 :Text;
+  keys @1 :List(Data);
+  # Digests.
+  ratePerSecond @2 :UInt32;
+  burst @3 :UInt32;
+}
+
+struct WorkspaceItem {
+  revision @0 :UInt64;
+  workspace @1 :Workspace;
+}
+
 struct CatalogueDelta {
   # Everything that changed after the revision from; if whole, names that are not listed are deleted.
   from @0 :UInt64;
@@ -78,6 +92,8 @@
   whole @2 :Bool;
   items @3 :List(CatalogueItem);
   deletions @4 :List(Text);
+  workspaces @5 :List(WorkspaceItem);
+  workspaceDeletions @6 :List(Text);
 }
 
 struct EntryHost {
@@ -215,6 +231,8 @@
   lastWrite @13 :Point;
   ageUs @14 :Int64;
   # Time since the statement arrived.
+  workspace @15 :Text;
+  # Workspace of the caller; empty if the entry is open to all.
 }
 
 struct RelayedAnswer {
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(99e3a428b4a1cbdd);
 CAPNP_DECLARE_SCHEMA(e03a9425b0703bc6);
 CAPNP_DECLARE_SCHEMA(bdbbee6904ceaab1);
+CAPNP_DECLARE_SCHEMA(e99fcb5a3402f049);
+CAPNP_DECLARE_SCHEMA(e90092d00a6e19b3);
 CAPNP_DECLARE_SCHEMA(f0bb89e584c82fc3);
 CAPNP_DECLARE_SCHEMA(accb93cd4a811cc1);
 CAPNP_DECLARE_SCHEMA(a0c7bed2c2028792);
@@ -273,6 +275,36 @@
   };
 };
 
+struct Workspace {
+  Workspace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e99fcb5a3402f049, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WorkspaceItem {
+  WorkspaceItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e90092d00a6e19b3, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CatalogueDelta {
   CatalogueDelta() = delete;
 
@@ -281,7 +313,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0bb89e584c82fc3, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f0bb89e584c82fc3, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -540,7 +572,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(84ddac9b1e58a231, 4, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(84ddac9b1e58a231, 4, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1927,6 +1959,8 @@
 
   inline  ::uint32_t getPriority() const;
 
+  inline bool getRequiresKey() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2003,6 +2037,9 @@
   inline  ::uint32_t getPriority();
   inline void setPriority( ::uint32_t value);
 
+  inline bool getRequiresKey();
+  inline void setRequiresKey(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2116,6 +2153,195 @@
 };
 #endif  // !CAPNP_LITE
 
+class Workspace::Reader {
+public:
+  typedef Workspace Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+  inline  ::uint32_t getRatePerSecond() const;
+
+  inline  ::uint32_t getBurst() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Workspace::Builder {
+public:
+  typedef Workspace Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownKeys();
+
+  inline  ::uint32_t getRatePerSecond();
+  inline void setRatePerSecond( ::uint32_t value);
+
+  inline  ::uint32_t getBurst();
+  inline void setBurst( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Workspace::Pipeline {
+public:
+  typedef Workspace Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WorkspaceItem::Reader {
+public:
+  typedef WorkspaceItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasWorkspace() const;
+  inline  ::ragwortmux::rpc::Workspace::Reader getWorkspace() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkspaceItem::Builder {
+public:
+  typedef WorkspaceItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasWorkspace();
+  inline  ::ragwortmux::rpc::Workspace::Builder getWorkspace();
+  inline void setWorkspace( ::ragwortmux::rpc::Workspace::Reader value);
+  inline  ::ragwortmux::rpc::Workspace::Builder initWorkspace();
+  inline void adoptWorkspace(::capnp::Orphan< ::ragwortmux::rpc::Workspace>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Workspace> disownWorkspace();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkspaceItem::Pipeline {
+public:
+  typedef WorkspaceItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::Workspace::Pipeline getWorkspace();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CatalogueDelta::Reader {
 public:
   typedef CatalogueDelta Reads;
@@ -2145,6 +2371,12 @@
   inline bool hasDeletions() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDeletions() const;
 
+  inline bool hasWorkspaces() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader getWorkspaces() const;
+
+  inline bool hasWorkspaceDeletions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getWorkspaceDeletions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2197,6 +2429,21 @@
   inline void adoptDeletions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDeletions();
 
+  inline bool hasWorkspaces();
+  inline  ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder getWorkspaces();
+  inline void setWorkspaces( ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder initWorkspaces(unsigned int size);
+  inline void adoptWorkspaces(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>> disownWorkspaces();
+
+  inline bool hasWorkspaceDeletions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getWorkspaceDeletions();
+  inline void setWorkspaceDeletions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setWorkspaceDeletions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initWorkspaceDeletions(unsigned int size);
+  inline void adoptWorkspaceDeletions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownWorkspaceDeletions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3904,6 +4151,9 @@
 
   inline  ::int64_t getAgeUs() const;
 
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4013,6 +4263,13 @@
   inline  ::int64_t getAgeUs();
   inline void setAgeUs( ::int64_t value);
 
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7471,6 +7728,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CatalogueEntry::Reader::getRequiresKey() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool CatalogueEntry::Builder::getRequiresKey() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CatalogueEntry::Builder::setRequiresKey(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CatalogueItem::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7524,6 +7795,159 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Workspace::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspace::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Workspace::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Workspace::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Workspace::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Workspace::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Workspace::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Workspace::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Workspace::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspace::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Workspace::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Workspace::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Workspace::Builder::setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Workspace::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Workspace::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Workspace::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Workspace::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Workspace::Reader::getRatePerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Workspace::Builder::getRatePerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Workspace::Builder::setRatePerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Workspace::Reader::getBurst() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Workspace::Builder::getBurst() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Workspace::Builder::setBurst( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WorkspaceItem::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkspaceItem::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceItem::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkspaceItem::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkspaceItem::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::Workspace::Reader WorkspaceItem::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Workspace>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Workspace::Builder WorkspaceItem::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Workspace>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Workspace::Pipeline WorkspaceItem::Pipeline::getWorkspace() {
+  return  ::ragwortmux::rpc::Workspace::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void WorkspaceItem::Builder::setWorkspace( ::ragwortmux::rpc::Workspace::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Workspace>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::Workspace::Builder WorkspaceItem::Builder::initWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Workspace>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkspaceItem::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::ragwortmux::rpc::Workspace>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Workspace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Workspace> WorkspaceItem::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Workspace>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t CatalogueDelta::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7638,6 +8062,78 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool CatalogueDelta::Reader::hasWorkspaces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CatalogueDelta::Builder::hasWorkspaces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader CatalogueDelta::Reader::getWorkspaces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder CatalogueDelta::Builder::getWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CatalogueDelta::Builder::setWorkspaces( ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder CatalogueDelta::Builder::initWorkspaces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CatalogueDelta::Builder::adoptWorkspaces(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>> CatalogueDelta::Builder::disownWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::WorkspaceItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool CatalogueDelta::Reader::hasWorkspaceDeletions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CatalogueDelta::Builder::hasWorkspaceDeletions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CatalogueDelta::Reader::getWorkspaceDeletions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CatalogueDelta::Builder::getWorkspaceDeletions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CatalogueDelta::Builder::setWorkspaceDeletions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void CatalogueDelta::Builder::setWorkspaceDeletions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CatalogueDelta::Builder::initWorkspaceDeletions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CatalogueDelta::Builder::adoptWorkspaceDeletions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CatalogueDelta::Builder::disownWorkspaceDeletions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool EntryHost::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9706,6 +10202,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayedStatement::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedStatement::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayedStatement::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayedStatement::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void RelayedStatement::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayedStatement::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void RelayedStatement::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayedStatement::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline  ::uint16_t RelayedAnswer::Reader::getCode() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/ragwortmux/Process/Generated/Commands.capnp
+++ b/ragwortmux/Process/Generated/Commands.capnp
@@ -19,6 +19,29 @@
   latencyTargetUs @9 :Int64;
   transactionIdleUs @10 :Int64;
   priority @11 :UInt32;
+  requiresKey @12 :Bool;
+}
+
+struct Workspace {
+  name @0 :Text;
+  keys @1 :List(Data);
+  # Digests.
+  ratePerSecond @2 :UInt32;
+  burst @3 :UInt32;
+}
+
+struct PutWorkspace {
+  expected @0 :UInt64;
+  change @1 :Text;
+  operatorName @2 :Text;
+  workspace @3 :Workspace;
+}
+
+struct DeleteWorkspace {
+  expected @0 :UInt64;
+  change @1 :Text;
+  operatorName @2 :Text;
+  name @3 :Text;
 }
 
 struct PutEntry {
@@ -154,6 +177,7 @@
   document @1 :Text;
   entries @2 :List(Entry);
   groups @3 :List(GroupPolicy);
+  workspaces @4 :List(Workspace);
 }
 
 struct Command {
@@ -177,6 +201,8 @@
     setVoters @16 :List(Voter);
     setSessionHomes @17 :SetSessionHomes;
     replaceCatalogue @18 :ReplaceCatalogue;
+    putWorkspace @19 :PutWorkspace;
+    deleteWorkspace @20 :DeleteWorkspace;
   }
 }
 
@@ -200,6 +226,31 @@
   entry @6 :Entry;
 }
 
+struct WorkspaceItem {
+  revision @0 :UInt64;
+  workspace @1 :Workspace;
+}
+
+struct WorkspaceDeletion {
+  revision @0 :UInt64;
+  name @1 :Text;
+}
+
+struct WorkspaceChange {
+  revision @0 :UInt64;
+  expected @1 :UInt64;
+  change @2 :Text;
+  deleted @3 :Bool;
+  workspace @4 :Workspace;
+}
+
+struct Workspaces {
+  items @0 :List(WorkspaceItem);
+  deletions @1 :List(WorkspaceDeletion);
+  recent @2 :List(WorkspaceChange);
+  forgottenDeletion @3 :UInt64;
+}
+
 struct Catalogue {
   revision @0 :UInt64;
   forgottenDeletion @1 :UInt64;
@@ -210,6 +261,7 @@
   version @6 :UInt64;
   document @7 :Text;
   groups @8 :List(GroupPolicy);
+  workspaces @9 :Workspaces;
 }
 
 struct Session {
--- a/ragwortmux/Process/Generated/Commands.capnp.h
+++ b/ragwortmux/Process/Generated/Commands.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(d1c38eeab257cad9);
+CAPNP_DECLARE_SCHEMA(ac282ffbb67a641f);
+CAPNP_DECLARE_SCHEMA(ca69cf413a40a0a0);
+CAPNP_DECLARE_SCHEMA(bd70fe859850526b);
 CAPNP_DECLARE_SCHEMA(ce9b9acb713d95f7);
 CAPNP_DECLARE_SCHEMA(ae055f3670da594f);
 CAPNP_DECLARE_SCHEMA(cafedb809d4a53c5);
@@ -40,6 +43,10 @@
 CAPNP_DECLARE_SCHEMA(dcf67b3a13a975e4);
 CAPNP_DECLARE_SCHEMA(a2e505ac1b3d3038);
 CAPNP_DECLARE_SCHEMA(801ed222ddc63e01);
+CAPNP_DECLARE_SCHEMA(d1e9d8e529b9d44c);
+CAPNP_DECLARE_SCHEMA(aafafae9813ebe1c);
+CAPNP_DECLARE_SCHEMA(ae312eea0980a132);
+CAPNP_DECLARE_SCHEMA(d5727b92854d8485);
 CAPNP_DECLARE_SCHEMA(cd1f8fb7262555f4);
 CAPNP_DECLARE_SCHEMA(ea08d55ae4248efe);
 CAPNP_DECLARE_SCHEMA(eb0e54a828b15c01);
@@ -71,6 +78,51 @@
   };
 };
 
+struct Workspace {
+  Workspace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac282ffbb67a641f, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PutWorkspace {
+  PutWorkspace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca69cf413a40a0a0, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DeleteWorkspace {
+  DeleteWorkspace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd70fe859850526b, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PutEntry {
   PutEntry() = delete;
 
@@ -349,7 +401,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(919e10c01fe4a573, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(919e10c01fe4a573, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -382,6 +434,8 @@
     SET_VOTERS,
     SET_SESSION_HOMES,
     REPLACE_CATALOGUE,
+    PUT_WORKSPACE,
+    DELETE_WORKSPACE,
   };
 
   struct _capnpPrivate {
@@ -437,6 +491,66 @@
   };
 };
 
+struct WorkspaceItem {
+  WorkspaceItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1e9d8e529b9d44c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WorkspaceDeletion {
+  WorkspaceDeletion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aafafae9813ebe1c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WorkspaceChange {
+  WorkspaceChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae312eea0980a132, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Workspaces {
+  Workspaces() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5727b92854d8485, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Catalogue {
   Catalogue() = delete;
 
@@ -445,7 +559,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd1f8fb7262555f4, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(cd1f8fb7262555f4, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -618,6 +732,8 @@
 
   inline  ::uint32_t getPriority() const;
 
+  inline bool getRequiresKey() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -694,6 +810,9 @@
   inline  ::uint32_t getPriority();
   inline void setPriority( ::uint32_t value);
 
+  inline bool getRequiresKey();
+  inline void setRequiresKey(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -720,9 +839,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PutEntry::Reader {
+class Workspace::Reader {
 public:
-  typedef PutEntry Reads;
+  typedef Workspace Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -737,16 +856,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasChange() const;
-  inline  ::capnp::Text::Reader getChange() const;
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getKeys() const;
 
-  inline bool hasOperatorName() const;
-  inline  ::capnp::Text::Reader getOperatorName() const;
+  inline  ::uint32_t getRatePerSecond() const;
 
-  inline bool hasEntry() const;
-  inline  ::ragwortmux::stored::Entry::Reader getEntry() const;
+  inline  ::uint32_t getBurst() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -760,9 +878,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PutEntry::Builder {
+class Workspace::Builder {
 public:
-  typedef PutEntry Builds;
+  typedef Workspace Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -776,29 +894,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected();
-  inline void setExpected( ::uint64_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasChange();
-  inline  ::capnp::Text::Builder getChange();
-  inline void setChange( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initChange(unsigned int size);
-  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownChange();
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownKeys();
 
-  inline bool hasOperatorName();
-  inline  ::capnp::Text::Builder getOperatorName();
-  inline void setOperatorName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOperatorName(unsigned int size);
-  inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
+  inline  ::uint32_t getRatePerSecond();
+  inline void setRatePerSecond( ::uint32_t value);
 
-  inline bool hasEntry();
-  inline  ::ragwortmux::stored::Entry::Builder getEntry();
-  inline void setEntry( ::ragwortmux::stored::Entry::Reader value);
-  inline  ::ragwortmux::stored::Entry::Builder initEntry();
-  inline void adoptEntry(::capnp::Orphan< ::ragwortmux::stored::Entry>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::Entry> disownEntry();
+  inline  ::uint32_t getBurst();
+  inline void setBurst( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -810,15 +925,14 @@
 };
 
 #if !CAPNP_LITE
-class PutEntry::Pipeline {
+class Workspace::Pipeline {
 public:
-  typedef PutEntry Pipelines;
+  typedef Workspace Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::stored::Entry::Pipeline getEntry();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -827,9 +941,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DeleteEntry::Reader {
+class PutWorkspace::Reader {
 public:
-  typedef DeleteEntry Reads;
+  typedef PutWorkspace Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -852,8 +966,8 @@
   inline bool hasOperatorName() const;
   inline  ::capnp::Text::Reader getOperatorName() const;
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline bool hasWorkspace() const;
+  inline  ::ragwortmux::stored::Workspace::Reader getWorkspace() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -867,9 +981,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DeleteEntry::Builder {
+class PutWorkspace::Builder {
 public:
-  typedef DeleteEntry Builds;
+  typedef PutWorkspace Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -900,12 +1014,12 @@
   inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline bool hasWorkspace();
+  inline  ::ragwortmux::stored::Workspace::Builder getWorkspace();
+  inline void setWorkspace( ::ragwortmux::stored::Workspace::Reader value);
+  inline  ::ragwortmux::stored::Workspace::Builder initWorkspace();
+  inline void adoptWorkspace(::capnp::Orphan< ::ragwortmux::stored::Workspace>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Workspace> disownWorkspace();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -917,14 +1031,15 @@
 };
 
 #if !CAPNP_LITE
-class DeleteEntry::Pipeline {
+class PutWorkspace::Pipeline {
 public:
-  typedef DeleteEntry Pipelines;
+  typedef PutWorkspace Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::stored::Workspace::Pipeline getWorkspace();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -933,9 +1048,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class OpenSession::Reader {
+class DeleteWorkspace::Reader {
 public:
-  typedef OpenSession Reads;
+  typedef DeleteWorkspace Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -950,18 +1065,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getExpected() const;
 
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline bool hasChange() const;
+  inline  ::capnp::Text::Reader getChange() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasOperatorName() const;
+  inline  ::capnp::Text::Reader getOperatorName() const;
 
-  inline  ::uint16_t getRpcPort() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -975,9 +1088,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class OpenSession::Builder {
+class DeleteWorkspace::Builder {
 public:
-  typedef OpenSession Builds;
+  typedef DeleteWorkspace Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -991,32 +1104,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
 
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline bool hasChange();
+  inline  ::capnp::Text::Builder getChange();
+  inline void setChange( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChange(unsigned int size);
+  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChange();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasOperatorName();
+  inline  ::capnp::Text::Builder getOperatorName();
+  inline void setOperatorName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperatorName(unsigned int size);
+  inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
 
-  inline  ::uint16_t getRpcPort();
-  inline void setRpcPort( ::uint16_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1028,9 +1138,9 @@
 };
 
 #if !CAPNP_LITE
-class OpenSession::Pipeline {
+class DeleteWorkspace::Pipeline {
 public:
-  typedef OpenSession Pipelines;
+  typedef DeleteWorkspace Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1044,9 +1154,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EndSession::Reader {
+class PutEntry::Reader {
 public:
-  typedef EndSession Reads;
+  typedef PutEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1061,7 +1171,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession() const;
+  inline  ::uint64_t getExpected() const;
+
+  inline bool hasChange() const;
+  inline  ::capnp::Text::Reader getChange() const;
+
+  inline bool hasOperatorName() const;
+  inline  ::capnp::Text::Reader getOperatorName() const;
+
+  inline bool hasEntry() const;
+  inline  ::ragwortmux::stored::Entry::Reader getEntry() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1075,9 +1194,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EndSession::Builder {
+class PutEntry::Builder {
 public:
-  typedef EndSession Builds;
+  typedef PutEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1091,8 +1210,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
+
+  inline bool hasChange();
+  inline  ::capnp::Text::Builder getChange();
+  inline void setChange( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChange(unsigned int size);
+  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChange();
+
+  inline bool hasOperatorName();
+  inline  ::capnp::Text::Builder getOperatorName();
+  inline void setOperatorName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperatorName(unsigned int size);
+  inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
+
+  inline bool hasEntry();
+  inline  ::ragwortmux::stored::Entry::Builder getEntry();
+  inline void setEntry( ::ragwortmux::stored::Entry::Reader value);
+  inline  ::ragwortmux::stored::Entry::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::ragwortmux::stored::Entry>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Entry> disownEntry();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1104,14 +1244,15 @@
 };
 
 #if !CAPNP_LITE
-class EndSession::Pipeline {
+class PutEntry::Pipeline {
 public:
-  typedef EndSession Pipelines;
+  typedef PutEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::stored::Entry::Pipeline getEntry();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1120,9 +1261,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RegisterServer::Reader {
+class DeleteEntry::Reader {
 public:
-  typedef RegisterServer Reads;
+  typedef DeleteEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1137,25 +1278,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
-
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline  ::uint16_t getPort() const;
+  inline  ::uint64_t getExpected() const;
 
-  inline  ::uint32_t getSlots() const;
+  inline bool hasChange() const;
+  inline  ::capnp::Text::Reader getChange() const;
 
-  inline  ::uint32_t getConnectionLimit() const;
+  inline bool hasOperatorName() const;
+  inline  ::capnp::Text::Reader getOperatorName() const;
 
-  inline  ::uint8_t getReplication() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1169,9 +1301,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RegisterServer::Builder {
+class DeleteEntry::Builder {
 public:
-  typedef RegisterServer Builds;
+  typedef DeleteEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1185,45 +1317,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
-
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline bool hasChange();
+  inline  ::capnp::Text::Builder getChange();
+  inline void setChange( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChange(unsigned int size);
+  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChange();
 
-  inline  ::uint32_t getConnectionLimit();
-  inline void setConnectionLimit( ::uint32_t value);
+  inline bool hasOperatorName();
+  inline  ::capnp::Text::Builder getOperatorName();
+  inline void setOperatorName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperatorName(unsigned int size);
+  inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
 
-  inline  ::uint8_t getReplication();
-  inline void setReplication( ::uint8_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1235,9 +1351,9 @@
 };
 
 #if !CAPNP_LITE
-class RegisterServer::Pipeline {
+class DeleteEntry::Pipeline {
 public:
-  typedef RegisterServer Pipelines;
+  typedef DeleteEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1251,9 +1367,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SetServerState::Reader {
+class OpenSession::Reader {
 public:
-  typedef SetServerState Reads;
+  typedef OpenSession Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1268,17 +1384,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool getLeaving() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline bool getAnnounced() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool getEnded() const;
+  inline  ::uint16_t getRpcPort() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1292,9 +1409,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SetServerState::Builder {
+class OpenSession::Builder {
 public:
-  typedef SetServerState Builds;
+  typedef OpenSession Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1308,28 +1425,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline bool getAnnounced();
-  inline void setAnnounced(bool value);
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool getEnded();
-  inline void setEnded(bool value);
+  inline  ::uint16_t getRpcPort();
+  inline void setRpcPort( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1341,9 +1462,9 @@
 };
 
 #if !CAPNP_LITE
-class SetServerState::Pipeline {
+class OpenSession::Pipeline {
 public:
-  typedef SetServerState Pipelines;
+  typedef OpenSession Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1357,9 +1478,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EndTerm::Reader {
+class EndSession::Reader {
 public:
-  typedef EndTerm Reads;
+  typedef EndSession Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1374,10 +1495,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline  ::uint64_t getNewTerm() const;
+  inline  ::uint64_t getSession() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1391,9 +1509,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EndTerm::Builder {
+class EndSession::Builder {
 public:
-  typedef EndTerm Builds;
+  typedef EndSession Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1407,15 +1525,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
-  inline  ::uint64_t getNewTerm();
-  inline void setNewTerm( ::uint64_t value);
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1427,9 +1538,9 @@
 };
 
 #if !CAPNP_LITE
-class EndTerm::Pipeline {
+class EndSession::Pipeline {
 public:
-  typedef EndTerm Pipelines;
+  typedef EndSession Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1443,9 +1554,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AppointPrimary::Reader {
+class RegisterServer::Reader {
 public:
-  typedef AppointPrimary Reads;
+  typedef RegisterServer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1463,13 +1574,22 @@
   inline bool hasGroup() const;
   inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getTerm() const;
-
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
-  inline bool hasKeep() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeep() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint16_t getPort() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline  ::uint32_t getConnectionLimit() const;
+
+  inline  ::uint8_t getReplication() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1483,9 +1603,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AppointPrimary::Builder {
+class RegisterServer::Builder {
 public:
-  typedef AppointPrimary Builds;
+  typedef RegisterServer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1506,9 +1626,6 @@
   inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
   inline bool hasServer();
   inline  ::capnp::Text::Builder getServer();
   inline void setServer( ::capnp::Text::Reader value);
@@ -1516,13 +1633,31 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline bool hasKeep();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeep();
-  inline void setKeep( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setKeep(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeep(unsigned int size);
-  inline void adoptKeep(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeep();
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint32_t getConnectionLimit();
+  inline void setConnectionLimit( ::uint32_t value);
+
+  inline  ::uint8_t getReplication();
+  inline void setReplication( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1534,9 +1669,9 @@
 };
 
 #if !CAPNP_LITE
-class AppointPrimary::Pipeline {
+class RegisterServer::Pipeline {
 public:
-  typedef AppointPrimary Pipelines;
+  typedef RegisterServer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1550,9 +1685,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SetInSync::Reader {
+class SetServerState::Reader {
 public:
-  typedef SetInSync Reads;
+  typedef SetServerState Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1570,14 +1705,14 @@
   inline bool hasGroup() const;
   inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getTerm() const;
-
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
-  inline  ::uint64_t getExpected() const;
+  inline bool getLeaving() const;
 
-  inline  ::uint8_t getSync() const;
+  inline bool getAnnounced() const;
+
+  inline bool getEnded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1591,9 +1726,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SetInSync::Builder {
+class SetServerState::Builder {
 public:
-  typedef SetInSync Builds;
+  typedef SetServerState Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1614,9 +1749,6 @@
   inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
   inline bool hasServer();
   inline  ::capnp::Text::Builder getServer();
   inline void setServer( ::capnp::Text::Reader value);
@@ -1624,11 +1756,14 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline  ::uint64_t getExpected();
-  inline void setExpected( ::uint64_t value);
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
-  inline  ::uint8_t getSync();
-  inline void setSync( ::uint8_t value);
+  inline bool getAnnounced();
+  inline void setAnnounced(bool value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1640,9 +1775,9 @@
 };
 
 #if !CAPNP_LITE
-class SetInSync::Pipeline {
+class SetServerState::Pipeline {
 public:
-  typedef SetInSync Pipelines;
+  typedef SetServerState Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1656,9 +1791,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ShareGrant::Reader {
+class EndTerm::Reader {
 public:
-  typedef ShareGrant Reads;
+  typedef EndTerm Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1673,9 +1808,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint32_t getConnections() const;
+  inline  ::uint64_t getNewTerm() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1689,9 +1825,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ShareGrant::Builder {
+class EndTerm::Builder {
 public:
-  typedef ShareGrant Builds;
+  typedef EndTerm Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1705,11 +1841,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint32_t getConnections();
-  inline void setConnections( ::uint32_t value);
+  inline  ::uint64_t getNewTerm();
+  inline void setNewTerm( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1721,9 +1861,9 @@
 };
 
 #if !CAPNP_LITE
-class ShareGrant::Pipeline {
+class EndTerm::Pipeline {
 public:
-  typedef ShareGrant Pipelines;
+  typedef EndTerm Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1737,9 +1877,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SetShares::Reader {
+class AppointPrimary::Reader {
 public:
-  typedef SetShares Reads;
+  typedef AppointPrimary Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1757,11 +1897,13 @@
   inline bool hasGroup() const;
   inline  ::capnp::Text::Reader getGroup() const;
 
+  inline  ::uint64_t getTerm() const;
+
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+  inline bool hasKeep() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeep() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1775,9 +1917,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SetShares::Builder {
+class AppointPrimary::Builder {
 public:
-  typedef SetShares Builds;
+  typedef AppointPrimary Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1798,6 +1940,9 @@
   inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
   inline bool hasServer();
   inline  ::capnp::Text::Builder getServer();
   inline void setServer( ::capnp::Text::Reader value);
@@ -1805,12 +1950,13 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline bool hasGrants();
-  inline  ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+  inline bool hasKeep();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeep();
+  inline void setKeep( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeep(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeep(unsigned int size);
+  inline void adoptKeep(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeep();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1822,9 +1968,9 @@
 };
 
 #if !CAPNP_LITE
-class SetShares::Pipeline {
+class AppointPrimary::Pipeline {
 public:
-  typedef SetShares Pipelines;
+  typedef AppointPrimary Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1838,9 +1984,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfirmShares::Reader {
+class SetInSync::Reader {
 public:
-  typedef ConfirmShares Reads;
+  typedef SetInSync Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1858,9 +2004,14 @@
   inline bool hasGroup() const;
   inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getSession() const;
+  inline  ::uint64_t getTerm() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getExpected() const;
+
+  inline  ::uint8_t getSync() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1874,9 +2025,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfirmShares::Builder {
+class SetInSync::Builder {
 public:
-  typedef ConfirmShares Builds;
+  typedef SetInSync Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1897,11 +2048,21 @@
   inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
+
+  inline  ::uint8_t getSync();
+  inline void setSync( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1913,9 +2074,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfirmShares::Pipeline {
+class SetInSync::Pipeline {
 public:
-  typedef ConfirmShares Pipelines;
+  typedef SetInSync Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1929,9 +2090,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ReserveKey::Reader {
+class ShareGrant::Reader {
 public:
-  typedef ReserveKey Reads;
+  typedef ShareGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1946,21 +2107,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner() const;
-  inline  ::capnp::Text::Reader getOwner() const;
-
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasAttempt() const;
-  inline  ::capnp::Text::Reader getAttempt() const;
-
   inline  ::uint64_t getSession() const;
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline  ::uint64_t getTerm() const;
+  inline  ::uint32_t getConnections() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1974,9 +2123,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ReserveKey::Builder {
+class ShareGrant::Builder {
 public:
-  typedef ReserveKey Builds;
+  typedef ShareGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1990,39 +2139,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner();
-  inline  ::capnp::Text::Builder getOwner();
-  inline void setOwner( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOwner(unsigned int size);
-  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
-
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasAttempt();
-  inline  ::capnp::Text::Builder getAttempt();
-  inline void setAttempt( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
-
   inline  ::uint64_t getSession();
   inline void setSession( ::uint64_t value);
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
+  inline  ::uint32_t getConnections();
+  inline void setConnections( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2034,9 +2155,9 @@
 };
 
 #if !CAPNP_LITE
-class ReserveKey::Pipeline {
+class ShareGrant::Pipeline {
 public:
-  typedef ReserveKey Pipelines;
+  typedef ShareGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2050,9 +2171,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RecordOutcome::Reader {
+class SetShares::Reader {
 public:
-  typedef RecordOutcome Reads;
+  typedef SetShares Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2067,19 +2188,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner() const;
-  inline  ::capnp::Text::Reader getOwner() const;
-
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasAttempt() const;
-  inline  ::capnp::Text::Reader getAttempt() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint16_t getCode() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2093,9 +2209,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RecordOutcome::Builder {
+class SetShares::Builder {
 public:
-  typedef RecordOutcome Builds;
+  typedef SetShares Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2109,36 +2225,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner();
-  inline  ::capnp::Text::Builder getOwner();
-  inline void setOwner( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOwner(unsigned int size);
-  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
-
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline bool hasAttempt();
-  inline  ::capnp::Text::Builder getAttempt();
-  inline void setAttempt( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline  ::uint16_t getCode();
-  inline void setCode( ::uint16_t value);
-
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
+  inline bool hasGrants();
+  inline  ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::ShareGrant,  ::capnp::Kind::STRUCT>> disownGrants();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2150,9 +2256,9 @@
 };
 
 #if !CAPNP_LITE
-class RecordOutcome::Pipeline {
+class SetShares::Pipeline {
 public:
-  typedef RecordOutcome Pipelines;
+  typedef SetShares Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2166,9 +2272,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ResolveAttempt::Reader {
+class ConfirmShares::Reader {
 public:
-  typedef ResolveAttempt Reads;
+  typedef ConfirmShares Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2183,20 +2289,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner() const;
-  inline  ::capnp::Text::Reader getOwner() const;
-
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasAttempt() const;
-  inline  ::capnp::Text::Reader getAttempt() const;
-
-  inline  ::uint64_t getResolver() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getTerm() const;
+  inline  ::uint64_t getSession() const;
 
-  inline bool getCommitted() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2210,9 +2308,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResolveAttempt::Builder {
+class ConfirmShares::Builder {
 public:
-  typedef ResolveAttempt Builds;
+  typedef ConfirmShares Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2226,35 +2324,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOwner();
-  inline  ::capnp::Text::Builder getOwner();
-  inline void setOwner( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOwner(unsigned int size);
-  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
-
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasAttempt();
-  inline  ::capnp::Text::Builder getAttempt();
-  inline void setAttempt( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
-
-  inline  ::uint64_t getResolver();
-  inline void setResolver( ::uint64_t value);
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
 
-  inline bool getCommitted();
-  inline void setCommitted(bool value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2266,9 +2347,9 @@
 };
 
 #if !CAPNP_LITE
-class ResolveAttempt::Pipeline {
+class ConfirmShares::Pipeline {
 public:
-  typedef ResolveAttempt Pipelines;
+  typedef ConfirmShares Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2282,9 +2363,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Voter::Reader {
+class ReserveKey::Reader {
 public:
-  typedef Voter Reads;
+  typedef ReserveKey Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2299,19 +2380,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+  inline bool hasOwner() const;
+  inline  ::capnp::Text::Reader getOwner() const;
 
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool hasIdentity() const;
-  inline  ::capnp::Text::Reader getIdentity() const;
+  inline bool hasAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::uint64_t getSession() const;
 
-  inline  ::uint16_t getRpcPort() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint64_t getTerm() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2325,9 +2408,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Voter::Builder {
+class ReserveKey::Builder {
 public:
-  typedef Voter Builds;
+  typedef ReserveKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2341,36 +2424,39 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+  inline bool hasOwner();
+  inline  ::capnp::Text::Builder getOwner();
+  inline void setOwner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOwner(unsigned int size);
+  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
 
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool hasIdentity();
-  inline  ::capnp::Text::Builder getIdentity();
-  inline void setIdentity( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
-  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
+  inline bool hasAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
 
-  inline  ::uint16_t getRpcPort();
-  inline void setRpcPort( ::uint16_t value);
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2382,9 +2468,9 @@
 };
 
 #if !CAPNP_LITE
-class Voter::Pipeline {
+class ReserveKey::Pipeline {
 public:
-  typedef Voter Pipelines;
+  typedef ReserveKey Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2398,9 +2484,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SetSessionHomes::Reader {
+class RecordOutcome::Reader {
 public:
-  typedef SetSessionHomes Reads;
+  typedef RecordOutcome Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2415,12 +2501,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected() const;
+  inline bool hasOwner() const;
+  inline  ::capnp::Text::Reader getOwner() const;
 
-  inline bool hasHosts() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHosts() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool getActive() const;
+  inline bool hasAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
+
+  inline  ::uint16_t getCode() const;
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2434,9 +2527,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SetSessionHomes::Builder {
+class RecordOutcome::Builder {
 public:
-  typedef SetSessionHomes Builds;
+  typedef RecordOutcome Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2450,19 +2543,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected();
-  inline void setExpected( ::uint64_t value);
+  inline bool hasOwner();
+  inline  ::capnp::Text::Builder getOwner();
+  inline void setOwner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOwner(unsigned int size);
+  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
 
-  inline bool hasHosts();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHosts();
-  inline void setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHosts(unsigned int size);
-  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHosts();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool getActive();
-  inline void setActive(bool value);
+  inline bool hasAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
+
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2474,9 +2584,9 @@
 };
 
 #if !CAPNP_LITE
-class SetSessionHomes::Pipeline {
+class RecordOutcome::Pipeline {
 public:
-  typedef SetSessionHomes Pipelines;
+  typedef RecordOutcome Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2490,9 +2600,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GroupPolicy::Reader {
+class ResolveAttempt::Reader {
 public:
-  typedef GroupPolicy Reads;
+  typedef ResolveAttempt Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2507,12 +2617,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
+  inline bool hasOwner() const;
+  inline  ::capnp::Text::Reader getOwner() const;
 
-  inline  ::uint32_t getConnectionLimit() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::uint32_t getReplicasBeforeAck() const;
+  inline bool hasAttempt() const;
+  inline  ::capnp::Text::Reader getAttempt() const;
+
+  inline  ::uint64_t getResolver() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline bool getCommitted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2526,9 +2644,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GroupPolicy::Builder {
+class ResolveAttempt::Builder {
 public:
-  typedef GroupPolicy Builds;
+  typedef ResolveAttempt Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2542,18 +2660,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
-  inline  ::uint32_t getConnectionLimit();
-  inline void setConnectionLimit( ::uint32_t value);
+  inline bool hasOwner();
+  inline  ::capnp::Text::Builder getOwner();
+  inline void setOwner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOwner(unsigned int size);
+  inline void adoptOwner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOwner();
 
-  inline  ::uint32_t getReplicasBeforeAck();
-  inline void setReplicasBeforeAck( ::uint32_t value);
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasAttempt();
+  inline  ::capnp::Text::Builder getAttempt();
+  inline void setAttempt( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
+  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
+
+  inline  ::uint64_t getResolver();
+  inline void setResolver( ::uint64_t value);
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline bool getCommitted();
+  inline void setCommitted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2565,9 +2700,9 @@
 };
 
 #if !CAPNP_LITE
-class GroupPolicy::Pipeline {
+class ResolveAttempt::Pipeline {
 public:
-  typedef GroupPolicy Pipelines;
+  typedef ResolveAttempt Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2581,9 +2716,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ReplaceCatalogue::Reader {
+class Voter::Reader {
 public:
-  typedef ReplaceCatalogue Reads;
+  typedef Voter Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2598,16 +2733,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline bool hasDocument() const;
-  inline  ::capnp::Text::Reader getDocument() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+  inline bool hasIdentity() const;
+  inline  ::capnp::Text::Reader getIdentity() const;
 
-  inline bool hasGroups() const;
-  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint16_t getRpcPort() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2621,9 +2759,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ReplaceCatalogue::Builder {
+class Voter::Builder {
 public:
-  typedef ReplaceCatalogue Builds;
+  typedef Voter Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2637,29 +2775,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline bool hasDocument();
-  inline  ::capnp::Text::Builder getDocument();
-  inline void setDocument( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+  inline bool hasIdentity();
+  inline  ::capnp::Text::Builder getIdentity();
+  inline void setIdentity( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIdentity(unsigned int size);
+  inline void adoptIdentity(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIdentity();
 
-  inline bool hasGroups();
-  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder getGroups();
-  inline void setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
-  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> disownGroups();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getRpcPort();
+  inline void setRpcPort( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2671,9 +2816,9 @@
 };
 
 #if !CAPNP_LITE
-class ReplaceCatalogue::Pipeline {
+class Voter::Pipeline {
 public:
-  typedef ReplaceCatalogue Pipelines;
+  typedef Voter Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2687,9 +2832,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Command::Reader {
+class SetSessionHomes::Reader {
 public:
-  typedef Command Reads;
+  typedef SetSessionHomes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2704,80 +2849,104 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isNone() const;
-  inline  ::capnp::Void getNone() const;
+  inline  ::uint64_t getExpected() const;
 
-  inline bool isPutEntry() const;
-  inline bool hasPutEntry() const;
-  inline  ::ragwortmux::stored::PutEntry::Reader getPutEntry() const;
+  inline bool hasHosts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHosts() const;
 
-  inline bool isDeleteEntry() const;
-  inline bool hasDeleteEntry() const;
-  inline  ::ragwortmux::stored::DeleteEntry::Reader getDeleteEntry() const;
+  inline bool getActive() const;
 
-  inline bool isOpenSession() const;
-  inline bool hasOpenSession() const;
-  inline  ::ragwortmux::stored::OpenSession::Reader getOpenSession() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isEndSession() const;
-  inline bool hasEndSession() const;
-  inline  ::ragwortmux::stored::EndSession::Reader getEndSession() const;
+class SetSessionHomes::Builder {
+public:
+  typedef SetSessionHomes Builds;
 
-  inline bool isRegisterServer() const;
-  inline bool hasRegisterServer() const;
-  inline  ::ragwortmux::stored::RegisterServer::Reader getRegisterServer() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isSetServerState() const;
-  inline bool hasSetServerState() const;
-  inline  ::ragwortmux::stored::SetServerState::Reader getSetServerState() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isEndTerm() const;
-  inline bool hasEndTerm() const;
-  inline  ::ragwortmux::stored::EndTerm::Reader getEndTerm() const;
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
 
-  inline bool isAppointPrimary() const;
-  inline bool hasAppointPrimary() const;
-  inline  ::ragwortmux::stored::AppointPrimary::Reader getAppointPrimary() const;
+  inline bool hasHosts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHosts();
+  inline void setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHosts(unsigned int size);
+  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHosts();
 
-  inline bool isSetInSync() const;
-  inline bool hasSetInSync() const;
-  inline  ::ragwortmux::stored::SetInSync::Reader getSetInSync() const;
+  inline bool getActive();
+  inline void setActive(bool value);
 
-  inline bool isSetShares() const;
-  inline bool hasSetShares() const;
-  inline  ::ragwortmux::stored::SetShares::Reader getSetShares() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isConfirmShares() const;
-  inline bool hasConfirmShares() const;
-  inline  ::ragwortmux::stored::ConfirmShares::Reader getConfirmShares() const;
+#if !CAPNP_LITE
+class SetSessionHomes::Pipeline {
+public:
+  typedef SetSessionHomes Pipelines;
 
-  inline bool isReserveKey() const;
-  inline bool hasReserveKey() const;
-  inline  ::ragwortmux::stored::ReserveKey::Reader getReserveKey() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isRecordOutcome() const;
-  inline bool hasRecordOutcome() const;
-  inline  ::ragwortmux::stored::RecordOutcome::Reader getRecordOutcome() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isResolveAttempt() const;
-  inline bool hasResolveAttempt() const;
-  inline  ::ragwortmux::stored::ResolveAttempt::Reader getResolveAttempt() const;
+class GroupPolicy::Reader {
+public:
+  typedef GroupPolicy Reads;
 
-  inline bool isAdvanceTimeMs() const;
-  inline  ::int64_t getAdvanceTimeMs() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isSetVoters() const;
-  inline bool hasSetVoters() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader getSetVoters() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isSetSessionHomes() const;
-  inline bool hasSetSessionHomes() const;
-  inline  ::ragwortmux::stored::SetSessionHomes::Reader getSetSessionHomes() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-  inline bool isReplaceCatalogue() const;
-  inline bool hasReplaceCatalogue() const;
-  inline  ::ragwortmux::stored::ReplaceCatalogue::Reader getReplaceCatalogue() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint32_t getConnectionLimit() const;
+
+  inline  ::uint32_t getReplicasBeforeAck() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2791,9 +2960,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Command::Builder {
+class GroupPolicy::Builder {
 public:
-  typedef Command Builds;
+  typedef GroupPolicy Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2807,150 +2976,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isNone();
-  inline  ::capnp::Void getNone();
-  inline void setNone( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isPutEntry();
-  inline bool hasPutEntry();
-  inline  ::ragwortmux::stored::PutEntry::Builder getPutEntry();
-  inline void setPutEntry( ::ragwortmux::stored::PutEntry::Reader value);
-  inline  ::ragwortmux::stored::PutEntry::Builder initPutEntry();
-  inline void adoptPutEntry(::capnp::Orphan< ::ragwortmux::stored::PutEntry>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::PutEntry> disownPutEntry();
-
-  inline bool isDeleteEntry();
-  inline bool hasDeleteEntry();
-  inline  ::ragwortmux::stored::DeleteEntry::Builder getDeleteEntry();
-  inline void setDeleteEntry( ::ragwortmux::stored::DeleteEntry::Reader value);
-  inline  ::ragwortmux::stored::DeleteEntry::Builder initDeleteEntry();
-  inline void adoptDeleteEntry(::capnp::Orphan< ::ragwortmux::stored::DeleteEntry>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::DeleteEntry> disownDeleteEntry();
-
-  inline bool isOpenSession();
-  inline bool hasOpenSession();
-  inline  ::ragwortmux::stored::OpenSession::Builder getOpenSession();
-  inline void setOpenSession( ::ragwortmux::stored::OpenSession::Reader value);
-  inline  ::ragwortmux::stored::OpenSession::Builder initOpenSession();
-  inline void adoptOpenSession(::capnp::Orphan< ::ragwortmux::stored::OpenSession>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::OpenSession> disownOpenSession();
-
-  inline bool isEndSession();
-  inline bool hasEndSession();
-  inline  ::ragwortmux::stored::EndSession::Builder getEndSession();
-  inline void setEndSession( ::ragwortmux::stored::EndSession::Reader value);
-  inline  ::ragwortmux::stored::EndSession::Builder initEndSession();
-  inline void adoptEndSession(::capnp::Orphan< ::ragwortmux::stored::EndSession>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::EndSession> disownEndSession();
-
-  inline bool isRegisterServer();
-  inline bool hasRegisterServer();
-  inline  ::ragwortmux::stored::RegisterServer::Builder getRegisterServer();
-  inline void setRegisterServer( ::ragwortmux::stored::RegisterServer::Reader value);
-  inline  ::ragwortmux::stored::RegisterServer::Builder initRegisterServer();
-  inline void adoptRegisterServer(::capnp::Orphan< ::ragwortmux::stored::RegisterServer>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::RegisterServer> disownRegisterServer();
-
-  inline bool isSetServerState();
-  inline bool hasSetServerState();
-  inline  ::ragwortmux::stored::SetServerState::Builder getSetServerState();
-  inline void setSetServerState( ::ragwortmux::stored::SetServerState::Reader value);
-  inline  ::ragwortmux::stored::SetServerState::Builder initSetServerState();
-  inline void adoptSetServerState(::capnp::Orphan< ::ragwortmux::stored::SetServerState>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::SetServerState> disownSetServerState();
-
-  inline bool isEndTerm();
-  inline bool hasEndTerm();
-  inline  ::ragwortmux::stored::EndTerm::Builder getEndTerm();
-  inline void setEndTerm( ::ragwortmux::stored::EndTerm::Reader value);
-  inline  ::ragwortmux::stored::EndTerm::Builder initEndTerm();
-  inline void adoptEndTerm(::capnp::Orphan< ::ragwortmux::stored::EndTerm>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::EndTerm> disownEndTerm();
-
-  inline bool isAppointPrimary();
-  inline bool hasAppointPrimary();
-  inline  ::ragwortmux::stored::AppointPrimary::Builder getAppointPrimary();
-  inline void setAppointPrimary( ::ragwortmux::stored::AppointPrimary::Reader value);
-  inline  ::ragwortmux::stored::AppointPrimary::Builder initAppointPrimary();
-  inline void adoptAppointPrimary(::capnp::Orphan< ::ragwortmux::stored::AppointPrimary>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::AppointPrimary> disownAppointPrimary();
-
-  inline bool isSetInSync();
-  inline bool hasSetInSync();
-  inline  ::ragwortmux::stored::SetInSync::Builder getSetInSync();
-  inline void setSetInSync( ::ragwortmux::stored::SetInSync::Reader value);
-  inline  ::ragwortmux::stored::SetInSync::Builder initSetInSync();
-  inline void adoptSetInSync(::capnp::Orphan< ::ragwortmux::stored::SetInSync>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::SetInSync> disownSetInSync();
-
-  inline bool isSetShares();
-  inline bool hasSetShares();
-  inline  ::ragwortmux::stored::SetShares::Builder getSetShares();
-  inline void setSetShares( ::ragwortmux::stored::SetShares::Reader value);
-  inline  ::ragwortmux::stored::SetShares::Builder initSetShares();
-  inline void adoptSetShares(::capnp::Orphan< ::ragwortmux::stored::SetShares>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::SetShares> disownSetShares();
-
-  inline bool isConfirmShares();
-  inline bool hasConfirmShares();
-  inline  ::ragwortmux::stored::ConfirmShares::Builder getConfirmShares();
-  inline void setConfirmShares( ::ragwortmux::stored::ConfirmShares::Reader value);
-  inline  ::ragwortmux::stored::ConfirmShares::Builder initConfirmShares();
-  inline void adoptConfirmShares(::capnp::Orphan< ::ragwortmux::stored::ConfirmShares>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::ConfirmShares> disownConfirmShares();
-
-  inline bool isReserveKey();
-  inline bool hasReserveKey();
-  inline  ::ragwortmux::stored::ReserveKey::Builder getReserveKey();
-  inline void setReserveKey( ::ragwortmux::stored::ReserveKey::Reader value);
-  inline  ::ragwortmux::stored::ReserveKey::Builder initReserveKey();
-  inline void adoptReserveKey(::capnp::Orphan< ::ragwortmux::stored::ReserveKey>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::ReserveKey> disownReserveKey();
-
-  inline bool isRecordOutcome();
-  inline bool hasRecordOutcome();
-  inline  ::ragwortmux::stored::RecordOutcome::Builder getRecordOutcome();
-  inline void setRecordOutcome( ::ragwortmux::stored::RecordOutcome::Reader value);
-  inline  ::ragwortmux::stored::RecordOutcome::Builder initRecordOutcome();
-  inline void adoptRecordOutcome(::capnp::Orphan< ::ragwortmux::stored::RecordOutcome>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::RecordOutcome> disownRecordOutcome();
-
-  inline bool isResolveAttempt();
-  inline bool hasResolveAttempt();
-  inline  ::ragwortmux::stored::ResolveAttempt::Builder getResolveAttempt();
-  inline void setResolveAttempt( ::ragwortmux::stored::ResolveAttempt::Reader value);
-  inline  ::ragwortmux::stored::ResolveAttempt::Builder initResolveAttempt();
-  inline void adoptResolveAttempt(::capnp::Orphan< ::ragwortmux::stored::ResolveAttempt>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::ResolveAttempt> disownResolveAttempt();
-
-  inline bool isAdvanceTimeMs();
-  inline  ::int64_t getAdvanceTimeMs();
-  inline void setAdvanceTimeMs( ::int64_t value);
-
-  inline bool isSetVoters();
-  inline bool hasSetVoters();
-  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder getSetVoters();
-  inline void setSetVoters( ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder initSetVoters(unsigned int size);
-  inline void adoptSetVoters(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>> disownSetVoters();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline bool isSetSessionHomes();
-  inline bool hasSetSessionHomes();
-  inline  ::ragwortmux::stored::SetSessionHomes::Builder getSetSessionHomes();
-  inline void setSetSessionHomes( ::ragwortmux::stored::SetSessionHomes::Reader value);
-  inline  ::ragwortmux::stored::SetSessionHomes::Builder initSetSessionHomes();
-  inline void adoptSetSessionHomes(::capnp::Orphan< ::ragwortmux::stored::SetSessionHomes>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::SetSessionHomes> disownSetSessionHomes();
+  inline  ::uint32_t getConnectionLimit();
+  inline void setConnectionLimit( ::uint32_t value);
 
-  inline bool isReplaceCatalogue();
-  inline bool hasReplaceCatalogue();
-  inline  ::ragwortmux::stored::ReplaceCatalogue::Builder getReplaceCatalogue();
-  inline void setReplaceCatalogue( ::ragwortmux::stored::ReplaceCatalogue::Reader value);
-  inline  ::ragwortmux::stored::ReplaceCatalogue::Builder initReplaceCatalogue();
-  inline void adoptReplaceCatalogue(::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue> disownReplaceCatalogue();
+  inline  ::uint32_t getReplicasBeforeAck();
+  inline void setReplicasBeforeAck( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2962,9 +2999,9 @@
 };
 
 #if !CAPNP_LITE
-class Command::Pipeline {
+class GroupPolicy::Pipeline {
 public:
-  typedef Command Pipelines;
+  typedef GroupPolicy Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2978,9 +3015,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Item::Reader {
+class ReplaceCatalogue::Reader {
 public:
-  typedef Item Reads;
+  typedef ReplaceCatalogue Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2995,10 +3032,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline  ::uint64_t getVersion() const;
 
-  inline bool hasEntry() const;
-  inline  ::ragwortmux::stored::Entry::Reader getEntry() const;
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline bool hasWorkspaces() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Reader getWorkspaces() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3012,9 +3058,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Item::Builder {
+class ReplaceCatalogue::Builder {
 public:
-  typedef Item Builds;
+  typedef ReplaceCatalogue Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3028,15 +3074,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-  inline bool hasEntry();
-  inline  ::ragwortmux::stored::Entry::Builder getEntry();
-  inline void setEntry( ::ragwortmux::stored::Entry::Reader value);
-  inline  ::ragwortmux::stored::Entry::Builder initEntry();
-  inline void adoptEntry(::capnp::Orphan< ::ragwortmux::stored::Entry>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::Entry> disownEntry();
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline bool hasWorkspaces();
+  inline  ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Builder getWorkspaces();
+  inline void setWorkspaces( ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Builder initWorkspaces(unsigned int size);
+  inline void adoptWorkspaces(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>> disownWorkspaces();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3048,15 +3115,14 @@
 };
 
 #if !CAPNP_LITE
-class Item::Pipeline {
+class ReplaceCatalogue::Pipeline {
 public:
-  typedef Item Pipelines;
+  typedef ReplaceCatalogue Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::stored::Entry::Pipeline getEntry();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3065,9 +3131,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Deletion::Reader {
+class Command::Reader {
 public:
-  typedef Deletion Reads;
+  typedef Command Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3082,48 +3148,277 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline Which which() const;
+  inline bool isNone() const;
+  inline  ::capnp::Void getNone() const;
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline bool isPutEntry() const;
+  inline bool hasPutEntry() const;
+  inline  ::ragwortmux::stored::PutEntry::Reader getPutEntry() const;
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
+  inline bool isDeleteEntry() const;
+  inline bool hasDeleteEntry() const;
+  inline  ::ragwortmux::stored::DeleteEntry::Reader getDeleteEntry() const;
 
-class Deletion::Builder {
-public:
-  typedef Deletion Builds;
+  inline bool isOpenSession() const;
+  inline bool hasOpenSession() const;
+  inline  ::ragwortmux::stored::OpenSession::Reader getOpenSession() const;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  inline bool isEndSession() const;
+  inline bool hasEndSession() const;
+  inline  ::ragwortmux::stored::EndSession::Reader getEndSession() const;
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline bool isRegisterServer() const;
+  inline bool hasRegisterServer() const;
+  inline  ::ragwortmux::stored::RegisterServer::Reader getRegisterServer() const;
+
+  inline bool isSetServerState() const;
+  inline bool hasSetServerState() const;
+  inline  ::ragwortmux::stored::SetServerState::Reader getSetServerState() const;
+
+  inline bool isEndTerm() const;
+  inline bool hasEndTerm() const;
+  inline  ::ragwortmux::stored::EndTerm::Reader getEndTerm() const;
+
+  inline bool isAppointPrimary() const;
+  inline bool hasAppointPrimary() const;
+  inline  ::ragwortmux::stored::AppointPrimary::Reader getAppointPrimary() const;
+
+  inline bool isSetInSync() const;
+  inline bool hasSetInSync() const;
+  inline  ::ragwortmux::stored::SetInSync::Reader getSetInSync() const;
+
+  inline bool isSetShares() const;
+  inline bool hasSetShares() const;
+  inline  ::ragwortmux::stored::SetShares::Reader getSetShares() const;
+
+  inline bool isConfirmShares() const;
+  inline bool hasConfirmShares() const;
+  inline  ::ragwortmux::stored::ConfirmShares::Reader getConfirmShares() const;
+
+  inline bool isReserveKey() const;
+  inline bool hasReserveKey() const;
+  inline  ::ragwortmux::stored::ReserveKey::Reader getReserveKey() const;
+
+  inline bool isRecordOutcome() const;
+  inline bool hasRecordOutcome() const;
+  inline  ::ragwortmux::stored::RecordOutcome::Reader getRecordOutcome() const;
+
+  inline bool isResolveAttempt() const;
+  inline bool hasResolveAttempt() const;
+  inline  ::ragwortmux::stored::ResolveAttempt::Reader getResolveAttempt() const;
+
+  inline bool isAdvanceTimeMs() const;
+  inline  ::int64_t getAdvanceTimeMs() const;
+
+  inline bool isSetVoters() const;
+  inline bool hasSetVoters() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader getSetVoters() const;
+
+  inline bool isSetSessionHomes() const;
+  inline bool hasSetSessionHomes() const;
+  inline  ::ragwortmux::stored::SetSessionHomes::Reader getSetSessionHomes() const;
+
+  inline bool isReplaceCatalogue() const;
+  inline bool hasReplaceCatalogue() const;
+  inline  ::ragwortmux::stored::ReplaceCatalogue::Reader getReplaceCatalogue() const;
+
+  inline bool isPutWorkspace() const;
+  inline bool hasPutWorkspace() const;
+  inline  ::ragwortmux::stored::PutWorkspace::Reader getPutWorkspace() const;
+
+  inline bool isDeleteWorkspace() const;
+  inline bool hasDeleteWorkspace() const;
+  inline  ::ragwortmux::stored::DeleteWorkspace::Reader getDeleteWorkspace() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Command::Builder {
+public:
+  typedef Command Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline Which which();
+  inline bool isNone();
+  inline  ::capnp::Void getNone();
+  inline void setNone( ::capnp::Void value = ::capnp::VOID);
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline bool isPutEntry();
+  inline bool hasPutEntry();
+  inline  ::ragwortmux::stored::PutEntry::Builder getPutEntry();
+  inline void setPutEntry( ::ragwortmux::stored::PutEntry::Reader value);
+  inline  ::ragwortmux::stored::PutEntry::Builder initPutEntry();
+  inline void adoptPutEntry(::capnp::Orphan< ::ragwortmux::stored::PutEntry>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::PutEntry> disownPutEntry();
+
+  inline bool isDeleteEntry();
+  inline bool hasDeleteEntry();
+  inline  ::ragwortmux::stored::DeleteEntry::Builder getDeleteEntry();
+  inline void setDeleteEntry( ::ragwortmux::stored::DeleteEntry::Reader value);
+  inline  ::ragwortmux::stored::DeleteEntry::Builder initDeleteEntry();
+  inline void adoptDeleteEntry(::capnp::Orphan< ::ragwortmux::stored::DeleteEntry>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::DeleteEntry> disownDeleteEntry();
+
+  inline bool isOpenSession();
+  inline bool hasOpenSession();
+  inline  ::ragwortmux::stored::OpenSession::Builder getOpenSession();
+  inline void setOpenSession( ::ragwortmux::stored::OpenSession::Reader value);
+  inline  ::ragwortmux::stored::OpenSession::Builder initOpenSession();
+  inline void adoptOpenSession(::capnp::Orphan< ::ragwortmux::stored::OpenSession>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::OpenSession> disownOpenSession();
+
+  inline bool isEndSession();
+  inline bool hasEndSession();
+  inline  ::ragwortmux::stored::EndSession::Builder getEndSession();
+  inline void setEndSession( ::ragwortmux::stored::EndSession::Reader value);
+  inline  ::ragwortmux::stored::EndSession::Builder initEndSession();
+  inline void adoptEndSession(::capnp::Orphan< ::ragwortmux::stored::EndSession>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::EndSession> disownEndSession();
+
+  inline bool isRegisterServer();
+  inline bool hasRegisterServer();
+  inline  ::ragwortmux::stored::RegisterServer::Builder getRegisterServer();
+  inline void setRegisterServer( ::ragwortmux::stored::RegisterServer::Reader value);
+  inline  ::ragwortmux::stored::RegisterServer::Builder initRegisterServer();
+  inline void adoptRegisterServer(::capnp::Orphan< ::ragwortmux::stored::RegisterServer>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::RegisterServer> disownRegisterServer();
+
+  inline bool isSetServerState();
+  inline bool hasSetServerState();
+  inline  ::ragwortmux::stored::SetServerState::Builder getSetServerState();
+  inline void setSetServerState( ::ragwortmux::stored::SetServerState::Reader value);
+  inline  ::ragwortmux::stored::SetServerState::Builder initSetServerState();
+  inline void adoptSetServerState(::capnp::Orphan< ::ragwortmux::stored::SetServerState>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::SetServerState> disownSetServerState();
+
+  inline bool isEndTerm();
+  inline bool hasEndTerm();
+  inline  ::ragwortmux::stored::EndTerm::Builder getEndTerm();
+  inline void setEndTerm( ::ragwortmux::stored::EndTerm::Reader value);
+  inline  ::ragwortmux::stored::EndTerm::Builder initEndTerm();
+  inline void adoptEndTerm(::capnp::Orphan< ::ragwortmux::stored::EndTerm>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::EndTerm> disownEndTerm();
+
+  inline bool isAppointPrimary();
+  inline bool hasAppointPrimary();
+  inline  ::ragwortmux::stored::AppointPrimary::Builder getAppointPrimary();
+  inline void setAppointPrimary( ::ragwortmux::stored::AppointPrimary::Reader value);
+  inline  ::ragwortmux::stored::AppointPrimary::Builder initAppointPrimary();
+  inline void adoptAppointPrimary(::capnp::Orphan< ::ragwortmux::stored::AppointPrimary>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::AppointPrimary> disownAppointPrimary();
+
+  inline bool isSetInSync();
+  inline bool hasSetInSync();
+  inline  ::ragwortmux::stored::SetInSync::Builder getSetInSync();
+  inline void setSetInSync( ::ragwortmux::stored::SetInSync::Reader value);
+  inline  ::ragwortmux::stored::SetInSync::Builder initSetInSync();
+  inline void adoptSetInSync(::capnp::Orphan< ::ragwortmux::stored::SetInSync>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::SetInSync> disownSetInSync();
+
+  inline bool isSetShares();
+  inline bool hasSetShares();
+  inline  ::ragwortmux::stored::SetShares::Builder getSetShares();
+  inline void setSetShares( ::ragwortmux::stored::SetShares::Reader value);
+  inline  ::ragwortmux::stored::SetShares::Builder initSetShares();
+  inline void adoptSetShares(::capnp::Orphan< ::ragwortmux::stored::SetShares>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::SetShares> disownSetShares();
+
+  inline bool isConfirmShares();
+  inline bool hasConfirmShares();
+  inline  ::ragwortmux::stored::ConfirmShares::Builder getConfirmShares();
+  inline void setConfirmShares( ::ragwortmux::stored::ConfirmShares::Reader value);
+  inline  ::ragwortmux::stored::ConfirmShares::Builder initConfirmShares();
+  inline void adoptConfirmShares(::capnp::Orphan< ::ragwortmux::stored::ConfirmShares>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::ConfirmShares> disownConfirmShares();
+
+  inline bool isReserveKey();
+  inline bool hasReserveKey();
+  inline  ::ragwortmux::stored::ReserveKey::Builder getReserveKey();
+  inline void setReserveKey( ::ragwortmux::stored::ReserveKey::Reader value);
+  inline  ::ragwortmux::stored::ReserveKey::Builder initReserveKey();
+  inline void adoptReserveKey(::capnp::Orphan< ::ragwortmux::stored::ReserveKey>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::ReserveKey> disownReserveKey();
+
+  inline bool isRecordOutcome();
+  inline bool hasRecordOutcome();
+  inline  ::ragwortmux::stored::RecordOutcome::Builder getRecordOutcome();
+  inline void setRecordOutcome( ::ragwortmux::stored::RecordOutcome::Reader value);
+  inline  ::ragwortmux::stored::RecordOutcome::Builder initRecordOutcome();
+  inline void adoptRecordOutcome(::capnp::Orphan< ::ragwortmux::stored::RecordOutcome>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::RecordOutcome> disownRecordOutcome();
+
+  inline bool isResolveAttempt();
+  inline bool hasResolveAttempt();
+  inline  ::ragwortmux::stored::ResolveAttempt::Builder getResolveAttempt();
+  inline void setResolveAttempt( ::ragwortmux::stored::ResolveAttempt::Reader value);
+  inline  ::ragwortmux::stored::ResolveAttempt::Builder initResolveAttempt();
+  inline void adoptResolveAttempt(::capnp::Orphan< ::ragwortmux::stored::ResolveAttempt>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::ResolveAttempt> disownResolveAttempt();
+
+  inline bool isAdvanceTimeMs();
+  inline  ::int64_t getAdvanceTimeMs();
+  inline void setAdvanceTimeMs( ::int64_t value);
+
+  inline bool isSetVoters();
+  inline bool hasSetVoters();
+  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder getSetVoters();
+  inline void setSetVoters( ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder initSetVoters(unsigned int size);
+  inline void adoptSetVoters(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>> disownSetVoters();
+
+  inline bool isSetSessionHomes();
+  inline bool hasSetSessionHomes();
+  inline  ::ragwortmux::stored::SetSessionHomes::Builder getSetSessionHomes();
+  inline void setSetSessionHomes( ::ragwortmux::stored::SetSessionHomes::Reader value);
+  inline  ::ragwortmux::stored::SetSessionHomes::Builder initSetSessionHomes();
+  inline void adoptSetSessionHomes(::capnp::Orphan< ::ragwortmux::stored::SetSessionHomes>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::SetSessionHomes> disownSetSessionHomes();
+
+  inline bool isReplaceCatalogue();
+  inline bool hasReplaceCatalogue();
+  inline  ::ragwortmux::stored::ReplaceCatalogue::Builder getReplaceCatalogue();
+  inline void setReplaceCatalogue( ::ragwortmux::stored::ReplaceCatalogue::Reader value);
+  inline  ::ragwortmux::stored::ReplaceCatalogue::Builder initReplaceCatalogue();
+  inline void adoptReplaceCatalogue(::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue> disownReplaceCatalogue();
+
+  inline bool isPutWorkspace();
+  inline bool hasPutWorkspace();
+  inline  ::ragwortmux::stored::PutWorkspace::Builder getPutWorkspace();
+  inline void setPutWorkspace( ::ragwortmux::stored::PutWorkspace::Reader value);
+  inline  ::ragwortmux::stored::PutWorkspace::Builder initPutWorkspace();
+  inline void adoptPutWorkspace(::capnp::Orphan< ::ragwortmux::stored::PutWorkspace>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::PutWorkspace> disownPutWorkspace();
+
+  inline bool isDeleteWorkspace();
+  inline bool hasDeleteWorkspace();
+  inline  ::ragwortmux::stored::DeleteWorkspace::Builder getDeleteWorkspace();
+  inline void setDeleteWorkspace( ::ragwortmux::stored::DeleteWorkspace::Reader value);
+  inline  ::ragwortmux::stored::DeleteWorkspace::Builder initDeleteWorkspace();
+  inline void adoptDeleteWorkspace(::capnp::Orphan< ::ragwortmux::stored::DeleteWorkspace>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::DeleteWorkspace> disownDeleteWorkspace();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3135,9 +3430,9 @@
 };
 
 #if !CAPNP_LITE
-class Deletion::Pipeline {
+class Command::Pipeline {
 public:
-  typedef Deletion Pipelines;
+  typedef Command Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3151,9 +3446,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Change::Reader {
+class Item::Reader {
 public:
-  typedef Change Reads;
+  typedef Item Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3170,18 +3465,6 @@
 
   inline  ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getExpected() const;
-
-  inline bool hasChange() const;
-  inline  ::capnp::Text::Reader getChange() const;
-
-  inline bool hasOperatorName() const;
-  inline  ::capnp::Text::Reader getOperatorName() const;
-
-  inline  ::int64_t getAtMs() const;
-
-  inline bool getDeleted() const;
-
   inline bool hasEntry() const;
   inline  ::ragwortmux::stored::Entry::Reader getEntry() const;
 
@@ -3197,9 +3480,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Change::Builder {
+class Item::Builder {
 public:
-  typedef Change Builds;
+  typedef Item Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3216,29 +3499,6 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline  ::uint64_t getExpected();
-  inline void setExpected( ::uint64_t value);
-
-  inline bool hasChange();
-  inline  ::capnp::Text::Builder getChange();
-  inline void setChange( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initChange(unsigned int size);
-  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownChange();
-
-  inline bool hasOperatorName();
-  inline  ::capnp::Text::Builder getOperatorName();
-  inline void setOperatorName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOperatorName(unsigned int size);
-  inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
-
-  inline  ::int64_t getAtMs();
-  inline void setAtMs( ::int64_t value);
-
-  inline bool getDeleted();
-  inline void setDeleted(bool value);
-
   inline bool hasEntry();
   inline  ::ragwortmux::stored::Entry::Builder getEntry();
   inline void setEntry( ::ragwortmux::stored::Entry::Reader value);
@@ -3256,9 +3516,9 @@
 };
 
 #if !CAPNP_LITE
-class Change::Pipeline {
+class Item::Pipeline {
 public:
-  typedef Change Pipelines;
+  typedef Item Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3273,9 +3533,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Catalogue::Reader {
+class Deletion::Reader {
 public:
-  typedef Catalogue Reads;
+  typedef Deletion Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3292,27 +3552,8 @@
 
   inline  ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getForgottenDeletion() const;
-
-  inline bool hasItems() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Reader getItems() const;
-
-  inline bool hasDeletions() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Reader getDeletions() const;
-
-  inline bool hasHistory() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader getHistory() const;
-
-  inline bool hasRecent() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
-
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasDocument() const;
-  inline  ::capnp::Text::Reader getDocument() const;
-
-  inline bool hasGroups() const;
-  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3326,9 +3567,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Catalogue::Builder {
+class Deletion::Builder {
 public:
-  typedef Catalogue Builds;
+  typedef Deletion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3345,53 +3586,12 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline  ::uint64_t getForgottenDeletion();
-  inline void setForgottenDeletion( ::uint64_t value);
-
-  inline bool hasItems();
-  inline  ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Builder getItems();
-  inline void setItems( ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
-  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>> disownItems();
-
-  inline bool hasDeletions();
-  inline  ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Builder getDeletions();
-  inline void setDeletions( ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Builder initDeletions(unsigned int size);
-  inline void adoptDeletions(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>> disownDeletions();
-
-  inline bool hasHistory();
-  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder getHistory();
-  inline void setHistory( ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder initHistory(unsigned int size);
-  inline void adoptHistory(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>> disownHistory();
-
-  inline bool hasRecent();
-  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder getRecent();
-  inline void setRecent( ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder initRecent(unsigned int size);
-  inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>> disownRecent();
-
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline bool hasDocument();
-  inline  ::capnp::Text::Builder getDocument();
-  inline void setDocument( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
-
-  inline bool hasGroups();
-  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder getGroups();
-  inline void setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
-  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> disownGroups();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3403,9 +3603,9 @@
 };
 
 #if !CAPNP_LITE
-class Catalogue::Pipeline {
+class Deletion::Pipeline {
 public:
-  typedef Catalogue Pipelines;
+  typedef Deletion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3419,9 +3619,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Session::Reader {
+class Change::Reader {
 public:
-  typedef Session Reads;
+  typedef Change Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3436,10 +3636,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline bool hasOpened() const;
-  inline  ::ragwortmux::stored::OpenSession::Reader getOpened() const;
+  inline  ::uint64_t getExpected() const;
+
+  inline bool hasChange() const;
+  inline  ::capnp::Text::Reader getChange() const;
+
+  inline bool hasOperatorName() const;
+  inline  ::capnp::Text::Reader getOperatorName() const;
+
+  inline  ::int64_t getAtMs() const;
+
+  inline bool getDeleted() const;
+
+  inline bool hasEntry() const;
+  inline  ::ragwortmux::stored::Entry::Reader getEntry() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3453,9 +3665,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Session::Builder {
+class Change::Builder {
 public:
-  typedef Session Builds;
+  typedef Change Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3469,15 +3681,38 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline bool hasOpened();
-  inline  ::ragwortmux::stored::OpenSession::Builder getOpened();
-  inline void setOpened( ::ragwortmux::stored::OpenSession::Reader value);
-  inline  ::ragwortmux::stored::OpenSession::Builder initOpened();
-  inline void adoptOpened(::capnp::Orphan< ::ragwortmux::stored::OpenSession>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::OpenSession> disownOpened();
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
+
+  inline bool hasChange();
+  inline  ::capnp::Text::Builder getChange();
+  inline void setChange( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChange(unsigned int size);
+  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChange();
+
+  inline bool hasOperatorName();
+  inline  ::capnp::Text::Builder getOperatorName();
+  inline void setOperatorName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperatorName(unsigned int size);
+  inline void adoptOperatorName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperatorName();
+
+  inline  ::int64_t getAtMs();
+  inline void setAtMs( ::int64_t value);
+
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
+
+  inline bool hasEntry();
+  inline  ::ragwortmux::stored::Entry::Builder getEntry();
+  inline void setEntry( ::ragwortmux::stored::Entry::Reader value);
+  inline  ::ragwortmux::stored::Entry::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::ragwortmux::stored::Entry>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Entry> disownEntry();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3489,15 +3724,15 @@
 };
 
 #if !CAPNP_LITE
-class Session::Pipeline {
+class Change::Pipeline {
 public:
-  typedef Session Pipelines;
+  typedef Change Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::stored::OpenSession::Pipeline getOpened();
+  inline  ::ragwortmux::stored::Entry::Pipeline getEntry();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3506,9 +3741,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Server::Reader {
+class WorkspaceItem::Reader {
 public:
-  typedef Server Reads;
+  typedef WorkspaceItem Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3523,18 +3758,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRegistered() const;
-  inline  ::ragwortmux::stored::RegisterServer::Reader getRegistered() const;
-
-  inline  ::uint8_t getSync() const;
-
-  inline  ::uint64_t getSyncRevision() const;
-
-  inline bool getLeaving() const;
-
-  inline bool getAnnounced() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline bool getEnded() const;
+  inline bool hasWorkspace() const;
+  inline  ::ragwortmux::stored::Workspace::Reader getWorkspace() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3548,9 +3775,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Server::Builder {
+class WorkspaceItem::Builder {
 public:
-  typedef Server Builds;
+  typedef WorkspaceItem Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3564,27 +3791,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRegistered();
-  inline  ::ragwortmux::stored::RegisterServer::Builder getRegistered();
-  inline void setRegistered( ::ragwortmux::stored::RegisterServer::Reader value);
-  inline  ::ragwortmux::stored::RegisterServer::Builder initRegistered();
-  inline void adoptRegistered(::capnp::Orphan< ::ragwortmux::stored::RegisterServer>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::RegisterServer> disownRegistered();
-
-  inline  ::uint8_t getSync();
-  inline void setSync( ::uint8_t value);
-
-  inline  ::uint64_t getSyncRevision();
-  inline void setSyncRevision( ::uint64_t value);
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline bool getAnnounced();
-  inline void setAnnounced(bool value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline bool getEnded();
-  inline void setEnded(bool value);
+  inline bool hasWorkspace();
+  inline  ::ragwortmux::stored::Workspace::Builder getWorkspace();
+  inline void setWorkspace( ::ragwortmux::stored::Workspace::Reader value);
+  inline  ::ragwortmux::stored::Workspace::Builder initWorkspace();
+  inline void adoptWorkspace(::capnp::Orphan< ::ragwortmux::stored::Workspace>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Workspace> disownWorkspace();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3596,15 +3811,15 @@
 };
 
 #if !CAPNP_LITE
-class Server::Pipeline {
+class WorkspaceItem::Pipeline {
 public:
-  typedef Server Pipelines;
+  typedef WorkspaceItem Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::stored::RegisterServer::Pipeline getRegistered();
+  inline  ::ragwortmux::stored::Workspace::Pipeline getWorkspace();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3613,9 +3828,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Group::Reader {
+class WorkspaceDeletion::Reader {
 public:
-  typedef Group Reads;
+  typedef WorkspaceDeletion Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3630,31 +3845,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
   inline  ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getTerm() const;
-
-  inline bool getHasPrimary() const;
-
-  inline bool hasPrimary() const;
-  inline  ::capnp::Text::Reader getPrimary() const;
-
-  inline bool getHasPrevious() const;
-
-  inline bool hasPrevious() const;
-  inline  ::capnp::Text::Reader getPrevious() const;
-
-  inline  ::uint64_t getTermRevision() const;
-
-  inline  ::uint64_t getLastSession() const;
-
-  inline bool hasServers() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Reader getServers() const;
-
-  inline  ::uint8_t getReplication() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3668,9 +3862,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Group::Builder {
+class WorkspaceDeletion::Builder {
 public:
-  typedef Group Builds;
+  typedef WorkspaceDeletion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3684,54 +3878,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline  ::uint64_t getTerm();
-  inline void setTerm( ::uint64_t value);
-
-  inline bool getHasPrimary();
-  inline void setHasPrimary(bool value);
-
-  inline bool hasPrimary();
-  inline  ::capnp::Text::Builder getPrimary();
-  inline void setPrimary( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
-  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
-
-  inline bool getHasPrevious();
-  inline void setHasPrevious(bool value);
-
-  inline bool hasPrevious();
-  inline  ::capnp::Text::Builder getPrevious();
-  inline void setPrevious( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrevious(unsigned int size);
-  inline void adoptPrevious(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrevious();
-
-  inline  ::uint64_t getTermRevision();
-  inline void setTermRevision( ::uint64_t value);
-
-  inline  ::uint64_t getLastSession();
-  inline void setLastSession( ::uint64_t value);
-
-  inline bool hasServers();
-  inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Builder getServers();
-  inline void setServers( ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
-  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>> disownServers();
-
-  inline  ::uint8_t getReplication();
-  inline void setReplication( ::uint8_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3743,9 +3898,9 @@
 };
 
 #if !CAPNP_LITE
-class Group::Pipeline {
+class WorkspaceDeletion::Pipeline {
 public:
-  typedef Group Pipelines;
+  typedef WorkspaceDeletion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3759,9 +3914,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Share::Reader {
+class WorkspaceChange::Reader {
 public:
-  typedef Share Reads;
+  typedef WorkspaceChange Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3776,19 +3931,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getSession() const;
+  inline  ::uint64_t getExpected() const;
 
-  inline  ::uint32_t getShare() const;
+  inline bool hasChange() const;
+  inline  ::capnp::Text::Reader getChange() const;
 
-  inline  ::uint32_t getHeld() const;
+  inline bool getDeleted() const;
 
-  inline  ::uint64_t getShareRevision() const;
+  inline bool hasWorkspace() const;
+  inline  ::ragwortmux::stored::Workspace::Reader getWorkspace() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3802,9 +3955,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Share::Builder {
+class WorkspaceChange::Builder {
 public:
-  typedef Share Builds;
+  typedef WorkspaceChange Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3818,31 +3971,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
 
-  inline  ::uint32_t getShare();
-  inline void setShare( ::uint32_t value);
+  inline bool hasChange();
+  inline  ::capnp::Text::Builder getChange();
+  inline void setChange( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChange(unsigned int size);
+  inline void adoptChange(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChange();
 
-  inline  ::uint32_t getHeld();
-  inline void setHeld( ::uint32_t value);
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
 
-  inline  ::uint64_t getShareRevision();
-  inline void setShareRevision( ::uint64_t value);
+  inline bool hasWorkspace();
+  inline  ::ragwortmux::stored::Workspace::Builder getWorkspace();
+  inline void setWorkspace( ::ragwortmux::stored::Workspace::Reader value);
+  inline  ::ragwortmux::stored::Workspace::Builder initWorkspace();
+  inline void adoptWorkspace(::capnp::Orphan< ::ragwortmux::stored::Workspace>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Workspace> disownWorkspace();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3854,14 +4004,15 @@
 };
 
 #if !CAPNP_LITE
-class Share::Pipeline {
+class WorkspaceChange::Pipeline {
 public:
-  typedef Share Pipelines;
+  typedef WorkspaceChange Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::stored::Workspace::Pipeline getWorkspace();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3870,9 +4021,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LedgerRecord::Reader {
+class Workspaces::Reader {
 public:
-  typedef LedgerRecord Reads;
+  typedef Workspaces Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3887,15 +4038,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReserved() const;
-  inline  ::ragwortmux::stored::ReserveKey::Reader getReserved() const;
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
-  inline  ::uint8_t getPhase() const;
+  inline bool hasDeletions() const;
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Reader getDeletions() const;
 
-  inline  ::uint16_t getCode() const;
+  inline bool hasRecent() const;
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
 
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
+  inline  ::uint64_t getForgottenDeletion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3909,9 +4061,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LedgerRecord::Builder {
+class Workspaces::Builder {
 public:
-  typedef LedgerRecord Builds;
+  typedef Workspaces Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3925,25 +4077,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReserved();
-  inline  ::ragwortmux::stored::ReserveKey::Builder getReserved();
-  inline void setReserved( ::ragwortmux::stored::ReserveKey::Reader value);
-  inline  ::ragwortmux::stored::ReserveKey::Builder initReserved();
-  inline void adoptReserved(::capnp::Orphan< ::ragwortmux::stored::ReserveKey>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::ReserveKey> disownReserved();
+  inline bool hasItems();
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>> disownItems();
 
-  inline  ::uint8_t getPhase();
-  inline void setPhase( ::uint8_t value);
+  inline bool hasDeletions();
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Builder getDeletions();
+  inline void setDeletions( ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Builder initDeletions(unsigned int size);
+  inline void adoptDeletions(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>> disownDeletions();
 
-  inline  ::uint16_t getCode();
-  inline void setCode( ::uint16_t value);
+  inline bool hasRecent();
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Builder getRecent();
+  inline void setRecent( ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Builder initRecent(unsigned int size);
+  inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>> disownRecent();
 
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
+  inline  ::uint64_t getForgottenDeletion();
+  inline void setForgottenDeletion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3955,15 +4111,14 @@
 };
 
 #if !CAPNP_LITE
-class LedgerRecord::Pipeline {
+class Workspaces::Pipeline {
 public:
-  typedef LedgerRecord Pipelines;
+  typedef Workspaces Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::stored::ReserveKey::Pipeline getReserved();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3972,9 +4127,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HomeAddress::Reader {
+class Catalogue::Reader {
 public:
-  typedef HomeAddress Reads;
+  typedef Catalogue Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3989,16 +4144,32 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline  ::uint64_t getForgottenDeletion() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
-  inline  ::uint16_t getRpcPort() const;
+  inline bool hasDeletions() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Reader getDeletions() const;
+
+  inline bool hasHistory() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader getHistory() const;
+
+  inline bool hasRecent() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader getRecent() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline bool hasWorkspaces() const;
+  inline  ::ragwortmux::stored::Workspaces::Reader getWorkspaces() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4012,9 +4183,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HomeAddress::Builder {
+class Catalogue::Builder {
 public:
-  typedef HomeAddress Builds;
+  typedef Catalogue Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4028,29 +4199,63 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline  ::uint64_t getForgottenDeletion();
+  inline void setForgottenDeletion( ::uint64_t value);
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasItems();
+  inline  ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Item,  ::capnp::Kind::STRUCT>> disownItems();
 
-  inline  ::uint16_t getRpcPort();
-  inline void setRpcPort( ::uint16_t value);
+  inline bool hasDeletions();
+  inline  ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Builder getDeletions();
+  inline void setDeletions( ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>::Builder initDeletions(unsigned int size);
+  inline void adoptDeletions(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Deletion,  ::capnp::Kind::STRUCT>> disownDeletions();
+
+  inline bool hasHistory();
+  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder getHistory();
+  inline void setHistory( ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder initHistory(unsigned int size);
+  inline void adoptHistory(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>> disownHistory();
+
+  inline bool hasRecent();
+  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder getRecent();
+  inline void setRecent( ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>::Builder initRecent(unsigned int size);
+  inline void adoptRecent(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Change,  ::capnp::Kind::STRUCT>> disownRecent();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::GroupPolicy,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline bool hasWorkspaces();
+  inline  ::ragwortmux::stored::Workspaces::Builder getWorkspaces();
+  inline void setWorkspaces( ::ragwortmux::stored::Workspaces::Reader value);
+  inline  ::ragwortmux::stored::Workspaces::Builder initWorkspaces();
+  inline void adoptWorkspaces(::capnp::Orphan< ::ragwortmux::stored::Workspaces>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Workspaces> disownWorkspaces();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4062,14 +4267,15 @@
 };
 
 #if !CAPNP_LITE
-class HomeAddress::Pipeline {
+class Catalogue::Pipeline {
 public:
-  typedef HomeAddress Pipelines;
+  typedef Catalogue Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::stored::Workspaces::Pipeline getWorkspaces();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4078,9 +4284,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Homes::Reader {
+class Session::Reader {
 public:
-  typedef Homes Reads;
+  typedef Session Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4095,16 +4301,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
-
-  inline bool hasActive() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getActive() const;
-
-  inline bool hasPreparing() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPreparing() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool hasAddresses() const;
-  inline  ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Reader getAddresses() const;
+  inline bool hasOpened() const;
+  inline  ::ragwortmux::stored::OpenSession::Reader getOpened() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4118,9 +4318,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Homes::Builder {
+class Session::Builder {
 public:
-  typedef Homes Builds;
+  typedef Session Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
