@@ -4134,31 +4334,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline bool hasActive();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getActive();
-  inline void setActive( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setActive(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initActive(unsigned int size);
-  inline void adoptActive(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownActive();
-
-  inline bool hasPreparing();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPreparing();
-  inline void setPreparing( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setPreparing(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPreparing(unsigned int size);
-  inline void adoptPreparing(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPreparing();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline bool hasAddresses();
-  inline  ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Builder getAddresses();
-  inline void setAddresses( ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Builder initAddresses(unsigned int size);
-  inline void adoptAddresses(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>> disownAddresses();
+  inline bool hasOpened();
+  inline  ::ragwortmux::stored::OpenSession::Builder getOpened();
+  inline void setOpened( ::ragwortmux::stored::OpenSession::Reader value);
+  inline  ::ragwortmux::stored::OpenSession::Builder initOpened();
+  inline void adoptOpened(::capnp::Orphan< ::ragwortmux::stored::OpenSession>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::OpenSession> disownOpened();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4170,14 +4354,15 @@
 };
 
 #if !CAPNP_LITE
-class Homes::Pipeline {
+class Session::Pipeline {
 public:
-  typedef Homes Pipelines;
+  typedef Session Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ragwortmux::stored::OpenSession::Pipeline getOpened();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4186,9 +4371,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class State::Reader {
+class Server::Reader {
 public:
-  typedef State Reads;
+  typedef Server Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4203,32 +4388,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getVersion() const;
-
-  inline  ::int64_t getTimeMs() const;
-
-  inline bool hasCatalogue() const;
-  inline  ::ragwortmux::stored::Catalogue::Reader getCatalogue() const;
-
-  inline  ::uint64_t getLastSession() const;
-
-  inline bool hasSessions() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Reader getSessions() const;
+  inline bool hasRegistered() const;
+  inline  ::ragwortmux::stored::RegisterServer::Reader getRegistered() const;
 
-  inline bool hasGroups() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+  inline  ::uint8_t getSync() const;
 
-  inline bool hasShares() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+  inline  ::uint64_t getSyncRevision() const;
 
-  inline bool hasLedger() const;
-  inline  ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Reader getLedger() const;
+  inline bool getLeaving() const;
 
-  inline bool hasVoters() const;
-  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader getVoters() const;
+  inline bool getAnnounced() const;
 
-  inline bool hasHomes() const;
-  inline  ::ragwortmux::stored::Homes::Reader getHomes() const;
+  inline bool getEnded() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4242,9 +4413,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class State::Builder {
+class Server::Builder {
 public:
-  typedef State Builds;
+  typedef Server Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4258,63 +4429,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getVersion();
-  inline void setVersion( ::uint16_t value);
-
-  inline  ::int64_t getTimeMs();
-  inline void setTimeMs( ::int64_t value);
-
-  inline bool hasCatalogue();
-  inline  ::ragwortmux::stored::Catalogue::Builder getCatalogue();
-  inline void setCatalogue( ::ragwortmux::stored::Catalogue::Reader value);
-  inline  ::ragwortmux::stored::Catalogue::Builder initCatalogue();
-  inline void adoptCatalogue(::capnp::Orphan< ::ragwortmux::stored::Catalogue>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::Catalogue> disownCatalogue();
-
-  inline  ::uint64_t getLastSession();
-  inline void setLastSession( ::uint64_t value);
-
-  inline bool hasSessions();
-  inline  ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Builder getSessions();
-  inline void setSessions( ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Builder initSessions(unsigned int size);
-  inline void adoptSessions(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>> disownSessions();
+  inline bool hasRegistered();
+  inline  ::ragwortmux::stored::RegisterServer::Builder getRegistered();
+  inline void setRegistered( ::ragwortmux::stored::RegisterServer::Reader value);
+  inline  ::ragwortmux::stored::RegisterServer::Builder initRegistered();
+  inline void adoptRegistered(::capnp::Orphan< ::ragwortmux::stored::RegisterServer>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::RegisterServer> disownRegistered();
 
-  inline bool hasGroups();
-  inline  ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Builder getGroups();
-  inline void setGroups( ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
-  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>> disownGroups();
+  inline  ::uint8_t getSync();
+  inline void setSync( ::uint8_t value);
 
-  inline bool hasShares();
-  inline  ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Builder getShares();
-  inline void setShares( ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
-  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>> disownShares();
+  inline  ::uint64_t getSyncRevision();
+  inline void setSyncRevision( ::uint64_t value);
 
-  inline bool hasLedger();
-  inline  ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Builder getLedger();
-  inline void setLedger( ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Builder initLedger(unsigned int size);
-  inline void adoptLedger(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>> disownLedger();
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
-  inline bool hasVoters();
-  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder getVoters();
-  inline void setVoters( ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder initVoters(unsigned int size);
-  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>> disownVoters();
+  inline bool getAnnounced();
+  inline void setAnnounced(bool value);
 
-  inline bool hasHomes();
-  inline  ::ragwortmux::stored::Homes::Builder getHomes();
-  inline void setHomes( ::ragwortmux::stored::Homes::Reader value);
-  inline  ::ragwortmux::stored::Homes::Builder initHomes();
-  inline void adoptHomes(::capnp::Orphan< ::ragwortmux::stored::Homes>&& value);
-  inline ::capnp::Orphan< ::ragwortmux::stored::Homes> disownHomes();
+  inline bool getEnded();
+  inline void setEnded(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4326,16 +4461,15 @@
 };
 
 #if !CAPNP_LITE
-class State::Pipeline {
+class Server::Pipeline {
 public:
-  typedef State Pipelines;
+  typedef Server Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ragwortmux::stored::Catalogue::Pipeline getCatalogue();
-  inline  ::ragwortmux::stored::Homes::Pipeline getHomes();
+  inline  ::ragwortmux::stored::RegisterServer::Pipeline getRegistered();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4344,236 +4478,1318 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Group::Reader {
+public:
+  typedef Group Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline bool getHasPrimary() const;
+
+  inline bool hasPrimary() const;
+  inline  ::capnp::Text::Reader getPrimary() const;
+
+  inline bool getHasPrevious() const;
+
+  inline bool hasPrevious() const;
+  inline  ::capnp::Text::Reader getPrevious() const;
+
+  inline  ::uint64_t getTermRevision() const;
+
+  inline  ::uint64_t getLastSession() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Reader getServers() const;
+
+  inline  ::uint8_t getReplication() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Group::Builder {
+public:
+  typedef Group Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline bool getHasPrimary();
+  inline void setHasPrimary(bool value);
+
+  inline bool hasPrimary();
+  inline  ::capnp::Text::Builder getPrimary();
+  inline void setPrimary( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrimary(unsigned int size);
+  inline void adoptPrimary(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrimary();
+
+  inline bool getHasPrevious();
+  inline void setHasPrevious(bool value);
+
+  inline bool hasPrevious();
+  inline  ::capnp::Text::Builder getPrevious();
+  inline void setPrevious( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrevious(unsigned int size);
+  inline void adoptPrevious(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrevious();
+
+  inline  ::uint64_t getTermRevision();
+  inline void setTermRevision( ::uint64_t value);
+
+  inline  ::uint64_t getLastSession();
+  inline void setLastSession( ::uint64_t value);
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Server,  ::capnp::Kind::STRUCT>> disownServers();
+
+  inline  ::uint8_t getReplication();
+  inline void setReplication( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Group::Pipeline {
+public:
+  typedef Group Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Share::Reader {
+public:
+  typedef Share Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getSession() const;
+
+  inline  ::uint32_t getShare() const;
+
+  inline  ::uint32_t getHeld() const;
+
+  inline  ::uint64_t getShareRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Share::Builder {
+public:
+  typedef Share Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
+  inline  ::uint32_t getShare();
+  inline void setShare( ::uint32_t value);
+
+  inline  ::uint32_t getHeld();
+  inline void setHeld( ::uint32_t value);
+
+  inline  ::uint64_t getShareRevision();
+  inline void setShareRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Share::Pipeline {
+public:
+  typedef Share Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LedgerRecord::Reader {
+public:
+  typedef LedgerRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReserved() const;
+  inline  ::ragwortmux::stored::ReserveKey::Reader getReserved() const;
+
+  inline  ::uint8_t getPhase() const;
+
+  inline  ::uint16_t getCode() const;
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LedgerRecord::Builder {
+public:
+  typedef LedgerRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReserved();
+  inline  ::ragwortmux::stored::ReserveKey::Builder getReserved();
+  inline void setReserved( ::ragwortmux::stored::ReserveKey::Reader value);
+  inline  ::ragwortmux::stored::ReserveKey::Builder initReserved();
+  inline void adoptReserved(::capnp::Orphan< ::ragwortmux::stored::ReserveKey>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::ReserveKey> disownReserved();
+
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
+
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LedgerRecord::Pipeline {
+public:
+  typedef LedgerRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::stored::ReserveKey::Pipeline getReserved();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HomeAddress::Reader {
+public:
+  typedef HomeAddress Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint16_t getRpcPort() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HomeAddress::Builder {
+public:
+  typedef HomeAddress Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getRpcPort();
+  inline void setRpcPort( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HomeAddress::Pipeline {
+public:
+  typedef HomeAddress Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Homes::Reader {
+public:
+  typedef Homes Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasActive() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getActive() const;
+
+  inline bool hasPreparing() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPreparing() const;
+
+  inline bool hasAddresses() const;
+  inline  ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Reader getAddresses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Homes::Builder {
+public:
+  typedef Homes Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasActive();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getActive();
+  inline void setActive( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setActive(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initActive(unsigned int size);
+  inline void adoptActive(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownActive();
+
+  inline bool hasPreparing();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPreparing();
+  inline void setPreparing( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPreparing(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPreparing(unsigned int size);
+  inline void adoptPreparing(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPreparing();
+
+  inline bool hasAddresses();
+  inline  ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Builder getAddresses();
+  inline void setAddresses( ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>::Builder initAddresses(unsigned int size);
+  inline void adoptAddresses(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::HomeAddress,  ::capnp::Kind::STRUCT>> disownAddresses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Homes::Pipeline {
+public:
+  typedef Homes Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class State::Reader {
+public:
+  typedef State Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getVersion() const;
+
+  inline  ::int64_t getTimeMs() const;
+
+  inline bool hasCatalogue() const;
+  inline  ::ragwortmux::stored::Catalogue::Reader getCatalogue() const;
+
+  inline  ::uint64_t getLastSession() const;
+
+  inline bool hasSessions() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Reader getSessions() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
+  inline bool hasLedger() const;
+  inline  ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Reader getLedger() const;
+
+  inline bool hasVoters() const;
+  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader getVoters() const;
+
+  inline bool hasHomes() const;
+  inline  ::ragwortmux::stored::Homes::Reader getHomes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class State::Builder {
+public:
+  typedef State Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getVersion();
+  inline void setVersion( ::uint16_t value);
+
+  inline  ::int64_t getTimeMs();
+  inline void setTimeMs( ::int64_t value);
+
+  inline bool hasCatalogue();
+  inline  ::ragwortmux::stored::Catalogue::Builder getCatalogue();
+  inline void setCatalogue( ::ragwortmux::stored::Catalogue::Reader value);
+  inline  ::ragwortmux::stored::Catalogue::Builder initCatalogue();
+  inline void adoptCatalogue(::capnp::Orphan< ::ragwortmux::stored::Catalogue>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Catalogue> disownCatalogue();
+
+  inline  ::uint64_t getLastSession();
+  inline void setLastSession( ::uint64_t value);
+
+  inline bool hasSessions();
+  inline  ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Builder getSessions();
+  inline void setSessions( ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>::Builder initSessions(unsigned int size);
+  inline void adoptSessions(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Session,  ::capnp::Kind::STRUCT>> disownSessions();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Group,  ::capnp::Kind::STRUCT>> disownGroups();
+
+  inline bool hasShares();
+  inline  ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Share,  ::capnp::Kind::STRUCT>> disownShares();
+
+  inline bool hasLedger();
+  inline  ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Builder getLedger();
+  inline void setLedger( ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>::Builder initLedger(unsigned int size);
+  inline void adoptLedger(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::LedgerRecord,  ::capnp::Kind::STRUCT>> disownLedger();
+
+  inline bool hasVoters();
+  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder getVoters();
+  inline void setVoters( ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>::Builder initVoters(unsigned int size);
+  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Voter,  ::capnp::Kind::STRUCT>> disownVoters();
+
+  inline bool hasHomes();
+  inline  ::ragwortmux::stored::Homes::Builder getHomes();
+  inline void setHomes( ::ragwortmux::stored::Homes::Reader value);
+  inline  ::ragwortmux::stored::Homes::Builder initHomes();
+  inline void adoptHomes(::capnp::Orphan< ::ragwortmux::stored::Homes>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::Homes> disownHomes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class State::Pipeline {
+public:
+  typedef State Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::stored::Catalogue::Pipeline getCatalogue();
+  inline  ::ragwortmux::stored::Homes::Pipeline getHomes();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Entry::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entry::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Entry::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Entry::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Entry::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Entry::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Entry::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Entry::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entry::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Entry::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Entry::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Entry::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Entry::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Entry::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Entry::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entry::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Entry::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Entry::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Entry::Builder::setOwner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Entry::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Entry::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t Entry::Reader::getTrafficClass() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Entry::Builder::getTrafficClass() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setTrafficClass( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Entry::Reader::getMaxConcurrent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Entry::Builder::getMaxConcurrent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setMaxConcurrent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Entry::Reader::getMaxQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Entry::Builder::getMaxQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setMaxQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Entry::Reader::getDeadlineUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Entry::Builder::getDeadlineUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setDeadlineUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Entry::Reader::getMaxAnswerBytes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Entry::Builder::getMaxAnswerBytes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setMaxAnswerBytes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Entry::Reader::getMaxAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Entry::Builder::getMaxAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setMaxAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Entry::Reader::getLatencyTargetUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Entry::Builder::getLatencyTargetUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setLatencyTargetUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Entry::Reader::getTransactionIdleUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Entry::Builder::getTransactionIdleUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setTransactionIdleUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Entry::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Entry::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Entry::Reader::getRequiresKey() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Entry::Builder::getRequiresKey() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Entry::Builder::setRequiresKey(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Workspace::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspace::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Workspace::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Workspace::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Workspace::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Workspace::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Workspace::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Workspace::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Workspace::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspace::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Workspace::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Workspace::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Workspace::Builder::setKeys( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Workspace::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Workspace::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Workspace::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Workspace::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Workspace::Reader::getRatePerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Workspace::Builder::getRatePerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Workspace::Builder::setRatePerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Workspace::Reader::getBurst() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Workspace::Builder::getBurst() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Workspace::Builder::setBurst( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PutWorkspace::Reader::getExpected() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PutWorkspace::Builder::getExpected() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PutWorkspace::Builder::setExpected( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PutWorkspace::Reader::hasChange() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PutWorkspace::Builder::hasChange() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PutWorkspace::Reader::getChange() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PutWorkspace::Builder::getChange() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PutWorkspace::Builder::setChange( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PutWorkspace::Builder::initChange(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PutWorkspace::Builder::adoptChange(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PutWorkspace::Builder::disownChange() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PutWorkspace::Reader::hasOperatorName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PutWorkspace::Builder::hasOperatorName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PutWorkspace::Reader::getOperatorName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PutWorkspace::Builder::getOperatorName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PutWorkspace::Builder::setOperatorName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PutWorkspace::Builder::initOperatorName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PutWorkspace::Builder::adoptOperatorName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PutWorkspace::Builder::disownOperatorName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PutWorkspace::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PutWorkspace::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::Workspace::Reader PutWorkspace::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::Workspace::Builder PutWorkspace::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::stored::Workspace::Pipeline PutWorkspace::Pipeline::getWorkspace() {
+  return  ::ragwortmux::stored::Workspace::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void PutWorkspace::Builder::setWorkspace( ::ragwortmux::stored::Workspace::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::Workspace::Builder PutWorkspace::Builder::initWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PutWorkspace::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::ragwortmux::stored::Workspace>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::Workspace> PutWorkspace::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t DeleteWorkspace::Reader::getExpected() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
-inline bool Entry::Reader::hasName() const {
+inline  ::uint64_t DeleteWorkspace::Builder::getExpected() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DeleteWorkspace::Builder::setExpected( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DeleteWorkspace::Reader::hasChange() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entry::Builder::hasName() {
+inline bool DeleteWorkspace::Builder::hasChange() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Entry::Reader::getName() const {
+inline  ::capnp::Text::Reader DeleteWorkspace::Reader::getChange() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Entry::Builder::getName() {
+inline  ::capnp::Text::Builder DeleteWorkspace::Builder::getChange() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Entry::Builder::setName( ::capnp::Text::Reader value) {
+inline void DeleteWorkspace::Builder::setChange( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Entry::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder DeleteWorkspace::Builder::initChange(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Entry::Builder::adoptName(
+inline void DeleteWorkspace::Builder::adoptChange(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> DeleteWorkspace::Builder::disownChange() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Entry::Reader::hasGroup() const {
+inline bool DeleteWorkspace::Reader::hasOperatorName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entry::Builder::hasGroup() {
+inline bool DeleteWorkspace::Builder::hasOperatorName() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Entry::Reader::getGroup() const {
+inline  ::capnp::Text::Reader DeleteWorkspace::Reader::getOperatorName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Entry::Builder::getGroup() {
+inline  ::capnp::Text::Builder DeleteWorkspace::Builder::getOperatorName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Entry::Builder::setGroup( ::capnp::Text::Reader value) {
+inline void DeleteWorkspace::Builder::setOperatorName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Entry::Builder::initGroup(unsigned int size) {
+inline  ::capnp::Text::Builder DeleteWorkspace::Builder::initOperatorName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Entry::Builder::adoptGroup(
+inline void DeleteWorkspace::Builder::adoptOperatorName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownGroup() {
+inline ::capnp::Orphan< ::capnp::Text> DeleteWorkspace::Builder::disownOperatorName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Entry::Reader::hasOwner() const {
+inline bool DeleteWorkspace::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entry::Builder::hasOwner() {
+inline bool DeleteWorkspace::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Entry::Reader::getOwner() const {
+inline  ::capnp::Text::Reader DeleteWorkspace::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Entry::Builder::getOwner() {
+inline  ::capnp::Text::Builder DeleteWorkspace::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Entry::Builder::setOwner( ::capnp::Text::Reader value) {
+inline void DeleteWorkspace::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Entry::Builder::initOwner(unsigned int size) {
+inline  ::capnp::Text::Builder DeleteWorkspace::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Entry::Builder::adoptOwner(
+inline void DeleteWorkspace::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Entry::Builder::disownOwner() {
+inline ::capnp::Orphan< ::capnp::Text> DeleteWorkspace::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Entry::Reader::getTrafficClass() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t Entry::Builder::getTrafficClass() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setTrafficClass( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Entry::Reader::getMaxConcurrent() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Entry::Builder::getMaxConcurrent() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setMaxConcurrent( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Entry::Reader::getMaxQueued() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Entry::Builder::getMaxQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setMaxQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Entry::Reader::getDeadlineUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Entry::Builder::getDeadlineUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setDeadlineUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Entry::Reader::getMaxAnswerBytes() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Entry::Builder::getMaxAnswerBytes() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setMaxAnswerBytes( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Entry::Reader::getMaxAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Entry::Builder::getMaxAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setMaxAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Entry::Reader::getLatencyTargetUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Entry::Builder::getLatencyTargetUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setLatencyTargetUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Entry::Reader::getTransactionIdleUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Entry::Builder::getTransactionIdleUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setTransactionIdleUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Entry::Reader::getPriority() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Entry::Builder::getPriority() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
-}
-inline void Entry::Builder::setPriority( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t PutEntry::Reader::getExpected() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6579,6 +7795,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ReplaceCatalogue::Reader::hasWorkspaces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplaceCatalogue::Builder::hasWorkspaces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Reader ReplaceCatalogue::Reader::getWorkspaces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Builder ReplaceCatalogue::Builder::getWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ReplaceCatalogue::Builder::setWorkspaces( ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>::Builder ReplaceCatalogue::Builder::initWorkspaces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ReplaceCatalogue::Builder::adoptWorkspaces(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>> ReplaceCatalogue::Builder::disownWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::Workspace,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::ragwortmux::stored::Command::Which Command::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7529,32 +8779,140 @@
 inline  ::ragwortmux::stored::ReplaceCatalogue::Builder Command::Builder::getReplaceCatalogue() {
   KJ_IREQUIRE((which() == Command::REPLACE_CATALOGUE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setReplaceCatalogue( ::ragwortmux::stored::ReplaceCatalogue::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::ReplaceCatalogue::Builder Command::Builder::initReplaceCatalogue() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptReplaceCatalogue(
+    ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue> Command::Builder::disownReplaceCatalogue() {
+  KJ_IREQUIRE((which() == Command::REPLACE_CATALOGUE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Command::Reader::isPutWorkspace() const {
+  return which() == Command::PUT_WORKSPACE;
+}
+inline bool Command::Builder::isPutWorkspace() {
+  return which() == Command::PUT_WORKSPACE;
+}
+inline bool Command::Reader::hasPutWorkspace() const {
+  if (which() != Command::PUT_WORKSPACE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasPutWorkspace() {
+  if (which() != Command::PUT_WORKSPACE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::PutWorkspace::Reader Command::Reader::getPutWorkspace() const {
+  KJ_IREQUIRE((which() == Command::PUT_WORKSPACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::PutWorkspace>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::PutWorkspace::Builder Command::Builder::getPutWorkspace() {
+  KJ_IREQUIRE((which() == Command::PUT_WORKSPACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::PutWorkspace>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setPutWorkspace( ::ragwortmux::stored::PutWorkspace::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::PUT_WORKSPACE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::PutWorkspace>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::PutWorkspace::Builder Command::Builder::initPutWorkspace() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::PUT_WORKSPACE);
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::PutWorkspace>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptPutWorkspace(
+    ::capnp::Orphan< ::ragwortmux::stored::PutWorkspace>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::PUT_WORKSPACE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::PutWorkspace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::PutWorkspace> Command::Builder::disownPutWorkspace() {
+  KJ_IREQUIRE((which() == Command::PUT_WORKSPACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::PutWorkspace>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Command::Reader::isDeleteWorkspace() const {
+  return which() == Command::DELETE_WORKSPACE;
+}
+inline bool Command::Builder::isDeleteWorkspace() {
+  return which() == Command::DELETE_WORKSPACE;
+}
+inline bool Command::Reader::hasDeleteWorkspace() const {
+  if (which() != Command::DELETE_WORKSPACE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasDeleteWorkspace() {
+  if (which() != Command::DELETE_WORKSPACE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::DeleteWorkspace::Reader Command::Reader::getDeleteWorkspace() const {
+  KJ_IREQUIRE((which() == Command::DELETE_WORKSPACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::DeleteWorkspace>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::DeleteWorkspace::Builder Command::Builder::getDeleteWorkspace() {
+  KJ_IREQUIRE((which() == Command::DELETE_WORKSPACE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::DeleteWorkspace>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::setReplaceCatalogue( ::ragwortmux::stored::ReplaceCatalogue::Reader value) {
+inline void Command::Builder::setDeleteWorkspace( ::ragwortmux::stored::DeleteWorkspace::Reader value) {
   _builder.setDataField<Command::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
-  ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::DELETE_WORKSPACE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::DeleteWorkspace>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::ragwortmux::stored::ReplaceCatalogue::Builder Command::Builder::initReplaceCatalogue() {
+inline  ::ragwortmux::stored::DeleteWorkspace::Builder Command::Builder::initDeleteWorkspace() {
   _builder.setDataField<Command::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
-  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::DELETE_WORKSPACE);
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::DeleteWorkspace>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Command::Builder::adoptReplaceCatalogue(
-    ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue>&& value) {
+inline void Command::Builder::adoptDeleteWorkspace(
+    ::capnp::Orphan< ::ragwortmux::stored::DeleteWorkspace>&& value) {
   _builder.setDataField<Command::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::REPLACE_CATALOGUE);
-  ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::DELETE_WORKSPACE);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::DeleteWorkspace>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ragwortmux::stored::ReplaceCatalogue> Command::Builder::disownReplaceCatalogue() {
-  KJ_IREQUIRE((which() == Command::REPLACE_CATALOGUE),
+inline ::capnp::Orphan< ::ragwortmux::stored::DeleteWorkspace> Command::Builder::disownDeleteWorkspace() {
+  KJ_IREQUIRE((which() == Command::DELETE_WORKSPACE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::ReplaceCatalogue>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::DeleteWorkspace>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7822,6 +9180,338 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t WorkspaceItem::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkspaceItem::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceItem::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkspaceItem::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkspaceItem::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::Workspace::Reader WorkspaceItem::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::Workspace::Builder WorkspaceItem::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::stored::Workspace::Pipeline WorkspaceItem::Pipeline::getWorkspace() {
+  return  ::ragwortmux::stored::Workspace::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void WorkspaceItem::Builder::setWorkspace( ::ragwortmux::stored::Workspace::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::Workspace::Builder WorkspaceItem::Builder::initWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkspaceItem::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::ragwortmux::stored::Workspace>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::Workspace> WorkspaceItem::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t WorkspaceDeletion::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkspaceDeletion::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceDeletion::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkspaceDeletion::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkspaceDeletion::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkspaceDeletion::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkspaceDeletion::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkspaceDeletion::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkspaceDeletion::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WorkspaceDeletion::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkspaceDeletion::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t WorkspaceChange::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkspaceChange::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceChange::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WorkspaceChange::Reader::getExpected() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkspaceChange::Builder::getExpected() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceChange::Builder::setExpected( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkspaceChange::Reader::hasChange() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkspaceChange::Builder::hasChange() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkspaceChange::Reader::getChange() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkspaceChange::Builder::getChange() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkspaceChange::Builder::setChange( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkspaceChange::Builder::initChange(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WorkspaceChange::Builder::adoptChange(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkspaceChange::Builder::disownChange() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool WorkspaceChange::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkspaceChange::Builder::getDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceChange::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkspaceChange::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkspaceChange::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::Workspace::Reader WorkspaceChange::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::Workspace::Builder WorkspaceChange::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::stored::Workspace::Pipeline WorkspaceChange::Pipeline::getWorkspace() {
+  return  ::ragwortmux::stored::Workspace::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void WorkspaceChange::Builder::setWorkspace( ::ragwortmux::stored::Workspace::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::Workspace::Builder WorkspaceChange::Builder::initWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkspaceChange::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::ragwortmux::stored::Workspace>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::Workspace> WorkspaceChange::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspace>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Workspaces::Reader::hasItems() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspaces::Builder::hasItems() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader Workspaces::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder Workspaces::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Workspaces::Builder::setItems( ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>::Builder Workspaces::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Workspaces::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>> Workspaces::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Workspaces::Reader::hasDeletions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspaces::Builder::hasDeletions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Reader Workspaces::Reader::getDeletions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Builder Workspaces::Builder::getDeletions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Workspaces::Builder::setDeletions( ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>::Builder Workspaces::Builder::initDeletions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Workspaces::Builder::adoptDeletions(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>> Workspaces::Builder::disownDeletions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceDeletion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Workspaces::Reader::hasRecent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Workspaces::Builder::hasRecent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Reader Workspaces::Reader::getRecent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Builder Workspaces::Builder::getRecent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Workspaces::Builder::setRecent( ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>::Builder Workspaces::Builder::initRecent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Workspaces::Builder::adoptRecent(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>> Workspaces::Builder::disownRecent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::stored::WorkspaceChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Workspaces::Reader::getForgottenDeletion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Workspaces::Builder::getForgottenDeletion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Workspaces::Builder::setForgottenDeletion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Catalogue::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8068,6 +9758,45 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Catalogue::Reader::hasWorkspaces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalogue::Builder::hasWorkspaces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::Workspaces::Reader Catalogue::Reader::getWorkspaces() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspaces>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::Workspaces::Builder Catalogue::Builder::getWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspaces>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::stored::Workspaces::Pipeline Catalogue::Pipeline::getWorkspaces() {
+  return  ::ragwortmux::stored::Workspaces::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Catalogue::Builder::setWorkspaces( ::ragwortmux::stored::Workspaces::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspaces>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::Workspaces::Builder Catalogue::Builder::initWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspaces>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Catalogue::Builder::adoptWorkspaces(
+    ::capnp::Orphan< ::ragwortmux::stored::Workspaces>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspaces>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::Workspaces> Catalogue::Builder::disownWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::Workspaces>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Session::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/ragwortmux/Process/Peers/CommandCodec.cpp
+++ b/ragwortmux/Process/Peers/CommandCodec.cpp
@@ -202,12 +202,41 @@
             writeEntry);
   writeList(Body.initGroups(sizeOf(Command.m_Groups)), Command.m_Groups,
             writePolicy);
+  writeList(Body.initWorkspaces(sizeOf(Command.m_Workspaces)),
+            Command.m_Workspaces, writeWorkspace);
 }
 
 ReplaceCatalogue read(stored::ReplaceCatalogue::Reader In) {
   return {CatalogueVersion(In.getVersion()), toString(In.getDocument()),
           readList(In.getEntries(), readEntry),
-          readList(In.getGroups(), readPolicy)};
+          readList(In.getGroups(), readPolicy),
+          readList(In.getWorkspaces(), readWorkspace)};
+}
+
+void write(Union::Builder Out, const PutWorkspace &Command) {
+  auto Body = Out.initPutWorkspace();
+  Body.setExpected(Command.m_Expected.value());
+  Body.setChange(toText(Command.m_Change.value()));
+  Body.setOperatorName(toText(Command.m_Operator));
+  writeWorkspace(Body.initWorkspace(), Command.m_Workspace);
+}
+
+PutWorkspace read(stored::PutWorkspace::Reader In) {
+  return {Revision(In.getExpected()), readId<ChangeId>(In.getChange()),
+          toString(In.getOperatorName()), readWorkspace(In.getWorkspace())};
+}
+
+void write(Union::Builder Out, const DeleteWorkspace &Command) {
+  auto Body = Out.initDeleteWorkspace();
+  Body.setExpected(Command.m_Expected.value());
+  Body.setChange(toText(Command.m_Change.value()));
+  Body.setOperatorName(toText(Command.m_Operator));
+  Body.setName(toText(Command.m_Name.value()));
+}
+
+DeleteWorkspace read(stored::DeleteWorkspace::Reader In) {
+  return {Revision(In.getExpected()), readId<ChangeId>(In.getChange()),
+          toString(In.getOperatorName()), readId<WorkspaceId>(In.getName())};
 }
 
 ControlCommand readCommand(Union::Reader In) {
@@ -248,6 +277,10 @@
     return read(In.getSetSessionHomes());
   case Union::REPLACE_CATALOGUE:
     return read(In.getReplaceCatalogue());
+  case Union::PUT_WORKSPACE:
+    return read(In.getPutWorkspace());
+  case Union::DELETE_WORKSPACE:
+    return read(In.getDeleteWorkspace());
   case Union::NONE:
     break;
   }
--- a/ragwortmux/Process/Peers/CommandCodecRecords.cpp
+++ b/ragwortmux/Process/Peers/CommandCodecRecords.cpp
@@ -27,6 +27,7 @@
   Out.setLatencyTargetUs(Entry.m_Limits.m_LatencyTarget.count());
   Out.setTransactionIdleUs(Entry.m_Limits.m_TransactionIdle.count());
   Out.setPriority(Entry.m_Limits.m_Priority);
+  Out.setRequiresKey(Entry.m_RequiresKey);
 }
 
 CatalogueEntry readEntry(stored::Entry::Reader In) {
@@ -44,9 +45,29 @@
   Entry.m_Limits.m_LatencyTarget = Duration(In.getLatencyTargetUs());
   Entry.m_Limits.m_TransactionIdle = Duration(In.getTransactionIdleUs());
   Entry.m_Limits.m_Priority = In.getPriority();
+  Entry.m_RequiresKey = In.getRequiresKey();
   return Entry;
 }
 
+void writeWorkspace(stored::Workspace::Builder Out, const Workspace &Source) {
+  Out.setName(toText(Source.m_Name.value()));
+  auto Keys = Out.initKeys(sizeOf(Source.m_Keys));
+  unsigned Position = 0;
+  for (const KeyDigest &Key : Source.m_Keys)
+    Keys.set(Position++, toData(Key.value()));
+  Out.setRatePerSecond(Source.m_Limit.m_RatePerSecond);
+  Out.setBurst(Source.m_Limit.m_Burst);
+}
+
+Workspace readWorkspace(stored::Workspace::Reader In) {
+  Workspace Source;
+  Source.m_Name = readId<WorkspaceId>(In.getName());
+  for (const auto Key : In.getKeys())
+    Source.m_Keys.emplace_back(toString(Key));
+  Source.m_Limit = {In.getRatePerSecond(), In.getBurst()};
+  return Source;
+}
+
 void writeOpenSession(stored::OpenSession::Builder Out,
                       const OpenSession &Command) {
   Out.setHost(toText(Command.m_Host.value()));
--- a/ragwortmux/Process/Peers/CommandCodecRecords.h
+++ b/ragwortmux/Process/Peers/CommandCodecRecords.h
@@ -81,6 +81,8 @@
 
 void writeEntry(stored::Entry::Builder Out, const CatalogueEntry &Entry);
 CatalogueEntry readEntry(stored::Entry::Reader In);
+void writeWorkspace(stored::Workspace::Builder Out, const Workspace &Source);
+Workspace readWorkspace(stored::Workspace::Reader In);
 
 void writeOpenSession(stored::OpenSession::Builder Out,
                       const OpenSession &Command);
--- a/ragwortmux/Process/Peers/CommandCodecState.cpp
+++ b/ragwortmux/Process/Peers/CommandCodecState.cpp
@@ -48,6 +48,59 @@
           readEntry(In.getEntry())};
 }
 
+void writeWorkspaceItem(stored::WorkspaceItem::Builder Out,
+                        const WorkspaceItem &Item) {
+  Out.setRevision(Item.m_Revision.value());
+  writeWorkspace(Out.initWorkspace(), Item.m_Workspace);
+}
+
+WorkspaceItem readWorkspaceItem(stored::WorkspaceItem::Reader In) {
+  return {Revision(In.getRevision()), readWorkspace(In.getWorkspace())};
+}
+
+void writeWorkspaceDeletion(stored::WorkspaceDeletion::Builder Out,
+                            const WorkspaceDeletion &Deletion) {
+  Out.setRevision(Deletion.m_Revision.value());
+  Out.setName(toText(Deletion.m_Name.value()));
+}
+
+WorkspaceDeletion readWorkspaceDeletion(stored::WorkspaceDeletion::Reader In) {
+  return {Revision(In.getRevision()), readId<WorkspaceId>(In.getName())};
+}
+
+void writeWorkspaceChange(stored::WorkspaceChange::Builder Out,
+                          const WorkspaceChange &Change) {
+  Out.setRevision(Change.m_Revision.value());
+  Out.setExpected(Change.m_Expected.value());
+  Out.setChange(toText(Change.m_Change.value()));
+  Out.setDeleted(Change.m_Deleted);
+  writeWorkspace(Out.initWorkspace(), Change.m_Workspace);
+}
+
+WorkspaceChange readWorkspaceChange(stored::WorkspaceChange::Reader In) {
+  return {Revision(In.getRevision()), Revision(In.getExpected()),
+          readId<ChangeId>(In.getChange()), In.getDeleted(),
+          readWorkspace(In.getWorkspace())};
+}
+
+void writeWorkspaces(stored::Workspaces::Builder Out,
+                     const WorkspaceTableData &Data) {
+  writeList(Out.initItems(sizeOf(Data.m_Items)), Data.m_Items,
+            writeWorkspaceItem);
+  writeList(Out.initDeletions(sizeOf(Data.m_Deletions)), Data.m_Deletions,
+            writeWorkspaceDeletion);
+  writeList(Out.initRecent(sizeOf(Data.m_RecentChanges)), Data.m_RecentChanges,
+            writeWorkspaceChange);
+  Out.setForgottenDeletion(Data.m_LastPrunedDeletion.value());
+}
+
+WorkspaceTableData readWorkspaces(stored::Workspaces::Reader In) {
+  return {readList(In.getItems(), readWorkspaceItem),
+          readList(In.getDeletions(), readWorkspaceDeletion),
+          readList(In.getRecent(), readWorkspaceChange),
+          Revision(In.getForgottenDeletion())};
+}
+
 void writeCatalogue(stored::Catalogue::Builder Out, const CatalogueData &Data) {
   Out.setRevision(Data.m_Revision.value());
   Out.setForgottenDeletion(Data.m_LastPrunedDeletion.value());
@@ -61,6 +114,7 @@
   Out.setVersion(Data.m_Version.value());
   Out.setDocument(toText(Data.m_Document));
   writeList(Out.initGroups(sizeOf(Data.m_Groups)), Data.m_Groups, writePolicy);
+  writeWorkspaces(Out.initWorkspaces(), Data.m_Workspaces);
 }
 
 CatalogueData readCatalogue(stored::Catalogue::Reader In) {
@@ -72,7 +126,8 @@
           readList(In.getRecent(), readChange),
           CatalogueVersion(In.getVersion()),
           toString(In.getDocument()),
-          readList(In.getGroups(), readPolicy)};
+          readList(In.getGroups(), readPolicy),
+          readWorkspaces(In.getWorkspaces())};
 }
 
 void writeSession(stored::Session::Builder Out, const SessionRecord &Session) {
--- a/ragwortmux/Process/Peers/RelayCodec.cpp
+++ b/ragwortmux/Process/Peers/RelayCodec.cpp
@@ -134,6 +134,7 @@
   writeRpc(Out.initLastWrite(), Request.m_LastWrite);
   Out.setAgeUs(
       std::clamp(Now - Request.m_Arrived, Duration(0), MaxDuration).count());
+  Out.setWorkspace(toText(Request.m_Workspace.value()));
 }
 
 std::optional<SessionRequest> readRpc(rpc::RelayedStatement::Reader In,
@@ -155,6 +156,7 @@
   }
   Request.m_LastWrite = readRpc(In.getLastWrite());
   Request.m_Arrived = Now - Age;
+  Request.m_Workspace = WorkspaceId(toString(In.getWorkspace()));
   return Request;
 }
 
--- a/ragwortmux/Process/Peers/RpcCodec.cpp
+++ b/ragwortmux/Process/Peers/RpcCodec.cpp
@@ -82,6 +82,7 @@
   Out.setLatencyTargetUs(Limits.m_LatencyTarget.count());
   Out.setTransactionIdleUs(Limits.m_TransactionIdle.count());
   Out.setPriority(Limits.m_Priority);
+  Out.setRequiresKey(Entry.m_RequiresKey);
 }
 
 CatalogueEntry readRpc(rpc::CatalogueEntry::Reader In) {
@@ -99,6 +100,7 @@
   Limits.m_LatencyTarget = Duration(In.getLatencyTargetUs());
   Limits.m_TransactionIdle = Duration(In.getTransactionIdleUs());
   Limits.m_Priority = In.getPriority();
+  Entry.m_RequiresKey = In.getRequiresKey();
   return Entry;
 }
 
@@ -115,6 +117,32 @@
   return Item;
 }
 
+static void writeRpc(rpc::WorkspaceItem::Builder Out,
+                     const WorkspaceItem &Item) {
+  Out.setRevision(Item.m_Revision.value());
+  auto Body = Out.initWorkspace();
+  Body.setName(toText(Item.m_Workspace.m_Name.value()));
+  auto Keys = Body.initKeys(sizeOf(Item.m_Workspace.m_Keys));
+  unsigned Position = 0;
+  for (const KeyDigest &Key : Item.m_Workspace.m_Keys) {
+    Keys.set(Position++, toData(Key.value()));
+  }
+  Body.setRatePerSecond(Item.m_Workspace.m_Limit.m_RatePerSecond);
+  Body.setBurst(Item.m_Workspace.m_Limit.m_Burst);
+}
+
+static WorkspaceItem readRpc(rpc::WorkspaceItem::Reader In) {
+  WorkspaceItem Item;
+  Item.m_Revision = Revision(In.getRevision());
+  const auto Body = In.getWorkspace();
+  Item.m_Workspace.m_Name = WorkspaceId(toString(Body.getName()));
+  for (const auto Key : Body.getKeys()) {
+    Item.m_Workspace.m_Keys.emplace_back(toString(Key));
+  }
+  Item.m_Workspace.m_Limit = {Body.getRatePerSecond(), Body.getBurst()};
+  return Item;
+}
+
 static void writeRpc(rpc::CatalogueDelta::Builder Out,
                      const CatalogueDelta &Delta) {
   Out.setFrom(Delta.m_From.value());
@@ -126,6 +154,12 @@
   for (const CatalogueDeletion &Deletion : Delta.m_Deletions) {
     Deletions.set(Position++, toText(Deletion.m_Name.value()));
   }
+  writeList(Out.initWorkspaces(sizeOf(Delta.m_Workspaces)), Delta.m_Workspaces);
+  auto Removed = Out.initWorkspaceDeletions(sizeOf(Delta.m_WorkspaceDeletions));
+  Position = 0;
+  for (const WorkspaceDeletion &Deletion : Delta.m_WorkspaceDeletions) {
+    Removed.set(Position++, toText(Deletion.m_Name.value()));
+  }
 }
 
 static CatalogueDelta readRpc(rpc::CatalogueDelta::Reader In) {
@@ -139,6 +173,13 @@
   for (const auto Name : In.getDeletions()) {
     Delta.m_Deletions.push_back({Revision(), EntryName(toString(Name))});
   }
+  for (const auto Item : In.getWorkspaces()) {
+    Delta.m_Workspaces.push_back(readRpc(Item));
+  }
+  for (const auto Name : In.getWorkspaceDeletions()) {
+    Delta.m_WorkspaceDeletions.push_back(
+        {Revision(), WorkspaceId(toString(Name))});
+  }
   return Delta;
 }
 
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -42,7 +42,8 @@
   for (const ConnectionId Connection : Actions.m_Close)
     m_Pool.closed(m_Now, Connection, FollowUps);
   for (const PooledConnection &Connection : Actions.m_Open)
-    emit(OpenSessionConnection{Connection.m_Id, Connection.m_Server});
+    emit(OpenSessionConnection{Connection.m_Id, Connection.m_Server,
+                               Connection.m_Workspace});
   for (const ConnectionId Connection : Actions.m_Probe)
     emit(ProbeConnection{Connection});
   for (const ServerId &Server : Actions.m_Unreachable) {
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -51,6 +51,12 @@
   /// Applies a newer group record, or the same one if it was outdated; other
   /// records are ignored.
   void viewChanged(Instant Now, const GroupView &View, SessionActions &Actions);
+  /// Sets whether callers of the group belong to workspaces; see
+  /// ConnectionPool::setUsesWorkspaces().
+  void setUsesWorkspaces(bool UsesWorkspaces) {
+    m_UsesWorkspaces = UsesWorkspaces;
+    m_Pool.setUsesWorkspaces(UsesWorkspaces);
+  }
   /// Control has opened another session for this host. The record may be
   /// outdated: without a share in the group the host is not waited for when the
   /// term ends. Until a record arrives under the new session, the lease does
@@ -131,6 +137,8 @@
   void enqueue(Request &State);
   void removeFromQueue(Request &State);
   void updateDemand();
+  void addReadDemand(const Request &State,
+                     std::map<ServerId, ConnectionDemand> &Demand) const;
   bool isPrimaryUsable() const;
   bool acceptsReads(const ServerView &Server) const;
   const ServerView *server(const ServerId &Server) const;
@@ -185,8 +193,9 @@
   Term m_AcknowledgedTerm;      ///< Term whose commits may be acknowledged.
   Revision m_ConfirmedRevision; ///< Newest record in full effect.
   bool m_Draining = false;      ///< drain() was called.
-  bool m_HasFullShares = false; ///< The pool uses the connection shares of the
-                                ///< record; false without a lease.
+  bool m_UsesWorkspaces = false; ///< See setUsesWorkspaces().
+  bool m_HasFullShares = false;  ///< The pool uses the connection shares of the
+                                 ///< record; false without a lease.
 
   // A connection that the pool counts as busy is in exactly one of m_Running,
   // m_Transactions and m_RollingBack, or in the first two if a statement of the
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -155,6 +155,7 @@
   Transaction Open;
   Open.m_Connection = Connection;
   Open.m_Server = State.m_Server;
+  Open.m_Workspace = State.m_Request.m_Workspace;
   Open.m_Term = State.m_Term;
   Open.m_ReadOnly =
       State.m_Request.m_Statement.m_Kind == StatementKind::BeginRead;
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -75,11 +75,12 @@
 }
 
 bool SessionCore::canOpenConnection() const {
-  return std::any_of(m_View.m_Servers.begin(), m_View.m_Servers.end(),
-                     [this](const ServerView &Each) {
-                       return m_Pool.connectionCount(Each.m_Server) <
-                              Each.m_ConnectionShare;
-                     });
+  return std::any_of(
+      m_View.m_Servers.begin(), m_View.m_Servers.end(),
+      [this](const ServerView &Each) {
+        return m_Pool.connectionCount(Each.m_Server) < Each.m_ConnectionShare ||
+               (m_UsesWorkspaces && m_Pool.canOpen(Each.m_Server));
+      });
 }
 
 bool SessionCore::isLeaseLost() const {
@@ -178,7 +179,8 @@
     Target.m_Server = Each.m_Server;
     Target.m_IsNear = Each.m_Domain == m_Settings.m_Domain;
     Target.m_IsPrimary = m_View.m_Primary == Each.m_Server;
-    Target.m_Free = m_Pool.idleCount(Each.m_Server);
+    Target.m_Free =
+        m_Pool.idleCount(Each.m_Server, State.m_Request.m_Workspace);
     Target.m_Running = m_Pool.busyCount(Each.m_Server);
     Target.m_Slots = Each.m_Slots;
     const auto Refuses = m_RefusesUntil.find(Each.m_Server);
@@ -211,9 +213,10 @@
 std::optional<ConnectionId>
 SessionCore::acquireConnection(const ServerId &Server, const Request &State) {
   const SessionRequest &Submitted = State.m_Request;
-  return m_Pool.acquireCheapest(m_Now, Server, [&](ConnectionId Id) {
-    return m_Sessions[Id].stepCount(*Submitted.m_State, State.prepared());
-  });
+  return m_Pool.acquireCheapest(
+      m_Now, Server, Submitted.m_Workspace, [&](ConnectionId Id) {
+        return m_Sessions[Id].stepCount(*Submitted.m_State, State.prepared());
+      });
 }
 
 void SessionCore::sendOn(Request &State, const ServerId &Server,
@@ -246,6 +249,9 @@
 void SessionCore::submitInTransaction(Request &State, Transaction &Open) {
   State.m_InTransaction = true;
   Open.m_Running = State.m_Request.m_Id;
+  // A connection never runs a statement for another workspace than its own.
+  if (Open.m_Workspace != State.m_Request.m_Workspace)
+    abandonTransaction(Open);
   if (!Open.m_Connection) {
     // Closing the connection has rolled the transaction back.
     m_Transactions.erase(State.m_Request.m_Caller);
@@ -274,25 +280,40 @@
   if (!m_Waiting.empty() && !canOpenConnection())
     return;
   PoolActions Actions;
-  std::map<ServerId, std::uint32_t> Demand;
+  std::map<ServerId, ConnectionDemand> Demand;
   std::size_t Counted = 0;
   for (const SessionQueue::Key &Key : m_Waiting) {
     if (++Counted > MaxDemandStatements)
       break;
     const Request &State = m_Requests.at(SessionQueue::request(Key));
-    if (State.needsPrimary()) {
-      if (m_View.m_Primary)
-        ++Demand[*m_View.m_Primary];
-      continue;
-    }
-    for (const ReadTarget &Target : readTargets(State, readFloor(State))) {
-      if (Target.m_IsAllowed)
-        ++Demand[Target.m_Server];
-    }
+    if (!State.needsPrimary())
+      addReadDemand(State, Demand);
+    else if (m_View.m_Primary)
+      ++Demand[*m_View.m_Primary][State.m_Request.m_Workspace];
   }
   for (const ServerView &Each : m_View.m_Servers)
-    m_Pool.setDemand(m_Now, Each.m_Server, Demand[Each.m_Server], Actions);
+    m_Pool.setDemand(m_Now, Each.m_Server, std::move(Demand[Each.m_Server]),
+                     Actions);
   apply(Actions);
 }
 
+void SessionCore::addReadDemand(
+    const Request &State, std::map<ServerId, ConnectionDemand> &Demand) const {
+  const WorkspaceId &Workspace = State.m_Request.m_Workspace;
+  std::vector<ReadTarget> Targets = readTargets(State, readFloor(State));
+  if (!m_UsesWorkspaces) {
+    for (const ReadTarget &Target : Targets) {
+      if (Target.m_IsAllowed)
+        ++Demand[Target.m_Server][Workspace];
+    }
+    return;
+  }
+  // Connections are scarce with workspaces, so only the server that suits best
+  // gets a new one.
+  for (ReadTarget &Target : Targets)
+    Target.m_Free = m_Pool.canOpen(Target.m_Server) ? 1 : 0;
+  if (const auto Best = chooseReadTarget(Targets))
+    ++Demand[*Best][Workspace];
+}
+
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -22,8 +22,10 @@
   RequestId m_Id;              ///< Unique within the process.
   CallerConnectionId m_Caller; ///< Caller connection of the session.
   std::shared_ptr<const CatalogueEntry>
-      m_Entry;           ///< Catalogue entry that the caller named.
-  Statement m_Statement; ///< The statement.
+      m_Entry;             ///< Catalogue entry that the caller named.
+  WorkspaceId m_Workspace; ///< Workspace of the caller; empty if the entry is
+                           ///< open to all.
+  Statement m_Statement;   ///< The statement.
   std::shared_ptr<const SessionState>
       m_State; ///< Session state to run the statement with.
   std::optional<PreparedStatement>
@@ -37,6 +39,7 @@
 struct OpenSessionConnection final {
   ConnectionId m_Connection; ///< Id assigned by the core.
   ServerId m_Server;         ///< Server to connect to.
+  WorkspaceId m_Workspace;   ///< Workspace to connect for; empty: none.
 };
 
 /// Closes a connection at once, even if a statement runs on it; no event
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -73,6 +73,7 @@
   std::optional<ConnectionId>
       m_Connection; ///< Backend connection; empty once the transaction is lost.
   ServerId m_Server;       ///< Server on which it runs.
+  WorkspaceId m_Workspace; ///< Workspace of its caller; empty: none.
   Term m_Term;             ///< Term of the group at its start.
   bool m_ReadOnly = false; ///< It was begun as a read-only transaction.
   bool m_Wrote = false;    ///< It has sent a write.
--- a/ragwortmux/Version/Catalogue.cpp
+++ b/ragwortmux/Version/Catalogue.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -127,16 +128,39 @@
   return record(std::move(Change));
 }
 
+ControlResult Catalogue::put(const PutWorkspace &Command) {
+  const Revision Next(m_Revision.value() + 1);
+  return recordWorkspaceChange(m_Workspaces.put(Command, Next), Next);
+}
+
+ControlResult Catalogue::erase(const DeleteWorkspace &Command) {
+  const Revision Next(m_Revision.value() + 1);
+  return recordWorkspaceChange(m_Workspaces.erase(Command, Next), Next);
+}
+
+ControlResult Catalogue::recordWorkspaceChange(ControlResult Result,
+                                               Revision Next) {
+  // A resend returns the revision of the first change.
+  if (Result.ok() && Result.m_Revision == Next)
+    m_Revision = Next;
+  return Result;
+}
+
 ControlResult Catalogue::replace(const ReplaceCatalogue &Command) {
   if (Command.m_Version <= m_Version)
     return ControlResult::accepted(m_Revision);
   if (Command.m_Entries.size() > m_Settings.m_MaxEntries)
     return ControlResult::refused(ResultCode::CatalogueInvalid,
                                   "the catalogue has too many entries");
+  if (std::string Reason = m_Workspaces.checkReplacement(Command.m_Workspaces);
+      !Reason.empty())
+    return ControlResult::refused(ResultCode::CatalogueInvalid,
+                                  std::move(Reason));
   m_Version = Command.m_Version;
   m_Document = Command.m_Document;
   m_Groups = Command.m_Groups;
   m_Revision = Revision(m_Revision.value() + 1);
+  m_Workspaces.replace(Command.m_Workspaces, m_Revision);
   removeUnlisted(Command.m_Entries);
   for (const CatalogueEntry &Entry : Command.m_Entries) {
     const CatalogueItem *Existing = find(Entry.m_Name);
@@ -258,6 +282,7 @@
   Data.m_Version = m_Version;
   Data.m_Document = m_Document;
   Data.m_Groups = m_Groups;
+  Data.m_Workspaces = m_Workspaces.exportData();
   return Data;
 }
 
@@ -276,6 +301,7 @@
   m_Version = Data.m_Version;
   m_Document = Data.m_Document;
   m_Groups = Data.m_Groups;
+  m_Workspaces.importData(Data.m_Workspaces);
 }
 
 const CatalogueItem *Catalogue::find(const EntryName &Name) const {
@@ -302,13 +328,14 @@
 CatalogueDelta Catalogue::deltaSince(Revision From) const {
   CatalogueDelta Delta;
   Delta.m_Revision = m_Revision;
-  Delta.m_IsWhole =
-      From == Revision() || From < m_LastPrunedDeletion || From > m_Revision;
+  Delta.m_IsWhole = From == Revision() || From < m_LastPrunedDeletion ||
+                    From > m_Revision || !m_Workspaces.hasDeletionsSince(From);
   Delta.m_From = Delta.m_IsWhole ? Revision() : From;
   for (const auto &[Name, Item] : m_Items) {
     if (Item.m_Revision > Delta.m_From)
       Delta.m_Items.push_back(Item);
   }
+  m_Workspaces.addTo(Delta);
   if (Delta.m_IsWhole)
     return Delta;
   for (const CatalogueDeletion &Deletion : m_Deletions) {
--- a/ragwortmux/Version/Catalogue.h
+++ b/ragwortmux/Version/Catalogue.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Version/CatalogueRecords.h"
 #include "ragwortmux/Version/ControlResult.h"
+#include "ragwortmux/Version/WorkspaceTable.h"
 
 #include <cstddef>
 #include <deque>
@@ -14,7 +15,9 @@
 namespace ragwortmux {
 
 struct DeleteEntry;
+struct DeleteWorkspace;
 struct PutEntry;
+struct PutWorkspace;
 struct ReplaceCatalogue;
 
 /// The catalogue of entries. Changes compare and set an entry's revision and
@@ -32,17 +35,24 @@
         1024; ///< Change ids stored to recognise resends.
     std::size_t m_MaxChangesPerEntry = 16; ///< Changes stored per name.
     std::size_t m_MaxDeletions = 1024;     ///< Deletions stored for deltas.
+    WorkspaceTable::Settings m_Workspaces; ///< Bounds of the workspaces.
   };
 
-  explicit Catalogue(const Settings &Bounds) : m_Settings(Bounds) {}
+  explicit Catalogue(const Settings &Bounds)
+      : m_Settings(Bounds), m_Workspaces(Bounds.m_Workspaces) {}
 
   /// Creates or replaces an entry at log time \p Now.
   ControlResult put(const PutEntry &Command, WallTime Now);
   /// Deletes an entry at log time \p Now.
   ControlResult erase(const DeleteEntry &Command, WallTime Now);
 
-  /// Replaces all entries. Only entries that differ get a new revision, so that
-  /// deltas stay small.
+  /// Creates or replaces a workspace.
+  ControlResult put(const PutWorkspace &Command);
+  /// Deletes a workspace.
+  ControlResult erase(const DeleteWorkspace &Command);
+
+  /// Replaces all entries and workspaces. Only those that differ get a new
+  /// revision, so that deltas stay small.
   ControlResult replace(const ReplaceCatalogue &Command);
 
   CatalogueData exportData() const;
@@ -56,6 +66,7 @@
   const std::string &document() const { return m_Document; }
   /// The operators' policy for \p Group, or null.
   const GroupPolicy *policy(const GroupId &Group) const;
+  const WorkspaceTable &workspaces() const { return m_Workspaces; }
   /// The entry \p Name, or null.
   const CatalogueItem *find(const EntryName &Name) const;
   /// Calls \p Visit for each entry by name.
@@ -79,6 +90,7 @@
   ControlResult record(CatalogueChange Change);
   void pruneHistory(const EntryName &Name);
   void pruneDeletions();
+  ControlResult recordWorkspaceChange(ControlResult Result, Revision Next);
   void removeUnlisted(const std::vector<CatalogueEntry> &Listed);
 
   Settings m_Settings;                        ///< The bounds.
@@ -95,6 +107,7 @@
   CatalogueVersion m_Version;    ///< See version().
   std::string m_Document;        ///< See document().
   std::vector<GroupPolicy> m_Groups; ///< Policies of groups.
+  WorkspaceTable m_Workspaces;       ///< The workspaces.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Version/CatalogueEntry.h
+++ b/ragwortmux/Version/CatalogueEntry.h
@@ -67,6 +67,8 @@
   OwnerId m_Owner;  ///< Owner of the requests; queues are fair between owners.
   TrafficClass m_Class = TrafficClass::Booking; ///< The traffic class.
   EntryLimits m_Limits;                         ///< The limits that apply.
+  bool m_RequiresKey = false; ///< Callers must present a key of a workspace;
+                              ///< otherwise the entry is open to all.
 
   friend bool operator==(const CatalogueEntry &,
                          const CatalogueEntry &) = default;
--- a/ragwortmux/Version/CatalogueRecords.h
+++ b/ragwortmux/Version/CatalogueRecords.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Core/ResultCode.h"
 #include "ragwortmux/Version/CatalogueEntry.h"
 #include "ragwortmux/Version/GroupPolicy.h"
+#include "ragwortmux/Version/WorkspaceRecords.h"
 
 #include <string>
 #include <vector>
@@ -48,10 +49,13 @@
 struct CatalogueDelta final {
   Revision m_From;        ///< The proxy's revision; 0 if m_IsWhole.
   Revision m_Revision;    ///< The revision after the delta has been applied.
-  bool m_IsWhole = false; ///< True if m_Items is the whole catalogue; other
-                          ///< names are deleted.
+  bool m_IsWhole = false; ///< True if this is the whole catalogue; entries and
+                          ///< workspaces that it does not list are
+                          ///< deleted.
   std::vector<CatalogueItem> m_Items;         ///< Created or changed entries.
   std::vector<CatalogueDeletion> m_Deletions; ///< Deleted entries.
+  std::vector<WorkspaceItem> m_Workspaces; ///< Created or changed workspaces.
+  std::vector<WorkspaceDeletion> m_WorkspaceDeletions; ///< Deleted workspaces.
 
   friend bool operator==(const CatalogueDelta &,
                          const CatalogueDelta &) = default;
@@ -71,6 +75,7 @@
   std::string
       m_Document; ///< The document that the operator sent with m_Version.
   std::vector<GroupPolicy> m_Groups; ///< Policies of groups.
+  WorkspaceTableData m_Workspaces;   ///< The workspaces.
 
   friend bool operator==(const CatalogueData &,
                          const CatalogueData &) = default;
--- a/ragwortmux/Version/ControlCommand.h
+++ b/ragwortmux/Version/ControlCommand.h
@@ -10,6 +10,7 @@
 #include "ragwortmux/Version/SessionRecord.h"
 #include "ragwortmux/Version/ShareRecord.h"
 #include "ragwortmux/Version/VoterRecord.h"
+#include "ragwortmux/Version/Workspace.h"
 
 #include <string>
 #include <variant>
@@ -46,10 +47,30 @@
   std::string m_Document;     ///< The document that the operator sent.
   std::vector<CatalogueEntry> m_Entries; ///< All entries, with unique names.
   std::vector<GroupPolicy> m_Groups;     ///< Policies of all groups.
+  std::vector<Workspace> m_Workspaces;   ///< All workspaces.
   friend bool operator==(const ReplaceCatalogue &,
                          const ReplaceCatalogue &) = default;
 };
 
+/// Creates or replaces a workspace.
+struct PutWorkspace final {
+  Revision m_Expected;    ///< The workspace's revision; 0: does not exist.
+  ChangeId m_Change;      ///< Id of the change; makes a resend idempotent.
+  std::string m_Operator; ///< Operator who makes the change.
+  Workspace m_Workspace;  ///< The workspace.
+  friend bool operator==(const PutWorkspace &, const PutWorkspace &) = default;
+};
+
+/// Deletes a workspace and with it all its keys.
+struct DeleteWorkspace final {
+  Revision m_Expected;    ///< The workspace's current revision.
+  ChangeId m_Change;      ///< Id of the change; makes a resend idempotent.
+  std::string m_Operator; ///< Operator who makes the change.
+  WorkspaceId m_Name;     ///< Name of the workspace.
+  friend bool operator==(const DeleteWorkspace &,
+                         const DeleteWorkspace &) = default;
+};
+
 /// Opens the control session of one run of an entry process.
 struct OpenSession final {
   HostId m_Host;               ///< The entry host.
@@ -207,7 +228,8 @@
     std::variant<PutEntry, DeleteEntry, OpenSession, EndSession, RegisterServer,
                  SetServerState, EndTerm, AppointPrimary, SetInSync, SetShares,
                  ConfirmShares, ReserveKey, RecordOutcome, ResolveAttempt,
-                 AdvanceTime, SetVoters, SetSessionHomes, ReplaceCatalogue>;
+                 AdvanceTime, SetVoters, SetSessionHomes, ReplaceCatalogue,
+                 PutWorkspace, DeleteWorkspace>;
 
 } // namespace ragwortmux
 
--- a/ragwortmux/Version/ControlState.cpp
+++ b/ragwortmux/Version/ControlState.cpp
@@ -38,6 +38,14 @@
   return m_Catalogue.erase(Command, m_Time);
 }
 
+ControlResult ControlState::applyOne(const PutWorkspace &Command) {
+  return m_Catalogue.put(Command);
+}
+
+ControlResult ControlState::applyOne(const DeleteWorkspace &Command) {
+  return m_Catalogue.erase(Command);
+}
+
 ControlResult ControlState::applyOne(const OpenSession &Command) {
   ControlResult Result = m_Sessions.open(Command);
   if (Result.m_EndedSession)
--- a/ragwortmux/Version/ControlState.h
+++ b/ragwortmux/Version/ControlState.h
@@ -68,6 +68,8 @@
   ControlResult applyOne(const SetVoters &Command);
   ControlResult applyOne(const SetSessionHomes &Command);
   ControlResult applyOne(const ReplaceCatalogue &Command);
+  ControlResult applyOne(const PutWorkspace &Command);
+  ControlResult applyOne(const DeleteWorkspace &Command);
 
   /// Copies the addresses of the session homes from the open sessions. Returns
   /// true if the address of a host has appeared or changed.
--- a/ragwortmux/Version/DescribeCommand.cpp
+++ b/ragwortmux/Version/DescribeCommand.cpp
@@ -39,6 +39,16 @@
   return "catalogue: replaced by version " + number(Command.m_Version.value());
 }
 
+std::string describe(const PutWorkspace &Command) {
+  return "catalogue: " + Command.m_Operator + " put workspace " +
+         Command.m_Workspace.m_Name.value();
+}
+
+std::string describe(const DeleteWorkspace &Command) {
+  return "catalogue: " + Command.m_Operator + " deleted workspace " +
+         Command.m_Name.value();
+}
+
 std::string describe(const OpenSession &Command) {
   return "host " + Command.m_Host.value() + " opened a control session";
 }
--- a/tests/Request/ConnectionPoolTest.cpp
+++ b/tests/Request/ConnectionPoolTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace ragwortmux {
@@ -251,6 +252,103 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+const WorkspaceId W1("w1");
+const WorkspaceId W2("w2");
+const WorkspaceId W3("w3");
+
+/// A pool whose callers belong to workspaces.
+class WorkspacePoolFixture : public PoolFixture {
+public:
+  WorkspacePoolFixture() : PoolFixture(0) {
+    m_Pool.setUsesWorkspaces(true);
+    share(4);
+  }
+
+  /// Sets the demand and completes what the pool orders.
+  void demand(const ConnectionDemand &Waiting) {
+    m_Pool.setDemand(m_Now, Server, Waiting, m_Actions);
+    while (!m_Actions.m_Close.empty() || !m_Actions.m_Open.empty()) {
+      for (const ConnectionId Id : std::exchange(m_Actions.m_Close, {}))
+        m_Pool.closed(m_Now, Id, m_Actions);
+      openAll();
+    }
+  }
+  std::optional<ConnectionId> takeFor(const WorkspaceId &Workspace) {
+    return m_Pool.acquireCheapest(m_Now, Server, Workspace,
+                                  [](ConnectionId) { return std::size_t{0}; });
+  }
+  std::uint32_t idle(const WorkspaceId &Workspace) const {
+    return m_Pool.idleCount(Server, Workspace);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(PoolOfWorkspaces, WorkspacePoolFixture)
+
+// Guards against connections that are opened before anybody needs them and
+// then speak for nobody.
+BOOST_AUTO_TEST_CASE(OpensNothingAhead) {
+  BOOST_TEST(m_Actions.m_Open.empty());
+  tick(seconds(1));
+  BOOST_TEST(m_Actions.m_Open.empty());
+}
+
+// Guards against a statement on a connection that speaks for another
+// workspace.
+BOOST_AUTO_TEST_CASE(ConnectionServesItsWorkspaceOnly) {
+  demand({{W1, 1}});
+  BOOST_TEST(!takeFor(W2));
+  BOOST_TEST(!takeFor(WorkspaceId()));
+  const auto Taken = takeFor(W1);
+  BOOST_REQUIRE(Taken);
+  BOOST_TEST((m_Pool.find(*Taken)->m_Workspace == W1));
+  m_Pool.release(m_Now, *Taken, m_Actions);
+  BOOST_TEST(!takeFor(W2));
+}
+
+// Guards against a workspace that waits although connections are idle, and
+// against closing those that were used last.
+BOOST_AUTO_TEST_CASE(LeastRecentlyUsedConnectionMakesRoom) {
+  for (const WorkspaceId &Each : {W1, W2, W3, WorkspaceId("w4")}) {
+    demand({{Each, 1}});
+    m_Now += milliseconds(10);
+  }
+  m_Pool.release(m_Now, *takeFor(W1), m_Actions);
+  demand({{WorkspaceId("w5"), 1}});
+  BOOST_TEST(idle(WorkspaceId("w5")) == 1U);
+  BOOST_TEST(idle(W2) == 0U);
+  BOOST_TEST(idle(W1) == 1U);
+  BOOST_TEST(m_Pool.connectionCount(Server) == 4U);
+}
+
+// Load: one workspace sends many times its usual. Guards against it taking all
+// connections from the others.
+BOOST_AUTO_TEST_CASE(BusyWorkspaceLeavesConnectionsToOthers) {
+  demand({{W2, 1}});
+  demand({{W3, 1}});
+  demand({{W1, 16}});
+  BOOST_TEST(idle(W1) == 2U);
+  BOOST_TEST(idle(W2) == 1U);
+  BOOST_TEST(idle(W3) == 1U);
+  demand({{W1, 16}, {WorkspaceId("w4"), 1}});
+  BOOST_TEST(idle(WorkspaceId("w4")) == 1U);
+}
+
+// Failure: the server refuses connections. Guards against a burst of attempts,
+// and against a workspace that is forgotten meanwhile.
+BOOST_AUTO_TEST_CASE(FailingServerIsTriedOneConnectionAtATime) {
+  m_Pool.setDemand(m_Now, Server, {{W1, 2}, {W2, 2}}, m_Actions);
+  BOOST_REQUIRE(!m_Actions.m_Open.empty());
+  for (const PooledConnection &Each : std::exchange(m_Actions.m_Open, {}))
+    m_Pool.openFailed(m_Now, Each.m_Id, true, m_Actions);
+  BOOST_TEST(m_Actions.m_Open.empty());
+  const auto Due = m_Pool.nextDeadline();
+  BOOST_REQUIRE(Due);
+  tick(*Due - m_Now);
+  BOOST_TEST(m_Actions.m_Open.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 
 } // namespace ragwortmux
--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -16,6 +16,13 @@
 const RequestKey Key = key(Start);
 const AttemptId Attempt("a-1");
 
+/// A workspace with every field set.
+Workspace workspace(const char *Name) {
+  return {WorkspaceId(Name),
+          {KeyDigest(std::string(Workspace::KeyDigestBytes, Name[1]))},
+          {20, 30}};
+}
+
 /// One command of each kind, with every field set.
 std::vector<ControlCommand> allCommands() {
   CatalogueEntry Entry = entry("bookings");
@@ -50,8 +57,13 @@
       AdvanceTime{Start},
       SetVoters{{{HostId("h"), Domain, "id", "10.1.2.5", 9}}},
       SetSessionHomes{Revision(10), {HostId("a"), HostId("b")}, true},
-      ReplaceCatalogue{
-          CatalogueVersion(11), "{\"version\":11}", {Entry}, {{Group, 34, 1}}}};
+      ReplaceCatalogue{CatalogueVersion(11),
+                       "{\"version\":11}",
+                       {Entry},
+                       {{Group, 34, 1}},
+                       {workspace("w1")}},
+      PutWorkspace{Revision(12), ChangeId("c"), "olga", workspace("w2")},
+      DeleteWorkspace{Revision(13), ChangeId("d"), "olga", WorkspaceId("w")}};
 }
 
 /// A state with data in each of its parts.
@@ -75,7 +87,11 @@
   State.apply(ReplaceCatalogue{CatalogueVersion(7),
                                "{\"version\":7}",
                                {entry("bookings")},
-                               {{TheGroup, 34, 1}}});
+                               {{TheGroup, 34, 1}},
+                               {workspace("w1")}});
+  State.apply(PutWorkspace{Revision(), ChangeId("w"), "olga", workspace("w2")});
+  State.apply(DeleteWorkspace{State.catalogue().revision(), ChangeId("x"),
+                              "olga", WorkspaceId("w2")});
   return State.exportData();
 }
 
