Callers of a workspace share a serving host; serving hosts of a failure domain are a setting

A connection speaks for one workspace, so a workspace whose callers are spread over all serving hosts needs one at each of them and uses each too seldom to keep it. RelayRouter gives all callers of a workspace the same host; serving_hosts_per_domain (default 4, as before) limits the hosts that share a server's connections.

--- a/ragwortmux/Connection/ChooseGroupHosts.cpp
+++ b/ragwortmux/Connection/ChooseGroupHosts.cpp
@@ -10,7 +10,8 @@
 
 std::vector<HostId> chooseGroupHosts(const GroupId &Group,
                                      const FailureDomainId &Domain,
-                                     std::span<const HomeCandidate> Hosts) {
+                                     std::span<const HomeCandidate> Hosts,
+                                     std::size_t MaxHosts) {
   std::vector<std::pair<std::uint64_t, HostId>> Weighted;
   for (const HomeCandidate &Host : Hosts) {
     if (Host.m_Domain != Domain)
@@ -21,7 +22,7 @@
   std::sort(Weighted.rbegin(), Weighted.rend());
   std::vector<HostId> Chosen;
   for (auto &[Weight, Host] : Weighted) {
-    if (Chosen.size() == MaxGroupHostsPerDomain)
+    if (Chosen.size() == MaxHosts)
       break;
     Chosen.push_back(std::move(Host));
   }
--- a/ragwortmux/Process/Entry/RelayClient.cpp
+++ b/ragwortmux/Process/Entry/RelayClient.cpp
@@ -26,6 +26,7 @@
   RelayCoreSettings Settings;
   Settings.m_Router.m_Host = m_Settings.m_Host;
   Settings.m_Router.m_Domain = m_Settings.m_FailureDomain;
+  Settings.m_Router.m_HostsPerDomain = m_Settings.m_ServingHostsPerDomain;
   Settings.m_Router.m_IsReachable = [this](const HostId &Host) {
     const auto Found = m_Hosts.find(Host);
     return Found != m_Hosts.end() &&
@@ -74,7 +75,9 @@
 }
 
 bool RelayClient::hasHostFor(CallerConnectionId Caller, const GroupId &Group) {
-  return m_Core.router().choose(monotonicNow(), Group, Caller, {}).has_value();
+  return m_Core.router()
+      .choose(monotonicNow(), Group, Caller, {}, {})
+      .has_value();
 }
 
 void RelayClient::submit(SessionRequest Request) {
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -307,6 +307,10 @@
 std::vector<SettingInfo> entrySettings() {
   using std::chrono::milliseconds;
   return {
+      numberSetting("serving_hosts_per_domain", "4", 1, 64,
+                    &ProcessSettings::m_ServingHostsPerDomain,
+                    "Entry hosts of a failure domain that hold connections to "
+                    "a group's servers; the same everywhere."),
       numberSetting("max_callers", "1000", 1, 100000,
                     &ProcessSettings::m_MaxCallers,
                     "Most connections of callers at once."),
--- a/ragwortmux/Request/RelayCore.cpp
+++ b/ragwortmux/Request/RelayCore.cpp
@@ -53,7 +53,8 @@
     finish(Now, Pending, ResultCode::NotRunDraining, Actions);
     return;
   }
-  const auto Host = m_Router.choose(Now, Pending.m_Group, Caller, {});
+  const auto Host = m_Router.choose(Now, Pending.m_Group, Caller,
+                                    Pending.m_Request.m_Workspace, {});
   if (!Host) {
     finish(Now, Pending, ResultCode::NotRunNoConnection, Actions);
     return;
@@ -117,8 +118,8 @@
   const SessionRequest &Request = Pending.m_Request;
   if (Pending.m_Tries >= m_Settings.m_MaxTries || Now >= deadline(Request))
     return false;
-  const auto Next =
-      m_Router.choose(Now, Pending.m_Group, Request.m_Caller, Pending.m_Avoid);
+  const auto Next = m_Router.choose(Now, Pending.m_Group, Request.m_Caller,
+                                    Request.m_Workspace, Pending.m_Avoid);
   if (!Next)
     return false;
   recordDecision(Now, Pending, SessionDecision::Retried, Reason, Actions);
--- a/ragwortmux/Request/RelayRouter.cpp
+++ b/ragwortmux/Request/RelayRouter.cpp
@@ -70,7 +70,8 @@
 const std::vector<HostId> &RelayRouter::servingHosts(const GroupId &Group) {
   const auto [Known, IsNew] = m_Serving.try_emplace(Group);
   if (IsNew)
-    Known->second = chooseGroupHosts(Group, m_Settings.m_Domain, m_Near);
+    Known->second = chooseGroupHosts(Group, m_Settings.m_Domain, m_Near,
+                                     m_Settings.m_HostsPerDomain);
   return Known->second;
 }
 
@@ -111,6 +112,7 @@
 
 std::optional<HostId> RelayRouter::choose(Instant Now, const GroupId &Group,
                                           CallerConnectionId Caller,
+                                          const WorkspaceId &Workspace,
                                           std::span<const HostId> Avoid) {
   std::vector<HostId> Usable;
   std::vector<HostId> Paused;
@@ -125,11 +127,25 @@
   const std::vector<HostId> &Hosts = Usable.empty() ? Paused : Usable;
   if (Hosts.empty())
     return std::nullopt;
-  return chooseWeighted(Group, Caller, Hosts);
+  return chooseWeighted(position(Group, Caller, Workspace), Hosts);
 }
 
-HostId RelayRouter::chooseWeighted(const GroupId &Group,
-                                   CallerConnectionId Caller,
+/// A number from 0 to below 1, which selects one of a group's hosts.
+double RelayRouter::position(const GroupId &Group, CallerConnectionId Caller,
+                             const WorkspaceId &Workspace) const {
+  if (!Workspace.value().empty())
+    return static_cast<double>(stableHash(Workspace.value(), Group.value()) %
+                               MaxStart) /
+           MaxStart;
+  // Multiples of the golden ratio spread successive callers evenly.
+  const std::uint64_t Start =
+      stableHash(m_Settings.m_Host.value(), Group.value()) % MaxStart;
+  const double Multiple =
+      static_cast<double>(Start + Caller.value()) * std::numbers::phi;
+  return Multiple - std::floor(Multiple);
+}
+
+HostId RelayRouter::chooseWeighted(double Position,
                                    const std::vector<HostId> &Hosts) {
   const std::map<HostId, std::uint32_t> &Counts = groupCounts();
   std::vector<double> UpperBounds;
@@ -139,14 +155,8 @@
     Total += Count == Counts.end() ? 1.0 : 1.0 / Count->second;
     UpperBounds.push_back(Total);
   }
-  // Multiples of the golden ratio spread successive callers evenly.
-  const std::uint64_t Start =
-      stableHash(m_Settings.m_Host.value(), Group.value()) % MaxStart;
-  const double Multiple =
-      static_cast<double>(Start + Caller.value()) * std::numbers::phi;
-  const double Position = (Multiple - std::floor(Multiple)) * Total;
-  const auto Chosen =
-      std::upper_bound(UpperBounds.begin(), UpperBounds.end() - 1, Position);
+  const auto Chosen = std::upper_bound(UpperBounds.begin(),
+                                       UpperBounds.end() - 1, Position * Total);
   return Hosts[static_cast<std::size_t>(Chosen - UpperBounds.begin())];
 }
 
--- a/ragwortmux/Request/RelayRouter.h
+++ b/ragwortmux/Request/RelayRouter.h
@@ -1,7 +1,7 @@
 #ifndef RAGWORTMUX_REQUEST_RELAYROUTER_H
 #define RAGWORTMUX_REQUEST_RELAYROUTER_H
 
-#include "ragwortmux/Connection/ChooseHomes.h"
+#include "ragwortmux/Connection/ChooseGroupHosts.h"
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
 
@@ -19,6 +19,9 @@
 struct RelayRouterSettings final {
   HostId m_Host;            ///< This host.
   FailureDomainId m_Domain; ///< Its failure domain.
+  std::size_t m_HostsPerDomain =
+      MaxGroupHostsPerDomain; ///< Entry hosts of a failure domain that serve a
+                              ///< group.
   Duration m_FailurePause = std::chrono::milliseconds(
       500); ///< How long a host that failed gets no new statements while
             ///< another host can run them.
@@ -54,16 +57,20 @@
   std::optional<std::set<GroupId>> servedGroups();
   /// The host to relay a statement of \p Caller to; none if no host except
   /// those in \p Avoid can run it. The callers are spread over the hosts; a
-  /// host that serves several groups gets fewer callers of each.
+  /// host that serves several groups gets fewer callers of each. All callers of
+  /// a \p Workspace, unless it is empty, get the same host, because only they
+  /// can use its connections.
   std::optional<HostId> choose(Instant Now, const GroupId &Group,
                                CallerConnectionId Caller,
+                               const WorkspaceId &Workspace,
                                std::span<const HostId> Avoid);
 
 private:
   const std::vector<HostId> &servingHosts(const GroupId &Group);
   const std::map<HostId, std::uint32_t> &groupCounts();
-  HostId chooseWeighted(const GroupId &Group, CallerConnectionId Caller,
-                        const std::vector<HostId> &Hosts);
+  double position(const GroupId &Group, CallerConnectionId Caller,
+                  const WorkspaceId &Workspace) const;
+  HostId chooseWeighted(double Position, const std::vector<HostId> &Hosts);
   bool isPaused(Instant Now, const HostId &Host) const;
 
   RelayRouterSettings m_Settings;    ///< Identity and limits.
--- a/ragwortmux/Version/Workspace.h
+++ b/ragwortmux/Version/Workspace.h
@@ -23,7 +23,7 @@
 
 /// A customer whose callers are known by its keys and share its limit.
 struct Workspace final {
-  static constexpr std::size_t MaxKeys = 64;       ///< Keys of one workspace.
+  static constexpr std::size_t MaxKeys = 64;        ///< Keys of one workspace.
   static constexpr std::size_t KeyDigestBytes = 32; ///< Size of a digest.
 
   WorkspaceId m_Name;            ///< 1 to 63 printable characters, no blanks.
--- a/ragwortmux/Version/WorkspaceRecords.h
+++ b/ragwortmux/Version/WorkspaceRecords.h
@@ -43,8 +43,8 @@
 
 /// All workspaces as plain data, for snapshots.
 struct WorkspaceTableData final {
-  std::vector<WorkspaceItem> m_Items;         ///< Ordered by name.
-  std::vector<WorkspaceDeletion> m_Deletions; ///< Ordered by revision.
+  std::vector<WorkspaceItem> m_Items;           ///< Ordered by name.
+  std::vector<WorkspaceDeletion> m_Deletions;   ///< Ordered by revision.
   std::vector<WorkspaceChange> m_RecentChanges; ///< Latest changes.
   Revision m_LastPrunedDeletion; ///< Revision of the latest deletion that is
                                  ///< not in m_Deletions.
--- a/ragwortmux/Version/WorkspaceTable.h
+++ b/ragwortmux/Version/WorkspaceTable.h
@@ -48,8 +48,7 @@
   /// The workspace \p Name, or null.
   const WorkspaceItem *find(const WorkspaceId &Name) const;
   /// Calls \p Visit for each workspace by name.
-  void
-  forEach(const std::function<void(const WorkspaceItem &)> &Visit) const;
+  void forEach(const std::function<void(const WorkspaceItem &)> &Visit) const;
   std::size_t size() const { return m_Items.size(); }
   /// True if the deletions after revision \p From are still stored.
   bool hasDeletionsSince(Revision From) const {
--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -197,7 +197,8 @@
   Router.setGroups({Group});
   std::map<HostId, int> Chosen;
   for (std::uint64_t Number = 0; Number < 40; ++Number)
-    ++Chosen[*Router.choose(after(0), Group, CallerConnectionId(Number), {})];
+    ++Chosen[*Router.choose(after(0), Group, CallerConnectionId(Number), {},
+                            {})];
   BOOST_TEST(Chosen.size() == MaxGroupHostsPerDomain);
   for (const auto &[Host, Callers] : Chosen) {
     BOOST_TEST(isServingHost(Host));
@@ -206,6 +207,54 @@
   }
 }
 
+// Guards against connections of a workspace at every serving host, of which
+// each is then used too seldom to be kept.
+BOOST_AUTO_TEST_CASE(CallersOfWorkspaceShareServingHost) {
+  std::map<HostId, int> Workspaces;
+  for (int Number = 0; Number < 100; ++Number) {
+    const WorkspaceId Each("w" + std::to_string(Number));
+    std::set<HostId> Chosen;
+    for (const std::uint64_t Caller : {1, 2, 3, 4, 5}) {
+      RelayRouter Router(routerSettings(relayingHost()));
+      Router.setHosts(manyHosts());
+      Router.setGroups({Group});
+      Chosen.insert(*Router.choose(after(0), Group, CallerConnectionId(Caller),
+                                   Each, {}));
+    }
+    BOOST_TEST(Chosen.size() == 1U);
+    ++Workspaces[*Chosen.begin()];
+  }
+  BOOST_TEST(Workspaces.size() == MaxGroupHostsPerDomain);
+  for (const auto &[Host, Count] : Workspaces)
+    BOOST_TEST(Count >= 10);
+}
+
+// Guards against a workspace without service while its host has failed.
+BOOST_AUTO_TEST_CASE(WorkspaceOfFailedHostMovesToAnother) {
+  RelayRouter Router(routerSettings(relayingHost()));
+  Router.setHosts(manyHosts());
+  Router.setGroups({Group});
+  const WorkspaceId Workspace("w");
+  const HostId First = *Router.choose(after(0), Group, Caller, Workspace, {});
+  Router.hostFailed(after(0), First);
+  BOOST_TEST((Router.choose(after(1), Group, Caller, Workspace, {}) != First));
+  BOOST_TEST(
+      (Router.choose(after(501), Group, Caller, Workspace, {}) == First));
+}
+
+BOOST_AUTO_TEST_CASE(ServingHostsPerDomainAreLimitedBySettings) {
+  RelayRouterSettings Settings = routerSettings(relayingHost());
+  Settings.m_HostsPerDomain = 2;
+  RelayRouter Router(Settings);
+  Router.setHosts(manyHosts());
+  Router.setGroups({Group});
+  std::set<HostId> Chosen;
+  for (std::uint64_t Number = 0; Number < 40; ++Number)
+    Chosen.insert(
+        *Router.choose(after(0), Group, CallerConnectionId(Number), {}, {}));
+  BOOST_TEST(Chosen.size() == 2U);
+}
+
 // Guards against an overload of the hosts that happen to serve many groups.
 BOOST_AUTO_TEST_CASE(HostOfManyGroupsGetsFewerCallersOfEach) {
   constexpr int HostCount = 26;
@@ -228,7 +277,8 @@
   Router.setGroups(Groups);
   for (const GroupId &Each : Groups) {
     for (std::uint64_t Number = 0; Number < CallersPerGroup; ++Number)
-      ++Callers[*Router.choose(after(0), Each, CallerConnectionId(Number), {})];
+      ++Callers[*Router.choose(after(0), Each, CallerConnectionId(Number), {},
+                               {})];
   }
   for (const auto &[Host, Count] : Counts) {
     if (Count < 3)
@@ -247,17 +297,17 @@
 BOOST_AUTO_TEST_CASE(PausedHostIsUsedOnlyWithoutAnother) {
   RelayRouter Router(routerSettings(relayingHost()));
   Router.setHosts(manyHosts());
-  const HostId First = *Router.choose(after(0), Group, Caller, {});
+  const HostId First = *Router.choose(after(0), Group, Caller, {}, {});
   Router.hostFailed(after(0), First);
-  BOOST_TEST((Router.choose(after(1), Group, Caller, {}) != First));
-  BOOST_TEST((Router.choose(after(500), Group, Caller, {}) == First));
+  BOOST_TEST((Router.choose(after(1), Group, Caller, {}, {}) != First));
+  BOOST_TEST((Router.choose(after(500), Group, Caller, {}, {}) == First));
   Router.hostFailed(after(500), First);
   Router.hostAnswered(First);
-  BOOST_TEST((Router.choose(after(501), Group, Caller, {}) == First));
+  BOOST_TEST((Router.choose(after(501), Group, Caller, {}, {}) == First));
   for (const HostId &Host : servingHosts())
     Router.hostFailed(after(600), Host);
-  BOOST_TEST((Router.choose(after(601), Group, Caller, {}) == First));
-  BOOST_TEST(!Router.choose(after(601), Group, Caller, servingHosts()));
+  BOOST_TEST((Router.choose(after(601), Group, Caller, {}, {}) == First));
+  BOOST_TEST(!Router.choose(after(601), Group, Caller, {}, servingHosts()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -434,7 +484,7 @@
 BOOST_AUTO_TEST_CASE(DrainingHostGetsNoNewStatementsWhileOthersCanRunThem) {
   const HostId Draining = begin();
   CallerConnectionId Other(Caller.value() + 1);
-  while (m_Core.router().choose(after(2), Group, Other, {}) != Draining)
+  while (m_Core.router().choose(after(2), Group, Other, {}, {}) != Draining)
     Other = CallerConnectionId(Other.value() + 1);
   submit(3, StatementKind::Write, true, Other);
   reply(4, Draining, ResultCode::NotRunDraining);
--- a/tests/Request/SessionFixture.h
+++ b/tests/Request/SessionFixture.h
@@ -84,6 +84,7 @@
       const OpenSessionConnection Next = m_Opening.front();
       m_Opening.pop_front();
       m_ServerOf[Next.m_Connection] = Next.m_Server;
+      m_WorkspaceOf[Next.m_Connection] = Next.m_Workspace;
       m_Core.connectionOpened(m_Now, Next.m_Connection, m_Actions);
       collectActions();
     }
@@ -116,6 +117,7 @@
     Request.m_Id = RequestId(++m_LastRequest);
     Request.m_Caller = CallerConnectionId(Caller);
     Request.m_Entry = Entry;
+    Request.m_Workspace = m_Workspace;
     Request.m_Statement.m_Id = StatementId("x");
     Request.m_Statement.m_Kind = Kind;
     Request.m_Statement.m_Writes = Writes;
@@ -211,6 +213,8 @@
   std::vector<ReportServer> m_Reports;
   std::set<ConnectionId> m_Closed;
   std::map<ConnectionId, ServerId> m_ServerOf;
+  std::map<ConnectionId, WorkspaceId> m_WorkspaceOf;
+  WorkspaceId m_Workspace; ///< Workspace of submitted statements.
 };
 
 inline constexpr auto Idle = TransactionStatus::Idle;
--- a/tests/Version/WorkspaceTableTest.cpp
+++ b/tests/Version/WorkspaceTableTest.cpp
@@ -76,8 +76,7 @@
     {"an empty name", {workspace("", "k")}},
     {"a blank in the name", {workspace("a b", "k")}},
     {"a long name", {workspace(std::string(64, 'a'), "k")}},
-    {"too many keys",
-     {[] {
+    {"too many keys", {[] {
        Workspace Many = workspace("a", "");
        for (std::size_t Index = 0; Index <= Workspace::MaxKeys; ++Index) {
          std::string Digest(Workspace::KeyDigestBytes, 'x');
