Platform: callers' keys, tenants in the configuration, servers told the workspace

UNAUTH joins the list of not-run words in NotRunResultsMapToNotRunErrorCodes: the platform's pages list it beside NODB as a refusal at the first host.

--- a/tests/Platform/TextTest.cpp
+++ b/tests/Platform/TextTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/HeartbeatText.h"
 #include "platform/StatusCall.h"
 #include "platform/WireText.h"
+#include "ragwortmux/Process/Support/DigestKey.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -197,7 +198,8 @@
 BOOST_AUTO_TEST_CASE(NotRunResultsMapToNotRunErrorCodes) {
   const std::vector<std::string_view> Promises = {
       "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"};
-  const std::vector<std::string_view> NotRun = {"NODB", "NOSTMT", "MALFORMED"};
+  const std::vector<std::string_view> NotRun = {"NODB", "NOSTMT", "MALFORMED",
+                                                "UNAUTH"};
   for (const ResultCodeInfo &Info : allResultCodes()) {
     const std::string_view Word = errorCode(Info.m_Code);
     const bool IsPromise =
@@ -243,6 +245,80 @@
       (Parsed->m_Groups == std::vector<GroupPolicy>{{GroupId("s"), 34, 1}}));
 }
 
+/// Configurations with tenants: the text of the list, and whether it is valid.
+const std::vector<std::pair<std::string, bool>> TenantCases = {
+    {R"([])", true},
+    {R"([{"name":"a","apiKeys":["k"],"priority":1,"ratePerS":5,"burst":6}])",
+     true},
+    {R"([{"name":"a","apiKeys":[]}])", true},
+    {R"([{"name":"a","apiKeys":["k","l"]},{"name":"b","apiKeys":["m"]}])",
+     true},
+    {R"([{"name":"a","apiKeys":["k"]},{"name":"b","apiKeys":["k"]}])", false},
+    {R"([{"name":"a","apiKeys":["k","k"]}])", false},
+    {R"([{"name":"a","apiKeys":["k"]},{"name":"a","apiKeys":["l"]}])", false},
+    {R"([{"name":"","apiKeys":["k"]}])", false},
+    {R"([{"name":"a b","apiKeys":["k"]}])", false},
+    {R"([{"name":"a","apiKeys":[""]}])", false},
+    {R"([{"name":"a","apiKeys":[7]}])", false},
+    {R"([{"name":"a","apiKeys":"k"}])", false},
+    {R"([{"name":"a"}])", false},
+    {R"([{"apiKeys":["k"]}])", false},
+    {R"([{"name":"a","apiKeys":["k"],"ratePerS":-1}])", false},
+    {R"([7])", false},
+    {R"({})", false},
+};
+
+// Guards against acknowledging workspaces that cannot be served.
+BOOST_AUTO_TEST_CASE(ValidatesTenants) {
+  for (const auto &[Tenants, IsValid] : TenantCases) {
+    std::string Text = Configuration;
+    Text.replace(Text.rfind('}'), 1, ",\"tenants\":" + Tenants + "}");
+    std::string Reason;
+    const auto Parsed = parseConfiguration(Text, Reason);
+    BOOST_TEST(Parsed.has_value() == IsValid, Tenants << ": " << Reason);
+    BOOST_TEST(Reason.empty() == IsValid);
+  }
+}
+
+// Guards against earlier configurations whose callers suddenly need keys, and
+// against entries that are open though the configuration says otherwise.
+BOOST_AUTO_TEST_CASE(EntriesRequireKeysWhereConfigurationHasTenants) {
+  struct Row final {
+    std::string m_Route;  ///< Added to the first route.
+    std::string m_Rest;   ///< Added to the configuration.
+    bool m_IsKeyRequired; ///< For the first route.
+  };
+  const std::vector<Row> Rows = {
+      {"", "", false},
+      {"", R"(,"tenants":[{"name":"a","apiKeys":["k"]}])", true},
+      {R"(,"anonymous":false)", "", true},
+      {R"(,"anonymous":true)", R"(,"tenants":[])", false},
+      {R"(,"anonymous":false)", R"(,"tenants":[])", true}};
+  for (const Row &Each : Rows) {
+    std::string Text = Configuration;
+    Text.replace(Text.rfind('}'), 1, Each.m_Rest + "}");
+    const std::string Before = R"("maxAttempts":2)";
+    Text.insert(Text.find(Before) + Before.size(), Each.m_Route);
+    std::string Reason;
+    const auto Parsed = parseConfiguration(Text, Reason);
+    BOOST_REQUIRE(Parsed);
+    BOOST_TEST(Parsed->m_Entries[0].m_RequiresKey == Each.m_IsKeyRequired);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ConvertsTenantsToWorkspaces) {
+  std::string Text = Configuration;
+  Text.replace(Text.rfind('}'), 1,
+               R"(,"tenants":[{"name":"a","apiKeys":["k","l"],)"
+               R"("priority":1,"ratePerS":5,"burst":6}]})");
+  std::string Reason;
+  const auto Parsed = parseConfiguration(Text, Reason);
+  BOOST_REQUIRE(Parsed);
+  const Workspace Expected{
+      WorkspaceId("a"), {digestKey("k"), digestKey("l")}, {5, 6}};
+  BOOST_TEST((Parsed->m_Workspaces == std::vector<Workspace>{Expected}));
+}
+
 BOOST_DATA_TEST_CASE(ValidatesHeartbeats,
                      boost::unit_test::data::make(HeartbeatCases), Case) {
   const auto Parsed = parseHeartbeat(
--- a/tests/Platform/WireFixture.h
+++ b/tests/Platform/WireFixture.h
@@ -89,10 +89,11 @@
 class WireCaller final {
 public:
   WireCaller(std::uint16_t Port, const std::string &Database,
-             const std::string &Address = "127.0.0.2")
+             const std::string &Address = "127.0.0.2",
+             const std::string &Key = "u1")
       : m_Socket(Socket::connect(Address, Port)) {
     BOOST_REQUIRE(m_Socket != nullptr);
-    m_Socket->write("STARTUP " + Database + " u1\r\n");
+    m_Socket->write("STARTUP " + Database + " " + Key + "\r\n");
     m_Greeting = m_Socket->readLine().value_or("");
   }
 
--- a/tests/Platform/WireStandIn.cpp
+++ b/tests/Platform/WireStandIn.cpp
@@ -8,7 +8,8 @@
 
 /// Session state of one connection.
 struct WireStandIn::Session final {
-  char m_State = 'I'; ///< Transaction state as in READY.
+  std::string m_Speaker; ///< Who the connection speaks for.
+  char m_State = 'I';    ///< Transaction state as in READY.
   std::map<std::string, std::string> m_Values; ///< Session values.
   std::map<std::string, std::string>
       m_PreparedStatements; ///< Prepared statements.
@@ -46,6 +47,11 @@
   return m_ExecutedStatements;
 }
 
+std::vector<std::string> WireStandIn::speakers() const {
+  const std::lock_guard Lock(m_Mutex);
+  return m_Speakers;
+}
+
 void WireStandIn::serve() {
   while (m_IsAlive) {
     const auto Connection = m_Listener->accept();
@@ -68,8 +74,10 @@
     std::string_view Rest = *Line;
     const std::string_view Word = consumeWord(Rest);
     if (!IsStarted && Word == "STARTUP") {
-      const bool IsExpectedServer = consumeWord(Rest) == m_Name &&
-                                    !consumeWord(Rest).empty() && Rest == m_Id;
+      const bool IsExpectedService = consumeWord(Rest) == m_Name;
+      Current.m_Speaker = consumeWord(Rest);
+      const bool IsExpectedServer =
+          IsExpectedService && !Current.m_Speaker.empty() && Rest == m_Id;
       if (!IsExpectedServer) {
         Connection->write("ERROR MISROUTED " + m_Id + "\r\n");
         Connection->shutdown();
@@ -135,6 +143,7 @@
     for (const auto &[Name, Value] : Current.m_Values)
       Values.append(" ").append(Name).append("=").append(Value);
     m_ExecutedStatements.push_back(StatementId + " " + Text + Values);
+    m_Speakers.push_back(Current.m_Speaker);
   }
   if (Word == "EXECUTE") {
     const std::string Name(consumeWord(Rest));
--- a/tests/Platform/WireStandIn.h
+++ b/tests/Platform/WireStandIn.h
@@ -40,6 +40,9 @@
   void crash();
   /// All statements that were run, with their ids and the session's values.
   std::vector<std::string> executedStatements() const;
+  /// The words by which the connection of each of executedStatements() named
+  /// who it speaks for.
+  std::vector<std::string> speakers() const;
 
 private:
   struct Session;
@@ -62,6 +65,7 @@
       m_Connections;                             ///< All accepted connections.
   std::list<std::thread> m_Threads;              ///< One thread per connection.
   std::vector<std::string> m_ExecutedStatements; ///< See executedStatements().
+  std::vector<std::string> m_Speakers;           ///< See speakers().
   std::thread m_Acceptor;                        ///< Accepts connections.
 };
 
