--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -113,7 +113,8 @@
     return;
   }
   StatementConnectionHooks Hooks;
-  Hooks.m_Opened = [this, Id] {
+  Hooks.m_Opened = [this, Id, Server = Action.m_Server] {
+    m_Hooks.m_Opened(Server);
     m_Core.connectionOpened(monotonicNow(), Id, m_Actions);
     perform();
   };
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -19,6 +19,8 @@
       m_Answer; ///< Answers a caller.
   std::function<void(const ServerId &Server, SuspicionKind Kind)>
       m_ReportSuspicion; ///< Reports a server that may have failed.
+  std::function<void(const ServerId &Server)>
+      m_Opened; ///< Called when a connection has been opened.
   std::function<void()>
       m_RevisionConfirmed; ///< Called when a group record is confirmed later
                            ///< than in the call that applied it.
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -402,6 +402,10 @@
                                           SuspicionKind Kind) {
     m_Control->reportSuspicion(Group, Server, Kind);
   };
+  Hooks.m_Opened = [this, Group](const ServerId &Server) {
+    m_Metrics.add(Metric::BackendConnectionsOpened,
+                  {Group.value(), Server.value()});
+  };
   Hooks.m_RevisionConfirmed = [this] { m_Control->renewNow(); };
   Hooks.m_DecisionMade = [this, Group](const SessionDecisionRecord &Record) {
     m_StatementLog.record(Group, Record);
--- a/tests/Process/SessionDriverTest.cpp
+++ b/tests/Process/SessionDriverTest.cpp
@@ -35,6 +35,7 @@
     };
     Hooks.m_Answer = [](const SessionAnswer &) {};
     Hooks.m_ReportSuspicion = [](const ServerId &, SuspicionKind) {};
+    Hooks.m_Opened = [](const ServerId &) {};
     Hooks.m_RevisionConfirmed = [this] { ++m_Confirmations; };
     Hooks.m_DecisionMade = [this](const SessionDecisionRecord &Record) {
       m_Sent += Record.m_Decision == SessionDecision::Sent ? 1 : 0;
