Statements that cannot be served in time are refused at once

With more statements than the servers can run, a statement waited until its deadline and was then refused, when no time was left to try elsewhere. QueueEstimate measures how fast a lane of the queue gets on (reads, statements for the primary) and decides on a queued statement from what is ahead of it. The queue is bounded in number and bytes; one workspace may use what it leaves free. The setting shed_load (default false) turns this on. A refusal carries its reason in the log line and in ragwortmux_shed_statements_total. Where callers belong to workspaces, each workspace and server has a retry budget of its own, which now also covers reads whose connection was lost.

--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -383,6 +383,7 @@
     SessionCoreSettings Settings;
     Settings.m_Domain = m_Settings.m_FailureDomain;
     Settings.m_Pool.m_OpenTimeout = m_Settings.m_ConnectTimeout;
+    Settings.m_ShedLoad = m_Settings.m_ShedLoad;
     Driver = std::make_unique<SessionDriver>(m_Loop, Group, Settings,
                                              driverHooks(Group));
     Driver->setUsesWorkspaces(m_KeyedGroups.contains(Group));
--- a/ragwortmux/Process/Entry/StatementLog.cpp
+++ b/ragwortmux/Process/Entry/StatementLog.cpp
@@ -30,6 +30,20 @@
   return "";
 }
 
+const char *shedReasonName(ShedReason Reason) {
+  switch (Reason) {
+  case ShedReason::None:
+    return "";
+  case ShedReason::Deadline:
+    return "deadline";
+  case ShedReason::Count:
+    return "count";
+  case ShedReason::Bytes:
+    return "bytes";
+  }
+  return "";
+}
+
 std::int64_t toMs(Duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
@@ -82,6 +96,11 @@
     }
     break;
   case SessionDecision::Refused:
+    if (Record.m_Shed != ShedReason::None) {
+      m_Metrics.add(Metric::ShedStatements,
+                    {Class, shedReasonName(Record.m_Shed)});
+    }
+    break;
   case SessionDecision::Unknown:
     break;
   }
@@ -107,7 +126,9 @@
       LogField{"floor_age_ms",
                Record.m_FloorAge ? toMs(*Record.m_FloorAge) : -1},
       LogField{"waited_ms", toMs(Record.m_Waited)},
-      LogField{"tries", static_cast<std::int64_t>(Record.m_Tries)}};
+      LogField{"tries", static_cast<std::int64_t>(Record.m_Tries)},
+      LogField{"workspace", Record.m_Workspace.value()},
+      LogField{"shed", std::string(shedReasonName(Record.m_Shed))}};
   logRecord(LogLevel::Info, Part::Group, "A statement was decided on.", Fields);
 }
 
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -65,6 +65,13 @@
                "entry host, by decision (sent, answered, retried, refused or "
                "unknown) and result code name.",
                {"decision", "result"}},
+    MetricInfo{Metric::ShedStatements,
+               "ragwortmux_shed_statements_total",
+               MetricKind::Counter,
+               "statements",
+               "Statements refused to shed load, by class and reason: deadline "
+               "(could not be served in time), count or bytes (queue full).",
+               {"class", "reason"}},
     MetricInfo{Metric::Callers,
                "ragwortmux_callers",
                MetricKind::Gauge,
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -19,6 +19,7 @@
   Retries,
   Reads,
   RelayedStatements,
+  ShedStatements,
   Callers,
   CallersTotal,
   BackendConnections,
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -65,6 +65,8 @@
       0}; ///< Silence of a backend server before it gets no new requests.
   std::uint32_t m_ServingHostsPerDomain =
       0; ///< Entry hosts of a failure domain that serve a group.
+  bool m_ShedLoad =
+      false; ///< Refuses statements that cannot be served in time.
   std::uint32_t m_MaxCallers = 0;            ///< Maximum caller connections.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -311,6 +311,9 @@
                     &ProcessSettings::m_ServingHostsPerDomain,
                     "Entry hosts of a failure domain that hold connections to "
                     "a group's servers; the same everywhere."),
+      switchSetting("shed_load", &ProcessSettings::m_ShedLoad,
+                    "Refuses statements of stateful sessions at once that can "
+                    "no longer be served before their deadline."),
       numberSetting("max_callers", "1000", 1, 100000,
                     &ProcessSettings::m_MaxCallers,
                     "Most connections of callers at once."),
--- a/ragwortmux/Request/FairQueue.cpp
+++ b/ragwortmux/Request/FairQueue.cpp
@@ -84,7 +84,9 @@
   insert(Queued);
   if (Added.m_LateAt)
     m_NotYetLate.insert({*Added.m_LateAt, Added.m_Request});
-  ++m_Sizes[Added.m_Workspace];
+  Usage &Used = m_Usage[Added.m_Workspace];
+  ++Used.m_Count;
+  Used.m_Bytes += Added.m_Bytes;
   ++m_Lanes.at(indexOf(Added.m_Lane));
   m_Bytes += Added.m_Bytes;
 }
@@ -100,9 +102,10 @@
   restIfEmpty(Statement.m_Priority, Statement.m_Workspace);
   if (Statement.m_LateAt)
     m_NotYetLate.erase({*Statement.m_LateAt, Request});
-  const auto Size = m_Sizes.find(Statement.m_Workspace);
-  if (--Size->second == 0)
-    m_Sizes.erase(Size);
+  const auto Used = m_Usage.find(Statement.m_Workspace);
+  Used->second.m_Bytes -= Statement.m_Bytes;
+  if (--Used->second.m_Count == 0)
+    m_Usage.erase(Used);
   --m_Lanes.at(indexOf(Statement.m_Lane));
   m_Bytes -= Statement.m_Bytes;
 }
@@ -154,9 +157,9 @@
   return m_Lanes.at(indexOf(Lane));
 }
 
-std::size_t FairQueue::size(const WorkspaceId &Workspace) const {
-  const auto Found = m_Sizes.find(Workspace);
-  return Found == m_Sizes.end() ? 0 : Found->second;
+FairQueue::Usage FairQueue::usage(const WorkspaceId &Workspace) const {
+  const auto Found = m_Usage.find(Workspace);
+  return Found == m_Usage.end() ? Usage() : Found->second;
 }
 
 std::size_t FairQueue::ahead(RequestId Request) const {
--- a/ragwortmux/Request/FairQueue.h
+++ b/ragwortmux/Request/FairQueue.h
@@ -72,10 +72,14 @@
   std::size_t size() const { return m_Waiting.size(); }
   /// Number of statements in \p Lane.
   std::size_t size(QueueLane Lane) const;
-  /// Number of statements of \p Workspace.
-  std::size_t size(const WorkspaceId &Workspace) const;
   /// Size of the texts of all statements.
   std::size_t bytes() const { return m_Bytes; }
+  /// Number of statements of one workspace and size of their texts.
+  struct Usage final {
+    std::size_t m_Count = 0; ///< Number of statements.
+    std::size_t m_Bytes = 0; ///< Size of their texts.
+  };
+  Usage usage(const WorkspaceId &Workspace) const;
   /// Lower bound of the statements in the lane of \p Request that precede it.
   /// Statements of its own workspace and fair shares of others are counted only
   /// for the last statement of a workspace.
@@ -138,10 +142,10 @@
   std::set<std::pair<Instant, RequestId>>
       m_NotYetLate; ///< Statements that are not late yet, by the time they
                     ///< become late.
-  std::map<WorkspaceId, std::size_t> m_Sizes; ///< Statements by workspace.
-  Counts m_Lanes{};             ///< Number of statements in each lane.
-  std::size_t m_Bytes = 0;      ///< See bytes().
-  std::uint64_t m_LastWalk = 0; ///< Number of the last walk.
+  std::map<WorkspaceId, Usage> m_Usage; ///< Statements by workspace.
+  Counts m_Lanes{};                     ///< Number of statements in each lane.
+  std::size_t m_Bytes = 0;              ///< See bytes().
+  std::uint64_t m_LastWalk = 0;         ///< Number of the last walk.
 };
 
 class FairQueue::Walk final {
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -17,7 +17,8 @@
 
 SessionCore::SessionCore(GroupId Group, const SessionCoreSettings &Settings)
     : m_Group(std::move(Group)), m_Settings(Settings), m_Pool(Settings.m_Pool),
-      m_Retries(Settings.m_Retry) {}
+      m_Retries(Settings.m_Retry, Settings.m_WorkspaceRetry),
+      m_Estimate(Settings.m_Estimate) {}
 
 void SessionCore::beginEvent(Instant Now, SessionActions &Actions) {
   m_Now = Now;
@@ -28,6 +29,7 @@
   confirmView();
   dispatch();
   refuseUnservable();
+  reviewQueue();
   updateDemand();
   m_Actions = nullptr;
 }
@@ -65,7 +67,8 @@
 void SessionCore::submit(Instant Now, SessionRequest Submitted,
                          SessionActions &Actions) {
   beginEvent(Now, Actions);
-  m_Retries.addRequest();
+  if (!m_UsesWorkspaces)
+    m_Retries.addRequest(WorkspaceId(), ServerId());
   const RequestId Id = Submitted.m_Id;
   const CallerConnectionId Caller = Submitted.m_Caller;
   Request &State = m_Requests[Id];
@@ -129,6 +132,7 @@
   beginEvent(Now, Actions);
   m_Sessions.erase(Connection);
   m_RollingBack.erase(Connection);
+  m_Estimate.dropped(Connection);
   PoolActions FromPool;
   m_Pool.closed(Now, Connection, FromPool);
   apply(FromPool);
@@ -326,6 +330,8 @@
   }
   for (const auto &[Connection, Until] : m_RollingBack)
     Consider(Until);
+  if (!m_Reviews.empty())
+    Consider(m_Reviews.begin()->first);
   const Instant RefusalStart = leaseExpiry() + m_Settings.m_NoLeaseTimeout;
   if (!m_Waiting.empty() && m_Now < RefusalStart)
     Consider(RefusalStart);
@@ -405,6 +411,8 @@
   Record.m_IsRead = !State.m_Request.m_Statement.m_Writes;
   Record.m_AtPrimary = m_View.m_Primary == State.m_Server;
   Record.m_Tries = State.m_Tries;
+  Record.m_Shed = State.m_Shed;
+  Record.m_Workspace = State.m_Request.m_Workspace;
   emit(std::move(Record));
 }
 
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -5,8 +5,9 @@
 #include "ragwortmux/Request/ChooseReadTarget.h"
 #include "ragwortmux/Request/FairQueue.h"
 #include "ragwortmux/Request/PositionHistory.h"
+#include "ragwortmux/Request/QueueEstimate.h"
 #include "ragwortmux/Request/ReplicaLag.h"
-#include "ragwortmux/Request/RetryBudget.h"
+#include "ragwortmux/Request/RetryBudgets.h"
 #include "ragwortmux/Request/SessionCoreSettings.h"
 #include "ragwortmux/Request/SessionEvents.h"
 #include "ragwortmux/Request/SessionRequestState.h"
@@ -144,6 +145,17 @@
   bool acceptsReads(const ServerView &Server) const;
   const ServerView *server(const ServerId &Server) const;
 
+  // Load shedding.
+  void reviewQueue();
+  void reviewStatement(RequestId Id);
+  std::uint32_t laneSlots(QueueLane Lane) const;
+  bool canServe(const Request &State) const;
+  ShedReason exceededLimit() const;
+  ShedReason exceededShare(const WorkspaceId &Workspace) const;
+  void enforceLimits(RequestId Added);
+  void shed(Request &State, ShedReason Reason);
+  bool tryConsumeRetry(const Request &State);
+
   // Answers.
   void handleReply(Request &State, const StatementReply &Reply);
   void handleTransactionReply(Request &State, const StatementReply &Reply);
@@ -152,7 +164,7 @@
   void recordPosition(const Request &State, const StatementReply &Reply);
   void forwardReply(Request &State, const StatementReply &Reply);
   void beginTransaction(Request &State, const StatementReply &Reply);
-  void handleLostStatement(Request &State);
+  void handleLostStatement(Request &State, bool IsRetryPaid = false);
   void rerunOnOtherServer(Request &State);
   SessionAnswer answerTo(const Request &State, ResultCode Code) const;
   void finish(Request &State, ResultCode Code, TransactionStatus Status);
@@ -221,8 +233,13 @@
                                               ///< no free slot gets no reads.
   PositionHistory m_History;                  ///< Positions of the primary.
   ConnectionPool m_Pool; ///< Connections to the backend servers.
-  RetryBudget
+  RetryBudgets
       m_Retries; ///< Limits how many statements are abandoned and run again.
+  QueueEstimate m_Estimate; ///< Whether a queued statement can be served.
+  std::vector<RequestId>
+      m_ToReview; ///< Statements queued, or late, since the last review.
+  std::set<std::pair<Instant, RequestId>>
+      m_Reviews; ///< Next review of each queued statement; only to shed load.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -41,6 +41,13 @@
   return ResultCode::OutcomeUnknown;
 }
 
+/// True if the server has run the statement.
+bool hasRun(StatementOutcome Outcome) {
+  return Outcome == StatementOutcome::Done ||
+         Outcome == StatementOutcome::Failed ||
+         Outcome == StatementOutcome::TimedOut;
+}
+
 /// True if the connection can serve another caller after this reply.
 bool leavesConnectionClean(const StatementReply &Reply) {
   switch (Reply.m_Outcome) {
@@ -79,6 +86,8 @@
 void SessionCore::handleReply(Request &State, const StatementReply &Reply) {
   const ConnectionId Connection = *State.m_Connection;
   State.m_Connection.reset();
+  if (!hasRun(Reply.m_Outcome))
+    m_Estimate.dropped(Connection);
   const bool Begins = isBegin(State.m_Request.m_Statement.m_Kind) &&
                       Reply.m_Outcome == StatementOutcome::Done;
   if (Begins && Reply.m_Status == TransactionStatus::InTransaction) {
@@ -264,7 +273,7 @@
   erase(State);
 }
 
-void SessionCore::handleLostStatement(Request &State) {
+void SessionCore::handleLostStatement(Request &State, bool IsRetryPaid) {
   const Statement &Submitted = State.m_Request.m_Statement;
   if (State.m_InTransaction) {
     const auto Open = m_Transactions.find(State.m_Request.m_Caller);
@@ -281,7 +290,10 @@
     erase(State);
     return;
   }
-  if (Submitted.m_Writes || State.m_Tries >= m_Settings.m_MaxTries) {
+  const bool MayRetry =
+      !Submitted.m_Writes && State.m_Tries < m_Settings.m_MaxTries &&
+      (IsRetryPaid || !m_UsesWorkspaces || tryConsumeRetry(State));
+  if (!MayRetry) {
     finish(State, ResultCode::OutcomeUnknown, TransactionStatus::Idle);
     return;
   }
@@ -315,6 +327,7 @@
 }
 
 void SessionCore::releaseConnection(ConnectionId Connection) {
+  m_Estimate.served(m_Now, Connection);
   PoolActions Actions;
   m_Pool.release(m_Now, Connection, Actions);
   apply(Actions);
@@ -323,6 +336,7 @@
 void SessionCore::dropConnection(ConnectionId Connection) {
   m_Sessions.erase(Connection);
   m_RollingBack.erase(Connection);
+  m_Estimate.dropped(Connection);
   PoolActions Actions;
   m_Pool.drop(m_Now, Connection, Actions);
   apply(Actions);
@@ -428,7 +442,7 @@
   const bool IsSent = State.m_Connection.has_value();
   const bool CanRepeat =
       !State.m_InTransaction && !State.m_Request.m_Statement.m_Writes;
-  if (!IsSent || !CanRepeat || !m_Retries.tryConsumeRetry())
+  if (!IsSent || !CanRepeat || !tryConsumeRetry(State))
     return;
   rerunOnOtherServer(State);
 }
@@ -436,7 +450,7 @@
 void SessionCore::rerunOnOtherServer(Request &State) {
   dropStatement(State);
   State.m_Avoid.push_back(State.m_Server);
-  handleLostStatement(State);
+  handleLostStatement(State, true);
 }
 
 void SessionCore::retryReadsAt(const ServerId &Server) {
@@ -452,7 +466,8 @@
     if (Found == m_Requests.end() || !Found->second.m_Connection)
       continue;
     Request &State = Found->second;
-    rerunOnOtherServer(State);
+    if (!m_UsesWorkspaces || tryConsumeRetry(State))
+      rerunOnOtherServer(State);
   }
 }
 
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -38,6 +38,8 @@
                  State.needsPrimary() ? QueueLane::Primary : QueueLane::Read,
                  Submitted.m_Text.size() + Submitted.m_Name.size() +
                      Submitted.m_Rest.size()});
+  if (m_Settings.m_ShedLoad)
+    m_ToReview.push_back(State.m_Request.m_Id);
 }
 
 void SessionCore::removeFromQueue(Request &State) {
@@ -45,10 +47,15 @@
     return;
   State.m_IsWaiting = false;
   m_Waiting.remove(State.m_Request.m_Id);
+  if (State.m_ReviewAt)
+    m_Reviews.erase({*State.m_ReviewAt, State.m_Request.m_Id});
+  State.m_ReviewAt.reset();
 }
 
 void SessionCore::dispatch() {
-  m_Waiting.advance(m_Now);
+  const std::vector<RequestId> Late = m_Waiting.advance(m_Now);
+  if (m_Settings.m_ShedLoad)
+    m_ToReview.insert(m_ToReview.end(), Late.begin(), Late.end());
   std::size_t Tries = 0;
   std::size_t Skips = 0;
   FairQueue::Walk Walk = m_Waiting.walk();
@@ -256,6 +263,13 @@
   State.m_NotBefore.reset();
   State.m_IsSilenceHandled = false;
   ++State.m_Tries;
+  if (!State.m_InTransaction) {
+    m_Estimate.occupied(m_Now, Connection,
+                        State.needsPrimary() ? QueueLane::Primary
+                                             : QueueLane::Read);
+    if (m_UsesWorkspaces && State.m_Tries == 1)
+      m_Retries.addRequest(Submitted.m_Workspace, Server);
+  }
   m_Running[Connection] = Submitted.m_Id;
 
   RunStatement Run;
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -4,8 +4,10 @@
 #include "ragwortmux/Connection/ConnectionPool.h"
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Request/QueueEstimate.h"
 #include "ragwortmux/Request/RetryBudget.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace ragwortmux {
@@ -53,7 +55,17 @@
              ///< reach is not replaced.
   RetryBudgetSettings
       m_Retry; ///< Limits how many statements are abandoned and run again.
-  ConnectionPoolSettings m_Pool; ///< Settings of the connection pool.
+  RetryBudgetSettings m_WorkspaceRetry{
+      10, 4}; ///< The same for each workspace and server where callers belong
+              ///< to workspaces; there are many, so each saves few.
+  bool m_ShedLoad = false; ///< Refuses statements that can no longer be served
+                           ///< in time, and those beyond the following limits.
+  std::size_t m_MaxQueued = 4096; ///< Maximum number of queued statements.
+  std::size_t m_MaxQueuedBytes =
+      std::size_t{16} << 20U; ///< Maximum size of their texts. Larger than one
+                              ///< statement, which may have 1 MiB.
+  QueueEstimateSettings m_Estimate; ///< When a statement cannot be served.
+  ConnectionPoolSettings m_Pool;    ///< Settings of the connection pool.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -97,6 +97,14 @@
   Unknown,  ///< Answered as outcome unknown.
 };
 
+/// Why a statement was refused to shed load.
+enum class ShedReason : std::uint8_t {
+  None,     ///< It was not refused, or for another reason.
+  Deadline, ///< It could not be served before its deadline.
+  Count,    ///< The queue had too many statements.
+  Bytes,    ///< The statements of the queue were too large.
+};
+
 /// Log record of one decision with its inputs.
 struct SessionDecisionRecord final {
   SessionDecision m_Decision = SessionDecision::Sent; ///< The decision.
@@ -115,6 +123,8 @@
   bool m_IsRead = false;     ///< The statement writes nothing.
   bool m_AtPrimary = false;  ///< m_Server is the primary.
   std::uint32_t m_Tries = 0; ///< Number of times it was sent.
+  ShedReason m_Shed = ShedReason::None; ///< For a refusal to shed load.
+  WorkspaceId m_Workspace;              ///< Workspace of the caller.
 };
 
 /// An action for the caller of SessionCore to execute, in order.
--- a/tests/Process/StatementLogTest.cpp
+++ b/tests/Process/StatementLogTest.cpp
@@ -82,6 +82,35 @@
                        ",result=\"outcome-unknown\"} 1"));
 }
 
+// Guards against a refusal to shed load that nobody can tell from another.
+BOOST_AUTO_TEST_CASE(ShedStatementsAreCountedByReasonAndLogged) {
+  const std::pair<ShedReason, std::string> Cases[] = {
+      {ShedReason::Deadline, "deadline"},
+      {ShedReason::Count, "count"},
+      {ShedReason::Bytes, "bytes"}};
+  for (const auto &[Reason, Name] : Cases) {
+    std::ostringstream Output;
+    LogSettings Settings;
+    Settings.m_Output = &Output;
+    Settings.m_Format = LogFormat::Json;
+    startLog(Settings);
+    SessionDecisionRecord Record;
+    Record.m_Decision = SessionDecision::Refused;
+    Record.m_Entry = EntryName("e");
+    Record.m_Code = ResultCode::NotRunQueueFull;
+    Record.m_Workspace = WorkspaceId("w1");
+    Record.m_Shed = Reason;
+    m_Log.record(GroupId("g"), Record);
+    BOOST_TEST(hasMetric("ragwortmux_shed_statements_total{class=\"own-writes-"
+                         "session\",reason=\"" +
+                         Name + "\"} 1"));
+    BOOST_TEST(Output.str().find("\"shed\":\"" + Name + "\"") !=
+               std::string::npos);
+    BOOST_TEST(Output.str().find("\"workspace\":\"w1\"") != std::string::npos);
+    startLog({});
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RelayedStatementsAreCountedAndFailuresLogged) {
   std::ostringstream Output;
   LogSettings Settings;
--- a/tests/Request/FairQueueTest.cpp
+++ b/tests/Request/FairQueueTest.cpp
@@ -217,7 +217,7 @@
   BOOST_TEST(m_Queue.ahead(RequestId(102)) == 1U);
   BOOST_TEST(m_Queue.ahead(RequestId(300)) == 0U);
   BOOST_TEST(m_Queue.size(QueueLane::Primary) == 1U);
-  BOOST_TEST(m_Queue.size(Small) == 4U);
+  BOOST_TEST(m_Queue.usage(Small).m_Count == 4U);
   BOOST_TEST((m_Queue.last()->m_Priority == 1U));
 }
 
