With workspaces a server gets no more statements than it has slots

A replay of the load patterns showed that the order of the queue hardly mattered with many connections and few slots: statements beyond the slots are refused as busy and pause, and a free slot goes to whichever is retried first. SessionCore now counts the statements it has at each server and sends no new one beyond the slots that the record states; a statement of an open transaction that waits for a slot keeps one. Only where callers belong to workspaces.

--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -142,6 +142,7 @@
     m_Running.erase(Running);
     if (State != m_Requests.end()) {
       State->second.m_Connection.reset();
+      releaseSlot(State->second);
       handleLostStatement(State->second);
     }
   } else {
@@ -177,6 +178,7 @@
   } else if (Running != m_Running.end()) {
     Request &State = m_Requests.at(Running->second);
     m_Running.erase(Running);
+    releaseSlot(State);
     recordPosition(State, Reply);
     if (State.m_InTransaction)
       handleTransactionReply(State, Reply);
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -155,6 +155,9 @@
   void enforceLimits(RequestId Added);
   void shed(Request &State, ShedReason Reason);
   bool tryConsumeRetry(const Request &State);
+  void holdSlot(Request &State);
+  void releaseSlot(Request &State);
+  bool hasFreeSlot(const ServerView &Server) const;
 
   // Answers.
   void handleReply(Request &State, const StatementReply &Reply);
@@ -235,6 +238,9 @@
   ConnectionPool m_Pool; ///< Connections to the backend servers.
   RetryBudgets
       m_Retries; ///< Limits how many statements are abandoned and run again.
+  std::map<ServerId, std::uint32_t>
+      m_SlotsHeld; ///< Statements under way at each server, and those of open
+                   ///< transactions that wait for a slot there.
   QueueEstimate m_Estimate; ///< Whether a queued statement can be served.
   std::vector<RequestId>
       m_ToReview; ///< Statements queued, or late, since the last review.
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -206,6 +206,7 @@
     // The statement did not run and the transaction is still open: retry on the
     // same connection after a pause.
     Open.m_Running = State.m_Request.m_Id;
+    holdSlot(State);
     State.m_LastReason = ResultCode::NotRunQueueFull;
     State.m_NotBefore = m_Now + nextBusyPause(State);
     recordDecision(State, SessionDecision::Retried, State.m_LastReason);
@@ -318,6 +319,7 @@
 
 void SessionCore::erase(Request &State) {
   assert(!State.m_Connection);
+  releaseSlot(State);
   removeFromQueue(State);
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end() &&
@@ -345,6 +347,7 @@
 void SessionCore::dropStatement(Request &State) {
   const ConnectionId Connection = *State.m_Connection;
   m_Running.erase(Connection);
+  releaseSlot(State);
   State.m_Connection.reset();
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end())
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -164,6 +164,9 @@
   if (!isPrimaryUsable())
     return false;
   const ServerId Primary = *m_View.m_Primary;
+  const ServerView *Known = server(Primary);
+  if (Known != nullptr && !hasFreeSlot(*Known))
+    return false;
   const auto Connection = acquireConnection(Primary, State);
   if (!Connection)
     return false;
@@ -218,7 +221,8 @@
     const bool MayCover =
         Floor && (Age == m_ReplicaLags.end() ||
                   Age->second.isWorthTrying(m_Now, Floor->m_QuerySentAt));
-    Target.m_IsAllowed = !IsFull && !State.avoids(Each.m_Server) &&
+    Target.m_IsAllowed = !IsFull && hasFreeSlot(Each) &&
+                         !State.avoids(Each.m_Server) &&
                          (Target.m_IsPrimary ? isPrimaryUsable() : MayCover);
     Targets.push_back(std::move(Target));
   }
@@ -270,6 +274,7 @@
     if (m_UsesWorkspaces && State.m_Tries == 1)
       m_Retries.addRequest(Submitted.m_Workspace, Server);
   }
+  holdSlot(State);
   m_Running[Connection] = Submitted.m_Id;
 
   RunStatement Run;
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -56,7 +56,7 @@
   RetryBudgetSettings
       m_Retry; ///< Limits how many statements are abandoned and run again.
   RetryBudgetSettings m_WorkspaceRetry{
-      10, 4}; ///< The same for each workspace and server where callers belong
+      20, 4}; ///< The same for each workspace and server where callers belong
               ///< to workspaces; there are many, so each saves few.
   bool m_ShedLoad = false; ///< Refuses statements that can no longer be served
                            ///< in time, and those beyond the following limits.
--- a/ragwortmux/Request/SessionCoreShedding.cpp
+++ b/ragwortmux/Request/SessionCoreShedding.cpp
@@ -142,6 +142,26 @@
   }
 }
 
+void SessionCore::holdSlot(Request &State) {
+  m_SlotsHeld[State.m_Server] += State.m_HoldsSlot ? 0 : 1;
+  State.m_HoldsSlot = true;
+}
+
+void SessionCore::releaseSlot(Request &State) {
+  if (std::exchange(State.m_HoldsSlot, false))
+    --m_SlotsHeld.at(State.m_Server);
+}
+
+bool SessionCore::hasFreeSlot(const ServerView &Server) const {
+  // A server refuses statements beyond its slots. With workspaces there are
+  // more connections than slots; without this limit the next free slot would go
+  // to whichever statement is retried first and not to the first of the queue.
+  if (!m_UsesWorkspaces)
+    return true;
+  const auto Held = m_SlotsHeld.find(Server.m_Server);
+  return Held == m_SlotsHeld.end() || Held->second < Server.m_Slots;
+}
+
 bool SessionCore::tryConsumeRetry(const Request &State) {
   // Without workspaces one budget limits all retries of the group.
   if (!m_UsesWorkspaces)
