--- a/ragwortmux/Request/FairQueue.cpp
+++ b/ragwortmux/Request/FairQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
 
 namespace ragwortmux {
 
@@ -52,11 +53,14 @@
   Part &Queued = Of.m_Parts.at(IsLate);
   const std::pair Key(Statement.m_Arrived, Statement.m_Request);
   const bool IsFirst = Key == *Queued.m_Statements.begin();
+  std::set<FlowKey>::node_type Place;
   if (IsFirst)
-    takeFromOrder(In, Of, IsLate);
+    Place = In.m_Order.at(IsLate).extract(keyOf(Of, IsLate));
   Queued.m_Statements.erase(Key);
-  if (IsFirst)
-    returnToOrder(In, Of, IsLate);
+  if (IsFirst && !Queued.m_Statements.empty()) {
+    Place.value() = keyOf(Of, IsLate);
+    In.m_Order.at(IsLate).insert(std::move(Place));
+  }
   --Queued.m_Lanes.at(indexOf(Statement.m_Lane));
   --In.m_Lanes.at(IsLate).at(indexOf(Statement.m_Lane));
 }
@@ -68,13 +72,26 @@
   const auto Of = In.m_Flows.find(Workspace);
   if (!Of->second.isEmpty())
     return;
-  // Nobody waits any more, so nobody is ahead of another.
-  if (In.isEmpty())
+  if (!In.isEmpty()) {
+    if (Of->second.m_Sent <= In.m_Now)
+      In.m_Flows.erase(Of);
+    else
+      In.m_IdleFlows.insert({Of->second.m_Sent, Workspace});
+    return;
+  }
+  // Nobody waits any more, so nobody is ahead of another. The level and an only
+  // flow are kept: while no statement waits for long, allocating them for each
+  // statement would take longer than the queue does otherwise.
+  if (m_Levels.size() > MaxLevelsKept) {
     m_Levels.erase(Found);
-  else if (Of->second.m_Sent <= In.m_Now)
-    In.m_Flows.erase(Of);
+    return;
+  }
+  In.m_Now = 0;
+  In.m_IdleFlows.clear();
+  if (In.m_Flows.size() > 1)
+    In.m_Flows.clear();
   else
-    In.m_IdleFlows.insert({Of->second.m_Sent, Workspace});
+    Of->second.m_Sent = 0;
 }
 
 void FairQueue::add(const QueuedStatement &Added) {
@@ -84,9 +101,11 @@
   insert(Queued);
   if (Added.m_LateAt)
     m_NotYetLate.insert({*Added.m_LateAt, Added.m_Request});
-  Usage &Used = m_Usage[Added.m_Workspace];
-  ++Used.m_Count;
-  Used.m_Bytes += Added.m_Bytes;
+  if (Added.m_Workspace != WorkspaceId()) {
+    Usage &Used = m_Usage[Added.m_Workspace];
+    ++Used.m_Count;
+    Used.m_Bytes += Added.m_Bytes;
+  }
   ++m_Lanes.at(indexOf(Added.m_Lane));
   m_Bytes += Added.m_Bytes;
 }
@@ -95,17 +114,19 @@
   const auto Found = m_Waiting.find(Request);
   if (Found == m_Waiting.end())
     return;
-  const Entry Removed = Found->second;
+  const auto Node = m_Waiting.extract(Found);
+  const Entry &Removed = Node.mapped();
   const QueuedStatement &Statement = Removed.m_Statement;
-  m_Waiting.erase(Found);
   extract(Removed);
   restIfEmpty(Statement.m_Priority, Statement.m_Workspace);
   if (Statement.m_LateAt)
     m_NotYetLate.erase({*Statement.m_LateAt, Request});
   const auto Used = m_Usage.find(Statement.m_Workspace);
-  Used->second.m_Bytes -= Statement.m_Bytes;
-  if (--Used->second.m_Count == 0)
-    m_Usage.erase(Used);
+  if (Used != m_Usage.end()) {
+    Used->second.m_Bytes -= Statement.m_Bytes;
+    if (--Used->second.m_Count == 0)
+      m_Usage.erase(Used);
+  }
   --m_Lanes.at(indexOf(Statement.m_Lane));
   m_Bytes -= Statement.m_Bytes;
 }
@@ -115,6 +136,11 @@
   if (Found == m_Levels.end())
     return;
   Level &In = Found->second;
+  // Without others there is nothing to share. An idle level has no counts.
+  const bool IsAlone =
+      In.m_Flows.size() == 1 && In.m_Flows.begin()->first == Workspace;
+  if (IsAlone || In.isEmpty())
+    return;
   Flow &Of = In.m_Flows[Workspace];
   const bool IsIdle = Of.isEmpty();
   if (IsIdle)
@@ -196,9 +222,12 @@
 }
 
 const QueuedStatement *FairQueue::last() const {
-  if (m_Levels.empty())
+  const auto Lowest =
+      std::find_if(m_Levels.rbegin(), m_Levels.rend(),
+                   [](const auto &Each) { return !Each.second.isEmpty(); });
+  if (Lowest == m_Levels.rend())
     return nullptr;
-  const Level &In = m_Levels.rbegin()->second;
+  const Level &In = Lowest->second;
   const bool IsLate = !In.m_Order[1].empty();
   const Flow *Of = std::get<Flow *>(*In.m_Order.at(IsLate).rbegin());
   return &m_Waiting.at(Of->m_Parts.at(IsLate).m_Statements.rbegin()->second)
@@ -232,10 +261,10 @@
     // Charging a flow for a statement of this walk moves it back in the order.
     if (Reached.m_VisitedBy != m_Number) {
       const Cursor New{Sent, Reached.m_Statements.begin(), &Reached};
-      if (!m_Cursors.empty() && *m_Cursors.begin() < New)
+      if (!m_Cursors.empty() && New > m_Cursors.front())
         return;
       Reached.m_VisitedBy = m_Number;
-      m_Cursors.insert(New);
+      addCursor(New);
     }
     ++m_NextFlow;
   }
@@ -247,13 +276,15 @@
     if (In != nullptr) {
       reachFlows(*In);
       if (!m_Cursors.empty()) {
-        Cursor Next = m_Cursors.extract(m_Cursors.begin()).value();
+        std::ranges::pop_heap(m_Cursors, std::greater<>());
+        Cursor Next = m_Cursors.back();
+        m_Cursors.pop_back();
         const RequestId Request = Next.m_Next->second;
         m_Last = Next.m_Part;
         ++Next.m_Next;
         ++Next.m_Count;
         if (Next.m_Next != Next.m_Part->m_Statements.end())
-          m_Cursors.insert(Next);
+          addCursor(Next);
         return Request;
       }
     }
@@ -271,9 +302,15 @@
   return std::nullopt;
 }
 
+void FairQueue::Walk::addCursor(const Cursor &Added) {
+  m_Cursors.push_back(Added);
+  std::ranges::push_heap(m_Cursors, std::greater<>());
+}
+
 void FairQueue::Walk::skipWorkspace() {
   std::erase_if(m_Cursors,
                 [this](const Cursor &Each) { return Each.m_Part == m_Last; });
+  std::ranges::make_heap(m_Cursors, std::greater<>());
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/FairQueue.h
+++ b/ragwortmux/Request/FairQueue.h
@@ -79,6 +79,7 @@
     std::size_t m_Count = 0; ///< Number of statements.
     std::size_t m_Bytes = 0; ///< Size of their texts.
   };
+  /// Not counted for the empty workspace.
   Usage usage(const WorkspaceId &Workspace) const;
   /// Lower bound of the statements in the lane of \p Request that precede it.
   /// Statements of its own workspace and fair shares of others are counted only
@@ -125,6 +126,8 @@
   /// because the primary was missing, lags behind the others. Without a bound
   /// it would then be served alone for as long as it has lagged.
   static constexpr Count MaxLag = 16;
+  /// Limit of priorities that are kept while no statement of theirs waits.
+  static constexpr std::size_t MaxLevelsKept = 16;
   /// Limit of other workspaces that ahead() looks at.
   static constexpr std::size_t MaxFlowsCounted = 64;
 
@@ -164,13 +167,14 @@
     std::set<std::pair<Instant, RequestId>>::const_iterator
         m_Next;                   ///< The statement.
     const Part *m_Part = nullptr; ///< Its statements.
-    bool operator<(const Cursor &Other) const {
-      return std::tie(m_Count, *m_Next) <
+    bool operator>(const Cursor &Other) const {
+      return std::tie(m_Count, *m_Next) >
              std::tie(Other.m_Count, *Other.m_Next);
     }
   };
   Level *currentLevel();
   void startPart();
+  void addCursor(const Cursor &Added);
   void reachFlows(const Level &In);
 
   FairQueue &m_Queue;                      ///< The queue.
@@ -179,8 +183,9 @@
                                            ///< end.
   bool m_IsLate = false;                   ///< Among late statements.
   std::set<FlowKey>::iterator m_NextFlow;  ///< First flow not reached yet.
-  std::set<Cursor> m_Cursors;   ///< Flows reached that have more statements.
-  const Part *m_Last = nullptr; ///< Part of the statement returned last.
+  std::vector<Cursor> m_Cursors; ///< Flows reached that have more statements;
+                                 ///< a heap, the next first.
+  const Part *m_Last = nullptr;  ///< Part of the statement returned last.
 };
 
 inline FairQueue::Walk FairQueue::walk() { return Walk(*this); }
