A read whose answer was lost is never refused as not run to shed load

A later refusal of the server overwrote the reason by which such a read was recognised, so it could be refused as not run although an earlier try may have run. SessionRequestState now keeps m_MayHaveRun; LoadReplayTest checks every shed statement against those that its servers have run. ServerGetsNoMoreStatementsThanSlots did not fail without the limit, because the share of one workspace in the connections hid it; it uses four workspaces now.

--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -299,6 +299,7 @@
     return;
   }
   State.m_LastReason = ResultCode::OutcomeUnknown;
+  State.m_MayHaveRun = true;
   recordDecision(State, SessionDecision::Retried, State.m_LastReason);
   enqueue(State);
 }
--- a/ragwortmux/Request/SessionCoreShedding.cpp
+++ b/ragwortmux/Request/SessionCoreShedding.cpp
@@ -22,12 +22,6 @@
 
 constexpr std::array Lanes = {QueueLane::Read, QueueLane::Primary};
 
-/// True for a read that was sent and whose answer was lost, so that it cannot
-/// be refused as not run.
-bool mayHaveRun(const SessionRequestState &State) {
-  return State.m_LastReason == ResultCode::OutcomeUnknown;
-}
-
 } // namespace
 
 std::uint32_t SessionCore::laneSlots(QueueLane Lane) const {
@@ -87,7 +81,7 @@
     Request &Refused = Share == ShedReason::None && IsLower
                            ? m_Requests.at(Last->m_Request)
                            : State;
-    if (mayHaveRun(Refused))
+    if (Refused.m_MayHaveRun)
       return;
     shed(Refused, Exceeded);
   }
@@ -101,7 +95,7 @@
 void SessionCore::reviewStatement(RequestId Id) {
   const auto Found = m_Requests.find(Id);
   if (Found == m_Requests.end() || !Found->second.m_IsWaiting ||
-      mayHaveRun(Found->second))
+      Found->second.m_MayHaveRun)
     return;
   Request &State = Found->second;
   if (!canServe(State)) {
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -37,7 +37,9 @@
   std::vector<ServerId> m_Avoid;      ///< Servers that failed to run it.
   bool m_IsSilenceHandled = false; ///< The missing answer has been acted upon;
                                    ///< see SessionCore::checkSilence().
-  bool m_HoldsSlot = false; ///< It is counted in SessionCore::m_SlotsHeld.
+  bool m_MayHaveRun = false; ///< A try was lost, so a refusal must not say that
+                             ///< it has not run.
+  bool m_HoldsSlot = false;  ///< It is counted in SessionCore::m_SlotsHeld.
   std::optional<Instant> m_ReviewAt; ///< While it waits: when its chances are
                                      ///< reviewed next.
   ShedReason m_Shed = ShedReason::None; ///< Why it is refused, if to shed load.
--- a/tests/Request/FairQueueTest.cpp
+++ b/tests/Request/FairQueueTest.cpp
@@ -107,6 +107,7 @@
     add(Id, Added.m_Priority, Added.m_Arrived, Added.m_LateAt);
     m_Queue.advance(Now);
     std::vector<std::uint64_t> Order;
+    Order.reserve(Model.size());
     for (const auto &[Each, State] : Model)
       Order.push_back(Each);
     std::ranges::sort(Order, {}, [&](std::uint64_t Each) {
--- a/tests/Request/LoadReplay.h
+++ b/tests/Request/LoadReplay.h
@@ -102,7 +102,7 @@
 
   std::size_t m_Sent = 0;     ///< Statements sent to servers, retries included.
   std::size_t m_Executed = 0; ///< Statements that a server has run.
-  std::size_t m_RanAfterRefusal = 0; ///< Refused statements that ran after all.
+  std::size_t m_RefusedButRun = 0; ///< Refused as not run, wrongly.
   static constexpr std::array Weights = {0.30, 0.15, 0.08, 0.08, 0.07, 0.07,
                                          0.06, 0.06, 0.05, 0.04, 0.03, 0.01};
 
@@ -232,8 +232,10 @@
     const Sent Of = m_Submitted.extract(Answer.m_Request).mapped();
     const bool IsOk = Answer.m_Code == ResultCode::Ok;
     const bool IsRefused = Answer.m_Code == ResultCode::NotRunQueueFull;
-    if (IsRefused)
-      m_RefusedIds.insert(std::to_string(Answer.m_Request.value()));
+    m_RefusedButRun +=
+        IsRefused
+            ? m_ExecutedIds.count(std::to_string(Answer.m_Request.value()))
+            : 0;
     if (!Of.m_Operation.m_StaysIdle) {
       ReplayResult &Result =
           m_Results[{Of.m_Operation.m_Class, Of.m_Operation.m_Workspace}];
@@ -271,7 +273,7 @@
         Server == S2 && Runs && random() * 100 < m_Pattern.m_LostPercent;
     if (Runs) {
       ++m_Executed;
-      m_RanAfterRefusal += m_RefusedIds.count(Run.m_Statement.m_Id.value());
+      m_ExecutedIds.insert(Run.m_Statement.m_Id.value());
       if (isBegin(Kind))
         m_Open.insert(Connection);
       if (Kind == StatementKind::Commit || Kind == StatementKind::Rollback)
@@ -328,7 +330,7 @@
   std::map<ConnectionId, ServerId> m_Connections;
   std::set<ConnectionId> m_Open; ///< Connections with a transaction.
   std::map<ServerId, int> m_Running;
-  std::set<std::string> m_RefusedIds;
+  std::set<std::string> m_ExecutedIds;
   std::map<std::pair<int, std::size_t>, ReplayResult>
       m_Results; ///< By class and workspace.
   std::uint64_t m_LastCaller = 0;
--- a/tests/Request/LoadReplayTest.cpp
+++ b/tests/Request/LoadReplayTest.cpp
@@ -56,7 +56,7 @@
          << Replay->m_Sent << ", ran " << Replay->m_Executed;
     BOOST_TEST_MESSAGE(Line.str());
   }
-  BOOST_TEST(After.m_RanAfterRefusal == 0U);
+  BOOST_TEST(After.m_RefusedButRun == 0U);
   BOOST_TEST(After.m_Sent <= Before.m_Sent);
   BOOST_TEST(After.m_Sent * 10 <= After.m_Executed * 11);
   BOOST_TEST(After.result(0, 0).share() >= Before.result(0, 0).share() - 0.02);
--- a/tests/Request/SheddingTest.cpp
+++ b/tests/Request/SheddingTest.cpp
@@ -87,8 +87,11 @@
   }
   void advance(Duration Length) {
     const Instant End = m_Now + Length;
-    while (m_Core.nextDeadline() && *m_Core.nextDeadline() <= End) {
-      m_Now = std::max(*m_Core.nextDeadline(), m_Now + milliseconds(1));
+    while (const auto Next = m_Core.nextDeadline()) {
+      const Instant At = std::max(*Next, m_Now + milliseconds(1));
+      if (At > End)
+        break;
+      m_Now = At;
       m_Core.tick(m_Now, m_Actions);
       collect();
     }
@@ -296,9 +299,8 @@
 BOOST_AUTO_TEST_CASE(ServerGetsNoMoreStatementsThanSlots) {
   SheddingCore Core(NoChange, true);
   Core.setSlots(2);
-  std::vector<RequestId> Requests;
-  for (int Index = 0; Index < 4; ++Index)
-    Requests.push_back(Core.submit());
+  for (const char *Workspace : {"w1", "w2", "w3", "w4"})
+    Core.submit(StatementKind::Write, WorkspaceId(Workspace));
   BOOST_TEST(Core.m_Runs.size() == 2U);
   Core.reply(Core.m_Runs.at(0));
   BOOST_TEST(Core.m_Runs.size() == 3U);
