--- a/tests/Request/FairQueueTest.cpp
+++ b/tests/Request/FairQueueTest.cpp
@@ -139,7 +139,7 @@
     const std::vector<std::uint64_t> Order = order();
     const auto At = std::ranges::find(Order, Id) - Order.begin();
     BOOST_TEST(At <= 1);
-    while (Order[0] != Id && order()[0] != Id)
+    if (At == 1)
       send(0, Large);
     BOOST_TEST(send(0, Small) == Id);
     send(0, Large);
--- a/tests/Request/SheddingTest.cpp
+++ b/tests/Request/SheddingTest.cpp
@@ -195,6 +195,22 @@
   BOOST_TEST(Core.isRefused(Low));
 }
 
+// Guards against a core that does not pass the priority on to its queue.
+BOOST_AUTO_TEST_CASE(HigherPriorityIsSentFirst) {
+  SheddingCore Core(NoChange);
+  while (Core.m_Runs.size() < 5)
+    Core.submit();
+  const RequestId Low = Core.submit(StatementKind::Write, WorkspaceId(), 1);
+  const RequestId High = Core.submit();
+  for (const RequestId Expected : {High, Low}) {
+    Core.reply(Core.m_Runs.at(0));
+    Core.reply(Core.m_Runs.back());
+    Core.m_Runs.erase(Core.m_Runs.begin());
+    BOOST_TEST((Core.m_Answers.at(Expected) == ResultCode::Ok));
+    BOOST_TEST(Core.m_Answers.contains(Low) == (Expected == Low));
+  }
+}
+
 // Guards against a queue without bounds.
 BOOST_AUTO_TEST_CASE(QueueIsBoundedInNumberAndBytes) {
   for (const bool ByBytes : {false, true}) {
