--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -3,12 +3,13 @@
 
 #include "ragwortmux/Connection/ConnectionPool.h"
 #include "ragwortmux/Request/ChooseReadTarget.h"
+#include "ragwortmux/Request/FairQueue.h"
 #include "ragwortmux/Request/PositionHistory.h"
+#include "ragwortmux/Request/QueueEstimate.h"
 #include "ragwortmux/Request/ReplicaLag.h"
-#include "ragwortmux/Request/RetryBudget.h"
+#include "ragwortmux/Request/RetryBudgets.h"
 #include "ragwortmux/Request/SessionCoreSettings.h"
 #include "ragwortmux/Request/SessionEvents.h"
-#include "ragwortmux/Request/SessionQueue.h"
 #include "ragwortmux/Request/SessionRequestState.h"
 #include "ragwortmux/Version/GroupView.h"
 
@@ -116,6 +117,7 @@
   // Placement.
   void dispatch();
   bool hasIdleConnection() const;
+  bool hasIdleConnectionFor(const Request &State) const;
   bool hasIdlePrimaryConnection() const;
   bool canOpenConnection() const;
   bool isLeaseLost() const;
@@ -143,6 +145,20 @@
   bool acceptsReads(const ServerView &Server) const;
   const ServerView *server(const ServerId &Server) const;
 
+  // Load shedding.
+  void reviewQueue();
+  void reviewStatement(RequestId Id);
+  std::uint32_t laneSlots(QueueLane Lane) const;
+  bool canServe(const Request &State) const;
+  ShedReason exceededLimit() const;
+  ShedReason exceededShare(const WorkspaceId &Workspace) const;
+  void enforceLimits(RequestId Added);
+  void shed(Request &State, ShedReason Reason);
+  bool tryConsumeRetry(const Request &State);
+  void holdSlot(Request &State);
+  void releaseSlot(Request &State);
+  bool hasFreeSlot(const ServerView &Server) const;
+
   // Answers.
   void handleReply(Request &State, const StatementReply &Reply);
   void handleTransactionReply(Request &State, const StatementReply &Reply);
@@ -151,7 +167,7 @@
   void recordPosition(const Request &State, const StatementReply &Reply);
   void forwardReply(Request &State, const StatementReply &Reply);
   void beginTransaction(Request &State, const StatementReply &Reply);
-  void handleLostStatement(Request &State);
+  void handleLostStatement(Request &State, bool IsRetryPaid = false);
   void rerunOnOtherServer(Request &State);
   SessionAnswer answerTo(const Request &State, ResultCode Code) const;
   void finish(Request &State, ResultCode Code, TransactionStatus Status);
@@ -201,7 +217,7 @@
   // m_Transactions and m_RollingBack, or in the first two if a statement of the
   // transaction is under way.
   std::map<RequestId, Request> m_Requests;     ///< Unanswered statements.
-  SessionQueue m_Waiting;                      ///< Statements to be sent.
+  FairQueue m_Waiting;                         ///< Statements to be sent.
   std::map<ConnectionId, RequestId> m_Running; ///< Statements under way.
   std::map<CallerConnectionId, Transaction>
       m_Transactions; ///< Open transactions.
@@ -220,8 +236,16 @@
                                               ///< no free slot gets no reads.
   PositionHistory m_History;                  ///< Positions of the primary.
   ConnectionPool m_Pool; ///< Connections to the backend servers.
-  RetryBudget
+  RetryBudgets
       m_Retries; ///< Limits how many statements are abandoned and run again.
+  std::map<ServerId, std::uint32_t>
+      m_SlotsHeld; ///< Statements under way at each server, and those of open
+                   ///< transactions that wait for a slot there.
+  QueueEstimate m_Estimate; ///< Whether a queued statement can be served.
+  std::vector<RequestId>
+      m_ToReview; ///< Statements queued, or late, since the last review.
+  std::set<std::pair<Instant, RequestId>>
+      m_Reviews; ///< Next review of each queued statement; only to shed load.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -32,7 +32,14 @@
   std::optional<Instant> LateAt;
   if (Limits.m_LatencyTarget > Duration(0))
     LateAt = Arrived + Limits.m_LatencyTarget;
-  m_Waiting.add(State.m_Request.m_Id, Limits.m_Priority, Arrived, LateAt);
+  const Statement &Submitted = State.m_Request.m_Statement;
+  m_Waiting.add({State.m_Request.m_Id, State.m_Request.m_Workspace,
+                 Limits.m_Priority, Arrived, LateAt,
+                 State.needsPrimary() ? QueueLane::Primary : QueueLane::Read,
+                 Submitted.m_Text.size() + Submitted.m_Name.size() +
+                     Submitted.m_Rest.size()});
+  if (m_Settings.m_ShedLoad)
+    m_ToReview.push_back(State.m_Request.m_Id);
 }
 
 void SessionCore::removeFromQueue(Request &State) {
@@ -40,18 +47,28 @@
     return;
   State.m_IsWaiting = false;
   m_Waiting.remove(State.m_Request.m_Id);
+  if (State.m_ReviewAt)
+    m_Reviews.erase({*State.m_ReviewAt, State.m_Request.m_Id});
+  State.m_ReviewAt.reset();
 }
 
 void SessionCore::dispatch() {
-  m_Waiting.advance(m_Now);
+  const std::vector<RequestId> Late = m_Waiting.advance(m_Now);
+  if (m_Settings.m_ShedLoad)
+    m_ToReview.insert(m_ToReview.end(), Late.begin(), Late.end());
   std::size_t Tries = 0;
   std::size_t Skips = 0;
-  auto Next = m_Waiting.begin();
-  while (Next != m_Waiting.end() && Tries < MaxDispatchTries &&
-         Skips < MaxSkips && hasIdleConnection()) {
-    const RequestId Id = SessionQueue::request(*Next);
-    ++Next;
-    Request &State = m_Requests.at(Id);
+  FairQueue::Walk Walk = m_Waiting.walk();
+  while (Tries < MaxDispatchTries && Skips < MaxSkips && hasIdleConnection()) {
+    const auto Id = Walk.next();
+    if (!Id)
+      break;
+    Request &State = m_Requests.at(*Id);
+    if (!hasIdleConnectionFor(State)) {
+      ++Skips;
+      Walk.skipWorkspace();
+      continue;
+    }
     if (State.needsPrimary() && !hasIdlePrimaryConnection()) {
       ++Skips;
       continue;
@@ -74,6 +91,17 @@
                      });
 }
 
+bool SessionCore::hasIdleConnectionFor(const Request &State) const {
+  const WorkspaceId &Workspace = State.m_Request.m_Workspace;
+  // Without workspaces hasIdleConnection() has told it.
+  if (!m_UsesWorkspaces)
+    return true;
+  return std::any_of(m_View.m_Servers.begin(), m_View.m_Servers.end(),
+                     [&](const ServerView &Each) {
+                       return m_Pool.idleCount(Each.m_Server, Workspace) > 0;
+                     });
+}
+
 bool SessionCore::canOpenConnection() const {
   return std::any_of(
       m_View.m_Servers.begin(), m_View.m_Servers.end(),
@@ -110,10 +138,10 @@
   if (!isLeaseLost() && !isPrimaryUnreachable())
     return;
   std::vector<std::pair<RequestId, ResultCode>> Refusals;
-  for (const SessionQueue::Key &Key : m_Waiting) {
-    const RequestId Id = SessionQueue::request(Key);
-    if (const auto Code = refusalReason(m_Requests.at(Id)))
-      Refusals.emplace_back(Id, *Code);
+  FairQueue::Walk Walk = m_Waiting.walk();
+  while (const auto Id = Walk.next()) {
+    if (const auto Code = refusalReason(m_Requests.at(*Id)))
+      Refusals.emplace_back(*Id, *Code);
   }
   for (const auto &[Id, Code] : Refusals)
     finish(m_Requests.at(Id), Code, TransactionStatus::Idle);
@@ -136,6 +164,9 @@
   if (!isPrimaryUsable())
     return false;
   const ServerId Primary = *m_View.m_Primary;
+  const ServerView *Known = server(Primary);
+  if (Known != nullptr && !hasFreeSlot(*Known))
+    return false;
   const auto Connection = acquireConnection(Primary, State);
   if (!Connection)
     return false;
@@ -190,7 +221,8 @@
     const bool MayCover =
         Floor && (Age == m_ReplicaLags.end() ||
                   Age->second.isWorthTrying(m_Now, Floor->m_QuerySentAt));
-    Target.m_IsAllowed = !IsFull && !State.avoids(Each.m_Server) &&
+    Target.m_IsAllowed = !IsFull && hasFreeSlot(Each) &&
+                         !State.avoids(Each.m_Server) &&
                          (Target.m_IsPrimary ? isPrimaryUsable() : MayCover);
     Targets.push_back(std::move(Target));
   }
@@ -222,8 +254,10 @@
 void SessionCore::sendOn(Request &State, const ServerId &Server,
                          ConnectionId Connection,
                          const std::optional<PositionHistory::Sample> &Floor) {
-  removeFromQueue(State);
   const SessionRequest &Submitted = State.m_Request;
+  m_Waiting.charge(Submitted.m_Workspace,
+                   Submitted.m_Entry->m_Limits.m_Priority);
+  removeFromQueue(State);
   State.m_Connection = Connection;
   State.m_Server = Server;
   State.m_Term = m_View.m_Term;
@@ -233,6 +267,14 @@
   State.m_NotBefore.reset();
   State.m_IsSilenceHandled = false;
   ++State.m_Tries;
+  if (!State.m_InTransaction) {
+    m_Estimate.occupied(m_Now, Connection,
+                        State.needsPrimary() ? QueueLane::Primary
+                                             : QueueLane::Read);
+    if (m_UsesWorkspaces && State.m_Tries == 1)
+      m_Retries.addRequest(Submitted.m_Workspace, Server);
+  }
+  holdSlot(State);
   m_Running[Connection] = Submitted.m_Id;
 
   RunStatement Run;
@@ -281,11 +323,12 @@
     return;
   PoolActions Actions;
   std::map<ServerId, ConnectionDemand> Demand;
-  std::size_t Counted = 0;
-  for (const SessionQueue::Key &Key : m_Waiting) {
-    if (++Counted > MaxDemandStatements)
+  FairQueue::Walk Walk = m_Waiting.walk();
+  for (std::size_t Counted = 0; Counted < MaxDemandStatements; ++Counted) {
+    const auto Id = Walk.next();
+    if (!Id)
       break;
-    const Request &State = m_Requests.at(SessionQueue::request(Key));
+    const Request &State = m_Requests.at(*Id);
     if (!State.needsPrimary())
       addReadDemand(State, Demand);
     else if (m_View.m_Primary)
