--- a/ragwortmux/Process/Control/ControlActor.cpp
+++ b/ragwortmux/Process/Control/ControlActor.cpp
@@ -173,6 +173,16 @@
        });
 }
 
+void ControlActor::takePermits(ControlSessionId Session,
+                               std::vector<PermitDemand> Demands,
+                               Respond<TakePermitsReply> Reply) {
+  send(ControlTaskKind::Permits,
+       [Session, Demands = std::move(Demands),
+        Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant Now) {
+         Node.takePermits(Now, Session, Demands, Reply);
+       });
+}
+
 void ControlActor::revisionsConfirmed(ControlSessionId Session,
                                       Confirmation Confirmed) {
   send(ControlTaskKind::Confirmation,
--- a/ragwortmux/Process/Control/ControlActor.h
+++ b/ragwortmux/Process/Control/ControlActor.h
@@ -46,6 +46,8 @@
   void command(ControlCommand Command, Respond<CommandReply> Reply);
   void query(std::string QueryKind, std::string Name,
              Respond<QueryReply> Reply);
+  void takePermits(ControlSessionId Session, std::vector<PermitDemand> Demands,
+                   Respond<TakePermitsReply> Reply);
   void revisionsConfirmed(ControlSessionId Session, Confirmation Confirmed);
   void pushFailed(ControlSessionId Session);
   void backendCallCompleted(BackendCallResult Result);
--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -10,12 +10,20 @@
 
 namespace ragwortmux {
 
+namespace {
+
+/// Pause asked of a host that takes permits for a workspace which was removed.
+constexpr Duration UnknownWorkspacePause = std::chrono::milliseconds(200);
+
+} // namespace
+
 ControlNode::ControlNode(ControlNodeSettings Settings,
                          std::unique_ptr<LogStorage> Storage,
                          ControlNodeHooks Hooks)
     : m_Settings(std::move(Settings)), m_Storage(std::move(Storage)),
       m_Hooks(std::move(Hooks)), m_State(m_Settings.m_State),
-      m_Leader(m_State, m_Settings.m_Leader) {}
+      m_Leader(m_State, m_Settings.m_Leader),
+      m_Limiter(m_Settings.m_Limiter) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -151,6 +159,56 @@
   eventHandled(Now);
 }
 
+void ControlNode::takePermits(Instant Now, ControlSessionId Session,
+                              const std::vector<PermitDemand> &Demands,
+                              Respond<TakePermitsReply> Reply) {
+  if (!isServing()) {
+    Reply({notLeaderStatus(), {}});
+    return;
+  }
+  if (!m_Limiter.isEnforced()) {
+    Reply({});
+    return;
+  }
+  // A host whose session has ended must open another one first, like for a
+  // lease.
+  if (m_State.sessions().find(Session) == nullptr) {
+    Reply({{ResultCode::Unauthorized, "the control session has ended", ""},
+           {}});
+    return;
+  }
+  // The permits are issued before the quorum round starts; see
+  // WorkspaceLimiter. If the round fails, they are lost.
+  PermitGrants Grants;
+  Grants.m_Validity = m_Limiter.validity();
+  for (const PermitDemand &Demand : Demands) {
+    Grants.m_Grants.push_back(issuePermits(Now, Demand));
+  }
+  const std::uint64_t Token = PermitTokenBit | ++m_LastTokenNumber;
+  if (!m_Log->confirmLeadership(Now, ConfirmationToken(Token))) {
+    Reply({notLeaderStatus(), {}});
+    return;
+  }
+  m_Permits[Token] = {std::move(Grants), std::move(Reply)};
+  eventHandled(Now);
+}
+
+PermitGrant ControlNode::issuePermits(Instant Now, const PermitDemand &Demand) {
+  const WorkspaceItem *Item =
+      m_State.catalogue().workspaces().find(Demand.m_Workspace);
+  if (Item == nullptr) {
+    PermitGrant Refusal;
+    Refusal.m_RetryAfter = UnknownWorkspacePause;
+    return Refusal;
+  }
+  const WorkspaceLimit &Limit = Item->m_Workspace.m_Limit;
+  // The host has not yet received the update that lifts the limit.
+  if (Limit.m_RatePerSecond == 0) {
+    return {Demand.m_Needed, Duration(0), false};
+  }
+  return m_Limiter.take(Now, Demand, Limit);
+}
+
 void ControlNode::revisionsConfirmed(Instant Now, ControlSessionId Session,
                                      const Confirmation &Confirmed) {
   if (!m_Leader.isLeader()) {
@@ -243,6 +301,9 @@
   for (auto &[Token, Query] : std::exchange(m_Queries, {})) {
     Query.m_Reply({Status, ""});
   }
+  for (auto &[Token, Pending] : std::exchange(m_Permits, {})) {
+    Pending.m_Reply({Status, {}});
+  }
   // Commands stay pending: they may still be committed, and ProposalDropped
   // reports those that cannot.
 }
--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Process/Peers/ControlMessages.h"
 #include "ragwortmux/Version/ControlLeader.h"
 #include "ragwortmux/Version/ControlState.h"
+#include "ragwortmux/Version/WorkspaceLimiter.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,6 +31,7 @@
   ReplicatedLogSettings m_Log; ///< The replicated log.
   ControlLeaderSettings m_Leader;         ///< Decisions of the leader.
   ControlState::Settings m_State;         ///< Limits of the state.
+  WorkspaceLimiterSettings m_Limiter;     ///< Rate limits of workspaces.
   std::uint64_t m_SnapshotEntries = 4096; ///< Most entries between snapshots.
   std::size_t m_SnapshotBytes =
       std::size_t{8} << 20; ///< Payload bytes after which a snapshot is due
@@ -96,6 +98,11 @@
   /// node as the leader.
   void query(Instant Now, const std::string &QueryKind, const std::string &Name,
              Respond<QueryReply> Reply);
+  /// Issues permits for operations of limited workspaces; answered after a
+  /// quorum has confirmed this node as the leader.
+  void takePermits(Instant Now, ControlSessionId Session,
+                   const std::vector<PermitDemand> &Demands,
+                   Respond<TakePermitsReply> Reply);
   void revisionsConfirmed(Instant Now, ControlSessionId Session,
                           const Confirmation &Confirmed);
   void pushFailed(ControlSessionId Session) { m_Leader.pushFailed(Session); }
@@ -126,6 +133,7 @@
   using RenewalKey = std::pair<ControlSessionId, std::uint64_t>;
   struct PendingCommand;
   struct PendingQuery;
+  struct PendingPermits;
 
   /// Performs the actions of an event, unless a batch is open.
   void eventHandled(Instant Now);
@@ -166,6 +174,7 @@
   void startVoterStep(Instant Now, const MembershipChange &Step);
   void failPending();
   void answerQuery(const PendingQuery &Query);
+  PermitGrant issuePermits(Instant Now, const PermitDemand &Demand);
   bool isServing() const;
   ControlStatus notLeaderStatus() const;
   static SessionHomesView homesView(const SessionHomeLists &Homes);
@@ -179,8 +188,11 @@
   std::unique_ptr<ReplicatedLog> m_Log;  ///< Set by open().
   ControlState m_State;                  ///< The replicated state.
   ControlLeader m_Leader;                ///< Decides while this node leads.
+  WorkspaceLimiter m_Limiter; ///< Issues permits while this node leads.
   std::map<LogIndex, PendingCommand> m_Commands; ///< Not yet applied; by index.
   std::map<std::uint64_t, PendingQuery> m_Queries; ///< Unconfirmed; by token.
+  std::map<std::uint64_t, PendingPermits>
+      m_Permits; ///< Issued, not yet confirmed; by token.
   std::map<RenewalKey, Respond<RenewReply>> m_Renewals; ///< Not yet answered.
   std::map<ControlSessionId, ControlUpdate>
       m_Pushes; ///< Updates to push once all actions of a step are performed.
@@ -211,6 +223,12 @@
   Respond<QueryReply> m_Reply; ///< Takes the answer.
 };
 
+/// Permits that are sent once this node is confirmed as the leader.
+struct ControlNode::PendingPermits final {
+  PermitGrants m_Grants;             ///< The permits.
+  Respond<TakePermitsReply> m_Reply; ///< Takes them.
+};
+
 /// A promotion that waits until this node is confirmed as the leader.
 struct ControlNode::PendingPromotion final {
   CallBackend m_Call;  ///< The call.
--- a/ragwortmux/Process/Control/ControlNodeActions.cpp
+++ b/ragwortmux/Process/Control/ControlNodeActions.cpp
@@ -174,6 +174,7 @@
 
 void ControlNode::perform(Instant Now, const LeaderReady &) {
   m_Leader.becameLeader(Now);
+  m_Limiter.becameLeader(Now);
   m_Hooks.m_LeadershipChanged(true);
 }
 
@@ -193,6 +194,15 @@
     sendPromotion(Token);
     return;
   }
+  if ((Token & PermitTokenBit) != 0) {
+    const auto Issued = m_Permits.find(Token);
+    if (Issued != m_Permits.end()) {
+      const PendingPermits Pending = std::move(Issued->second);
+      m_Permits.erase(Issued);
+      Pending.m_Reply({{}, Pending.m_Grants});
+    }
+    return;
+  }
   if ((Token & QueryTokenBit) == 0) {
     m_Leader.leadershipConfirmed(Token, Now);
     return;
@@ -223,6 +233,11 @@
 
 void ControlNode::perform(Instant, const ConfirmationDropped &Action) {
   m_Promotions.erase(Action.m_Token.value());
+  const auto Issued = m_Permits.find(Action.m_Token.value());
+  if (Issued != m_Permits.end()) {
+    Issued->second.m_Reply({notLeaderStatus(), {}});
+    m_Permits.erase(Issued);
+  }
   const auto Found = m_Queries.find(Action.m_Token.value());
   if (Found != m_Queries.end()) {
     Found->second.m_Reply({notLeaderStatus(), ""});
--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -132,6 +132,11 @@
                          auto Respond) {
     m_Actor->query(QueryKind, Name, Respond);
   };
+  Hooks.m_TakePermits = [this](ControlSessionId Session,
+                               const std::vector<PermitDemand> &Demands,
+                               auto Respond) {
+    m_Actor->takePermits(Session, Demands, Respond);
+  };
 }
 
 void ControlRole::addPeers(const std::vector<ControlPeer> &Peers) {
@@ -182,6 +187,10 @@
   Node.m_Leader.m_ShareCeiling = m_Settings.m_ConnectionShareMax;
   Node.m_Leader.m_ShareReservePercent = m_Settings.m_ConnectionReservePercent;
   Node.m_Leader.m_SilenceUnannounced = m_Settings.m_ServerSilence;
+  Node.m_Limiter.m_Window = m_Settings.m_QuotaWindow;
+  Node.m_Limiter.m_Overage = m_Settings.m_QuotaOverage;
+  Node.m_Limiter.m_Slack = m_Settings.m_QuotaSlack;
+  Node.m_Limiter.m_Drift = Node.m_Leader.m_Drift;
   Node.m_State.m_Ledger.m_Retention =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           m_Settings.m_LedgerRetention);
--- a/ragwortmux/Process/Control/ControlTaskKind.h
+++ b/ragwortmux/Process/Control/ControlTaskKind.h
@@ -18,6 +18,7 @@
   Confirmation,  ///< An entry process confirms revisions.
   BackendResult, ///< A call to a backend server ended.
   Peers,         ///< Identities of the other control hosts.
+  Permits,       ///< An entry process takes permits of limited workspaces.
   Identify,      ///< This host's identity is asked for.
 };
 
--- a/ragwortmux/Process/Control/ControlTokens.h
+++ b/ragwortmux/Process/Control/ControlTokens.h
@@ -14,6 +14,9 @@
 /// Set in the confirmation tokens of promotions.
 inline constexpr std::uint64_t PromotionTokenBit = std::uint64_t{1} << 62U;
 
+/// Set in the confirmation tokens of permits.
+inline constexpr std::uint64_t PermitTokenBit = std::uint64_t{1} << 61U;
+
 } // namespace ragwortmux
 
 #endif // RAGWORTMUX_PROCESS_CONTROL_CONTROLTOKENS_H
--- a/ragwortmux/Process/Entry/ControlClient.cpp
+++ b/ragwortmux/Process/Entry/ControlClient.cpp
@@ -297,6 +297,26 @@
       });
 }
 
+void ControlClient::takePermits(
+    const std::vector<PermitDemand> &Demands,
+    const std::function<void(const std::optional<PermitGrants> &)> &Reply) {
+  leaderLink().takePermits(
+      m_Lease.session(), Demands,
+      [this, TargetIndex = m_LeaderIndex,
+       Reply](const std::optional<TakePermitsReply> &Response) {
+        if (Response && Response->m_Status.ok()) {
+          Reply(Response->m_Grants);
+          return;
+        }
+        if (!Response) {
+          switchToNextHost(TargetIndex);
+        } else if (Response->m_Status.m_Code == ResultCode::NotLeader) {
+          followLeaderHint(TargetIndex, Response->m_Status);
+        }
+        Reply(std::nullopt);
+      });
+}
+
 void ControlClient::announce(const ServerAnnouncement &Announcement) {
   const auto IsSameServer = [&](const ServerAnnouncement &Other) {
     return Other.m_Group == Announcement.m_Group &&
--- a/ragwortmux/Process/Entry/ControlClient.h
+++ b/ragwortmux/Process/Entry/ControlClient.h
@@ -90,6 +90,13 @@
   void query(const std::string &QueryKind, const std::string &Name,
              Instant Deadline, const std::function<void(QueryReply)> &Reply);
 
+  /// Takes permits for operations of limited workspaces from the leader, in one
+  /// attempt. The reply is empty if no leader answered; the next attempt may go
+  /// to another host.
+  void takePermits(
+      const std::vector<PermitDemand> &Demands,
+      const std::function<void(const std::optional<PermitGrants> &)> &Reply);
+
   /// Sends an announcement with the next report. Of each server, only the
   /// newest announcement is sent.
   void announce(const ServerAnnouncement &Announcement);
--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -49,6 +49,11 @@
   m_Core.setUsesWorkspaces(UsesWorkspaces);
 }
 
+void SessionDriver::permitsChanged() {
+  m_Core.permitsChanged(monotonicNow(), m_Actions);
+  perform();
+}
+
 void SessionDriver::setLease(Instant ValidUntil) {
   m_Core.leaseExtended(monotonicNow(), ValidUntil, m_Actions);
   perform();
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -44,6 +44,9 @@
   void applyView(const GroupView &View);
   /// Sets whether callers of the group belong to workspaces.
   void setUsesWorkspaces(bool UsesWorkspaces);
+  /// See SessionCore::setPermits().
+  void setPermits(WorkspacePermits *Permits) { m_Core.setPermits(Permits); }
+  void permitsChanged();
   /// Sets the end of the lease; an instant that has passed ends it.
   void setLease(Instant ValidUntil);
   void controlSessionChanged();
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -47,6 +47,7 @@
       m_Hooks(std::move(Hooks)), m_StatementLog(ProcessMetrics, m_Catalogue),
       m_AdmissionControl(monotonicNow(), MaxAdmissionWait),
       m_Incarnation(makeIncarnation()),
+      m_Permits({Settings.m_DriftPercent, Settings.m_Drift}, permitHooks()),
       m_Control(std::make_unique<ControlClient>(
           Loop, Settings.m_ClusterKey,
           controlClientSettings(Settings, Settings.m_RpcPort, m_Incarnation,
@@ -350,6 +351,83 @@
   return Hooks;
 }
 
+WorkspacePermits::Hooks SessionEntryRole::permitHooks() {
+  WorkspacePermits::Hooks Hooks;
+  Hooks.m_Rate = [this](const WorkspaceId &Name) {
+    const auto Found = m_Catalogue.workspace(Name);
+    return Found == nullptr ? 0 : Found->m_Limit.m_RatePerSecond;
+  };
+  Hooks.m_RequestWanted = [this] {
+    schedulePermitRequest();
+    schedulePermitTick();
+  };
+  return Hooks;
+}
+
+void SessionEntryRole::schedulePermitRequest() {
+  if (m_IsPermitRequestScheduled) {
+    return;
+  }
+  m_IsPermitRequestScheduled = true;
+  m_Loop.after(Duration(0), [this] {
+    m_IsPermitRequestScheduled = false;
+    sendPermitRequest();
+  });
+}
+
+void SessionEntryRole::sendPermitRequest() {
+  const auto Request = m_Permits.nextRequest(monotonicNow());
+  if (!Request) {
+    return;
+  }
+  m_Control->takePermits(
+      Request->m_Demands, [this, Number = Request->m_Number](
+                              const std::optional<PermitGrants> &Grants) {
+        if (!Grants) {
+          m_Permits.failed(monotonicNow(), Number);
+        } else if (m_Permits.answered(monotonicNow(), Number, *Grants)) {
+          permitsChanged();
+        }
+      });
+}
+
+void SessionEntryRole::schedulePermitTick() {
+  if (m_IsPermitTickScheduled) {
+    return;
+  }
+  m_IsPermitTickScheduled = true;
+  m_Loop.after(WorkspacePermits::TickInterval, [this] {
+    m_IsPermitTickScheduled = false;
+    m_Permits.tick(monotonicNow());
+    permitsChanged();
+    if (m_Permits.isActive()) {
+      schedulePermitTick();
+    }
+  });
+}
+
+void SessionEntryRole::permitsChanged() {
+  for (auto &[Group, Driver] : m_Groups) {
+    if (Driver->core().awaitsPermits()) {
+      Driver->permitsChanged();
+    }
+  }
+  for (const WorkspaceLimitChange &Change : m_Permits.takeLimitChanges()) {
+    const std::array Fields = {
+        LogField{"workspace", Change.m_Workspace.value()},
+        LogField{"limited", std::int64_t{Change.m_IsLimited ? 1 : 0}},
+        LogField{"refused", static_cast<std::int64_t>(Change.m_Refused)},
+        LogField{"for_ms",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     Change.m_Length)
+                     .count()}};
+    logRecord(LogLevel::Info, Part::Group,
+              Change.m_IsLimited ? "A workspace is limited."
+                                 : "A workspace is no longer limited.",
+              Fields);
+  }
+}
+
 void SessionEntryRole::setLease(Instant ValidUntil) {
   m_LeaseExpiry = ValidUntil;
   for (auto &[Group, Driver] : m_Groups) {
@@ -386,6 +464,7 @@
     Driver = std::make_unique<SessionDriver>(m_Loop, Group, Settings,
                                              driverHooks(Group));
     Driver->setUsesWorkspaces(m_KeyedGroups.contains(Group));
+    Driver->setPermits(&m_Permits);
     Driver->setLease(m_LeaseExpiry);
     if (m_Draining) {
       Driver->drain();
@@ -456,6 +535,16 @@
   m_Metrics.set(Metric::Callers, {},
                 static_cast<double>(m_Hooks.m_CountCallers()));
   m_Metrics.set(Metric::Draining, {}, m_Draining ? 1 : 0);
+  const auto Count = [this](std::uint64_t Total, std::uint64_t &Counted,
+                            const char *Outcome) {
+    if (Total > Counted) {
+      m_Metrics.add(Metric::WorkspacePermits, {Outcome}, Total - Counted);
+    }
+    Counted = Total;
+  };
+  Count(m_Permits.grantedCount(), m_CountedGranted, "granted");
+  Count(m_Permits.refusedCount(), m_CountedRefused, "refused");
+  Count(m_Permits.expiredCount(), m_CountedExpired, "expired");
   const Duration RemainingLease =
       std::max(Duration(0), m_LeaseExpiry - monotonicNow());
   m_Metrics.set(Metric::LeaseSeconds, {},
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Process/Entry/SessionDriver.h"
 #include "ragwortmux/Process/Entry/StatementLog.h"
 #include "ragwortmux/Request/RelayedCallers.h"
+#include "ragwortmux/Request/WorkspacePermits.h"
 #include "ragwortmux/Version/CatalogueCache.h"
 
 #include <cstdint>
@@ -107,6 +108,14 @@
 private:
   ControlClientHooks controlHooks();
   RelayClientHooks relayHooks();
+  WorkspacePermits::Hooks permitHooks();
+  /// Sends the next request for permits on a later turn of the event loop, so
+  /// that it covers all statements of this turn.
+  void schedulePermitRequest();
+  void sendPermitRequest();
+  void schedulePermitTick();
+  /// Sends or refuses the statements that waited for permits.
+  void permitsChanged();
   /// The servers to which this host could use more connections than its share
   /// allows; the other shares are sufficient.
   std::vector<ShareDemand> unmetDemand() const;
@@ -152,6 +161,12 @@
   StatementLog m_StatementLog;         ///< Logs and counts decisions.
   AdmissionControl m_AdmissionControl; ///< Decides on new callers.
   Incarnation m_Incarnation;           ///< Identifies this process start.
+  WorkspacePermits m_Permits; ///< Permits of limited workspaces.
+  std::uint64_t m_CountedGranted = 0; ///< In the metrics already.
+  std::uint64_t m_CountedRefused = 0; ///< In the metrics already.
+  std::uint64_t m_CountedExpired = 0; ///< In the metrics already.
+  bool m_IsPermitRequestScheduled = false; ///< See schedulePermitRequest().
+  bool m_IsPermitTickScheduled = false;    ///< See schedulePermitTick().
   std::unique_ptr<ControlClient> m_Control; ///< Control session and lease.
   std::map<GroupId, std::unique_ptr<SessionDriver>>
       m_Groups;                    ///< Drivers by group.
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -245,6 +245,18 @@
   written @5 :Point;
 }
 
+struct PermitDemand {
+  workspace @0 :Text;
+  needed @1 :UInt32;
+  spare @2 :UInt32;
+}
+
+struct PermitGrant {
+  permits @0 :UInt32;
+  retryAfterUs @1 :UInt32;
+  plenty @2 :Bool;
+}
+
 interface StatementRelay {
   # Runs statements for the callers of another entry process.
 
@@ -289,4 +301,9 @@
 
   openRelay @9 () -> (relay :StatementRelay);
   # Opens a relay to this entry process; it ends with the connection.
+
+  takePermits @10 (session :UInt64, demands :List(PermitDemand))
+      -> (status :Status, validityUs :Int64, grants :List(PermitGrant));
+  # Takes permits for operations of limited workspaces. There is one grant for each demand, in order; validityUs is 0
+  # and there are no grants if limits are not enforced.
 }
--- a/ragwortmux/Process/Generated/Cluster.capnp.c++
+++ b/ragwortmux/Process/Generated/Cluster.capnp.c++
@@ -3272,6 +3272,156 @@
   1, 6, i_bfd5fb1dd2c46f64, nullptr, nullptr, { &s_bfd5fb1dd2c46f64, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_d502fbb9d7dda036 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     54, 160, 221, 215, 185, 251,   2, 213,
+     14,   0,   0,   0,   1,   0,   1,   0,
+    145,  35, 126, 200, 177, 164, 245, 208,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 108, 117, 115, 116, 101, 114,  46,
+     99,  97, 112, 110, 112,  58,  80, 101,
+    114, 109, 105, 116,  68, 101, 109,  97,
+    110, 100,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    119, 111, 114, 107, 115, 112,  97,  99,
+    101,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 101, 101, 100, 101, 100,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 112,  97, 114, 101,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d502fbb9d7dda036 = b_d502fbb9d7dda036.words;
+#if !CAPNP_LITE
+static const uint16_t m_d502fbb9d7dda036[] = {1, 2, 0};
+static const uint16_t i_d502fbb9d7dda036[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_d502fbb9d7dda036 = {
+  0xd502fbb9d7dda036, b_d502fbb9d7dda036.words, 64, nullptr, m_d502fbb9d7dda036,
+  0, 3, i_d502fbb9d7dda036, nullptr, nullptr, { &s_d502fbb9d7dda036, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_d41077c2cec50914 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     20,   9, 197, 206, 194, 119,  16, 212,
+     14,   0,   0,   0,   1,   0,   2,   0,
+    145,  35, 126, 200, 177, 164, 245, 208,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 108, 117, 115, 116, 101, 114,  46,
+     99,  97, 112, 110, 112,  58,  80, 101,
+    114, 109, 105, 116,  71, 114,  97, 110,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    112, 101, 114, 109, 105, 116, 115,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 116, 114, 121,  65, 102, 116,
+    101, 114,  85, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 108, 101, 110, 116, 121,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d41077c2cec50914 = b_d41077c2cec50914.words;
+#if !CAPNP_LITE
+static const uint16_t m_d41077c2cec50914[] = {0, 2, 1};
+static const uint16_t i_d41077c2cec50914[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_d41077c2cec50914 = {
+  0xd41077c2cec50914, b_d41077c2cec50914.words, 64, nullptr, m_d41077c2cec50914,
+  0, 3, i_d41077c2cec50914, nullptr, nullptr, { &s_d41077c2cec50914, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<51> b_bd8a05a40197c77f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     127, 199, 151,   1, 164,   5, 138, 189,
@@ -3565,7 +3715,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_96ad940ff6d3c13a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<126> b_cd61a8d555c31d7a = {
+static const ::capnp::_::AlignedData<137> b_cd61a8d555c31d7a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     122,  29, 195,  85, 213, 168,  97, 205,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -3575,94 +3725,102 @@
      21,   0,   0,   0, 154,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   2,   0,   0,
-    201,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   2,   0,   0,
+    245,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      67, 108, 117, 115, 116, 101, 114,  46,
      99,  97, 112, 110, 112,  58,  80, 101,
     101, 114,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     40,   0,   0,   0,   3,   0,   5,   0,
+     44,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     227, 225,  50,  49, 192,  21,  28, 248,
     145, 146, 252, 192, 220, 168, 106, 193,
-     49,   1,   0,   0,  90,   0,   0,   0,
+     81,   1,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   1,   0,   0,   7,   0,   0,   0,
+     73,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     120, 121,  66,  87,  22,  38, 246, 177,
      10,  87,  98, 246, 162,  99, 172, 193,
-     29,   1,   0,   0,  74,   0,   0,   0,
+     61,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   1,   0,   0,   7,   0,   0,   0,
+     53,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     118,  59,   6, 110,  76, 228,  63, 156,
      79, 250, 171, 244, 105,  80, 204, 149,
-      9,   1,   0,   0,  98,   0,   0,   0,
+     41,   1,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   1,   0,   0,   7,   0,   0,   0,
+     33,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     233, 239, 253, 201,  78,  74, 207, 168,
     255, 130, 148, 185, 127, 181, 101, 201,
-    245,   0,   0,   0,  50,   0,   0,   0,
+     21,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      65,  93,  63,  61,  99, 202,  21, 222,
       9, 209, 205, 243, 170, 175, 228, 223,
-    221,   0,   0,   0,  58,   0,   0,   0,
+    253,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,   7,   0,   0,   0,
+    241,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      49,  59,   5, 101, 243, 248, 155, 160,
     115, 145,   2,  54,  41, 215, 253, 145,
-    197,   0,   0,   0,  66,   0,   0,   0,
+    229,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    185,   0,   0,   0,   7,   0,   0,   0,
+    217,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     232,   7, 127, 213,  66,  88, 161, 231,
     170, 227,  23, 113,  88,  70, 148, 224,
-    173,   0,   0,   0,  50,   0,   0,   0,
+    205,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    161,   0,   0,   0,   7,   0,   0,   0,
+    193,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
      17,  38,  56,  90,  24,  27,  64, 241,
      38, 196, 156,  62, 145, 119, 155, 185,
-    149,   0,   0,   0, 146,   0,   0,   0,
+    181,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      99, 184,  70, 212,  47, 187,   6, 162,
       0, 118,  21,  93,  17, 254,  96, 239,
-    133,   0,   0,   0, 138,   0,   0,   0,
+    165,   0,   0,   0, 138,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    161,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
     118,  81, 204, 242,  98, 148,   0, 224,
      93,  77, 251,  85,  99,  40, 135, 253,
-    117,   0,   0,   0,  82,   0,   0,   0,
+    149,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
+     10,   0,   0,   0,   0,   0,   0,   0,
+      9,  47, 244,  48, 181, 187,  68, 150,
+     58,  98, 126,  47, 101, 117, 203, 247,
+    129,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
     108, 111, 103,  77, 101, 115, 115,  97,
     103, 101,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -3691,6 +3849,9 @@
     111, 112, 101, 110,  82, 101, 108,  97,
     121,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    116,  97, 107, 101,  80, 101, 114, 109,
+    105, 116, 115,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cd61a8d555c31d7a = b_cd61a8d555c31d7a.words;
@@ -3698,6 +3859,7 @@
 static const ::capnp::_::RawSchema* const d_cd61a8d555c31d7a[] = {
   &s_91fdd72936029173,
   &s_95cc5069f4abfa4f,
+  &s_9644bbb530f42f09,
   &s_9c3fe44c6e063b76,
   &s_a09bf8f365053b31,
   &s_a206bb2fd446b863,
@@ -3714,13 +3876,14 @@
   &s_e7a15842d57f07e8,
   &s_ef60fe115d157600,
   &s_f1401b185a382611,
+  &s_f7cb75652f7e623a,
   &s_f81c15c03132e1e3,
   &s_fd87286355fb4d5d,
 };
-static const uint16_t m_cd61a8d555c31d7a[] = {5, 8, 1, 0, 9, 2, 6, 3, 4, 7};
+static const uint16_t m_cd61a8d555c31d7a[] = {5, 8, 1, 0, 9, 2, 6, 3, 4, 7, 10};
 const ::capnp::_::RawSchema s_cd61a8d555c31d7a = {
-  0xcd61a8d555c31d7a, b_cd61a8d555c31d7a.words, 126, d_cd61a8d555c31d7a, m_cd61a8d555c31d7a,
-  20, 10, nullptr, nullptr, nullptr, { &s_cd61a8d555c31d7a, nullptr, nullptr, 0, 0, nullptr }
+  0xcd61a8d555c31d7a, b_cd61a8d555c31d7a.words, 137, d_cd61a8d555c31d7a, m_cd61a8d555c31d7a,
+  22, 11, nullptr, nullptr, nullptr, { &s_cd61a8d555c31d7a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_f81c15c03132e1e3 = {
@@ -5012,6 +5175,155 @@
   1, 1, i_fd87286355fb4d5d, nullptr, nullptr, { &s_fd87286355fb4d5d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<52> b_9644bbb530f42f09 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      9,  47, 244,  48, 181, 187,  68, 150,
+     19,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 108, 117, 115, 116, 101, 114,  46,
+     99,  97, 112, 110, 112,  58,  80, 101,
+    101, 114,  46, 116,  97, 107, 101,  80,
+    101, 114, 109, 105, 116, 115,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 115, 115, 105, 111, 110,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 109,  97, 110, 100, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     54, 160, 221, 215, 185, 251,   2, 213,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9644bbb530f42f09 = b_9644bbb530f42f09.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9644bbb530f42f09[] = {
+  &s_d502fbb9d7dda036,
+};
+static const uint16_t m_9644bbb530f42f09[] = {1, 0};
+static const uint16_t i_9644bbb530f42f09[] = {0, 1};
+const ::capnp::_::RawSchema s_9644bbb530f42f09 = {
+  0x9644bbb530f42f09, b_9644bbb530f42f09.words, 52, d_9644bbb530f42f09, m_9644bbb530f42f09,
+  1, 2, i_9644bbb530f42f09, nullptr, nullptr, { &s_9644bbb530f42f09, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<68> b_f7cb75652f7e623a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     58,  98, 126,  47, 101, 117, 203, 247,
+     19,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 108, 117, 115, 116, 101, 114,  46,
+     99,  97, 112, 110, 112,  58,  80, 101,
+    101, 114,  46, 116,  97, 107, 101,  80,
+    101, 114, 109, 105, 116, 115,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+    115, 116,  97, 116, 117, 115,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    132, 112, 181, 245, 230, 243, 215, 129,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118,  97, 108, 105, 100, 105, 116, 121,
+     85, 115,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 114,  97, 110, 116, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     20,   9, 197, 206, 194, 119,  16, 212,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f7cb75652f7e623a = b_f7cb75652f7e623a.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f7cb75652f7e623a[] = {
+  &s_81d7f3e6f5b57084,
+  &s_d41077c2cec50914,
+};
+static const uint16_t m_f7cb75652f7e623a[] = {2, 0, 1};
+static const uint16_t i_f7cb75652f7e623a[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_f7cb75652f7e623a = {
+  0xf7cb75652f7e623a, b_f7cb75652f7e623a.words, 68, d_f7cb75652f7e623a, m_f7cb75652f7e623a,
+  2, 3, i_f7cb75652f7e623a, nullptr, nullptr, { &s_f7cb75652f7e623a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -5398,6 +5710,22 @@
 constexpr ::capnp::_::RawSchema const* RelayedAnswer::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// PermitDemand
+constexpr uint16_t PermitDemand::_capnpPrivate::dataWordSize;
+constexpr uint16_t PermitDemand::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PermitDemand::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PermitDemand::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// PermitGrant
+constexpr uint16_t PermitGrant::_capnpPrivate::dataWordSize;
+constexpr uint16_t PermitGrant::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PermitGrant::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PermitGrant::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::ragwortmux::rpc::StatementRelay::RunParams,  ::ragwortmux::rpc::StatementRelay::RunResults>
 StatementRelay::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -5625,6 +5953,16 @@
       "Cluster.capnp:Peer", "openRelay",
       0xcd61a8d555c31d7aull, 9);
 }
+::capnp::Request< ::ragwortmux::rpc::Peer::TakePermitsParams,  ::ragwortmux::rpc::Peer::TakePermitsResults>
+Peer::Client::takePermitsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ragwortmux::rpc::Peer::TakePermitsParams,  ::ragwortmux::rpc::Peer::TakePermitsResults>(
+      0xcd61a8d555c31d7aull, 10, sizeHint);
+}
+::kj::Promise<void> Peer::Server::takePermits(TakePermitsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Cluster.capnp:Peer", "takePermits",
+      0xcd61a8d555c31d7aull, 10);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -5699,6 +6037,12 @@
              ::ragwortmux::rpc::Peer::OpenRelayParams,  ::ragwortmux::rpc::Peer::OpenRelayResults>(context)),
         false
       };
+    case 10:
+      return {
+        takePermits(::capnp::Capability::Server::internalGetTypedContext<
+             ::ragwortmux::rpc::Peer::TakePermitsParams,  ::ragwortmux::rpc::Peer::TakePermitsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -5874,6 +6218,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::OpenRelayResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::TakePermitsParams
+constexpr uint16_t Peer::TakePermitsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::TakePermitsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::TakePermitsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::TakePermitsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::TakePermitsResults
+constexpr uint16_t Peer::TakePermitsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::TakePermitsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::TakePermitsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::TakePermitsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -52,6 +52,8 @@
 CAPNP_DECLARE_SCHEMA(bd65102991d9a975);
 CAPNP_DECLARE_SCHEMA(84ddac9b1e58a231);
 CAPNP_DECLARE_SCHEMA(bfd5fb1dd2c46f64);
+CAPNP_DECLARE_SCHEMA(d502fbb9d7dda036);
+CAPNP_DECLARE_SCHEMA(d41077c2cec50914);
 CAPNP_DECLARE_SCHEMA(bd8a05a40197c77f);
 CAPNP_DECLARE_SCHEMA(c56354b758801366);
 CAPNP_DECLARE_SCHEMA(d45c4fca053b060a);
@@ -80,6 +82,8 @@
 CAPNP_DECLARE_SCHEMA(ef60fe115d157600);
 CAPNP_DECLARE_SCHEMA(e0009462f2cc5176);
 CAPNP_DECLARE_SCHEMA(fd87286355fb4d5d);
+CAPNP_DECLARE_SCHEMA(9644bbb530f42f09);
+CAPNP_DECLARE_SCHEMA(f7cb75652f7e623a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -594,6 +598,36 @@
   };
 };
 
+struct PermitDemand {
+  PermitDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d502fbb9d7dda036, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitGrant {
+  PermitGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d41077c2cec50914, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StatementRelay {
   StatementRelay() = delete;
 
@@ -735,6 +769,8 @@
   struct FindSessionPointResults;
   struct OpenRelayParams;
   struct OpenRelayResults;
+  struct TakePermitsParams;
+  struct TakePermitsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1044,6 +1080,36 @@
   };
 };
 
+struct Peer::TakePermitsParams {
+  TakePermitsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9644bbb530f42f09, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::TakePermitsResults {
+  TakePermitsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f7cb75652f7e623a, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -4417,6 +4483,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class PermitDemand::Reader {
+public:
+  typedef PermitDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint32_t getNeeded() const;
+
+  inline  ::uint32_t getSpare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitDemand::Builder {
+public:
+  typedef PermitDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint32_t getNeeded();
+  inline void setNeeded( ::uint32_t value);
+
+  inline  ::uint32_t getSpare();
+  inline void setSpare( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitDemand::Pipeline {
+public:
+  typedef PermitDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitGrant::Reader {
+public:
+  typedef PermitGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPermits() const;
+
+  inline  ::uint32_t getRetryAfterUs() const;
+
+  inline bool getPlenty() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitGrant::Builder {
+public:
+  typedef PermitGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPermits();
+  inline void setPermits( ::uint32_t value);
+
+  inline  ::uint32_t getRetryAfterUs();
+  inline void setRetryAfterUs( ::uint32_t value);
+
+  inline bool getPlenty();
+  inline void setPlenty(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitGrant::Pipeline {
+public:
+  typedef PermitGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class StatementRelay::Client
     : public virtual ::capnp::Capability::Client {
@@ -4974,6 +5217,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ragwortmux::rpc::Peer::OpenRelayParams,  ::ragwortmux::rpc::Peer::OpenRelayResults> openRelayRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ragwortmux::rpc::Peer::TakePermitsParams,  ::ragwortmux::rpc::Peer::TakePermitsResults> takePermitsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -5030,6 +5275,10 @@
   typedef  ::ragwortmux::rpc::Peer::OpenRelayResults OpenRelayResults;
   typedef ::capnp::CallContext<OpenRelayParams, OpenRelayResults> OpenRelayContext;
   virtual ::kj::Promise<void> openRelay(OpenRelayContext context);
+  typedef  ::ragwortmux::rpc::Peer::TakePermitsParams TakePermitsParams;
+  typedef  ::ragwortmux::rpc::Peer::TakePermitsResults TakePermitsResults;
+  typedef ::capnp::CallContext<TakePermitsParams, TakePermitsResults> TakePermitsContext;
+  virtual ::kj::Promise<void> takePermits(TakePermitsContext context);
 
   inline  ::ragwortmux::rpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -6856,55 +7105,238 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::TakePermitsParams::Reader {
+public:
+  typedef TakePermitsParams Reads;
 
-#if !CAPNP_LITE
-inline Gate::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Gate::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Gate::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Gate::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Gate::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
 #endif  // !CAPNP_LITE
-inline bool Gate::HelloResults::Reader::hasNonce() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Gate::HelloResults::Builder::hasNonce() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Gate::HelloResults::Reader::getNonce() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Gate::HelloResults::Builder::getNonce() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Gate::HelloResults::Builder::setNonce( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Gate::HelloResults::Builder::initNonce(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+  inline  ::uint64_t getSession() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::TakePermitsParams::Builder {
+public:
+  typedef TakePermitsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TakePermitsParams::Pipeline {
+public:
+  typedef TakePermitsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::TakePermitsResults::Reader {
+public:
+  typedef TakePermitsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::ragwortmux::rpc::Status::Reader getStatus() const;
+
+  inline  ::int64_t getValidityUs() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::TakePermitsResults::Builder {
+public:
+  typedef TakePermitsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::ragwortmux::rpc::Status::Builder getStatus();
+  inline void setStatus( ::ragwortmux::rpc::Status::Reader value);
+  inline  ::ragwortmux::rpc::Status::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::ragwortmux::rpc::Status>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Status> disownStatus();
+
+  inline  ::int64_t getValidityUs();
+  inline void setValidityUs( ::int64_t value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::TakePermitsResults::Pipeline {
+public:
+  typedef TakePermitsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ragwortmux::rpc::Status::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+#if !CAPNP_LITE
+inline Gate::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Gate::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Gate::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Gate::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Gate::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::ragwortmux::rpc::Gate::Client& Gate::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Gate::HelloResults::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gate::HelloResults::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Gate::HelloResults::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Gate::HelloResults::Builder::setNonce( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Gate::HelloResults::Builder::adoptNonce(
     ::capnp::Orphan< ::capnp::Data>&& value) {
@@ -10390,6 +10822,110 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PermitDemand::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitDemand::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitDemand::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitDemand::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitDemand::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitDemand::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitDemand::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitDemand::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PermitDemand::Reader::getNeeded() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitDemand::Builder::getNeeded() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitDemand::Builder::setNeeded( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitDemand::Reader::getSpare() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitDemand::Builder::getSpare() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitDemand::Builder::setSpare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitGrant::Reader::getPermits() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitGrant::Builder::getPermits() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setPermits( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitGrant::Reader::getRetryAfterUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitGrant::Builder::getRetryAfterUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setRetryAfterUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitGrant::Reader::getPlenty() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitGrant::Builder::getPlenty() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setPlenty(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline StatementRelay::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -11830,6 +12366,141 @@
 }
 #endif  // !CAPNP_LITE
 
+inline  ::uint64_t Peer::TakePermitsParams::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::TakePermitsParams::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::TakePermitsParams::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::TakePermitsParams::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::TakePermitsParams::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Reader Peer::TakePermitsParams::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Builder Peer::TakePermitsParams::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::TakePermitsParams::Builder::setDemands( ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>::Builder Peer::TakePermitsParams::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::TakePermitsParams::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>> Peer::TakePermitsParams::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::TakePermitsResults::Reader::hasStatus() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::TakePermitsResults::Builder::hasStatus() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::Status::Reader Peer::TakePermitsResults::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Status::Builder Peer::TakePermitsResults::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Status::Pipeline Peer::TakePermitsResults::Pipeline::getStatus() {
+  return  ::ragwortmux::rpc::Status::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::TakePermitsResults::Builder::setStatus( ::ragwortmux::rpc::Status::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::Status::Builder Peer::TakePermitsResults::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::TakePermitsResults::Builder::adoptStatus(
+    ::capnp::Orphan< ::ragwortmux::rpc::Status>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Status> Peer::TakePermitsResults::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Status>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Peer::TakePermitsResults::Reader::getValidityUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::TakePermitsResults::Builder::getValidityUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::TakePermitsResults::Builder::setValidityUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::TakePermitsResults::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::TakePermitsResults::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Reader Peer::TakePermitsResults::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Builder Peer::TakePermitsResults::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::TakePermitsResults::Builder::setGrants( ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>::Builder Peer::TakePermitsResults::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::TakePermitsResults::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>> Peer::TakePermitsResults::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ragwortmux::rpc::PermitGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/ragwortmux/Process/Peers/ControlMessages.h
+++ b/ragwortmux/Process/Peers/ControlMessages.h
@@ -9,6 +9,7 @@
 #include "ragwortmux/Version/ControlEvents.h"
 #include "ragwortmux/Version/ControlResult.h"
 #include "ragwortmux/Version/GroupView.h"
+#include "ragwortmux/Version/PermitMessages.h"
 
 #include <cstdint>
 #include <functional>
@@ -92,6 +93,12 @@
   std::string m_Json;     ///< The answer.
 };
 
+/// Answer to a request for permits.
+struct TakePermitsReply final {
+  ControlStatus m_Status; ///< Whether this process leads and knows the session.
+  PermitGrants m_Grants;  ///< The permits.
+};
+
 /// The identity of a control process.
 struct IdentifyReply final {
   std::string m_Voter; ///< Identity of its data folder; empty: no control role.
--- a/ragwortmux/Process/Peers/PeerLink.cpp
+++ b/ragwortmux/Process/Peers/PeerLink.cpp
@@ -333,6 +333,38 @@
   });
 }
 
+void PeerLink::takePermits(ControlSessionId Session,
+                           const std::vector<PermitDemand> &Demands,
+                           Respond<TakePermitsReply> Reply) {
+  m_Impl->callPeer<TakePermitsReply>(
+      "take_permits", Reply, [&](rpc::Peer::Client &Peer) {
+        auto Call = Peer.takePermitsRequest();
+        Call.setSession(Session.value());
+        auto Rows = Call.initDemands(static_cast<unsigned>(Demands.size()));
+        unsigned Position = 0;
+        for (const PermitDemand &Demand : Demands) {
+          auto Row = Rows[Position++];
+          Row.setWorkspace(toText(Demand.m_Workspace.value()));
+          Row.setNeeded(Demand.m_Needed);
+          Row.setSpare(Demand.m_Spare);
+        }
+        m_Impl->send<TakePermitsReply>(
+            "take_permits", kj::mv(Call),
+            [](auto &Result) {
+              TakePermitsReply Taken;
+              Taken.m_Status = readRpc(Result.getStatus());
+              Taken.m_Grants.m_Validity = Duration(Result.getValidityUs());
+              for (const auto Row : Result.getGrants()) {
+                Taken.m_Grants.m_Grants.push_back(
+                    {Row.getPermits(), Duration(Row.getRetryAfterUs()),
+                     Row.getPlenty()});
+              }
+              return Taken;
+            },
+            Reply);
+      });
+}
+
 void PeerLink::storeSessionPoint(const SessionPointEntry &Entry,
                                  Respond<bool> Reply) {
   m_Impl->callPeer<bool>("store_point", Reply, [&](rpc::Peer::Client &Peer) {
--- a/ragwortmux/Process/Peers/PeerLink.h
+++ b/ragwortmux/Process/Peers/PeerLink.h
@@ -78,6 +78,9 @@
   void command(const std::string &Command, Respond<CommandReply> Reply);
   void query(const std::string &QueryKind, const std::string &Name,
              Respond<QueryReply> Reply);
+  void takePermits(ControlSessionId Session,
+                   const std::vector<PermitDemand> &Demands,
+                   Respond<TakePermitsReply> Reply);
   void storeSessionPoint(const SessionPointEntry &Entry, Respond<bool> Reply);
   void findSessionPoint(const SessionPointKey &Key,
                         Respond<SessionLookup> Reply);
--- a/ragwortmux/Process/Peers/RpcServer.cpp
+++ b/ragwortmux/Process/Peers/RpcServer.cpp
@@ -302,6 +302,38 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> takePermits(TakePermitsContext Context) override {
+    if (!m_Hooks.m_TakePermits) {
+      writeRpc(Context.getResults().initStatus(), noControlRoleStatus());
+      return kj::READY_NOW;
+    }
+    const auto Params = Context.getParams();
+    std::vector<PermitDemand> Demands;
+    for (const auto Demand : Params.getDemands()) {
+      Demands.push_back({WorkspaceId(toString(Demand.getWorkspace())),
+                         Demand.getNeeded(), Demand.getSpare()});
+    }
+    return makeReplyPromise<TakePermitsReply>([&](auto Respond) {
+             m_Hooks.m_TakePermits(ControlSessionId(Params.getSession()),
+                                   std::move(Demands), Respond);
+           })
+        .then([Context](const TakePermitsReply &Reply) mutable {
+          auto Results = Context.getResults();
+          writeRpc(Results.initStatus(), Reply.m_Status);
+          Results.setValidityUs(Reply.m_Grants.m_Validity.count());
+          auto Grants = Results.initGrants(
+              static_cast<unsigned>(Reply.m_Grants.m_Grants.size()));
+          unsigned Position = 0;
+          for (const PermitGrant &Grant : Reply.m_Grants.m_Grants) {
+            auto Row = Grants[Position++];
+            Row.setPermits(Grant.m_Permits);
+            Row.setRetryAfterUs(
+                static_cast<std::uint32_t>(Grant.m_RetryAfter.count()));
+            Row.setPlenty(Grant.m_IsPlenty);
+          }
+        });
+  }
+
 private:
   IoLoop &m_Loop;                ///< The event loop.
   const RpcServerHooks &m_Hooks; ///< Handlers; owned by RpcServer.
--- a/ragwortmux/Process/Peers/RpcServer.h
+++ b/ragwortmux/Process/Peers/RpcServer.h
@@ -46,6 +46,11 @@
   std::function<void(std::string QueryKind, std::string Name,
                      Respond<QueryReply>)>
       m_Query;
+  /// An entry process takes permits for operations of limited workspaces.
+  std::function<void(ControlSessionId Session,
+                     std::vector<PermitDemand> Demands,
+                     Respond<TakePermitsReply>)>
+      m_TakePermits;
   /// Stores a session's position; false if it was not stored.
   std::function<bool(const SessionPointEntry &Entry)> m_StorePoint;
   /// Looks a session's position up.
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -229,6 +229,14 @@
                "Calls to other processes of the cluster that failed, by call "
                "and kind of failure (timeout, lost or not_sent).",
                {"call", "failure"}},
+    MetricInfo{Metric::WorkspacePermits,
+               "ragwortmux_workspace_permits_total",
+               MetricKind::Counter,
+               "permits",
+               "Operations of limited workspaces that took a permit (granted) "
+               "or got none (refused), and permits that were not used "
+               "(expired).",
+               {"outcome"}},
 };
 
 } // namespace
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -65,6 +65,10 @@
       0}; ///< Silence of a backend server before it gets no new requests.
   std::uint32_t m_ServingHostsPerDomain =
       0; ///< Entry hosts of a failure domain that serve a group.
+  Duration m_QuotaWindow{0}; ///< Window of the workspaces' rate limits; 0: not
+                             ///< enforced.
+  std::uint32_t m_QuotaOverage = 0; ///< Excess over a limit, in 1/10000 of it.
+  std::uint32_t m_QuotaSlack = 0;   ///< Further excess, in operations.
   std::uint32_t m_MaxCallers = 0;            ///< Maximum caller connections.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -173,6 +173,27 @@
   return true;
 }
 
+/// Digits after the point of a fraction.
+constexpr std::size_t FractionDigits = 4;
+constexpr std::uint64_t FractionBase = 10'000;
+
+/// Stores a fraction of 0 to 1 in 1/10000.
+bool storeQuotaOverage(ProcessSettings &Settings, std::string_view Text) {
+  const std::size_t Point = std::min(Text.find('.'), Text.size());
+  std::string Decimals(Text.substr(std::min(Point + 1, Text.size())));
+  if (Decimals.size() > FractionDigits ||
+      (Point < Text.size() && Decimals.empty()))
+    return false;
+  Decimals.resize(FractionDigits, '0');
+  const auto Whole = parseNumber(Text.substr(0, Point), 0, 1);
+  const auto Part = parseNumber(Decimals, 0, FractionBase - 1);
+  if (!Whole || !Part || *Whole * FractionBase + *Part > FractionBase)
+    return false;
+  Settings.m_QuotaOverage =
+      static_cast<std::uint32_t>(*Whole * FractionBase + *Part);
+  return true;
+}
+
 bool storePromotionAddress(ProcessSettings &Settings, std::string_view Text) {
   Settings.m_PromotionAddress = parseSocketAddress(Text);
   return Text.empty() || Settings.m_PromotionAddress.has_value();
@@ -243,6 +264,7 @@
 std::vector<SettingInfo> controlSettings() {
   using std::chrono::hours;
   using std::chrono::milliseconds;
+  using std::chrono::seconds;
   return {
       textSetting("data_folder", "", &ProcessSettings::m_DataFolder, true,
                   "Folder of the control log; the control role needs it."),
@@ -296,6 +318,19 @@
           &ProcessSettings::m_ServerSilence,
           "Silence of a backend server before it gets no new requests in ms; "
           "more than three of its announcement intervals."),
+      numberSetting<seconds>(
+          "quota_window_s", "0", 0, 3600, &ProcessSettings::m_QuotaWindow,
+          "Window over which the rate limits of workspaces hold in s; 0: they "
+          "are not enforced. The same on all control hosts."),
+      {"quota_overage", "0", "0 to 1 with up to 4 decimals",
+       "Fraction by which a workspace may exceed its limit in a window; the "
+       "same on all control hosts.",
+       storeQuotaOverage, false, false},
+      numberSetting("quota_slack", "0", 0, 1000000,
+                    &ProcessSettings::m_QuotaSlack,
+                    "Operations by which a workspace may exceed its limit in a "
+                    "window, in addition to quota_overage; the same on all "
+                    "control hosts."),
       numberSetting<hours>(
           "ledger_retention_h", "24", 1, 168,
           &ProcessSettings::m_LedgerRetention,
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -77,11 +77,20 @@
     submitInTransaction(State, Open->second);
   else if (m_Draining)
     finish(State, ResultCode::NotRunDraining, TransactionStatus::Idle);
+  else if (isOverLimit(State))
+    refuseForLimit(State);
   else
     enqueue(State);
   endEvent();
 }
 
+void SessionCore::permitsChanged(Instant Now, SessionActions &Actions) {
+  beginEvent(Now, Actions);
+  dispatch();
+  refuseAwaitingPermit();
+  endEvent();
+}
+
 void SessionCore::callerDisconnected(Instant Now, CallerConnectionId Caller,
                                      SessionActions &Actions) {
   beginEvent(Now, Actions);
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -10,6 +10,7 @@
 #include "ragwortmux/Request/SessionEvents.h"
 #include "ragwortmux/Request/SessionQueue.h"
 #include "ragwortmux/Request/SessionRequestState.h"
+#include "ragwortmux/Request/WorkspacePermits.h"
 #include "ragwortmux/Version/GroupView.h"
 
 #include <map>
@@ -57,6 +58,12 @@
     m_UsesWorkspaces = UsesWorkspaces;
     m_Pool.setUsesWorkspaces(UsesWorkspaces);
   }
+  /// Sets the permits that operations of limited workspaces take; null: no
+  /// workspace is limited. They must outlive the core.
+  void setPermits(WorkspacePermits *Permits) { m_Permits = Permits; }
+  /// Sends the operations that waited for permits and have them now, and
+  /// refuses those that get none.
+  void permitsChanged(Instant Now, SessionActions &Actions);
   /// Control has opened another session for this host. The record may be
   /// outdated: without a share in the group the host is not waited for when the
   /// term ends. Until a record arrives under the new session, the lease does
@@ -89,6 +96,8 @@
   std::size_t pending() const { return m_Requests.size(); }
   /// Number of statements in the queue.
   std::size_t waiting() const { return m_Waiting.size(); }
+  /// True if statements wait only for permits of their workspaces.
+  bool awaitsPermits() const { return !m_AwaitingPermit.empty(); }
   std::size_t openTransactions() const { return m_Transactions.size(); }
   const GroupView &view() const { return m_View; }
   /// Connections to \p Server that are open, opening or closing.
@@ -123,6 +132,11 @@
   std::optional<ResultCode> refusalReason(const Request &State) const;
   void refuseUnservable();
   bool tryDispatch(Request &State);
+  bool isOverLimit(Request &State);
+  bool hasPermit(Request &State);
+  void refuseForLimit(Request &State);
+  void refuseAwaitingPermit();
+  void endPermitWait(Request &State);
   bool tryPrimary(Request &State);
   bool tryRead(Request &State);
   std::vector<ReadTarget>
@@ -202,6 +216,9 @@
   // transaction is under way.
   std::map<RequestId, Request> m_Requests;     ///< Unanswered statements.
   SessionQueue m_Waiting;                      ///< Statements to be sent.
+  WorkspacePermits *m_Permits = nullptr;       ///< See setPermits().
+  std::set<RequestId> m_AwaitingPermit; ///< Queued statements that could be
+                                        ///< sent but for their permits.
   std::map<ConnectionId, RequestId> m_Running; ///< Statements under way.
   std::map<CallerConnectionId, Transaction>
       m_Transactions; ///< Open transactions.
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -307,6 +307,7 @@
 void SessionCore::erase(Request &State) {
   assert(!State.m_Connection);
   removeFromQueue(State);
+  endPermitWait(State);
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end() &&
       Open->second.m_Running == State.m_Request.m_Id)
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -56,13 +56,70 @@
       ++Skips;
       continue;
     }
-    ++Tries;
-    if (State.m_NotBefore && m_Now < *State.m_NotBefore)
+    if (State.m_NotBefore && m_Now < *State.m_NotBefore) {
+      ++Tries;
+      continue;
+    }
+    if (State.m_NeedsPermit && !hasPermit(State)) {
+      ++Skips;
       continue;
+    }
+    ++Tries;
     tryDispatch(State);
   }
 }
 
+bool SessionCore::isOverLimit(Request &State) {
+  const WorkspaceId &Workspace = State.m_Request.m_Workspace;
+  if (m_Permits == nullptr || !m_Permits->isLimited(m_Now, Workspace))
+    return false;
+  State.m_NeedsPermit = true;
+  return m_Permits->arrived(m_Now, Workspace) == PermitDecision::Refused;
+}
+
+bool SessionCore::hasPermit(Request &State) {
+  const WorkspaceId &Workspace = State.m_Request.m_Workspace;
+  switch (m_Permits->check(m_Now, Workspace)) {
+  case PermitDecision::Granted:
+    return true;
+  case PermitDecision::Refused:
+    refuseForLimit(State);
+    return false;
+  case PermitDecision::Wait:
+    break;
+  }
+  if (!State.m_AwaitsPermit) {
+    State.m_AwaitsPermit = true;
+    m_AwaitingPermit.insert(State.m_Request.m_Id);
+    m_Permits->beginWait(m_Now, Workspace);
+  }
+  return false;
+}
+
+void SessionCore::endPermitWait(Request &State) {
+  if (!State.m_AwaitsPermit)
+    return;
+  State.m_AwaitsPermit = false;
+  m_AwaitingPermit.erase(State.m_Request.m_Id);
+  m_Permits->endWait(State.m_Request.m_Workspace);
+}
+
+void SessionCore::refuseForLimit(Request &State) {
+  m_Permits->refused(m_Now, State.m_Request.m_Workspace);
+  finish(State, ResultCode::NotRunRateLimited, TransactionStatus::Idle);
+}
+
+void SessionCore::refuseAwaitingPermit() {
+  std::vector<RequestId> Refused;
+  for (const RequestId Id : m_AwaitingPermit) {
+    const WorkspaceId &Workspace = m_Requests.at(Id).m_Request.m_Workspace;
+    if (m_Permits->check(m_Now, Workspace) == PermitDecision::Refused)
+      Refused.push_back(Id);
+  }
+  for (const RequestId Id : Refused)
+    refuseForLimit(m_Requests.at(Id));
+}
+
 bool SessionCore::hasIdlePrimaryConnection() const {
   return isPrimaryUsable() && m_Pool.idleCount(*m_View.m_Primary) > 0;
 }
@@ -224,6 +281,12 @@
                          const std::optional<PositionHistory::Sample> &Floor) {
   removeFromQueue(State);
   const SessionRequest &Submitted = State.m_Request;
+  // Another try is the same operation and takes no further permit.
+  if (State.m_NeedsPermit) {
+    State.m_NeedsPermit = false;
+    endPermitWait(State);
+    m_Permits->take(m_Now, Submitted.m_Workspace);
+  }
   State.m_Connection = Connection;
   State.m_Server = Server;
   State.m_Term = m_View.m_Term;
