--- a/tests/Platform/WireFixture.h
+++ b/tests/Platform/WireFixture.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -138,7 +139,10 @@
 /// One control and one entry process with stand-ins of the platform around
 /// them.
 struct WireFixture {
-  WireFixture() : m_Promotion(m_Service) {
+  /// \p ControlArguments are further settings of the control process.
+  explicit WireFixture(std::vector<std::string> ControlArguments = {})
+      : m_Promotion(m_Service),
+        m_ControlArguments(std::move(ControlArguments)) {
     m_Service.m_Primary = "i-1";
     for (const char *Id : {"i-1", "i-2", "i-3"})
       m_Servers.push_back(
@@ -193,6 +197,9 @@
     if (MetricsPort != 0)
       Settings.m_Arguments.push_back("--metrics_port=" + Text(MetricsPort));
     if (Role == "control") {
+      Settings.m_Arguments.insert(Settings.m_Arguments.end(),
+                                  m_ControlArguments.begin(),
+                                  m_ControlArguments.end());
       Settings.m_Arguments.push_back("--control_voters=1");
       Settings.m_Arguments.push_back("--bootstrap=true");
       Settings.m_Arguments.push_back("--data_folder=" + m_Folder.string());
@@ -267,6 +274,7 @@
 
   ServiceStandIn m_Service;
   PromotionStandIn m_Promotion;
+  std::vector<std::string> m_ControlArguments;
   std::vector<std::unique_ptr<WireStandIn>> m_Servers;
   std::uint16_t m_RpcPort = findFreePort("127.0.0.1");
   std::uint16_t m_ControlPort = findFreePort("127.0.0.1");
--- a/tests/Process/ControlNodeTest.cpp
+++ b/tests/Process/ControlNodeTest.cpp
@@ -45,6 +45,7 @@
     Settings.m_Bootstrap = true;
     Settings.m_Log.m_Random = [this] { return ++m_Random; };
     Settings.m_Log.m_MaxApplyEntries = MaxApplyEntries;
+    Settings.m_Limiter = m_Limits;
     ControlNodeHooks Hooks;
     Hooks.m_SendLog = [](const std::string &, const LogEnvelope &) {};
     Hooks.m_Push = [this](ControlSessionId Session,
@@ -110,6 +111,7 @@
   }
 
   Instant m_Now{std::chrono::hours(1)};
+  WorkspaceLimiterSettings m_Limits; ///< Used by the next restart().
   std::uint64_t m_Random = 0;
   std::uint64_t m_Sequence = 0;
   bool m_IsLeader = false;
@@ -137,6 +139,54 @@
 
 BOOST_AUTO_TEST_SUITE(ControlNodeTest)
 
+// Guards against permits beyond a limit after a restart of the leader, for a
+// session that has ended, or where limits are not enforced.
+BOOST_AUTO_TEST_CASE(PermitsAreIssuedByTheLeaderToOpenSessions) {
+  LeadingNode Leader;
+  const auto Take = [&](ControlSessionId Session, std::uint32_t Needed) {
+    std::optional<TakePermitsReply> Taken;
+    Leader.m_Node->takePermits(
+        Leader.m_Now, Session, {{WorkspaceId("w"), Needed, 0}},
+        [&](const TakePermitsReply &Reply) { Taken = Reply; });
+    BOOST_REQUIRE(Taken);
+    return *Taken;
+  };
+  const ControlSessionId Session = Leader.open(1);
+  BOOST_TEST((Take(Session, 1).m_Grants.m_Validity == Duration(0)));
+
+  PutWorkspace Put;
+  Put.m_Change = ChangeId("c");
+  Put.m_Workspace.m_Name = WorkspaceId("w");
+  Put.m_Workspace.m_Limit = {10, 5};
+  Leader.m_Node->command(Leader.m_Now, Put, [](const CommandReply &Reply) {
+    BOOST_TEST(Reply.m_Result.ok());
+  });
+  Leader.m_Limits.m_Window = seconds(5);
+  Leader.m_Limits.m_Overage = 1000;
+  Leader.m_Limits.m_Slack = 20;
+  Leader.restart();
+  BOOST_TEST((Take(Session, 1).m_Status.m_Code == ResultCode::NotLeader));
+  Leader.advance(seconds(10));
+  BOOST_REQUIRE(Leader.m_IsLeader);
+  const ControlSessionId Again = Leader.open(2);
+  const TakePermitsReply First = Take(Again, 100);
+  BOOST_REQUIRE(First.m_Grants.m_Grants.size() == 1U);
+  const PermitGrant Grant = First.m_Grants.m_Grants.front();
+  BOOST_TEST(Grant.m_Permits > 15U);
+  BOOST_TEST(Grant.m_Permits < 80U);
+  BOOST_TEST((Grant.m_RetryAfter > Duration(0)));
+  BOOST_TEST(Take(Again, 1).m_Grants.m_Grants.front().m_Permits == 0U);
+  BOOST_TEST((Take(ControlSessionId(999), 1).m_Status.m_Code ==
+              ResultCode::Unauthorized));
+
+  Leader.restart();
+  Leader.advance(milliseconds(2000));
+  BOOST_REQUIRE(Leader.m_IsLeader);
+  const TakePermitsReply AfterRestart = Take(Leader.open(2), 100);
+  BOOST_REQUIRE(AfterRestart.m_Grants.m_Grants.size() == 1U);
+  BOOST_TEST(AfterRestart.m_Grants.m_Grants.front().m_Permits <= 20U);
+}
+
 // After a cut many hosts open new sessions at once. A write to the disk for
 // each of them held up the log's messages until the leader lost its quorum.
 BOOST_AUTO_TEST_CASE(OpeningsInOneBatchShareWrites) {
--- a/tests/Support/ProcessSettingsTest.cpp
+++ b/tests/Support/ProcessSettingsTest.cpp
@@ -211,6 +211,40 @@
   BOOST_TEST(Defaults.ownPeer() == nullptr);
 }
 
+// Guards against a fraction that is read as another one, which would change the
+// bound of every workspace.
+BOOST_AUTO_TEST_CASE(QuotaOverageIsAFraction) {
+  struct Case final {
+    const char *m_Text;                      ///< Value of quota_overage.
+    std::optional<std::uint32_t> m_Expected; ///< In 1/10000; none: a fault.
+  };
+  const Case Cases[] = {{"0", 0},
+                        {"1", 10000},
+                        {"0.1", 1000},
+                        {"0.25", 2500},
+                        {"0.0001", 1},
+                        {"1.0", 10000},
+                        {"1.1", std::nullopt},
+                        {"2", std::nullopt},
+                        {"0.", std::nullopt},
+                        {".1", std::nullopt},
+                        {"-0.1", std::nullopt},
+                        {"0.-1", std::nullopt},
+                        {"0.00001", std::nullopt},
+                        {"0.1.1", std::nullopt},
+                        {"", std::nullopt}};
+  for (const Case &Each : Cases) {
+    EnvironmentVariables Environment = validVariables();
+    Environment["RAGWORTMUX_QUOTA_OVERAGE"] = Each.m_Text;
+    const LoadResult Result = load(Environment, {});
+    BOOST_TEST_REQUIRE(Result.m_Settings.has_value() ==
+                           Each.m_Expected.has_value(),
+                       Each.m_Text);
+    if (Result.m_Settings)
+      BOOST_TEST(Result.m_Settings->m_QuotaOverage == *Each.m_Expected);
+  }
+}
+
 // Guards against "accepted changes lost with the disks of two control hosts": a
 // log with three voters keeps an entry on two of them only.
 BOOST_AUTO_TEST_CASE(VotersOutnumberToleratedLosses) {
