--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -80,7 +80,7 @@
   else if (isOverLimit(State))
     refuseForLimit(State);
   else
-    enqueue(State);
+    enqueueNew(State);
   endEvent();
 }
 
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -134,6 +134,7 @@
   bool tryDispatch(Request &State);
   bool isOverLimit(Request &State);
   bool hasPermit(Request &State);
+  void awaitPermit(Request &State);
   void refuseForLimit(Request &State);
   void refuseAwaitingPermit();
   void endPermitWait(Request &State);
@@ -149,6 +150,7 @@
                                                 const Request &State);
   void submitInTransaction(Request &State, Transaction &Open);
   void enqueue(Request &State);
+  void enqueueNew(Request &State);
   void removeFromQueue(Request &State);
   void updateDemand();
   void addReadDemand(const Request &State,
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -35,6 +35,17 @@
   m_Waiting.add(State.m_Request.m_Id, Limits.m_Priority, Arrived, LateAt);
 }
 
+void SessionCore::enqueueNew(Request &State) {
+  // It is sent as soon as a connection has been opened, so the permit is
+  // requested meanwhile. In a long queue the permit would expire.
+  const bool IsFirst = m_Waiting.empty();
+  enqueue(State);
+  if (IsFirst && State.m_NeedsPermit &&
+      m_Permits->check(m_Now, State.m_Request.m_Workspace) ==
+          PermitDecision::Wait)
+    awaitPermit(State);
+}
+
 void SessionCore::removeFromQueue(Request &State) {
   if (!State.m_IsWaiting)
     return;
@@ -56,15 +67,13 @@
       ++Skips;
       continue;
     }
-    if (State.m_NotBefore && m_Now < *State.m_NotBefore) {
-      ++Tries;
-      continue;
-    }
-    if (State.m_NeedsPermit && !hasPermit(State)) {
+    if (State.m_AwaitsPermit && !hasPermit(State)) {
       ++Skips;
       continue;
     }
     ++Tries;
+    if (State.m_NotBefore && m_Now < *State.m_NotBefore)
+      continue;
     tryDispatch(State);
   }
 }
@@ -78,6 +87,8 @@
 }
 
 bool SessionCore::hasPermit(Request &State) {
+  if (!State.m_NeedsPermit)
+    return true;
   const WorkspaceId &Workspace = State.m_Request.m_Workspace;
   switch (m_Permits->check(m_Now, Workspace)) {
   case PermitDecision::Granted:
@@ -88,14 +99,18 @@
   case PermitDecision::Wait:
     break;
   }
-  if (!State.m_AwaitsPermit) {
-    State.m_AwaitsPermit = true;
-    m_AwaitingPermit.insert(State.m_Request.m_Id);
-    m_Permits->beginWait(m_Now, Workspace);
-  }
+  awaitPermit(State);
   return false;
 }
 
+void SessionCore::awaitPermit(Request &State) {
+  if (State.m_AwaitsPermit)
+    return;
+  State.m_AwaitsPermit = true;
+  m_AwaitingPermit.insert(State.m_Request.m_Id);
+  m_Permits->beginWait(m_Now, State.m_Request.m_Workspace);
+}
+
 void SessionCore::endPermitWait(Request &State) {
   if (!State.m_AwaitsPermit)
     return;
@@ -193,6 +208,9 @@
   if (!isPrimaryUsable())
     return false;
   const ServerId Primary = *m_View.m_Primary;
+  if (m_Pool.idleCount(Primary, State.m_Request.m_Workspace) == 0 ||
+      !hasPermit(State))
+    return false;
   const auto Connection = acquireConnection(Primary, State);
   if (!Connection)
     return false;
@@ -257,7 +275,7 @@
 bool SessionCore::tryRead(Request &State) {
   const auto Floor = readFloor(State);
   const auto Target = chooseReadTarget(readTargets(State, Floor));
-  if (!Target)
+  if (!Target || !hasPermit(State))
     return false;
   const auto Connection = acquireConnection(*Target, State);
   if (!Connection)
