--- a/tests/Request/PermitSimulation.h
+++ b/tests/Request/PermitSimulation.h
@@ -138,6 +138,12 @@
             ? Elected.m_Clock.read(m_Now) - std::chrono::hours(1)
             : Elected.m_Clock.read(m_Now));
   }
+  /// Messages take \p Delay each, and none has a long delay.
+  void setDelay(Duration Delay) {
+    m_Faults.m_LongDelay = 0;
+    m_Faults.m_MinDelay = Delay;
+    m_Faults.m_MaxDelay = Delay;
+  }
   void setLimit(const WorkspaceLimit &Limit) {
     m_Limit = Limit;
     m_LimitLog.emplace_back(m_Now, Limit);
