--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -22,8 +22,7 @@
                          ControlNodeHooks Hooks)
     : m_Settings(std::move(Settings)), m_Storage(std::move(Storage)),
       m_Hooks(std::move(Hooks)), m_State(m_Settings.m_State),
-      m_Leader(m_State, m_Settings.m_Leader),
-      m_Limiter(m_Settings.m_Limiter) {}
+      m_Leader(m_State, m_Settings.m_Leader), m_Limiter(m_Settings.m_Limiter) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -173,8 +172,8 @@
   // A host whose session has ended must open another one first, like for a
   // lease.
   if (m_State.sessions().find(Session) == nullptr) {
-    Reply({{ResultCode::Unauthorized, "the control session has ended", ""},
-           {}});
+    Reply(
+        {{ResultCode::Unauthorized, "the control session has ended", ""}, {}});
     return;
   }
   // The permits are issued before the quorum round starts; see
--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -132,11 +132,9 @@
                          auto Respond) {
     m_Actor->query(QueryKind, Name, Respond);
   };
-  Hooks.m_TakePermits = [this](ControlSessionId Session,
-                               const std::vector<PermitDemand> &Demands,
-                               auto Respond) {
-    m_Actor->takePermits(Session, Demands, Respond);
-  };
+  Hooks.m_TakePermits =
+      [this](ControlSessionId Session, const std::vector<PermitDemand> &Demands,
+             auto Respond) { m_Actor->takePermits(Session, Demands, Respond); };
 }
 
 void ControlRole::addPeers(const std::vector<ControlPeer> &Peers) {
--- a/ragwortmux/Process/Entry/SessionEntryRole.h
+++ b/ragwortmux/Process/Entry/SessionEntryRole.h
@@ -161,12 +161,12 @@
   StatementLog m_StatementLog;         ///< Logs and counts decisions.
   AdmissionControl m_AdmissionControl; ///< Decides on new callers.
   Incarnation m_Incarnation;           ///< Identifies this process start.
-  WorkspacePermits m_Permits; ///< Permits of limited workspaces.
-  std::uint64_t m_CountedGranted = 0; ///< In the metrics already.
-  std::uint64_t m_CountedRefused = 0; ///< In the metrics already.
-  std::uint64_t m_CountedExpired = 0; ///< In the metrics already.
-  bool m_IsPermitRequestScheduled = false; ///< See schedulePermitRequest().
-  bool m_IsPermitTickScheduled = false;    ///< See schedulePermitTick().
+  WorkspacePermits m_Permits;          ///< Permits of limited workspaces.
+  std::uint64_t m_CountedGranted = 0;  ///< In the metrics already.
+  std::uint64_t m_CountedRefused = 0;  ///< In the metrics already.
+  std::uint64_t m_CountedExpired = 0;  ///< In the metrics already.
+  bool m_IsPermitRequestScheduled = false;  ///< See schedulePermitRequest().
+  bool m_IsPermitTickScheduled = false;     ///< See schedulePermitTick().
   std::unique_ptr<ControlClient> m_Control; ///< Control session and lease.
   std::map<GroupId, std::unique_ptr<SessionDriver>>
       m_Groups;                    ///< Drivers by group.
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -69,7 +69,7 @@
                              ///< enforced.
   std::uint32_t m_QuotaOverage = 0; ///< Excess over a limit, in 1/10000 of it.
   std::uint32_t m_QuotaSlack = 0;   ///< Further excess, in operations.
-  std::uint32_t m_MaxCallers = 0;            ///< Maximum caller connections.
+  std::uint32_t m_MaxCallers = 0;   ///< Maximum caller connections.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
   LogLevel m_LogLevel = LogLevel::Info;    ///< Least level that is logged.
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -216,11 +216,11 @@
   // A connection that the pool counts as busy is in exactly one of m_Running,
   // m_Transactions and m_RollingBack, or in the first two if a statement of the
   // transaction is under way.
-  std::map<RequestId, Request> m_Requests;     ///< Unanswered statements.
-  SessionQueue m_Waiting;                      ///< Statements to be sent.
-  WorkspacePermits *m_Permits = nullptr;       ///< See setPermits().
-  std::set<RequestId> m_AwaitingPermit; ///< Queued statements that could be
-                                        ///< sent but for their permits.
+  std::map<RequestId, Request> m_Requests; ///< Unanswered statements.
+  SessionQueue m_Waiting;                  ///< Statements to be sent.
+  WorkspacePermits *m_Permits = nullptr;   ///< See setPermits().
+  std::set<RequestId> m_AwaitingPermit;    ///< Queued statements that could be
+                                           ///< sent but for their permits.
   std::map<ConnectionId, RequestId> m_Running; ///< Statements under way.
   std::map<CallerConnectionId, Transaction>
       m_Transactions; ///< Open transactions.
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -19,7 +19,7 @@
   bool m_CommitsWrites = false; ///< It commits a transaction that wrote.
   bool m_IsCallerDisconnected =
       false; ///< The caller has disconnected, so no answer is sent.
-  bool m_IsWaiting = false;                 ///< The statement is in the queue.
+  bool m_IsWaiting = false;   ///< The statement is in the queue.
   bool m_NeedsPermit = false; ///< It must take a permit of its workspace before
                               ///< it is sent for the first time.
   bool m_AwaitsPermit = false; ///< It could be sent but for the permit.
--- a/ragwortmux/Request/WorkspacePermits.cpp
+++ b/ragwortmux/Request/WorkspacePermits.cpp
@@ -88,9 +88,9 @@
   const Duration Elapsed = Now - Current.m_SlotStart;
   if (Elapsed >= 2 * ArrivalSlot)
     return 0;
-  const std::uint64_t Counted =
-      Elapsed < ArrivalSlot ? Current.m_Arrivals + Current.m_Previous
-                            : Current.m_Arrivals;
+  const std::uint64_t Counted = Elapsed < ArrivalSlot
+                                    ? Current.m_Arrivals + Current.m_Previous
+                                    : Current.m_Arrivals;
   const Duration Observed =
       Elapsed < ArrivalSlot ? Elapsed + ArrivalSlot : Elapsed;
   return static_cast<std::uint32_t>(
@@ -249,9 +249,8 @@
   if (!m_IsEnforced) {
     m_NextEnforcementProbe = Now + EnforcementProbeInterval;
     m_IsWanted = false;
-    std::erase_if(m_Workspaces, [](const auto &Each) {
-      return Each.second.m_Waiting == 0;
-    });
+    std::erase_if(m_Workspaces,
+                  [](const auto &Each) { return Each.second.m_Waiting == 0; });
     return true;
   }
   m_Validity = Grants.m_Validity;
@@ -271,13 +270,11 @@
   }
   // Operations may have begun to wait while the request was in flight.
   m_IsWanted = false;
-  const bool IsShort =
-      std::any_of(m_Workspaces.begin(), m_Workspaces.end(),
-                  [&](const auto &Each) {
-                    return Now >= Each.second.m_RefusedUntil &&
-                           usablePermits(Now, Each.second) <
-                               Each.second.m_Waiting;
-                  });
+  const bool IsShort = std::any_of(
+      m_Workspaces.begin(), m_Workspaces.end(), [&](const auto &Each) {
+        return Now >= Each.second.m_RefusedUntil &&
+               usablePermits(Now, Each.second) < Each.second.m_Waiting;
+      });
   if (IsShort)
     wantRequest(Now);
   return true;
@@ -302,11 +299,11 @@
       m_Changes.push_back({Each->first, false, Current.m_Refusals,
                            Current.m_LastRefusal - Current.m_LimitedSince});
     }
-    const bool LacksPermits = Current.m_Waiting > Current.m_Held &&
-                              Now >= Current.m_RefusedUntil;
-    const bool LacksSpare =
-        m_IsEnforced && Current.m_IsPlenty && Current.m_Held == 0 &&
-        Now < Current.m_LastArrival + SpareRetention;
+    const bool LacksPermits =
+        Current.m_Waiting > Current.m_Held && Now >= Current.m_RefusedUntil;
+    const bool LacksSpare = m_IsEnforced && Current.m_IsPlenty &&
+                            Current.m_Held == 0 &&
+                            Now < Current.m_LastArrival + SpareRetention;
     IsWanted = IsWanted || LacksPermits || LacksSpare;
     const bool IsIdle = Current.m_Waiting == 0 && !Current.m_IsLimited &&
                         Now >= Current.m_LastArrival + StateRetention;
--- a/ragwortmux/Request/WorkspacePermits.h
+++ b/ragwortmux/Request/WorkspacePermits.h
@@ -103,19 +103,19 @@
   };
   /// State of a workspace that was served in the last seconds.
   struct State final {
-    std::deque<Batch> m_Batches;   ///< Permits, those that expire first first.
-    std::uint32_t m_Held = 0;      ///< Sum of m_Batches.
-    std::uint32_t m_Waiting = 0;   ///< Operations that wait for a permit.
-    Instant m_RefusedUntil;        ///< The leader has none until then.
-    bool m_IsPlenty = false;       ///< The leader had spare permits left.
-    Instant m_LastArrival;         ///< When an operation last arrived.
-    Instant m_SlotStart;           ///< Start of the current slot of arrivals.
-    std::uint32_t m_Arrivals = 0;  ///< Arrivals in the current slot.
-    std::uint32_t m_Previous = 0;  ///< Arrivals in the slot before.
-    bool m_IsLimited = false;      ///< Some were refused a short time ago.
-    Instant m_LimitedSince;        ///< When m_IsLimited became true.
-    Instant m_LastRefusal;         ///< When one was last refused.
-    std::uint64_t m_Refusals = 0;  ///< Refusals since m_LimitedSince.
+    std::deque<Batch> m_Batches;  ///< Permits, those that expire first first.
+    std::uint32_t m_Held = 0;     ///< Sum of m_Batches.
+    std::uint32_t m_Waiting = 0;  ///< Operations that wait for a permit.
+    Instant m_RefusedUntil;       ///< The leader has none until then.
+    bool m_IsPlenty = false;      ///< The leader had spare permits left.
+    Instant m_LastArrival;        ///< When an operation last arrived.
+    Instant m_SlotStart;          ///< Start of the current slot of arrivals.
+    std::uint32_t m_Arrivals = 0; ///< Arrivals in the current slot.
+    std::uint32_t m_Previous = 0; ///< Arrivals in the slot before.
+    bool m_IsLimited = false;     ///< Some were refused a short time ago.
+    Instant m_LimitedSince;       ///< When m_IsLimited became true.
+    Instant m_LastRefusal;        ///< When one was last refused.
+    std::uint64_t m_Refusals = 0; ///< Refusals since m_LimitedSince.
   };
 
   std::uint32_t expectedArrivals(Instant Now, const State &Current,
@@ -131,17 +131,17 @@
   DriftBound m_Drift; ///< Bound on the drift between clocks.
   Hooks m_Hooks;      ///< Callbacks of the owner.
   std::unordered_map<WorkspaceId, State> m_Workspaces; ///< By name.
-  bool m_IsEnforced = true;      ///< False if control has said so.
+  bool m_IsEnforced = true;       ///< False if control has said so.
   Instant m_NextEnforcementProbe; ///< When control is asked again whether.
-  bool m_IsWanted = false;       ///< nextRequest() has something to send.
-  std::uint64_t m_LastNumber = 0;         ///< Number of the newest request.
-  std::optional<std::uint64_t> m_InFlight; ///< Request without an answer.
-  std::vector<WorkspaceId> m_Asked;       ///< Workspaces of that request.
-  Instant m_SentAt;                       ///< When it was sent.
+  bool m_IsWanted = false;        ///< nextRequest() has something to send.
+  std::uint64_t m_LastNumber = 0; ///< Number of the newest request.
+  std::optional<std::uint64_t> m_InFlight;  ///< Request without an answer.
+  std::vector<WorkspaceId> m_Asked;         ///< Workspaces of that request.
+  Instant m_SentAt;                         ///< When it was sent.
   std::optional<Instant> m_UnansweredSince; ///< When the first request was sent
                                             ///< that no leader answered since.
-  Instant m_NotBefore;      ///< Earliest time of the next request.
-  Duration m_Validity{0};   ///< Validity of the newest grant.
+  Instant m_NotBefore;    ///< Earliest time of the next request.
+  Duration m_Validity{0}; ///< Validity of the newest grant.
   std::vector<WorkspaceLimitChange> m_Changes; ///< See takeLimitChanges().
   std::uint64_t m_GrantedCount = 0; ///< Operations that took a permit.
   std::uint64_t m_RefusedCount = 0; ///< Operations refused.
--- a/ragwortmux/Version/WorkspaceLimiter.cpp
+++ b/ragwortmux/Version/WorkspaceLimiter.cpp
@@ -43,7 +43,8 @@
   // While validity and drift margin fit into the overage, the full rate can be
   // issued.
   const double Overage = m_Settings.m_Overage / OverageBase;
-  const Duration Allowance = toDuration(toSeconds(m_Settings.m_Window) * Overage);
+  const Duration Allowance =
+      toDuration(toSeconds(m_Settings.m_Window) * Overage);
   const Duration Margin =
       m_Settings.m_Drift.of(m_Settings.m_Window + MaxValidity);
   m_Validity = std::clamp(Allowance - Margin, MinValidity, MaxValidity);
@@ -119,8 +120,7 @@
   // full, in case the workspace is added again.
   std::erase_if(m_Buckets, [&](const auto &Each) {
     const Bucket &Current = Each.second;
-    return Current.m_Tokens +
-               Current.m_Rate * toSeconds(Now - Current.m_At) >=
+    return Current.m_Tokens + Current.m_Rate * toSeconds(Now - Current.m_At) >=
            Current.m_Most;
   });
 }
--- a/tests/Platform/WorkspaceLimitTest.cpp
+++ b/tests/Platform/WorkspaceLimitTest.cpp
@@ -22,8 +22,8 @@
 /// use its key.
 struct LimitFixture : WireFixture {
   LimitFixture()
-      : WireFixture({"--quota_window_s=2", "--quota_overage=0.1",
-                     "--quota_slack=5"}) {
+      : WireFixture(
+            {"--quota_window_s=2", "--quota_overage=0.1", "--quota_slack=5"}) {
     std::string Body = configuration(2);
     Body.pop_back();
     Body += R"(,"tenants":[{"name":"w1","apiKeys":["u1"],"priority":0,)"
@@ -64,9 +64,9 @@
   const std::size_t Before = countExecuted("");
   BOOST_TEST(runFor(4s) > 0U);
   const std::size_t Executed = countExecuted("") - Before;
-  const double Seconds = std::chrono::duration<double>(
-                             std::chrono::steady_clock::now() - Start)
-                             .count();
+  const double Seconds =
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - Start)
+          .count();
   const double Windows = std::ceil(Seconds / Window);
   BOOST_TEST(Executed > 0U);
   BOOST_TEST(static_cast<double>(Executed) <=
--- a/tests/Request/PermitSimulation.h
+++ b/tests/Request/PermitSimulation.h
@@ -43,13 +43,13 @@
 
 /// Probabilities and amounts of the simulated faults.
 struct PermitFaults final {
-  double m_Loss = 0;             ///< Probability that a message is lost.
-  double m_Duplication = 0;      ///< That one arrives twice.
-  Duration m_MinDelay{4000};     ///< Delay of a message.
-  Duration m_MaxDelay{8000};     ///< The same.
-  double m_LongDelay = 0;        ///< Probability of a delay up to 2 s.
-  double m_WrongNode = 0;        ///< That a request goes to any control host.
-  double m_Drift = 0;            ///< Deviation of the clocks' speed.
+  double m_Loss = 0;         ///< Probability that a message is lost.
+  double m_Duplication = 0;  ///< That one arrives twice.
+  Duration m_MinDelay{4000}; ///< Delay of a message.
+  Duration m_MaxDelay{8000}; ///< The same.
+  double m_LongDelay = 0;    ///< Probability of a delay up to 2 s.
+  double m_WrongNode = 0;    ///< That a request goes to any control host.
+  double m_Drift = 0;        ///< Deviation of the clocks' speed.
   OmittedRule m_Omitted = OmittedRule::None; ///< Rule left out.
 };
 
@@ -68,8 +68,7 @@
     for (std::size_t Index = 0; Index < ControlHosts; ++Index) {
       m_Leaders.push_back(std::make_unique<ControlHost>());
       m_Leaders.back()->m_Clock = makeClock();
-      m_Leaders.back()->m_Limiter =
-          std::make_unique<WorkspaceLimiter>(Limits);
+      m_Leaders.back()->m_Limiter = std::make_unique<WorkspaceLimiter>(Limits);
     }
     elect(0);
     m_LimitLog.emplace_back(Instant(), Limit);
@@ -123,9 +122,7 @@
   void cutOff(std::size_t Host, Duration Length) {
     m_Hosts[Host]->m_CutUntil = m_Now + Length;
   }
-  void restart(std::size_t Host) {
-    addEntryHost(Host);
-  }
+  void restart(std::size_t Host) { addEntryHost(Host); }
   /// Makes \p Node the leader; the former one notices later, if at all.
   void elect(std::size_t Node) {
     m_Leader = Node;
@@ -388,8 +385,7 @@
   /// Sends or refuses the operations that wait.
   void settle(EntryHost &Entry) {
     while (Entry.m_Waiting > 0) {
-      const PermitDecision Decision =
-          Entry.m_Permits->check(time(Entry), Name);
+      const PermitDecision Decision = Entry.m_Permits->check(time(Entry), Name);
       if (Decision == PermitDecision::Wait)
         return;
       --Entry.m_Waiting;
@@ -414,9 +410,9 @@
   WorkspaceLimit highestLimit(Instant From, Instant End) const {
     WorkspaceLimit Highest;
     for (std::size_t Index = 0; Index < m_LimitLog.size(); ++Index) {
-      const bool HasEnded = Index + 1 < m_LimitLog.size() &&
-                            m_LimitLog[Index + 1].first <
-                                From - m_Settings.m_Window;
+      const bool HasEnded =
+          Index + 1 < m_LimitLog.size() &&
+          m_LimitLog[Index + 1].first < From - m_Settings.m_Window;
       if (HasEnded || m_LimitLog[Index].first > End)
         continue;
       const WorkspaceLimit &Each = m_LimitLog[Index].second;
--- a/tests/Request/SessionPermitsTest.cpp
+++ b/tests/Request/SessionPermitsTest.cpp
@@ -13,11 +13,10 @@
 /// the requests for permits.
 struct PermitsFixture : SessionFixture {
   PermitsFixture()
-      : m_Permits({1, milliseconds(10)},
-                  {[](const WorkspaceId &Name) {
-                     return Name == Limited ? 10U : 0U;
-                   },
-                   [this] { ++m_Wanted; }}) {
+      : m_Permits({1, milliseconds(10)}, {[](const WorkspaceId &Name) {
+                                            return Name == Limited ? 10U : 0U;
+                                          },
+                                          [this] { ++m_Wanted; }}) {
     m_Core.setUsesWorkspaces(true);
     m_Core.setPermits(&m_Permits);
     applyView(1, S1);
--- a/tests/Request/WorkspacePermitsTest.cpp
+++ b/tests/Request/WorkspacePermitsTest.cpp
@@ -60,8 +60,8 @@
       const std::uint64_t Load = Loads.at(Below(Loads.size()));
       const std::uint64_t Together = 1 + Below(2) * Below(12);
       if (Load > 0) {
-        const std::uint64_t Gap = 1'000'000 * Hosts * Together /
-                                  (Limit.m_RatePerSecond * Load);
+        const std::uint64_t Gap =
+            1'000'000 * Hosts * Together / (Limit.m_RatePerSecond * Load);
         for (const std::size_t Host : Group) {
           for (Instant Next = At + Duration(Below(Gap + 1)); Next < PhaseEnd;
                Next += Duration(1 + Below(2 * Gap + 1))) {
@@ -182,22 +182,21 @@
     }
   }
   BOOST_TEST(Exceeded == 0U);
-  BOOST_TEST_MESSAGE(
-      Seeds << " seeds in "
-            << std::chrono::duration_cast<milliseconds>(
-                   std::chrono::steady_clock::now() - Start)
-                   .count()
-            << " ms");
+  BOOST_TEST_MESSAGE(Seeds << " seeds in "
+                           << std::chrono::duration_cast<milliseconds>(
+                                  std::chrono::steady_clock::now() - Start)
+                                  .count()
+                           << " ms");
 }
 
 // The check above would notice if one rule of the design were missing.
-BOOST_DATA_TEST_CASE(
-    OmittedRuleIsNoticed,
-    boost::unit_test::data::make(
-        {OmittedRule::EmptyStart, OmittedRule::QuorumRound, OmittedRule::Expiry,
-         OmittedRule::ExpiryFromSending, OmittedRule::AnswerOnce,
-         OmittedRule::BucketAfterRemoval}),
-    Omitted) {
+BOOST_DATA_TEST_CASE(OmittedRuleIsNoticed,
+                     boost::unit_test::data::make(
+                         {OmittedRule::EmptyStart, OmittedRule::QuorumRound,
+                          OmittedRule::Expiry, OmittedRule::ExpiryFromSending,
+                          OmittedRule::AnswerOnce,
+                          OmittedRule::BucketAfterRemoval}),
+                     Omitted) {
   constexpr std::uint64_t Seeds = 10'000;
   std::uint64_t Seed = 1;
   while (Seed <= Seeds && !runOnce(Seed, Omitted))
@@ -221,8 +220,8 @@
   New.becameLeader(Replaced);
   // The quorum has confirmed the old leader just before, but it notices late.
   const Instant RoundEnded = Replaced + seconds(1);
-  Issued += Old.take(IssuesBefore ? Replaced : RoundEnded, All, Limit)
-                .m_Permits;
+  Issued +=
+      Old.take(IssuesBefore ? Replaced : RoundEnded, All, Limit).m_Permits;
   // The permits of the whole validity may be used in the window, too.
   const Instant End = Replaced + seconds(5) + Old.validity();
   for (Instant Now = Replaced; Now <= End; Now += milliseconds(10))
@@ -267,8 +266,8 @@
   const Instant End = Begin + seconds(20);
   const bool Moves = Pattern.m_Moving > Duration(0);
   const std::size_t Active = Moves ? Pattern.m_Hosts / 4 : Pattern.m_Hosts;
-  const double Gap = 1'000'000 / (Pattern.m_Limit.m_RatePerSecond *
-                                  Pattern.m_Load);
+  const double Gap =
+      1'000'000 / (Pattern.m_Limit.m_RatePerSecond * Pattern.m_Load);
   std::exponential_distribution<> NextGap(1 / Gap);
   for (Instant At = Begin; At < End;
        At += Duration(1 + static_cast<std::int64_t>(NextGap(Run.random())))) {
