--- a/ragwortmux/Process/Support/ProcessSettings.cpp
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -69,6 +69,7 @@
   /// Checks the rules that involve several settings.
   void checkCombinations() {
     checkTimes();
+    checkQuota();
     checkControlRole();
     checkPorts();
   }
@@ -119,6 +120,17 @@
                "more than twice heartbeat_ms");
   }
 
+  void checkQuota() {
+    // Less slack would leave a workspace without a burst a bucket that holds
+    // no whole operation.
+    constexpr std::uint32_t MinSlack = 2;
+    if (areValid({"quota_window_s", "quota_slack"}) &&
+        m_Settings.m_QuotaWindow > Duration(0) &&
+        m_Settings.m_QuotaSlack < MinSlack)
+      addFault("quota_slack", std::to_string(m_Settings.m_QuotaSlack),
+               "2 or more with quota_window_s above 0");
+  }
+
   void checkControlRole() {
     if (!areValid({"roles"}))
       return;
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -18,8 +18,8 @@
 /// falling.
 constexpr std::size_t MaxDispatchTries = 64;
 constexpr std::size_t MaxDemandStatements = 16;
-/// Limit of statements for an unavailable primary that one event skips, so that
-/// reads queued behind them still reach replicas.
+/// Limit of statements for an unavailable primary, or without a permit of their
+/// workspace, that one event skips, so that those queued behind them are sent.
 constexpr std::size_t MaxSkips = 192;
 
 } // namespace
--- a/tests/Support/ProcessSettingsTest.cpp
+++ b/tests/Support/ProcessSettingsTest.cpp
@@ -211,6 +211,20 @@
   BOOST_TEST(Defaults.ownPeer() == nullptr);
 }
 
+// Guards against limits under which a workspace without a burst gets nothing.
+BOOST_AUTO_TEST_CASE(EnforcedLimitsNeedSlack) {
+  EnvironmentVariables Environment = validVariables();
+  Environment["RAGWORTMUX_QUOTA_WINDOW_S"] = "5";
+  Environment["RAGWORTMUX_QUOTA_SLACK"] = "1";
+  const LoadResult Bad = load(Environment, {});
+  BOOST_TEST_REQUIRE(Bad.m_Faults.size() == 1U);
+  BOOST_TEST(Bad.m_Faults.front().m_Name == "quota_slack");
+  Environment["RAGWORTMUX_QUOTA_SLACK"] = "2";
+  const LoadResult Good = load(Environment, {});
+  BOOST_TEST_REQUIRE(Good.m_Settings.has_value());
+  BOOST_TEST((Good.m_Settings->m_QuotaWindow == 5s));
+}
+
 // Guards against a fraction that is read as another one, which would change the
 // bound of every workspace.
 BOOST_AUTO_TEST_CASE(QuotaOverageIsAFraction) {
