Workspace limiter: unit tests; plenty means that a spare permit is left

Cause: a bucket just above its half was reported as plenty, although no spare permit could be granted; hosts would have asked in vain. Seen failing: WorkspaceLimiterTest/SparePermitsComeFromTheUpperHalf. Run: RequestTests, VersionTests, SupportTests.

--- a/ragwortmux/Version/WorkspaceLimiter.cpp
+++ b/ragwortmux/Version/WorkspaceLimiter.cpp
@@ -100,7 +100,7 @@
     Grant.m_Permits += Spare;
     Current.m_Tokens -= Spare;
   }
-  Grant.m_IsPlenty = Current.m_Tokens > Threshold;
+  Grant.m_IsPlenty = Current.m_Tokens >= Threshold + 1;
   if (Grant.m_Permits < Demand.m_Needed) {
     const double Missing = std::max(0.0, 1 - Current.m_Tokens);
     Grant.m_RetryAfter =
--- a/tests/Request/SessionPermitsTest.cpp
+++ b/tests/Request/SessionPermitsTest.cpp
@@ -170,6 +170,39 @@
   BOOST_TEST(m_Wanted == Wanted + 1);
 }
 
+// Guards against a request for each workspace, and against grants that are
+// taken for another workspace's.
+BOOST_AUTO_TEST_CASE(OneRequestCoversAllWorkspaces) {
+  WorkspacePermits Permits({1, milliseconds(10)},
+                           {[](const WorkspaceId &) { return 10U; }, [] {}});
+  const WorkspaceId Others[] = {WorkspaceId("a"), WorkspaceId("b")};
+  for (const WorkspaceId &Name : Others) {
+    BOOST_TEST((Permits.arrived(m_Now, Name) == PermitDecision::Wait));
+    Permits.beginWait(m_Now, Name);
+  }
+  const auto Request = Permits.nextRequest(m_Now);
+  BOOST_REQUIRE(Request);
+  BOOST_REQUIRE(Request->m_Demands.size() == 2U);
+  BOOST_TEST(!Permits.nextRequest(m_Now));
+  PermitGrants Grants;
+  Grants.m_Validity = milliseconds(400);
+  for (const PermitDemand &Demand : Request->m_Demands) {
+    BOOST_TEST(Demand.m_Needed == 1U);
+    const bool IsFirst = Demand.m_Workspace == Others[0];
+    Grants.m_Grants.push_back(
+        {IsFirst ? 1U : 0U, milliseconds(IsFirst ? 0 : 100), false});
+  }
+  BOOST_TEST(Permits.answered(m_Now, Request->m_Number, Grants));
+  BOOST_TEST(!Permits.answered(m_Now, Request->m_Number, Grants));
+  BOOST_TEST((Permits.check(m_Now, Others[0]) == PermitDecision::Granted));
+  BOOST_TEST((Permits.check(m_Now, Others[1]) == PermitDecision::Refused));
+  // The validity counts from the sending, less 1% and 10 ms.
+  const Instant Expiry = m_Now + milliseconds(386);
+  BOOST_TEST((Permits.check(Expiry - milliseconds(1), Others[0]) ==
+              PermitDecision::Granted));
+  BOOST_TEST((Permits.check(Expiry, Others[0]) == PermitDecision::Wait));
+}
+
 // Guards against a wait that is counted for ever after its caller has left.
 BOOST_AUTO_TEST_CASE(DisconnectedCallerNeedsNoPermit) {
   submitFor(Limited, 1);
