--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -322,6 +322,7 @@
   assert(!State.m_Connection);
   releaseSlot(State);
   removeFromQueue(State);
+  endPermitWait(State);
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end() &&
       Open->second.m_Running == State.m_Request.m_Id)
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -18,8 +18,8 @@
 /// falling.
 constexpr std::size_t MaxDispatchTries = 64;
 constexpr std::size_t MaxDemandStatements = 16;
-/// Limit of statements for an unavailable primary that one event skips, so that
-/// reads queued behind them still reach replicas.
+/// Limit of statements for an unavailable primary, or without a permit of their
+/// workspace, that one event skips, so that those queued behind them are sent.
 constexpr std::size_t MaxSkips = 192;
 
 } // namespace
@@ -42,6 +42,17 @@
     m_ToReview.push_back(State.m_Request.m_Id);
 }
 
+void SessionCore::enqueueNew(Request &State) {
+  // It is sent as soon as a connection has been opened, so the permit is
+  // requested meanwhile. In a long queue the permit would expire.
+  const bool IsFirst = m_Waiting.empty();
+  enqueue(State);
+  if (IsFirst && State.m_NeedsPermit &&
+      m_Permits->check(m_Now, State.m_Request.m_Workspace) ==
+          PermitDecision::Wait)
+    awaitPermit(State);
+}
+
 void SessionCore::removeFromQueue(Request &State) {
   if (!State.m_IsWaiting)
     return;
@@ -73,6 +84,10 @@
       ++Skips;
       continue;
     }
+    if (State.m_AwaitsPermit && !hasPermit(State)) {
+      ++Skips;
+      continue;
+    }
     ++Tries;
     if (State.m_NotBefore && m_Now < *State.m_NotBefore)
       continue;
@@ -80,6 +95,63 @@
   }
 }
 
+bool SessionCore::isOverLimit(Request &State) {
+  const WorkspaceId &Workspace = State.m_Request.m_Workspace;
+  if (m_Permits == nullptr || !m_Permits->isLimited(m_Now, Workspace))
+    return false;
+  State.m_NeedsPermit = true;
+  return m_Permits->arrived(m_Now, Workspace) == PermitDecision::Refused;
+}
+
+bool SessionCore::hasPermit(Request &State) {
+  if (!State.m_NeedsPermit)
+    return true;
+  const WorkspaceId &Workspace = State.m_Request.m_Workspace;
+  switch (m_Permits->check(m_Now, Workspace)) {
+  case PermitDecision::Granted:
+    return true;
+  case PermitDecision::Refused:
+    refuseForLimit(State);
+    return false;
+  case PermitDecision::Wait:
+    break;
+  }
+  awaitPermit(State);
+  return false;
+}
+
+void SessionCore::awaitPermit(Request &State) {
+  if (State.m_AwaitsPermit)
+    return;
+  State.m_AwaitsPermit = true;
+  m_AwaitingPermit.insert(State.m_Request.m_Id);
+  m_Permits->beginWait(m_Now, State.m_Request.m_Workspace);
+}
+
+void SessionCore::endPermitWait(Request &State) {
+  if (!State.m_AwaitsPermit)
+    return;
+  State.m_AwaitsPermit = false;
+  m_AwaitingPermit.erase(State.m_Request.m_Id);
+  m_Permits->endWait(State.m_Request.m_Workspace);
+}
+
+void SessionCore::refuseForLimit(Request &State) {
+  m_Permits->refused(m_Now, State.m_Request.m_Workspace);
+  finish(State, ResultCode::NotRunRateLimited, TransactionStatus::Idle);
+}
+
+void SessionCore::refuseAwaitingPermit() {
+  std::vector<RequestId> Refused;
+  for (const RequestId Id : m_AwaitingPermit) {
+    const WorkspaceId &Workspace = m_Requests.at(Id).m_Request.m_Workspace;
+    if (m_Permits->check(m_Now, Workspace) == PermitDecision::Refused)
+      Refused.push_back(Id);
+  }
+  for (const RequestId Id : Refused)
+    refuseForLimit(m_Requests.at(Id));
+}
+
 bool SessionCore::hasIdlePrimaryConnection() const {
   return isPrimaryUsable() && m_Pool.idleCount(*m_View.m_Primary) > 0;
 }
@@ -167,6 +239,9 @@
   const ServerView *Known = server(Primary);
   if (Known != nullptr && !hasFreeSlot(*Known))
     return false;
+  if (m_Pool.idleCount(Primary, State.m_Request.m_Workspace) == 0 ||
+      !hasPermit(State))
+    return false;
   const auto Connection = acquireConnection(Primary, State);
   if (!Connection)
     return false;
@@ -232,7 +307,7 @@
 bool SessionCore::tryRead(Request &State) {
   const auto Floor = readFloor(State);
   const auto Target = chooseReadTarget(readTargets(State, Floor));
-  if (!Target)
+  if (!Target || !hasPermit(State))
     return false;
   const auto Connection = acquireConnection(*Target, State);
   if (!Connection)
@@ -258,6 +333,12 @@
   m_Waiting.charge(Submitted.m_Workspace,
                    Submitted.m_Entry->m_Limits.m_Priority);
   removeFromQueue(State);
+  // Another try is the same operation and takes no further permit.
+  if (State.m_NeedsPermit) {
+    State.m_NeedsPermit = false;
+    endPermitWait(State);
+    m_Permits->take(m_Now, Submitted.m_Workspace);
+  }
   State.m_Connection = Connection;
   State.m_Server = Server;
   State.m_Term = m_View.m_Term;
