CrossDomainPolicy: reads leave the failure domain by expected time, price and bounds

Cause: ChooseReadTarget adds a fixed cost to servers of other failure domains, whatever their state. With it off SessionCore chooses as before.

--- a/ragwortmux/Request/ChooseReadTarget.h
+++ b/ragwortmux/Request/ChooseReadTarget.h
@@ -19,6 +19,9 @@
   std::uint32_t m_Free = 0;    ///< Number of free connections.
   std::uint32_t m_Running = 0; ///< Statements of this host running on it.
   std::uint32_t m_Slots = 1;   ///< Statements that it can run at the same time.
+  bool m_IsFull = false;       ///< Not allowed for a moment, only because it
+                               ///< had no free slot.
+  bool m_CanOpen = false;      ///< A connection to it could be opened now.
 };
 
 /// Chooses the server for a read; none if this host has no free connection to
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -17,7 +17,7 @@
 
 SessionCore::SessionCore(GroupId Group, const SessionCoreSettings &Settings)
     : m_Group(std::move(Group)), m_Settings(Settings), m_Pool(Settings.m_Pool),
-      m_Retries(Settings.m_Retry) {}
+      m_CrossDomain(Settings.m_CrossDomain), m_Retries(Settings.m_Retry) {}
 
 void SessionCore::beginEvent(Instant Now, SessionActions &Actions) {
   m_Now = Now;
@@ -137,6 +137,7 @@
     const auto State = m_Requests.find(Running->second);
     m_Running.erase(Running);
     if (State != m_Requests.end()) {
+      m_CrossDomain.statementEnded(State->second.m_Server);
       State->second.m_Connection.reset();
       handleLostStatement(State->second);
     }
@@ -174,6 +175,7 @@
     Request &State = m_Requests.at(Running->second);
     m_Running.erase(Running);
     recordPosition(State, Reply);
+    observeReply(State, Reply);
     if (State.m_InTransaction)
       handleTransactionReply(State, Reply);
     else
@@ -333,6 +335,8 @@
     Consider(leaseExpiry());
   if (m_ConfirmedRevision != m_View.m_Revision)
     Consider(m_TermEndedAt + m_Settings.m_HandoverWait);
+  if (const auto Pass = m_CrossDomain.nextDeadline(m_Now, !m_Waiting.empty()))
+    Consider(*Pass);
   return Next;
 }
 
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Connection/ConnectionPool.h"
 #include "ragwortmux/Request/ChooseReadTarget.h"
+#include "ragwortmux/Request/CrossDomainPolicy.h"
 #include "ragwortmux/Request/PositionHistory.h"
 #include "ragwortmux/Request/ReplicaLag.h"
 #include "ragwortmux/Request/RetryBudget.h"
@@ -102,6 +103,9 @@
     return m_Waiting.empty() ? 0 : m_Pool.desiredCount(Server);
   }
 
+  /// Decides which reads leave the failure domain.
+  const CrossDomainPolicy &crossDomain() const { return m_CrossDomain; }
+
 private:
   using Request = SessionRequestState;
   using Transaction = SessionTransaction;
@@ -125,6 +129,10 @@
   bool tryDispatch(Request &State);
   bool tryPrimary(Request &State);
   bool tryRead(Request &State);
+  bool isNear(const ServerId &Server) const;
+  CrossDomainVerdict decidePlacement(Request &State,
+                                     const std::vector<ReadTarget> &Targets);
+  void observeReply(const Request &State, const StatementReply &Reply);
   std::vector<ReadTarget>
   readTargets(const Request &State,
               const std::optional<PositionHistory::Sample> &Floor) const;
@@ -137,8 +145,8 @@
   void enqueue(Request &State);
   void removeFromQueue(Request &State);
   void updateDemand();
-  void addReadDemand(const Request &State,
-                     std::map<ServerId, ConnectionDemand> &Demand) const;
+  void addReadDemand(Request &State,
+                     std::map<ServerId, ConnectionDemand> &Demand);
   bool isPrimaryUsable() const;
   bool acceptsReads(const ServerView &Server) const;
   const ServerView *server(const ServerId &Server) const;
@@ -220,6 +228,8 @@
                                               ///< no free slot gets no reads.
   PositionHistory m_History;                  ///< Positions of the primary.
   ConnectionPool m_Pool; ///< Connections to the backend servers.
+  CrossDomainPolicy
+      m_CrossDomain; ///< Decides which reads leave the failure domain.
   RetryBudget
       m_Retries; ///< Limits how many statements are abandoned and run again.
 };
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -331,6 +331,7 @@
 void SessionCore::dropStatement(Request &State) {
   const ConnectionId Connection = *State.m_Connection;
   m_Running.erase(Connection);
+  m_CrossDomain.statementEnded(State.m_Server);
   State.m_Connection.reset();
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end())
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -21,6 +21,29 @@
 /// Limit of statements for an unavailable primary that one event skips, so that
 /// reads queued behind them still reach replicas.
 constexpr std::size_t MaxSkips = 192;
+/// Limit of reads that one event holds for a server of the failure domain while
+/// others have free connections. It bounds the work of an event too.
+constexpr std::uint32_t MaxHeldReads = 32;
+
+std::uint64_t byteCount(const Statement &Submitted) {
+  return Submitted.m_Text.size() + Submitted.m_Name.size() +
+         Submitted.m_Rest.size();
+}
+
+CrossDomainRead placementInput(const SessionRequestState &State) {
+  const SessionRequest &Submitted = State.m_Request;
+  const EntryLimits &Limits = Submitted.m_Entry->m_Limits;
+  CrossDomainRead Read;
+  Read.m_Entry = Submitted.m_Entry->m_Name;
+  Read.m_Workspace = Submitted.m_Workspace;
+  Read.m_Priority = Limits.m_Priority;
+  Read.m_TextBytes = byteCount(Submitted.m_Statement);
+  Read.m_Arrived = Submitted.m_Arrived;
+  if (Limits.m_LatencyTarget > Duration(0))
+    Read.m_LateAt = Submitted.m_Arrived + Limits.m_LatencyTarget;
+  Read.m_Deadline = State.m_Deadline;
+  return Read;
+}
 
 } // namespace
 
@@ -44,6 +67,8 @@
 
 void SessionCore::dispatch() {
   m_Waiting.advance(m_Now);
+  if (auto Change = m_CrossDomain.beginPass(m_Now))
+    emit(*Change);
   std::size_t Tries = 0;
   std::size_t Skips = 0;
   auto Next = m_Waiting.begin();
@@ -52,7 +77,10 @@
     const RequestId Id = SessionQueue::request(*Next);
     ++Next;
     Request &State = m_Requests.at(Id);
-    if (State.needsPrimary() && !hasIdlePrimaryConnection()) {
+    const bool IsSkipped = State.needsPrimary()
+                               ? !hasIdlePrimaryConnection()
+                               : m_CrossDomain.heldCount() >= MaxHeldReads;
+    if (IsSkipped) {
       ++Skips;
       continue;
     }
@@ -190,8 +218,15 @@
     const bool MayCover =
         Floor && (Age == m_ReplicaLags.end() ||
                   Age->second.isWorthTrying(m_Now, Floor->m_QuerySentAt));
-    Target.m_IsAllowed = !IsFull && !State.avoids(Each.m_Server) &&
-                         (Target.m_IsPrimary ? isPrimaryUsable() : MayCover);
+    const bool MayRun = !State.avoids(Each.m_Server) &&
+                        (Target.m_IsPrimary ? isPrimaryUsable() : MayCover);
+    Target.m_IsAllowed = !IsFull && MayRun;
+    Target.m_IsFull = IsFull && MayRun;
+    // If the whole share is being opened, one of these connections will do.
+    Target.m_CanOpen =
+        m_CrossDomain.isEnabled() && m_Pool.isReachable(Each.m_Server) &&
+        (Target.m_Running == 0 || m_Pool.hasRoom(Each.m_Server) ||
+         (m_UsesWorkspaces && m_Pool.canOpen(Each.m_Server)));
     Targets.push_back(std::move(Target));
   }
   return Targets;
@@ -199,17 +234,71 @@
 
 bool SessionCore::tryRead(Request &State) {
   const auto Floor = readFloor(State);
-  const auto Target = chooseReadTarget(readTargets(State, Floor));
-  if (!Target)
+  const std::vector<ReadTarget> Targets = readTargets(State, Floor);
+  CrossDomainVerdict Placement;
+  if (m_CrossDomain.isEnabled()) {
+    Placement = decidePlacement(State, Targets);
+    if (!Placement.m_IsReady) {
+      m_CrossDomain.held();
+      return false;
+    }
+  } else {
+    Placement.m_Server = chooseReadTarget(Targets);
+  }
+  if (!Placement.m_Server)
     return false;
-  const auto Connection = acquireConnection(*Target, State);
+  const ServerId Target = *Placement.m_Server;
+  const auto Connection = acquireConnection(Target, State);
   if (!Connection)
     return false;
-  const bool AtPrimary = m_View.m_Primary == *Target;
-  sendOn(State, *Target, *Connection, AtPrimary ? std::nullopt : Floor);
+  const bool AtPrimary = m_View.m_Primary == Target;
+  sendOn(State, Target, *Connection, AtPrimary ? std::nullopt : Floor);
+  m_CrossDomain.countRead(isNear(Target));
+  if (m_CrossDomain.isEnabled())
+    m_CrossDomain.readSent(m_Now, placementInput(State), Placement);
   return true;
 }
 
+bool SessionCore::isNear(const ServerId &Server) const {
+  const ServerView *Found = server(Server);
+  return Found != nullptr && Found->m_Domain == m_Settings.m_Domain;
+}
+
+CrossDomainVerdict
+SessionCore::decidePlacement(Request &State,
+                             const std::vector<ReadTarget> &Targets) {
+  const CrossDomainRead Read = placementInput(State);
+  if (!std::exchange(State.m_IsPlacementDecided, true))
+    m_CrossDomain.firstDecided(m_Now);
+  CrossDomainVerdict Verdict = m_CrossDomain.choose(m_Now, Read, Targets);
+  if (Verdict.m_HasReason && !std::exchange(State.m_HasLeaveReason, true))
+    m_CrossDomain.reasonFound(m_Now, Read, Verdict);
+  return Verdict;
+}
+
+void SessionCore::observeReply(const Request &State,
+                               const StatementReply &Reply) {
+  const Statement &Submitted = State.m_Request.m_Statement;
+  const bool IsNear = isNear(State.m_Server);
+  const bool HasRun = Reply.m_Outcome == StatementOutcome::Done ||
+                      Reply.m_Outcome == StatementOutcome::Failed ||
+                      Reply.m_Outcome == StatementOutcome::TimedOut;
+  const bool IsRead =
+      !Submitted.m_Writes && (Submitted.m_Kind == StatementKind::Read ||
+                              Submitted.m_Kind == StatementKind::Execute);
+  m_CrossDomain.statementAnswered(m_Now, State.m_Server, IsNear,
+                                  m_Now - State.m_SentAt, HasRun && IsRead,
+                                  Reply.m_Outcome == StatementOutcome::Busy);
+  const auto Open = m_Transactions.find(State.m_Request.m_Caller);
+  const bool IsMovable = State.m_InTransaction ? Open != m_Transactions.end() &&
+                                                     Open->second.m_ReadOnly
+                                               : !State.needsPrimary();
+  if (IsMovable && Reply.m_Outcome == StatementOutcome::Done)
+    m_CrossDomain.replyArrived(m_Now, State.m_Request.m_Entry->m_Name, IsNear,
+                               byteCount(Submitted) +
+                                   (Reply.m_Body ? Reply.m_Body->size() : 0));
+}
+
 std::optional<ConnectionId>
 SessionCore::acquireConnection(const ServerId &Server, const Request &State) {
   const SessionRequest &Submitted = State.m_Request;
@@ -234,6 +323,7 @@
   State.m_IsSilenceHandled = false;
   ++State.m_Tries;
   m_Running[Connection] = Submitted.m_Id;
+  m_CrossDomain.statementSent(m_Now, Server);
 
   RunStatement Run;
   Run.m_Connection = Connection;
@@ -285,7 +375,7 @@
   for (const SessionQueue::Key &Key : m_Waiting) {
     if (++Counted > MaxDemandStatements)
       break;
-    const Request &State = m_Requests.at(SessionQueue::request(Key));
+    Request &State = m_Requests.at(SessionQueue::request(Key));
     if (!State.needsPrimary())
       addReadDemand(State, Demand);
     else if (m_View.m_Primary)
@@ -297,10 +387,23 @@
   apply(Actions);
 }
 
-void SessionCore::addReadDemand(
-    const Request &State, std::map<ServerId, ConnectionDemand> &Demand) const {
+void SessionCore::addReadDemand(Request &State,
+                                std::map<ServerId, ConnectionDemand> &Demand) {
   const WorkspaceId &Workspace = State.m_Request.m_Workspace;
   std::vector<ReadTarget> Targets = readTargets(State, readFloor(State));
+  if (m_CrossDomain.isEnabled()) {
+    // A server without a free slot needs no further connection.
+    const std::optional<ServerId> Best =
+        decidePlacement(State, Targets).m_Server;
+    const bool IsMissing =
+        std::ranges::any_of(Targets, [&](const ReadTarget &Target) {
+          return Target.m_Server == Best && Target.m_IsAllowed &&
+                 Target.m_Free == 0;
+        });
+    if (IsMissing)
+      ++Demand[*Best][Workspace];
+    return;
+  }
   if (!m_UsesWorkspaces) {
     for (const ReadTarget &Target : Targets) {
       if (Target.m_IsAllowed)
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Connection/ConnectionPool.h"
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Request/CrossDomainSettings.h"
 #include "ragwortmux/Request/RetryBudget.h"
 
 #include <cstdint>
@@ -53,7 +54,9 @@
              ///< reach is not replaced.
   RetryBudgetSettings
       m_Retry; ///< Limits how many statements are abandoned and run again.
-  ConnectionPoolSettings m_Pool; ///< Settings of the connection pool.
+  CrossDomainSettings m_CrossDomain; ///< Limits of the reads that leave the
+                                     ///< failure domain.
+  ConnectionPoolSettings m_Pool;     ///< Settings of the connection pool.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -2,6 +2,7 @@
 #define RAGWORTMUX_REQUEST_SESSIONEVENTS_H
 
 #include "ragwortmux/Connection/BackendSession.h"
+#include "ragwortmux/Request/CrossDomainEvents.h"
 #include "ragwortmux/Request/Statement.h"
 #include "ragwortmux/Request/StatementReply.h"
 #include "ragwortmux/Version/ControlEvents.h"
@@ -121,7 +122,7 @@
 using SessionAction =
     std::variant<OpenSessionConnection, CloseSessionConnection, RunStatement,
                  ProbeConnection, SessionAnswer, ReportServer,
-                 SessionDecisionRecord>;
+                 SessionDecisionRecord, CrossDomainChange>;
 
 /// Actions in order of execution.
 using SessionActions = std::vector<SessionAction>;
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -35,6 +35,9 @@
       0; ///< Number of pauses because a server had no free slot.
   std::optional<Instant> m_NotBefore; ///< Earliest time for the next try.
   std::vector<ServerId> m_Avoid;      ///< Servers that failed to run it.
+  bool m_IsPlacementDecided = false;  ///< CrossDomainPolicy has decided on it.
+  bool m_HasLeaveReason = false;   ///< It has had a reason to leave the failure
+                                   ///< domain.
   bool m_IsSilenceHandled = false; ///< The missing answer has been acted upon;
                                    ///< see SessionCore::checkSilence().
   ResultCode m_LastReason =
