--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -172,6 +172,12 @@
   m_Hooks.m_DecisionMade(Action);
 }
 
+void SessionDriver::performAction(const CrossDomainChange &Action) {
+  if (m_Hooks.m_CrossDomainChanged) {
+    m_Hooks.m_CrossDomainChanged(Action);
+  }
+}
+
 void SessionDriver::removeConnection(ConnectionId Id) {
   const auto Found = m_Connections.find(Id);
   if (Found == m_Connections.end()) {
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -24,6 +24,9 @@
                            ///< than in the call that applied it.
   std::function<void(const SessionDecisionRecord &Record)>
       m_DecisionMade; ///< Called for each decision of the core.
+  std::function<void(const CrossDomainChange &Change)>
+      m_CrossDomainChanged; ///< Called when another share of the reads may
+                            ///< leave the failure domain; may be empty.
 };
 
 /// The I/O side of one delegated group on an entry host: performs the actions
@@ -64,6 +67,7 @@
   void performAction(const SessionAnswer &Action);
   void performAction(const ReportServer &Action);
   void performAction(const SessionDecisionRecord &Action);
+  void performAction(const CrossDomainChange &Action);
   void removeConnection(ConnectionId Id);
   void scheduleTick();
 
--- a/ragwortmux/Process/Entry/SessionEntryRole.cpp
+++ b/ragwortmux/Process/Entry/SessionEntryRole.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/Entry/SessionEntryRole.h"
 
 #include "ragwortmux/Connection/IsReadyForCallers.h"
+#include "ragwortmux/Connection/StableHash.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/MakeIncarnation.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
@@ -383,6 +384,14 @@
     SessionCoreSettings Settings;
     Settings.m_Domain = m_Settings.m_FailureDomain;
     Settings.m_Pool.m_OpenTimeout = m_Settings.m_ConnectTimeout;
+    CrossDomainSettings &CrossDomain = Settings.m_CrossDomain;
+    CrossDomain.m_IsEnabled = m_Settings.m_CrossDomainRouting;
+    CrossDomain.m_UsPerKb = m_Settings.m_CrossDomainUsPerKb;
+    CrossDomain.m_MaxSharePercent = m_Settings.m_CrossDomainMaxSharePercent;
+    CrossDomain.m_MaxKbPerSecond = m_Settings.m_CrossDomainMaxKbPerSecond;
+    CrossDomain.m_RoomPercent = m_Settings.m_CrossDomainRoomPercent;
+    CrossDomain.m_RefusalPause = Settings.m_BusyPause;
+    CrossDomain.m_Seed = stableHash(m_Settings.m_Host.value(), Group.value());
     Driver = std::make_unique<SessionDriver>(m_Loop, Group, Settings,
                                              driverHooks(Group));
     Driver->setUsesWorkspaces(m_KeyedGroups.contains(Group));
@@ -406,6 +415,9 @@
   Hooks.m_DecisionMade = [this, Group](const SessionDecisionRecord &Record) {
     m_StatementLog.record(Group, Record);
   };
+  Hooks.m_CrossDomainChanged = [this, Group](const CrossDomainChange &Change) {
+    m_StatementLog.recordCrossDomain(Group, Change);
+  };
   return Hooks;
 }
 
@@ -469,6 +481,8 @@
                   static_cast<double>(Core.pending() - Core.waiting()));
     m_Metrics.set(Metric::GroupTerm, {Name},
                   static_cast<double>(Core.view().m_Term.value()));
+    m_StatementLog.countCrossDomain(Group, Core.crossDomain().counts(),
+                                    Core.crossDomain().share());
     for (const ServerView &Server : Core.view().m_Servers) {
       m_Metrics.set(Metric::BackendConnections, {Name, Server.m_Server.value()},
                     static_cast<double>(Core.connectionCount(Server.m_Server)));
--- a/ragwortmux/Process/Entry/StatementLog.cpp
+++ b/ragwortmux/Process/Entry/StatementLog.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -30,6 +31,24 @@
   return "";
 }
 
+const char *changeReasonName(CrossDomainChangeReason Reason) {
+  switch (Reason) {
+  case CrossDomainChangeReason::NearSlower:
+    return "near_slower";
+  case CrossDomainChangeReason::FarRefuses:
+    return "far_refuses";
+  case CrossDomainChangeReason::FarHasRoom:
+    return "far_has_room";
+  case CrossDomainChangeReason::NearFine:
+    return "near_fine";
+  }
+  return "";
+}
+
+std::int64_t toPercent(double Share) {
+  return static_cast<std::int64_t>(std::lround(Share * 100));
+}
+
 std::int64_t toMs(Duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
@@ -164,6 +183,40 @@
   logRecord(LogLevel::Info, Part::Catalogue, Text, Fields);
 }
 
+void StatementLog::recordCrossDomain(const GroupId &Group,
+                                     const CrossDomainChange &Change) const {
+  const std::array Fields = {
+      LogField{"group", Group.value()},
+      LogField{"reason", std::string(changeReasonName(Change.m_Reason))},
+      LogField{"share_before_percent", toPercent(Change.m_Before)},
+      LogField{"share_percent", toPercent(Change.m_Share)},
+      LogField{"limit_percent", toPercent(Change.m_Limit)},
+      LogField{"reads_with_reason",
+               static_cast<std::int64_t>(Change.m_WithReason)},
+      LogField{"reads_left", static_cast<std::int64_t>(Change.m_Left)},
+      LogField{"refused", static_cast<std::int64_t>(Change.m_Refused)},
+      LogField{"near_us", static_cast<std::int64_t>(Change.m_NearTime.count())},
+      LogField{"far_us", static_cast<std::int64_t>(Change.m_FarTime.count())}};
+  logRecord(LogLevel::Info, Part::Group,
+            "The share of reads that may leave the failure domain changed.",
+            Fields);
+}
+
+void StatementLog::countCrossDomain(const GroupId &Group,
+                                    const CrossDomainCounts &Counts,
+                                    double Share) {
+  CrossDomainCounts &Known = m_Counted[Group];
+  const std::string &Name = Group.value();
+  m_Metrics.add(Metric::ReadsByDomain, {Name, "near"},
+                Counts.m_Near - Known.m_Near);
+  m_Metrics.add(Metric::ReadsByDomain, {Name, "far"},
+                Counts.m_Far - Known.m_Far);
+  m_Metrics.add(Metric::ForeignReadBytes, {Name},
+                Counts.m_FarBytes - Known.m_FarBytes);
+  m_Metrics.set(Metric::ForeignReadShare, {Name}, Share);
+  Known = Counts;
+}
+
 void StatementLog::writeSummary() {
   const Summary Previous = std::exchange(m_Summary, Summary());
   if (Previous.m_Sent == 0 && Previous.m_Answered == 0) {
--- a/ragwortmux/Process/Entry/StatementLog.h
+++ b/ragwortmux/Process/Entry/StatementLog.h
@@ -2,9 +2,11 @@
 #define RAGWORTMUX_PROCESS_ENTRY_STATEMENTLOG_H
 
 #include "ragwortmux/Core/Ids.h"
+#include "ragwortmux/Request/CrossDomainEvents.h"
 #include "ragwortmux/Request/RelayEvents.h"
 
 #include <cstdint>
+#include <map>
 
 namespace ragwortmux {
 
@@ -42,6 +44,13 @@
   /// The same, because no workspace holds the caller's key.
   void recordUnknownKey(const EntryName &Entry, const StatementId &Statement,
                         ResultCode Code, Duration LeaseLeft) const;
+  /// Logs that another share of the reads of \p Group may leave the failure
+  /// domain.
+  void recordCrossDomain(const GroupId &Group,
+                         const CrossDomainChange &Change) const;
+  /// Counts the reads of \p Group by failure domain; \p Counts are totals.
+  void countCrossDomain(const GroupId &Group, const CrossDomainCounts &Counts,
+                        double Share);
   /// Logs the summary unless it is empty, and resets it.
   void writeSummary();
 
@@ -58,6 +67,8 @@
   Metrics &m_Metrics;                ///< The process's metrics.
   const CatalogueCache &m_Catalogue; ///< For the traffic classes of entries.
   Summary m_Summary;                 ///< See summary().
+  std::map<GroupId, CrossDomainCounts>
+      m_Counted; ///< Totals of countCrossDomain() that the metrics include.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -57,6 +57,27 @@
                "Reads answered, by class and role of the backend server that "
                "answered (primary or replica).",
                {"class", "role"}},
+    MetricInfo{Metric::ReadsByDomain,
+               "ragwortmux_reads_by_domain_total",
+               MetricKind::Counter,
+               "requests",
+               "Reads that may run on several servers, as sent to servers of "
+               "this host's failure domain (near) or of others (far).",
+               {"group", "domain"}},
+    MetricInfo{Metric::ForeignReadBytes,
+               "ragwortmux_foreign_read_bytes_total",
+               MetricKind::Counter,
+               "bytes",
+               "Statements and replies of reads that ran in other failure "
+               "domains.",
+               {"group"}},
+    MetricInfo{Metric::ForeignReadShare,
+               "ragwortmux_foreign_read_share",
+               MetricKind::Gauge,
+               "ratio",
+               "Share of reads that may leave the failure domain because it "
+               "saves time.",
+               {"group"}},
     MetricInfo{Metric::RelayedStatements,
                "ragwortmux_relayed_statements_total",
                MetricKind::Counter,
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -65,6 +65,16 @@
       0}; ///< Silence of a backend server before it gets no new requests.
   std::uint32_t m_ServingHostsPerDomain =
       0; ///< Entry hosts of a failure domain that serve a group.
+  bool m_CrossDomainRouting = false; ///< Reads leave the failure domain by
+                                     ///< CrossDomainPolicy.
+  std::uint32_t m_CrossDomainUsPerKb =
+      0; ///< Waiting time that a kilobyte between failure domains is worth, us.
+  std::uint32_t m_CrossDomainMaxSharePercent =
+      0; ///< Maximum share of a group's reads that leave.
+  std::uint32_t m_CrossDomainMaxKbPerSecond =
+      0; ///< Maximum kilobytes per second of these; 0: no limit.
+  std::uint32_t m_CrossDomainRoomPercent =
+      0; ///< Maximum share of a foreign server's slots that this host takes.
   std::uint32_t m_MaxCallers = 0;            ///< Maximum caller connections.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -311,6 +311,27 @@
                     &ProcessSettings::m_ServingHostsPerDomain,
                     "Entry hosts of a failure domain that hold connections to "
                     "a group's servers; the same everywhere."),
+      switchSetting(
+          "cross_domain_routing", &ProcessSettings::m_CrossDomainRouting,
+          "Sends reads to other failure domains when that saves more waiting "
+          "time than their bytes are worth; false: at a fixed cost."),
+      numberSetting(
+          "cross_domain_us_per_kb", "1000", 0, 1000000,
+          &ProcessSettings::m_CrossDomainUsPerKb,
+          "Microseconds of a caller's waiting time that a kilobyte between "
+          "failure domains is worth; a read that saves less stays."),
+      numberSetting("cross_domain_max_share_percent", "50", 1, 100,
+                    &ProcessSettings::m_CrossDomainMaxSharePercent,
+                    "Most reads of a group on this host that leave the failure "
+                    "domain while a server there can serve them, in percent."),
+      numberSetting("cross_domain_max_kb_per_s", "64", 0, 1000000,
+                    &ProcessSettings::m_CrossDomainMaxKbPerSecond,
+                    "Most kilobytes a second of these reads for each group on "
+                    "this host; 0: no limit."),
+      numberSetting("cross_domain_room_percent", "40", 1, 100,
+                    &ProcessSettings::m_CrossDomainRoomPercent,
+                    "Most slots of a foreign server that this host takes by "
+                    "them, in percent; at least one slot."),
       numberSetting("max_callers", "1000", 1, 100000,
                     &ProcessSettings::m_MaxCallers,
                     "Most connections of callers at once."),
--- a/ragwortmux/Request/CrossDomainEvents.h
+++ b/ragwortmux/Request/CrossDomainEvents.h
@@ -52,10 +52,12 @@
   std::uint64_t m_Bytes = 0; ///< Expected bytes of the statement and its reply.
 };
 
-/// Why the share of reads that leave the failure domain has changed.
+/// Why the share of reads that leave the failure domain, or its limit, has
+/// changed.
 enum class CrossDomainChangeReason : std::uint8_t {
   NearSlower, ///< Reads would save more than their bytes cost.
   FarRefuses, ///< A foreign server had no room.
+  FarHasRoom, ///< No foreign server has refused for a while.
   NearFine,   ///< No read has had a reason to leave for a while.
 };
 
@@ -65,12 +67,14 @@
       CrossDomainChangeReason::NearSlower; ///< Why.
   double m_Before = 0;                     ///< Share before.
   double m_Share = 0;                      ///< Share from now on.
+  double m_LimitBefore = 0; ///< Limit on the share of urgent reads before.
+  double m_Limit = 0;       ///< That limit from now on.
   std::uint32_t m_WithReason = 0; ///< Reads with a reason to leave since the
                                   ///< last step.
-  std::uint32_t m_Left = 0;       ///< Reads that left since the last step.
-  std::uint32_t m_Refused = 0;    ///< Of these, refused for lack of a slot.
-  Duration m_NearTime{0};         ///< Expected times of the last read that had
-  Duration m_FarTime{0};          ///< a reason to leave.
+  std::uint32_t m_Left = 0;    ///< Reads that left since refusals were judged.
+  std::uint32_t m_Refused = 0; ///< Of these, refused for lack of a slot.
+  Duration m_NearTime{0};      ///< Expected times of the last read that had
+  Duration m_FarTime{0};       ///< a reason to leave.
 };
 
 /// Totals for metrics.
--- a/ragwortmux/Request/CrossDomainPolicy.cpp
+++ b/ragwortmux/Request/CrossDomainPolicy.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Request/CrossDomainPolicy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -17,10 +18,21 @@
 constexpr double MaxRefusedShare = 0.95;
 /// Reads that may leave at once after a time without any that had a reason.
 constexpr double MaxCredit = 2;
-/// A foreign server has too little room if it refuses more than one in this
-/// many of the reads that left.
-constexpr std::uint32_t RefusalsTolerated = 10;
+/// Foreign servers have too little room if they refuse more than this share of
+/// the reads that left. With random arrivals a server of 5 slots refuses 11% at
+/// 60% of its load and 20% at 80%, so fewer refusals are no reason to leave
+/// that room unused.
+constexpr std::uint32_t RefusedPercent = 30;
+/// Refusals are judged once this many reads have left, or after a second.
+constexpr std::uint32_t MinJudged = 8;
+/// Pauses after a refusal for which a foreign server gets no reads that have
+/// another choice.
+constexpr int NoRoomPauses = 4;
+/// A smaller share is 0.
 constexpr double MinShare = 0.02;
+/// The limit does not fall below this, because only reads that leave show that
+/// foreign servers have room again.
+constexpr double MinLimit = 0.02;
 
 double toShare(std::uint32_t Percent) {
   return static_cast<double>(Percent) / PercentBase;
@@ -44,6 +56,7 @@
 CrossDomainPolicy::CrossDomainPolicy(const CrossDomainSettings &Settings)
     : m_Settings(Settings), m_Reads(Settings.m_Memory),
       m_Far(Settings.m_Memory), m_FarBytes(Settings.m_Memory),
+      m_Limit(toShare(Settings.m_MaxSharePercent)),
       m_GrowthPause(Settings.m_GrowthPause),
       m_Random(nextRandom(Settings.m_Seed)) {}
 
@@ -54,44 +67,57 @@
   if (Now < m_NextStep)
     return std::nullopt;
   m_NextStep = Now + m_Settings.m_StepInterval;
-  std::optional<CrossDomainChange> Change;
   const double Max = toShare(m_Settings.m_MaxSharePercent);
-  if (m_StepRefused * RefusalsTolerated > m_StepFar) {
-    if (Now >= m_NoGrowthUntil + m_Settings.m_GrowthPauseMax)
-      m_GrowthPause = m_Settings.m_GrowthPause;
-    m_NoGrowthUntil = Now + m_GrowthPause;
-    m_GrowthPause = std::min(m_GrowthPause * 2, m_Settings.m_GrowthPauseMax);
-    if (m_Share > 0)
-      Change = changeShare(CrossDomainChangeReason::FarRefuses, m_Share / 2);
-  } else if (m_StepWanting > 0) {
-    if (m_IsShort && m_Share < Max && Now >= m_NoGrowthUntil)
-      Change = changeShare(CrossDomainChangeReason::NearSlower,
-                           std::min(Max, m_Share + m_Settings.m_ShareStep));
-  } else if (m_Share > 0 && Now >= m_LastWanting + m_Settings.m_ReturnAfter) {
-    Change = changeShare(CrossDomainChangeReason::NearFine,
-                         m_Share - m_Settings.m_ShareStep);
+  const bool MayGrow = Now >= m_NoGrowthUntil;
+  CrossDomainChange Change;
+  Change.m_Before = m_Share;
+  Change.m_LimitBefore = m_Limit;
+  const bool IsJudged =
+      m_Judged >= MinJudged || Now >= m_JudgedSince + m_Settings.m_Memory;
+  if (IsJudged && m_JudgedRefused * PercentBase > m_Judged * RefusedPercent) {
+    Change.m_Reason = CrossDomainChangeReason::FarRefuses;
+    pauseGrowth(Now);
+    setShare(m_Share / 2);
+    m_Limit = std::min(m_Limit, std::max(MinLimit, m_Limit / 2));
+  } else if (m_StepWanting > 0 && m_IsShort && m_Share < m_Limit && MayGrow) {
+    Change.m_Reason = CrossDomainChangeReason::NearSlower;
+    setShare(std::min(m_Limit, m_Share + m_Settings.m_ShareStep));
+  } else if (m_StepWanting == 0 && m_Share > 0 &&
+             Now >= m_LastWanting + m_Settings.m_ReturnAfter) {
+    Change.m_Reason = CrossDomainChangeReason::NearFine;
+    setShare(m_Share - m_Settings.m_ShareStep);
+  } else if (m_Limit < Max && MayGrow) {
+    Change.m_Reason = CrossDomainChangeReason::FarHasRoom;
+    m_Limit = std::min(Max, m_Limit + m_Settings.m_ShareStep);
   }
-  m_StepWanting = 0;
-  m_StepFar = 0;
-  m_StepRefused = 0;
+  Change.m_Share = m_Share;
+  Change.m_Limit = m_Limit;
+  Change.m_WithReason = std::exchange(m_StepWanting, 0);
+  Change.m_Left = m_Judged;
+  Change.m_Refused = m_JudgedRefused;
+  Change.m_NearTime = m_LastNearTime;
+  Change.m_FarTime = m_LastFarTime;
   m_IsShort = false;
-  return Change;
+  if (IsJudged) {
+    m_Judged = 0;
+    m_JudgedRefused = 0;
+    m_JudgedSince = Now;
+  }
+  const bool HasChanged =
+      m_Share != Change.m_Before || m_Limit != Change.m_LimitBefore;
+  return HasChanged ? std::optional(Change) : std::nullopt;
 }
 
-CrossDomainChange CrossDomainPolicy::changeShare(CrossDomainChangeReason Reason,
-                                                 double Share) {
-  CrossDomainChange Change;
-  Change.m_Reason = Reason;
-  Change.m_Before = m_Share;
+void CrossDomainPolicy::pauseGrowth(Instant Now) {
+  if (Now >= m_NoGrowthUntil + m_Settings.m_GrowthPauseMax)
+    m_GrowthPause = m_Settings.m_GrowthPause;
+  m_NoGrowthUntil = Now + m_GrowthPause;
+  m_GrowthPause = std::min(m_GrowthPause * 2, m_Settings.m_GrowthPauseMax);
+}
+
+void CrossDomainPolicy::setShare(double Share) {
   m_Share = Share < MinShare ? 0 : Share;
   m_Credit = std::min(m_Credit, m_Share * MaxCredit);
-  Change.m_Share = m_Share;
-  Change.m_WithReason = m_StepWanting;
-  Change.m_Left = m_StepFar;
-  Change.m_Refused = m_StepRefused;
-  Change.m_NearTime = m_LastNearTime;
-  Change.m_FarTime = m_LastFarTime;
-  return Change;
 }
 
 CrossDomainVerdict
@@ -215,30 +241,33 @@
                                      const ReadTarget &Target) const {
   const ServerObservation *Seen = find(Target.m_Server);
   Duration Time = m_Settings.m_DefaultResponse;
+  Duration Wait{0};
   if (Seen != nullptr) {
     Time = Seen->expectedResponse(Now, m_Settings.m_DefaultResponse);
-    const Duration Refusals =
-        refusalTime(Seen->refusedShare(Now), m_Settings.m_RefusalPause);
-    Time += Target.m_IsFull ? std::max(Refusals, m_Settings.m_RefusalPause)
-                            : Refusals;
+    Wait = refusalTime(Seen->refusedShare(Now), m_Settings.m_RefusalPause);
   }
-  if (Target.m_Free > 0)
-    return Time;
-  // The next connection is free when one of the running statements ends, or
-  // when a new one is open. Opening pays for the reads to come as well, so a
-  // workspace that keeps going abroad for lack of a connection gets one here.
-  Duration Open = m_Settings.m_OpenTime;
-  const auto FarInARow = m_FarInARow.find(Read.m_Workspace);
-  if (FarInARow != m_FarInARow.end())
-    Open /= 1 + FarInARow->second;
-  Duration Wait = Open;
-  if (Target.m_Running > 0) {
-    const Duration Queue = Time * (m_Held + 1) / Target.m_Running;
-    Wait = Target.m_CanOpen ? std::min(Queue, Open) : Queue;
+  if (Target.m_IsFull)
+    Wait = std::max(Wait, m_Settings.m_RefusalPause);
+  const bool IsSentNow = Target.m_Free > 0 && !Target.m_IsFull;
+  if (IsSentNow)
+    return Time + Wait;
+  // The reads that are held go first, and each needs a connection that a
+  // running statement frees.
+  Duration Queue = Time * m_Held / std::max(1U, Target.m_Running);
+  if (Target.m_Free == 0) {
+    // Opening a connection pays for the reads to come as well, so a workspace
+    // that keeps going abroad for lack of one gets one here.
+    Duration Open = m_Settings.m_OpenTime;
+    const auto FarInARow = m_FarInARow.find(Read.m_Workspace);
+    if (FarInARow != m_FarInARow.end())
+      Open /= 1 + FarInARow->second;
+    if (Target.m_Running > 0)
+      Queue += Time / Target.m_Running;
+    if (Target.m_Running == 0 || (Target.m_CanOpen && Open < Queue))
+      Queue = Open;
   }
-  // An estimate that has already been exceeded is wrong; the best guess is then
-  // that half of the wait is over.
-  return Time + std::max(Wait, Now - Read.m_Arrived);
+  // A read that has waited longer than expected probably waits as long again.
+  return Time + std::max(Wait + Queue, Now - Read.m_Arrived);
 }
 
 Duration CrossDomainPolicy::farTime(Instant Now, const ReadTarget &Target,
@@ -253,8 +282,10 @@
   return Target.m_Free > 0 ? Time : Time + m_Settings.m_OpenTime;
 }
 
-/// Expected time at a foreign server that has not answered any read: that of
-/// the own server in usual times and the crossing.
+/// Expected time at a foreign server that has not answered any read lately: the
+/// usual one of the near server and the crossing. The near server may have been
+/// slow since the start, so its usual time only counts up to the default; the
+/// first reads show the real one.
 Duration
 CrossDomainPolicy::unknownFarTime(const ServerObservation *Seen,
                                   std::span<const ReadTarget> Targets) const {
@@ -273,7 +304,9 @@
   Duration Crossing = m_Settings.m_DefaultCrossing;
   if (Seen != nullptr && Seen->fastest() && Fastest)
     Crossing = std::max(Duration(0), *Seen->fastest() - *Fastest);
-  return Usual.value_or(m_Settings.m_DefaultResponse) + Crossing;
+  return std::min(Usual.value_or(m_Settings.m_DefaultResponse),
+                  m_Settings.m_DefaultResponse) +
+         Crossing;
 }
 
 bool CrossDomainPolicy::isStalled(Instant Now, const ServerId &Server) const {
@@ -304,8 +337,7 @@
 std::optional<CrossDomainReason>
 CrossDomainPolicy::limitReached(Instant Now,
                                 const CrossDomainVerdict &Verdict) const {
-  if (m_Far.value(Now) >
-      toShare(m_Settings.m_MaxSharePercent) * m_Reads.value(Now))
+  if (m_Far.value(Now) > m_Limit * m_Reads.value(Now))
     return CrossDomainReason::ShareLimit;
   const double Bytes =
       m_FarBytes.value(Now) + static_cast<double>(Verdict.m_Bytes);
@@ -354,7 +386,7 @@
     return;
   }
   m_Far.add(Now, 1);
-  ++m_StepFar;
+  ++m_Judged;
   m_Random = nextRandom(m_Random);
   if (Verdict.m_Reason == CrossDomainReason::Saves)
     m_Credit -= 1;
@@ -376,8 +408,8 @@
   observe(Server).answered(Now, Took, IsSample, IsRefused);
   if (IsNear || !IsRefused)
     return;
-  ++m_StepRefused;
-  m_NoRoomUntil[Server] = Now + m_Settings.m_StepInterval;
+  ++m_JudgedRefused;
+  m_NoRoomUntil[Server] = Now + m_Settings.m_RefusalPause * NoRoomPauses;
 }
 
 void CrossDomainPolicy::statementEnded(const ServerId &Server) {
--- a/ragwortmux/Request/CrossDomainPolicy.h
+++ b/ragwortmux/Request/CrossDomainPolicy.h
@@ -28,7 +28,8 @@
 /// It only chooses among servers that the read guarantees allow. A read leaves
 /// - if no server of the failure domain can serve it, without further limits;
 /// - if only abroad it would be answered in time, within the limits on the
-///   share, the bytes and the room that this host takes;
+///   share, the bytes and the room that this host takes; the limit on the share
+///   shrinks while foreign servers refuse;
 /// - if it saves more waiting time than its bytes are worth, within the same
 ///   limits and the current share, higher priorities first.
 class CrossDomainPolicy final {
@@ -105,7 +106,8 @@
                                              const CrossDomainRead &Read) const;
   const ServerObservation *find(const ServerId &Server) const;
   ServerObservation &observe(const ServerId &Server);
-  CrossDomainChange changeShare(CrossDomainChangeReason Reason, double Share);
+  void pauseGrowth(Instant Now);
+  void setShare(double Share);
 
   CrossDomainSettings m_Settings;                  ///< Limits and weights.
   std::map<ServerId, ServerObservation> m_Servers; ///< Observations by server.
@@ -123,13 +125,16 @@
   DecayingCount m_Far;      ///< Recent reads that left.
   DecayingCount m_FarBytes; ///< Recent bytes of reads that left.
   double m_Share = 0;       ///< See share().
+  double m_Limit; ///< Limit of all reads that leave although the near server
+                  ///< serves; at most the setting.
   double m_Credit = 0;      ///< Reads that may leave now; each read adds the
                             ///< share to it.
   std::uint32_t m_Held = 0; ///< Reads held in the current pass.
   std::uint32_t m_StepWanting = 0; ///< Reads with a reason to leave in the
                                    ///< current step.
-  std::uint32_t m_StepFar = 0;     ///< Reads that left in the current step.
-  std::uint32_t m_StepRefused = 0; ///< Refusals by foreign servers in it.
+  std::uint32_t m_Judged = 0; ///< Reads that left since refusals were judged.
+  std::uint32_t m_JudgedRefused = 0; ///< Refusals by foreign servers since.
+  Instant m_JudgedSince;             ///< When refusals were last judged.
   bool m_IsShort = false;     ///< The share was used up in the current step.
   Duration m_LastNearTime{0}; ///< Expected times of the last read that had a
   Duration m_LastFarTime{0};  ///< reason to leave.
--- a/ragwortmux/Request/CrossDomainSettings.h
+++ b/ragwortmux/Request/CrossDomainSettings.h
@@ -37,7 +37,7 @@
       1); ///< How long the share does not grow after a foreign server had no
           ///< room; doubles each time.
   Duration m_GrowthPauseMax =
-      std::chrono::seconds(8); ///< Upper limit of that pause.
+      std::chrono::seconds(4); ///< Upper limit of that pause.
   Duration m_StalledAfter = std::chrono::milliseconds(
       250); ///< A server that has been silent for this long with statements
             ///< under way does not count as one that serves.
--- a/ragwortmux/Request/ServerObservation.cpp
+++ b/ragwortmux/Request/ServerObservation.cpp
@@ -13,7 +13,8 @@
 constexpr Duration FastestPeriod = std::chrono::seconds(30);
 /// Bounds of the weight of one sample: a single outlier after a quiet time must
 /// not be the whole estimate, and answers of one instant must count at all.
-constexpr double MinWeight = 0.01;
+constexpr double MinRecentWeight = 0.01;
+constexpr double MinUsualWeight = 0.0003;
 constexpr double MaxWeight = 0.5;
 
 double ageRatio(Duration Age, Duration Memory) {
@@ -21,9 +22,9 @@
          static_cast<double>(Memory.count());
 }
 
-void addSample(double &Mean, double Sample, Duration Age, Duration Memory) {
+void addSample(double &Mean, double Sample, double AgeRatio, double MinWeight) {
   const double Weight =
-      std::clamp(1 - std::exp(-ageRatio(Age, Memory)), MinWeight, MaxWeight);
+      std::clamp(1 - std::exp(-AgeRatio), MinWeight, MaxWeight);
   Mean += Weight * (Sample - Mean);
 }
 
@@ -64,8 +65,9 @@
     return;
   const double Sample = static_cast<double>(Took.count());
   if (m_HasSamples) {
-    addSample(m_Recent, Sample, Now - m_LastSample, m_Memory);
-    addSample(m_Usual, Sample, Now - m_LastSample, UsualMemory);
+    const Duration Age = Now - m_LastSample;
+    addSample(m_Recent, Sample, ageRatio(Age, m_Memory), MinRecentWeight);
+    addSample(m_Usual, Sample, ageRatio(Age, UsualMemory), MinUsualWeight);
   } else {
     m_Recent = Sample;
     m_Usual = Sample;
@@ -78,8 +80,12 @@
                                              Duration Default) const {
   Duration Expected = Default;
   if (m_HasSamples) {
-    const double Weight = std::exp(-ageRatio(Now - m_LastSample, m_Memory));
-    Expected = toDuration(Weight * m_Recent + (1 - Weight) * m_Usual);
+    const Duration Age = Now - m_LastSample;
+    const double Recent = std::exp(-ageRatio(Age, m_Memory));
+    const double Usual = std::exp(-ageRatio(Age, UsualMemory));
+    const double Old =
+        Usual * m_Usual + (1 - Usual) * static_cast<double>(Default.count());
+    Expected = toDuration(Recent * m_Recent + (1 - Recent) * Old);
   }
   return std::max(Expected, silence(Now));
 }
--- a/ragwortmux/Request/ServerObservation.h
+++ b/ragwortmux/Request/ServerObservation.h
@@ -25,8 +25,9 @@
   void ended();
 
   /// Expected response time of a read, without waiting for a connection. Recent
-  /// response times count fully and old ones give way to the usual one. \p
-  /// Default is used without any samples.
+  /// response times count fully; with their age they give way to the usual one
+  /// and, after half a minute, to \p Default, so that a server that was slow
+  /// is tried again.
   Duration expectedResponse(Instant Now, Duration Default) const;
   /// Mean response time of the last half minute; none without samples.
   std::optional<Duration> usualResponse() const;
--- /dev/null
+++ b/tests/Request/CrossDomainPolicyTest.cpp
@@ -0,0 +1,569 @@
+#include "ragwortmux/Request/CrossDomainPolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace ragwortmux::test {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServerId Near("near");
+const ServerId FarA("far-a");
+const ServerId FarB("far-b");
+
+CrossDomainSettings enabled() {
+  CrossDomainSettings Settings;
+  Settings.m_IsEnabled = true;
+  return Settings;
+}
+
+/// A policy with a simulated clock and servers that answer each read after a
+/// set time. Servers answer in no time of the simulation, so that the load of
+/// a run is the same whatever the policy decides.
+struct PolicyFixture {
+  explicit PolicyFixture(const CrossDomainSettings &Settings = enabled())
+      : m_Settings(Settings), m_Policy(Settings) {
+    m_Took = {{Near, milliseconds(5)},
+              {FarA, milliseconds(8)},
+              {FarB, milliseconds(8)}};
+    for (const ServerId &Server : {Near, FarA, FarB}) {
+      ReadTarget Target;
+      Target.m_Server = Server;
+      Target.m_IsNear = Server == Near;
+      Target.m_IsAllowed = true;
+      Target.m_Free = 2;
+      Target.m_Slots = 5;
+      m_Targets.push_back(Target);
+    }
+  }
+
+  ReadTarget &target(const ServerId &Server) {
+    for (ReadTarget &Each : m_Targets) {
+      if (Each.m_Server == Server)
+        return Each;
+    }
+    BOOST_REQUIRE(false);
+    return m_Targets.front();
+  }
+
+  CrossDomainRead read(std::uint32_t Priority = 0) const {
+    CrossDomainRead Read;
+    Read.m_Entry = EntryName("e");
+    Read.m_Priority = Priority;
+    Read.m_Arrived = m_Now;
+    Read.m_Deadline = m_Now + seconds(3);
+    return Read;
+  }
+
+  /// Decides on a new read, and sends and answers it if a connection is free.
+  CrossDomainVerdict run(std::uint32_t Priority = 0) {
+    if (const auto Change = m_Policy.beginPass(m_Now)) {
+      m_Changes.push_back(*Change);
+      m_ChangedAt.push_back(m_Now);
+    }
+    const CrossDomainRead Read = read(Priority);
+    m_Policy.firstDecided(m_Now);
+    const CrossDomainVerdict Verdict = m_Policy.choose(m_Now, Read, m_Targets);
+    if (Verdict.m_HasReason)
+      m_Policy.reasonFound(m_Now, Read, Verdict);
+    ++m_Decided[Priority];
+    if (!Verdict.m_IsReady) {
+      m_Policy.held();
+      return Verdict;
+    }
+    m_Left[Priority] += Verdict.m_IsFar ? 1 : 0;
+    m_Policy.readSent(m_Now, Read, Verdict);
+    const ServerId Server = *Verdict.m_Server;
+    const bool IsRefused = m_IsRefusing && m_IsRefusing(Server);
+    m_Policy.statementSent(m_Now, Server);
+    m_Policy.statementAnswered(m_Now, Server, Server == Near,
+                               IsRefused ? milliseconds(1) : m_Took.at(Server),
+                               !IsRefused, IsRefused);
+    if (!IsRefused)
+      m_Policy.replyArrived(m_Now, Read.m_Entry, Server == Near, m_Bytes);
+    return Verdict;
+  }
+
+  /// Runs a read each \p Interval, with the priorities in turn.
+  void runFor(Duration Length, Duration Interval = milliseconds(5),
+              const std::vector<std::uint32_t> &Priorities = {0}) {
+    m_Left.clear();
+    m_Decided.clear();
+    const Instant End = m_Now + Length;
+    for (std::size_t Number = 0; m_Now < End; ++Number) {
+      run(Priorities[Number % Priorities.size()]);
+      m_Now += Interval;
+    }
+  }
+  int left(std::uint32_t Priority = 0) { return m_Left[Priority]; }
+  double leftShare(std::uint32_t Priority = 0) {
+    return static_cast<double>(m_Left[Priority]) / m_Decided[Priority];
+  }
+
+  CrossDomainSettings m_Settings;
+  CrossDomainPolicy m_Policy;
+  Instant m_Now{seconds(100)};
+  std::vector<ReadTarget> m_Targets;
+  std::map<ServerId, Duration> m_Took; ///< Response time of each server.
+  std::function<bool(const ServerId &Server)>
+      m_IsRefusing; ///< True if a server has no free slot.
+  std::uint64_t m_Bytes = 100;
+  std::vector<CrossDomainChange> m_Changes;
+  std::vector<Instant> m_ChangedAt;
+  std::map<std::uint32_t, int> m_Left;    ///< Reads that left, by priority.
+  std::map<std::uint32_t, int> m_Decided; ///< All reads, by priority.
+};
+
+/// The near server refuses almost all reads for lack of a slot.
+struct FullFixture : PolicyFixture {
+  FullFixture() {
+    runFor(seconds(2));
+    m_IsRefusing = [](const ServerId &Server) { return Server == Near; };
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrossDomainPolicyTest, PolicyFixture)
+
+// Guards against bytes between failure domains without any gain.
+BOOST_AUTO_TEST_CASE(NoReadLeavesWhileNearServerIsFine) {
+  runFor(seconds(5));
+  BOOST_TEST(left() == 0);
+  BOOST_TEST(m_Changes.empty());
+}
+
+// Guards against reads that queue at a slow server while others have room, and
+// against a share that jumps instead of growing in steps.
+BOOST_AUTO_TEST_CASE(ReadsLeaveSlowServerInSteps) {
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(60);
+  runFor(seconds(4));
+  BOOST_TEST(left() > 0);
+  BOOST_TEST_REQUIRE(!m_Changes.empty());
+  for (const CrossDomainChange &Change : m_Changes) {
+    BOOST_TEST((Change.m_Reason == CrossDomainChangeReason::NearSlower));
+    BOOST_TEST(Change.m_Share - Change.m_Before <=
+               m_Settings.m_ShareStep + 1e-9);
+  }
+  for (std::size_t Number = 1; Number < m_ChangedAt.size(); ++Number)
+    BOOST_TEST((m_ChangedAt[Number] - m_ChangedAt[Number - 1] >=
+                m_Settings.m_StepInterval));
+  BOOST_TEST(m_Policy.share() == 0.5, boost::test_tools::tolerance(1e-6));
+  runFor(seconds(2));
+  BOOST_TEST(leftShare() > 0.4);
+  BOOST_TEST(leftShare() < 0.55); // max_share_percent
+}
+
+// Guards against reads that stay at a full server, and against reads without a
+// limit on their share.
+BOOST_FIXTURE_TEST_CASE(ReadsLeaveFullServer, FullFixture) {
+  runFor(seconds(4));
+  runFor(seconds(2));
+  BOOST_TEST(leftShare() > 0.4);
+  BOOST_TEST(leftShare() < 0.55);
+}
+
+// Guards against a read that leaves for less than its bytes are worth: 20 ms
+// are saved, and 30 KB cost 30 ms.
+BOOST_AUTO_TEST_CASE(LargeReadsStay) {
+  m_Bytes = 30 * 1024;
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(28);
+  runFor(seconds(3));
+  BOOST_TEST(left() == 0);
+  BOOST_TEST((run().m_Reason == CrossDomainReason::BelowPrice));
+}
+
+// Guards against a link that reads from other failure domains fill: 200 reads
+// of 2 KB a second would be 400 KB.
+BOOST_AUTO_TEST_CASE(BytesPerSecondAreLimited) {
+  m_Bytes = 2 * 1024;
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(200);
+  runFor(seconds(4));
+  const std::uint64_t Before = m_Policy.counts().m_FarBytes;
+  runFor(seconds(4));
+  const std::uint64_t PerSecond =
+      (m_Policy.counts().m_FarBytes - Before) / 4 / 1024;
+  BOOST_TEST(PerSecond > 40U);
+  BOOST_TEST(PerSecond <= m_Settings.m_MaxKbPerSecond * 11 / 10);
+}
+
+// Guards against a host that takes all slots of a foreign server: 40% of 5 are
+// 2, of which the last is kept for the highest priority.
+BOOST_AUTO_TEST_CASE(RoomAbroadIsLimited) {
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(200);
+  runFor(seconds(3), milliseconds(5), {0, 2});
+  for (const std::uint32_t Running : {0U, 1U, 2U}) {
+    target(FarA).m_Running = Running;
+    target(FarB).m_Running = Running;
+    CrossDomainRead Read = read();
+    Read.m_LateAt = m_Now + milliseconds(100);
+    BOOST_TEST(m_Policy.choose(m_Now, Read, m_Targets).m_IsFar ==
+               (Running < 2));
+    Read.m_Priority = 2;
+    BOOST_TEST(m_Policy.choose(m_Now, Read, m_Targets).m_IsFar ==
+               (Running < 1));
+  }
+}
+
+// Guards against a lower priority that takes the share of a higher one. With
+// reads of both, all that leave are of the higher priority.
+BOOST_AUTO_TEST_CASE(HigherPriorityLeavesFirst) {
+  runFor(seconds(2), milliseconds(5), {0, 2});
+  m_Took[Near] = milliseconds(60);
+  runFor(seconds(3), milliseconds(5), {0, 0, 0, 2});
+  runFor(seconds(2), milliseconds(5), {0, 0, 0, 2});
+  BOOST_TEST(leftShare(0) > 0.5);
+  BOOST_TEST(leftShare(2) == 0);
+}
+
+// Guards against traffic that stays abroad after the near server has recovered,
+// and against lower priorities that return last: while the share shrinks,
+// nothing of the lower priority leaves.
+BOOST_AUTO_TEST_CASE(ReadsReturnHome) {
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(60);
+  runFor(seconds(4));
+  BOOST_TEST(m_Policy.share() > 0.4);
+  m_Took[Near] = milliseconds(5);
+  runFor(seconds(5));
+  BOOST_TEST(m_Policy.share() == 0);
+  BOOST_TEST_REQUIRE(!m_Changes.empty());
+  BOOST_TEST((m_Changes.back().m_Reason == CrossDomainChangeReason::NearFine));
+  runFor(seconds(2));
+  BOOST_TEST(left() == 0);
+}
+
+// Guards against a foreign server that is flooded: it refuses all reads from
+// abroad, so the share shrinks at once and grows less and less often.
+BOOST_FIXTURE_TEST_CASE(ReadsReturnWhenForeignServersFillUp, FullFixture) {
+  runFor(seconds(3));
+  BOOST_TEST(m_Policy.share() > 0.4);
+  m_IsRefusing = [](const ServerId &) { return true; };
+  const std::size_t Before = m_Changes.size();
+  runFor(milliseconds(500));
+  BOOST_TEST_REQUIRE(m_Changes.size() > Before);
+  BOOST_TEST(
+      (m_Changes[Before].m_Reason == CrossDomainChangeReason::FarRefuses));
+  runFor(seconds(2));
+  BOOST_TEST(m_Policy.share() < 0.2);
+  runFor(seconds(20));
+  BOOST_TEST(leftShare() < 0.05);
+}
+
+// Guards against reads that follow each other into a link that has been cut:
+// the foreign servers no longer answer.
+BOOST_AUTO_TEST_CASE(ReadsStayWhenForeignServersGoSilent) {
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(60);
+  runFor(seconds(4));
+  for (const ServerId &Server : {FarA, FarB})
+    m_Policy.statementSent(m_Now, Server);
+  m_Now += milliseconds(60);
+  for (int Number = 0; Number < 20; ++Number) {
+    const CrossDomainVerdict Verdict =
+        m_Policy.choose(m_Now, read(), m_Targets);
+    BOOST_TEST(!Verdict.m_IsFar);
+    m_Now += milliseconds(20);
+  }
+  BOOST_TEST((m_Policy.choose(m_Now, read(), m_Targets).m_Reason ==
+              CrossDomainReason::NoForeign));
+}
+
+// Guards against reads that wait for a silent server until their deadline.
+BOOST_AUTO_TEST_CASE(ReadsLeaveSilentServer) {
+  runFor(seconds(2));
+  m_Policy.statementSent(m_Now, Near);
+  m_Now += m_Settings.m_StalledAfter;
+  const CrossDomainVerdict Verdict = m_Policy.choose(m_Now, read(), m_Targets);
+  BOOST_TEST((Verdict.m_Reason == CrossDomainReason::NotServedNear));
+  BOOST_TEST(Verdict.m_IsFar);
+}
+
+// Guards against limits that leave reads unserved when the failure domain has
+// no server that may run them.
+BOOST_AUTO_TEST_CASE(UnservedReadsAlwaysLeave) {
+  target(Near).m_IsAllowed = false;
+  m_Bytes = 100 * 1024;
+  for (const ServerId &Server : {FarA, FarB})
+    target(Server).m_Running = 4;
+  runFor(seconds(2));
+  BOOST_TEST(leftShare() == 1);
+}
+
+// Guards against a read that misses its target at home because the share is
+// used up; one that is late in both places stays.
+BOOST_AUTO_TEST_CASE(UrgentReadsLeave) {
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(200);
+  runFor(milliseconds(150)); // before the first step
+  BOOST_TEST(m_Policy.share() == 0);
+  CrossDomainRead Read = read();
+  Read.m_LateAt = m_Now + milliseconds(15);
+  BOOST_TEST((m_Policy.choose(m_Now, Read, m_Targets).m_Reason ==
+              CrossDomainReason::WouldBeLate));
+  Read.m_LateAt = m_Now + milliseconds(2);
+  BOOST_TEST(!m_Policy.choose(m_Now, Read, m_Targets).m_IsFar);
+}
+
+// Guards against a decision that flaps: the near server's time is such that the
+// gain is about the price, with noise around it.
+BOOST_AUTO_TEST_CASE(DecisionDoesNotFlap) {
+  runFor(seconds(2));
+  std::uint32_t Noise = 1;
+  const Instant End = m_Now + seconds(30);
+  while (m_Now < End) {
+    Noise = Noise * 1103515245U + 12345U;
+    m_Took[Near] = milliseconds(9) + microseconds((Noise >> 16U) % 4000);
+    runFor(milliseconds(20));
+  }
+  int Turns = 0;
+  for (std::size_t Number = 1; Number < m_Changes.size(); ++Number)
+    Turns +=
+        m_Changes[Number].m_Reason != m_Changes[Number - 1].m_Reason ? 1 : 0;
+  BOOST_TEST(Turns <= 6);
+}
+
+// Guards against a workspace whose only free connection is abroad and which
+// therefore keeps going there while the near server is fine.
+BOOST_AUTO_TEST_CASE(WorkspaceGetsNearConnection) {
+  runFor(seconds(2));
+  m_Took[Near] = milliseconds(25);
+  runFor(seconds(3));
+  m_Took[Near] = milliseconds(5);
+  runFor(seconds(1)); // the share is not 0 yet
+  target(Near).m_Free = 0;
+  target(Near).m_CanOpen = true;
+  CrossDomainRead Read = read();
+  Read.m_Workspace = WorkspaceId("w");
+  int Left = 0;
+  for (; Left < 20; ++Left) {
+    const CrossDomainVerdict Verdict = m_Policy.choose(m_Now, Read, m_Targets);
+    if (!Verdict.m_IsFar) {
+      BOOST_TEST((Verdict.m_Server == Near));
+      break;
+    }
+    m_Policy.readSent(m_Now, Read, Verdict);
+    m_Policy.firstDecided(m_Now);
+  }
+  BOOST_TEST(Left < 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// Many hosts of two failure domains, each with one server, in steps of a
+/// millisecond. The servers have slots and refuse reads without a free one.
+struct TwoDomains {
+  static constexpr std::size_t HostsPerDomain = 8;
+  static constexpr std::uint32_t Slots = 5;
+  static constexpr std::uint32_t Connections = 3;
+  static constexpr Duration Deadline = milliseconds(500);
+
+  TwoDomains() {
+    for (std::size_t Number = 0; Number < 2 * HostsPerDomain; ++Number) {
+      CrossDomainSettings Settings = enabled();
+      Settings.m_Seed = Number;
+      m_Policies.emplace_back(Settings);
+    }
+    m_Queues.resize(2 * HostsPerDomain);
+  }
+
+  struct Running final {
+    std::size_t m_Host;
+    ServerId m_Server;
+    bool m_IsNear;
+    Instant m_Arrived;
+    Instant m_SentAt;
+  };
+  struct Waiting final {
+    Instant m_Arrived;
+    bool m_HasReason = false;
+  };
+
+  /// Runs the load for \p Length: each millisecond each host of a domain gets
+  /// a read with the probability in percent.
+  void runFor(Duration Length, int FirstPercent, int SecondPercent) {
+    m_Sent = m_Left = m_Refused = m_Done = m_GivenUp = 0;
+    const Instant End = m_Now + Length;
+    for (; m_Now < End; m_Now += milliseconds(1)) {
+      while (!m_Frees.empty() && m_Frees.begin()->first <= m_Now) {
+        --m_Busy[m_Frees.begin()->second];
+        m_Frees.erase(m_Frees.begin());
+      }
+      while (!m_Ends.empty() && m_Ends.begin()->first <= m_Now) {
+        const Running Done = m_Ends.begin()->second;
+        m_Ends.erase(m_Ends.begin());
+        --m_BusyOf[{Done.m_Host, Done.m_Server}];
+        ++m_Done;
+        m_Policies[Done.m_Host].statementAnswered(
+            m_Now, Done.m_Server, Done.m_IsNear, m_Now - Done.m_SentAt, true,
+            false);
+        m_Policies[Done.m_Host].replyArrived(m_Now, EntryName("e"),
+                                             Done.m_IsNear, 200);
+      }
+      for (std::size_t Host = 0; Host < 2 * HostsPerDomain; ++Host) {
+        const auto Percent = static_cast<std::uint32_t>(
+            Host < HostsPerDomain ? FirstPercent : SecondPercent);
+        if (random() % 100 < Percent) {
+          m_Queues[Host].push_back({m_Now});
+          m_Policies[Host].firstDecided(m_Now);
+        }
+        pass(Host);
+      }
+      for (const CrossDomainPolicy &Policy : m_Policies)
+        m_MaxShare = std::max(m_MaxShare, Policy.share());
+    }
+  }
+
+  void pass(std::size_t Host) {
+    CrossDomainPolicy &Policy = m_Policies[Host];
+    if (const auto Change = Policy.beginPass(m_Now)) {
+      m_Turns += m_Last.contains(Host) && m_Last[Host] != Change->m_Reason;
+      m_Last[Host] = Change->m_Reason;
+    }
+    std::deque<Waiting> &Queue = m_Queues[Host];
+    while (!Queue.empty() && m_Now >= Queue.front().m_Arrived + Deadline) {
+      Queue.pop_front();
+      ++m_GivenUp;
+    }
+    std::deque<Waiting> Kept;
+    for (Waiting &Each : Queue) {
+      if (!trySend(Host, Each)) {
+        Policy.held();
+        Kept.push_back(Each);
+      }
+    }
+    Queue = Kept;
+  }
+
+  std::vector<ReadTarget> targets(std::size_t Host) {
+    std::vector<ReadTarget> Targets;
+    for (const ServerId &Server : {Near, FarA}) {
+      ReadTarget Target;
+      Target.m_Server = Server;
+      Target.m_IsNear = (Server == Near) == (Host < HostsPerDomain);
+      Target.m_Running = m_BusyOf[{Host, Server}];
+      Target.m_Free = Connections - Target.m_Running;
+      Target.m_Slots = Slots;
+      const auto Until = m_FullUntil.find({Host, Server});
+      Target.m_IsFull = Until != m_FullUntil.end() && m_Now < Until->second;
+      Target.m_IsAllowed = !Target.m_IsFull;
+      Targets.push_back(Target);
+    }
+    return Targets;
+  }
+
+  bool trySend(std::size_t Host, Waiting &Each) {
+    CrossDomainPolicy &Policy = m_Policies[Host];
+    CrossDomainRead Read;
+    Read.m_Entry = EntryName("e");
+    Read.m_Arrived = Each.m_Arrived;
+    Read.m_Deadline = Each.m_Arrived + Deadline;
+    const std::vector<ReadTarget> Targets = targets(Host);
+    CrossDomainVerdict Verdict = Policy.choose(m_Now, Read, Targets);
+    if (m_IsOff) {
+      Verdict = CrossDomainVerdict();
+      Verdict.m_Server = chooseReadTarget(Targets);
+      Verdict.m_IsReady = Verdict.m_Server.has_value();
+      Verdict.m_IsFar = Verdict.m_IsReady &&
+                        (Verdict.m_Server == Near) != (Host < HostsPerDomain);
+    }
+    if (Verdict.m_HasReason && !std::exchange(Each.m_HasReason, true))
+      Policy.reasonFound(m_Now, Read, Verdict);
+    if (!Verdict.m_IsReady)
+      return false;
+    Policy.readSent(m_Now, Read, Verdict);
+    const ServerId Server = *Verdict.m_Server;
+    Policy.statementSent(m_Now, Server);
+    ++m_Sent;
+    m_Left += Verdict.m_IsFar ? 1 : 0;
+    if (m_Busy[Server] >= Slots) {
+      ++m_Refused;
+      Policy.statementAnswered(m_Now, Server, !Verdict.m_IsFar,
+                               milliseconds(Verdict.m_IsFar ? 8 : 1), false,
+                               true);
+      m_FullUntil[{Host, Server}] = m_Now + milliseconds(8);
+      return false;
+    }
+    ++m_Busy[Server];
+    ++m_BusyOf[{Host, Server}];
+    m_Frees.insert({m_Now + milliseconds(5), Server});
+    m_Ends.insert({m_Now + milliseconds(Verdict.m_IsFar ? 13 : 5),
+                   {Host, Server, !Verdict.m_IsFar, Each.m_Arrived, m_Now}});
+    return true;
+  }
+
+  std::uint32_t random() {
+    m_Random = m_Random * 6364136223846793005U + 1442695040888963407U;
+    return static_cast<std::uint32_t>(m_Random >> 33U);
+  }
+
+  std::vector<CrossDomainPolicy> m_Policies;
+  std::vector<std::deque<Waiting>> m_Queues;
+  Instant m_Now{seconds(100)};
+  std::uint64_t m_Random = 7;
+  std::multimap<Instant, ServerId> m_Frees; ///< When slots become free.
+  std::multimap<Instant, Running> m_Ends;   ///< When replies arrive.
+  std::map<ServerId, std::uint32_t> m_Busy;
+  std::map<std::pair<std::size_t, ServerId>, std::uint32_t> m_BusyOf;
+  std::map<std::pair<std::size_t, ServerId>, Instant> m_FullUntil;
+  std::map<std::size_t, CrossDomainChangeReason> m_Last;
+  bool m_IsOff = false; ///< chooseReadTarget() decides.
+  int m_Turns = 0;      ///< Changes of direction over all hosts.
+  double m_MaxShare = 0;
+  int m_Sent = 0;
+  int m_Left = 0;
+  int m_Refused = 0;
+  int m_Done = 0;
+  int m_GivenUp = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrossDomainTwoDomainsTest, TwoDomains)
+
+// Guards against two overloaded failure domains that exchange their reads:
+// nothing is gained and all bytes cross the link. 8 hosts with 20% send 1.6
+// reads a millisecond; a server runs one a millisecond.
+BOOST_AUTO_TEST_CASE(BothDomainsTryToLeave) {
+  m_IsOff = std::getenv("XOFF") != nullptr;
+  runFor(seconds(5), 20, 20);
+  runFor(seconds(10), 20, 20);
+  BOOST_TEST_MESSAGE("sent " << m_Sent << " left " << m_Left << " refused "
+                             << m_Refused << " done " << m_Done << " turns "
+                             << m_Turns << " given up " << m_GivenUp);
+  BOOST_TEST(m_Left * 100 < m_Sent * 5);
+}
+
+// Guards against unused room: one domain is overloaded, the other has room for
+// half of its load.
+BOOST_AUTO_TEST_CASE(OneDomainUsesRoomOfOther) {
+  m_IsOff = std::getenv("XOFF") != nullptr;
+  runFor(seconds(5), 18, 2);
+  runFor(seconds(10), 18, 2);
+  BOOST_TEST_MESSAGE("sent " << m_Sent << " left " << m_Left << " refused "
+                             << m_Refused << " done " << m_Done << " turns "
+                             << m_Turns << " given up " << m_GivenUp);
+  BOOST_TEST(m_Left * 100 > m_Sent * 10);
+  BOOST_TEST(m_MaxShare <= 0.5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace ragwortmux::test
