--- a/ragwortmux/Request/CrossDomainPolicy.cpp
+++ b/ragwortmux/Request/CrossDomainPolicy.cpp
@@ -22,12 +22,14 @@
 /// the reads that left. With random arrivals a server of 5 slots refuses 11% at
 /// 60% of its load and 20% at 80%, so fewer refusals are no reason to leave
 /// that room unused.
-constexpr std::uint32_t RefusedPercent = 30;
+constexpr std::uint32_t RefusedPercent = 40;
 /// Refusals are judged once this many reads have left, or after a second.
 constexpr std::uint32_t MinJudged = 8;
 /// Pauses after a refusal for which a foreign server gets no reads that have
 /// another choice.
-constexpr int NoRoomPauses = 4;
+constexpr int NoRoomPauses = 2;
+/// Factor of the share after too many refusals.
+constexpr double Decrease = 0.7;
 /// A smaller share is 0.
 constexpr double MinShare = 0.02;
 /// The limit does not fall below this, because only reads that leave show that
@@ -77,8 +79,8 @@
   if (IsJudged && m_JudgedRefused * PercentBase > m_Judged * RefusedPercent) {
     Change.m_Reason = CrossDomainChangeReason::FarRefuses;
     pauseGrowth(Now);
-    setShare(m_Share / 2);
-    m_Limit = std::min(m_Limit, std::max(MinLimit, m_Limit / 2));
+    setShare(m_Share * Decrease);
+    m_Limit = std::min(m_Limit, std::max(MinLimit, m_Limit * Decrease));
   } else if (m_StepWanting > 0 && m_IsShort && m_Share < m_Limit && MayGrow) {
     Change.m_Reason = CrossDomainChangeReason::NearSlower;
     setShare(std::min(m_Limit, m_Share + m_Settings.m_ShareStep));
--- a/ragwortmux/Request/CrossDomainSettings.h
+++ b/ragwortmux/Request/CrossDomainSettings.h
@@ -33,9 +33,9 @@
   Duration m_ReturnAfter =
       std::chrono::seconds(1); ///< How long no read must have had a reason to
                                ///< leave before the share is reduced.
-  Duration m_GrowthPause = std::chrono::seconds(
-      1); ///< How long the share does not grow after a foreign server had no
-          ///< room; doubles each time.
+  Duration m_GrowthPause = std::chrono::milliseconds(
+      500); ///< How long the share does not grow after a foreign server had no
+            ///< room; doubles each time.
   Duration m_GrowthPauseMax =
       std::chrono::seconds(4); ///< Upper limit of that pause.
   Duration m_StalledAfter = std::chrono::milliseconds(
