CrossDomainPolicy: one long statement is not silence; tests with workspaces and read-only transactions

Cause: a single statement of more than 250 ms on a quiet host made its server count as stalled, so that all reads left without limits. Change: silence needs two statements under way; the table of workspaces is bounded; StatementLog test of the counts and of the log line.

--- a/ragwortmux/Request/CrossDomainPolicy.cpp
+++ b/ragwortmux/Request/CrossDomainPolicy.cpp
@@ -12,7 +12,8 @@
 /// Assumed size of a read and its reply before any reply of its entry.
 constexpr std::uint64_t DefaultBytes = 512;
 constexpr double BytesWeight = 0.1;
-/// The table of sizes is emptied at this size: entries come and go.
+/// The tables by entry and workspace are emptied at this size: both come and
+/// go.
 constexpr std::size_t MaxEntries = 1024;
 /// A share of refusals above this does not raise the estimate any further.
 constexpr double MaxRefusedShare = 0.95;
@@ -393,8 +394,11 @@
   if (Verdict.m_Reason == CrossDomainReason::Saves)
     m_Credit -= 1;
   const bool HasChoice = Verdict.m_Reason != CrossDomainReason::NotServedNear;
-  if (HasChoice && !Read.m_Workspace.value().empty())
-    ++m_FarInARow[Read.m_Workspace];
+  if (!HasChoice || Read.m_Workspace.value().empty())
+    return;
+  if (m_FarInARow.size() >= MaxEntries)
+    m_FarInARow.clear();
+  ++m_FarInARow[Read.m_Workspace];
 }
 
 void CrossDomainPolicy::statementSent(Instant Now, const ServerId &Server) {
--- a/ragwortmux/Request/ServerObservation.cpp
+++ b/ragwortmux/Request/ServerObservation.cpp
@@ -38,9 +38,9 @@
     : m_Memory(Memory), m_Answered(Memory), m_Refused(Memory) {}
 
 void ServerObservation::sent(Instant Now) {
-  if (m_UnderWay == 0)
-    m_QuietSince = Now;
   ++m_UnderWay;
+  if (m_UnderWay == 2)
+    m_QuietSince = Now;
 }
 
 void ServerObservation::ended() {
@@ -103,8 +103,8 @@
 }
 
 Duration ServerObservation::silence(Instant Now) const {
-  return m_UnderWay == 0 ? Duration(0)
-                         : std::max(Duration(0), Now - m_QuietSince);
+  return m_UnderWay < 2 ? Duration(0)
+                        : std::max(Duration(0), Now - m_QuietSince);
 }
 
 double ServerObservation::refusedShare(Instant Now) const {
--- a/ragwortmux/Request/ServerObservation.h
+++ b/ragwortmux/Request/ServerObservation.h
@@ -33,7 +33,8 @@
   std::optional<Duration> usualResponse() const;
   /// Shortest time of an answer, which is close to that of the network alone.
   std::optional<Duration> fastest() const;
-  /// How long statements have been under way without any answer; 0 if none is.
+  /// How long at least two statements have been under way without any answer,
+  /// otherwise 0. One alone may simply be a long statement.
   Duration silence(Instant Now) const;
   /// Share of the recent answers that were refusals for lack of a slot.
   double refusedShare(Instant Now) const;
@@ -48,8 +49,8 @@
   Duration m_PreviousFastest{0}; ///< Shortest answer of the previous period.
   Instant m_PeriodEnd;           ///< End of the current period.
   std::uint32_t m_UnderWay = 0;  ///< Statements without an answer.
-  Instant m_QuietSince;     ///< Last answer, or first statement after none was
-                            ///< under way.
+  Instant m_QuietSince; ///< Last answer, or when the second statement under way
+                        ///< was sent.
   DecayingCount m_Answered; ///< Recent answers.
   DecayingCount m_Refused;  ///< Of these, refusals for lack of a slot.
 };
--- a/tests/Process/StatementLogTest.cpp
+++ b/tests/Process/StatementLogTest.cpp
@@ -82,6 +82,40 @@
                        ",result=\"outcome-unknown\"} 1"));
 }
 
+// Guards against totals that are counted again with each update, and against a
+// change of the share without its inputs in the log.
+BOOST_AUTO_TEST_CASE(ReadsByFailureDomainAreCountedAndChangesLogged) {
+  std::ostringstream Output;
+  LogSettings Settings;
+  Settings.m_Output = &Output;
+  startLog(Settings);
+  CrossDomainCounts Counts;
+  Counts.m_Near = 5;
+  Counts.m_Far = 2;
+  Counts.m_FarBytes = 700;
+  for (int Update = 0; Update < 2; ++Update)
+    m_Log.countCrossDomain(GroupId("g"), Counts, 0.1);
+  BOOST_TEST(hasMetric(
+      "ragwortmux_reads_by_domain_total{group=\"g\",domain=\"near\"} 5"));
+  BOOST_TEST(hasMetric(
+      "ragwortmux_reads_by_domain_total{group=\"g\",domain=\"far\"} 2"));
+  BOOST_TEST(hasMetric("ragwortmux_foreign_read_bytes_total{group=\"g\"} 700"));
+  BOOST_TEST(hasMetric("ragwortmux_foreign_read_share{group=\"g\"} 0.1"));
+
+  CrossDomainChange Change;
+  Change.m_Reason = CrossDomainChangeReason::FarRefuses;
+  Change.m_Before = 0.3;
+  Change.m_Share = 0.21;
+  Change.m_Limit = 0.35;
+  m_Log.recordCrossDomain(GroupId("g"), Change);
+  const std::string Line = Output.str();
+  startLog(LogSettings());
+  for (const char *Field :
+       {"group=g", "reason=far_refuses", "share_before_percent=30",
+        "share_percent=21", "limit_percent=35"})
+    BOOST_TEST(Line.find(Field) != std::string::npos, Field);
+}
+
 BOOST_AUTO_TEST_CASE(RelayedStatementsAreCountedAndFailuresLogged) {
   std::ostringstream Output;
   LogSettings Settings;
--- a/tests/Request/SessionCrossDomainTest.cpp
+++ b/tests/Request/SessionCrossDomainTest.cpp
@@ -185,6 +185,62 @@
   BOOST_TEST((serverOf(Second) != S2));
 }
 
+// Guards against read-only transactions that stay at a silent server, and
+// against statements of a transaction that run elsewhere than it began.
+BOOST_AUTO_TEST_CASE(ReadOnlyTransactionLeavesAsAWhole) {
+  runReads(100);
+  for (int Number = 0; Number < 2; ++Number) {
+    submitRead();
+    nextRunning();
+  }
+  m_Now += milliseconds(260);
+  submit(StatementKind::BeginRead, TrafficClass::AgedSession, false, 7);
+  const RunStatement Begin = nextRunning();
+  BOOST_TEST((serverOf(Begin) != S2));
+  replyDone(Begin, 1, Open);
+  const std::uint64_t BytesBefore = m_Core.crossDomain().counts().m_FarBytes;
+  submit(StatementKind::Read, TrafficClass::AgedSession, false, 7);
+  const RunStatement Read = nextRunning();
+  BOOST_TEST((Read.m_Connection == Begin.m_Connection));
+  replyDone(Read, 1, Open);
+  BOOST_TEST(m_Core.crossDomain().counts().m_FarBytes > BytesBefore);
+}
+
+// Guards against a workspace that keeps going abroad, where its only free
+// connection is, while the near server is fine.
+BOOST_AUTO_TEST_CASE(WorkspaceComesHome) {
+  m_Core.setUsesWorkspaces(true);
+  m_Workspace = WorkspaceId("w");
+  // The near server may not run the first reads, so connections are opened
+  // abroad.
+  for (int Number = 0; Number < 3; ++Number) {
+    submit(StatementKind::Read, TrafficClass::OwnWritesSession, false,
+           ++m_Caller, point(9));
+    openAll();
+    for (int Try = 0; Try < 10 && !m_Runs.empty(); ++Try) {
+      const RunStatement Run = nextRunning();
+      m_Now += m_Took.at(serverOf(Run));
+      if (serverOf(Run) == S2)
+        reply(Run, StatementOutcome::Behind, Idle, std::nullopt);
+      else
+        replyDone(Run, 9);
+      openAll();
+    }
+  }
+  BOOST_TEST(m_Core.crossDomain().counts().m_Far > 0U);
+  int FarOfLast = 0;
+  for (int Number = 0; Number < 30; ++Number) {
+    submitRead();
+    if (!m_Opening.empty())
+      m_Now += milliseconds(12);
+    openAll();
+    const int Far = answerAll();
+    FarOfLast += Number >= 10 ? Far : 0;
+    advanceTime(milliseconds(5));
+  }
+  BOOST_TEST(FarOfLast == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::test
