--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -69,9 +69,19 @@
       false; ///< Refuses statements that cannot be served in time.
   Duration m_QuotaWindow{0}; ///< Window of the workspaces' rate limits; 0: not
                              ///< enforced.
-  std::uint32_t m_QuotaOverage = 0; ///< Excess over a limit, in 1/10000 of it.
-  std::uint32_t m_QuotaSlack = 0;   ///< Further excess, in operations.
-  std::uint32_t m_MaxCallers = 0;   ///< Maximum caller connections.
+  std::uint32_t m_QuotaOverage = 0;  ///< Excess over a limit, in 1/10000 of it.
+  std::uint32_t m_QuotaSlack = 0;    ///< Further excess, in operations.
+  bool m_CrossDomainRouting = false; ///< Reads leave the failure domain by
+                                     ///< CrossDomainPolicy.
+  std::uint32_t m_CrossDomainUsPerKb =
+      0; ///< Waiting time that a kilobyte between failure domains is worth, us.
+  std::uint32_t m_CrossDomainMaxSharePercent =
+      0; ///< Maximum share of a group's reads that leave.
+  std::uint32_t m_CrossDomainMaxKbPerSecond =
+      0; ///< Maximum kilobytes per second of these; 0: no limit.
+  std::uint32_t m_CrossDomainRoomPercent =
+      0; ///< Maximum share of a foreign server's slots that this host takes.
+  std::uint32_t m_MaxCallers = 0;            ///< Maximum caller connections.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
   Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
   LogLevel m_LogLevel = LogLevel::Info;    ///< Least level that is logged.
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -17,6 +17,7 @@
 
 SessionCore::SessionCore(GroupId Group, const SessionCoreSettings &Settings)
     : m_Group(std::move(Group)), m_Settings(Settings), m_Pool(Settings.m_Pool),
+      m_CrossDomain(Settings.m_CrossDomain),
       m_Retries(Settings.m_Retry, Settings.m_WorkspaceRetry),
       m_Estimate(Settings.m_Estimate) {}
 
@@ -150,6 +151,7 @@
     const auto State = m_Requests.find(Running->second);
     m_Running.erase(Running);
     if (State != m_Requests.end()) {
+      m_CrossDomain.statementEnded(State->second.m_Server);
       State->second.m_Connection.reset();
       releaseSlot(State->second);
       handleLostStatement(State->second);
@@ -189,6 +191,7 @@
     m_Running.erase(Running);
     releaseSlot(State);
     recordPosition(State, Reply);
+    observeReply(State, Reply);
     if (State.m_InTransaction)
       handleTransactionReply(State, Reply);
     else
@@ -350,6 +353,8 @@
     Consider(leaseExpiry());
   if (m_ConfirmedRevision != m_View.m_Revision)
     Consider(m_TermEndedAt + m_Settings.m_HandoverWait);
+  if (const auto Pass = m_CrossDomain.nextDeadline(m_Now, !m_Waiting.empty()))
+    Consider(*Pass);
   return Next;
 }
 
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Connection/ConnectionPool.h"
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Core/Time.h"
+#include "ragwortmux/Request/CrossDomainSettings.h"
 #include "ragwortmux/Request/QueueEstimate.h"
 #include "ragwortmux/Request/RetryBudget.h"
 
@@ -64,8 +65,10 @@
   std::size_t m_MaxQueuedBytes =
       std::size_t{16} << 20U; ///< Maximum size of their texts. Larger than one
                               ///< statement, which may have 1 MiB.
-  QueueEstimateSettings m_Estimate; ///< When a statement cannot be served.
-  ConnectionPoolSettings m_Pool;    ///< Settings of the connection pool.
+  QueueEstimateSettings m_Estimate;  ///< When a statement cannot be served.
+  CrossDomainSettings m_CrossDomain; ///< Limits of the reads that leave the
+                                     ///< failure domain.
+  ConnectionPoolSettings m_Pool;     ///< Settings of the connection pool.
 };
 
 } // namespace ragwortmux
