--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -229,6 +229,13 @@
                "Calls to other processes of the cluster that failed, by call "
                "and kind of failure (timeout, lost or not_sent).",
                {"call", "failure"}},
+    MetricInfo{Metric::ClientLimitHits,
+               "ragwortmux_client_limit_hits_total",
+               MetricKind::Counter,
+               "hits",
+               "How often clients have reached a limit, by setting and "
+               "decision (paused, closed or refused).",
+               {"limit", "decision"}},
 };
 
 } // namespace
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -45,6 +45,7 @@
   PeerCalls,
   PeerBytes,
   PeerFailures,
+  ClientLimitHits,
 };
 
 /// Prometheus type of a metric.
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -67,7 +67,32 @@
       0; ///< Entry hosts of a failure domain that serve a group.
   std::uint32_t m_MaxCallers = 0;            ///< Maximum caller connections.
   std::uint32_t m_MaxCallerMessageBytes = 0; ///< Largest caller message.
-  Duration m_DrainTimeout{0}; ///< Longest wait for requests in flight.
+  std::uint32_t m_CallerBudgetBytes =
+      0; ///< Bytes held for all callers before some are not read from.
+  std::uint32_t m_CallerConnectionBudgetBytes =
+      0; ///< Bytes held for one caller before it is not read from.
+  std::uint32_t m_CallerWorkspaceBudgetBytes =
+      0; ///< Bytes held for the callers of a workspace before they are not
+         ///< read from.
+  Duration m_CallerBudgetGrace{
+      0}; ///< Time under pressure before the largest callers are closed.
+  Duration m_CallerMessageTimeout{0}; ///< Time for a message's arrival.
+  Duration m_CallerAnswerTimeout{0};  ///< Time for an answer to be read.
+  std::uint32_t m_CallerPipelineMax =
+      0; ///< Unanswered statements of a caller before it is not read from.
+  std::uint32_t m_MaxStartingCallers =
+      0; ///< Callers that have not completed their startup.
+  std::uint32_t m_HttpMaxConnections = 0; ///< Maximum HTTP connections.
+  std::uint32_t m_HttpBudgetBytes =
+      0; ///< Bytes of bodies of HTTP requests in progress.
+  Duration m_HttpRequestTimeout{
+      0}; ///< Time for an HTTP request's arrival, and for its answer's reading.
+  std::uint32_t m_RpcUnprovedMax =
+      0; ///< Connections of peers that have not proved the cluster key.
+  std::uint32_t m_RpcUnprovedBytes =
+      0;                         ///< Bytes that such a connection may send.
+  Duration m_RpcProofTimeout{0}; ///< Time for the proof of the cluster key.
+  Duration m_DrainTimeout{0};    ///< Longest wait for requests in flight.
   LogLevel m_LogLevel = LogLevel::Info;    ///< Least level that is logged.
   LogFormat m_LogFormat = LogFormat::Text; ///< Form of the log lines.
   int m_LogDescriptor = 2;                 ///< File descriptor of the log.
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -337,6 +337,85 @@
   };
 }
 
+/// Limits on clients that do not behave. A client that stays within messages of
+/// 1 MiB and reads its answers does not reach the defaults; those of bytes
+/// leave an entry process with 160 MB enough for the copies of a message on its
+/// way to a backend server.
+std::vector<SettingInfo> clientLimitSettings() {
+  using std::chrono::milliseconds;
+  constexpr std::uint64_t MinBytes = 65536;
+  constexpr std::uint64_t MaxBytes = 2147483648;
+  constexpr std::uint64_t MinMs = 100;
+  constexpr std::uint64_t MaxMs = 3600000;
+  return {
+      numberSetting("caller_budget_bytes", "25165824", MinBytes, MaxBytes,
+                    &ProcessSettings::m_CallerBudgetBytes,
+                    "Bytes of callers' queued and half-read input and unsent "
+                    "answers; from three quarters on, callers that hold more "
+                    "than 16 KiB are not read from."),
+      numberSetting("caller_connection_budget_bytes", "4259840", MinBytes,
+                    MaxBytes, &ProcessSettings::m_CallerConnectionBudgetBytes,
+                    "The same for one caller, who is then not read from; at "
+                    "least four times max_caller_message_bytes and 64 KiB. A "
+                    "quarter is for the session's values and prepared "
+                    "statements."),
+      numberSetting("caller_workspace_budget_bytes", "12582912", MinBytes,
+                    MaxBytes, &ProcessSettings::m_CallerWorkspaceBudgetBytes,
+                    "The same for the callers of one workspace; those that "
+                    "hold more than 16 KiB are then not read from."),
+      numberSetting<milliseconds>(
+          "caller_budget_grace_ms", "5000", MinMs, MaxMs,
+          &ProcessSettings::m_CallerBudgetGrace,
+          "Time in ms that caller_budget_bytes stays three quarters used up "
+          "before the callers that hold most are closed."),
+      numberSetting<milliseconds>(
+          "caller_message_timeout_ms", "60000", MinMs, MaxMs,
+          &ProcessSettings::m_CallerMessageTimeout,
+          "Time in ms from a caller's connecting to its startup, and from a "
+          "message's first byte to its last."),
+      numberSetting<milliseconds>(
+          "caller_answer_timeout_ms", "60000", MinMs, MaxMs,
+          &ProcessSettings::m_CallerAnswerTimeout,
+          "Time in ms in which a caller takes what is written to it."),
+      numberSetting("caller_pipeline_max", "64", 1, 100000,
+                    &ProcessSettings::m_CallerPipelineMax,
+                    "Unanswered statements of a caller from which on it is not "
+                    "read from."),
+      numberSetting("max_starting_callers", "512", 1, 100000,
+                    &ProcessSettings::m_MaxStartingCallers,
+                    "Connections of callers that have not completed their "
+                    "startup; above it, the oldest that are a second old are "
+                    "closed."),
+      numberSetting("http_max_connections", "128", 1, 100000,
+                    &ProcessSettings::m_HttpMaxConnections,
+                    "HTTP connections to one port; above it, the one that has "
+                    "been without a whole request longest is closed."),
+      numberSetting("http_budget_bytes", "16777216", 2097152, MaxBytes,
+                    &ProcessSettings::m_HttpBudgetBytes,
+                    "Bytes of the bodies of HTTP requests in progress on one "
+                    "port; a request above it gets status 503."),
+      numberSetting<milliseconds>(
+          "http_request_timeout_ms", "15000", MinMs, MaxMs,
+          &ProcessSettings::m_HttpRequestTimeout,
+          "Time in ms for an HTTP request's header, for its body and for the "
+          "reading of its answer."),
+      numberSetting(
+          "rpc_unproved_max", "128", 1, 100000,
+          &ProcessSettings::m_RpcUnprovedMax,
+          "Connections to the RPC port that have not proved the "
+          "cluster key; above it, the oldest that are a second old are "
+          "closed."),
+      numberSetting("rpc_unproved_bytes", "65536", 4096, 1048576,
+                    &ProcessSettings::m_RpcUnprovedBytes,
+                    "Bytes that a connection may send before it has proved the "
+                    "cluster key."),
+      numberSetting<milliseconds>(
+          "rpc_proof_timeout_ms", "10000", MinMs, MaxMs,
+          &ProcessSettings::m_RpcProofTimeout,
+          "Time in ms for the proof of the cluster key on a new connection."),
+  };
+}
+
 /// Settings for shutdown, log and time line.
 std::vector<SettingInfo> processSettings() {
   using std::chrono::seconds;
@@ -375,8 +454,9 @@
 
 std::vector<SettingInfo> makeTable() {
   std::vector<SettingInfo> Table;
-  for (std::vector<SettingInfo> Rows : {identitySettings(), controlSettings(),
-                                        entrySettings(), processSettings()}) {
+  for (std::vector<SettingInfo> Rows :
+       {identitySettings(), controlSettings(), entrySettings(),
+        clientLimitSettings(), processSettings()}) {
     std::ranges::move(Rows, std::back_inserter(Table));
   }
   return Table;
