RPC: limits on connections that have not proved the cluster key

Cause: such connections could stay open without a limit of number or time, and announce messages of up to 64 MiB.

Change: RpcServer accepts connections itself. Until the proof a GatedStream lets through rpc_unproved_bytes and refuses a message that announces more; the proof has rpc_proof_timeout_ms; of more than rpc_unproved_max connections the oldest that are a second old are closed. A failure to accept (no descriptors) is retried after 100 ms; before, it ended the listener. Nothing changes after the proof.

--- a/ragwortmux/Process/Peers/RpcServer.cpp
+++ b/ragwortmux/Process/Peers/RpcServer.cpp
@@ -5,9 +5,11 @@
 #include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Peers/CapnpBytes.h"
 #include "ragwortmux/Process/Peers/ClusterProof.h"
+#include "ragwortmux/Process/Peers/GatedStream.h"
 #include "ragwortmux/Process/Peers/LogMessageCodec.h"
 #include "ragwortmux/Process/Peers/RelayCodec.h"
 #include "ragwortmux/Process/Peers/RpcCodec.h"
+#include "ragwortmux/Process/Support/LimitReporter.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Process/Support/Secret.h"
@@ -15,10 +17,22 @@
 #include <capnp/rpc-twoparty.h>
 #include <openssl/crypto.h>
 
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
 namespace ragwortmux {
 
 namespace {
 
+/// Connections this young are not closed for RpcServerLimits::m_MaxUnproved, so
+/// that all processes of a cluster can reconnect at the same time.
+constexpr Duration UnprovedGrace = std::chrono::seconds(1);
+/// Time between two checks for connections whose proof is late.
+constexpr Duration CheckInterval = std::chrono::milliseconds(100);
+
 ControlStatus noControlRoleStatus() {
   return {ResultCode::NotLeader, "this process has no control role", ""};
 }
@@ -314,8 +328,10 @@
 /// if it is correct.
 class ChallengeServer final : public rpc::Challenge::Server {
 public:
-  ChallengeServer(std::string Nonce, const Secret &Key, rpc::Peer::Client Peer)
-      : m_Nonce(std::move(Nonce)), m_Key(Key), m_Peer(kj::mv(Peer)) {}
+  ChallengeServer(std::string Nonce, const Secret &Key, rpc::Peer::Client Peer,
+                  std::shared_ptr<ProofGate> Gate)
+      : m_Nonce(std::move(Nonce)), m_Key(Key), m_Peer(kj::mv(Peer)),
+        m_Gate(std::move(Gate)) {}
 
 protected:
   kj::Promise<void> answer(AnswerContext Context) override {
@@ -332,55 +348,176 @@
           "Refused a connection: its proof does not match the cluster key.");
       return KJ_EXCEPTION(FAILED, "the cluster key does not match");
     }
+    m_Gate->m_IsProved = true;
     Context.getResults().setPeer(m_Peer);
     return kj::READY_NOW;
   }
 
 private:
-  std::string m_Nonce;      ///< The challenge.
-  const Secret &m_Key;      ///< The cluster key.
-  rpc::Peer::Client m_Peer; ///< Returned for a correct proof.
-  bool m_IsUsed = false;    ///< A proof has been received.
+  std::string m_Nonce;               ///< The challenge.
+  const Secret &m_Key;               ///< The cluster key.
+  rpc::Peer::Client m_Peer;          ///< Returned for a correct proof.
+  std::shared_ptr<ProofGate> m_Gate; ///< Opened by a correct proof.
+  bool m_IsUsed = false;             ///< A proof has been received.
 };
 
 /// Serves a new connection until it has proved that it knows the cluster key.
 class GateServer final : public rpc::Gate::Server {
 public:
-  GateServer(const Secret &Key, rpc::Peer::Client Peer)
-      : m_Key(Key), m_Peer(kj::mv(Peer)) {}
+  GateServer(const Secret &Key, rpc::Peer::Client Peer,
+             std::shared_ptr<ProofGate> Gate)
+      : m_Key(Key), m_Peer(kj::mv(Peer)), m_Gate(std::move(Gate)) {}
 
 protected:
   kj::Promise<void> hello(HelloContext Context) override {
     const std::string Nonce = makeNonce();
     Context.getResults().setNonce(toData(Nonce));
     Context.getResults().setChallenge(
-        kj::heap<ChallengeServer>(Nonce, m_Key, m_Peer));
+        kj::heap<ChallengeServer>(Nonce, m_Key, m_Peer, m_Gate));
     return kj::READY_NOW;
   }
 
 private:
-  const Secret &m_Key;      ///< The cluster key.
-  rpc::Peer::Client m_Peer; ///< Shared by all connections.
+  const Secret &m_Key;               ///< The cluster key.
+  rpc::Peer::Client m_Peer;          ///< Shared by all connections.
+  std::shared_ptr<ProofGate> m_Gate; ///< Of this connection.
 };
 
 } // namespace
 
 struct RpcServer::Impl final {
-  Impl(IoLoop &Loop, const Secret &Key, RpcServerHooks &&ServerHooks)
-      : m_Loop(Loop),
+  /// One accepted connection.
+  struct Connection final {
+    Connection(kj::Own<kj::AsyncIoStream> Stream, const Secret &Key,
+               rpc::Peer::Client Peer, std::shared_ptr<ProofGate> Gate)
+        : m_Gate(std::move(Gate)), m_Stream(kj::mv(Stream), m_Gate),
+          m_Server(kj::heap<GateServer>(Key, kj::mv(Peer), m_Gate)) {}
+
+    Instant m_AcceptedAt = monotonicNow(); ///< When it was accepted.
+    std::shared_ptr<ProofGate> m_Gate;     ///< Whether the key is proved.
+    GatedStream m_Stream;                  ///< The socket.
+    capnp::TwoPartyServer m_Server;        ///< Serves the connection.
+    std::optional<kj::Promise<void>>
+        m_Serving;            ///< Its end closes the connection.
+    bool m_IsClosing = false; ///< close() was called.
+  };
+
+  Impl(IoLoop &Loop, const Secret &Key, RpcServerHooks &&ServerHooks,
+       RpcServerLimits Limits)
+      : m_Loop(Loop), m_Key(Key), m_Limits(Limits),
         m_Hooks(std::make_shared<const RpcServerHooks>(std::move(ServerHooks))),
-        m_Server(
-            kj::heap<GateServer>(Key, kj::heap<PeerServer>(Loop, m_Hooks))) {}
+        m_Reporter(Part::Rpc, m_Hooks->m_Metrics),
+        m_Peer(kj::heap<PeerServer>(Loop, m_Hooks)) {}
+
+  kj::Promise<void> accept() {
+    return m_Receiver->accept().then(
+        [this](kj::Own<kj::AsyncIoStream> Stream) {
+          serve(kj::mv(Stream));
+          return accept();
+        },
+        [this](kj::Exception &&Error) {
+          // The process has probably run out of file descriptors; retry after a
+          // pause.
+          logWarn(Part::Rpc, "Could not accept a connection: {}.",
+                  Error.getDescription().cStr());
+          return m_Loop.timer().afterDelay(100 * kj::MILLISECONDS).then([this] {
+            return accept();
+          });
+        });
+  }
+
+  void serve(kj::Own<kj::AsyncIoStream> Stream) {
+    const std::uint64_t Id = ++m_LastConnection;
+    auto Gate = std::make_shared<ProofGate>();
+    Gate->m_BytesLeft = m_Limits.m_UnprovedBytes;
+    Gate->m_Exceeded = [this] {
+      m_Reporter.report("rpc_unproved_bytes", "closed",
+                        m_Limits.m_UnprovedBytes, monotonicNow());
+    };
+    Connection &Added =
+        *m_Connections
+             .emplace(Id, std::make_unique<Connection>(kj::mv(Stream), m_Key,
+                                                       m_Peer, std::move(Gate)))
+             .first->second;
+    Added.m_Serving = Added.m_Server.accept(Added.m_Stream)
+                          .then([this, Id] { close(Id); },
+                                [this, Id](kj::Exception &&) { close(Id); })
+                          .eagerlyEvaluate(nullptr);
+    scheduleCheck();
+  }
+
+  /// Closes a connection in a later turn of the event loop, because this may be
+  /// called from its own promise.
+  void close(std::uint64_t Id) {
+    const auto Found = m_Connections.find(Id);
+    if (Found == m_Connections.end() ||
+        std::exchange(Found->second->m_IsClosing, true)) {
+      return;
+    }
+    m_Loop.after(Duration(0), [Weak = std::weak_ptr(m_Alive), this, Id] {
+      if (!Weak.expired()) {
+        m_Connections.erase(Id);
+      }
+    });
+  }
+
+  void scheduleCheck() {
+    if (std::exchange(m_IsCheckScheduled, true)) {
+      return;
+    }
+    m_Loop.after(CheckInterval, [Weak = std::weak_ptr(m_Alive), this] {
+      if (!Weak.expired()) {
+        m_IsCheckScheduled = false;
+        closeExpired();
+      }
+    });
+  }
+
+  void closeExpired() {
+    const Instant Now = monotonicNow();
+    // Ids ascend with the time of accepting.
+    std::vector<std::pair<std::uint64_t, Duration>> Unproved;
+    for (const auto &[Id, Current] : m_Connections) {
+      if (!Current->m_Gate->m_IsProved && !Current->m_IsClosing) {
+        Unproved.emplace_back(Id, Now - Current->m_AcceptedAt);
+      }
+    }
+    std::size_t Excess =
+        Unproved.size() - std::min(Unproved.size(), m_Limits.m_MaxUnproved);
+    for (const auto &[Id, Age] : Unproved) {
+      if (Age > m_Limits.m_ProofTimeout) {
+        m_Reporter.report("rpc_proof_timeout_ms", "closed", 0, Now);
+        close(Id);
+      } else if (Excess > 0 && Age > UnprovedGrace) {
+        m_Reporter.report("rpc_unproved_max", "closed", 0, Now);
+        close(Id);
+      }
+      Excess -= Excess > 0 ? 1 : 0;
+    }
+    if (!Unproved.empty()) {
+      scheduleCheck();
+    }
+  }
 
   IoLoop &m_Loop;                                ///< The event loop.
+  const Secret &m_Key;                           ///< The cluster key.
+  RpcServerLimits m_Limits;                      ///< The limits.
   std::shared_ptr<const RpcServerHooks> m_Hooks; ///< Handlers of the calls.
-  capnp::TwoPartyServer m_Server;                ///< Serves all connections.
+  LimitReporter m_Reporter;                      ///< Counts and logs limits.
+  rpc::Peer::Client m_Peer;                      ///< Shared by all connections.
   kj::Own<kj::ConnectionReceiver> m_Receiver;    ///< The listening socket.
+  std::uint64_t m_LastConnection = 0;            ///< The last assigned id.
+  bool m_IsCheckScheduled = false; ///< closeExpired() will be called.
+  std::shared_ptr<bool> m_Alive =
+      std::make_shared<bool>(true); ///< Tasks end with the server.
+  std::map<std::uint64_t, std::unique_ptr<Connection>>
+      m_Connections; ///< Open connections, by id.
 };
 
 RpcServer::RpcServer(IoLoop &Loop, const Secret &ClusterKey,
-                     RpcServerHooks Hooks)
-    : m_Impl(std::make_unique<Impl>(Loop, ClusterKey, std::move(Hooks))) {}
+                     RpcServerHooks Hooks, RpcServerLimits Limits)
+    : m_Impl(
+          std::make_unique<Impl>(Loop, ClusterKey, std::move(Hooks), Limits)) {}
 
 RpcServer::~RpcServer() = default;
 
@@ -390,7 +527,7 @@
   auto Parsed =
       Loop.network().parseAddress(Address, Port).wait(Loop.waitScope());
   m_Impl->m_Receiver = Parsed->listen();
-  Loop.spawn(m_Impl->m_Server.listen(*m_Impl->m_Receiver));
+  Loop.spawn(m_Impl->accept());
   return static_cast<std::uint16_t>(m_Impl->m_Receiver->getPort());
 }
 
--- a/ragwortmux/Process/Peers/RpcServer.h
+++ b/ragwortmux/Process/Peers/RpcServer.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTMUX_PROCESS_PEERS_RPCSERVER_H
 #define RAGWORTMUX_PROCESS_PEERS_RPCSERVER_H
 
+#include "ragwortmux/Core/Time.h"
 #include "ragwortmux/Process/Log/LogMessage.h"
 #include "ragwortmux/Process/Peers/ControlMessages.h"
 #include "ragwortmux/Version/SessionRecord.h"
@@ -61,14 +62,23 @@
   /// The connection from \p Peer has ended; called once for each peer, but not
   /// when the RpcServer is destroyed.
   std::function<void(RelayPeerId Peer)> m_RelayClosed;
-  /// Counts the updates that are pushed to entry processes; null: none does.
+  /// Counts the updates that are pushed to entry processes, and the limits that
+  /// connections reach; null: none does.
   Metrics *m_Metrics = nullptr;
 };
 
+/// Limits on connections whose peers have not proved the cluster key.
+struct RpcServerLimits final {
+  std::size_t m_MaxUnproved = 128;     ///< Such connections at a time.
+  std::size_t m_UnprovedBytes = 65536; ///< Bytes that each may send.
+  Duration m_ProofTimeout = std::chrono::seconds(10); ///< Time for the proof.
+};
+
 /// Serves RPC to processes that prove that they know the cluster key.
 class RpcServer final {
 public:
-  RpcServer(IoLoop &Loop, const Secret &ClusterKey, RpcServerHooks Hooks);
+  RpcServer(IoLoop &Loop, const Secret &ClusterKey, RpcServerHooks Hooks,
+            RpcServerLimits Limits = {});
   ~RpcServer();
   RpcServer(const RpcServer &) = delete;
   RpcServer &operator=(const RpcServer &) = delete;
