Callers of both protocols: not read from above their budget, closed when late

Change: CallerGuard applies CallerBudget to the connections of both protocols. LineStream asks before each line and each read; CallerConnection before each read. While a caller is not read from, its end is looked for with poll(). An idle connection holds a read buffer of 1 KiB instead of 16 KiB and releases the memory of its largest message; assigning an empty string had kept it.

Run: ConnectionTests CallerBudgetTest, PgMessageReaderTest; RequestTests SessionPartsTest; PlatformTests LineStreamTest, CallerListenerTest, WireEndToEndTest; ProcessTests SessionEntryRoleTest: passed.

--- a/ragwortmux/Connection/Codec/PgMessageReader.cpp
+++ b/ragwortmux/Connection/Codec/PgMessageReader.cpp
@@ -14,6 +14,9 @@
 /// many.
 constexpr std::size_t CompactAfterBytes = 64UL * 1024;
 
+/// An empty buffer with more memory than this releases it.
+constexpr std::size_t KeptBytes = 1024;
+
 constexpr std::uint32_t MajorVersion = 3;
 constexpr std::uint32_t CancelRequestCode = 80877102;
 constexpr std::uint32_t SslRequestCode = 80877103;
@@ -244,6 +247,21 @@
   return PgQuery{std::string(*Sql)};
 }
 
+std::size_t PgMessageReader::bufferedMessages(std::size_t Limit) const {
+  std::string_view Rest = pending();
+  std::size_t Count = 0;
+  while (m_HasStarted && Count < Limit &&
+         Rest.size() >= TypeBytes + LengthBytes) {
+    const std::size_t Length = readUint32(Rest.substr(TypeBytes));
+    if (Length < LengthBytes || Rest.size() < TypeBytes + Length) {
+      break;
+    }
+    Rest.remove_prefix(TypeBytes + Length);
+    ++Count;
+  }
+  return Count;
+}
+
 std::string_view PgMessageReader::pending() const {
   return std::string_view(m_Buffer).substr(m_Offset);
 }
@@ -254,6 +272,10 @@
   if (m_Offset == m_Buffer.size() || m_Offset >= CompactAfterBytes) {
     m_Buffer.erase(0, m_Offset);
     m_Offset = 0;
+    // An idle connection does not keep the memory of its largest message.
+    if (m_Buffer.empty() && m_Buffer.capacity() > KeptBytes) {
+      std::string().swap(m_Buffer);
+    }
   }
 }
 
@@ -262,7 +284,7 @@
   m_Error->m_Severity = "FATAL";
   m_Error->m_SqlState = "08P01";
   m_Error->m_Message = std::move(Reason);
-  m_Buffer = std::string();
+  std::string().swap(m_Buffer);
   m_Offset = 0;
 }
 
--- a/ragwortmux/Connection/Codec/PgMessageReader.h
+++ b/ragwortmux/Connection/Codec/PgMessageReader.h
@@ -39,6 +39,10 @@
 
   /// Number of bytes received and not yet read as messages.
   std::size_t bufferedBytes() const { return m_Buffer.size() - m_Offset; }
+  /// Number of whole messages among these bytes, at most \p Limit.
+  std::size_t bufferedMessages(std::size_t Limit) const;
+  /// True once the start-up message was read.
+  bool hasStarted() const { return m_HasStarted; }
   /// Memory allocated for the input buffer, in bytes.
   std::size_t allocatedBytes() const { return m_Buffer.capacity(); }
 
--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortmux/Connection/Codec/PgMessageWriter.h"
 #include "ragwortmux/Connection/Codec/PgSetStatement.h"
+#include "ragwortmux/Process/Loop/HasPeerClosed.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Support/Log.h"
@@ -73,21 +74,61 @@
 
 CallerConnection::~CallerConnection() = default;
 
-void CallerConnection::start() { read(); }
+void CallerConnection::start() { readIfAllowed(); }
+
+void CallerConnection::resume() {
+  if (m_IsReading || m_Closed) {
+    reportUsage();
+    return;
+  }
+  readIfAllowed();
+}
+
+void CallerConnection::readIfAllowed() {
+  reportUsage();
+  if (m_Hooks.m_MayRead()) {
+    read();
+  }
+}
+
+void CallerConnection::reportUsage() {
+  if (m_Closed) {
+    return;
+  }
+  constexpr std::size_t MaxCounted = 100000;
+  CallerUsage Usage;
+  Usage.m_InputBytes = m_Reader.allocatedBytes();
+  Usage.m_OutputBytes = m_Output.size() + m_BytesInWrite;
+  Usage.m_HasStarted = m_Reader.hasStarted();
+  Usage.m_MessagesRead = m_MessagesRead;
+  Usage.m_WritesDone = m_WritesDone;
+  if (m_PendingRequest) {
+    Usage.m_InputBytes += m_PendingRequest->m_Bytes;
+    Usage.m_Statements = 1 + m_Reader.bufferedMessages(MaxCounted);
+  }
+  // While a request is pending, whole messages of the caller wait in the
+  // reader.
+  Usage.m_HasPartialMessage = !m_PendingRequest && m_Reader.bufferedBytes() > 0;
+  m_Hooks.m_Used(Usage);
+}
 
 void CallerConnection::read() {
   const auto Self = shared_from_this();
-  m_Loop.spawn(m_Stream->tryRead(m_Buffer.data(), 1, m_Buffer.size())
+  const std::span<std::byte> Buffer = m_Buffer.prepare();
+  m_IsReading = true;
+  m_Loop.spawn(m_Stream->tryRead(Buffer.data(), 1, Buffer.size())
                    .then(
-                       [this, Self](std::size_t Count) {
+                       [this, Self, Buffer](std::size_t Count) {
+                         m_IsReading = false;
                          if (Count == 0 || m_Closed) {
                            close();
                            return;
                          }
-                         m_Reader.feed(std::span(m_Buffer).first(Count));
+                         m_Buffer.received(Count);
+                         m_Reader.feed(Buffer.first(Count));
                          handleInput();
                          if (!m_Closed) {
-                           read();
+                           readIfAllowed();
                          }
                        },
                        [this, Self](kj::Exception &&) { close(); }));
@@ -100,6 +141,7 @@
     if (!Message) {
       break;
     }
+    ++m_MessagesRead;
     const bool ShouldContinue = std::visit(
         [this](const auto &Alternative) { return handle(Alternative); },
         *Message);
@@ -300,6 +342,7 @@
   m_PendingRequest->m_Request = RequestId(m_Hooks.m_NextId());
   m_PendingRequest->m_Entry = Entry;
   m_PendingRequest->m_Arrived = monotonicNow();
+  m_PendingRequest->m_Bytes = Sql.size();
   GroupRequest Request;
   Request.m_Id = m_PendingRequest->m_Request;
   Request.m_Caller = m_Id;
@@ -366,9 +409,11 @@
       const auto Self = Weak.lock();
       if (Self && !Self->m_Closed) {
         Self->handleInput();
+        Self->resume();
       }
     });
   }
+  reportUsage();
 }
 
 void CallerConnection::cancel(std::uint32_t SecretKey) {
@@ -450,16 +495,31 @@
   }
   m_Writing = true;
   const auto Bytes = std::make_shared<std::string>(std::exchange(m_Output, {}));
+  m_BytesInWrite = Bytes->size();
   const auto Self = shared_from_this();
   m_Loop.spawn(m_Stream->write(Bytes->data(), Bytes->size())
                    .then(
                        [this, Self, Bytes] {
                          m_Writing = false;
+                         m_BytesInWrite = 0;
+                         ++m_WritesDone;
                          flush();
+                         reportUsage();
                        },
                        [this, Self](kj::Exception &&) { close(); }));
 }
 
+void CallerConnection::checkPeer() {
+  if (!m_Closed && hasPeerClosed(*m_Stream)) {
+    close();
+  }
+}
+
+void CallerConnection::closeForLimit(std::string_view Limit) {
+  logDebug(Part::Caller, "Closed a caller for {}.", Limit);
+  close();
+}
+
 void CallerConnection::close() {
   if (m_Closed) {
     return;
--- a/ragwortmux/Process/Entry/CallerConnection.h
+++ b/ragwortmux/Process/Entry/CallerConnection.h
@@ -1,19 +1,21 @@
 #ifndef RAGWORTMUX_PROCESS_ENTRY_CALLERCONNECTION_H
 #define RAGWORTMUX_PROCESS_ENTRY_CALLERCONNECTION_H
 
+#include "ragwortmux/Connection/CallerBudget.h"
 #include "ragwortmux/Connection/Codec/PgMessageReader.h"
 #include "ragwortmux/Connection/SessionToken.h"
+#include "ragwortmux/Process/Loop/ReadBuffer.h"
 #include "ragwortmux/Request/GroupEvents.h"
 
 #include <kj/async-io.h>
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace ragwortmux {
 
@@ -50,6 +52,11 @@
   std::function<void(const CatalogueEntry &Entry, ResultCode Code,
                      Duration Took)>
       m_Answered;
+  /// Reports what is held for this caller.
+  std::function<void(const CallerUsage &Usage)> m_Used;
+  /// Returns false if this caller must not be read from;
+  /// CallerConnection::resume() is called later.
+  std::function<bool()> m_MayRead;
   /// Called when the connection was closed; it may be destroyed on a later turn
   /// of the loop.
   std::function<void()> m_Closed;
@@ -77,6 +84,12 @@
   void cancel(std::uint32_t SecretKey);
   /// Sends \p Code to the caller as a fatal error and closes the connection.
   void closeWith(ResultCode Code);
+  /// Reads again after CallerHooks::m_MayRead has returned false.
+  void resume();
+  /// Closes the connection if the peer has closed it.
+  void checkPeer();
+  /// Closes the connection because it has reached the setting \p Limit.
+  void closeForLimit(std::string_view Limit);
   /// Closes the connection once no request is pending and no transaction is
   /// open.
   void drain();
@@ -95,6 +108,8 @@
 private:
   struct PendingRequest;
   void read();
+  void readIfAllowed();
+  void reportUsage();
   void handleInput();
   bool handle(const PgStartup &Message);
   bool handle(const PgSslRequest &Message);
@@ -134,12 +149,16 @@
       m_TransactionEntry; ///< Entry of the open transaction.
   std::unique_ptr<PendingRequest> m_PendingRequest; ///< Null if none.
   std::optional<PgCancelRequest> m_CancelRequest;   ///< See cancelRequest().
-  std::array<std::byte, 16384> m_Buffer{};          ///< Receives input.
+  ReadBuffer m_Buffer;                              ///< Receives input.
   std::string m_Output;                             ///< Bytes not written yet.
-  bool m_Writing = false;                           ///< A write is in progress.
-  bool m_CloseAfterWrite = false; ///< Close after the output was written.
-  bool m_Closed = false;          ///< close() was called.
-  bool m_Draining = false;        ///< drain() was called.
+  std::size_t m_BytesInWrite = 0;   ///< Bytes of the write in progress.
+  std::uint64_t m_WritesDone = 0;   ///< Number of finished writes.
+  std::uint64_t m_MessagesRead = 0; ///< Number of messages handled.
+  bool m_IsReading = false;         ///< A read is in progress.
+  bool m_Writing = false;           ///< A write is in progress.
+  bool m_CloseAfterWrite = false;   ///< Close after the output was written.
+  bool m_Closed = false;            ///< close() was called.
+  bool m_Draining = false;          ///< drain() was called.
 };
 
 /// A request that was not answered yet.
@@ -147,6 +166,7 @@
   RequestId m_Request;                           ///< Id of the request.
   std::shared_ptr<const CatalogueEntry> m_Entry; ///< Its catalogue entry.
   Instant m_Arrived;                             ///< Time of arrival.
+  std::size_t m_Bytes = 0;                       ///< Size of its statement.
 };
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Entry/CallerServer.cpp
+++ b/ragwortmux/Process/Entry/CallerServer.cpp
@@ -8,8 +8,9 @@
 namespace ragwortmux {
 
 CallerServer::CallerServer(IoLoop &Loop, CallerServerSettings Settings,
-                           CallerHooks Hooks)
-    : m_Loop(Loop), m_Settings(Settings), m_Hooks(std::move(Hooks)) {
+                           CallerHooks Hooks, Metrics *ProcessMetrics)
+    : m_Loop(Loop), m_Settings(Settings), m_Hooks(std::move(Hooks)),
+      m_Guard(Loop, Settings.m_Budget, ProcessMetrics) {
   m_Hooks.m_NextId = [this] { return ++m_LastId; };
   m_Hooks.m_IsDraining = [this] { return m_Draining; };
 }
@@ -90,10 +91,33 @@
     m_Requests[Request.m_Id] = m_Connections[ProcessId];
     m_Hooks.m_Submit(std::move(Request));
   };
+  // The guard knows a caller by its process id, because the id that the groups
+  // know changes with a cancel.
+  const CallerConnectionId Guarded(ProcessId);
+  Hooks.m_Used = [this, Guarded](const CallerUsage &Usage) {
+    m_Guard.update(Guarded, Usage);
+  };
+  Hooks.m_MayRead = [this, Guarded] { return m_Guard.mayRead(Guarded); };
   auto Connection = std::make_shared<CallerConnection>(
       m_Loop, kj::mv(Stream), ProcessId, m_Random(), m_Settings.m_Reader,
       std::move(Hooks));
   m_Connections[ProcessId] = Connection;
+  m_Guard.add(Guarded,
+              {[Weak = std::weak_ptr(Connection)] {
+                 if (const auto Target = Weak.lock()) {
+                   Target->resume();
+                 }
+               },
+               [Weak = std::weak_ptr(Connection)] {
+                 if (const auto Target = Weak.lock()) {
+                   Target->checkPeer();
+                 }
+               },
+               [Weak = std::weak_ptr(Connection)](std::string_view Limit) {
+                 if (const auto Target = Weak.lock()) {
+                   Target->closeForLimit(Limit);
+                 }
+               }});
   Connection->start();
 }
 
@@ -104,6 +128,7 @@
   }
   const auto Connection = Found->second;
   m_Connections.erase(Found);
+  m_Guard.remove(CallerConnectionId(ProcessId));
   if (const auto Pending = Connection->pendingRequest()) {
     m_Requests.erase(*Pending);
   }
--- a/ragwortmux/Process/Entry/CallerServer.h
+++ b/ragwortmux/Process/Entry/CallerServer.h
@@ -2,6 +2,7 @@
 #define RAGWORTMUX_PROCESS_ENTRY_CALLERSERVER_H
 
 #include "ragwortmux/Process/Entry/CallerConnection.h"
+#include "ragwortmux/Process/Entry/CallerGuard.h"
 
 #include <cstdint>
 #include <functional>
@@ -18,14 +19,17 @@
 struct CallerServerSettings final {
   std::uint32_t m_MaxCallers = 10000; ///< Maximum number of connections.
   PgMessageReaderSettings m_Reader;   ///< Limits on callers' messages.
+  CallerBudgetSettings m_Budget;      ///< Limits on what callers hold.
 };
 
 /// Accepts callers and owns their connections.
 class CallerServer final {
 public:
-  /// \p Hooks are passed to the connections; m_NextId, m_IsDraining and
-  /// m_Closed are set by this class.
-  CallerServer(IoLoop &Loop, CallerServerSettings Settings, CallerHooks Hooks);
+  /// \p Hooks are passed to the connections; m_NextId, m_IsDraining, m_Used,
+  /// m_MayRead and m_Closed are set by this class. \p ProcessMetrics may be
+  /// null.
+  CallerServer(IoLoop &Loop, CallerServerSettings Settings, CallerHooks Hooks,
+               Metrics *ProcessMetrics);
   ~CallerServer();
   CallerServer(const CallerServer &) = delete;
   CallerServer &operator=(const CallerServer &) = delete;
@@ -53,6 +57,7 @@
   IoLoop &m_Loop;                             ///< The event loop.
   CallerServerSettings m_Settings;            ///< Limits.
   CallerHooks m_Hooks;                        ///< Passed to connections.
+  CallerGuard m_Guard;                        ///< Applies the limits.
   kj::Own<kj::ConnectionReceiver> m_Receiver; ///< The listening socket.
   std::map<std::uint32_t, std::shared_ptr<CallerConnection>>
       m_Connections; ///< Connections by process id.
--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -199,6 +199,7 @@
   CallerServerSettings Settings;
   Settings.m_MaxCallers = m_Settings.m_MaxCallers;
   Settings.m_Reader.m_MaxMessageBytes = m_Settings.m_MaxCallerMessageBytes;
+  Settings.m_Budget = callerBudgetSettings(m_Settings);
   CallerHooks Hooks;
   Hooks.m_FindEntry = [this](const EntryName &Name) {
     // Stateful sessions are served by SessionEntryRole only.
@@ -226,8 +227,8 @@
     m_Metrics.observe(Metric::RequestSeconds,
                       {Class, std::string(outcomeName(Code))}, Took);
   };
-  m_Callers =
-      std::make_unique<CallerServer>(m_Loop, Settings, std::move(Hooks));
+  m_Callers = std::make_unique<CallerServer>(m_Loop, Settings, std::move(Hooks),
+                                             &m_Metrics);
 }
 
 GroupDriver &EntryRole::findOrCreateDriver(const GroupId &Group) {
--- a/ragwortmux/Request/CallerSession.cpp
+++ b/ragwortmux/Request/CallerSession.cpp
@@ -9,14 +9,21 @@
     return ResultCode::NotRunBadRequest;
   switch (Submitted.m_Kind) {
   case StatementKind::SetValue:
+    if (const auto Old = m_State->m_Values.find(Submitted.m_Name);
+        Old != m_State->m_Values.end()) {
+      m_StateBytes -= Old->first.size() + Old->second.size();
+    }
     mutableState().m_Values[Submitted.m_Name] = Submitted.m_Rest;
+    m_StateBytes += Submitted.m_Name.size() + Submitted.m_Rest.size();
     return ResultCode::Ok;
   case StatementKind::Prepare:
+    forgetPrepared(Submitted.m_Name);
     mutableState().m_Prepared[Submitted.m_Name] = {Submitted.m_Rest,
                                                    Submitted.m_Writes};
+    m_StateBytes += Submitted.m_Name.size() + Submitted.m_Rest.size();
     return ResultCode::Ok;
   case StatementKind::Deallocate:
-    return mutableState().m_Prepared.erase(Submitted.m_Name) > 0
+    return forgetPrepared(Submitted.m_Name)
                ? ResultCode::Ok
                : ResultCode::NotRunUnknownStatement;
   case StatementKind::Execute:
@@ -65,6 +72,16 @@
                                      : std::optional(Found->second);
 }
 
+/// Removes a prepared statement; false if there is none of this name.
+bool CallerSession::forgetPrepared(const std::string &Name) {
+  const PreparedStatement *Known = prepared(Name);
+  if (Known == nullptr)
+    return false;
+  m_StateBytes -= Name.size() + Known->m_Definition.size();
+  mutableState().m_Prepared.erase(Name);
+  return true;
+}
+
 SessionState &CallerSession::mutableState() {
   // A running statement keeps the state it was sent with.
   if (m_State.use_count() > 1)
--- a/ragwortmux/Request/CallerSession.h
+++ b/ragwortmux/Request/CallerSession.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Request/StatementReply.h"
 #include "ragwortmux/Version/LogPoint.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,8 @@
   TransactionStatus status() const { return m_Status; }
   /// Snapshot that later changes of the session do not affect.
   std::shared_ptr<const SessionState> state() const { return m_State; }
+  /// Bytes of the session's values and prepared statements.
+  std::size_t stateBytes() const { return m_StateBytes; }
   /// The definition of the prepared statement \p Name, or null.
   const PreparedStatement *prepared(const std::string &Name) const;
   /// The position of the session's last acknowledged write to \p Group, if any;
@@ -42,8 +45,10 @@
 
 private:
   SessionState &mutableState();
+  bool forgetPrepared(const std::string &Name);
 
   std::shared_ptr<SessionState> m_State; ///< Shared with running statements.
+  std::size_t m_StateBytes = 0;          ///< See stateBytes().
   TransactionStatus m_Status = TransactionStatus::Idle; ///< See status().
   std::map<GroupId, LogPoint>
       m_LastWrites; ///< See lastWrite(); one for each group written to.
--- a/tests/Connection/PgMessageReaderTest.cpp
+++ b/tests/Connection/PgMessageReaderTest.cpp
@@ -301,4 +301,26 @@
   BOOST_TEST((parsePgOptions(Case.m_Text) == Case.m_Expected));
 }
 
+// Guards against statements sent ahead that are not counted, and against memory
+// that an idle connection keeps.
+BOOST_AUTO_TEST_CASE(BufferedMessagesAreCountedAndTheirMemoryIsReleased) {
+  PgMessageReader Reader;
+  Reader.feed(bytesOf(validStartup()));
+  BOOST_TEST(Reader.bufferedMessages(10) == 0U);
+  BOOST_TEST(!Reader.hasStarted());
+  BOOST_TEST(Reader.next().has_value());
+  BOOST_TEST(Reader.hasStarted());
+  const std::string Sync("S\0\0\0\4", 5);
+  Reader.feed(bytesOf(Sync + Sync + Sync.substr(0, 4)));
+  BOOST_TEST(Reader.bufferedMessages(10) == 2U);
+  BOOST_TEST(Reader.bufferedMessages(1) == 1U);
+  Reader.feed(bytesOf(Sync.substr(4)));
+  BOOST_TEST(Reader.bufferedMessages(10) == 3U);
+  std::string Large(200'005, ' ');
+  Large.replace(0, 5, std::string("P\0\3\15\104", 5));
+  Reader.feed(bytesOf(Large));
+  BOOST_TEST(readAll(Reader).size() == 4U);
+  BOOST_TEST(Reader.allocatedBytes() < 2048U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Platform/LineStreamTest.cpp
+++ b/tests/Platform/LineStreamTest.cpp
@@ -191,6 +191,31 @@
   BOOST_TEST(m_Peer->readLine().value_or("") == "second");
 }
 
+// Guards against lines that are passed on, or bytes that are read, while the
+// owner does not allow it.
+BOOST_AUTO_TEST_CASE(PausedStreamPassesNothingOnUntilResumed) {
+  std::size_t Allowed = 2;
+  LineStreamHooks Hooks = hooks();
+  Hooks.m_MayRead = [&] { return m_Received.size() < Allowed; };
+  LineStream Stream(m_Loop, kj::mv(m_Stream), std::move(Hooks));
+  m_Peer->write("1\r\n2\r\n3\r\n4\r\n");
+  runFor(milliseconds(50));
+  BOOST_TEST(m_Received == (std::vector<std::string>{"1", "2"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(Stream.hasUnreadInput());
+  Allowed = 3;
+  Stream.resume();
+  BOOST_TEST(m_Received.size() == 3U);
+  m_Peer->write("5\r\n");
+  runFor(milliseconds(50));
+  BOOST_TEST(m_Received.size() == 3U);
+  Allowed = 100;
+  Stream.resume();
+  runFor(milliseconds(50));
+  BOOST_TEST(m_Lines == "12345");
+  BOOST_TEST(m_Closed == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::platform
--- a/tests/Request/SessionPartsTest.cpp
+++ b/tests/Request/SessionPartsTest.cpp
@@ -343,6 +343,25 @@
   BOOST_TEST(Queue.size() == 3U);
 }
 
+// Guards against session state whose memory is counted wrongly.
+BOOST_AUTO_TEST_CASE(BytesOfSessionStateAreCounted) {
+  CallerSession Session;
+  const auto Run = [&](StatementKind Kind, const char *Name, const char *Rest) {
+    Statement Submitted;
+    Submitted.m_Kind = Kind;
+    Submitted.m_Name = Name;
+    Submitted.m_Rest = Rest;
+    Session.answerLocally(Submitted);
+    return Session.stateBytes();
+  };
+  BOOST_TEST(Run(StatementKind::SetValue, "a", "1234") == 5U);
+  BOOST_TEST(Run(StatementKind::SetValue, "a", "12") == 3U);
+  BOOST_TEST(Run(StatementKind::Prepare, "s1", "READ a") == 11U);
+  BOOST_TEST(Run(StatementKind::Prepare, "s1", "READ") == 9U);
+  BOOST_TEST(Run(StatementKind::Deallocate, "s2", "") == 9U);
+  BOOST_TEST(Run(StatementKind::Deallocate, "s1", "") == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux
