HTTP: limits on connections, bodies in progress and time

Cause: 48 connections with half-sent configurations raised a control process from 21 to 112 MB; slow and silent connections stayed open, at most 128 KiB of header and a whole body each.

The adapter gets the process's metrics, and the limits of callers from the settings.

--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -55,7 +55,7 @@
       m_Timeline(timelineSettings(m_Settings), m_Clock),
       m_Actors((captureSignals(), ActorThreads)) {
   if (m_Settings.m_Protocol != CallerProtocol::PostgreSql) {
-    m_Adapter = CreateAdapter(m_Loop, m_Settings);
+    m_Adapter = CreateAdapter(m_Loop, m_Settings, m_Metrics);
   }
   m_Loop.watch().setObserver([this](LoopWork Work, Duration Delay) {
     m_Metrics.observe(Metric::LoopDelaySeconds,
@@ -153,7 +153,7 @@
           return HttpReply{HttpOk, PrometheusContentType,
                            m_Metrics.renderPrometheus()};
         },
-        MaxJsonBytes);
+        httpLimits(m_Settings, MaxJsonBytes), &m_Metrics);
     m_Http->listen(m_Settings.m_Address, m_Settings.m_MetricsPort);
   }
   // The settings file may change without a SIGHUP.
@@ -222,8 +222,12 @@
       m_SessionEntry->relayClosed(Peer);
     };
   }
+  RpcServerLimits Limits;
+  Limits.m_MaxUnproved = m_Settings.m_RpcUnprovedMax;
+  Limits.m_UnprovedBytes = m_Settings.m_RpcUnprovedBytes;
+  Limits.m_ProofTimeout = m_Settings.m_RpcProofTimeout;
   m_Rpc = std::make_unique<RpcServer>(m_Loop, m_Settings.m_ClusterKey,
-                                      std::move(Hooks));
+                                      std::move(Hooks), Limits);
   return m_Rpc->listen(m_Settings.m_Address, m_Settings.m_RpcPort);
 }
 
@@ -240,7 +244,7 @@
   m_Http = std::make_unique<HttpEndpoint>(
       m_Loop,
       [this](const HttpRequest &Request) { return m_Api->handle(Request); },
-      MaxJsonBytes);
+      httpLimits(m_Settings, MaxJsonBytes), &m_Metrics);
   const std::uint16_t HttpPort =
       m_Http->listen(m_Settings.m_Address, m_Settings.m_HttpPort);
   const std::uint16_t CallerPort = m_Entry ? m_Entry->listen() : 0;
--- a/ragwortmux/Process/ProtocolAdapter.h
+++ b/ragwortmux/Process/ProtocolAdapter.h
@@ -10,6 +10,7 @@
 namespace ragwortmux {
 
 class IoLoop;
+class Metrics;
 struct ProcessSettings;
 
 /// Implements the protocols towards callers, backend servers and operators in
@@ -35,7 +36,7 @@
 
 /// Creates the adapter of a process.
 using ProtocolAdapterFactory = std::function<std::unique_ptr<ProtocolAdapter>(
-    IoLoop &Loop, const ProcessSettings &Settings)>;
+    IoLoop &Loop, const ProcessSettings &Settings, Metrics &ProcessMetrics)>;
 
 } // namespace ragwortmux
 
