--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -265,6 +265,13 @@
                "or got none (refused), and permits that were not used "
                "(expired).",
                {"outcome"}},
+    MetricInfo{Metric::ClientLimitHits,
+               "ragwortmux_client_limit_hits_total",
+               MetricKind::Counter,
+               "hits",
+               "How often clients have reached a limit, by setting and "
+               "decision (paused, closed or refused).",
+               {"limit", "decision"}},
 };
 
 } // namespace
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -50,6 +50,7 @@
   PeerBytes,
   PeerFailures,
   WorkspacePermits,
+  ClientLimitHits,
 };
 
 /// Prometheus type of a metric.
