--- a/bench/Capacity/Main.cpp
+++ b/bench/Capacity/Main.cpp
@@ -3,6 +3,7 @@
 #include "bench/Capacity/ProcessSlopes.h"
 #include "bench/Capacity/SessionSlopes.h"
 #include "bench/Capacity/StateSlopes.h"
+#include "bench/Capacity/WorkspaceSlopes.h"
 
 #include <gflags/gflags.h>
 
@@ -20,10 +21,11 @@
 
 int run(const std::string &What) {
   const std::map<std::string, std::function<void()>> Parts = {
-      {"state", printStateSlopes},      {"commands", printCommandSlopes},
-      {"messages", printMessageSlopes}, {"leader", printLeaderSlopes},
-      {"group", printGroupSlopes},      {"callers", printCallerSlopes},
-      {"control", printControlSlopes},  {"sessions", printSessionSlopes},
+      {"state", printStateSlopes},          {"commands", printCommandSlopes},
+      {"messages", printMessageSlopes},     {"leader", printLeaderSlopes},
+      {"group", printGroupSlopes},          {"callers", printCallerSlopes},
+      {"control", printControlSlopes},      {"sessions", printSessionSlopes},
+      {"workspaces", printWorkspaceSlopes},
   };
   if (What != "all" && !Parts.contains(What)) {
     std::cerr << gflags::ProgramUsage() << '\n';
@@ -43,7 +45,7 @@
 
 int main(int ArgumentCount, char **Arguments) {
   gflags::SetUsageMessage("capacity [state|commands|messages|leader|group|"
-                          "callers|control|sessions|all]");
+                          "callers|control|sessions|workspaces|all]");
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
   return ragwortmux::run(ArgumentCount > 1 ? Arguments[1] : "all");
 }
--- a/ragwortmux/Connection/Codec/PgMessageReader.cpp
+++ b/ragwortmux/Connection/Codec/PgMessageReader.cpp
@@ -1,5 +1,7 @@
 #include "ragwortmux/Connection/Codec/PgMessageReader.h"
 
+#include "ragwortmux/Core/ClearText.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -14,6 +16,7 @@
 /// many.
 constexpr std::size_t CompactAfterBytes = 64UL * 1024;
 
+constexpr char PasswordType = 'p';
 constexpr std::uint32_t MajorVersion = 3;
 constexpr std::uint32_t CancelRequestCode = 80877102;
 constexpr std::uint32_t SslRequestCode = 80877103;
@@ -204,7 +207,11 @@
   }
   const char Type = pending().front();
   const std::size_t Length = readUint32(pending().substr(TypeBytes));
-  if (Length < LengthBytes || Length > m_Settings.m_MaxMessageBytes) {
+  const std::size_t MaxLength = Type == PasswordType
+                                    ? std::min(m_Settings.m_MaxPasswordBytes,
+                                               m_Settings.m_MaxMessageBytes)
+                                    : m_Settings.m_MaxMessageBytes;
+  if (Length < LengthBytes || Length > MaxLength) {
     fail("invalid message length");
     return std::nullopt;
   }
@@ -213,6 +220,9 @@
   }
   auto Message = parseMessage(
       Type, pending().substr(TypeBytes + LengthBytes, Length - LengthBytes));
+  if (Message && Type == PasswordType) {
+    clearBytes(m_Buffer.data() + m_Offset, TypeBytes + Length);
+  }
   if (Message) {
     consume(TypeBytes + Length);
   }
@@ -227,8 +237,8 @@
   case 'X':
     m_HasEnded = true;
     return PgTerminate{};
-  case 'p':
-    return PgPassword{};
+  case PasswordType:
+    return parsePassword(Body);
   default:
     return PgUnsupported{Type};
   }
@@ -244,6 +254,21 @@
   return PgQuery{std::string(*Sql)};
 }
 
+std::optional<PgFrontendMessage>
+PgMessageReader::parsePassword(std::string_view Body) {
+  const auto Text = consumeString(Body);
+  if (!Text || !Body.empty()) {
+    fail("malformed password message");
+    return std::nullopt;
+  }
+  PgPassword Password;
+  // A move of a text that is stored inside the string object would leave a
+  // copy behind, so the text is given memory of its own.
+  Password.m_Text.reserve(std::max(Text->size(), sizeof(std::string)));
+  Password.m_Text = *Text;
+  return Password;
+}
+
 std::string_view PgMessageReader::pending() const {
   return std::string_view(m_Buffer).substr(m_Offset);
 }
@@ -262,6 +287,8 @@
   m_Error->m_Severity = "FATAL";
   m_Error->m_SqlState = "08P01";
   m_Error->m_Message = std::move(Reason);
+  // What was received may contain a password.
+  clearText(m_Buffer);
   m_Buffer = std::string();
   m_Offset = 0;
 }
--- a/ragwortmux/Connection/Codec/PgMessageReader.h
+++ b/ragwortmux/Connection/Codec/PgMessageReader.h
@@ -16,13 +16,14 @@
   std::size_t m_MaxBufferedBytes =
       4UL * 1024 * 1024; ///< All bytes received and not yet read as messages;
                          ///< raised to fit one message.
+  std::size_t m_MaxPasswordBytes = 1024; ///< Password message.
 };
 
 /// Splits the byte stream of one front end into typed messages.
 ///
 /// Packets up to the start-up message have no type byte; later messages have
 /// one. Malformed or oversized input puts the reader into a permanent error
-/// state.
+/// state. The bytes of a password are overwritten once it has been read.
 class PgMessageReader final {
 public:
   explicit PgMessageReader(PgMessageReaderSettings Settings = {});
@@ -51,6 +52,7 @@
   std::optional<PgFrontendMessage> parseStartup(std::uint32_t Version,
                                                 std::string_view Body);
   std::optional<PgFrontendMessage> parseQuery(std::string_view Body);
+  std::optional<PgFrontendMessage> parsePassword(std::string_view Body);
   std::string_view pending() const;
   void consume(std::size_t Count);
   void fail(std::string Reason);
--- a/ragwortmux/Connection/Codec/PgMessageWriter.cpp
+++ b/ragwortmux/Connection/Codec/PgMessageWriter.cpp
@@ -21,6 +21,13 @@
   endMessage(Offset);
 }
 
+void PgMessageWriter::authenticationCleartextPassword() {
+  constexpr std::uint32_t CleartextPassword = 3;
+  const std::size_t Offset = beginMessage('R');
+  putUint32(CleartextPassword);
+  endMessage(Offset);
+}
+
 void PgMessageWriter::negotiateProtocolVersion(
     std::uint32_t NewestMinor, std::span<const std::string> Unrecognized) {
   const std::size_t Offset = beginMessage('v');
--- a/ragwortmux/Connection/Codec/PgMessageWriter.h
+++ b/ragwortmux/Connection/Codec/PgMessageWriter.h
@@ -19,6 +19,8 @@
   void encryptionRefused();
   /// Reports that no password is required.
   void authenticationOk();
+  /// Asks for a password in clear text.
+  void authenticationCleartextPassword();
   /// Offers minor version \p NewestMinor of protocol 3 and names the protocol
   /// options that were not recognised.
   void negotiateProtocolVersion(std::uint32_t NewestMinor,
--- a/ragwortmux/Connection/Codec/PgTypes.h
+++ b/ragwortmux/Connection/Codec/PgTypes.h
@@ -43,8 +43,10 @@
 /// Request to end the session.
 struct PgTerminate final {};
 
-/// Answer to a password request. PgMessageWriter has no such request.
-struct PgPassword final {};
+/// Answer to AuthenticationCleartextPassword. The receiver clears the text.
+struct PgPassword final {
+  std::string m_Text; ///< The password without its terminating zero.
+};
 
 /// A well-formed message that this server does not support.
 struct PgUnsupported final {
--- a/ragwortmux/Main/Main.cpp
+++ b/ragwortmux/Main/Main.cpp
@@ -1,9 +1,11 @@
 #include "platform/PlatformAdapter.h"
+#include "ragwortmux/Core/ClearText.h"
 #include "ragwortmux/Process/Daemon.h"
 #include "ragwortmux/Process/Operators/OperatorClient.h"
 #include "ragwortmux/Process/Operators/SqlClient.h"
 #include "ragwortmux/Process/Support/CommandLine.h"
 #include "ragwortmux/Process/Support/Commands.h"
+#include "ragwortmux/Process/Support/KeyText.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/LogExplainer.h"
 #include "ragwortmux/Process/Support/ProcessSettings.h"
@@ -12,6 +14,8 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -89,8 +93,9 @@
 
 int run(const SqlCommand &Command) { return runSql(Command); }
 
-/// Commands that call an entry host with the operator's token.
-template <typename OperatorCommand> int run(const OperatorCommand &Command) {
+/// Calls an entry host with the operator's token.
+template <typename OperatorCommand>
+int runAsOperator(const OperatorCommand &Command) {
   const auto Token = processEnvironment()("RAGWORTMUX_OPERATOR_TOKEN");
   if (!Token || !Secret::isAllowed(*Token)) {
     return failWith({{ResultCode::BadSetting, "RAGWORTMUX_OPERATOR_TOKEN",
@@ -100,6 +105,51 @@
   return OperatorClient(OperatorToken).run(Command);
 }
 
+/// Reads the keys from \p Source; none, with \p Reason set, if that fails.
+std::optional<std::vector<KeyDigest>> readKeysFrom(const KeySource &Source,
+                                                   std::string &Reason) {
+  if (Source.m_Variable.empty()) {
+    return readKeys(std::cin, Reason);
+  }
+  auto Text = processEnvironment()(Source.m_Variable);
+  if (!Text) {
+    Reason = "the variable is not set";
+    return std::nullopt;
+  }
+  std::istringstream Lines(*Text);
+  clearText(*Text);
+  return readKeys(Lines, Reason);
+}
+
+int run(const WorkspaceCommand &Given) {
+  WorkspaceCommand Command = Given;
+  if (!Command.m_KeySource.m_IsGiven) {
+    return runAsOperator(Command);
+  }
+  std::string Reason;
+  auto Keys = readKeysFrom(Command.m_KeySource, Reason);
+  const bool TakesMany = Command.m_Edit.m_Action == WorkspaceAction::Put;
+  if (Keys && Keys->size() > 1 && !TakesMany) {
+    Reason = "there are several keys";
+    Keys.reset();
+  }
+  if (!Keys) {
+    return failWith({{ResultCode::BadArgument, "key", "(not shown)",
+                      Reason + "; allowed: " + AllowedCallerKey}});
+  }
+  if (Command.m_Edit.m_Action == WorkspaceAction::RemoveKey) {
+    Command.m_Edit.m_KeyDigest = formatDigest(Keys->front());
+  } else {
+    Command.m_Edit.m_Keys = std::move(*Keys);
+  }
+  return runAsOperator(Command);
+}
+
+/// Commands that call an entry host.
+template <typename OperatorCommand> int run(const OperatorCommand &Command) {
+  return runAsOperator(Command);
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
--- a/ragwortmux/Process/Control/ControlQuery.cpp
+++ b/ragwortmux/Process/Control/ControlQuery.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/Control/ControlQuery.h"
 
 #include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/WorkspaceJson.h"
 #include "ragwortmux/Version/ControlState.h"
 
 #include <boost/json.hpp>
@@ -11,6 +12,11 @@
 
 namespace json = boost::json;
 
+/// Workspaces in one answer to the query `workspaces`.
+constexpr std::size_t MaxListedWorkspaces = 1000;
+/// Stands between name and change id; a workspace's name cannot contain it.
+constexpr char EditSeparator = '\n';
+
 std::string_view syncName(SyncState Sync) {
   switch (Sync) {
   case SyncState::InSync:
@@ -97,6 +103,7 @@
   }
   json::object Object;
   Object["catalogue_revision"] = State.catalogue().revision().value();
+  Object["workspaces"] = State.catalogue().workspaces().size();
   Object["ledger_keys"] = State.ledger().size();
   Object["groups"] = std::move(Groups);
   Object["sessions"] = std::move(Sessions);
@@ -104,8 +111,49 @@
   return json::serialize(Object);
 }
 
+std::string workspaceListJson(const WorkspaceTable &Table,
+                              const std::string &After) {
+  json::array Rows;
+  bool HasMore = false;
+  Table.forEach([&](const WorkspaceItem &Item) {
+    if (Item.m_Workspace.m_Name.value() <= After)
+      return;
+    HasMore = Rows.size() >= MaxListedWorkspaces;
+    if (!HasMore)
+      Rows.push_back(shownWorkspaceJson(Item));
+  });
+  json::object Object;
+  Object["total"] = Table.size();
+  Object["has_more"] = HasMore;
+  Object["workspaces"] = std::move(Rows);
+  return json::serialize(Object);
+}
+
+/// The workspace as it is, and as the change left it if the change is a resend.
+std::string workspaceEditJson(const WorkspaceTable &Table,
+                              const std::string &Query) {
+  const std::size_t End = Query.find(EditSeparator);
+  const WorkspaceItem *Item = Table.find(WorkspaceId(Query.substr(0, End)));
+  const WorkspaceChange *Accepted =
+      End == std::string::npos
+          ? nullptr
+          : Table.findChange(ChangeId(Query.substr(End + 1)));
+  json::object Object;
+  if (Item != nullptr)
+    Object["current"] = wholeWorkspaceJson(*Item);
+  if (Accepted != nullptr)
+    Object["accepted"] =
+        wholeWorkspaceJson({Accepted->m_Revision, Accepted->m_Workspace});
+  return json::serialize(Object);
+}
+
 } // namespace
 
+std::string workspaceEditQuery(const std::string &Name,
+                               const std::string &Change) {
+  return Name + EditSeparator + Change;
+}
+
 std::optional<std::string> controlQueryJson(const ControlState &State,
                                             const std::string &QueryKind,
                                             const std::string &Name) {
@@ -120,6 +168,19 @@
     return Item == nullptr ? std::nullopt
                            : std::optional(json::serialize(itemJson(*Item)));
   }
+  const WorkspaceTable &Workspaces = State.catalogue().workspaces();
+  if (QueryKind == "workspace") {
+    const WorkspaceItem *Item = Workspaces.find(WorkspaceId(Name));
+    return Item == nullptr
+               ? std::nullopt
+               : std::optional(json::serialize(shownWorkspaceJson(*Item)));
+  }
+  if (QueryKind == "workspaces") {
+    return workspaceListJson(Workspaces, Name);
+  }
+  if (QueryKind == "workspace-edit") {
+    return workspaceEditJson(Workspaces, Name);
+  }
   json::array Rows;
   if (QueryKind == "entries") {
     State.catalogue().forEachEntry(
--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -2,9 +2,13 @@
 
 #include "ragwortmux/Connection/Codec/PgMessageWriter.h"
 #include "ragwortmux/Connection/Codec/PgSetStatement.h"
+#include "ragwortmux/Connection/WorkspaceScope.h"
+#include "ragwortmux/Core/ClearText.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
+#include "ragwortmux/Process/Support/DigestKey.h"
 #include "ragwortmux/Process/Support/Log.h"
+#include "ragwortmux/Version/Workspace.h"
 
 #include <algorithm>
 #include <charconv>
@@ -85,6 +89,10 @@
                            return;
                          }
                          m_Reader.feed(std::span(m_Buffer).first(Count));
+                         if (!m_HasStarted) {
+                           // The input may contain the caller's key.
+                           clearBytes(m_Buffer.data(), Count);
+                         }
                          handleInput();
                          if (!m_Closed) {
                            read();
@@ -101,8 +109,7 @@
       break;
     }
     const bool ShouldContinue = std::visit(
-        [this](const auto &Alternative) { return handle(Alternative); },
-        *Message);
+        [this](auto &Alternative) { return handle(Alternative); }, *Message);
     if (!ShouldContinue) {
       return;
     }
@@ -145,7 +152,8 @@
                                 "this host has not received the catalogue yet",
                                 "FATAL"));
   }
-  if (m_Hooks.m_FindEntry(m_Entry) == nullptr) {
+  const auto Entry = m_Hooks.m_FindEntry(m_Entry);
+  if (Entry == nullptr) {
     return Fail(makeResultError(m_Hooks.m_MissingEntryCode(), m_Entry.value(),
                                 "FATAL"));
   }
@@ -161,6 +169,20 @@
       return Fail(makeError("FATAL", SqlStateBadValue, Fault));
     }
   }
+  if (Entry->m_RequiresKey) {
+    m_AwaitsKey = true;
+    Writer.authenticationCleartextPassword();
+    write(Bytes, false);
+    return true;
+  }
+  finishStartup();
+  return true;
+}
+
+void CallerConnection::finishStartup() {
+  m_HasStarted = true;
+  std::string Bytes;
+  PgMessageWriter Writer(Bytes);
   Writer.authenticationOk();
   Writer.parameterStatus("server_version", "15.0 (ragwortmux)");
   Writer.parameterStatus("server_encoding", "UTF8");
@@ -171,7 +193,6 @@
   Writer.backendKeyData(m_ProcessId, m_SecretKey);
   Writer.readyForQuery(PgTransactionStatus::Idle);
   write(Bytes, false);
-  return true;
 }
 
 bool CallerConnection::handle(const PgSslRequest &) {
@@ -192,6 +213,17 @@
 }
 
 bool CallerConnection::handle(const PgQuery &Message) {
+  if (m_AwaitsKey) {
+    return handle(PgUnsupported{'Q'});
+  }
+  // A transaction uses the entry with which it began until it ends.
+  const auto Entry = m_Status == TransactionStatus::Idle
+                         ? m_Hooks.m_FindEntry(m_Entry)
+                         : m_TransactionEntry;
+  if (Entry != nullptr && !identify(*Entry)) {
+    endForLostKey();
+    return false;
+  }
   const auto Set = parsePgSetStatement(Message.m_Sql);
   return Set ? handleSet(*Set) : submit(Message.m_Sql);
 }
@@ -201,13 +233,82 @@
   return false;
 }
 
-bool CallerConnection::handle(const PgPassword &) {
-  return handle(PgUnsupported{'p'});
+bool CallerConnection::handle(PgPassword &Message) {
+  const bool IsExpected = std::exchange(m_AwaitsKey, false);
+  if (IsExpected) {
+    m_KeyDigest = digestKey(Message.m_Text);
+  }
+  clearText(Message.m_Text);
+  if (!IsExpected) {
+    return handle(PgUnsupported{'p'});
+  }
+  // The entry may have changed since the caller was asked for its key.
+  const auto Entry = m_Hooks.m_FindEntry(m_Entry);
+  if (Entry == nullptr) {
+    closeWith(m_Hooks.m_MissingEntryCode());
+    return false;
+  }
+  if (m_Hooks.m_IsDraining()) {
+    closeWith(ResultCode::NotRunDraining);
+    return false;
+  }
+  if (!identify(*Entry)) {
+    closeWith(m_Hooks.m_RefuseKey(m_Entry, {}));
+    return false;
+  }
+  finishStartup();
+  return true;
+}
+
+/// Looks up the workspace of the caller's key. False if \p Entry requires a key
+/// and no workspace has this one, or in a transaction another one than before.
+bool CallerConnection::identify(const CatalogueEntry &Entry) {
+  if (!Entry.m_RequiresKey) {
+    m_Workspace = WorkspaceId();
+    return true;
+  }
+  const auto Holder = m_Hooks.m_FindWorkspace(m_KeyDigest);
+  const bool IsInTransaction = m_Status != TransactionStatus::Idle;
+  if (Holder == nullptr || (IsInTransaction && Holder->m_Name != m_Workspace)) {
+    return false;
+  }
+  m_Workspace = Holder->m_Name;
+  return true;
+}
+
+void CallerConnection::endForLostKey() {
+  const ResultCode Code = m_Hooks.m_RefuseKey(m_Entry, m_Workspace);
+  if (m_Status != TransactionStatus::Idle) {
+    // The transaction is rolled back now and not when the caller has read the
+    // error, because a caller that reads nothing would keep its locks.
+    m_Hooks.m_CallerDisconnected(m_Id, m_TransactionEntry->m_Group);
+    m_Status = TransactionStatus::Idle;
+    m_TransactionEntry = nullptr;
+  }
+  closeWith(Code);
+}
+
+bool CallerConnection::noticeLostKey() {
+  if (m_Workspace.value().empty()) {
+    return false;
+  }
+  const auto Holder = m_Hooks.m_FindWorkspace(m_KeyDigest);
+  const bool IsLost = Holder == nullptr || Holder->m_Name != m_Workspace;
+  const bool IsNew = IsLost && !m_HasNoticedLostKey;
+  m_HasNoticedLostKey = IsLost;
+  return IsNew;
 }
 
 bool CallerConnection::handle(const PgUnsupported &Message) {
   constexpr char SyncType = 'S';
   constexpr char FlushType = 'H';
+  if (m_AwaitsKey) {
+    std::string Refusal;
+    PgMessageWriter(Refusal).errorResponse(
+        makeError("FATAL", SqlStateProtocol, "a password was expected"));
+    write(Refusal, true);
+    return false;
+  }
   // The extended protocol skips all messages between an error and the next
   // Sync, so answering only the Sync reports one error for the whole sequence.
   if (Message.m_Type == FlushType) {
@@ -287,7 +388,6 @@
 }
 
 bool CallerConnection::submit(const std::string &Sql) {
-  // A transaction uses the entry with which it began until it ends.
   const auto Entry = m_Status == TransactionStatus::Idle
                          ? m_Hooks.m_FindEntry(m_Entry)
                          : m_TransactionEntry;
@@ -304,9 +404,10 @@
   Request.m_Id = m_PendingRequest->m_Request;
   Request.m_Caller = m_Id;
   Request.m_Entry = Entry;
+  Request.m_Workspace = m_Workspace;
   Request.m_Sql = Sql;
   Request.m_Token = m_Token.find(Entry->m_Group);
-  Request.m_Session = m_Session;
+  Request.m_Session = scopeToWorkspace(m_Workspace, m_Session);
   Request.m_Key = m_Key;
   Request.m_MaxAge = m_MaxAge;
   Request.m_Arrived = m_PendingRequest->m_Arrived;
--- a/ragwortmux/Process/Entry/CallerConnection.h
+++ b/ragwortmux/Process/Entry/CallerConnection.h
@@ -19,6 +19,7 @@
 
 class IoLoop;
 class PgMessageWriter;
+struct Workspace;
 struct PgSetStatement;
 
 /// Callbacks from a caller's connection into its process, called on the event
@@ -32,6 +33,15 @@
   /// Returns why a request is refused whose entry m_FindEntry does not find:
   /// without a lease the catalogue may be outdated.
   std::function<ResultCode()> m_MissingEntryCode;
+  /// Returns the workspace that holds the caller key \p Key; null if none does.
+  std::function<std::shared_ptr<const Workspace>(const KeyDigest &Key)>
+      m_FindWorkspace;
+  /// Records that a caller of \p Entry is refused because no workspace holds
+  /// its key, which belonged to \p Previous until now; empty for a caller that
+  /// connects. Returns the result code: without a lease the catalogue may be
+  /// outdated.
+  std::function<ResultCode(const EntryName &Entry, const WorkspaceId &Previous)>
+      m_RefuseKey;
   /// Passes a request to its group; CallerConnection::answer() receives the
   /// answer.
   std::function<void(GroupRequest Request)> m_Submit;
@@ -81,6 +91,14 @@
   /// open.
   void drain();
 
+  /// True if the session's key no longer belongs to its workspace, and this
+  /// function has not returned true for this loss of the key before.
+  bool noticeLostKey();
+  /// The workspace that the caller's key belonged to when it was last used;
+  /// empty if the entry needs none or the key has not been accepted yet.
+  const WorkspaceId &workspace() const { return m_Workspace; }
+  /// The digest of the caller's key; empty if it has sent none.
+  const KeyDigest &keyDigest() const { return m_KeyDigest; }
   /// Id of the pending request, if any.
   std::optional<RequestId> pendingRequest() const;
   /// The id that identifies this caller to the groups.
@@ -102,9 +120,12 @@
   bool handle(const PgCancelRequest &Message);
   bool handle(const PgQuery &Message);
   bool handle(const PgTerminate &Message);
-  bool handle(const PgPassword &Message);
+  bool handle(PgPassword &Message);
   bool handle(const PgUnsupported &Message);
   bool handleSet(const PgSetStatement &Statement);
+  void finishStartup();
+  bool identify(const CatalogueEntry &Entry);
+  void endForLostKey();
   std::string applySetting(const std::string &Name,
                            const std::optional<std::string> &Value);
   bool submit(const std::string &Sql);
@@ -123,6 +144,8 @@
   CallerHooks m_Hooks;                 ///< Callbacks of the process.
   CallerConnectionId m_Id;             ///< Replaced after a cancel.
   EntryName m_Entry;                   ///< Name of the catalogue entry.
+  KeyDigest m_KeyDigest;               ///< See keyDigest().
+  WorkspaceId m_Workspace;             ///< See workspace().
   SessionName m_Session;               ///< Setting ragwortmux.session.
   SessionToken m_Token;                ///< Setting ragwortmux.token.
   std::string m_ReportedToken;         ///< Token last sent to the caller.
@@ -137,9 +160,12 @@
   std::array<std::byte, 16384> m_Buffer{};          ///< Receives input.
   std::string m_Output;                             ///< Bytes not written yet.
   bool m_Writing = false;                           ///< A write is in progress.
-  bool m_CloseAfterWrite = false; ///< Close after the output was written.
-  bool m_Closed = false;          ///< close() was called.
-  bool m_Draining = false;        ///< drain() was called.
+  bool m_CloseAfterWrite = false;   ///< Close after the output was written.
+  bool m_AwaitsKey = false;         ///< The caller was asked for its key.
+  bool m_HasStarted = false;        ///< The session has started.
+  bool m_HasNoticedLostKey = false; ///< See noticeLostKey().
+  bool m_Closed = false;            ///< close() was called.
+  bool m_Draining = false;          ///< drain() was called.
 };
 
 /// A request that was not answered yet.
--- a/ragwortmux/Process/Entry/CallerServer.cpp
+++ b/ragwortmux/Process/Entry/CallerServer.cpp
@@ -1,8 +1,11 @@
 #include "ragwortmux/Process/Entry/CallerServer.h"
 
 #include "ragwortmux/Process/Loop/IoLoop.h"
+#include "ragwortmux/Process/Support/JsonFields.h"
+#include "ragwortmux/Process/Support/KeyText.h"
 #include "ragwortmux/Process/Support/Log.h"
 
+#include <array>
 #include <utility>
 
 namespace ragwortmux {
@@ -58,6 +61,34 @@
   }
 }
 
+WorkspaceCounts CallerServer::countByWorkspace() const {
+  WorkspaceCounts Counts;
+  for (const auto &[ProcessId, Connection] : m_Connections) {
+    if (!Connection->workspace().value().empty()) {
+      ++Counts[Connection->workspace()];
+    }
+  }
+  return Counts;
+}
+
+void CallerServer::logLostKeys(Revision Catalogue) {
+  std::map<std::pair<WorkspaceId, KeyDigest>, std::int64_t> Lost;
+  for (const auto &[ProcessId, Connection] : m_Connections) {
+    if (Connection->noticeLostKey()) {
+      ++Lost[{Connection->workspace(), Connection->keyDigest()}];
+    }
+  }
+  for (const auto &[Key, Callers] : Lost) {
+    const std::array Fields = {
+        LogField{"workspace", toJsonText(Key.first.value())},
+        LogField{"key", formatShortDigest(Key.second)},
+        LogField{"callers", Callers},
+        LogField{"catalogue", static_cast<std::int64_t>(Catalogue.value())}};
+    logRecord(LogLevel::Info, Part::Catalogue,
+              "A key was taken away from connected callers.", Fields);
+  }
+}
+
 kj::Promise<void> CallerServer::accept() {
   return m_Receiver->accept().then(
       [this](kj::Own<kj::AsyncIoStream> Stream) {
--- a/ragwortmux/Process/Entry/CallerServer.h
+++ b/ragwortmux/Process/Entry/CallerServer.h
@@ -2,6 +2,7 @@
 #define RAGWORTMUX_PROCESS_ENTRY_CALLERSERVER_H
 
 #include "ragwortmux/Process/Entry/CallerConnection.h"
+#include "ragwortmux/Process/Entry/WorkspaceMetrics.h"
 
 #include <cstdint>
 #include <functional>
@@ -41,6 +42,13 @@
   /// Refuses new callers and transactions; open transactions continue.
   void drain();
 
+  /// Number of callers of each workspace.
+  WorkspaceCounts countByWorkspace() const;
+  /// Logs the keys that connected callers use and that no longer belong to
+  /// their workspaces, each once. \p Catalogue is the revision that took them
+  /// away.
+  void logLostKeys(Revision Catalogue);
+
   /// Current number of connections.
   std::size_t size() const { return m_Connections.size(); }
 
--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -4,6 +4,7 @@
 #include "ragwortmux/Process/Loop/MakeIncarnation.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
+#include "ragwortmux/Process/Support/JsonFields.h"
 #include "ragwortmux/Process/Support/Log.h"
 #include "ragwortmux/Process/Support/Metrics.h"
 #include "ragwortmux/Process/Support/ProcessSettings.h"
@@ -11,6 +12,7 @@
 
 #include <boost/json.hpp>
 
+#include <array>
 #include <utility>
 
 namespace ragwortmux {
@@ -23,6 +25,9 @@
 constexpr Duration EndSessionTimeout = std::chrono::milliseconds(500);
 /// Longest wait for an answer of the request ledger.
 constexpr Duration LedgerTimeout = std::chrono::milliseconds(1500);
+/// Interval at which callers are counted by workspace. A count visits all
+/// callers, so it is not made for each change.
+constexpr Duration WorkspaceCountInterval = std::chrono::seconds(1);
 
 /// Encodes the answer of a keyed request for the request ledger: the commit
 /// position as `TERM:POSITION`, a line feed, and the answer.
@@ -93,7 +98,7 @@
                      Timeline &Events)
     : m_Loop(Loop), m_Actors(Actors), m_Settings(Settings),
       m_Metrics(ProcessMetrics), m_Timeline(Events),
-      m_Incarnation(makeIncarnation()),
+      m_WorkspaceMetrics(ProcessMetrics), m_Incarnation(makeIncarnation()),
       m_SessionPoints(Loop, Settings.m_ClusterKey,
                       {Settings.m_Host, m_Incarnation.value(),
                        [this] { return hasLease(); }}) {
@@ -113,6 +118,9 @@
 void EntryRole::start(std::uint16_t RpcPort) {
   createControlClient(RpcPort);
   m_Control->start();
+  m_Loop.every(WorkspaceCountInterval, [this] {
+    m_WorkspaceMetrics.setCallers(m_Callers->countByWorkspace());
+  });
 }
 
 void EntryRole::drain(std::function<void()> Done) {
@@ -210,6 +218,13 @@
     return hasLease() ? ResultCode::NotRunUnknownEntry
                       : ResultCode::NotRunNoLease;
   };
+  Hooks.m_FindWorkspace = [this](const KeyDigest &Key) {
+    return m_Catalogue.findWorkspace(Key);
+  };
+  Hooks.m_RefuseKey = [this](const EntryName &Entry,
+                             const WorkspaceId &Previous) {
+    return refuseKey(Entry, Previous);
+  };
   Hooks.m_Submit = [this](GroupRequest Request) { submit(std::move(Request)); };
   Hooks.m_CallerDisconnected = [this](CallerConnectionId Caller,
                                       const GroupId &Group) {
@@ -230,6 +245,23 @@
       std::make_unique<CallerServer>(m_Loop, Settings, std::move(Hooks));
 }
 
+ResultCode EntryRole::refuseKey(const EntryName &Entry,
+                                const WorkspaceId &Previous) {
+  const ResultCode Code =
+      hasLease() ? ResultCode::NotRunUnknownKey : ResultCode::NotRunNoLease;
+  m_WorkspaceMetrics.countRefusedKey(Previous);
+  const std::array Fields = {
+      LogField{"code", static_cast<std::int64_t>(Code)},
+      LogField{"result", std::string(resultCodeInfo(Code).m_Name)},
+      LogField{"entry", Entry.value()},
+      LogField{"workspace", toJsonText(Previous.value())},
+      LogField{"catalogue",
+               static_cast<std::int64_t>(m_Catalogue.revision().value())}};
+  logRecord(LogLevel::Info, Part::Catalogue,
+            "No workspace holds the caller's key.", Fields);
+  return Code;
+}
+
 GroupDriver &EntryRole::findOrCreateDriver(const GroupId &Group) {
   const auto Found = m_Groups.find(Group);
   if (Found != m_Groups.end()) {
@@ -310,6 +342,7 @@
     Event.m_Kind = EventKind::CatalogueChanged;
     Event.m_Text = "revision " + std::to_string(m_Catalogue.revision().value());
     m_Timeline.record(Event);
+    m_Callers->logLostKeys(m_Catalogue.revision());
   }
   for (const GroupView &View : Update.m_Views) {
     GroupDriver &Driver = findOrCreateDriver(View.m_Group);
--- a/ragwortmux/Process/Entry/EntryRole.h
+++ b/ragwortmux/Process/Entry/EntryRole.h
@@ -57,6 +57,7 @@
   bool hasLease() const;
   void createControlClient(std::uint16_t RpcPort);
   void createCallerServer();
+  ResultCode refuseKey(const EntryName &Entry, const WorkspaceId &Previous);
   GroupDriver &findOrCreateDriver(const GroupId &Group);
   GroupDriverHooks driverHooks(const GroupId &Group);
   void applyUpdate(const ControlUpdate &Update);
@@ -74,6 +75,7 @@
   Metrics &m_Metrics;                       ///< The process's metrics.
   Timeline &m_Timeline;                     ///< The process's event timeline.
   CatalogueCache m_Catalogue;               ///< The catalogue in use.
+  WorkspaceMetrics m_WorkspaceMetrics;      ///< Metrics by workspace.
   Incarnation m_Incarnation;                ///< Identifies this process start.
   SessionPointStore m_SessionPoints;        ///< Log positions of sessions.
   std::unique_ptr<ControlClient> m_Control; ///< Control session and lease.
--- a/ragwortmux/Process/Operators/OperatorApi.cpp
+++ b/ragwortmux/Process/Operators/OperatorApi.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Process/Operators/OperatorApi.h"
 
+#include "ragwortmux/Process/Control/ControlQuery.h"
 #include "ragwortmux/Process/Entry/EntryRole.h"
 #include "ragwortmux/Process/Loop/MakeReplyPromise.h"
 #include "ragwortmux/Process/Loop/SystemClock.h"
@@ -23,6 +24,7 @@
 namespace json = boost::json;
 
 constexpr std::string_view CataloguePath = "/v1/catalogue";
+constexpr std::string_view WorkspacesPath = "/v1/workspaces";
 /// Longest time for which an operator's call is retried.
 constexpr Duration OperatorTimeout = std::chrono::seconds(5);
 
@@ -79,6 +81,35 @@
   return jsonReply(Result.m_Code, Object);
 }
 
+HttpReply workspaceReply(const CommandReply &Reply) {
+  const ControlResult &Result = Reply.m_Result;
+  if (!Reply.m_Status.ok() && Result.ok()) {
+    return resultReply(Reply.m_Status.m_Code, Reply.m_Status.m_Reason);
+  }
+  json::object Object = resultJson(Result.m_Code, Result.m_Reason);
+  Object["revision"] = Result.m_Revision.value();
+  return jsonReply(Result.m_Code, Object);
+}
+
+HttpReply conflictReply(Revision Current) {
+  CommandReply Conflict;
+  Conflict.m_Result = ControlResult::refused(
+      ResultCode::CatalogueConflict, "the workspace has another revision");
+  Conflict.m_Result.m_Revision = Current;
+  return workspaceReply(Conflict);
+}
+
+/// The workspace \p Member of the answer to the query `workspace-edit`.
+std::optional<WorkspaceItem> findWorkspaceIn(const std::string &Answer,
+                                             const char *Member) {
+  json::error_code Error;
+  const json::value Parsed = json::parse(Answer, Error);
+  const json::value *Found = Error || !Parsed.is_object()
+                                 ? nullptr
+                                 : Parsed.get_object().if_contains(Member);
+  return Found == nullptr ? std::nullopt : parseWholeWorkspace(*Found);
+}
+
 std::string parameter(const HttpRequest &Request, const std::string &Name) {
   const auto Found = Request.m_Parameters.find(Name);
   return Found == Request.m_Parameters.end() ? "" : Found->second;
@@ -181,6 +212,9 @@
   if (Request.m_Path.starts_with(CataloguePath)) {
     return handleCatalogue(Request);
   }
+  if (Request.m_Path.starts_with(WorkspacesPath)) {
+    return handleWorkspaces(Request);
+  }
   return resultReply(ResultCode::CatalogueNotFound, "there is no such path");
 }
 
@@ -244,4 +278,109 @@
       .then([](const CommandReply &Reply) { return changeReply(Reply); });
 }
 
+kj::Promise<HttpReply>
+OperatorApi::handleWorkspaces(const HttpRequest &Request) {
+  std::string Name = Request.m_Path.substr(WorkspacesPath.size());
+  if (Name.empty() || Name == "/") {
+    return query("workspaces", parameter(Request, "after"));
+  }
+  Name.erase(0, 1);
+  if (Request.m_Method == "GET") {
+    return query("workspace", Name);
+  }
+  if (Request.m_Method == "PUT") {
+    return changeWorkspace(Request, WorkspaceAction::Put, Name);
+  }
+  if (Request.m_Method == "DELETE") {
+    return changeWorkspace(Request, WorkspaceAction::Delete, Name);
+  }
+  const auto Action = parseWorkspaceAction(parameter(Request, "action"));
+  const bool IsPosted = Action == WorkspaceAction::AddKey ||
+                        Action == WorkspaceAction::RemoveKey ||
+                        Action == WorkspaceAction::SetLimit;
+  if (Request.m_Method != "POST" || !IsPosted) {
+    return resultReply(ResultCode::BadArgument,
+                       "action is add-key, remove-key or set-limit");
+  }
+  return changeWorkspace(Request, *Action, Name);
+}
+
+kj::Promise<HttpReply> OperatorApi::changeWorkspace(const HttpRequest &Request,
+                                                    WorkspaceAction Action,
+                                                    const std::string &Name) {
+  const auto Expected = parseRevision(parameter(Request, "expect_revision"));
+  const ChangeId Change(parameter(Request, "change_id"));
+  const std::string Operator = parameter(Request, "operator");
+  if (!Expected || Change.value().empty()) {
+    return resultReply(ResultCode::BadArgument,
+                       "expect_revision and change_id are needed");
+  }
+  Workspace Changed;
+  Changed.m_Name = WorkspaceId(Name);
+  if (const std::string Reason = Changed.validate(); !Reason.empty()) {
+    return resultReply(ResultCode::CatalogueInvalid, Reason);
+  }
+  if (Action == WorkspaceAction::Delete) {
+    return sendWorkspaceChange(
+        DeleteWorkspace{*Expected, Change, Operator, Changed.m_Name});
+  }
+  std::vector<SettingFault> Faults;
+  const auto Edit = parseWorkspaceEdit(Action, Request.m_Body, Faults);
+  if (!Edit) {
+    return resultReply(ResultCode::CatalogueInvalid, describeAll(Faults));
+  }
+  return editWorkspace(*Edit,
+                       PutWorkspace{*Expected, Change, Operator, Changed});
+}
+
+kj::Promise<HttpReply> OperatorApi::editWorkspace(const WorkspaceEdit &Edit,
+                                                  PutWorkspace Command) {
+  const std::string Query = workspaceEditQuery(
+      Command.m_Workspace.m_Name.value(), Command.m_Change.value());
+  return makeReplyPromise<QueryReply>([&](auto Respond) {
+           m_Entry->control().query("workspace-edit", Query,
+                                    monotonicNow() + OperatorTimeout, Respond);
+         })
+      .then([this, Edit, Command = std::move(Command)](
+                const QueryReply &Reply) mutable -> kj::Promise<HttpReply> {
+        if (!Reply.m_Status.ok()) {
+          return resultReply(Reply.m_Status.m_Code, Reply.m_Status.m_Reason);
+        }
+        // A resend has to name the same workspace as the change that was
+        // accepted, whatever has been changed since.
+        auto Base = findWorkspaceIn(Reply.m_Json, "accepted");
+        const bool IsResend = Base.has_value();
+        if (!IsResend) {
+          Base = findWorkspaceIn(Reply.m_Json, "current");
+          const Revision Current = Base ? Base->m_Revision : Revision();
+          if (Current != Command.m_Expected) {
+            return conflictReply(Current);
+          }
+        }
+        if (Base) {
+          const WorkspaceId Name = Command.m_Workspace.m_Name;
+          Command.m_Workspace = std::move(Base->m_Workspace);
+          Command.m_Workspace.m_Name = Name;
+        } else if (Edit.m_Action != WorkspaceAction::Put) {
+          return resultReply(ResultCode::CatalogueNotFound,
+                             "there is no workspace of this name");
+        }
+        const std::string Reason =
+            applyWorkspaceEdit(Edit, IsResend, Command.m_Workspace);
+        if (!Reason.empty()) {
+          return resultReply(ResultCode::CatalogueInvalid, Reason);
+        }
+        return sendWorkspaceChange(Command);
+      });
+}
+
+kj::Promise<HttpReply>
+OperatorApi::sendWorkspaceChange(const ControlCommand &Command) {
+  return makeReplyPromise<CommandReply>([&](auto Respond) {
+           m_Entry->control().command(Command, monotonicNow() + OperatorTimeout,
+                                      Respond);
+         })
+      .then([](const CommandReply &Reply) { return workspaceReply(Reply); });
+}
+
 } // namespace ragwortmux
--- a/ragwortmux/Process/Operators/OperatorApi.h
+++ b/ragwortmux/Process/Operators/OperatorApi.h
@@ -2,6 +2,8 @@
 #define RAGWORTMUX_PROCESS_OPERATORS_OPERATORAPI_H
 
 #include "ragwortmux/Process/Operators/HttpEndpoint.h"
+#include "ragwortmux/Process/Support/WorkspaceJson.h"
+#include "ragwortmux/Version/ControlCommand.h"
 
 #include <functional>
 #include <string>
@@ -26,7 +28,9 @@
 ///
 /// Paths: `/healthz`, `/readyz`, `/metrics`, `/v1/announce`; with the
 /// operator's token `/v1/status`, `/v1/drain`, `/v1/catalogue`,
-/// `/v1/catalogue/NAME`, `/v1/catalogue/NAME/history`.
+/// `/v1/catalogue/NAME`, `/v1/catalogue/NAME/history`, `/v1/workspaces`,
+/// `/v1/workspaces/NAME`. Workspaces are changed by digests of keys; no request
+/// and no answer contains a key, and answers have the first digits of digests.
 class OperatorApi final {
 public:
   /// \p Entry is null in a process without the entry role.
@@ -40,6 +44,13 @@
   HttpReply announce(const HttpRequest &Request);
   kj::Promise<HttpReply> handleOperator(const HttpRequest &Request);
   kj::Promise<HttpReply> handleCatalogue(const HttpRequest &Request);
+  kj::Promise<HttpReply> handleWorkspaces(const HttpRequest &Request);
+  kj::Promise<HttpReply> changeWorkspace(const HttpRequest &Request,
+                                         WorkspaceAction Action,
+                                         const std::string &Name);
+  kj::Promise<HttpReply> editWorkspace(const WorkspaceEdit &Edit,
+                                       PutWorkspace Command);
+  kj::Promise<HttpReply> sendWorkspaceChange(const ControlCommand &Command);
   kj::Promise<HttpReply> query(const std::string &QueryKind,
                                const std::string &Name);
   kj::Promise<HttpReply> changeEntry(const HttpRequest &Request,
--- a/ragwortmux/Process/Operators/OperatorClient.cpp
+++ b/ragwortmux/Process/Operators/OperatorClient.cpp
@@ -30,7 +30,8 @@
   return makeRequestKey(wallNow(), systemRandom).value();
 }
 
-std::string changeQuery(const CatalogueCommand &Command) {
+template <typename ChangeCommand>
+std::string changeQuery(const ChangeCommand &Command) {
   const std::string Change = Command.m_Change.value().empty()
                                  ? newChangeId()
                                  : Command.m_Change.value();
@@ -62,6 +63,32 @@
   return call(Command.m_Target, "GET", Base, "");
 }
 
+int OperatorClient::run(const WorkspaceCommand &Command) const {
+  const std::string Base = "/v1/workspaces";
+  const std::string Name = percentEncoded(Command.m_Name.value());
+  const std::string Path = Base + "/" + Name;
+  const WorkspaceAction Action = Command.m_Edit.m_Action;
+  switch (Action) {
+  case WorkspaceAction::List:
+    break;
+  case WorkspaceAction::Show:
+    return call(Command.m_Target, "GET", Path, "");
+  case WorkspaceAction::Put:
+    return call(Command.m_Target, "PUT", Path + changeQuery(Command),
+                formatWorkspaceEdit(Command.m_Edit));
+  case WorkspaceAction::Delete:
+    return call(Command.m_Target, "DELETE", Path + changeQuery(Command), "");
+  case WorkspaceAction::AddKey:
+  case WorkspaceAction::RemoveKey:
+  case WorkspaceAction::SetLimit:
+    return call(Command.m_Target, "POST",
+                Path + changeQuery(Command) +
+                    "&action=" + std::string(workspaceActionName(Action)),
+                formatWorkspaceEdit(Command.m_Edit));
+  }
+  return call(Command.m_Target, "GET", Base + "?after=" + Name, "");
+}
+
 int OperatorClient::run(const StatusCommand &Command) const {
   return call(Command.m_Target, "GET", "/v1/status", "");
 }
--- a/ragwortmux/Process/Operators/OperatorClient.h
+++ b/ragwortmux/Process/Operators/OperatorClient.h
@@ -17,6 +17,8 @@
   explicit OperatorClient(const Secret &Token) : m_Token(Token) {}
 
   int run(const CatalogueCommand &Command) const;
+  /// The keys of \p Command have been read into its edit.
+  int run(const WorkspaceCommand &Command) const;
   int run(const StatusCommand &Command) const;
   int run(const DrainCommand &Command) const;
 
--- a/ragwortmux/Process/Support/ArgumentReader.cpp
+++ b/ragwortmux/Process/Support/ArgumentReader.cpp
@@ -46,6 +46,15 @@
   return Number;
 }
 
+bool ArgumentReader::isSet(const std::string &Name) {
+  return text(
+             Name,
+             [](std::string_view Text) {
+               return Text == "true" || Text == "false";
+             },
+             "true or false") == "true";
+}
+
 SocketAddress ArgumentReader::address(const std::string &Default) {
   const std::string Text = m_Flags.value("at").value_or(Default);
   std::optional<SocketAddress> Endpoint = parseSocketAddress(Text);
--- a/ragwortmux/Process/Support/ArgumentReader.h
+++ b/ragwortmux/Process/Support/ArgumentReader.h
@@ -36,6 +36,8 @@
   /// The whole number of flag \p Name; none if it was not given.
   std::optional<std::uint64_t> number(const std::string &Name,
                                       std::uint64_t Min, std::uint64_t Max);
+  /// True if the switch \p Name is set.
+  bool isSet(const std::string &Name);
   /// The address of flag `at`, or \p Default.
   SocketAddress address(const std::string &Default);
 
--- a/ragwortmux/Process/Support/CatalogueJson.cpp
+++ b/ragwortmux/Process/Support/CatalogueJson.cpp
@@ -97,6 +97,7 @@
   Object["deadline_ms"] = countMilliseconds(Entry.m_Limits.m_RequestDeadline);
   Object["max_answer_bytes"] = Entry.m_Limits.m_MaxAnswerBytes;
   Object["max_age_ms"] = countMilliseconds(Entry.m_Limits.m_MaxAge);
+  Object["requires_key"] = Entry.m_RequiresKey;
   return boost::json::serialize(Object);
 }
 
@@ -118,6 +119,7 @@
       [](std::string_view Word) { return parseTrafficClass(Word).has_value(); },
       allowedTrafficClasses()));
   Entry.m_Limits = readLimits(Fields);
+  Entry.m_RequiresKey = Fields.boolean("requires_key", false);
   Fields.rejectUnknownFields();
 
   // A maximum age has no meaning for the classes whose reads must see the last
--- a/ragwortmux/Process/Support/CommandLine.cpp
+++ b/ragwortmux/Process/Support/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include "ragwortmux/Process/Support/ArgumentReader.h"
 #include "ragwortmux/Process/Support/CatalogueJson.h"
 #include "ragwortmux/Process/Support/ControlPeer.h"
+#include "ragwortmux/Process/Support/KeyText.h"
 #include "ragwortmux/Process/Support/SettingTable.h"
 #include "ragwortmux/Process/Support/UuidV7.h"
 
@@ -21,6 +22,11 @@
 constexpr const char *DefaultHttpAddress = "127.0.0.1:8080";
 constexpr const char *DefaultCallerAddress = "127.0.0.1:6432";
 constexpr const char *AllowedName = "1 to 63 characters of [a-z0-9_-]";
+/// The catalogue refuses lower numbers too, with its reason.
+constexpr std::uint64_t MaxOperations =
+    std::numeric_limits<std::uint32_t>::max();
+constexpr const char *AllowedWorkspaceName =
+    "1 to 63 printable characters without blanks";
 constexpr const char *AllowedText = "1 to 128 printable characters";
 constexpr std::uint64_t MaxRevision = std::numeric_limits<std::int64_t>::max();
 
@@ -38,7 +44,7 @@
 constexpr std::array<FlagInfo, 1> AddressFlags = {HttpAddressFlag};
 constexpr std::array<FlagInfo, 4> DeleteFlags = {
     HttpAddressFlag, ExpectRevisionFlag, ChangeIdFlag, OperatorFlag};
-constexpr std::array<FlagInfo, 13> PutFlags = {
+constexpr std::array<FlagInfo, 14> PutFlags = {
     {HttpAddressFlag,
      {"name", "Name of the entry, which callers use as their database."},
      {"group", "The database group that answers."},
@@ -51,9 +57,40 @@
      {"deadline_ms", "Time from a request's arrival to its answer in ms."},
      {"max_answer_bytes", "Size of the whole answer in bytes."},
      {"max_age_ms", "How old the data may be in ms; aged-read only."},
+     {"requires_key", "Callers must present the key of a workspace.", true},
      ExpectRevisionFlag,
      ChangeIdFlag,
      OperatorFlag}};
+constexpr FlagInfo WorkspaceRevisionFlag = {
+    "expect_revision", "The workspace's revision that the change is based on; "
+                       "0 for a new workspace."};
+constexpr FlagInfo KeyFromFlag = {
+    "key_from", "Where the key is read from: stdin (one key on a line) or "
+                "env:VARIABLE."};
+constexpr FlagInfo RateFlag = {
+    "rate_per_s", "Operations a second over all hosts; 0: no limit."};
+constexpr FlagInfo BurstFlag = {"burst", "Operations beyond the rate at once."};
+constexpr std::array<FlagInfo, 2> WorkspaceListFlags = {
+    {HttpAddressFlag, {"after", "Only workspaces after this name."}}};
+constexpr std::array<FlagInfo, 7> WorkspacePutFlags = {
+    HttpAddressFlag,       RateFlag,     BurstFlag,   KeyFromFlag,
+    WorkspaceRevisionFlag, ChangeIdFlag, OperatorFlag};
+constexpr std::array<FlagInfo, 4> WorkspaceDeleteFlags = {
+    HttpAddressFlag, WorkspaceRevisionFlag, ChangeIdFlag, OperatorFlag};
+constexpr std::array<FlagInfo, 5> AddKeyFlags = {HttpAddressFlag, KeyFromFlag,
+                                                 WorkspaceRevisionFlag,
+                                                 ChangeIdFlag, OperatorFlag};
+constexpr std::array<FlagInfo, 6> RemoveKeyFlags = {
+    {HttpAddressFlag,
+     KeyFromFlag,
+     {"digest",
+      "First digits of the key's digest, as shown, instead of a key."},
+     WorkspaceRevisionFlag,
+     ChangeIdFlag,
+     OperatorFlag}};
+constexpr std::array<FlagInfo, 6> SetLimitFlags = {
+    HttpAddressFlag,       RateFlag,     BurstFlag,
+    WorkspaceRevisionFlag, ChangeIdFlag, OperatorFlag};
 constexpr std::array<FlagInfo, 3> TimelineFlags = {
     {{"request", "Only events of this request."},
      {"group", "Only events of this group."},
@@ -112,8 +149,9 @@
   return Limits;
 }
 
-/// Reads the flags that all catalogue changes have.
-void readChangeFlags(ArgumentReader &Reader, CatalogueCommand &Parsed) {
+/// Reads the flags that all changes of entries and workspaces have.
+template <typename ChangeCommand>
+void readChangeFlags(ArgumentReader &Reader, ChangeCommand &Parsed) {
   Parsed.m_ExpectRevision = Revision(
       numberOr<std::uint64_t>(Reader, "expect_revision", 0, MaxRevision, 0));
   Parsed.m_Change =
@@ -122,6 +160,13 @@
       Reader.text("operator", isShortPrintableLine, AllowedText);
 }
 
+/// Adds a fault if \p Expected is the revision of something new.
+void requireRevision(ArgumentReader &Reader, Revision Expected) {
+  if (Expected == Revision(0))
+    Reader.addFault("--expect_revision", "0 or missing",
+                    fmt::format("1 to {}", MaxRevision));
+}
+
 Command readPut(ArgumentReader &Reader) {
   CatalogueCommand Parsed;
   Parsed.m_Action = CatalogueAction::Put;
@@ -139,6 +184,7 @@
   const std::optional<TrafficClass> Known = parseTrafficClass(Class);
   Parsed.m_Entry.m_Class = Known.value_or(TrafficClass::Booking);
   Parsed.m_Entry.m_Limits = readLimits(Reader);
+  Parsed.m_Entry.m_RequiresKey = Reader.isSet("requires_key");
   if (Known && !allowsAge(*Known) &&
       Parsed.m_Entry.m_Limits.m_MaxAge > Duration(0))
     Reader.addFault("--max_age_ms", "above 0", "0 unless class is aged-read");
@@ -171,9 +217,7 @@
 Command readDelete(ArgumentReader &Reader) {
   CatalogueCommand Parsed = readEntryName(Reader, CatalogueAction::Delete);
   readChangeFlags(Reader, Parsed);
-  if (Parsed.m_ExpectRevision == Revision(0))
-    Reader.addFault("--expect_revision", "0 or missing",
-                    fmt::format("1 to {}", MaxRevision));
+  requireRevision(Reader, Parsed.m_ExpectRevision);
   return Parsed;
 }
 
@@ -184,6 +228,113 @@
   return Parsed;
 }
 
+/// Reads a workspace command whose only positional argument is the name.
+WorkspaceCommand readWorkspaceName(ArgumentReader &Reader,
+                                   WorkspaceAction Action) {
+  constexpr std::array Names = {"NAME"};
+  WorkspaceCommand Parsed;
+  Parsed.m_Edit.m_Action = Action;
+  Parsed.m_Target = Reader.address(DefaultHttpAddress);
+  Workspace Checked;
+  Checked.m_Name = WorkspaceId(Reader.positional(Names).front());
+  if (!Checked.m_Name.value().empty() && !Checked.validate().empty())
+    Reader.addFault("NAME", "(not shown)", AllowedWorkspaceName);
+  Parsed.m_Name = Checked.m_Name;
+  return Parsed;
+}
+
+WorkspaceCommand readWorkspaceChange(ArgumentReader &Reader,
+                                     WorkspaceAction Action) {
+  WorkspaceCommand Parsed = readWorkspaceName(Reader, Action);
+  readChangeFlags(Reader, Parsed);
+  if (Action != WorkspaceAction::Put)
+    requireRevision(Reader, Parsed.m_ExpectRevision);
+  return Parsed;
+}
+
+/// Reads where a key comes from. The value may be a key that was given by
+/// mistake, so it is not shown.
+KeySource readKeySource(ArgumentReader &Reader) {
+  constexpr std::string_view Environment = "env:";
+  const std::string Text = Reader.text(
+      "key_from", [](std::string_view) { return true; }, "");
+  if (Text == "stdin")
+    return {true, ""};
+  if (Text.starts_with(Environment) && Text.size() > Environment.size())
+    return {true, Text.substr(Environment.size())};
+  if (!Text.empty())
+    Reader.addFault("--key_from", "(not shown)", "stdin or env:VARIABLE");
+  return {};
+}
+
+WorkspaceLimit readWorkspaceLimit(ArgumentReader &Reader) {
+  WorkspaceLimit Limit;
+  Limit.m_RatePerSecond =
+      numberOr<std::uint32_t>(Reader, "rate_per_s", 0, MaxOperations, 0);
+  Limit.m_Burst = numberOr<std::uint32_t>(Reader, "burst", 0, MaxOperations, 0);
+  return Limit;
+}
+
+Command readWorkspaceList(ArgumentReader &Reader) {
+  WorkspaceCommand Parsed;
+  Parsed.m_Edit.m_Action = WorkspaceAction::List;
+  Parsed.m_Target = Reader.address(DefaultHttpAddress);
+  Parsed.m_Name =
+      WorkspaceId(Reader.text("after", isShortPrintableLine, AllowedText));
+  Reader.positional({});
+  return Parsed;
+}
+
+Command readWorkspaceShow(ArgumentReader &Reader) {
+  return readWorkspaceName(Reader, WorkspaceAction::Show);
+}
+
+Command readWorkspaceDelete(ArgumentReader &Reader) {
+  return readWorkspaceChange(Reader, WorkspaceAction::Delete);
+}
+
+Command readWorkspacePut(ArgumentReader &Reader) {
+  WorkspaceCommand Parsed = readWorkspaceChange(Reader, WorkspaceAction::Put);
+  Parsed.m_Edit.m_Limit = readWorkspaceLimit(Reader);
+  Parsed.m_KeySource = readKeySource(Reader);
+  return Parsed;
+}
+
+Command readAddKey(ArgumentReader &Reader) {
+  WorkspaceCommand Parsed =
+      readWorkspaceChange(Reader, WorkspaceAction::AddKey);
+  Parsed.m_KeySource = readKeySource(Reader);
+  Parsed.m_KeySource.m_IsGiven = true;
+  return Parsed;
+}
+
+Command readRemoveKey(ArgumentReader &Reader) {
+  WorkspaceCommand Parsed =
+      readWorkspaceChange(Reader, WorkspaceAction::RemoveKey);
+  Parsed.m_KeySource = readKeySource(Reader);
+  // A text that is no digest may be a key, so it is not shown.
+  const std::string Digest = Reader.text(
+      "digest", [](std::string_view) { return true; }, "");
+  if (!Digest.empty() && !isDigestPrefix(Digest))
+    Reader.addFault("--digest", "(not shown)",
+                    "8 to 64 hexadecimal digits in lower case");
+  if (!Digest.empty() && Parsed.m_KeySource.m_IsGiven)
+    Reader.addFault("--digest", "(not shown)", "only without --key_from");
+  Parsed.m_Edit.m_KeyDigest = Digest;
+  Parsed.m_KeySource.m_IsGiven = Digest.empty();
+  return Parsed;
+}
+
+Command readSetLimit(ArgumentReader &Reader) {
+  WorkspaceCommand Parsed =
+      readWorkspaceChange(Reader, WorkspaceAction::SetLimit);
+  Reader.requiredText(
+      "rate_per_s", [](std::string_view) { return true; },
+      "operations a second");
+  Parsed.m_Edit.m_Limit = readWorkspaceLimit(Reader);
+  return Parsed;
+}
+
 template <typename CommandType>
 Command readAddressOnly(ArgumentReader &Reader) {
   Reader.positional({});
@@ -254,7 +405,7 @@
   Command (*m_Parse)(ArgumentReader &Reader); ///< Null: takes settings.
 };
 
-constexpr std::array<CommandInfo, 12> Commands = {
+constexpr std::array<CommandInfo, 19> Commands = {
     {{"serve", "", "Runs an entry host, a control host or both.", {}, nullptr},
      {"check-settings",
       "",
@@ -271,6 +422,23 @@
       readDelete},
      {"catalogue history", "NAME", "Shows the changes of an entry.",
       AddressFlags, readHistory},
+     {"workspace list", "", "Shows the workspaces by name.", WorkspaceListFlags,
+      readWorkspaceList},
+     {"workspace show", "NAME", "Shows a workspace.", AddressFlags,
+      readWorkspaceShow},
+     {"workspace put", "NAME",
+      "Creates a workspace or replaces its limit and, if given, its keys.",
+      WorkspacePutFlags, readWorkspacePut},
+     {"workspace delete", "NAME", "Deletes a workspace and all its keys.",
+      WorkspaceDeleteFlags, readWorkspaceDelete},
+     {"workspace add-key", "NAME",
+      "Adds a key, read from standard input unless --key_from is given.",
+      AddKeyFlags, readAddKey},
+     {"workspace remove-key", "NAME",
+      "Removes a key and ends the sessions of the callers that use it.",
+      RemoveKeyFlags, readRemoveKey},
+     {"workspace set-limit", "NAME", "Sets the rate limit of a workspace.",
+      SetLimitFlags, readSetLimit},
      {"status", "", "Shows what a process knows of the cluster.", AddressFlags,
       readAddressOnly<StatusCommand>},
      {"drain", "", "Shuts a process down gracefully.", AddressFlags,
@@ -295,7 +463,7 @@
 std::string generalHelp() {
   std::string Text = "usage: ragwortmux COMMAND [--help] [--version] ...\n\n";
   for (const CommandInfo &Info : Commands)
-    Text += fmt::format("  {:<18} {}\n", Info.m_Name, Info.m_Summary);
+    Text += fmt::format("  {:<20} {}\n", Info.m_Name, Info.m_Summary);
   return Text;
 }
 
@@ -341,7 +509,9 @@
 /// sets \p WordCount to the number of words in its name.
 const CommandInfo *findCommand(std::span<const std::string> Arguments,
                                std::size_t &WordCount) {
-  WordCount = Arguments.front() == "catalogue" && Arguments.size() > 1 ? 2 : 1;
+  const bool HasSubcommands =
+      Arguments.front() == "catalogue" || Arguments.front() == "workspace";
+  WordCount = HasSubcommands && Arguments.size() > 1 ? 2 : 1;
   const std::string Name =
       WordCount == 1 ? Arguments[0] : Arguments[0] + " " + Arguments[1];
   const auto *Found = std::ranges::find(Commands, Name, &CommandInfo::m_Name);
--- a/ragwortmux/Process/Support/Commands.h
+++ b/ragwortmux/Process/Support/Commands.h
@@ -4,6 +4,7 @@
 #include "ragwortmux/Core/Ids.h"
 #include "ragwortmux/Process/Support/SocketAddress.h"
 #include "ragwortmux/Process/Support/TimelineMerger.h"
+#include "ragwortmux/Process/Support/WorkspaceJson.h"
 #include "ragwortmux/Version/CatalogueEntry.h"
 
 #include <filesystem>
@@ -49,6 +50,25 @@
   std::string m_Operator; ///< Put, Delete: operator named in the history.
 };
 
+/// Where the keys of a command come from. Arguments are no source, because
+/// process lists show them.
+struct KeySource final {
+  bool m_IsGiven = false; ///< False: the command has no keys.
+  std::string m_Variable; ///< Environment variable; empty: standard input.
+};
+
+/// Reads or changes workspaces.
+struct WorkspaceCommand final {
+  SocketAddress m_Target;    ///< HTTP port of any entry host.
+  WorkspaceId m_Name;        ///< The workspace; List: begin after this name.
+  WorkspaceEdit m_Edit;      ///< The action; the keys are those of m_KeySource.
+  KeySource m_KeySource;     ///< Put, AddKey, RemoveKey: source of the keys.
+  Revision m_ExpectRevision; ///< Changes: expected revision of the workspace;
+                             ///< 0: no workspace must exist.
+  ChangeId m_Change; ///< Changes: idempotency id; empty: a new one is made.
+  std::string m_Operator; ///< Changes: operator named in the time line.
+};
+
 /// Shows the state of the cluster as an entry host sees it.
 struct StatusCommand final {
   SocketAddress m_Target; ///< HTTP port of the entry host.
@@ -83,10 +103,10 @@
 };
 
 /// Any command.
-using Command =
-    std::variant<HelpCommand, VersionCommand, ServeCommand,
-                 CheckSettingsCommand, CatalogueCommand, StatusCommand,
-                 DrainCommand, TimelineCommand, ExplainCommand, SqlCommand>;
+using Command = std::variant<HelpCommand, VersionCommand, ServeCommand,
+                             CheckSettingsCommand, CatalogueCommand,
+                             WorkspaceCommand, StatusCommand, DrainCommand,
+                             TimelineCommand, ExplainCommand, SqlCommand>;
 
 } // namespace ragwortmux
 
--- a/ragwortmux/Process/Support/MetricTable.cpp
+++ b/ragwortmux/Process/Support/MetricTable.cpp
@@ -229,6 +229,22 @@
                "Calls to other processes of the cluster that failed, by call "
                "and kind of failure (timeout, lost or not_sent).",
                {"call", "failure"}},
+    MetricInfo{Metric::WorkspaceCallers,
+               "ragwortmux_workspace_callers",
+               MetricKind::Gauge,
+               "connections",
+               "Connections of callers with a key, for the workspaces that "
+               "have most of them and `all others`.",
+               {"workspace"}},
+    MetricInfo{Metric::RefusedKeys,
+               "ragwortmux_refused_keys_total",
+               MetricKind::Counter,
+               "callers",
+               "Callers refused because no workspace holds their key, by the "
+               "workspace that held it until now (`no workspace`: a caller "
+               "that connects; `all others`: not one of those with most "
+               "callers).",
+               {"workspace"}},
 };
 
 } // namespace
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -45,6 +45,8 @@
   PeerCalls,
   PeerBytes,
   PeerFailures,
+  WorkspaceCallers,
+  RefusedKeys,
 };
 
 /// Prometheus type of a metric.
--- a/ragwortmux/Process/Support/Metrics.cpp
+++ b/ragwortmux/Process/Support/Metrics.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <cassert>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -115,6 +116,13 @@
   findOrAdd(m_Gauges, Which, Labels) = Value;
 }
 
+void Metrics::setAll(Metric Which, std::map<MetricLabels, double> Values) {
+  assert(metricInfo(Which).m_Kind == MetricKind::Gauge);
+  assert(Values.size() <= MaxLabelSets);
+  const std::lock_guard Lock(m_Mutex);
+  m_Gauges[Which] = std::move(Values);
+}
+
 void Metrics::observe(Metric Which, const MetricLabels &Labels, Duration Time) {
   assert(metricInfo(Which).m_Kind == MetricKind::Histogram);
   const std::lock_guard Lock(m_Mutex);
--- a/ragwortmux/Process/Support/Metrics.h
+++ b/ragwortmux/Process/Support/Metrics.h
@@ -33,6 +33,8 @@
            std::uint64_t Count = 1);
   /// Sets a gauge.
   void set(Metric Which, const MetricLabels &Labels, double Value);
+  /// Sets a gauge to \p Values by label set and removes its other label sets.
+  void setAll(Metric Which, std::map<MetricLabels, double> Values);
   /// Adds a duration to a histogram.
   void observe(Metric Which, const MetricLabels &Labels, Duration Time);
 
--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -35,10 +35,13 @@
   RequestId m_Id;              ///< Unique within the process.
   CallerConnectionId m_Caller; ///< Caller connection it arrived on.
   std::shared_ptr<const CatalogueEntry>
-      m_Entry;                     ///< Catalogue entry that the caller named.
-  std::string m_Sql;               ///< Statement text, forwarded unchanged.
+      m_Entry;             ///< Catalogue entry that the caller named.
+  WorkspaceId m_Workspace; ///< Workspace of the caller; empty if the entry is
+                           ///< open to all.
+  std::string m_Sql;       ///< Statement text, forwarded unchanged.
   std::optional<LogPoint> m_Token; ///< Log position that a read must cover.
-  SessionName m_Session;           ///< The caller's session; may be empty.
+  SessionName m_Session; ///< The caller's session, see scopeToWorkspace(); may
+                         ///< be empty.
   std::optional<RequestKey> m_Key; ///< Idempotency key of a write.
   std::optional<Duration>
       m_MaxAge;      ///< Maximum age set by the caller of an aged read.
--- a/ragwortmux/Request/KeyedRequests.cpp
+++ b/ragwortmux/Request/KeyedRequests.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Request/KeyedRequests.h"
 
 #include "ragwortmux/Connection/StableHash.h"
+#include "ragwortmux/Connection/WorkspaceScope.h"
 #include "ragwortmux/Request/GroupContext.h"
 
 #include <cassert>
@@ -181,7 +182,8 @@
   ReserveRequestKey Reserve;
   Reserve.m_Request = State.m_Request.m_Id;
   Reserve.m_Key = *State.m_Request.m_Key;
-  Reserve.m_Owner = State.m_Request.m_Entry->m_Owner;
+  Reserve.m_Owner = scopeToWorkspace(State.m_Request.m_Workspace,
+                                     State.m_Request.m_Entry->m_Owner);
   Reserve.m_Attempt = State.m_Attempt;
   Reserve.m_Term = m_Context.m_View.m_Term;
   Reserve.m_Aborted = Aborted;
--- a/ragwortmux/Request/WriteRequests.cpp
+++ b/ragwortmux/Request/WriteRequests.cpp
@@ -1,5 +1,6 @@
 #include "ragwortmux/Request/WriteRequests.h"
 
+#include "ragwortmux/Connection/WorkspaceScope.h"
 #include "ragwortmux/Request/GroupContext.h"
 
 #include <algorithm>
@@ -354,7 +355,8 @@
   RecordKeyOutcome Record;
   Record.m_Request = State.m_Request.m_Id;
   Record.m_Key = *State.m_Request.m_Key;
-  Record.m_Owner = State.m_Request.m_Entry->m_Owner;
+  Record.m_Owner = scopeToWorkspace(State.m_Request.m_Workspace,
+                                    State.m_Request.m_Entry->m_Owner);
   Record.m_Attempt = State.m_Attempt;
   Record.m_Code = State.m_Code;
   if (State.m_Answer && !State.m_Answer->m_Truncated)
--- a/ragwortmux/Version/WorkspaceTable.cpp
+++ b/ragwortmux/Version/WorkspaceTable.cpp
@@ -148,12 +148,8 @@
 WorkspaceTable::findResend(const WorkspaceChange &Requested) const {
   if (!isValidChangeId(Requested.m_Change))
     return invalid("the change id is not 1 to 128 characters");
-  const auto Existing =
-      std::find_if(m_RecentChanges.begin(), m_RecentChanges.end(),
-                   [&](const WorkspaceChange &Recent) {
-                     return Recent.m_Change == Requested.m_Change;
-                   });
-  if (Existing == m_RecentChanges.end())
+  const WorkspaceChange *Existing = findChange(Requested.m_Change);
+  if (Existing == nullptr)
     return std::nullopt;
   if (!isSameChange(*Existing, Requested))
     return ControlResult::refused(ResultCode::BadArgument,
@@ -200,6 +196,14 @@
   return Found == m_Items.end() ? nullptr : &Found->second;
 }
 
+const WorkspaceChange *
+WorkspaceTable::findChange(const ChangeId &Change) const {
+  const auto Found = std::find_if(
+      m_RecentChanges.begin(), m_RecentChanges.end(),
+      [&](const WorkspaceChange &Recent) { return Recent.m_Change == Change; });
+  return Found == m_RecentChanges.end() ? nullptr : &*Found;
+}
+
 void WorkspaceTable::forEach(
     const std::function<void(const WorkspaceItem &)> &Visit) const {
   for (const auto &[Name, Item] : m_Items)
--- a/ragwortmux/Version/WorkspaceTable.h
+++ b/ragwortmux/Version/WorkspaceTable.h
@@ -47,6 +47,9 @@
 
   /// The workspace \p Name, or null.
   const WorkspaceItem *find(const WorkspaceId &Name) const;
+  /// The accepted change with id \p Change, or null if it is not stored (any
+  /// more).
+  const WorkspaceChange *findChange(const ChangeId &Change) const;
   /// Calls \p Visit for each workspace by name.
   void forEach(const std::function<void(const WorkspaceItem &)> &Visit) const;
   std::size_t size() const { return m_Items.size(); }
--- a/tests/Connection/PgMessageReaderTest.cpp
+++ b/tests/Connection/PgMessageReaderTest.cpp
@@ -41,7 +41,9 @@
     return "query " + Query.m_Sql;
   }
   std::string operator()(const PgTerminate &) const { return "terminate"; }
-  std::string operator()(const PgPassword &) const { return "password"; }
+  std::string operator()(const PgPassword &Message) const {
+    return "password " + Message.m_Text;
+  }
   std::string operator()(const PgUnsupported &Message) const {
     return std::string("unsupported ") + Message.m_Type;
   }
@@ -105,7 +107,16 @@
     {"password and unsupported",
      validStartup() + pgMessageBytes('p', pgStringBytes({"secret"})) +
          pgMessageBytes('P', "whatever") + pgMessageBytes('S', ""),
-     {StartupText, "password", "unsupported P", "unsupported S"}},
+     {StartupText, "password secret", "unsupported P", "unsupported S"}},
+    {"password without zero",
+     validStartup() + pgMessageBytes('p', "secret"),
+     {StartupText, "error malformed password message"}},
+    {"password with two strings",
+     validStartup() + pgMessageBytes('p', pgStringBytes({"secret", "x"})),
+     {StartupText, "error malformed password message"}},
+    {"empty password",
+     validStartup() + pgMessageBytes('p', pgStringBytes({""})),
+     {StartupText, "password "}},
     {"query without zero",
      validStartup() + pgMessageBytes('Q', "SELECT 1"),
      {StartupText, "error malformed query message"}},
@@ -242,6 +253,22 @@
   BOOST_TEST(Reader.error().has_value());
 }
 
+// A caller that has not shown its key yet must not fill the buffer.
+BOOST_AUTO_TEST_CASE(PasswordIsLimitedBelowOtherMessages) {
+  const std::size_t Most = PgMessageReaderSettings().m_MaxPasswordBytes;
+  for (const std::size_t Excess : {0U, 1U}) {
+    PgMessageReader Reader;
+    Reader.feed(bytesOf(validStartup()));
+    BOOST_REQUIRE(Reader.next());
+    constexpr std::size_t LengthAndZero = 5;
+    Reader.feed(bytesOf(pgMessageBytes(
+        'p',
+        pgStringBytes({std::string(Most - LengthAndZero + Excess, 'k')}))));
+    BOOST_TEST(Reader.next().has_value() == (Excess == 0));
+    BOOST_TEST(Reader.error().has_value() == (Excess == 1));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StaysInErrorState) {
   PgMessageReader Reader;
   Reader.feed(bytesOf(pgUint32Bytes(1)));
--- a/tests/Connection/PgMessageWriterTest.cpp
+++ b/tests/Connection/PgMessageWriterTest.cpp
@@ -44,6 +44,9 @@
     {"authentication ok",
      [](PgMessageWriter &Writer) { Writer.authenticationOk(); },
      "R\0\0\0\x08\0\0\0\0"s},
+    {"authentication cleartext password",
+     [](PgMessageWriter &Writer) { Writer.authenticationCleartextPassword(); },
+     "R\0\0\0\x08\0\0\0\x03"s},
     {"negotiate protocol version",
      [](PgMessageWriter &Writer) {
        const std::string Names[] = {"_pq_.a"};
--- a/tests/Process/OperatorTest.cpp
+++ b/tests/Process/OperatorTest.cpp
@@ -56,6 +56,12 @@
     {"GET", "/v1/catalogue/stock/history"},
     {"PUT", "/v1/catalogue/stock?expect_revision=4&change_id=x"},
     {"DELETE", "/v1/catalogue/stock?expect_revision=4&change_id=y"},
+    {"GET", "/v1/workspaces"},
+    {"GET", "/v1/workspaces/alpha"},
+    {"PUT", "/v1/workspaces/alpha?expect_revision=0&change_id=x"},
+    {"POST",
+     "/v1/workspaces/alpha?expect_revision=1&change_id=x&action=add-key"},
+    {"DELETE", "/v1/workspaces/alpha?expect_revision=1&change_id=y"},
     {"POST", "/v1/drain"}};
 
 /// Returns a valid announcement of another group with the value of one member
@@ -283,4 +289,59 @@
       (WaitStatus && WIFEXITED(*WaitStatus) && WEXITSTATUS(*WaitStatus) == 0));
 }
 
+// A key in an argument could be read by every user of the machine.
+BOOST_AUTO_TEST_CASE(WorkspaceCommandsReadKeysFromEnvironment) {
+  Cluster System({3, 0, {}, {}});
+  BOOST_REQUIRE(System.start());
+  const std::string Http =
+      "--at=127.0.0.1:" + std::to_string(System.httpPort(2));
+  const std::string Key = "secret-of-alpha-4711";
+  Environment Variables = Secrets;
+  Variables["ALPHA_KEY"] = Key;
+  Variables["TWO_KEYS"] = "first-key\nsecond-key";
+  const std::vector<CommandCase> Cases = {
+      {{"workspace", "put", "alpha", Http, "--rate_per_s=50", "--burst=7",
+        "--operator=kim"},
+       0,
+       "\"revision\":5"},
+      {{"workspace", "put", "alpha", Http}, 1, "403"},
+      {{"workspace", "add-key", "alpha", Http, "--key_from=env:ALPHA_KEY",
+        "--expect_revision=5"},
+       0,
+       "\"revision\":6"},
+      {{"workspace", "add-key", "alpha", Http, "--key_from=env:TWO_KEYS",
+        "--expect_revision=6"},
+       2,
+       "several keys"},
+      {{"workspace", "add-key", "alpha", Http, "--key_from=env:NOT_SET",
+        "--expect_revision=6"},
+       2,
+       "not set"},
+      {{"workspace", "show", "alpha", Http}, 0, "\"rate_per_s\":50"},
+      {{"workspace", "show", "none", Http}, 1, "405"},
+      {{"workspace", "set-limit", "alpha", Http, "--rate_per_s=9",
+        "--expect_revision=6"},
+       0,
+       "\"revision\":7"},
+      {{"workspace", "list", Http}, 0, "\"rate_per_s\":9"},
+      {{"workspace", "remove-key", "alpha", Http, "--key_from=env:ALPHA_KEY",
+        "--expect_revision=7"},
+       0,
+       "\"revision\":8"},
+      {{"workspace", "show", "alpha", Http}, 0, "\"keys\":[]"},
+      {{"workspace", "delete", "alpha", Http, "--expect_revision=8"},
+       0,
+       "\"revision\":9"},
+      {{"workspace", "list", Http}, 0, "\"total\":0"}};
+  for (const CommandCase &Case : Cases) {
+    const auto Result = runCommand(Case.m_Arguments, Variables);
+    BOOST_TEST_CONTEXT(Case.m_Arguments[1] << " " << Case.m_Arguments.back()
+                                           << ": " << Result.m_Output) {
+      BOOST_TEST(Result.m_ExitStatus == Case.m_ExitStatus);
+      BOOST_TEST(contains(Result.m_Output, Case.m_ExpectedOutput));
+      BOOST_TEST(!contains(Result.m_Output, Key));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/Request/WriteTest.cpp
+++ b/tests/Request/WriteTest.cpp
@@ -1,6 +1,7 @@
 #include "GroupFixture.h"
 
 #include <functional>
+#include <set>
 
 namespace ragwortmux {
 
@@ -414,6 +415,29 @@
   BOOST_TEST(m_Sent == 0U);
 }
 
+// The ledger gives the recorded answer of a key to whoever sends it again, so a
+// key of one workspace must not be that of another one.
+BOOST_AUTO_TEST_CASE(RequestKeysBelongToWorkspaces,
+                     *boost::unit_test::label("promise-6")) {
+  std::set<OwnerId> Owners;
+  for (const char *Workspace : {"", "alpha", "beta"}) {
+    GroupFixture Group;
+    GroupRequest Request = Group.makeRequest(TrafficClass::Booking);
+    Request.m_Key = RequestKey("key");
+    Request.m_Workspace = WorkspaceId(Workspace);
+    Group.submit(std::move(Request));
+    BOOST_REQUIRE(Group.m_Reserves.size() == 1U);
+    Group.answer({});
+    Group.wait(seconds(10));
+    BOOST_REQUIRE(!Group.m_Records.empty());
+    BOOST_TEST(
+        (Group.m_Records.back().m_Owner == Group.m_Reserves.back().m_Owner));
+    Owners.insert(Group.m_Reserves.back().m_Owner);
+  }
+  BOOST_TEST(Owners.size() == 3U);
+  BOOST_TEST(Owners.contains(OwnerId("o")));
+}
+
 BOOST_AUTO_TEST_CASE(AttemptOfEndedSessionIsResolvedFirst,
                      *boost::unit_test::label("promise-6")) {
   for (const bool Committed : {false, true}) {
--- a/tests/Support/CommandLineTest.cpp
+++ b/tests/Support/CommandLineTest.cpp
@@ -71,6 +71,41 @@
     {{"catalogue", "delete", "a"}, {"--expect_revision"}},
     {{"catalogue", "delete", "a", "--expect_revision=0"},
      {"--expect_revision"}},
+    {put("--requires_key"), {}},
+    {put("--requires_key=perhaps"), {"--requires_key"}},
+    {{"workspace"}, {"command"}},
+    {{"workspace", "list"}, {}},
+    {{"workspace", "list", "a"}, {"argument"}},
+    {{"workspace", "show"}, {"NAME"}},
+    {{"workspace", "show", "two words"}, {"NAME"}},
+    {{"workspace", "show",
+      "\xc3\x85"
+      "ngstr\xc3\xb6m"},
+     {}},
+    {{"workspace", "put", "a"}, {}},
+    {{"workspace", "put", "a", "--rate_per_s=4294967296"}, {"--rate_per_s"}},
+    {{"workspace", "put", "a", "--burst=x"}, {"--burst"}},
+    {{"workspace", "put", "a", "--key_from=stdin"}, {}},
+    {{"workspace", "put", "a", "--key_from=env:"}, {"--key_from"}},
+    {{"workspace", "put", "a", "--key_from=a-key"}, {"--key_from"}},
+    {{"workspace", "add-key", "a"}, {"--expect_revision"}},
+    {{"workspace", "add-key", "a", "--expect_revision=1"}, {}},
+    {{"workspace", "add-key", "a", "a-key", "--expect_revision=1"},
+     {"argument"}},
+    {{"workspace", "remove-key", "a", "--expect_revision=1"}, {}},
+    {{"workspace", "remove-key", "a", "--expect_revision=1",
+      "--digest=0123abcd"},
+     {}},
+    {{"workspace", "remove-key", "a", "--expect_revision=1",
+      "--digest=0123abc"},
+     {"--digest"}},
+    {{"workspace", "remove-key", "a", "--expect_revision=1",
+      "--digest=0123abcd", "--key_from=stdin"},
+     {"--digest"}},
+    {{"workspace", "set-limit", "a", "--expect_revision=1"}, {"--rate_per_s"}},
+    {{"workspace", "set-limit", "a", "--expect_revision=1", "--rate_per_s=-1"},
+     {"--rate_per_s"}},
+    {{"workspace", "delete", "a"}, {"--expect_revision"}},
     {{"timeline"}, {"DIR"}},
     {{"timeline", "d", "--kind=party"}, {"--kind"}},
     {{"timeline", "d", "--group="}, {"--group"}},
@@ -154,6 +189,37 @@
   BOOST_TEST((Deleted.m_ExpectRevision == Revision(6)));
 }
 
+BOOST_AUTO_TEST_CASE(WorkspaceCommandsReadEveryFlag) {
+  const auto Put = parseAs<WorkspaceCommand>(
+      {"workspace", "put", "a", "--rate_per_s=50", "--burst=7",
+       "--key_from=env:KEYS", "--expect_revision=6", "--change_id=c",
+       "--operator=kim", "--at=10.0.0.1:81"});
+  BOOST_TEST((Put.m_Edit.m_Action == WorkspaceAction::Put));
+  BOOST_TEST((Put.m_Edit.m_Limit == WorkspaceLimit{50, 7}));
+  BOOST_TEST(Put.m_Name.value() == "a");
+  BOOST_TEST(Put.m_KeySource.m_IsGiven);
+  BOOST_TEST(Put.m_KeySource.m_Variable == "KEYS");
+  BOOST_TEST((Put.m_ExpectRevision == Revision(6)));
+  BOOST_TEST(Put.m_Change.value() == "c");
+  BOOST_TEST(Put.m_Operator == "kim");
+  BOOST_TEST((Put.m_Target == SocketAddress{"10.0.0.1", 81}));
+  BOOST_TEST(!parseAs<WorkspaceCommand>({"workspace", "put", "a"})
+                  .m_KeySource.m_IsGiven);
+  // Adding or removing a key reads it from standard input by default.
+  for (const char *Action : {"add-key", "remove-key"}) {
+    const auto Parsed = parseAs<WorkspaceCommand>(
+        {"workspace", Action, "a", "--expect_revision=1"});
+    BOOST_TEST((parseWorkspaceAction(Action) == Parsed.m_Edit.m_Action));
+    BOOST_TEST(Parsed.m_KeySource.m_IsGiven);
+    BOOST_TEST(Parsed.m_KeySource.m_Variable == "");
+  }
+  const auto Removed =
+      parseAs<WorkspaceCommand>({"workspace", "remove-key", "a",
+                                 "--expect_revision=1", "--digest=0123abcd"});
+  BOOST_TEST(!Removed.m_KeySource.m_IsGiven);
+  BOOST_TEST(Removed.m_Edit.m_KeyDigest == "0123abcd");
+}
+
 BOOST_AUTO_TEST_CASE(TimelineReadsPathsAndFilter) {
   const auto Parsed =
       parseAs<TimelineCommand>({"timeline", "d1", "--request=r", "--group=g",
@@ -188,6 +254,13 @@
                                            {"catalogue", "list"},
                                            {"catalogue", "delete"},
                                            {"catalogue", "history"},
+                                           {"workspace", "list"},
+                                           {"workspace", "show"},
+                                           {"workspace", "put"},
+                                           {"workspace", "delete"},
+                                           {"workspace", "add-key"},
+                                           {"workspace", "remove-key"},
+                                           {"workspace", "set-limit"},
                                            {"status"},
                                            {"drain"},
                                            {"timeline"},
@@ -216,7 +289,12 @@
       {"status", "--operator_token=" + Token},
       {"status", "--operator_token", Token},
       {"--operator_token=" + Token, "status"},
-      {"catalogue", "get", "a", "--token", Token}};
+      {"catalogue", "get", "a", "--token", Token},
+      {"workspace", "add-key", "a", Token, "--expect_revision=1"},
+      {"workspace", "add-key", "a", "--key=" + Token, "--expect_revision=1"},
+      {"workspace", "put", "a", "--key_from=" + Token},
+      {"workspace", "remove-key", "a", "--digest=" + Token,
+       "--expect_revision=1"}};
   for (const Arguments &Mistake : Mistakes) {
     std::vector<SettingFault> Faults;
     BOOST_TEST(!parseCommandLine(Mistake, Faults).has_value());
--- a/tests/Support/JsonTest.cpp
+++ b/tests/Support/JsonTest.cpp
@@ -17,7 +17,8 @@
 constexpr const char *ValidEntry =
     R"({"name":"bookings","group":"depot-1","owner":"Haddow & Sons",)"
     R"("class":"aged-read","max_concurrent":4,"max_queued":0,)"
-    R"("deadline_ms":250,"max_answer_bytes":2048,"max_age_ms":1500})";
+    R"("deadline_ms":250,"max_answer_bytes":2048,"max_age_ms":1500,)"
+    R"("requires_key":true})";
 
 constexpr const char *ValidAnnouncement =
     R"({"group":"depot-1","server":"s1","domain":"hobart",)"
@@ -59,7 +60,7 @@
   BOOST_TEST(!Faults.front().m_Allowed.empty());
 }
 
-constexpr std::array<FieldCase, 33> EntryCases = {{
+constexpr std::array<FieldCase, 36> EntryCases = {{
     {"name", "", "(missing)"},
     {"name", "7", "7"},
     {"name", "\"\"", "\"\""},
@@ -91,6 +92,9 @@
     {"max_age_ms", "86400000", ""},
     {"max_age_ms", "86400001", "86400001"},
     {"max_age_ms", "18446744073709551616", "1.8446744073709552E19"},
+    {"requires_key", "", ""},
+    {"requires_key", "false", ""},
+    {"requires_key", "\"yes\"", "\"yes\""},
     {"Max_age_ms", "1", "1"},
     {"revision", "{}", "{}"},
 }};
@@ -139,6 +143,7 @@
   BOOST_TEST((Entry->m_Class == TrafficClass::AgedRead));
   BOOST_TEST((Entry->m_Limits.m_RequestDeadline == 250ms));
   BOOST_TEST((Entry->m_Limits.m_MaxAge == 1500ms));
+  BOOST_TEST(Entry->m_RequiresKey);
   BOOST_TEST(formatCatalogueEntry(*Entry) == ValidEntry);
 }
 
@@ -148,6 +153,7 @@
       R"({"name":"a","group":"g","owner":"o","class":"write"})", Faults);
   BOOST_TEST_REQUIRE(Entry.has_value(), describeAll(Faults));
   BOOST_TEST((Entry->m_Limits == EntryLimits()));
+  BOOST_TEST(!Entry->m_RequiresKey);
 }
 
 BOOST_DATA_TEST_CASE(InvalidEntryFieldIsReportedByName,
