--- a/ragwortmux/Process/Operators/OperatorApi.cpp
+++ b/ragwortmux/Process/Operators/OperatorApi.cpp
@@ -281,12 +281,13 @@
 kj::Promise<HttpReply>
 OperatorApi::handleWorkspaces(const HttpRequest &Request) {
   std::string Name = Request.m_Path.substr(WorkspacesPath.size());
-  if (Name.empty() || Name == "/") {
-    return query("workspaces", parameter(Request, "after"));
+  if (!Name.empty() && !Name.starts_with('/')) {
+    return resultReply(ResultCode::CatalogueNotFound, "there is no such path");
   }
   Name.erase(0, 1);
   if (Request.m_Method == "GET") {
-    return query("workspace", Name);
+    return Name.empty() ? query("workspaces", parameter(Request, "after"))
+                        : query("workspace", Name);
   }
   if (Request.m_Method == "PUT") {
     return changeWorkspace(Request, WorkspaceAction::Put, Name);
--- a/tests/StandIn/PgClient.cpp
+++ b/tests/StandIn/PgClient.cpp
@@ -23,7 +23,11 @@
       Status != PGRES_EMPTY_QUERY) {
     const char *State = PQresultErrorField(Result, PG_DIAG_SQLSTATE);
     Answer.m_Ok = false;
-    Answer.m_SqlState = State == nullptr ? "" : State;
+    // A lost connection has no SQLSTATE of its own; the error by which the
+    // server announced the end of the connection has one.
+    if (Answer.m_SqlState.empty() || State != nullptr) {
+      Answer.m_SqlState = State == nullptr ? "" : State;
+    }
     Answer.m_Message = PQresultErrorMessage(Result);
     return;
   }
