--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -225,7 +225,7 @@
     return false;
   }
   const auto Set = parsePgSetStatement(Message.m_Sql);
-  return Set ? handleSet(*Set) : submit(Message.m_Sql);
+  return Set ? handleSet(*Set) : submit(Message.m_Sql, Entry);
 }
 
 bool CallerConnection::handle(const PgTerminate &) {
@@ -387,10 +387,9 @@
   return "unknown setting ragwortmux." + Name;
 }
 
-bool CallerConnection::submit(const std::string &Sql) {
-  const auto Entry = m_Status == TransactionStatus::Idle
-                         ? m_Hooks.m_FindEntry(m_Entry)
-                         : m_TransactionEntry;
+bool CallerConnection::submit(
+    const std::string &Sql,
+    const std::shared_ptr<const CatalogueEntry> &Entry) {
   if (Entry == nullptr) {
     refuse(m_Hooks.m_MissingEntryCode(), m_Entry.value());
     return true;
--- a/ragwortmux/Process/Entry/CallerConnection.h
+++ b/ragwortmux/Process/Entry/CallerConnection.h
@@ -128,7 +128,8 @@
   void endForLostKey();
   std::string applySetting(const std::string &Name,
                            const std::optional<std::string> &Value);
-  bool submit(const std::string &Sql);
+  bool submit(const std::string &Sql,
+              const std::shared_ptr<const CatalogueEntry> &Entry);
   void refuse(ResultCode Code, const std::string &Reason);
   void completeRequest(ResultCode Code, TransactionStatus Status);
   void writeToken(PgMessageWriter &Writer);
--- a/tests/Connection/WorkspaceScopeTest.cpp
+++ b/tests/Connection/WorkspaceScopeTest.cpp
@@ -15,17 +15,8 @@
 // same name, whatever names they choose.
 BOOST_AUTO_TEST_CASE(DifferentCallersGetDifferentSessions) {
   const std::vector<std::string> Workspaces = {"", "a", "b", "aa"};
-  const std::vector<std::string> Names = {"s",
-                                          "a",
-                                          "as",
-                                          "\x01",
-                                          "\x01\x01s",
-                                          "\x01"
-                                          "a\x01s",
-                                          "\x01"
-                                          "a\x01",
-                                          "\x01"
-                                          "a"};
+  const std::vector<std::string> Names = {
+      "s", "a", "as", "\001", "\001\001s", "\001a\001s", "\001a\001", "\001a"};
   std::set<SessionName> Scoped;
   for (const std::string &Workspace : Workspaces) {
     for (const std::string &Name : Names)
