--- a/ragwortmux/Connection/Codec/PgMessageReader.cpp
+++ b/ragwortmux/Connection/Codec/PgMessageReader.cpp
@@ -1,5 +1,7 @@
 #include "ragwortmux/Connection/Codec/PgMessageReader.h"
 
+#include "ragwortmux/Core/ClearText.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -17,6 +19,7 @@
 /// An empty buffer with more memory than this releases it.
 constexpr std::size_t KeptBytes = 1024;
 
+constexpr char PasswordType = 'p';
 constexpr std::uint32_t MajorVersion = 3;
 constexpr std::uint32_t CancelRequestCode = 80877102;
 constexpr std::uint32_t SslRequestCode = 80877103;
@@ -207,7 +210,11 @@
   }
   const char Type = pending().front();
   const std::size_t Length = readUint32(pending().substr(TypeBytes));
-  if (Length < LengthBytes || Length > m_Settings.m_MaxMessageBytes) {
+  const std::size_t MaxLength = Type == PasswordType
+                                    ? std::min(m_Settings.m_MaxPasswordBytes,
+                                               m_Settings.m_MaxMessageBytes)
+                                    : m_Settings.m_MaxMessageBytes;
+  if (Length < LengthBytes || Length > MaxLength) {
     fail("invalid message length");
     return std::nullopt;
   }
@@ -216,6 +223,9 @@
   }
   auto Message = parseMessage(
       Type, pending().substr(TypeBytes + LengthBytes, Length - LengthBytes));
+  if (Message && Type == PasswordType) {
+    clearBytes(m_Buffer.data() + m_Offset, TypeBytes + Length);
+  }
   if (Message) {
     consume(TypeBytes + Length);
   }
@@ -230,8 +240,8 @@
   case 'X':
     m_HasEnded = true;
     return PgTerminate{};
-  case 'p':
-    return PgPassword{};
+  case PasswordType:
+    return parsePassword(Body);
   default:
     return PgUnsupported{Type};
   }
@@ -262,6 +272,21 @@
   return Count;
 }
 
+std::optional<PgFrontendMessage>
+PgMessageReader::parsePassword(std::string_view Body) {
+  const auto Text = consumeString(Body);
+  if (!Text || !Body.empty()) {
+    fail("malformed password message");
+    return std::nullopt;
+  }
+  PgPassword Password;
+  // A move of a text that is stored inside the string object would leave a
+  // copy behind, so the text is given memory of its own.
+  Password.m_Text.reserve(std::max(Text->size(), sizeof(std::string)));
+  Password.m_Text = *Text;
+  return Password;
+}
+
 std::string_view PgMessageReader::pending() const {
   return std::string_view(m_Buffer).substr(m_Offset);
 }
@@ -284,6 +309,8 @@
   m_Error->m_Severity = "FATAL";
   m_Error->m_SqlState = "08P01";
   m_Error->m_Message = std::move(Reason);
+  // What was received may contain a password.
+  clearText(m_Buffer);
   std::string().swap(m_Buffer);
   m_Offset = 0;
 }
--- a/ragwortmux/Process/Support/MetricTable.h
+++ b/ragwortmux/Process/Support/MetricTable.h
@@ -51,6 +51,8 @@
   PeerFailures,
   WorkspacePermits,
   ClientLimitHits,
+  WorkspaceCallers,
+  RefusedKeys,
 };
 
 /// Prometheus type of a metric.
