--- a/tests/Request/PermitSimulation.h
+++ b/tests/Request/PermitSimulation.h
@@ -283,7 +283,7 @@
   }
 
   /// Does \p Work now, or once \p Index is not frozen any more.
-  void whenRunning(std::size_t Index, std::function<void()> Work) {
+  void whenRunning(std::size_t Index, const std::function<void()> &Work) {
     const Instant Until = m_Hosts[Index]->m_FrozenUntil;
     if (m_Now >= Until)
       Work();
