CallerConnection: asks before each message, not only before each read

Cause: the answers to the small messages of one read of 16 KiB take 425 KB (Sync messages), so 48 connections that read at the same time raised the memory from 22.9 to 53.9 MB with a budget of 4 MiB (UntrustedTests ClusterPortsTest/CallersStayWithinBounds/_5, failed).

Change: the guard is asked before each message is handled, as the line protocol does; resume() handles what the reader holds before it reads.

Run: UntrustedTests ClusterPortsTest/CallersStayWithinBounds/_0,_3,_5: passed; _5 peaks at 38.5 MB (bound 47.6).

--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -77,11 +77,13 @@
 void CallerConnection::start() { readIfAllowed(); }
 
 void CallerConnection::resume() {
-  if (m_IsReading || m_Closed) {
-    reportUsage();
+  if (m_Closed) {
     return;
   }
-  readIfAllowed();
+  handleInput();
+  if (!m_Closed && !m_IsReading) {
+    readIfAllowed();
+  }
 }
 
 void CallerConnection::readIfAllowed() {
@@ -137,6 +139,12 @@
 void CallerConnection::handleInput() {
   // While a request is pending, further input stays in the reader.
   while (!m_Closed && !m_CloseAfterWrite && !m_PendingRequest) {
+    // Asked before each message, because the answers to the small messages of
+    // one read can be many times larger than that read.
+    reportUsage();
+    if (m_Reader.bufferedBytes() > 0 && !m_Hooks.m_MayRead()) {
+      break;
+    }
     auto Message = m_Reader.next();
     if (!Message) {
       break;
@@ -408,7 +416,6 @@
     m_Loop.after(Duration(0), [Weak = weak_from_this()] {
       const auto Self = Weak.lock();
       if (Self && !Self->m_Closed) {
-        Self->handleInput();
         Self->resume();
       }
     });
