A statement without an answer frees its slot after 400 ms

Answers may be lost while the connection stays open. Such a statement would have counted as using a slot of its server until its deadline, so that with 5 slots and lost answers the host would soon have sent nothing more there.

--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -291,7 +291,7 @@
     if (Now >= State.m_Deadline)
       expire(State);
     else if (State.m_Connection)
-      checkSilence(State);
+      checkRunning(State);
     else if (State.m_InTransaction)
       submitInTransaction(State, m_Transactions.at(State.m_Request.m_Caller));
   }
@@ -313,12 +313,25 @@
   if (State.m_NotBefore && !State.m_Connection)
     At = std::min(At, *State.m_NotBefore);
   if (State.m_Connection && !State.m_IsSilenceHandled)
-    At = std::min(At, State.m_SentAt +
-                          State.m_Request.m_Entry->m_Limits.m_RequestDeadline *
-                              m_Settings.m_SilentPercent / PercentBase);
+    At = std::min(At, silentAt(State));
+  if (State.m_Connection && State.m_HoldsSlot && m_UsesWorkspaces)
+    At = std::min(At, State.m_SentAt + m_Settings.m_SlotTimeout);
   return At;
 }
 
+Instant SessionCore::silentAt(const Request &State) const {
+  return State.m_SentAt + State.m_Request.m_Entry->m_Limits.m_RequestDeadline *
+                              m_Settings.m_SilentPercent / PercentBase;
+}
+
+void SessionCore::checkRunning(Request &State) {
+  // The server may have answered, so its slot may be free.
+  if (m_Now >= State.m_SentAt + m_Settings.m_SlotTimeout)
+    releaseSlot(State);
+  if (m_Now >= silentAt(State))
+    checkSilence(State);
+}
+
 std::optional<Instant> SessionCore::nextDeadline() const {
   std::optional<Instant> Next = m_Pool.nextDeadline();
   const auto Consider = [&Next](Instant At) {
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -193,6 +193,8 @@
   void endPreviousTerms();
   void retryReadsAt(const ServerId &Server);
   Instant wakeTime(const Request &State) const;
+  Instant silentAt(const Request &State) const;
+  void checkRunning(Request &State);
 
   GroupId m_Group; ///< The group.
   SessionCoreSettings
@@ -239,8 +241,8 @@
   RetryBudgets
       m_Retries; ///< Limits how many statements are abandoned and run again.
   std::map<ServerId, std::uint32_t>
-      m_SlotsHeld; ///< Statements under way at each server, and those of open
-                   ///< transactions that wait for a slot there.
+      m_SlotsHeld; ///< Statements recently sent to each server, and those of
+                   ///< open transactions that wait for a slot there.
   QueueEstimate m_Estimate; ///< Whether a queued statement can be served.
   std::vector<RequestId>
       m_ToReview; ///< Statements queued, or late, since the last review.
--- a/ragwortmux/Request/SessionCoreSettings.h
+++ b/ragwortmux/Request/SessionCoreSettings.h
@@ -58,6 +58,10 @@
   RetryBudgetSettings m_WorkspaceRetry{
       20, 4}; ///< The same for each workspace and server where callers belong
               ///< to workspaces; there are many, so each saves few.
+  Duration m_SlotTimeout = std::chrono::milliseconds(
+      400); ///< Where callers belong to workspaces: time after which a
+            ///< statement without an answer no longer counts as using a slot of
+            ///< its server. Otherwise lost answers would use up all of them.
   bool m_ShedLoad = false; ///< Refuses statements that can no longer be served
                            ///< in time, and those beyond the following limits.
   std::size_t m_MaxQueued = 4096; ///< Maximum number of queued statements.
--- a/tests/Request/SheddingTest.cpp
+++ b/tests/Request/SheddingTest.cpp
@@ -324,6 +324,25 @@
   BOOST_TEST(Core.m_Runs.size() == 4U);
 }
 
+// Guards against lost answers that use up a server's slots until the deadlines
+// of their statements.
+BOOST_AUTO_TEST_CASE(StatementWithoutAnswerFreesItsSlot) {
+  SheddingCore Core(NoChange, true);
+  Core.setSlots(2);
+  for (const char *Workspace : {"w1", "w2", "w3"})
+    Core.submit(StatementKind::Write, WorkspaceId(Workspace));
+  Core.advance(milliseconds(399));
+  BOOST_TEST(Core.m_Runs.size() == 2U);
+  Core.advance(milliseconds(1));
+  BOOST_TEST(Core.m_Runs.size() == 3U);
+  // Their answers are counted once.
+  for (const RunStatement &Run : std::exchange(Core.m_Runs, {}))
+    Core.reply(Run);
+  for (const char *Workspace : {"w1", "w2", "w3"})
+    Core.submit(StatementKind::Write, WorkspaceId(Workspace));
+  BOOST_TEST(Core.m_Runs.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::test
