Without control, operations that need permits are refused as without a lease

A relaying host takes 119 for final, though hosts in touch with control had permits. They are refused with 107 now, which is tried at another host.

--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -166,7 +166,12 @@
 
 void SessionCore::refuseForLimit(Request &State) {
   m_Permits->refused(m_Now, State.m_Request.m_Workspace);
-  finish(State, ResultCode::NotRunRateLimited, TransactionStatus::Idle);
+  // A host that control does not reach knows nothing of the limit. Another one
+  // may have permits, so the statement is tried there.
+  const ResultCode Code = m_Permits->isControlSilent(m_Now)
+                              ? ResultCode::NotRunNoLease
+                              : ResultCode::NotRunRateLimited;
+  finish(State, Code, TransactionStatus::Idle);
 }
 
 void SessionCore::refuseAwaitingPermit() {
--- a/ragwortmux/Request/WorkspacePermits.h
+++ b/ragwortmux/Request/WorkspacePermits.h
@@ -73,6 +73,10 @@
   /// Counts an operation that was refused.
   void refused(Instant Now, const WorkspaceId &Workspace);
 
+  /// True if no leader has answered requests for some time, so that operations
+  /// are refused although their workspaces may be below their limits.
+  bool isControlSilent(Instant Now) const;
+
   /// The next request to send, if permits are wanted and none is in flight.
   std::optional<PermitRequest> nextRequest(Instant Now);
   /// The leader has answered request \p Number. False if it is not the one in
@@ -123,7 +127,6 @@
   std::uint32_t usablePermits(Instant Now, const State &Current) const;
   void expirePermits(Instant Now, State &Current);
   bool isRunningLow(Instant Now, const State &Current) const;
-  bool isControlSilent(Instant Now) const;
   void wantRequest(Instant Now);
   PermitDemand demandOf(Instant Now, const WorkspaceId &Workspace,
                         const State &Current) const;
--- a/tests/Platform/WorkspaceLimitTest.cpp
+++ b/tests/Platform/WorkspaceLimitTest.cpp
@@ -76,7 +76,7 @@
   WireCaller Caller(m_CallerPort, "own");
   BOOST_TEST(waitUntil([&] {
     Caller.succeeds("READ a");
-    return isRefusal(Caller.m_LastAnswer);
+    return Caller.m_LastAnswer.starts_with("ERROR BUSY 107 ");
   }));
   const std::size_t WithoutControl = countExecuted("");
   runFor(1s);
--- a/tests/Request/SessionPermitsTest.cpp
+++ b/tests/Request/SessionPermitsTest.cpp
@@ -145,9 +145,9 @@
   advanceTime(milliseconds(600));
   m_Permits.tick(m_Now);
   changed();
-  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunRateLimited));
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunNoLease));
   submitFor(Limited, 2);
-  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunRateLimited));
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::NotRunNoLease));
 }
 
 // Guards against costs of limits that control does not enforce.
