--- a/tests/Request/CrossDomainPolicyTest.cpp
+++ b/tests/Request/CrossDomainPolicyTest.cpp
@@ -75,7 +75,7 @@
     }
     const CrossDomainRead Read = read(Priority);
     m_Policy.firstDecided(m_Now);
-    const CrossDomainVerdict Verdict = m_Policy.choose(m_Now, Read, m_Targets);
+    CrossDomainVerdict Verdict = m_Policy.choose(m_Now, Read, m_Targets);
     if (Verdict.m_HasReason) {
       m_Policy.reasonFound(m_Now, Read, Verdict);
       m_LastReasonAt = m_Now;
@@ -182,7 +182,7 @@
 // Guards against a read that leaves for less than its bytes are worth: 20 ms
 // are saved, and 30 KB cost 30 ms.
 BOOST_AUTO_TEST_CASE(LargeReadsStay) {
-  m_Bytes = 30 * 1024;
+  m_Bytes = std::uint64_t{30} * 1024;
   runFor(seconds(2));
   m_Took[Near] = milliseconds(28);
   runFor(seconds(3));
@@ -193,7 +193,7 @@
 // Guards against a link that reads from other failure domains fill: 200 reads
 // of 2 KB a second would be 400 KB.
 BOOST_AUTO_TEST_CASE(BytesPerSecondAreLimited) {
-  m_Bytes = 2 * 1024;
+  m_Bytes = std::uint64_t{2} * 1024;
   runFor(seconds(2));
   m_Took[Near] = milliseconds(200);
   runFor(seconds(4));
@@ -310,7 +310,7 @@
 // no server that may run them.
 BOOST_AUTO_TEST_CASE(UnservedReadsAlwaysLeave) {
   target(Near).m_IsAllowed = false;
-  m_Bytes = 100 * 1024;
+  m_Bytes = std::uint64_t{100} * 1024;
   for (const ServerId &Server : {FarA, FarB})
     target(Server).m_Running = 4;
   runFor(seconds(2));
