CallerConnection: a write that throws at once no longer stops the event loop

Cause: on a connection that its client has closed, write() and tryRead() may throw at once. answer() is called from the task that runs the loop's posted work, so the exception ended that task ('A background task failed: write: Broken pipe'), the process ran no posted work any more, and its control node and lease were lost for good.

Change: both calls are made in evalNow(), as LineStream does.

--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -118,7 +118,11 @@
   const auto Self = shared_from_this();
   const std::span<std::byte> Buffer = m_Buffer.prepare();
   m_IsReading = true;
-  m_Loop.spawn(m_Stream->tryRead(Buffer.data(), 1, Buffer.size())
+  // On a broken connection tryRead() and write() may throw at once; the
+  // exception must not end the loop's task that has called this.
+  m_Loop.spawn(kj::evalNow([&] {
+                 return m_Stream->tryRead(Buffer.data(), 1, Buffer.size());
+               })
                    .then(
                        [this, Self, Buffer](std::size_t Count) {
                          m_IsReading = false;
@@ -504,16 +508,17 @@
   const auto Bytes = std::make_shared<std::string>(std::exchange(m_Output, {}));
   m_BytesInWrite = Bytes->size();
   const auto Self = shared_from_this();
-  m_Loop.spawn(m_Stream->write(Bytes->data(), Bytes->size())
-                   .then(
-                       [this, Self, Bytes] {
-                         m_Writing = false;
-                         m_BytesInWrite = 0;
-                         ++m_WritesDone;
-                         flush();
-                         reportUsage();
-                       },
-                       [this, Self](kj::Exception &&) { close(); }));
+  m_Loop.spawn(
+      kj::evalNow([&] { return m_Stream->write(Bytes->data(), Bytes->size()); })
+          .then(
+              [this, Self, Bytes] {
+                m_Writing = false;
+                m_BytesInWrite = 0;
+                ++m_WritesDone;
+                flush();
+                reportUsage();
+              },
+              [this, Self](kj::Exception &&) { close(); }));
 }
 
 void CallerConnection::checkPeer() {
