--- a/ragwortmux/Connection/CallerBudget.cpp
+++ b/ragwortmux/Connection/CallerBudget.cpp
@@ -41,9 +41,11 @@
   Caller &Current = Found->second;
   const CallerUsage Before = Current.m_Usage;
   // The time of a message counts from its first byte, not from the last one, so
-  // that a slow sender does not extend it.
-  if (!Before.m_HasPartialMessage ||
-      Before.m_MessagesRead != Usage.m_MessagesRead) {
+  // that a slow sender does not extend it; that of the startup counts from the
+  // connection.
+  const bool IsNextMessage = !Before.m_HasPartialMessage ||
+                             Before.m_MessagesRead != Usage.m_MessagesRead;
+  if (Usage.m_HasStarted && IsNextMessage) {
     Current.m_MessageSince = Now;
   }
   if (Before.m_OutputBytes == 0 || Before.m_WritesDone != Usage.m_WritesDone) {
--- a/ragwortmux/Connection/ConnectionPool.cpp
+++ b/ragwortmux/Connection/ConnectionPool.cpp
@@ -282,9 +282,10 @@
   for (const auto &[Server, Pool] : m_Servers) {
     if (Pool.m_Failures == 0)
       continue;
-    const bool IsMissing = m_UsesWorkspaces
-                               ? !missingForWorkspaces(Pool).empty()
-                               : missingCount(Server, Pool) > 0;
+    const bool IsMissing =
+        m_UsesWorkspaces
+            ? !missingForWorkspaces(Pool).empty() && canMakeRoom(Server, Pool)
+            : missingCount(Server, Pool) > 0;
     if (IsMissing)
       Consider(Pool.m_ReopenAt);
   }
@@ -414,9 +415,23 @@
   return IsOpening ? 0 : std::min(Count, 1U);
 }
 
+bool ConnectionPool::canMakeRoom(const ServerId &Server,
+                                 const ServerPool &Pool) const {
+  if (hasRoom(Server))
+    return true;
+  return std::any_of(Pool.m_CountsByWorkspace.begin(),
+                     Pool.m_CountsByWorkspace.end(), [&](const auto &Each) {
+                       return countIn(Each.second, ConnectionState::Idle) > 0 &&
+                              !Pool.m_Waiting.contains(Each.first);
+                     });
+}
+
 std::vector<WorkspaceId>
 ConnectionPool::missingForWorkspaces(const ServerPool &Pool) const {
   std::vector<WorkspaceId> Missing;
+  // Further connections of workspaces that miss several; each workspace gets
+  // its first one before.
+  std::vector<WorkspaceId> Further;
   if (Pool.m_Share == 0)
     return Missing;
   // One workspace must not displace all others.
@@ -431,8 +446,13 @@
                                     countIn(Counts, ConnectionState::Idle);
     const std::uint32_t Needed = Waiting > Available ? Waiting - Available : 0;
     const std::uint32_t Allowed = Most > Total ? Most - Total : 0;
-    Missing.insert(Missing.end(), std::min(Needed, Allowed), Workspace);
+    const std::uint32_t Count = std::min(Needed, Allowed);
+    if (Count == 0)
+      continue;
+    Missing.push_back(Workspace);
+    Further.insert(Further.end(), Count - 1, Workspace);
   }
+  Missing.insert(Missing.end(), Further.begin(), Further.end());
   if (Missing.empty() && Pool.m_NeedsProbeConnection)
     Missing.push_back(Pool.m_LastWorkspace);
   Missing.resize(
--- a/ragwortmux/Connection/ConnectionPool.h
+++ b/ragwortmux/Connection/ConnectionPool.h
@@ -204,6 +204,7 @@
   std::uint32_t missingCount(const ServerId &Server,
                              const ServerPool &Pool) const;
   std::vector<WorkspaceId> missingForWorkspaces(const ServerPool &Pool) const;
+  bool canMakeRoom(const ServerId &Server, const ServerPool &Pool) const;
   std::uint32_t limitOpening(const ServerPool &Pool, std::uint32_t Count) const;
   void evictIdle(Instant Now, const ServerId &Server, std::uint32_t Count,
                  PoolActions &Actions);
--- a/ragwortmux/Process/Entry/CallerConnection.cpp
+++ b/ragwortmux/Process/Entry/CallerConnection.cpp
@@ -105,7 +105,8 @@
   CallerUsage Usage;
   Usage.m_InputBytes = m_Reader.allocatedBytes();
   Usage.m_OutputBytes = m_Output.size() + m_BytesInWrite;
-  Usage.m_HasStarted = m_Reader.hasStarted();
+  Usage.m_HasStarted = m_HasStarted;
+  Usage.m_Workspace = m_Workspace;
   Usage.m_MessagesRead = m_MessagesRead;
   Usage.m_WritesDone = m_WritesDone;
   if (m_PendingRequest) {
--- a/ragwortmux/Process/Entry/EntryRole.cpp
+++ b/ragwortmux/Process/Entry/EntryRole.cpp
@@ -208,6 +208,11 @@
   Settings.m_MaxCallers = m_Settings.m_MaxCallers;
   Settings.m_Reader.m_MaxMessageBytes = m_Settings.m_MaxCallerMessageBytes;
   Settings.m_Budget = callerBudgetSettings(m_Settings);
+  // Reading pauses at the budget, so the reader itself must not refuse what the
+  // budget allows.
+  Settings.m_Reader.m_MaxBufferedBytes =
+      std::max(Settings.m_Reader.m_MaxBufferedBytes,
+               Settings.m_Budget.m_ConnectionBytes + ReadBuffer::LargeBytes);
   CallerHooks Hooks;
   Hooks.m_FindEntry = [this](const EntryName &Name) {
     // Stateful sessions are served by SessionEntryRole only.
--- a/ragwortmux/Process/Support/WorkspaceJson.cpp
+++ b/ragwortmux/Process/Support/WorkspaceJson.cpp
@@ -123,6 +123,13 @@
   return Object;
 }
 
+/// Removes the values from the faults behind the first \p Start ones: a value
+/// in the wrong place may be a key.
+void hideValues(std::vector<SettingFault> &Faults, std::size_t Start) {
+  for (std::size_t Index = Start; Index < Faults.size(); ++Index)
+    Faults[Index].m_Value = "(not shown)";
+}
+
 } // namespace
 
 std::string_view workspaceActionName(WorkspaceAction Action) {
@@ -162,8 +169,10 @@
   const std::size_t Before = Faults.size();
   auto Object =
       parseJsonObject(Text, MaxJsonBytes, ResultCode::CatalogueInvalid, Faults);
-  if (!Object)
+  if (!Object) {
+    hideValues(Faults, Before);
     return std::nullopt;
+  }
   WorkspaceEdit Edit;
   Edit.m_Action = Action;
   if (Action == WorkspaceAction::Put)
@@ -186,7 +195,9 @@
     Edit.m_Limit = readLimit(Fields, 0);
   if (Action == WorkspaceAction::SetLimit)
     Edit.m_Limit = readLimit(Fields, std::nullopt);
+  const std::size_t BeforeUnknown = Faults.size();
   Fields.rejectUnknownFields();
+  hideValues(Faults, BeforeUnknown);
   if (Faults.size() != Before)
     return std::nullopt;
   return Edit;
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -256,6 +256,10 @@
 
 void SessionCore::forwardReply(Request &State, const StatementReply &Reply) {
   const ResultCode Code = finalCode(Reply.m_Outcome);
+  if (State.m_MayHaveRun && isNotRun(Code)) {
+    finish(State, Code, TransactionStatus::Idle);
+    return;
+  }
   if (State.makesDurable() && Code == ResultCode::Ok &&
       !canAcknowledge(State)) {
     finish(State, ResultCode::OutcomeUnknownTermEnded, TransactionStatus::Idle);
@@ -306,6 +310,9 @@
 
 void SessionCore::finish(Request &State, ResultCode Code,
                          TransactionStatus Status) {
+  // A read without an answer was sent again, so a refusal would not be true.
+  if (State.m_MayHaveRun && isNotRun(Code))
+    Code = ResultCode::OutcomeUnknown;
   if (!State.m_IsCallerDisconnected) {
     SessionAnswer Answer = answerTo(State, Code);
     Answer.m_Status = Status;
--- a/ragwortmux/Request/SessionCoreShedding.cpp
+++ b/ragwortmux/Request/SessionCoreShedding.cpp
@@ -78,12 +78,12 @@
     const QueuedStatement *Last = m_Waiting.last();
     const bool IsLower =
         Last->m_Priority > State.m_Request.m_Entry->m_Limits.m_Priority;
-    Request &Refused = Share == ShedReason::None && IsLower
-                           ? m_Requests.at(Last->m_Request)
-                           : State;
-    if (Refused.m_MayHaveRun)
+    Request &LastState = m_Requests.at(Last->m_Request);
+    const bool YieldsRoom =
+        Share == ShedReason::None && IsLower && !LastState.m_MayHaveRun;
+    if (!YieldsRoom && State.m_MayHaveRun)
       return;
-    shed(Refused, Exceeded);
+    shed(YieldsRoom ? LastState : State, Exceeded);
   }
 }
 
--- a/ragwortmux/Request/WorkspacePermits.cpp
+++ b/ragwortmux/Request/WorkspacePermits.cpp
@@ -285,7 +285,9 @@
     return;
   m_InFlight.reset();
   m_NotBefore = Now + FailurePause;
-  m_IsWanted = true;
+  m_IsWanted = isActive();
+  if (!isActive())
+    m_UnansweredSince.reset();
 }
 
 void WorkspacePermits::tick(Instant Now) {
@@ -309,13 +311,15 @@
                         Now >= Current.m_LastArrival + StateRetention;
     Each = IsIdle ? m_Workspaces.erase(Each) : std::next(Each);
   }
-  if (m_InFlight || Now < m_NotBefore)
-    return;
+  // Nobody calls tick() while nothing is active, so an outage that nobody
+  // waited for must not be remembered.
   if (m_Workspaces.empty()) {
     m_IsWanted = false;
     m_UnansweredSince.reset();
     return;
   }
+  if (m_InFlight || Now < m_NotBefore)
+    return;
   if (IsWanted || m_IsWanted) {
     m_IsWanted = true;
     m_Hooks.m_RequestWanted();
--- a/tests/Request/SessionPermitsTest.cpp
+++ b/tests/Request/SessionPermitsTest.cpp
@@ -138,6 +138,31 @@
   BOOST_TEST(m_Runs.size() == 1U);
 }
 
+// Guards against the first operation after a quiet time being refused because
+// of an outage that ended long ago.
+BOOST_AUTO_TEST_CASE(OutageIsForgottenWithoutDemand) {
+  submitFor(Limited, 1);
+  const auto Lost = m_Permits.nextRequest(m_Now);
+  BOOST_REQUIRE(Lost);
+  advanceTime(milliseconds(600));
+  m_Permits.tick(m_Now);
+  changed();
+  m_Answers.clear();
+  // The request is in flight while the workspace is forgotten.
+  for (int Tick = 0; Tick < 400; ++Tick) {
+    advanceTime(milliseconds(50));
+    m_Permits.tick(m_Now);
+  }
+  BOOST_TEST(!m_Permits.isActive());
+  m_Permits.failed(m_Now, Lost->m_Number);
+  advanceTime(seconds(60));
+  extendLease(seconds(10));
+  submitFor(Limited, 2);
+  BOOST_TEST(m_Answers.empty());
+  grant(1);
+  BOOST_TEST(m_Runs.size() == 1U);
+}
+
 // Guards against operations that wait for control until their deadline.
 BOOST_AUTO_TEST_CASE(SilentControlMeansRefusal) {
   submitFor(Limited, 1);
--- a/tests/Request/SheddingTest.cpp
+++ b/tests/Request/SheddingTest.cpp
@@ -343,6 +343,23 @@
   BOOST_TEST(Core.m_Runs.size() == 2U);
 }
 
+// Guards against a refusal that says a read has not run although its answer was
+// lost.
+BOOST_FIXTURE_TEST_CASE(ReadWithoutAnswerIsNeverCalledNotRun, SessionFixture) {
+  sample(1);
+  submit(StatementKind::Read, TrafficClass::AgedSession);
+  const RunStatement Lost = nextRunning();
+  m_Core.connectionLost(m_Now, Lost.m_Connection, m_Actions);
+  collectActions();
+  for (int Try = 0; Try < 100 && m_Answers.empty(); ++Try) {
+    openAll();
+    while (!m_Runs.empty())
+      reply(nextRunning(), StatementOutcome::Busy, Idle, std::nullopt);
+    advanceTime(milliseconds(20));
+  }
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::OutcomeUnknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace ragwortmux::test
