CrossDomainPolicy: only refused reads that left count against the share

A refused write to a foreign primary, or a statement of a transaction, counted as a read that found no room, so reads stayed home although replicas had room. RefusedWritesDoNotKeepReadsHome guards against it. Run: RequestTests.

--- a/ragwortmux/Request/CrossDomainPolicy.cpp
+++ b/ragwortmux/Request/CrossDomainPolicy.cpp
@@ -408,13 +408,14 @@
 
 void CrossDomainPolicy::statementAnswered(Instant Now, const ServerId &Server,
                                           bool IsNear, Duration Took,
-                                          bool IsSample, bool IsRefused) {
+                                          bool IsSample, bool IsRefused,
+                                          bool WasPlaced) {
   if (!m_Settings.m_IsEnabled)
     return;
   observe(Server).answered(Now, Took, IsSample, IsRefused);
   if (IsNear || !IsRefused)
     return;
-  ++m_JudgedRefused;
+  m_JudgedRefused += WasPlaced ? 1 : 0;
   m_NoRoomUntil[Server] = Now + m_Settings.m_RefusalPause * NoRoomPauses;
 }
 
--- a/ragwortmux/Request/CrossDomainPolicy.h
+++ b/ragwortmux/Request/CrossDomainPolicy.h
@@ -58,8 +58,11 @@
   /// Any statement was sent to \p Server.
   void statementSent(Instant Now, const ServerId &Server);
   /// \p Server answered a statement after \p Took; see ServerObservation.
+  /// \p WasPlaced: the statement was a read that choose() had sent there, so
+  /// that its refusal tells how many reads may leave.
   void statementAnswered(Instant Now, const ServerId &Server, bool IsNear,
-                         Duration Took, bool IsSample, bool IsRefused);
+                         Duration Took, bool IsSample, bool IsRefused,
+                         bool WasPlaced = true);
   /// A statement on \p Server ended without an answer.
   void statementEnded(const ServerId &Server);
   /// A read of \p Entry is complete; its statement and reply took \p Bytes.
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -398,9 +398,10 @@
   const bool IsRead =
       !Submitted.m_Writes && (Submitted.m_Kind == StatementKind::Read ||
                               Submitted.m_Kind == StatementKind::Execute);
-  m_CrossDomain.statementAnswered(m_Now, State.m_Server, IsNear,
-                                  m_Now - State.m_SentAt, HasRun && IsRead,
-                                  Reply.m_Outcome == StatementOutcome::Busy);
+  const bool WasPlaced = !State.m_InTransaction && !State.needsPrimary();
+  m_CrossDomain.statementAnswered(
+      m_Now, State.m_Server, IsNear, m_Now - State.m_SentAt, HasRun && IsRead,
+      Reply.m_Outcome == StatementOutcome::Busy, WasPlaced);
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   const bool IsMovable = State.m_InTransaction ? Open != m_Transactions.end() &&
                                                      Open->second.m_ReadOnly
--- a/tests/Request/CrossDomainPolicyTest.cpp
+++ b/tests/Request/CrossDomainPolicyTest.cpp
@@ -251,6 +251,18 @@
   BOOST_TEST(left() == 0);
 }
 
+// Guards against writes that a full foreign primary refuses: they do not say
+// that reads find no room abroad.
+BOOST_FIXTURE_TEST_CASE(RefusedWritesDoNotKeepReadsHome, FullFixture) {
+  runFor(seconds(3));
+  const double Before = m_Policy.share();
+  for (int Write = 0; Write < 100; ++Write)
+    m_Policy.statementAnswered(m_Now, ServerId("primary"), false, Duration(0),
+                               false, true, false);
+  runFor(milliseconds(500));
+  BOOST_TEST(m_Policy.share() >= Before);
+}
+
 // Guards against a foreign server that is flooded: it refuses all reads from
 // abroad, so the share shrinks at once and grows less and less often.
 BOOST_FIXTURE_TEST_CASE(ReadsReturnWhenForeignServersFillUp, FullFixture) {
