--- a/ragwortmux/Process/Entry/CallerGuard.h
+++ b/ragwortmux/Process/Entry/CallerGuard.h
@@ -26,6 +26,30 @@
       m_Close; ///< Closes the connection at once.
 };
 
+/// The hooks of \p Guarded, which they do not keep alive.
+template <typename Connection>
+GuardedCallerHooks
+guardedCallerHooks(const std::shared_ptr<Connection> &Guarded) {
+  const std::weak_ptr<Connection> Weak = Guarded;
+  GuardedCallerHooks Hooks;
+  Hooks.m_Resume = [Weak] {
+    if (const auto Target = Weak.lock()) {
+      Target->resume();
+    }
+  };
+  Hooks.m_CheckPeer = [Weak] {
+    if (const auto Target = Weak.lock()) {
+      Target->checkPeer();
+    }
+  };
+  Hooks.m_Close = [Weak](std::string_view Limit) {
+    if (const auto Target = Weak.lock()) {
+      Target->closeForLimit(Limit);
+    }
+  };
+  return Hooks;
+}
+
 /// Applies the decisions of CallerBudget to the connections of callers of
 /// either protocol, and reports them.
 class CallerGuard final {
--- a/ragwortmux/Process/Entry/CallerServer.cpp
+++ b/ragwortmux/Process/Entry/CallerServer.cpp
@@ -133,22 +133,7 @@
       m_Loop, kj::mv(Stream), ProcessId, m_Random(), m_Settings.m_Reader,
       std::move(Hooks));
   m_Connections[ProcessId] = Connection;
-  m_Guard.add(Guarded,
-              {[Weak = std::weak_ptr(Connection)] {
-                 if (const auto Target = Weak.lock()) {
-                   Target->resume();
-                 }
-               },
-               [Weak = std::weak_ptr(Connection)] {
-                 if (const auto Target = Weak.lock()) {
-                   Target->checkPeer();
-                 }
-               },
-               [Weak = std::weak_ptr(Connection)](std::string_view Limit) {
-                 if (const auto Target = Weak.lock()) {
-                   Target->closeForLimit(Limit);
-                 }
-               }});
+  m_Guard.add(Guarded, guardedCallerHooks(Connection));
   Connection->start();
 }
 
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -41,13 +41,6 @@
   return ResultCode::OutcomeUnknown;
 }
 
-/// True if the server has run the statement.
-bool hasRun(StatementOutcome Outcome) {
-  return Outcome == StatementOutcome::Done ||
-         Outcome == StatementOutcome::Failed ||
-         Outcome == StatementOutcome::TimedOut;
-}
-
 /// True if the connection can serve another caller after this reply.
 bool leavesConnectionClean(const StatementReply &Reply) {
   switch (Reply.m_Outcome) {
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -39,8 +39,7 @@
   Read.m_Priority = Limits.m_Priority;
   Read.m_TextBytes = byteCount(Submitted.m_Statement);
   Read.m_Arrived = Submitted.m_Arrived;
-  if (Limits.m_LatencyTarget > Duration(0))
-    Read.m_LateAt = Submitted.m_Arrived + Limits.m_LatencyTarget;
+  Read.m_LateAt = State.lateAt();
   Read.m_Deadline = State.m_Deadline;
   return Read;
 }
@@ -50,17 +49,12 @@
 void SessionCore::enqueue(Request &State) {
   assert(!State.m_Connection);
   State.m_IsWaiting = true;
-  const EntryLimits &Limits = State.m_Request.m_Entry->m_Limits;
-  const Instant Arrived = State.m_Request.m_Arrived;
-  std::optional<Instant> LateAt;
-  if (Limits.m_LatencyTarget > Duration(0))
-    LateAt = Arrived + Limits.m_LatencyTarget;
-  const Statement &Submitted = State.m_Request.m_Statement;
-  m_Waiting.add({State.m_Request.m_Id, State.m_Request.m_Workspace,
-                 Limits.m_Priority, Arrived, LateAt,
+  const SessionRequest &Submitted = State.m_Request;
+  m_Waiting.add({Submitted.m_Id, Submitted.m_Workspace,
+                 Submitted.m_Entry->m_Limits.m_Priority, Submitted.m_Arrived,
+                 State.lateAt(),
                  State.needsPrimary() ? QueueLane::Primary : QueueLane::Read,
-                 Submitted.m_Text.size() + Submitted.m_Name.size() +
-                     Submitted.m_Rest.size()});
+                 byteCount(Submitted.m_Statement)});
   if (m_Settings.m_ShedLoad)
     m_ToReview.push_back(State.m_Request.m_Id);
 }
@@ -392,15 +386,13 @@
                                const StatementReply &Reply) {
   const Statement &Submitted = State.m_Request.m_Statement;
   const bool IsNear = isNear(State.m_Server);
-  const bool HasRun = Reply.m_Outcome == StatementOutcome::Done ||
-                      Reply.m_Outcome == StatementOutcome::Failed ||
-                      Reply.m_Outcome == StatementOutcome::TimedOut;
   const bool IsRead =
       !Submitted.m_Writes && (Submitted.m_Kind == StatementKind::Read ||
                               Submitted.m_Kind == StatementKind::Execute);
   const bool WasPlaced = !State.m_InTransaction && !State.needsPrimary();
   m_CrossDomain.statementAnswered(
-      m_Now, State.m_Server, IsNear, m_Now - State.m_SentAt, HasRun && IsRead,
+      m_Now, State.m_Server, IsNear, m_Now - State.m_SentAt,
+      hasRun(Reply.m_Outcome) && IsRead,
       Reply.m_Outcome == StatementOutcome::Busy, WasPlaced);
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   const bool IsMovable = State.m_InTransaction ? Open != m_Transactions.end() &&
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -64,6 +64,12 @@
   }
   /// True if success makes writes durable and not only may do so.
   bool makesDurable() const { return isSingleWrite() || m_CommitsWrites; }
+  /// When it misses its latency target; none without a target.
+  std::optional<Instant> lateAt() const {
+    const Duration Target = m_Request.m_Entry->m_Limits.m_LatencyTarget;
+    return Target > Duration(0) ? std::optional(m_Request.m_Arrived + Target)
+                                : std::nullopt;
+  }
   /// Prepared statement that it executes; null if none.
   const PreparedStatement *prepared() const {
     return m_Request.m_Prepared ? &*m_Request.m_Prepared : nullptr;
--- a/ragwortmux/Request/StatementReply.h
+++ b/ragwortmux/Request/StatementReply.h
@@ -25,6 +25,13 @@
   TimedOut,     ///< Ran and exceeded the server's time limit.
 };
 
+/// True if the server has run the statement.
+inline bool hasRun(StatementOutcome Outcome) {
+  return Outcome == StatementOutcome::Done ||
+         Outcome == StatementOutcome::Failed ||
+         Outcome == StatementOutcome::TimedOut;
+}
+
 /// Complete reply of a backend server to one statement.
 struct StatementReply final {
   StatementOutcome m_Outcome =
