--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -134,6 +134,7 @@
         self.processes = []
         self.servers = []
         self.commits = []  # (id of the server, log entry)
+        self.alone = set()  # ids of the writes that ran outside of a transaction
         self.tasks = []
         with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
@@ -188,6 +189,20 @@
         for host in self.entry_hosts:
             await self.until(lambda: self.is_ready(host), 30, f"{host} did not get ready")
 
+    async def until_writing(self, database):
+        """Waits until every entry host acknowledges a write."""
+        for host in self.entry_hosts:
+            await self.until(lambda: self.writes(host, database), 20, f"{host} serves no writes")
+
+    async def writes(self, host, database):
+        caller = Caller(self, host, database)
+        try:
+            return await caller.open() == "READY I -" and succeeded((await caller.execute("WRITE probe one"))[1])
+        except OSError:
+            return False
+        finally:
+            caller.close()
+
     async def is_ready(self, host):
         status, _ = await http(host, self.ready, "GET", "/ready")
         return status == 200
@@ -253,7 +268,8 @@
         self.slots, self.work_s = slots, work_s
         self.term = 1
         self.promotions = []  # (time of the effect, id, term)
-        self.servers = [Server(self, f"i-{name}{number}", fleet.net + str(130 + number),
+        first = 130 + len(fleet.servers)
+        self.servers = [Server(self, f"i-{name}{number}", fleet.net + str(first + number),
                                fleet.zones[number % 3]) for number in range(count)]
         self.servers[0].lead(1)
         fleet.servers += self.servers
@@ -306,11 +322,12 @@
         self.port = free_ports([host], 1)[0]
         self.born = int(time.time() * 1000)
         self.term, self.log = 1, []
-        self.is_primary, self.is_alive, self.is_draining = False, True, False
+        self.is_primary, self.is_alive, self.is_draining, self.is_dark = False, True, False, False
         self.sequence, self.busy = 0, 0
+        self.failing_share = 0.0  # part of its requests that the server fails while it looks well
+        self.on_run = None  # called with the session and the id of each read and write that runs
         self.writers = set()
         self.listener = None
-        self.hooks = {}  # test hooks: statement word to a coroutine
         self.beat_now = asyncio.Event()
 
     def lead(self, term):
@@ -342,6 +359,12 @@
         self.fleet.record(f"{self.id}: crashes")
         self.close()
 
+    def go_dark(self):
+        """The server runs no more and answers nothing; its connections stay open and silent."""
+        self.is_alive = self.is_primary = False
+        self.is_dark = True
+        self.fleet.record(f"{self.id}: goes dark")
+
     async def beat(self):
         while self.is_alive:
             self.beat_now.clear()
@@ -369,6 +392,8 @@
         self.writers.add(writer)
         session = Session()
         try:
+            if self.is_dark:
+                await asyncio.sleep(3600)
             words = (await reader.readuntil(b"\r\n"))[:-2].decode("latin-1").split(" ")
             if words[0] != "STARTUP" or words[1] != self.service.name or words[3:4] not in ([], [self.id]):
                 writer.write(f"ERROR MISROUTED {self.id}\r\n".encode("latin-1"))
@@ -377,10 +402,14 @@
             while True:
                 line = (await reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
                 word, _, rest = line.partition(" ")
+                if self.is_dark:
+                    await asyncio.sleep(3600)
                 if word != "QUERY" or not self.is_alive:
                     return
                 query, _, text = rest.partition(" ")
                 answer = await self.run(session, query, text)
+                if self.is_dark:
+                    await asyncio.sleep(3600)
                 if answer is None:
                     return
                 writer.write(answer.encode("latin-1") + self.ready(session))
@@ -407,14 +436,18 @@
             self.busy += 1
             try:
                 await asyncio.sleep(self.service.work_s)
-                if word in self.hooks:
-                    await self.hooks[word](query)
+                if self.is_dark:
+                    await asyncio.sleep(3600)
                 return self.apply(session, query, word, rest)
             finally:
                 self.busy -= 1
         return self.apply(session, query, word, rest)
 
     def apply(self, session, query, word, rest):
+        if random.random() < self.failing_share:
+            return "ERROR FAILED internal error\r\n"
+        if self.on_run is not None and word in ("READ", "WRITE", "EXECUTE"):
+            self.on_run(session, query)
         signed = f"COMPLETE {self.id}.{query}\r\n"
         plain = "COMPLETE -\r\n"
         if word == "STATUS":
@@ -471,6 +504,7 @@
             if session.state == "T":
                 session.writes.append((item, data, query))
             else:
+                self.fleet.alone.add(query)
                 self.commit([(item, data, query)])
             return signed
         return "ERROR MALFORMED\r\n"
