--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -616,14 +616,14 @@
     return len(lines) >= 2 and lines[-2].startswith("COMPLETE")
 
 
-def play(main, folder, limit_s=110):
+def play(main, folder, limit_s=110, entries=3):
     """Runs a case and exits with its result."""
     record = Record(folder)
 
     async def run():
         fleet = None
         try:
-            fleet = Fleet(record)
+            fleet = Fleet(record, entries)
             return await asyncio.wait_for(main(fleet, record), limit_s)
         except (CouldNotRun, asyncio.TimeoutError, OSError) as error:
             record(f"the case could not run: {error!r}")
