--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -622,10 +622,12 @@
 
     async def run():
         fleet = None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             fleet = Fleet(record, entries)
             return await asyncio.wait_for(main(fleet, record), limit_s)
-        except (CouldNotRun, asyncio.TimeoutError, OSError) as error:
+        except (CouldNotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
             record(f"the case could not run: {error!r}")
             return COULD_NOT_RUN
         finally:
