--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,9 @@
-"""One client prepares, executes and deallocates one large statement after the other; the entry processes keep all of
-their texts and outgrow the memory of their machines."""
+"""A backend server fails part of its requests; statements run with the session values of another client.
+
+First under load, when the clients share connections; then with connections that are checked while they are idle.
+"""
 import asyncio
 import os
-import signal
 import sys
 import time
 
@@ -10,75 +11,108 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 from fleet import BROKEN, HELD, TROUBLE, Caller, CouldNotRun, Platform, Service, play, succeeded  # noqa: E402
 
-MEMORY_MB = 260  # limits.memoryMb of the front machines of the small deployments
-SHAPE_BYTES = 1_040_000  # a message is 1 MiB at most
-ROUNDS = 256  # statements that the client prepares in one session at most
-MACHINES = 2
-ENDS = 3
-RESTART_S = 0.5
+FAILING_SHARE = 0.4  # the default x of srv_grey; 0.45 in grown/nilerack-pool-grown.toml
+FOR_S = 6.0  # 6.5 in that site file
+CLIENTS = 12  # for each entry host
+ENTRIES = 7  # as on haddow-hire
+QUIET_S = 12.0  # without any client; idle connections are checked after 15 s
 CONFIGURATION = {
     "version": 1,
     "routes": [{"name": "r-1", "dbName": "booking", "pathPrefix": "/", "kind": "primary", "timeoutMs": 1000,
                 "targetLatencyMs": 250, "priority": 1, "service": "svc", "maxAttempts": 2}],
-    "services": [{"name": "svc", "healthPath": "/health", "maxConns": 36, "protocol": "h1", "tls": False,
-                  "syncReplicas": 0}],
+    "services": [{"name": name, "healthPath": "/health", "maxConns": 36, "protocol": "h1", "tls": False,
+                  "syncReplicas": 0} for name in ("svc", "other", "third")],
     "limits": {"txIdleMs": 3000},
 }
 
 
-def resident_mb(process):
-    """Memory that a process of this test uses."""
-    with open(f"/proc/{process.child.pid}/status", encoding="ascii") as file:
-        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS")) / 1024
-
-
-async def prepare_many(fleet, record, process, shape_bytes):
-    """A session of the client; it always waits for the answer before it sends the next statement."""
-    caller = Caller(fleet, process.address, "booking")
-    most = 0.0
-    try:
-        if await caller.open() != "READY I -":
-            return most
-        for number in range(ROUNDS):
-            shape = f"{number}-".ljust(shape_bytes, "x")
-            for text in (f"PREPARE s1 READ {shape}", "EXECUTE s1 a", "DEALLOC s1"):
-                if not succeeded((await caller.execute(text))[1]):
-                    record(f"client: '{text[:20]}' did not succeed")
-                    return most
-            most = max(most, resident_mb(process))
-            if most > MEMORY_MB:
-                record(f"{process.name} uses {most:.0f} MB after {number + 1} statements, more than {MEMORY_MB} MB")
-                return most
-        record(f"{process.name} uses {most:.0f} MB at most after {ROUNDS} statements")
-        return most
-    finally:
-        caller.close()
+async def work(fleet, host, depot, stop, depot_of, kept):
+    """A client that sets a value, unless it has none, and then writes, one statement after the other."""
+    while not stop.is_set():
+        caller = Caller(fleet, host, "booking")
+        try:
+            if await caller.open() != "READY I -":
+                await asyncio.sleep(0.1)
+                continue
+            if depot is not None and not succeeded((await caller.execute(f"SET depot {depot}"))[1]):
+                continue
+            while not stop.is_set():
+                query = Caller.next_id()
+                depot_of[query] = depot
+                caller.send(f"WRITE stock-{depot} minus-one", query)
+                lines = await caller.answer(query)
+                if succeeded(lines):
+                    kept.add(query)
+                if lines[-1] == "closed":
+                    break
+                await asyncio.sleep(0.02)
+        except OSError:
+            await asyncio.sleep(0.1)
+        finally:
+            caller.close()
 
 
 async def main(fleet, record):
-    service = Service(fleet, "svc", 3)
-    await service.start()
-    platform = Platform(fleet, [service])
+    # Three services of three servers, as on the small deployments; one server of nine fails.
+    services = [Service(fleet, name, 3) for name in ("svc", "other", "third")]
+    service = services[0]
+    for each in services:
+        await each.start()
+    platform = Platform(fleet, services)
     await platform.start()
     await fleet.start(CONFIGURATION)
     await fleet.until_writing("booking")
-    ends = {}
-    for _ in range(ENDS):
-        for process in fleet.processes[3:3 + MACHINES]:
-            if await prepare_many(fleet, record, process, SHAPE_BYTES if TROUBLE else 1000) <= MEMORY_MB:
-                continue
-            # "A process that uses more than memoryMb is killed", and is "restarted after a short delay" (DEPLOY.md).
-            ends[process.name] = ends.get(process.name, 0) + 1
-            record(f"platform: kills {process.name}, for the {ends[process.name]}. time")
-            process.signal(signal.SIGKILL)
-            await process.child.wait()
-            await asyncio.sleep(RESTART_S)
-            await process.start()
-            await fleet.until(lambda: fleet.is_ready(process.address), 15, "the process did not come back")
-            await fleet.until_writing("booking")
-    record(f"ends for want of memory: {ends}")
-    broken = sum(1 for count in ends.values() if count >= ENDS) >= MACHINES
-    return BROKEN if broken else HELD
+    depot_of, kept, wrong, runs = {}, set(), [], 0
+
+    def check(session, query):
+        nonlocal runs
+        if query not in depot_of:
+            return
+        runs += 1
+        if session.values.get("depot") != depot_of[query]:
+            wrong.append(query)
+            record(f"PINNED: {query} runs with depot={session.values.get('depot')}; its client has set "
+                   f"depot={depot_of[query]}, and that was acknowledged")
+
+    for server in service.servers:
+        server.on_run = check
+    async def load(depots, seconds, failing_from=None):
+        """Runs the clients of each entry host; the primary fails requests from a time on for FOR_S seconds."""
+        stop = asyncio.Event()
+        clients = [asyncio.create_task(work(fleet, host, depot, stop, depot_of, kept))
+                   for depot in depots for host in fleet.entry_hosts]
+        if failing_from is not None:
+            await asyncio.sleep(failing_from)
+            if runs < 100 or wrong:
+                raise CouldNotRun(f"before the disruption {runs} writes ran, {len(wrong)} of them with wrong values")
+            await fail_requests()
+        await asyncio.sleep(seconds)
+        stop.set()
+        await asyncio.gather(*clients)
+
+    async def fail_requests():
+        failing = service.primary
+        if TROUBLE:
+            record(f"disruption: {failing.id} fails {FAILING_SHARE} of its requests for {FOR_S} s")
+            failing.failing_share = FAILING_SHARE
+        await asyncio.sleep(FOR_S)
+        failing.failing_share = 0.0
+        record("end of the disruption")
+
+    await load([f"d{number}" for number in range(CLIENTS)], 2, failing_from=3)
+    under_load = list(wrong)
+    await load(["last"], 1)
+    await asyncio.sleep(QUIET_S)
+    await fail_requests()
+    await load([None, None], 3)
+    after_quiet = wrong[len(under_load):]
+    committed = {query for _, entry in fleet.commits for query in entry[4]}
+    for when, each in (("while the server failed requests under load", under_load),
+                       ("of clients that came after it, to connections that had been idle", after_quiet)):
+        record(f"{when}: {len(each)} of {runs} writes ran with the values of another client or without their own; "
+               f"{sum(query in committed for query in each)} of these were committed, and "
+               f"{sum(query in kept for query in each)} acknowledged to their clients")
+    return BROKEN if wrong else HELD
 
 
-play(main, FOLDER)
+play(main, FOLDER, entries=ENTRIES)
