The control log bears planned and sudden removals of its hosts beside a lost disk

From then on no control host led: reads of the configuration got 503, no entry host had a lease, no write was served, for good. The same with one replacement and a lost disk 2.5 s later.

Cause: a host beyond the third was a spare that got a vote only after a voter had been silent for 3 s. But a removed host stops counting as lost once its successor has caught up, so the log must bear the removal beside another loss at once. A control host ended on SIGTERM with its vote (Daemon::drain()), the successor had none while the old host still answered, and a voter whose disk was known to be lost still counted for the size of a quorum.

Ruled out: handing over on SIGTERM alone.

LogFaultRunTest makes lost disks known at random.

--- a/ragwortmux/Process/Control/ControlActor.cpp
+++ b/ragwortmux/Process/Control/ControlActor.cpp
@@ -219,6 +219,13 @@
        });
 }
 
+void ControlActor::shouldAwaitRemoval(Respond<bool> Reply) {
+  send(ControlTaskKind::Identify,
+       [Reply = replyOnLoop(std::move(Reply))](ControlNode &Node, Instant) {
+         Reply(Node.shouldAwaitRemoval());
+       });
+}
+
 void ControlActor::send(ControlTaskKind Kind, Task Work) {
   m_Load->taskPosted();
   ControlTaskMessage Message{std::move(Work), Kind, monotonicNow()};
--- a/ragwortmux/Process/Control/ControlActor.h
+++ b/ragwortmux/Process/Control/ControlActor.h
@@ -53,6 +53,7 @@
   void backendCallCompleted(BackendCallResult Result);
   void peersIdentified(std::vector<PeerIdentity> Peers, bool AllBlank);
   void identify(Respond<IdentifyReply> Reply);
+  void shouldAwaitRemoval(Respond<bool> Reply);
 
 private:
   using Task = std::function<void(ControlNode &Node, Instant Now)>;
--- a/ragwortmux/Process/Control/ControlNode.cpp
+++ b/ragwortmux/Process/Control/ControlNode.cpp
@@ -250,12 +250,13 @@
             Members.m_Members.size());
     m_Log->bootstrap(Now, Members);
   }
+  updateReplacedMembers(Now, Peers);
   if (m_Log->isReady()) {
     const auto Step =
-        m_Settings.m_Voters == 0
-            ? nextMembershipChangeForListedPeers(m_Log->membership(), Peers)
-            : nextMembershipChangeForDiscoveredPeers(m_Log->membership(), Peers,
-                                                     m_Settings.m_Voters);
+        m_Settings.m_Voters
+            ? nextMembershipChangeForDiscoveredPeers(m_Log->membership(), Peers,
+                                                     *m_Settings.m_Voters)
+            : nextMembershipChangeForListedPeers(m_Log->membership(), Peers);
     if (Step) {
       startVoterStep(Now, *Step);
     }
@@ -263,6 +264,31 @@
   eventHandled(Now);
 }
 
+void ControlNode::updateReplacedMembers(
+    Instant Now, const std::vector<PeerIdentity> &Peers) {
+  const std::set<VoterId> Before = m_ReplacedMembers.ids();
+  m_ReplacedMembers.update(Now, m_Log->membership(), Peers);
+  for (const VoterId &Id : m_ReplacedMembers.ids()) {
+    if (!Before.contains(Id)) {
+      logInfo(Part::Control,
+              "The disk of voter {} is lost: another id answers at {}.",
+              Id.value(), m_Log->membership().find(Id)->m_Address);
+    }
+  }
+  m_Log->setReplacedMembers(Now, m_ReplacedMembers.ids());
+}
+
+bool ControlNode::shouldAwaitRemoval() const {
+  if (!m_Settings.m_Voters || hasFailed()) {
+    return false;
+  }
+  // The newest configuration may lack this host and still be replaced by the
+  // one before it.
+  return m_Log->log().membershipIndex() > m_Log->commitIndex() ||
+         ragwortmux::shouldAwaitRemoval(m_Log->membership(), m_Log->self(),
+                                        *m_Settings.m_Voters);
+}
+
 IdentifyReply ControlNode::identify() const {
   IdentifyReply Reply;
   for (const LogMember &Member : m_Log->membership().m_Members) {
@@ -270,6 +296,10 @@
   }
   Reply.m_Voter = m_Log->self().value();
   Reply.m_Blank = m_Log->membership().m_Members.empty();
+  const LogIndex Configured = m_Log->log().membershipIndex();
+  if (Configured <= m_Log->commitIndex()) {
+    Reply.m_Configuration = Configured.value();
+  }
   return Reply;
 }
 
--- a/ragwortmux/Process/Control/ControlNode.h
+++ b/ragwortmux/Process/Control/ControlNode.h
@@ -25,13 +25,13 @@
 /// Settings of a ControlNode.
 struct ControlNodeSettings final {
   std::string m_Address; ///< Address at which the other members reach this one.
-  bool m_Bootstrap = false;    ///< May bootstrap a new log.
-  std::size_t m_Voters = 0;    ///< Target number of voters among the discovered
-                               ///< control hosts; 0: all listed hosts vote.
-  ReplicatedLogSettings m_Log; ///< The replicated log.
-  ControlLeaderSettings m_Leader;         ///< Decisions of the leader.
-  ControlState::Settings m_State;         ///< Limits of the state.
-  WorkspaceLimiterSettings m_Limiter;     ///< Rate limits of workspaces.
+  bool m_Bootstrap = false;            ///< May bootstrap a new log.
+  std::optional<VoterTarget> m_Voters; ///< Voters among the discovered control
+                                       ///< hosts; null: all listed hosts vote.
+  ReplicatedLogSettings m_Log;         ///< The replicated log.
+  ControlLeaderSettings m_Leader;      ///< Decisions of the leader.
+  ControlState::Settings m_State;      ///< Limits of the state.
+  WorkspaceLimiterSettings m_Limiter;  ///< Rate limits of workspaces.
   std::uint64_t m_SnapshotEntries = 4096; ///< Most entries between snapshots.
   std::size_t m_SnapshotBytes =
       std::size_t{8} << 20; ///< Payload bytes after which a snapshot is due
@@ -112,6 +112,9 @@
   /// answered that their logs are empty.
   void peersIdentified(Instant Now, const std::vector<PeerIdentity> &Peers,
                        bool AllBlank);
+  /// True if this host, which has been told to end, should remain until it is
+  /// removed from the log's configuration; see shouldAwaitRemoval().
+  bool shouldAwaitRemoval() const;
 
   /// True once a write to the disk has failed; from then on this node takes no
   /// part in the replicated log.
@@ -171,6 +174,8 @@
   /// leader.
   void sendPromotion(std::uint64_t Token);
   void snapshotIfDue(Instant Now);
+  void updateReplacedMembers(Instant Now,
+                             const std::vector<PeerIdentity> &Peers);
   void startVoterStep(Instant Now, const MembershipChange &Step);
   void failPending();
   void answerQuery(const PendingQuery &Query);
@@ -206,6 +211,7 @@
   LogIndex m_LastSnapshot; ///< Last index covered by a snapshot.
   std::map<VoterId, std::string>
       m_AddressByVoter;                   ///< Addresses of control hosts.
+  ReplacedMembers m_ReplacedMembers;      ///< Members whose disks are lost.
   ResultCode m_LastCode = ResultCode::Ok; ///< See lastCode().
   std::string m_LastReason;               ///< See lastReason().
 };
--- a/ragwortmux/Process/Control/ControlRole.cpp
+++ b/ragwortmux/Process/Control/ControlRole.cpp
@@ -13,6 +13,7 @@
 #include "ragwortmux/Process/Support/ProcessSettings.h"
 #include "ragwortmux/Process/Support/Timeline.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ragwortmux {
@@ -34,6 +35,12 @@
 constexpr Duration PeerRetention = std::chrono::seconds(60);
 /// Limit above which control hosts named by others are not added.
 constexpr std::size_t MaxKnownPeers = 64;
+/// Interval between two checks whether a leaving host has been removed.
+constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(100);
+/// Part of the drain timeout for which a leaving host waits to be removed, in
+/// percent.
+constexpr int LeavePercent = 75;
+constexpr int PercentBase = 100;
 
 std::string callSql(const CallBackend &Call) {
   const std::string TermText = std::to_string(Call.m_Term.value());
@@ -92,10 +99,12 @@
   Hooks.m_LogMessage = [this](LogEnvelope Envelope) {
     m_Actor->receive(std::move(Envelope));
   };
-  Hooks.m_Identify = [this](const std::string &From) {
+  Hooks.m_Identify = [this](const std::string &From, bool IsLeaving) {
     if (discoversPeers() && parseSocketAddress(From) &&
         m_Peers.size() < MaxKnownPeers) {
-      m_Peers[From].m_LastNamedAt = monotonicNow();
+      KnownPeer &Peer = m_Peers[From];
+      Peer.m_LastNamedAt = monotonicNow();
+      Peer.m_IsLeaving = IsLeaving;
     }
     return m_Identity;
   };
@@ -170,7 +179,9 @@
   ControlNodeSettings Node;
   Node.m_Address = ownAddress();
   Node.m_Bootstrap = m_Settings.m_Bootstrap;
-  Node.m_Voters = m_Settings.targetVoters();
+  if (discoversPeers()) {
+    Node.m_Voters = {m_Settings.targetVoters(), m_Settings.maxVoters()};
+  }
   Node.m_Log.m_Random = systemRandom;
   Node.m_Log.m_HeartbeatInterval = m_Settings.m_Heartbeat;
   Node.m_Log.m_ElectionTimeoutMin = m_Settings.m_ElectionTimeout;
@@ -343,10 +354,11 @@
 void ControlRole::identifyPeers() {
   removeExpiredPeers();
   const std::string OwnAddress = ownAddress();
-  m_Actor->identify([this, OwnAddress](const IdentifyReply &Reply) {
+  const Instant Now = monotonicNow();
+  m_Actor->identify([this, OwnAddress, Now](const IdentifyReply &Reply) {
     m_Identity = Reply;
     m_Identity.m_Host = m_Settings.m_Host;
-    recordPeer(OwnAddress, Reply);
+    recordPeer(OwnAddress, Now, Reply);
     reportPeers();
   });
   std::vector<std::string> Others;
@@ -357,18 +369,71 @@
   }
   for (const std::string &Address : Others) {
     link(Address).identify(
-        OwnAddress, [this, Address](const std::optional<IdentifyReply> &Reply) {
-          if (Reply) {
-            recordPeer(Address, *Reply);
+        OwnAddress, m_IsLeaving,
+        [this, Address, Now](const std::optional<IdentifyReply> &Reply) {
+          if (!Reply) {
+            return;
+          }
+          recordPeer(Address, Now, *Reply);
+          if (m_IsLeaving && hasRemovedThisHost(*Reply)) {
+            finishLeave("it has been removed from the log");
           }
         });
   }
 }
 
-void ControlRole::recordPeer(const std::string &Address,
+void ControlRole::leave(std::function<void()> Done) {
+  m_IsLeaving = true;
+  m_Peers[ownAddress()].m_IsLeaving = true;
+  m_LeaveDone = std::move(Done);
+  m_LeaveUntil =
+      monotonicNow() + m_Settings.m_DrainTimeout * LeavePercent / PercentBase;
+  m_Loop.every(LeaveCheckInterval, [this] { checkLeave(); });
+  checkLeave();
+}
+
+void ControlRole::checkLeave() {
+  if (!m_LeaveDone) {
+    return;
+  }
+  if (monotonicNow() >= m_LeaveUntil) {
+    finishLeave("no other host has taken its vote in time");
+    return;
+  }
+  identifyPeers();
+  m_Actor->shouldAwaitRemoval([this](bool ShouldAwait) {
+    if (!ShouldAwait) {
+      finishLeave("the log needs no other host in its place");
+    }
+  });
+}
+
+void ControlRole::finishLeave(std::string_view Why) {
+  if (!m_LeaveDone) {
+    return;
+  }
+  logInfo(Part::Control, "This control host leaves: {}.", Why);
+  std::exchange(m_LeaveDone, nullptr)();
+}
+
+bool ControlRole::hasRemovedThisHost(const IdentifyReply &Reply) const {
+  // The leader sends a removed member nothing any more, so that it learns of
+  // its removal from the configuration of another host.
+  return m_Identity.m_Configuration > 0 &&
+         Reply.m_Configuration > m_Identity.m_Configuration &&
+         std::ranges::find(Reply.m_Members, ownAddress()) ==
+             Reply.m_Members.end();
+}
+
+void ControlRole::recordPeer(const std::string &Address, Instant AskedAt,
                              const IdentifyReply &Reply) {
   const Instant Now = monotonicNow();
   KnownPeer &Peer = m_Peers[Address];
+  // Answers may arrive out of order after a new connection.
+  if (AskedAt < Peer.m_AskedAt) {
+    return;
+  }
+  Peer.m_AskedAt = AskedAt;
   Peer.m_Voter = Reply.m_Voter;
   Peer.m_IsBlank = Reply.m_Blank;
   Peer.m_AnsweredAt = Now;
@@ -401,6 +466,8 @@
     PeerIdentity Identified;
     Identified.m_Address = Address;
     Identified.m_IsListed = Peer.m_IsListed;
+    Identified.m_IsLeaving = Peer.m_IsLeaving;
+    Identified.m_AskedAt = Peer.m_AskedAt;
     if (IsReachable) {
       Identified.m_Voter = VoterId(Peer.m_Voter);
     }
--- a/ragwortmux/Process/Control/ControlRole.h
+++ b/ragwortmux/Process/Control/ControlRole.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwortmux {
@@ -54,6 +55,11 @@
   /// identification of the other control hosts.
   void start();
 
+  /// Hands the vote of this host to another control host, if there is one that
+  /// can take its place. Calls \p Done once this host has been removed from the
+  /// log, if there is none, or after a part of the drain timeout.
+  void leave(std::function<void()> Done);
+
   /// True while this process is the leader.
   bool isLeader() const { return m_IsLeader; }
   ResultCode lastCode() const { return m_LastCode; }
@@ -76,7 +82,11 @@
   /// True if control hosts that the settings do not list may take part.
   bool discoversPeers() const;
   void identifyPeers();
-  void recordPeer(const std::string &Address, const IdentifyReply &Reply);
+  void recordPeer(const std::string &Address, Instant AskedAt,
+                  const IdentifyReply &Reply);
+  void checkLeave();
+  void finishLeave(std::string_view Why);
+  bool hasRemovedThisHost(const IdentifyReply &Reply) const;
   void removeExpiredPeers();
   void reportPeers();
   void leadershipChanged(bool Ready);
@@ -97,6 +107,9 @@
   std::map<std::string, KnownPeer> m_Peers; ///< Control hosts, by address.
   BackendCaller m_BackendCaller;            ///< See setBackendCaller().
   bool m_IsLeader = false;                  ///< See isLeader().
+  bool m_IsLeaving = false;                 ///< leave() has been called.
+  Instant m_LeaveUntil;                     ///< Latest time to end leave().
+  std::function<void()> m_LeaveDone;        ///< Called at the end of leave().
   ResultCode m_LastCode = ResultCode::Ok;   ///< See lastCode().
   std::string m_LastReason;                 ///< See lastReason().
 };
@@ -104,9 +117,11 @@
 /// A control host that the settings list, that is a member of the log, or that
 /// has asked to become one.
 struct ControlRole::KnownPeer final {
-  bool m_IsListed = false; ///< The settings list it.
-  bool m_IsBlank = false;  ///< It answered that its log is empty.
+  bool m_IsListed = false;  ///< The settings list it.
+  bool m_IsBlank = false;   ///< It answered that its log is empty.
+  bool m_IsLeaving = false; ///< It waits to be removed before it ends.
   std::string m_Voter;   ///< Identity of its data folder; empty: no answer yet.
+  Instant m_AskedAt;     ///< When it was asked for its last answer.
   Instant m_AnsweredAt;  ///< Time of its last answer.
   Instant m_LastNamedAt; ///< When it last answered or was named by a peer.
 };
--- a/ragwortmux/Process/Daemon.cpp
+++ b/ragwortmux/Process/Daemon.cpp
@@ -287,7 +287,7 @@
   m_Timeline.record(makeEvent(EventKind::DrainStarted));
   m_Metrics.set(Metric::Draining, {}, 1);
   if (m_Entry == nullptr && m_SessionEntry == nullptr) {
-    stop(0);
+    leaveControl();
     return;
   }
   m_Loop.after(m_Settings.m_DrainTimeout, [this] {
@@ -297,7 +297,7 @@
   const auto Drained = [this] {
     logInfo(Part::Process, "Drain completed.");
     m_Timeline.record(makeEvent(EventKind::DrainEnded));
-    stop(0);
+    leaveControl();
   };
   if (m_SessionEntry) {
     m_SessionEntry->drain(Drained);
@@ -306,6 +306,14 @@
   }
 }
 
+void Daemon::leaveControl() {
+  if (m_Control == nullptr) {
+    stop(0);
+    return;
+  }
+  m_Control->leave([this] { stop(0); });
+}
+
 void Daemon::stop(int Status) {
   m_ExitStatus = Status;
   m_Loop.stop();
--- a/ragwortmux/Process/Daemon.h
+++ b/ragwortmux/Process/Daemon.h
@@ -48,6 +48,7 @@
   void watchSignals();
   void watchReloadSignal();
   void drain();
+  void leaveControl();
   void stop(int Status);
   std::string localStatus() const;
 
--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -274,7 +274,7 @@
   logMessage @0 (message :Data) -> ();
   # A message of the replicated log (see LogMessageCodec).
 
-  identify @1 (from :Text) -> (voter :Text, blank :Bool, host :Text, members :List(Text));
+  identify @1 (from :Text, leaving :Bool) -> (voter :Text, blank :Bool, host :Text, members :List(Text), configuration :UInt64);
   # The identity of this process's data folder; blank while its log is empty. from is the address of a control process
   # that wants to become a member; empty: none.
 
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -818,7 +818,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1f6261657427978, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b1f6261657427978, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -833,7 +833,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1ac63a2f662570a, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c1ac63a2f662570a, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5463,6 +5463,8 @@
   inline bool hasFrom() const;
   inline  ::capnp::Text::Reader getFrom() const;
 
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5498,6 +5500,9 @@
   inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5552,6 +5557,8 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
 
+  inline  ::uint64_t getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5605,6 +5612,9 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
 
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11134,6 +11144,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::IdentifyParams::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::IdentifyParams::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::IdentifyParams::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::IdentifyResults::Reader::hasVoter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -11254,6 +11278,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::IdentifyResults::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::IdentifyResults::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::IdentifyResults::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::OpenSessionParams::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/Log/LeaderState.cpp
+++ b/ragwortmux/Process/Log/LeaderState.cpp
@@ -1,31 +1,13 @@
 #include "ragwortmux/Process/Log/LeaderState.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace ragwortmux {
 
-namespace {
-
-/// The highest value that a quorum of \p Members reaches, where \p ValueOf
-/// returns the value of one voter.
-template <typename Value, typename Function>
-Value quorumValue(const LogMembership &Members, const Function &ValueOf) {
-  std::vector<Value> Values;
-  for (const LogMember &Member : Members.m_Members)
-    if (Member.m_IsVoter)
-      Values.push_back(ValueOf(Member.m_Id));
-  if (Values.empty())
-    return Value();
-  std::sort(Values.begin(), Values.end(), std::greater<>());
-  return Values[Values.size() / 2];
-}
-
-} // namespace
-
-LeaderState::LeaderState(Instant CampaignStart, VoterId Self, LogIndex First)
-    : m_Self(std::move(Self)), m_FirstEntry(First) {
+LeaderState::LeaderState(Instant CampaignStart, VoterId Self, LogIndex First,
+                         const VoterQuorum &Quorum)
+    : m_Self(std::move(Self)), m_FirstEntry(First), m_Quorum(Quorum) {
   m_RoundStarts.push_back({m_Round, CampaignStart});
 }
 
@@ -94,7 +76,7 @@
 
 LogIndex LeaderState::quorumMatchIndex(const LogMembership &Members,
                                        LogIndex OwnDurable) const {
-  return quorumValue<LogIndex>(Members, [&](const VoterId &Id) {
+  return m_Quorum.highestReached<LogIndex>(Members, [&](const VoterId &Id) {
     return Id == m_Self ? OwnDurable : m_Peers.at(Id).m_MatchIndex;
   });
 }
@@ -112,13 +94,12 @@
 
 bool LeaderState::hasQuorumRepliedSince(const LogMembership &Members,
                                         Instant Since) const {
-  return quorumValue<int>(Members, [&](const VoterId &Id) {
-           const auto Found = m_Peers.find(Id);
-           const bool Heard =
-               Id == m_Self ||
-               (Found != m_Peers.end() && Found->second.m_LastReplyAt >= Since);
-           return Heard ? 1 : 0;
-         }) == 1;
+  return m_Quorum.highestReached<int>(Members, [&](const VoterId &Id) {
+    const auto Found = m_Peers.find(Id);
+    const bool Heard = Id == m_Self || (Found != m_Peers.end() &&
+                                        Found->second.m_LastReplyAt >= Since);
+    return Heard ? 1 : 0;
+  }) == 1;
 }
 
 PeerProgress *LeaderState::findPeer(const VoterId &Id) {
@@ -127,9 +108,10 @@
 }
 
 std::uint64_t LeaderState::quorumRound(const LogMembership &Members) const {
-  return quorumValue<std::uint64_t>(Members, [&](const VoterId &Id) {
-    return Id == m_Self ? m_Round : m_Peers.at(Id).m_AnsweredRound;
-  });
+  return m_Quorum.highestReached<std::uint64_t>(
+      Members, [&](const VoterId &Id) {
+        return Id == m_Self ? m_Round : m_Peers.at(Id).m_AnsweredRound;
+      });
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Process/Log/LeaderState.h
+++ b/ragwortmux/Process/Log/LeaderState.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Core/Time.h"
 #include "ragwortmux/Process/Log/LogEntry.h"
+#include "ragwortmux/Process/Log/VoterQuorum.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -39,8 +40,9 @@
 class LeaderState final {
 public:
   /// \p Self is the leader, which requested votes at \p CampaignStart. \p First
-  /// is the first entry of its term.
-  LeaderState(Instant CampaignStart, VoterId Self, LogIndex First);
+  /// is the first entry of its term. \p Quorum must outlive this object.
+  LeaderState(Instant CampaignStart, VoterId Self, LogIndex First,
+              const VoterQuorum &Quorum);
 
   /// Adds and removes peers to match \p Members. Replication to a new peer
   /// starts with the entry \p Next.
@@ -110,6 +112,7 @@
 
   const VoterId m_Self;                     ///< Id of the leader.
   const LogIndex m_FirstEntry;              ///< See firstEntry().
+  const VoterQuorum &m_Quorum;              ///< What forms a quorum.
   std::map<VoterId, PeerProgress> m_Peers;  ///< See peers().
   std::uint64_t m_Round = 1;                ///< See round().
   bool m_NeedsRound = false;                ///< See needsRound().
--- a/ragwortmux/Process/Log/ReplicatedLog.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLog.cpp
@@ -106,6 +106,15 @@
   return appendProposal(std::move(Entry));
 }
 
+void ReplicatedLog::setReplacedMembers(Instant Now,
+                                       std::set<VoterId> Replaced) {
+  if (m_Role == LogRole::Stopped)
+    return;
+  m_Quorum.setReplaced(std::move(Replaced));
+  // Votes that were too few may be a quorum now.
+  countVotes(Now);
+}
+
 bool ReplicatedLog::confirmLeadership(Instant /*Now*/,
                                       ConfirmationToken Token) {
   if (m_Role != LogRole::Leader)
--- a/ragwortmux/Process/Log/ReplicatedLog.h
+++ b/ragwortmux/Process/Log/ReplicatedLog.h
@@ -7,6 +7,7 @@
 #include "ragwortmux/Process/Log/LogAction.h"
 #include "ragwortmux/Process/Log/PersistQueue.h"
 #include "ragwortmux/Process/Log/ReplicatedLogSettings.h"
+#include "ragwortmux/Process/Log/VoterQuorum.h"
 
 #include <map>
 #include <optional>
@@ -79,6 +80,10 @@
   /// change is committed. The last voter cannot be removed.
   std::optional<EntryId> removeMember(Instant Now, const VoterId &Id);
 
+  /// Sets the members whose data folders are known to be lost for good. They
+  /// do not count for quorums; see VoterQuorum.
+  void setReplacedMembers(Instant Now, std::set<VoterId> Replaced);
+
   /// Requests confirmation that this member is still the leader.
   /// LeadershipConfirmed follows once a quorum has answered a heartbeat sent
   /// after this call and all entries committed at the time of this call are
@@ -180,6 +185,7 @@
   LogHardState m_HardState;               ///< Term and vote.
   PersistQueue m_PersistQueue; ///< Changes to persist and delayed messages.
   EntryLog m_Log;              ///< Entries and snapshot in memory.
+  VoterQuorum m_Quorum;        ///< What forms a quorum of the voters.
   std::vector<LogAction> m_Actions; ///< Returned by the next takeActions().
 
   LogRole m_Role = LogRole::Follower; ///< Current role.
--- a/ragwortmux/Process/Log/ReplicatedLogElection.cpp
+++ b/ragwortmux/Process/Log/ReplicatedLogElection.cpp
@@ -188,16 +188,12 @@
 }
 
 void ReplicatedLog::countVotes(Instant Now) {
-  std::size_t Voters = 0;
   std::size_t Granted = 0;
   for (const LogMember &Member : membership().m_Members) {
-    if (!Member.m_IsVoter)
-      continue;
-    ++Voters;
-    if (m_GrantedVotes.contains(Member.m_Id))
+    if (m_Quorum.counts(Member) && m_GrantedVotes.contains(Member.m_Id))
       ++Granted;
   }
-  if (Granted < Voters / 2 + 1)
+  if (Granted < m_Quorum.size(membership()))
     return;
   if (m_Role == LogRole::PreCandidate)
     startElection(Now, false);
@@ -213,7 +209,7 @@
   m_Leader = m_Self;
   m_IsReady = false;
   const LogIndex First(m_Log.last().m_Index.value() + 1);
-  m_LeaderState.emplace(*m_CampaignStartedAt, m_Self, First);
+  m_LeaderState.emplace(*m_CampaignStartedAt, m_Self, First, m_Quorum);
   m_LeaderState->setMembers(Now, membership(), First);
   m_Actions.push_back(BecameLeader{m_HardState.m_Term});
 
--- a/ragwortmux/Process/Peers/ControlMessages.h
+++ b/ragwortmux/Process/Peers/ControlMessages.h
@@ -106,6 +106,8 @@
   HostId m_Host;                      ///< Its host.
   std::vector<std::string> m_Members; ///< Addresses of the log's members, as it
                                       ///< knows them.
+  std::uint64_t m_Configuration = 0;  ///< Index of the log entry that holds
+                                      ///< these members; 0: none is committed.
 };
 
 /// Key of a session's position in one group.
--- a/ragwortmux/Process/Peers/PeerLink.cpp
+++ b/ragwortmux/Process/Peers/PeerLink.cpp
@@ -208,18 +208,21 @@
   });
 }
 
-void PeerLink::identify(const std::string &From, Respond<IdentifyReply> Reply) {
+void PeerLink::identify(const std::string &From, bool IsLeaving,
+                        Respond<IdentifyReply> Reply) {
   m_Impl->callPeer<IdentifyReply>(
       "identify", Reply, [&](rpc::Peer::Client &Peer) {
         auto Call = Peer.identifyRequest();
         Call.setFrom(toText(From));
+        Call.setLeaving(IsLeaving);
         m_Impl->send<IdentifyReply>(
             "identify", kj::mv(Call),
             [](auto &Result) {
               IdentifyReply Identity{toString(Result.getVoter()),
                                      Result.getBlank(),
                                      HostId(toString(Result.getHost())),
-                                     {}};
+                                     {},
+                                     Result.getConfiguration()};
               for (const auto Member : Result.getMembers()) {
                 Identity.m_Members.push_back(toString(Member));
               }
--- a/ragwortmux/Process/Peers/PeerLink.h
+++ b/ragwortmux/Process/Peers/PeerLink.h
@@ -64,8 +64,10 @@
   /// may be lost.
   void sendLogMessage(const std::string &Message);
   /// Asks for the identity of the other process. \p From is the address of this
-  /// process if it wants to become a member of the log, else empty.
-  void identify(const std::string &From, Respond<IdentifyReply> Reply);
+  /// process if it wants to become a member of the log, else empty. \p
+  /// IsLeaving: this process waits to be removed from the log before it ends.
+  void identify(const std::string &From, bool IsLeaving,
+                Respond<IdentifyReply> Reply);
   /// Opens a session; \p Updates handles the updates that control pushes to it.
   void openSession(const EntryAddress &Self, Incarnation Run,
                    UpdateHandler Updates, Respond<OpenSessionReply> Reply);
--- a/ragwortmux/Process/Peers/RpcServer.cpp
+++ b/ragwortmux/Process/Peers/RpcServer.cpp
@@ -159,12 +159,14 @@
   kj::Promise<void> identify(IdentifyContext Context) override {
     const IdentifyReply Reply =
         m_Hooks.m_Identify
-            ? m_Hooks.m_Identify(toString(Context.getParams().getFrom()))
+            ? m_Hooks.m_Identify(toString(Context.getParams().getFrom()),
+                                 Context.getParams().getLeaving())
             : IdentifyReply();
     auto Results = Context.getResults();
     Results.setVoter(toText(Reply.m_Voter));
     Results.setBlank(Reply.m_Blank);
     Results.setHost(toText(Reply.m_Host.value()));
+    Results.setConfiguration(Reply.m_Configuration);
     auto Members =
         Results.initMembers(static_cast<unsigned>(Reply.m_Members.size()));
     unsigned Position = 0;
--- a/ragwortmux/Process/Peers/RpcServer.h
+++ b/ragwortmux/Process/Peers/RpcServer.h
@@ -29,7 +29,8 @@
   /// A message of the replicated log.
   std::function<void(LogEnvelope Envelope)> m_LogMessage;
   /// Returns the identity of this process; see PeerLink::identify().
-  std::function<IdentifyReply(const std::string &From)> m_Identify;
+  std::function<IdentifyReply(const std::string &From, bool IsLeaving)>
+      m_Identify;
   /// An entry process opens a control session.
   std::function<void(EntryAddress Host, Incarnation Run,
                      UpdateListener Listener, Respond<OpenSessionReply>)>
--- a/ragwortmux/Process/Support/ProcessSettings.cpp
+++ b/ragwortmux/Process/Support/ProcessSettings.cpp
@@ -205,6 +205,15 @@
                                2 * m_ControlToleratedLosses + 1);
 }
 
+std::size_t ProcessSettings::maxVoters() const {
+  // Five voters bear the loss of two, for example of a host that is replaced
+  // without notice and of another one that loses its disk.
+  constexpr std::size_t SpareVoters = 5;
+  constexpr std::size_t LeastWithSpares = 3;
+  const std::size_t Target = targetVoters();
+  return Target < LeastWithSpares ? Target : std::max(Target, SpareVoters);
+}
+
 const ControlPeer *ProcessSettings::ownPeer() const {
   const auto Found =
       std::ranges::find(m_ControlPeers, m_Host, &ControlPeer::m_Host);
--- a/ragwortmux/Process/Support/ProcessSettings.h
+++ b/ragwortmux/Process/Support/ProcessSettings.h
@@ -129,6 +129,9 @@
   /// Number of control hosts that are to vote: a majority must survive the
   /// tolerated losses. 0: all of m_ControlPeers and no others.
   std::size_t targetVoters() const;
+  /// Most control hosts that vote; discovered hosts beyond targetVoters() get a
+  /// vote up to this number.
+  std::size_t maxVoters() const;
   /// This host's own entry in m_ControlPeers; null if it is not listed.
   const ControlPeer *ownPeer() const;
 };
--- a/ragwortmux/Process/Support/SettingTable.cpp
+++ b/ragwortmux/Process/Support/SettingTable.cpp
@@ -270,7 +270,8 @@
                   "Folder of the control log; the control role needs it."),
       numberSetting("control_voters", "0", 0, MaxControlPeers,
                     &ProcessSettings::m_ControlVoters,
-                    "How many of the control hosts that are found vote; 0: all "
+                    "How many of the control hosts that are found vote at "
+                    "least; from 3 on, further ones vote too, up to 5. 0: all "
                     "of control_peers, and no others."),
       numberSetting("control_tolerated_losses", "0", 0, MaxToleratedLosses,
                     &ProcessSettings::m_ControlToleratedLosses,
--- a/tests/Log/LogFaultRun.h
+++ b/tests/Log/LogFaultRun.h
@@ -99,7 +99,22 @@
                        [this] { maintainMembership(); });
   }
 
+  /// Tells a member of lost disks; sooner or later all hear of all.
+  void reportReplacedMembers(ReplicatedLog &Log) {
+    if (m_Network.random(2) == 0)
+      return;
+    std::set<VoterId> Replaced;
+    for (const LogMember &Member : Log.membership().m_Members) {
+      const LogNetwork::Host &Node =
+          m_Network.hosts()[std::stoul(Member.m_Address)];
+      if (Node.isUp() && Node.m_Id != Member.m_Id)
+        Replaced.insert(Member.m_Id);
+    }
+    Log.setReplacedMembers(m_Network.now(), std::move(Replaced));
+  }
+
   void changeMembership(ReplicatedLog &Log) {
+    reportReplacedMembers(Log);
     if (!Log.isReady())
       return;
     const Instant Now = m_Network.now();
