A statement is sent only once the server has confirmed its session

After the server was well again, callers without any value wrote under one that a caller of before had set, and got a success.

Cause: the steps that give a shared connection the session of a caller (DISCARD, SET, PREPARE) and the statement went out in one piece, and the answers to the steps were read when the statement had run. Any answer to the DISCARD of an idle check counted as a reset.

Related paths: a ROLLBACK of this proxy, or a BEGIN, COMMIT or ROLLBACK of a caller, that failed left its connection in use; a statement whose caller left during the set-up ran; relays run statements by the same core.

Now SessionCore sends the steps alone (SetUpSession), and the statement after all are confirmed and lease, primary, term, deadline and caller are checked again. A connection whose session is not known is closed; the statement has not run and is placed anew, or its transaction is rolled back. docs/design/backend-session-state.md has each answer and what was weighed.

Cost: one round trip more for a statement that needs a set-up.

FormatsReplayBeforeStatement asked for the fault (steps and statement in one piece); FormatsSetUpAndStatementApart asks for the same texts apart.

--- a/ragwortmux/Connection/BackendSession.cpp
+++ b/ragwortmux/Connection/BackendSession.cpp
@@ -12,14 +12,14 @@
 
 } // namespace
 
-ReplayPlan BackendSession::plan(const SessionState &Target,
-                                const PreparedStatement *Required) {
-  ReplayPlan Plan;
+SessionPlan BackendSession::plan(const SessionState &Target,
+                                 const PreparedStatement *Required) {
+  SessionPlan Plan;
   const bool IsFull = Required != nullptr && m_Prepared.size() >= MaxPrepared &&
                       !m_Prepared.contains(Required->m_Definition);
   if (hasExtraValues(Target) || IsFull) {
     // A single value cannot be unset, so the whole state is discarded.
-    Plan.m_Steps.push_back({ReplayStep::Kind::Discard, "", ""});
+    Plan.m_Steps.push_back({SessionStep::Kind::Discard, "", ""});
     m_Values.clear();
     m_Prepared.clear();
   }
@@ -28,7 +28,7 @@
     if (Known != m_Values.end() && Known->second == Value)
       continue;
     m_Values[Name] = Value;
-    Plan.m_Steps.push_back({ReplayStep::Kind::SetValue, Name, Value});
+    Plan.m_Steps.push_back({SessionStep::Kind::SetValue, Name, Value});
   }
   if (Required == nullptr)
     return Plan;
@@ -36,7 +36,7 @@
   if (IsNew) {
     Known->second = "p" + std::to_string(++m_LastName);
     Plan.m_Steps.push_back(
-        {ReplayStep::Kind::Prepare, Known->second, Required->m_Definition});
+        {SessionStep::Kind::Prepare, Known->second, Required->m_Definition});
   }
   Plan.m_PreparedName = Known->second;
   return Plan;
--- a/ragwortmux/Connection/BackendSession.h
+++ b/ragwortmux/Connection/BackendSession.h
@@ -12,7 +12,7 @@
 namespace ragwortmux {
 
 /// One step of setting up a backend connection for a caller's session state.
-struct ReplayStep final {
+struct SessionStep final {
   /// Kind of step.
   enum class Kind : std::uint8_t {
     Discard,  ///< Clear all values and prepared statements.
@@ -24,17 +24,20 @@
   std::string m_Name;          ///< Name of the value or prepared statement.
   std::string m_Text;          ///< The value, or the statement's definition.
 
-  friend bool operator==(const ReplayStep &, const ReplayStep &) = default;
+  friend bool operator==(const SessionStep &, const SessionStep &) = default;
 };
 
-/// The steps that must run on a backend connection before a caller's statement.
-struct ReplayPlan final {
-  std::vector<ReplayStep> m_Steps; ///< Steps in execution order.
+/// The steps that must succeed on a backend connection before a caller's
+/// statement is sent on it.
+struct SessionPlan final {
+  std::vector<SessionStep> m_Steps; ///< Steps in execution order.
   std::string m_PreparedName; ///< Name that the required prepared statement has
                               ///< on this connection; empty if none is needed.
 };
 
-/// Tracks the session values and prepared statements of a backend connection.
+/// Tracks the session values and prepared statements of a backend connection
+/// while they are known; docs/design/backend-session-state.md says what each
+/// answer of the server means for them.
 ///
 /// Prepared statements get a name that is private to the connection, one per
 /// definition. Callers with the same definition share it, and equal names
@@ -44,8 +47,8 @@
   /// Returns the steps that establish \p Target and prepare \p Required, which
   /// may be null. The steps are recorded as done, so the connection must be
   /// closed if one of them fails.
-  ReplayPlan plan(const SessionState &Target,
-                  const PreparedStatement *Required);
+  SessionPlan plan(const SessionState &Target,
+                   const PreparedStatement *Required);
 
   /// Number of steps that plan() would return, apart from the Discard that it
   /// adds once the connection has too many prepared statements.
--- a/ragwortmux/Process/Backend/StatementConnection.h
+++ b/ragwortmux/Process/Backend/StatementConnection.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace ragwortmux {
 
@@ -27,8 +28,8 @@
   std::function<void(bool ServerAnswered, const std::string &Reason)> m_Failed;
   std::function<void(const std::string &Reason)>
       m_Lost; ///< Lost after it was open.
-  std::function<void(const StatementReply &)>
-      m_Answered; ///< Reply to run() or probe().
+  std::function<void(const StatementReply &)> m_Answered; ///< Reply to setUp(),
+                                                          ///< run() or probe().
 };
 
 /// A connection to a backend server of a delegated group. Its destruction
@@ -41,7 +42,10 @@
   StatementConnection(const StatementConnection &) = delete;
   StatementConnection &operator=(const StatementConnection &) = delete;
 
-  /// Runs a statement after its replay; at most one at a time.
+  /// Runs the steps of a session set-up; m_Answered is called once, after all
+  /// of them.
+  virtual void setUp(const std::vector<SessionStep> &Steps) = 0;
+  /// Runs a statement; at most one, or one set-up, at a time.
   virtual void run(const RunStatement &Run) = 0;
   /// Resets the state of the connection at the server without occupying a
   /// slot.
--- a/ragwortmux/Process/Entry/SessionDriver.cpp
+++ b/ragwortmux/Process/Entry/SessionDriver.cpp
@@ -152,6 +152,13 @@
   removeConnection(Action.m_Connection);
 }
 
+void SessionDriver::performAction(const SetUpSession &Action) {
+  const auto Found = m_Connections.find(Action.m_Connection);
+  if (Found != m_Connections.end()) {
+    Found->second->setUp(Action.m_Steps);
+  }
+}
+
 void SessionDriver::performAction(const RunStatement &Action) {
   const auto Found = m_Connections.find(Action.m_Connection);
   if (Found != m_Connections.end()) {
--- a/ragwortmux/Process/Entry/SessionDriver.h
+++ b/ragwortmux/Process/Entry/SessionDriver.h
@@ -67,6 +67,7 @@
   void tryPerformAction(const SessionAction &Action);
   void performAction(const OpenSessionConnection &Action);
   void performAction(const CloseSessionConnection &Action);
+  void performAction(const SetUpSession &Action);
   void performAction(const RunStatement &Action);
   void performAction(const ProbeConnection &Action);
   void performAction(const SessionAnswer &Action);
--- a/ragwortmux/Request/SessionCore.cpp
+++ b/ragwortmux/Request/SessionCore.cpp
@@ -173,21 +173,24 @@
   if (Known != nullptr)
     m_LastReply[Known->m_Server] = Now;
   const auto Running = m_Running.find(Connection);
+  const bool IsDoneAndIdle = Reply.m_Outcome == StatementOutcome::Done &&
+                             Reply.m_Status == TransactionStatus::Idle;
   if (Known == nullptr) {
     // The connection was abandoned, so no request waits for this reply.
   } else if (Known->m_State == ConnectionState::Probing) {
-    // A probe resets the session state of the connection.
-    m_Sessions.erase(Connection);
-    PoolActions FromPool;
-    m_Pool.probed(Now, Connection, FromPool);
-    apply(FromPool);
+    handleProbeReply(Connection, IsDoneAndIdle);
   } else if (m_RollingBack.erase(Connection) > 0) {
-    if (Reply.m_Status == TransactionStatus::Idle)
+    if (IsDoneAndIdle)
       releaseConnection(Connection);
     else
       dropConnection(Connection);
   } else if (Running != m_Running.end()) {
     Request &State = m_Requests.at(Running->second);
+    if (State.m_IsSettingUp) {
+      handleSetUpReply(State, Reply);
+      endEvent();
+      return;
+    }
     m_Running.erase(Running);
     releaseSlot(State);
     recordPosition(State, Reply);
@@ -200,6 +203,18 @@
   endEvent();
 }
 
+void SessionCore::handleProbeReply(ConnectionId Connection, bool IsReset) {
+  if (!IsReset) {
+    // Whether the server has kept the session state is unknown.
+    dropConnection(Connection);
+    return;
+  }
+  m_Sessions.erase(Connection);
+  PoolActions FromPool;
+  m_Pool.probed(m_Now, Connection, FromPool);
+  apply(FromPool);
+}
+
 void SessionCore::viewChanged(Instant Now, const GroupView &View,
                               SessionActions &Actions) {
   const bool WasOutdated = m_IsRecordOutdated;
@@ -392,7 +407,7 @@
 }
 
 bool SessionCore::isCommitOfEndedTerm(const Request &State) const {
-  return State.m_Connection && State.isCommit() &&
+  return State.m_Connection && State.isCommit() && !State.m_IsSettingUp &&
          State.m_Term != m_View.m_Term;
 }
 
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -183,7 +183,18 @@
   void releaseSlot(Request &State);
   bool hasFreeSlot(const ServerView &Server) const;
 
+  // Set-up of the session on a connection.
+  void setUpOrSend(Request &State);
+  void sendStatement(Request &State);
+  void handleSetUpReply(Request &State, const StatementReply &Reply);
+  bool maySendAfterSetUp(const Request &State) const;
+  bool canSendCommit(Term TransactionTerm) const;
+  void abandonSetUp(Request &State);
+  void releaseUnused(Request &State);
+  void handleUnsentStatement(Request &State);
+
   // Answers.
+  void handleProbeReply(ConnectionId Connection, bool IsReset);
   void handleReply(Request &State, const StatementReply &Reply);
   void handleTransactionReply(Request &State, const StatementReply &Reply);
   bool retryIfNotRun(Request &State, const StatementReply &Reply);
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -35,16 +35,28 @@
   case StatementOutcome::UnknownStatement:
   case StatementOutcome::Malformed:
     return ResultCode::NotRunBadRequest;
-  case StatementOutcome::ReplayFailed:
+  case StatementOutcome::SetUpFailed:
     break;
   }
   return ResultCode::OutcomeUnknown;
 }
 
-/// True if the connection can serve another caller after this reply.
-bool leavesConnectionClean(const StatementReply &Reply) {
+/// True if \p Kind begins or ends a transaction.
+bool controlsTransaction(StatementKind Kind) {
+  return isBegin(Kind) || Kind == StatementKind::Commit ||
+         Kind == StatementKind::Rollback;
+}
+
+/// True if the state of the connection's session is known after this reply to a
+/// statement of \p Kind, and no transaction is open, so that the connection can
+/// serve another caller.
+bool leavesConnectionClean(StatementKind Kind, const StatementReply &Reply) {
+  const bool HasFailed =
+      hasRun(Reply.m_Outcome) && Reply.m_Outcome != StatementOutcome::Done;
+  if (HasFailed && controlsTransaction(Kind))
+    return false;
   switch (Reply.m_Outcome) {
-  case StatementOutcome::ReplayFailed:
+  case StatementOutcome::SetUpFailed:
   case StatementOutcome::UnknownStatement:
   case StatementOutcome::Malformed:
   case StatementOutcome::WrongServer:
@@ -88,7 +100,7 @@
     beginTransaction(State, Reply);
     return;
   }
-  if (leavesConnectionClean(Reply))
+  if (leavesConnectionClean(State.m_Request.m_Statement.m_Kind, Reply))
     releaseConnection(Connection);
   else
     dropConnection(Connection);
@@ -189,8 +201,7 @@
   Open.m_Running.reset();
   Open.m_IdleSince = m_Now;
   const bool IsStillOpen = Reply.m_Status != TransactionStatus::Idle;
-  const bool IsUnknown = Reply.m_Outcome == StatementOutcome::ReplayFailed ||
-                         Reply.m_Outcome == StatementOutcome::UnknownStatement;
+  const bool IsUnknown = Reply.m_Outcome == StatementOutcome::UnknownStatement;
   if (Reply.m_Outcome == StatementOutcome::NotPrimary)
     emit(ReportServer{State.m_Server, SuspicionKind::NotPrimary});
   if (Reply.m_Outcome == StatementOutcome::Busy &&
@@ -222,7 +233,7 @@
     return;
   }
   m_Transactions.erase(Found);
-  if (leavesConnectionClean(Reply))
+  if (leavesConnectionClean(State.m_Request.m_Statement.m_Kind, Reply))
     releaseConnection(Connection);
   else
     dropConnection(Connection);
@@ -272,6 +283,10 @@
 }
 
 void SessionCore::handleLostStatement(Request &State, bool IsRetryPaid) {
+  if (std::exchange(State.m_IsSettingUp, false)) {
+    handleUnsentStatement(State);
+    return;
+  }
   const Statement &Submitted = State.m_Request.m_Statement;
   if (State.m_InTransaction) {
     const auto Open = m_Transactions.find(State.m_Request.m_Caller);
@@ -348,6 +363,7 @@
 
 void SessionCore::dropStatement(Request &State) {
   const ConnectionId Connection = *State.m_Connection;
+  State.m_IsSettingUp = false;
   m_Running.erase(Connection);
   releaseSlot(State);
   m_CrossDomain.statementEnded(State.m_Server);
@@ -366,8 +382,9 @@
   if (Open.m_Running) {
     Request &State = m_Requests.at(*Open.m_Running);
     assert(State.m_Connection);
-    // A running commit must complete; any other statement is abandoned.
-    if (State.m_Request.m_Statement.m_Kind == StatementKind::Commit)
+    // A commit that was sent must complete; any other statement is abandoned.
+    if (State.m_Request.m_Statement.m_Kind == StatementKind::Commit &&
+        !State.m_IsSettingUp)
       return;
     dropStatement(State);
     m_Transactions.erase(Caller);
@@ -407,6 +424,11 @@
 }
 
 void SessionCore::expire(Request &State) {
+  if (State.m_IsSettingUp) {
+    dropStatement(State);
+    handleUnsentStatement(State);
+    return;
+  }
   if (State.m_Connection) {
     const bool MayHaveCommitted = State.isCommit();
     const bool InTransaction = State.m_InTransaction;
@@ -447,16 +469,21 @@
   // Suspecting the server may already have ended the statement.
   const bool IsSent = State.m_Connection.has_value();
   const bool CanRepeat =
-      !State.m_InTransaction && !State.m_Request.m_Statement.m_Writes;
+      !State.m_InTransaction &&
+      (State.m_IsSettingUp || !State.m_Request.m_Statement.m_Writes);
   if (!IsSent || !CanRepeat || !tryConsumeRetry(State))
     return;
   rerunOnOtherServer(State);
 }
 
 void SessionCore::rerunOnOtherServer(Request &State) {
+  const bool WasSent = !State.m_IsSettingUp;
   dropStatement(State);
   State.m_Avoid.push_back(State.m_Server);
-  handleLostStatement(State, true);
+  if (WasSent)
+    handleLostStatement(State, true);
+  else
+    handleUnsentStatement(State);
 }
 
 void SessionCore::retryReadsAt(const ServerId &Server) {
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -446,15 +446,7 @@
   m_Running[Connection] = Submitted.m_Id;
   m_CrossDomain.statementSent(m_Now, Server);
 
-  RunStatement Run;
-  Run.m_Connection = Connection;
-  Run.m_Replay =
-      m_Sessions[Connection].plan(*Submitted.m_State, State.prepared());
-  Run.m_Statement = Submitted.m_Statement;
-  if (Floor)
-    Run.m_Floor = Floor->m_Point;
-  emit(std::move(Run));
-  recordDecision(State, SessionDecision::Sent, ResultCode::Ok);
+  setUpOrSend(State);
 }
 
 void SessionCore::submitInTransaction(Request &State, Transaction &Open) {
@@ -475,9 +467,7 @@
   State.m_CommitsWrites = Open.m_Wrote && State.m_Request.m_Statement.m_Kind ==
                                               StatementKind::Commit;
   // Do not send a commit that could no longer be acknowledged.
-  if (State.m_CommitsWrites &&
-      (m_AcknowledgedTerm != Open.m_Term ||
-       m_Now + m_Settings.m_LeaseMargin >= leaseExpiry())) {
+  if (State.m_CommitsWrites && !canSendCommit(Open.m_Term)) {
     abandonTransaction(Open);
     submitInTransaction(State, Open);
     return;
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -49,11 +49,19 @@
   ConnectionId m_Connection; ///< The connection.
 };
 
+/// Gives a connection a session state; completed by one statementAnswered(),
+/// whose outcome is Done only if all steps succeeded, or by connectionLost().
+struct SetUpSession final {
+  ConnectionId m_Connection;        ///< The connection.
+  std::vector<SessionStep> m_Steps; ///< Steps to run, in order; at least one.
+};
+
 /// Runs a statement; completed by statementAnswered() or connectionLost().
 struct RunStatement final {
-  ConnectionId m_Connection; ///< The connection.
-  ReplayPlan m_Replay;   ///< Session state steps to run before the statement.
-  Statement m_Statement; ///< The statement.
+  ConnectionId m_Connection;  ///< The connection.
+  std::string m_PreparedName; ///< For Execute: name of the prepared statement
+                              ///< on this connection.
+  Statement m_Statement;      ///< The statement.
   bool m_IsInternal =
       false; ///< The statement was issued by this proxy, not by a caller.
   std::optional<LogPoint>
@@ -130,8 +138,8 @@
 
 /// An action for the caller of SessionCore to execute, in order.
 using SessionAction =
-    std::variant<OpenSessionConnection, CloseSessionConnection, RunStatement,
-                 ProbeConnection, SessionAnswer, ReportServer,
+    std::variant<OpenSessionConnection, CloseSessionConnection, SetUpSession,
+                 RunStatement, ProbeConnection, SessionAnswer, ReportServer,
                  SessionDecisionRecord, CrossDomainChange>;
 
 /// Actions in order of execution.
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace ragwortmux {
@@ -43,6 +44,10 @@
                                    ///< domain.
   bool m_IsSilenceHandled = false; ///< The missing answer has been acted upon;
                                    ///< see SessionCore::checkSilence().
+  bool m_IsSettingUp = false; ///< Its connection is being given the session
+                              ///< state of the caller; it is not sent yet.
+  std::string m_PreparedName; ///< For Execute: name of the prepared statement
+                              ///< on the connection.
   bool m_MayHaveRun = false; ///< A try was lost, so a refusal must not say that
                              ///< it has not run.
   bool m_HoldsSlot = false;  ///< It is counted in SessionCore::m_SlotsHeld.
--- a/tests/Log/ReplacementRun.h
+++ b/tests/Log/ReplacementRun.h
@@ -31,7 +31,8 @@
 class ReplacementRun final {
 public:
   ReplacementRun(std::uint64_t Seed, ReplacementRules Rules)
-      : m_Rules(Rules), m_Network(Seed, OldHosts + MaxSuccessors, faultyNetwork()),
+      : m_Rules(Rules),
+        m_Network(Seed, OldHosts + MaxSuccessors, faultyNetwork()),
         m_Knowledge(OldHosts + MaxSuccessors) {
     for (std::size_t Number = OldHosts; Number < m_Network.hosts().size();
          ++Number) {
--- a/tests/Platform/TextTest.cpp
+++ b/tests/Platform/TextTest.cpp
@@ -170,18 +170,19 @@
   BOOST_TEST(!parseStatement("", "READ a").has_value());
 }
 
-BOOST_AUTO_TEST_CASE(FormatsReplayBeforeStatement) {
+BOOST_AUTO_TEST_CASE(FormatsSetUpAndStatementApart) {
+  const std::vector<SessionStep> Steps = {
+      {SessionStep::Kind::Discard, "", ""},
+      {SessionStep::Kind::SetValue, "tenant", "7"},
+      {SessionStep::Kind::Prepare, "p1", "READ q2c"}};
+  BOOST_TEST(formatSteps(Steps) == "QUERY - DISCARD\r\n"
+                                   "QUERY - SET tenant 7\r\n"
+                                   "QUERY - PREPARE p1 READ q2c\r\n");
   RunStatement Run;
   Run.m_Statement = *parseStatement("5c0e", "EXECUTE s1 1a4 data");
-  Run.m_Replay.m_PreparedName = "p1";
-  Run.m_Replay.m_Steps = {{ReplayStep::Kind::Discard, "", ""},
-                          {ReplayStep::Kind::SetValue, "tenant", "7"},
-                          {ReplayStep::Kind::Prepare, "p1", "READ q2c"}};
+  Run.m_PreparedName = "p1";
   Run.m_Floor = LogPoint{Term(3), LogPosition(1207)};
   BOOST_TEST(formatRun(Run) ==
-             "QUERY - DISCARD\r\n"
-             "QUERY - SET tenant 7\r\n"
-             "QUERY - PREPARE p1 READ q2c\r\n"
              "QUERY 5c0e SINCE 3.1207 EXECUTE p1 1a4 data\r\n");
 }
 
--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -57,6 +57,34 @@
   BOOST_TEST(First.execute("READ d").front() == "ROW five");
 }
 
+// Guards against statements that run with the session values of another caller
+// because the server failed the SET or DISCARD that was to replace them.
+BOOST_AUTO_TEST_CASE(FailedSessionStepsLetNothingRun) {
+  WireCaller Plain(m_CallerPort, "booking");
+  BOOST_REQUIRE(waitUntil([&] { return Plain.succeeds("WRITE a one"); }));
+  WireCaller First(m_CallerPort, "booking");
+  WireCaller Second(m_CallerPort, "booking");
+  BOOST_TEST(First.succeeds("SET depot 1"));
+  BOOST_TEST(Second.succeeds("SET depot 2"));
+  m_Servers[0]->failSessionSteps(true);
+  unsigned Succeeded = 0;
+  for (int Round = 0; Round < 40; ++Round) {
+    Succeeded += Plain.succeeds("WRITE plain x") ? 1 : 0;
+    Succeeded += First.succeeds("WRITE first x") ? 1 : 0;
+    Succeeded += Second.succeeds("WRITE second x") ? 1 : 0;
+  }
+  for (const std::string &Executed : m_Servers[0]->executedStatements()) {
+    const std::string Expected =
+        Executed.find(" first ") != std::string::npos    ? " depot=1"
+        : Executed.find(" second ") != std::string::npos ? " depot=2"
+                                                         : "";
+    const std::size_t At = Executed.find(" depot=");
+    BOOST_TEST((At == std::string::npos ? "" : Executed.substr(At)) == Expected,
+               Executed);
+  }
+  BOOST_TEST(Succeeded > 0U);
+}
+
 // Guards against a statement smuggled inside another one: whoever chooses the
 // data of a write must not choose what else its session runs. Rows of servers
 // are data too.
--- a/tests/Platform/WireStandIn.cpp
+++ b/tests/Platform/WireStandIn.cpp
@@ -116,6 +116,8 @@
            std::to_string(m_Service.m_Position) + " 0 0 0 1\r\n" +
            EmptyCompletion;
   }
+  if (failsSessionStep(Word))
+    return "ERROR FAILED\r\n";
   if (Word == "DISCARD") {
     Current.m_Values.clear();
     Current.m_PreparedStatements.clear();
@@ -156,6 +158,11 @@
   return run(Current, Text);
 }
 
+bool WireStandIn::failsSessionStep(std::string_view Word) {
+  const bool IsStep = Word == "DISCARD" || Word == "SET" || Word == "PREPARE";
+  return IsStep && m_FailsSessionSteps && ++m_SessionSteps % 2 == 0;
+}
+
 std::string WireStandIn::run(Session &Current, const std::string &Text) {
   const std::lock_guard Lock(m_Service.m_Mutex);
   std::string Completion = "COMPLETE " + m_Id + "\r\n";
--- a/tests/Platform/WireStandIn.h
+++ b/tests/Platform/WireStandIn.h
@@ -38,6 +38,9 @@
   bool isAlive() const { return m_IsAlive; }
   /// Closes all connections and stops to listen, as after a crash.
   void crash();
+  /// From now on fails every second message that sets up or resets a session,
+  /// without effect; or none.
+  void failSessionSteps(bool Fails) { m_FailsSessionSteps = Fails; }
   /// All statements that were run, with their ids and the session's values.
   std::vector<std::string> executedStatements() const;
   /// The words by which the connection of each of executedStatements() named
@@ -50,6 +53,7 @@
   void serveConnection(const std::shared_ptr<Socket> &Connection);
   std::string answer(Session &Current, std::string Text,
                      const std::string &StatementId);
+  bool failsSessionStep(std::string_view Word);
   std::string run(Session &Current, const std::string &Text);
   std::string ready(const Session &Current) const;
 
@@ -60,6 +64,8 @@
   std::shared_ptr<Socket> m_Listener; ///< Listening socket.
   std::uint16_t m_Port = 0;           ///< TCP port.
   std::atomic<bool> m_IsAlive = true; ///< False after crash().
+  std::atomic<bool> m_FailsSessionSteps = false; ///< See failSessionSteps().
+  std::atomic<unsigned> m_SessionSteps = 0;      ///< Set-up messages received.
   mutable std::mutex m_Mutex; ///< Guards the connections, threads and runs.
   std::list<std::shared_ptr<Socket>>
       m_Connections;                             ///< All accepted connections.
--- a/tests/Process/SessionDriverTest.cpp
+++ b/tests/Process/SessionDriverTest.cpp
@@ -19,6 +19,7 @@
 /// A connection that opens at once and whose statements are never answered.
 class SilentConnection final : public StatementConnection {
 public:
+  void setUp(const std::vector<SessionStep> & /*Steps*/) override {}
   void run(const RunStatement & /*Statement*/) override {}
   void probe() override {}
 };
--- a/tests/Process/SessionEntryRoleTest.cpp
+++ b/tests/Process/SessionEntryRoleTest.cpp
@@ -34,6 +34,7 @@
 /// A connection that opens at once; the test answers its statements.
 class ManualConnection final : public StatementConnection {
 public:
+  void setUp(const std::vector<SessionStep> & /*Steps*/) override {}
   void run(const RunStatement & /*Statement*/) override {}
   void probe() override {}
 };
--- a/tests/Request/SessionFixture.h
+++ b/tests/Request/SessionFixture.h
@@ -108,6 +108,14 @@
   RequestId submit(StatementKind Kind, TrafficClass Class, bool Writes = false,
                    std::uint64_t Caller = 1,
                    std::optional<LogPoint> LastWrite = std::nullopt) {
+    SessionRequest Request = makeRequest(Kind, Class, Writes, Caller);
+    Request.m_LastWrite = LastWrite;
+    return submitRequest(std::move(Request));
+  }
+
+  /// A statement of a session without state; submitRequest() submits it.
+  SessionRequest makeRequest(StatementKind Kind, TrafficClass Class,
+                             bool Writes, std::uint64_t Caller) {
     auto Entry = std::make_shared<CatalogueEntry>();
     Entry->m_Name = EntryName("e");
     Entry->m_Group = Group;
@@ -124,11 +132,15 @@
     Request.m_Statement.m_Kind = Kind;
     Request.m_Statement.m_Writes = Writes;
     Request.m_State = std::make_shared<SessionState>();
-    Request.m_LastWrite = LastWrite;
     Request.m_Arrived = m_Now;
-    m_Core.submit(m_Now, Request, m_Actions);
+    return Request;
+  }
+
+  RequestId submitRequest(SessionRequest Request) {
+    const RequestId Id = Request.m_Id;
+    m_Core.submit(m_Now, std::move(Request), m_Actions);
     collectActions();
-    return Request.m_Id;
+    return Id;
   }
 
   /// Takes the oldest running statement; fails if there is none.
@@ -192,6 +204,8 @@
         m_Opening.push_back(*Open);
       else if (const auto *Close = std::get_if<CloseSessionConnection>(&Action))
         m_Closed.insert(Close->m_Connection);
+      else if (const auto *SetUp = std::get_if<SetUpSession>(&Action))
+        m_SetUps.push_back(*SetUp);
       else if (const auto *Run = std::get_if<RunStatement>(&Action))
         m_Runs.push_back(*Run);
       else if (const auto *Probe = std::get_if<ProbeConnection>(&Action))
@@ -209,6 +223,7 @@
   std::uint64_t m_Revision = 0;
   std::uint64_t m_LastRequest = 0;
   std::deque<OpenSessionConnection> m_Opening;
+  std::deque<SetUpSession> m_SetUps; ///< Set-ups without an answer.
   std::deque<RunStatement> m_Runs;
   std::deque<ConnectionId> m_Probes; ///< Probes without an answer.
   std::deque<SessionAnswer> m_Answers;
--- a/tests/Request/SessionPartsTest.cpp
+++ b/tests/Request/SessionPartsTest.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 using std::chrono::milliseconds;
-using Kind = ReplayStep::Kind;
+using Kind = SessionStep::Kind;
 
 LogPoint at(std::uint64_t InTerm, std::uint64_t Position) {
   return {Term(InTerm), LogPosition(Position)};
@@ -50,7 +50,7 @@
   Other.m_Values = {{"tenant", "8"}, {"zone", "b"}};
   const struct {
     const SessionState *m_State;
-    std::vector<ReplayStep> m_Steps;
+    std::vector<SessionStep> m_Steps;
   } Cases[] = {
       {&Empty, {}},
       {&Tenant, {{Kind::SetValue, "tenant", "7"}}},
@@ -64,7 +64,7 @@
   };
   for (const auto &Case : Cases) {
     const std::size_t Distance = Backend.stepCount(*Case.m_State, nullptr);
-    const ReplayPlan Plan = Backend.plan(*Case.m_State, nullptr);
+    const SessionPlan Plan = Backend.plan(*Case.m_State, nullptr);
     BOOST_TEST((Plan.m_Steps == Case.m_Steps));
     BOOST_TEST(Distance == Case.m_Steps.size());
   }
@@ -76,7 +76,7 @@
   const PreparedStatement Read{"READ a", false};
   const PreparedStatement Write{"WRITE a", true};
   const std::string First = Backend.plan(Empty, &Read).m_PreparedName;
-  const ReplayPlan Again = Backend.plan(Empty, &Read);
+  const SessionPlan Again = Backend.plan(Empty, &Read);
   BOOST_TEST(Again.m_PreparedName == First);
   BOOST_TEST(Again.m_Steps.empty());
   BOOST_TEST(Backend.plan(Empty, &Write).m_PreparedName != First);
@@ -89,7 +89,7 @@
   Tenant.m_Values = {{"tenant", "7"}};
   const PreparedStatement Read{"READ a", false};
   Backend.plan(Tenant, &Read);
-  const ReplayPlan Plan = Backend.plan(Empty, &Read);
+  const SessionPlan Plan = Backend.plan(Empty, &Read);
   BOOST_REQUIRE(Plan.m_Steps.size() == 2U);
   BOOST_TEST((Plan.m_Steps[0].m_Kind == Kind::Discard));
   BOOST_TEST((Plan.m_Steps[1].m_Kind == Kind::Prepare));
