PostgreSQL: a failed SET of the attempt closes its connection

Before a keyed booking the proxy runs SET ragwortmux.attempt on the connection, and clears it before the next booking without a key. An error was taken for the server's answer to the booking: the caller got it as a database error, and the connection went back to the pool with the tag of this attempt, of an earlier one, or none. A later booking could then run under the attempt of another one. No caller is known to have met it.

--- a/ragwortmux/Process/Entry/GroupDriver.cpp
+++ b/ragwortmux/Process/Entry/GroupDriver.cpp
@@ -340,7 +340,9 @@
     return;
   }
   Connection.m_PendingStatement.clear();
-  send(StatementAnsweredEvent{Id, toBackendAnswer(std::move(Result))});
+  BackendAnswer Answer = toBackendAnswer(std::move(Result));
+  Answer.m_IsTagFailure = IsTagAnswer;
+  send(StatementAnsweredEvent{Id, std::move(Answer)});
 }
 
 void GroupDriver::scheduleTick(Instant At) {
--- a/ragwortmux/Request/GroupContext.h
+++ b/ragwortmux/Request/GroupContext.h
@@ -35,7 +35,7 @@
                    ///< statements of a transaction.
     EntryName
         m_Entry; ///< Catalogue entry whose concurrency limit it counts against.
-    ServerId m_Server; ///< Server whose slots it counts against.
+    ServerId m_Server;                ///< Server whose slots it counts against.
   };
 
   GroupContext(GroupId Group, const GroupSettings &Settings);
@@ -47,6 +47,7 @@
   void abandonCaller(CallerConnectionId Caller);
   void handleConnectionLoss(ConnectionId Connection);
   void dispatchAnswer(ConnectionId Connection, BackendAnswer Result);
+  void handleTagFailure(RequestState &State, const BackendAnswer &Result);
   void applyView(const GroupView &View);
   void handleTimers();
   /// Retries ending the attempts that waited for a primary or a lease.
--- a/ragwortmux/Request/GroupContextEvents.cpp
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -137,6 +137,10 @@
   }
   RequestState *State = find(*Use->second.m_Running);
   assert(State);
+  if (Result.m_IsTagFailure) {
+    handleTagFailure(*State, Result);
+    return;
+  }
   // The position in a replica's answer counts like one reported by its position
   // monitor.
   if (Result.m_Point && m_View.m_Primary != State->m_Server)
@@ -147,6 +151,21 @@
     m_Reads.handleAnswer(*State, Result);
 }
 
+void GroupContext::handleTagFailure(RequestState &State,
+                                    const BackendAnswer &Result) {
+  // The connection may have the tag of this attempt, of an earlier one or none,
+  // and a tag must not apply to the transaction of another request.
+  const ConnectionId Connection = *State.m_Connection;
+  if (Result.m_SqlState == TermRefusedState)
+    reportTermRefused(State.m_Server);
+  endStatement(State);
+  dropConnection(Connection);
+  if (isWrite(State.m_Request.m_Entry->m_Class))
+    m_Writes.retryRefused(State, ResultCode::NotRunNoConnection);
+  else
+    enqueueAfterPause(State, ResultCode::NotRunNoConnection);
+}
+
 void GroupContext::applyView(const GroupView &View) {
   const bool TermEnded = m_HasView && View.m_Term != m_View.m_Term;
   if (!m_HasView || View.m_Term != m_View.m_Term ||
--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -61,6 +61,8 @@
   AnswerBody m_Body;       ///< The encoded answer.
   bool m_Truncated =
       false; ///< The answer exceeded the size limit; m_Body is incomplete.
+  bool m_IsTagFailure = false;   ///< The attempt tag could not be set, so the
+                                 ///< statement was not sent.
 };
 
 /// Ledger's answer to ReserveRequestKey.
--- a/ragwortmux/Request/WriteRequests.h
+++ b/ragwortmux/Request/WriteRequests.h
@@ -38,6 +38,8 @@
   /// Handles the ledger's answer; \p Recorded is false if the outcome was not
   /// recorded.
   void outcomeRecorded(RequestState &State, bool Recorded);
+  /// Tries a request again after a pause; \p Reason says why it has not run.
+  void retryRefused(RequestState &State, ResultCode Reason);
   /// Handles that the caller has disconnected: a sent statement is completed
   /// without it.
   void callerDisconnected(RequestState &State);
@@ -48,7 +50,6 @@
 
 private:
   bool retryIfRefused(RequestState &State, const BackendAnswer &Result);
-  void retryRefused(RequestState &State, ResultCode Reason);
   bool canBeAcknowledged(const RequestState &State) const;
   void storePoint(RequestState &State);
   void scheduleRecordRetry(RequestState &State);
