PostgreSQL: a connection on which a caller left session state is closed

A caller that ran SET, PREPARE or LISTEN outside of what the proxy handles itself left that on a connection that the next caller got: another one ran in its settings.

Now the command tags of an answer tell whether session state was left (changesSession), and the connection is closed in place of going back to the pool; a transaction keeps it to its end. SET LOCAL and SET TRANSACTION do not count if they are alone in their message. Ruled out: DISCARD ALL before the next use, one more round trip on a step that may fail too; and closing after every SET, since drivers begin transactions with SET TRANSACTION.

Not seen: set_config, advisory locks and temporary tables have no tag.

--- a/ragwortmux/Process/Backend/BackendConnection.cpp
+++ b/ragwortmux/Process/Backend/BackendConnection.cpp
@@ -1,6 +1,7 @@
 #include "ragwortmux/Process/Backend/BackendConnection.h"
 
 #include "ragwortmux/Process/Backend/ResultEncoder.h"
+#include "ragwortmux/Process/Backend/SessionCommands.h"
 #include "ragwortmux/Process/Loop/IoLoop.h"
 
 #include <fcntl.h>
@@ -82,6 +83,7 @@
   assert(m_IsOpen && !m_IsBusy && !m_IsClosed);
   m_IsBusy = true;
   m_MaxBytes = MaxBytes;
+  m_Sql = Sql;
   m_IsHeaderEncoded = false;
   m_Result = StatementResult();
   m_Result.m_Ok = true;
@@ -218,6 +220,10 @@
     m_Result.m_Message =
         trimmed(PQresultErrorField(Result, PG_DIAG_MESSAGE_PRIMARY));
   }
+  if (Status == PGRES_COMMAND_OK &&
+      changesSession(PQcmdStatus(Result), m_Sql)) {
+    m_Result.m_ChangesSession = true;
+  }
   if (Status == PGRES_SINGLE_TUPLE && m_Result.m_FirstRow.empty()) {
     for (int Column = 0; Column < PQnfields(Result); ++Column) {
       m_Result.m_FirstRow.emplace_back(PQgetvalue(Result, 0, Column));
--- a/ragwortmux/Process/Backend/BackendConnection.h
+++ b/ragwortmux/Process/Backend/BackendConnection.h
@@ -51,6 +51,8 @@
       m_Body; ///< Protocol messages for a caller, without ReadyForQuery.
   bool m_Truncated =
       false; ///< The answer exceeded the size limit; m_Body is empty.
+  bool m_ChangesSession =
+      false; ///< A command changed state of the session that outlives it.
   std::vector<std::string>
       m_FirstRow; ///< Values of the first row, for control calls.
 };
@@ -129,6 +131,7 @@
   bool m_IsOpen = false;      ///< m_Opened was called.
   bool m_IsBusy = false;      ///< A statement is running.
   std::size_t m_MaxBytes = 0; ///< Size limit of the answer, in bytes.
+  std::string m_Sql;          ///< The message that is being run.
   bool m_IsHeaderEncoded =
       false; ///< m_Body has the row description of the current result.
   StatementResult m_Result; ///< Result of the running statement.
--- a/ragwortmux/Process/Entry/GroupDriver.cpp
+++ b/ragwortmux/Process/Entry/GroupDriver.cpp
@@ -28,6 +28,7 @@
   Converted.m_Bytes = Result.m_Body->size();
   Converted.m_Body = std::move(Result.m_Body);
   Converted.m_Truncated = Result.m_Truncated;
+  Converted.m_ChangesSession = Result.m_ChangesSession;
   return Converted;
 }
 
--- a/ragwortmux/Request/GroupContext.cpp
+++ b/ragwortmux/Request/GroupContext.cpp
@@ -166,7 +166,9 @@
   }
   const auto [Use, IsNew] = m_Uses.try_emplace(Connection);
   assert(!Use->second.m_Running);
-  Use->second = {State.m_Request.m_Id, Entry.m_Name, Pooled->m_Server};
+  Use->second.m_Running = State.m_Request.m_Id;
+  Use->second.m_Entry = Entry.m_Name;
+  Use->second.m_Server = Pooled->m_Server;
   if (IsNew)
     ++m_Running[Entry.m_Name];
   ++m_RunningAt[Pooled->m_Server];
@@ -277,6 +279,11 @@
 void GroupContext::releaseConnection(ConnectionId Connection) {
   const auto Use = m_Uses.find(Connection);
   assert(Use != m_Uses.end() && !Use->second.m_Running);
+  if (Use->second.m_HasChangedSession) {
+    // Another caller must not run in the session state of this one.
+    dropConnection(Connection);
+    return;
+  }
   --m_Running[Use->second.m_Entry];
   m_Uses.erase(Use);
   PoolActions Actions;
--- a/ragwortmux/Request/GroupContext.h
+++ b/ragwortmux/Request/GroupContext.h
@@ -36,6 +36,7 @@
     EntryName
         m_Entry; ///< Catalogue entry whose concurrency limit it counts against.
     ServerId m_Server;                ///< Server whose slots it counts against.
+    bool m_HasChangedSession = false; ///< A statement left session state on it.
   };
 
   GroupContext(GroupId Group, const GroupSettings &Settings);
--- a/ragwortmux/Request/GroupContextEvents.cpp
+++ b/ragwortmux/Request/GroupContextEvents.cpp
@@ -137,6 +137,8 @@
   }
   RequestState *State = find(*Use->second.m_Running);
   assert(State);
+  if (Result.m_ChangesSession)
+    m_Uses.at(Connection).m_HasChangedSession = true;
   if (Result.m_IsTagFailure) {
     handleTagFailure(*State, Result);
     return;
--- a/ragwortmux/Request/GroupEvents.h
+++ b/ragwortmux/Request/GroupEvents.h
@@ -63,6 +63,8 @@
       false; ///< The answer exceeded the size limit; m_Body is incomplete.
   bool m_IsTagFailure = false;   ///< The attempt tag could not be set, so the
                                  ///< statement was not sent.
+  bool m_ChangesSession = false; ///< A command of the statement changed state
+                                 ///< of the session that outlives it.
 };
 
 /// Ledger's answer to ReserveRequestKey.
--- a/tests/Request/ConnectionStateTest.cpp
+++ b/tests/Request/ConnectionStateTest.cpp
@@ -20,6 +20,12 @@
     Result.m_IsTagFailure = true;
     return Result;
   }
+
+  BackendAnswer sessionChange(TransactionStatus Status) {
+    BackendAnswer Result = ok(1, 10, Status);
+    Result.m_ChangesSession = true;
+    return Result;
+  }
 };
 
 /// SQLSTATEs of a failed tag: any error, a refused term, no free slot.
@@ -58,6 +64,33 @@
   BOOST_TEST(!isAnswered(Unkeyed));
 }
 
+// Guards against a caller that runs in the settings or with the prepared
+// statements that another one left on a connection.
+BOOST_AUTO_TEST_CASE(ConnectionWithChangedSessionIsClosed) {
+  write();
+  const std::uint64_t First = running();
+  answer(sessionChange(TransactionStatus::Idle));
+  BOOST_TEST(serverOf(First) == "");
+}
+
+BOOST_AUTO_TEST_CASE(TransactionKeepsItsConnectionAfterSessionChange) {
+  const auto Statement = [this] {
+    GroupRequest Request = makeRequest(TrafficClass::Booking);
+    Request.m_Caller = CallerConnectionId(901);
+    return submit(std::move(Request));
+  };
+  Statement();
+  const std::uint64_t Connection = running();
+  answer(ok(1, 10, TransactionStatus::InTransaction));
+  Statement();
+  answer(sessionChange(TransactionStatus::InTransaction));
+  BOOST_TEST(serverOf(Connection) == "s1");
+  Statement();
+  BOOST_TEST(running() == Connection);
+  answer(ok(1, 11));
+  BOOST_TEST(serverOf(Connection) == "");
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionWithUnchangedSessionIsKept) {
   write();
   const std::uint64_t First = running();
