--- a/tests/Platform/WireEndToEndTest.cpp
+++ b/tests/Platform/WireEndToEndTest.cpp
@@ -128,6 +128,31 @@
   }));
 }
 
+// Guards against a log that is lost with a control host that was replaced as
+// planned: its successor holds everything, but had no vote.
+BOOST_AUTO_TEST_CASE(StoppedControlHostHandsOverItsVote) {
+  const std::string Address = "127.0.0.4";
+  std::filesystem::create_directories(dataFolder("control-2"));
+  writeSettings("control_seeds=127.0.0.1:1," + Address + ":1\n");
+  const auto Successor =
+      start("control", "control-2", Address, 0, m_ControlPort, 0);
+  const auto HasJoined = [this] {
+    return (m_Control->output() + m_Control->errors())
+               .find("Changed the voters: step 0") != std::string::npos;
+  };
+  BOOST_REQUIRE(waitUntil(HasJoined));
+  m_Control->terminate();
+  BOOST_TEST((m_Control->waitForExit() == std::optional<int>(0)));
+  std::string Body;
+  BOOST_TEST(waitUntil([&] {
+    return httpCall(Address, m_ControlPort, "GET", "/config/read", "", &Body) ==
+           200;
+  }));
+  BOOST_TEST(Body == configuration(1));
+  Successor->kill();
+  std::filesystem::remove_all(dataFolder("control-2"));
+}
+
 BOOST_AUTO_TEST_CASE(MetricsCountMessagesAndDelays) {
   // A record that is new with the session comes with the answer to a renewal; a
   // replaced configuration is pushed.
--- a/tests/Platform/WireFixture.h
+++ b/tests/Platform/WireFixture.h
@@ -203,7 +203,7 @@
                                   m_ControlArguments.end());
       Settings.m_Arguments.push_back("--control_voters=1");
       Settings.m_Arguments.push_back("--bootstrap=true");
-      Settings.m_Arguments.push_back("--data_folder=" + m_Folder.string());
+      Settings.m_Arguments.push_back("--data_folder=" + dataFolder(Host));
       Settings.m_Arguments.push_back("--promotion_address=127.0.0.1:" +
                                      Text(m_Promotion.port()));
     }
@@ -215,6 +215,11 @@
     return Process;
   }
 
+  std::string dataFolder(const std::string &ControlHost) const {
+    const std::string Folder = m_Folder.string();
+    return ControlHost == "control-1" ? Folder : Folder + "." + ControlHost;
+  }
+
   // Not in the data folder, which must not contain foreign files.
   std::string settingsFile() const { return m_Folder.string() + ".settings"; }
 
