A prepared statement is sent together with its execution again

A PREPARE need not be confirmed first. Its name is new on the connection, and names are given to another definition only after a confirmed DISCARD, so the execution runs the right definition or nothing. SET and DISCARD are confirmed first, as before. If the PREPARE failed and the execution has not run, the connection is closed and the statement placed anew.

--- a/ragwortmux/Connection/BackendSession.cpp
+++ b/ragwortmux/Connection/BackendSession.cpp
@@ -35,8 +35,8 @@
   const auto [Known, IsNew] = m_Prepared.try_emplace(Required->m_Definition);
   if (IsNew) {
     Known->second = "p" + std::to_string(++m_LastName);
-    Plan.m_Steps.push_back(
-        {SessionStep::Kind::Prepare, Known->second, Required->m_Definition});
+    Plan.m_Prepare = SessionStep{SessionStep::Kind::Prepare, Known->second,
+                                 Required->m_Definition};
   }
   Plan.m_PreparedName = Known->second;
   return Plan;
--- a/ragwortmux/Connection/BackendSession.h
+++ b/ragwortmux/Connection/BackendSession.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,10 +28,14 @@
   friend bool operator==(const SessionStep &, const SessionStep &) = default;
 };
 
-/// The steps that must succeed on a backend connection before a caller's
-/// statement is sent on it.
+/// What gives a backend connection the session that a statement needs.
 struct SessionPlan final {
-  std::vector<SessionStep> m_Steps; ///< Steps in execution order.
+  std::vector<SessionStep> m_Steps; ///< Steps that must succeed before the
+                                    ///< statement is sent, in order.
+  std::optional<SessionStep>
+      m_Prepare; ///< Step that may be sent together with the statement. Its
+                 ///< name is new, so that an execution of it runs nothing if
+                 ///< the step had no effect.
   std::string m_PreparedName; ///< Name that the required prepared statement has
                               ///< on this connection; empty if none is needed.
 };
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -27,6 +27,7 @@
   case StatementOutcome::Busy:
   case StatementOutcome::TooManyConnections:
   case StatementOutcome::WrongServer:
+  case StatementOutcome::SetUpFailed:
     return ResultCode::NotRunNoConnection;
   case StatementOutcome::Behind:
     return ResultCode::NotRunTooOld;
@@ -35,8 +36,6 @@
   case StatementOutcome::UnknownStatement:
   case StatementOutcome::Malformed:
     return ResultCode::NotRunBadRequest;
-  case StatementOutcome::SetUpFailed:
-    break;
   }
   return ResultCode::OutcomeUnknown;
 }
@@ -138,6 +137,7 @@
   case StatementOutcome::WrongServer:
   case StatementOutcome::TooManyConnections:
   case StatementOutcome::UnknownStatement:
+  case StatementOutcome::SetUpFailed:
     State.m_NotBefore = m_Now + m_Settings.m_NotPrimaryPause;
     State.m_LastReason = ResultCode::NotRunNoConnection;
     break;
@@ -201,7 +201,8 @@
   Open.m_Running.reset();
   Open.m_IdleSince = m_Now;
   const bool IsStillOpen = Reply.m_Status != TransactionStatus::Idle;
-  const bool IsUnknown = Reply.m_Outcome == StatementOutcome::UnknownStatement;
+  const bool IsUnknown = Reply.m_Outcome == StatementOutcome::SetUpFailed ||
+                         Reply.m_Outcome == StatementOutcome::UnknownStatement;
   if (Reply.m_Outcome == StatementOutcome::NotPrimary)
     emit(ReportServer{State.m_Server, SuspicionKind::NotPrimary});
   if (Reply.m_Outcome == StatementOutcome::Busy &&
--- a/ragwortmux/Request/SessionCoreSetUp.cpp
+++ b/ragwortmux/Request/SessionCoreSetUp.cpp
@@ -6,10 +6,11 @@
 /// Set-up of SessionCore: gives a connection the session state of a caller
 /// before the caller's statement is sent on it.
 ///
-/// A statement is sent only once the server has confirmed every step. A step
-/// that failed, or whose answer is missing, may have taken effect or not, so
-/// its connection is closed and the statement, which has not run, is placed
-/// anew.
+/// A statement is sent only once the server has confirmed the values that it
+/// needs. A step that failed, or whose answer is missing, may have taken effect
+/// or not, so its connection is closed and the statement, which has not run, is
+/// placed anew. Only the preparation of a statement is sent together with its
+/// execution: under a name that is new, so that nothing runs without it.
 
 namespace ragwortmux {
 
@@ -23,6 +24,7 @@
   }
   SessionPlan Plan =
       m_Sessions[Connection].plan(*Submitted.m_State, State.prepared());
+  State.m_Prepare = std::move(Plan.m_Prepare);
   State.m_PreparedName = std::move(Plan.m_PreparedName);
   if (Plan.m_Steps.empty()) {
     sendStatement(State);
@@ -37,6 +39,7 @@
   State.m_SentAt = m_Now;
   RunStatement Run;
   Run.m_Connection = *State.m_Connection;
+  Run.m_Prepare = std::exchange(State.m_Prepare, std::nullopt);
   Run.m_PreparedName = State.m_PreparedName;
   Run.m_Statement = State.m_Request.m_Statement;
   if (State.m_Floor)
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -58,7 +58,10 @@
 
 /// Runs a statement; completed by statementAnswered() or connectionLost().
 struct RunStatement final {
-  ConnectionId m_Connection;  ///< The connection.
+  ConnectionId m_Connection; ///< The connection.
+  std::optional<SessionStep>
+      m_Prepare; ///< For Execute: prepares the statement first. If it fails and
+                 ///< the statement has not run, the outcome is SetUpFailed.
   std::string m_PreparedName; ///< For Execute: name of the prepared statement
                               ///< on this connection.
   Statement m_Statement;      ///< The statement.
--- a/ragwortmux/Request/SessionRequestState.h
+++ b/ragwortmux/Request/SessionRequestState.h
@@ -46,6 +46,8 @@
                                    ///< see SessionCore::checkSilence().
   bool m_IsSettingUp = false; ///< Its connection is being given the session
                               ///< state of the caller; it is not sent yet.
+  std::optional<SessionStep>
+      m_Prepare;              ///< For Execute: step to send with the statement.
   std::string m_PreparedName; ///< For Execute: name of the prepared statement
                               ///< on the connection.
   bool m_MayHaveRun = false; ///< A try was lost, so a refusal must not say that
--- a/ragwortmux/Request/StatementReply.h
+++ b/ragwortmux/Request/StatementReply.h
@@ -19,10 +19,10 @@
   WrongServer,        ///< Not run: another server listens at this address.
   TooManyConnections, ///< Not run: its connection limit is reached.
   Malformed,          ///< Not run: the server could not parse the statement.
-  SetUpFailed, ///< Reply to a set-up: a step failed, so the session state of
-               ///< the connection is unknown.
-  Failed,      ///< Ran and failed.
-  TimedOut,    ///< Ran and exceeded the server's time limit.
+  SetUpFailed,        ///< Not run: a step of the set-up failed, so the session
+                      ///< state of the connection is unknown.
+  Failed,             ///< Ran and failed.
+  TimedOut,           ///< Ran and exceeded the server's time limit.
 };
 
 /// True if the server has run the statement.
--- a/tests/Request/SessionSetUpTest.cpp
+++ b/tests/Request/SessionSetUpTest.cpp
@@ -131,6 +131,29 @@
     BOOST_TEST(isNotRun(Answer.m_Code));
 }
 
+// Guards against a prepared statement whose preparation failed and that is
+// reported as unknown, or whose connection is used again.
+BOOST_AUTO_TEST_CASE(FailedPreparationIsTriedOnAnotherConnection) {
+  SessionRequest Request = makeRequest(StatementKind::Execute,
+                                       TrafficClass::PrimarySession, true, 1);
+  Request.m_Prepared = PreparedStatement{"WRITE q1", true};
+  submitRequest(std::move(Request));
+  BOOST_TEST(m_SetUps.empty());
+  const RunStatement First = nextRunning();
+  BOOST_REQUIRE(First.m_Prepare.has_value());
+  BOOST_TEST(First.m_Prepare->m_Name == First.m_PreparedName);
+  reply(First, StatementOutcome::SetUpFailed, Idle, point(10));
+  BOOST_TEST(m_Closed.contains(First.m_Connection));
+  BOOST_TEST(m_Answers.empty());
+  openAll();
+  advanceTime(milliseconds(200));
+  const RunStatement Second = nextRunning();
+  BOOST_TEST((Second.m_Connection != First.m_Connection));
+  BOOST_TEST(Second.m_Prepare.has_value());
+  replyDone(Second, 11);
+  BOOST_TEST((nextAnswer().m_Code == ResultCode::Ok));
+}
+
 // The statement has not run, so it is tried again on another connection.
 BOOST_AUTO_TEST_CASE(FailedSetUpIsTriedOnAnotherConnection) {
   const ConnectionId First = startSetUp();
