One path for a set-up that is not followed by its statement

Read-through of the change: handleSetUpReply had four exits, and abandonSetUp repeated what handleUnsentStatement does for a caller that has left. Now the connection is released if its session is known and no transaction is open, else closed, and handleUnsentStatement decides on the statement. Behaviour stays; RequestTests pass (387 cases, with the generated runs over callers that leave during a set-up).

--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -189,7 +189,6 @@
   void handleSetUpReply(Request &State, const StatementReply &Reply);
   bool maySendAfterSetUp(const Request &State) const;
   bool canSendCommit(Term TransactionTerm) const;
-  void abandonSetUp(Request &State);
   void releaseUnused(Request &State);
   void handleUnsentStatement(Request &State);
 
--- a/ragwortmux/Request/SessionCoreSetUp.cpp
+++ b/ragwortmux/Request/SessionCoreSetUp.cpp
@@ -54,30 +54,22 @@
   const TransactionStatus Expected = State.m_InTransaction
                                          ? TransactionStatus::InTransaction
                                          : TransactionStatus::Idle;
-  if (Reply.m_Outcome != StatementOutcome::Done || Reply.m_Status != Expected) {
-    dropStatement(State);
-    handleUnsentStatement(State);
-    return;
-  }
-  if (State.m_IsCallerDisconnected) {
-    abandonSetUp(State);
-    return;
-  }
-  if (maySendAfterSetUp(State)) {
+  const bool IsSetUp =
+      Reply.m_Outcome == StatementOutcome::Done && Reply.m_Status == Expected;
+  if (IsSetUp && maySendAfterSetUp(State)) {
     sendStatement(State);
     return;
   }
-  if (State.m_InTransaction) {
+  // A transaction that cannot go on is rolled back by closing its connection.
+  if (IsSetUp && !State.m_InTransaction)
+    releaseUnused(State);
+  else
     dropStatement(State);
-    handleUnsentStatement(State);
-    return;
-  }
-  releaseUnused(State);
   handleUnsentStatement(State);
 }
 
 bool SessionCore::maySendAfterSetUp(const Request &State) const {
-  if (m_Now >= State.m_Deadline)
+  if (State.m_IsCallerDisconnected || m_Now >= State.m_Deadline)
     return false;
   if (State.m_InTransaction)
     return !State.m_CommitsWrites || canSendCommit(State.m_Term);
@@ -96,17 +88,6 @@
          m_Now + m_Settings.m_LeaseMargin < leaseExpiry();
 }
 
-void SessionCore::abandonSetUp(Request &State) {
-  if (!State.m_InTransaction) {
-    releaseUnused(State);
-    erase(State);
-    return;
-  }
-  dropStatement(State);
-  m_Transactions.erase(State.m_Request.m_Caller);
-  erase(State);
-}
-
 void SessionCore::releaseUnused(Request &State) {
   const ConnectionId Connection = *State.m_Connection;
   m_Running.erase(Connection);
