--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the cases 12 to 15 into build-review-3/. The project's
+# Builds the stand-ins of the cases 12, 14 and 15 into build-review-3/. The project's
 # program is built before, as deploy/system.toml says.
 set -euo pipefail
 cd "$(dirname "$0")/.."
