--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=build-review-3
 mkdir -p "$out"
-src=review/standins-3
+src=review/standins3
 flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
 g++ "${flags[@]}" -c "$src/World.cpp" -o "$out/World.o"
 for case in LostCase StaleCase MemoryCase; do
--- a/review/standins-3/LostCase.cpp
+++ b/review/standins3/LostCase.cpp
@@ -30,8 +30,9 @@
     for (const auto &[Item, Data] : Acknowledged) {
       if (Group.has(Group.backend(Id), Item, Data))
         continue;
-      Log.line("BROKEN: the log of " + Id + " lacks the acknowledged write of " +
-               Item);
+      std::string Text = "BROKEN: the log of ";
+      Text.append(Id).append(" lacks the acknowledged write of ").append(Item);
+      Log.line(Text);
       IsBroken = true;
     }
   };
@@ -42,12 +43,15 @@
   if (!All.start())
     return CouldNotRun;
 
+  std::uint64_t Clerks = 0;
   const auto Write = [&](const std::string &Item) {
     for (int Try = 0; Try < 40; ++Try) {
-      Client Clerk(Log, "clerk-" + Item + "-" + std::to_string(Try));
+      Client Clerk(Log, "clerk-" + std::to_string(++Clerks));
       const std::string Data = "data" + std::to_string(Try);
+      std::string Text = "WRITE ";
+      Text.append(Item).append(" ").append(Data);
       if (Clerk.open(All.frontAddress(0), All.frontPort(), "booking") &&
-          Clerk.query("WRITE " + Item + " " + Data).m_Ok) {
+          Clerk.query(Text).m_Ok) {
         const std::lock_guard Lock(Mutex);
         Acknowledged.emplace_back(Item, Data);
         return true;
--- a/review/standins-3/MemoryCase.cpp
+++ b/review/standins3/MemoryCase.cpp
@@ -31,9 +31,9 @@
 /// One session that prepares, runs and deallocates.
 void prepareLoop(World &All, Record &Log, int Front, int Number,
                  const std::atomic<bool> &IsRunning) {
-  constexpr std::size_t ShapeBytes = 256 * 1024;
-  Client Session(Log, "app-" + std::to_string(Front) + "-" +
-                          std::to_string(Number));
+  constexpr std::size_t ShapeBytes = std::size_t{256} << 10U;
+  Client Session(Log,
+                 "app-" + std::to_string(Front) + "-" + std::to_string(Number));
   const std::string Fixed = randomText(ShapeBytes);
   const std::string Database = All.m_Routes.at(Number % 3).m_Database;
   for (int Round = 0; IsRunning; ++Round) {
@@ -85,7 +85,7 @@
 /// One session with long ids.
 void idLoop(World &All, Record &Log, int Front, int Number,
             const std::atomic<bool> &IsRunning) {
-  constexpr std::size_t IdBytes = 1000 * 1000;
+  constexpr std::size_t IdBytes = 1'000'000;
   const std::string Name =
       "long-" + std::to_string(Front) + "-" + std::to_string(Number);
   while (IsRunning) {
@@ -94,8 +94,7 @@
       std::this_thread::sleep_for(Ms(200));
       continue;
     }
-    const std::string Id =
-        hasTrouble() ? randomText(IdBytes) : randomText(16);
+    const std::string Id = hasTrouble() ? randomText(IdBytes) : randomText(16);
     Session.connection()->write("QUERY " + Id + " READ item\r\n");
     bool IsReady = false;
     while (!IsReady) {
@@ -124,7 +123,7 @@
   Group.add("i-third", All.coreAddress(42), "new-capital");
   if (Kind == "unread") {
     Group.m_Slots = 2;
-    const std::string Row = "ROW " + std::string(1000 * 1000, 'r') + "\r\n";
+    const std::string Row = "ROW " + std::string(1'000'000, 'r') + "\r\n";
     std::string Rows;
     for (int Number = 0; Number < 6; ++Number)
       Rows += Row;
@@ -200,7 +199,8 @@
              std::to_string(Peaks[Front]) + " MB");
     Counted += Ends[Front] >= EndsThatCount ? 1 : 0;
   }
-  Log.line(std::to_string(Counted) + " of 6 machines had processes that ended " +
+  Log.line(std::to_string(Counted) +
+           " of 6 machines had processes that ended " +
            std::to_string(EndsThatCount) + " times");
   return Counted >= 2 ? Broken : Held;
 }
--- a/review/standins-3/StaleCase.cpp
+++ b/review/standins3/StaleCase.cpp
@@ -27,6 +27,7 @@
   // are known.
   std::atomic<bool> IsRunning = true;
   std::vector<std::thread> Others;
+  Others.reserve(3);
   for (int Front = 0; Front < 3; ++Front) {
     Others.emplace_back([&, Front] {
       Client Desk(Log, "desk-" + std::to_string(Front));
@@ -58,8 +59,9 @@
     const std::string Got = Read.m_Rows.empty() ? "" : Read.m_Rows.front();
     if (Got != Data) {
       ++Stale;
-      Log.line("BROKEN: the session reads " + Got + " after its acknowledged " +
-               Data);
+      std::string Text = "BROKEN: the session reads ";
+      Text.append(Got).append(" after its acknowledged ").append(Data);
+      Log.line(Text);
     }
     std::this_thread::sleep_for(Ms(150));
   }
--- a/review/standins-3/World.cpp
+++ b/review/standins3/World.cpp
@@ -219,7 +219,8 @@
     pollfd Polled{m_Fd, POLLIN, 0};
     if (::poll(&Polled, 1, 50) <= 0)
       continue;
-    const int Fd = ::accept4(m_Fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    const int Fd =
+        ::accept4(m_Fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
     if (Fd < 0)
       continue;
     const int One = 1;
@@ -290,8 +291,8 @@
   for (std::string &Each : m_Environment)
     Variables.push_back(Each.data());
   Variables.push_back(nullptr);
-  const int Fd = ::open(m_Output.c_str(),
-                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  const int Fd =
+      ::open(m_Output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   const std::lock_guard Lock(ChildMutex);
   const pid_t Child = ::fork();
   if (Child == 0) {
@@ -395,10 +396,10 @@
   while (m_IsAlive) {
     const bool IsPrimary = m_IsPrimary;
     const std::string Body =
-        "{\"service\":" + inQuotes(m_Service.m_Name) + ",\"address\":" +
-        inQuotes(m_Address + ":" + std::to_string(m_Port)) + ",\"zone\":" +
-        inQuotes(m_Zone) + ",\"version\":\"v1\",\"slots\":" +
-        std::to_string(m_Service.m_Slots) +
+        "{\"service\":" + inQuotes(m_Service.m_Name) +
+        ",\"address\":" + inQuotes(m_Address + ":" + std::to_string(m_Port)) +
+        ",\"zone\":" + inQuotes(m_Zone) +
+        ",\"version\":\"v1\",\"slots\":" + std::to_string(m_Service.m_Slots) +
         ",\"state\":\"ready\",\"coldRemainingMs\":0,\"dbRole\":" +
         inQuotes(IsPrimary ? "primary" : "replica") +
         ",\"born\":" + std::to_string(m_Born) +
@@ -459,8 +460,8 @@
       const std::string Text = answer(Current, Id, std::move(Rest));
       if (!m_IsAlive)
         return;
-      if (!Client->write(Text + ready(Current, std::exchange(Current.m_Hides,
-                                                             false))))
+      if (!Client->write(Text +
+                         ready(Current, std::exchange(Current.m_Hides, false))))
         return;
     } else {
       return;
@@ -475,7 +476,8 @@
 
 std::string Backend::status() {
   const std::lock_guard Lock(m_Service.m_Mutex);
-  const Position Received = m_Log.empty() ? Position{m_Term, 0} : m_Log.back().m_At;
+  const Position Received =
+      m_Log.empty() ? Position{m_Term, 0} : m_Log.back().m_At;
   return std::string("ROW ") + (m_IsPrimary ? "primary" : "replica") + " " +
          std::to_string(m_Term) + " " +
          (m_IsPrimary ? Position{m_Term, Received.m_Number}.text()
@@ -486,7 +488,7 @@
 
 std::string Backend::answer(Session &Current, const std::string &Id,
                             std::string Text) {
-  const std::string Done = "COMPLETE -\r\n";
+  std::string Done = "COMPLETE -\r\n";
   std::string Rest = Text;
   std::string Word = takeWord(Rest);
   if (Word == "DISCARD") {
@@ -568,9 +570,8 @@
   std::this_thread::sleep_for(m_Service.m_Work);
   if (!m_IsAlive)
     return "";
-  const std::string Done =
-      "COMPLETE " + m_Id + "." + std::to_string(m_Service.m_Record.now()) +
-      "\r\n";
+  std::string Done = "COMPLETE " + m_Id + "." +
+                     std::to_string(m_Service.m_Record.now()) + "\r\n";
   if (m_Service.m_Ran)
     m_Service.m_Ran(m_Id, Id, Text);
   if (Word == "COMMIT") {
@@ -797,9 +798,8 @@
     Seeds += (Core > 0 ? "," : "") + coreAddress(Core) + ":" +
              std::to_string(m_ControlPort);
   const std::string Zone = Zones[Index % 3];
-  const std::string Name =
-      std::string(IsCore ? "core-" : "front-") + Zone + "-" +
-      std::to_string(Index / 3 + 1);
+  const std::string Name = std::string(IsCore ? "core-" : "front-") + Zone +
+                           "-" + std::to_string(Index / 3 + 1);
   const std::map<std::string, std::string> Values = {
       {"nodeName", Name},
       {"zone", Zone},
@@ -864,9 +864,8 @@
 bool World::configure(const std::string &Text, Ms Limit) {
   const auto Until = Clock::now() + Limit;
   for (int Try = 0; Clock::now() < Until; ++Try) {
-    const int Status =
-        httpCall(coreAddress(Try % m_Layout.m_Cores), m_ControlPort, "POST",
-                 "/config/replace", Text);
+    const int Status = httpCall(coreAddress(Try % m_Layout.m_Cores),
+                                m_ControlPort, "POST", "/config/replace", Text);
     if (Status == 200) {
       m_Record.line("the configuration is acknowledged");
       return true;
@@ -895,10 +894,12 @@
     }
     const std::string Body = Client->readBytes(Length, Ms(1000)).value_or("");
     const std::string Id = jsonText(Body, "id");
-    const int Status = m_Service.promote(Id);
-    m_Record.line("POST /promotion of " + Id + " by " + Holder + " with token " +
-                  Token + ": " + std::to_string(Status));
-    Client->write("HTTP/1.1 " + std::to_string(Status) +
+    const std::string Status = std::to_string(m_Service.promote(Id));
+    std::string Text = "POST /promotion of " + Id;
+    Text.append(" by ").append(Holder).append(" with token ").append(Token);
+    Text.append(": ").append(Status);
+    m_Record.line(Text);
+    Client->write("HTTP/1.1 " + Status +
                   " OK\r\nContent-Type: application/json\r\n"
                   "Content-Length: 2\r\n\r\n{}");
   }
@@ -911,13 +912,15 @@
 bool World::start() {
   namespace fs = std::filesystem;
   const char *Root = std::getenv("REVIEW_ROOT");
-  const std::string Repository = Root == nullptr ? fs::current_path().string() : Root;
+  const std::string Repository =
+      Root == nullptr ? fs::current_path().string() : Root;
   const std::string Program = Repository + "/target/bin/ragwortmux";
   if (!fs::exists(Program)) {
     m_Record.line("the program is not built");
     return false;
   }
   std::vector<std::string> Addresses;
+  Addresses.reserve(64);
   for (int Index = 0; Index < m_Layout.m_Cores; ++Index)
     Addresses.push_back(coreAddress(Index));
   for (int Index = 0; Index < m_Layout.m_Fronts; ++Index)
--- a/review/standins-3/World.h
+++ b/review/standins3/World.h
@@ -99,8 +99,8 @@
 /// One of the project's processes.
 class Process final {
 public:
-  Process(std::vector<std::string> Command, std::vector<std::string> Environment,
-          std::string Output);
+  Process(std::vector<std::string> Command,
+          std::vector<std::string> Environment, std::string Output);
   ~Process() { kill(); }
   void start();
   void signal(int Number) const;
@@ -160,8 +160,7 @@
   friend class Service;
   struct Session;
   void serve(const std::shared_ptr<Connection> &Client);
-  std::string answer(Session &Current, const std::string &Id,
-                     std::string Text);
+  std::string answer(Session &Current, const std::string &Id, std::string Text);
   std::string run(Session &Current, const std::string &Id,
                   const std::string &Text);
   std::string status();
@@ -190,7 +189,8 @@
 /// A service of a primary and replicas, with the rules of PROTOCOL.md.
 class Service final {
 public:
-  Service(Record &Log, std::string Name) : m_Record(Log), m_Name(std::move(Name)) {}
+  Service(Record &Log, std::string Name)
+      : m_Record(Log), m_Name(std::move(Name)) {}
 
   Backend &add(const std::string &Id, const std::string &Address,
                const std::string &Zone);
@@ -297,7 +297,7 @@
 /// What a client got for one statement.
 struct Answer final {
   bool m_Ok = false;
-  std::string m_Error;            ///< Code, or "CLOSED" or "NONE".
+  std::string m_Error; ///< Code, or "CLOSED" or "NONE".
   std::vector<std::string> m_Rows;
   std::string m_State;
 };
@@ -305,7 +305,8 @@
 /// A client's session.
 class Client final {
 public:
-  Client(Record &Log, std::string Name) : m_Record(Log), m_Name(std::move(Name)) {}
+  Client(Record &Log, std::string Name)
+      : m_Record(Log), m_Name(std::move(Name)) {}
   bool open(const std::string &Address, std::uint16_t Port,
             const std::string &Database);
   Answer query(const std::string &Text, Ms Timeout = Ms(4000),
