--- a/review/standins3/LostCase.cpp
+++ b/review/standins3/LostCase.cpp
@@ -9,10 +9,10 @@
 using namespace review;
 
 int main(int Count, char **Arguments) {
-  const std::string Folder = Count > 1 ? Arguments[1] : ".";
+  const std::string RecordPath = Count > 1 ? Arguments[1] : "record.txt";
   const std::string Temporary = Count > 2 ? Arguments[2] : "/tmp";
   limitTime(std::chrono::seconds(110));
-  Record Log(Folder + "/record.txt");
+  Record Log(RecordPath);
   Log.line(hasTrouble() ? "with the disruption" : "without the disruption");
   World All(Log, Layout(), Temporary);
   Service &Group = All.service();
--- a/review/standins3/MemoryCase.cpp
+++ b/review/standins3/MemoryCase.cpp
@@ -110,10 +110,10 @@
 
 int main(int Count, char **Arguments) {
   const std::string Kind = Count > 1 ? Arguments[1] : "prepared";
-  const std::string Folder = Count > 2 ? Arguments[2] : ".";
+  const std::string RecordPath = Count > 2 ? Arguments[2] : "record.txt";
   const std::string Temporary = Count > 3 ? Arguments[3] : "/tmp";
   limitTime(std::chrono::seconds(115));
-  Record Log(Folder + "/record.txt");
+  Record Log(RecordPath);
   Log.line(hasTrouble() ? "with the disruption" : "without the disruption");
   Layout Sizes;
   World All(Log, Sizes, Temporary);
--- a/review/standins3/World.cpp
+++ b/review/standins3/World.cpp
@@ -85,7 +85,7 @@
 
 } // namespace
 
-Record::Record(const std::string &Path) : m_File(Path, std::ios::trunc) {}
+Record::Record(const std::string &Path) : m_File(Path, std::ios::app) {}
 
 void Record::line(const std::string &Text) {
   const long At = now();
