--- a/ragwortmux/Process/Generated/Commands.capnp
+++ b/ragwortmux/Process/Generated/Commands.capnp
@@ -99,6 +99,13 @@
   term @1 :UInt64;
   server @2 :Text;
   keep @3 :List(Text);
+  serverTerm @4 :UInt64;
+}
+
+struct OrderPromotion {
+  group @0 :Text;
+  term @1 :UInt64;
+  server @2 :Text;
 }
 
 struct SetInSync {
@@ -203,6 +210,7 @@
     replaceCatalogue @18 :ReplaceCatalogue;
     putWorkspace @19 :PutWorkspace;
     deleteWorkspace @20 :DeleteWorkspace;
+    orderPromotion @21 :OrderPromotion;
   }
 }
 
@@ -290,6 +298,8 @@
   lastSession @8 :UInt64;
   servers @9 :List(Server);
   replication @10 :UInt8;
+  serverTerm @11 :UInt64;
+  ordered @12 :List(Text);
 }
 
 struct Share {
--- a/ragwortmux/Process/Generated/Commands.capnp.h
+++ b/ragwortmux/Process/Generated/Commands.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(bc9a350d204a29b7);
 CAPNP_DECLARE_SCHEMA(ac1e7b1efe02a970);
 CAPNP_DECLARE_SCHEMA(93104a1caa93f8c0);
+CAPNP_DECLARE_SCHEMA(e27ad04fe331ab85);
 CAPNP_DECLARE_SCHEMA(e6ebcda2d3323ade);
 CAPNP_DECLARE_SCHEMA(e4cc3cc4d1c80b33);
 CAPNP_DECLARE_SCHEMA(aa4d52ba43c7026f);
@@ -236,7 +237,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93104a1caa93f8c0, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(93104a1caa93f8c0, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderPromotion {
+  OrderPromotion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e27ad04fe331ab85, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -436,6 +452,7 @@
     REPLACE_CATALOGUE,
     PUT_WORKSPACE,
     DELETE_WORKSPACE,
+    ORDER_PROMOTION,
   };
 
   struct _capnpPrivate {
@@ -604,7 +621,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(883a8f28b1ac8723, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(883a8f28b1ac8723, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1905,6 +1922,8 @@
   inline bool hasKeep() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeep() const;
 
+  inline  ::uint64_t getServerTerm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1958,6 +1977,9 @@
   inline void adoptKeep(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeep();
 
+  inline  ::uint64_t getServerTerm();
+  inline void setServerTerm( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1984,6 +2006,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class OrderPromotion::Reader {
+public:
+  typedef OrderPromotion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OrderPromotion::Builder {
+public:
+  typedef OrderPromotion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OrderPromotion::Pipeline {
+public:
+  typedef OrderPromotion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SetInSync::Reader {
 public:
   typedef SetInSync Reads;
@@ -3231,6 +3349,10 @@
   inline bool hasDeleteWorkspace() const;
   inline  ::ragwortmux::stored::DeleteWorkspace::Reader getDeleteWorkspace() const;
 
+  inline bool isOrderPromotion() const;
+  inline bool hasOrderPromotion() const;
+  inline  ::ragwortmux::stored::OrderPromotion::Reader getOrderPromotion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3420,6 +3542,14 @@
   inline void adoptDeleteWorkspace(::capnp::Orphan< ::ragwortmux::stored::DeleteWorkspace>&& value);
   inline ::capnp::Orphan< ::ragwortmux::stored::DeleteWorkspace> disownDeleteWorkspace();
 
+  inline bool isOrderPromotion();
+  inline bool hasOrderPromotion();
+  inline  ::ragwortmux::stored::OrderPromotion::Builder getOrderPromotion();
+  inline void setOrderPromotion( ::ragwortmux::stored::OrderPromotion::Reader value);
+  inline  ::ragwortmux::stored::OrderPromotion::Builder initOrderPromotion();
+  inline void adoptOrderPromotion(::capnp::Orphan< ::ragwortmux::stored::OrderPromotion>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::stored::OrderPromotion> disownOrderPromotion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4521,6 +4651,11 @@
 
   inline  ::uint8_t getReplication() const;
 
+  inline  ::uint64_t getServerTerm() const;
+
+  inline bool hasOrdered() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOrdered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4598,6 +4733,17 @@
   inline  ::uint8_t getReplication();
   inline void setReplication( ::uint8_t value);
 
+  inline  ::uint64_t getServerTerm();
+  inline void setServerTerm( ::uint64_t value);
+
+  inline bool hasOrdered();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getOrdered();
+  inline void setOrdered( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setOrdered(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initOrdered(unsigned int size);
+  inline void adoptOrdered(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOrdered();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6641,6 +6787,102 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AppointPrimary::Reader::getServerTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppointPrimary::Builder::getServerTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AppointPrimary::Builder::setServerTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrderPromotion::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrderPromotion::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrderPromotion::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrderPromotion::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OrderPromotion::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrderPromotion::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OrderPromotion::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrderPromotion::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t OrderPromotion::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OrderPromotion::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OrderPromotion::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrderPromotion::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrderPromotion::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrderPromotion::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrderPromotion::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OrderPromotion::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrderPromotion::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OrderPromotion::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrderPromotion::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool SetInSync::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8916,6 +9158,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::isOrderPromotion() const {
+  return which() == Command::ORDER_PROMOTION;
+}
+inline bool Command::Builder::isOrderPromotion() {
+  return which() == Command::ORDER_PROMOTION;
+}
+inline bool Command::Reader::hasOrderPromotion() const {
+  if (which() != Command::ORDER_PROMOTION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasOrderPromotion() {
+  if (which() != Command::ORDER_PROMOTION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::stored::OrderPromotion::Reader Command::Reader::getOrderPromotion() const {
+  KJ_IREQUIRE((which() == Command::ORDER_PROMOTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::OrderPromotion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::stored::OrderPromotion::Builder Command::Builder::getOrderPromotion() {
+  KJ_IREQUIRE((which() == Command::ORDER_PROMOTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::OrderPromotion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setOrderPromotion( ::ragwortmux::stored::OrderPromotion::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::ORDER_PROMOTION);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::OrderPromotion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::stored::OrderPromotion::Builder Command::Builder::initOrderPromotion() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::ORDER_PROMOTION);
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::OrderPromotion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptOrderPromotion(
+    ::capnp::Orphan< ::ragwortmux::stored::OrderPromotion>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::ORDER_PROMOTION);
+  ::capnp::_::PointerHelpers< ::ragwortmux::stored::OrderPromotion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::stored::OrderPromotion> Command::Builder::disownOrderPromotion() {
+  KJ_IREQUIRE((which() == Command::ORDER_PROMOTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::ragwortmux::stored::OrderPromotion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Item::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10193,6 +10489,58 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Group::Reader::getServerTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Group::Builder::getServerTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Group::Builder::setServerTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Group::Reader::hasOrdered() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Group::Builder::hasOrdered() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Group::Reader::getOrdered() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Group::Builder::getOrdered() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Group::Builder::setOrdered( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Group::Builder::setOrdered(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Group::Builder::initOrdered(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Group::Builder::adoptOrdered(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Group::Builder::disownOrdered() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Share::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/Peers/CommandCodec.cpp
+++ b/ragwortmux/Process/Peers/CommandCodec.cpp
@@ -79,11 +79,25 @@
   Body.setTerm(Command.m_Term.value());
   Body.setServer(toText(Command.m_Server.value()));
   writeIds(Body.initKeep(sizeOf(Command.m_Retained)), Command.m_Retained);
+  Body.setServerTerm(Command.m_ServerTerm.value());
 }
 
 AppointPrimary read(stored::AppointPrimary::Reader In) {
   return {readId<GroupId>(In.getGroup()), Term(In.getTerm()),
-          readId<ServerId>(In.getServer()), readIds<ServerId>(In.getKeep())};
+          readId<ServerId>(In.getServer()), readIds<ServerId>(In.getKeep()),
+          Term(In.getServerTerm())};
+}
+
+void write(Union::Builder Out, const OrderPromotion &Command) {
+  auto Body = Out.initOrderPromotion();
+  Body.setGroup(toText(Command.m_Group.value()));
+  Body.setTerm(Command.m_Term.value());
+  Body.setServer(toText(Command.m_Server.value()));
+}
+
+OrderPromotion read(stored::OrderPromotion::Reader In) {
+  return {readId<GroupId>(In.getGroup()), Term(In.getTerm()),
+          readId<ServerId>(In.getServer())};
 }
 
 void write(Union::Builder Out, const SetInSync &Command) {
@@ -281,6 +295,8 @@
     return read(In.getPutWorkspace());
   case Union::DELETE_WORKSPACE:
     return read(In.getDeleteWorkspace());
+  case Union::ORDER_PROMOTION:
+    return read(In.getOrderPromotion());
   case Union::NONE:
     break;
   }
--- a/ragwortmux/Process/Peers/CommandCodecRecords.h
+++ b/ragwortmux/Process/Peers/CommandCodecRecords.h
@@ -58,12 +58,11 @@
   return Records;
 }
 
-/// Conversions between lists of ids and lists of Text.
-template <typename Id>
-void writeIds(capnp::List<capnp::Text>::Builder Out,
-              const std::vector<Id> &Ids) {
+/// Conversions between vectors or sets of ids and lists of Text.
+template <typename Ids>
+void writeIds(capnp::List<capnp::Text>::Builder Out, const Ids &Written) {
   unsigned Position = 0;
-  for (const Id &Element : Ids)
+  for (const auto &Element : Written)
     Out.set(Position++, toText(Element.value()));
 }
 template <typename Id>
@@ -75,7 +74,7 @@
 }
 
 /// The length of a list.
-template <typename Record> unsigned sizeOf(const std::vector<Record> &Records) {
+template <typename List> unsigned sizeOf(const List &Records) {
   return static_cast<unsigned>(Records.size());
 }
 
--- a/ragwortmux/Process/Peers/CommandCodecState.cpp
+++ b/ragwortmux/Process/Peers/CommandCodecState.cpp
@@ -188,6 +188,8 @@
   Out.setTermRevision(Group.m_TermRevision.value());
   Out.setLastSession(Group.m_LastSession.value());
   Out.setReplication(static_cast<std::uint8_t>(Group.m_Replication));
+  Out.setServerTerm(Group.m_ServerTerm.value());
+  writeIds(Out.initOrdered(sizeOf(Group.m_Ordered)), Group.m_Ordered);
   auto Servers = Out.initServers(static_cast<unsigned>(Group.m_Servers.size()));
   unsigned Position = 0;
   for (const auto &[Id, Server] : Group.m_Servers)
@@ -207,6 +209,9 @@
   Group.m_LastSession = ControlSessionId(In.getLastSession());
   Group.m_Replication =
       readEnumeration(In.getReplication(), ReplicationMode::Delegated);
+  Group.m_ServerTerm = Term(In.getServerTerm());
+  for (const auto Server : In.getOrdered())
+    Group.m_Ordered.insert(readId<ServerId>(Server));
   for (const auto Row : In.getServers()) {
     ServerRecord Server = readServer(Row);
     Group.m_Servers[Server.m_Server] = Server;
--- a/ragwortmux/Version/BackendCalls.cpp
+++ b/ragwortmux/Version/BackendCalls.cpp
@@ -63,8 +63,8 @@
   Current.m_Running = 0;
   Current.m_Failed = !Result.m_Ok;
   Current.m_FailedAt = Now;
-  return Call{Key.m_Group, Key.m_Server, Key.m_Kind, Current.m_Term,
-              Result.m_Call};
+  return Call{Key.m_Group,    Key.m_Server,  Key.m_Kind,
+              Current.m_Term, Result.m_Call, Current.m_StartedAt};
 }
 
 } // namespace ragwortmux
--- a/ragwortmux/Version/BackendCalls.h
+++ b/ragwortmux/Version/BackendCalls.h
@@ -24,7 +24,8 @@
     BackendCallKind m_Kind = BackendCallKind::Position; ///< Kind of the call.
     Term m_Term; ///< The group's term when the call was made.
     std::uint64_t m_Number =
-        0; ///< Number of the call; increases with each one.
+        0;                 ///< Number of the call; increases with each one.
+    Instant m_StartedAt{}; ///< When the call was made.
   };
 
   explicit BackendCalls(LeaderContext &Context) : m_Context(Context) {}
--- a/ragwortmux/Version/ControlCommand.h
+++ b/ragwortmux/Version/ControlCommand.h
@@ -122,6 +122,16 @@
   friend bool operator==(const EndTerm &, const EndTerm &) = default;
 };
 
+/// Records that a server of a delegated group is about to be ordered to lead.
+/// The order must not be sent before this has been applied.
+struct OrderPromotion final {
+  GroupId m_Group;   ///< The group.
+  Term m_Term;       ///< The current term, which has no primary yet.
+  ServerId m_Server; ///< The server.
+  friend bool operator==(const OrderPromotion &,
+                         const OrderPromotion &) = default;
+};
+
 /// Appoints the primary of the current term.
 struct AppointPrimary final {
   GroupId m_Group;   ///< The group.
@@ -130,6 +140,8 @@
                      ///< the first term.
   std::vector<ServerId> m_Retained; ///< Other servers that retain their sync
                                     ///< state; all others become Behind.
+  Term m_ServerTerm = Term(); ///< Delegated groups: the term that the server
+                              ///< itself leads; 0: unknown.
   friend bool operator==(const AppointPrimary &,
                          const AppointPrimary &) = default;
 };
@@ -229,7 +241,7 @@
                  SetServerState, EndTerm, AppointPrimary, SetInSync, SetShares,
                  ConfirmShares, ReserveKey, RecordOutcome, ResolveAttempt,
                  AdvanceTime, SetVoters, SetSessionHomes, ReplaceCatalogue,
-                 PutWorkspace, DeleteWorkspace>;
+                 PutWorkspace, DeleteWorkspace, OrderPromotion>;
 
 } // namespace ragwortmux
 
--- a/ragwortmux/Version/ControlEvents.h
+++ b/ragwortmux/Version/ControlEvents.h
@@ -96,6 +96,9 @@
   LogPoint m_Point; ///< Term and position from the row.
   BackendRole m_Role =
       BackendRole::Replica; ///< Position calls: role from the row.
+  Term m_ServerTerm;        ///< Position calls in delegated groups: newest term
+                            ///< that the server knows; for a primary, the term
+                            ///< that it leads. 0: unknown.
   std::string m_Reason;     ///< Reason of a failure, for logs.
 };
 
--- a/ragwortmux/Version/ControlLeader.cpp
+++ b/ragwortmux/Version/ControlLeader.cpp
@@ -19,6 +19,8 @@
     return &Changed->m_Group;
   if (const auto *Ended = std::get_if<EndTerm>(&Command))
     return &Ended->m_Group;
+  if (const auto *Ordered = std::get_if<OrderPromotion>(&Command))
+    return &Ordered->m_Group;
   if (const auto *Appointed = std::get_if<AppointPrimary>(&Command))
     return &Appointed->m_Group;
   if (const auto *Synced = std::get_if<SetInSync>(&Command))
--- a/ragwortmux/Version/ControlLeaderSettings.h
+++ b/ragwortmux/Version/ControlLeaderSettings.h
@@ -71,6 +71,10 @@
       5); ///< Delegated groups: how long a server that answers may take to
           ///< become the primary once its promotion was accepted; another one
           ///< that is promoted meanwhile takes as long again.
+  Duration m_PromotionEffect =
+      std::chrono::seconds(2); ///< Delegated groups: how long an accepted order
+                               ///< to promote a server takes to take effect at
+                               ///< most.
   Duration m_PromotionRefused =
       std::chrono::seconds(1); ///< Delegated groups: a server that refused a
                                ///< promotion is not chosen again for this long.
--- a/ragwortmux/Version/ControlState.cpp
+++ b/ragwortmux/Version/ControlState.cpp
@@ -77,6 +77,10 @@
   return m_Groups.endTerm(Command, m_Sessions.last());
 }
 
+ControlResult ControlState::applyOne(const OrderPromotion &Command) {
+  return m_Groups.orderPromotion(Command);
+}
+
 ControlResult ControlState::applyOne(const AppointPrimary &Command) {
   return m_Groups.appointPrimary(Command);
 }
--- a/ragwortmux/Version/ControlState.h
+++ b/ragwortmux/Version/ControlState.h
@@ -57,6 +57,7 @@
   ControlResult applyOne(const RegisterServer &Command);
   ControlResult applyOne(const SetServerState &Command);
   ControlResult applyOne(const EndTerm &Command);
+  ControlResult applyOne(const OrderPromotion &Command);
   ControlResult applyOne(const AppointPrimary &Command);
   ControlResult applyOne(const SetInSync &Command);
   ControlResult applyOne(const SetShares &Command);
--- a/ragwortmux/Version/DelegatedPrimaryChange.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChange.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace ragwortmux {
 
@@ -42,8 +43,11 @@
   if (Call.m_Kind == BackendCallKind::Position) {
     if (Result.m_Ok) {
       Change.m_PositionFailedAt.erase(Call.m_Server);
-      Change.m_Answers[Call.m_Server] = {Result.m_Point, Result.m_Role,
-                                         Call.m_Number, Now};
+      Change.m_Answers[Call.m_Server] = {
+          Result.m_Point,
+          {Result.m_Role, Result.m_ServerTerm, Call.m_StartedAt},
+          Call.m_Number,
+          Now};
     } else if (!Result.m_IsAlive) {
       Change.m_PositionFailedAt[Call.m_Server] = Now;
     }
@@ -52,10 +56,9 @@
   if (Call.m_Kind != BackendCallKind::Promote ||
       Change.m_PromotionTarget != Call.m_Server)
     return;
-  if (Result.m_Ok && !Change.m_IsPromotionAccepted) {
-    Change.m_IsPromotionAccepted = true;
+  if (Result.m_Ok && !Change.m_PromotionAcceptedAt) {
     Change.m_PromotionAcceptedAt = Now;
-  } else if (Result.m_Refused && !Change.m_IsPromotionAccepted) {
+  } else if (Result.m_Refused && !Change.m_PromotionAcceptedAt) {
     Change.m_ExcludedUntil[Call.m_Server] =
         Now + m_Context.settings().m_PromotionRefused;
     Change.m_PromotionTarget.reset();
@@ -86,19 +89,45 @@
 void DelegatedPrimaryChange::appointFirst(const GroupRecord &Group,
                                           Instant Now) {
   Progress &Change = progress(Group);
+  const Term Newest = newestServerTerm(Group, Change);
+  std::optional<ServerId> Leading;
   for (const auto &[Id, Server] : Group.m_Servers) {
-    const ServerMonitor::ServerStatus *Status =
-        m_Servers.find(Group.m_Group, Id);
-    if (Status == nullptr || Status->m_Role != BackendRole::Primary)
+    if (m_Servers.find(Group.m_Group, Id) == nullptr)
       continue;
     requestPosition(Group, Server, Change, Now);
     const auto Answer = Change.m_Answers.find(Id);
     if (Answer == Change.m_Answers.end() ||
-        Answer->second.m_Role != BackendRole::Primary)
+        Answer->second.m_Role.m_Role != BackendRole::Primary)
       continue;
-    m_Context.propose(AppointPrimary{Group.m_Group, FirstTerm, Id, {}}, Now);
-    return;
+    if (!Change.m_FirstClaimAt)
+      Change.m_FirstClaimAt = Now;
+    // Another one may have been promoted before the group was known here.
+    if (Answer->second.m_Role.m_Term == Newest)
+      Leading = Id;
   }
+  if (Leading && hasHeardAll(Group, Change, Now))
+    m_Context.propose(
+        AppointPrimary{Group.m_Group, FirstTerm, *Leading, {}, Newest}, Now);
+}
+
+bool DelegatedPrimaryChange::hasHeardAll(const GroupRecord &Group,
+                                         const Progress &Change,
+                                         Instant Now) const {
+  if (Now - *Change.m_FirstClaimAt >= m_Context.settings().m_FenceWait)
+    return true;
+  return std::all_of(Group.m_Servers.begin(), Group.m_Servers.end(),
+                     [&](const auto &Entry) {
+                       return Change.m_Answers.contains(Entry.first) ||
+                              Change.m_PositionFailedAt.contains(Entry.first);
+                     });
+}
+
+Term DelegatedPrimaryChange::newestServerTerm(const GroupRecord &Group,
+                                              const Progress &Change) {
+  Term Newest = Group.m_ServerTerm;
+  for (const auto &[Id, Answer] : Change.m_Answers)
+    Newest = std::max(Newest, Answer.m_Role.m_Term);
+  return Newest;
 }
 
 void DelegatedPrimaryChange::replaceIfNeeded(const GroupRecord &Group,
@@ -138,7 +167,7 @@
   requestPosition(Group, Primary, Change, Now);
   const auto Answer = Change.m_Answers.find(Primary.m_Server);
   if (Answer != Change.m_Answers.end() &&
-      Answer->second.m_Role != BackendRole::Primary &&
+      Answer->second.m_Role.m_Role != BackendRole::Primary &&
       Now - Answer->second.m_At <= Settings.m_EvidenceWindow)
     return "is no longer the primary";
   const auto Failed = Change.m_PositionFailedAt.find(Primary.m_Server);
@@ -201,18 +230,22 @@
   if (!m_Updates.allConfirmed(Group.m_Group, Group.m_TermRevision,
                               Group.m_LastSession))
     return;
-  if (!Change.m_TermEndConfirmedAt) {
+  if (!Change.m_AnswersCountSince) {
     // Earlier answers may lack writes that were acknowledged until now.
-    Change.m_TermEndConfirmedAt = Now;
-    Change.m_LastOutdatedCall = m_Calls.last();
-    Change.m_PositionCalledAt.clear();
+    discardAnswers(Change, Now);
     return;
   }
   const auto Earliest = m_NoPromotionBefore.find(Group.m_Group);
-  if (Earliest != m_NoPromotionBefore.end() && Now < Earliest->second)
+  if ((Earliest != m_NoPromotionBefore.end() && Now < Earliest->second) ||
+      Now < Change.m_NextPromotionAt) {
+    Change.m_AwaitsOrders = true;
     return;
-  if (Now < Change.m_NextPromotionAt)
+  }
+  if (std::exchange(Change.m_AwaitsOrders, false)) {
+    // The terms in earlier answers may have ended since.
+    discardAnswers(Change, Now);
     return;
+  }
   if (!IsSynchronous) {
     if (hasEnoughAnswers(Group, Change, Now))
       promoteBest(Group, Change, LogPoint(), Now);
@@ -223,6 +256,13 @@
   }
 }
 
+void DelegatedPrimaryChange::discardAnswers(Progress &Change,
+                                            Instant Now) const {
+  Change.m_AnswersCountSince = Now;
+  Change.m_LastOutdatedCall = m_Calls.last();
+  Change.m_PositionCalledAt.clear();
+}
+
 bool DelegatedPrimaryChange::mayHoldCommits(const GroupRecord &Group,
                                             const ServerRecord &Server) {
   return !Server.m_HasEnded || Group.m_Previous == Server.m_Server;
@@ -247,7 +287,7 @@
     return Newest;
   // The other replicas may be about to answer, and the primary was replaced for
   // a reason.
-  const Duration Waited = Now - *Change.m_TermEndConfirmedAt;
+  const Duration Waited = Now - *Change.m_AnswersCountSince;
   if (Waited < m_Context.settings().m_FenceWait)
     return std::nullopt;
   const PositionAnswer *OfPrimary =
@@ -260,7 +300,7 @@
 void DelegatedPrimaryChange::reportMissingAnswers(const GroupRecord &Group,
                                                   Progress &Change,
                                                   Instant Now) {
-  const Duration Waited = Now - *Change.m_TermEndConfirmedAt;
+  const Duration Waited = Now - *Change.m_AnswersCountSince;
   if (Change.m_IsMissingReported || Waited < m_Context.settings().m_FenceWait)
     return;
   Change.m_IsMissingReported = true;
@@ -274,75 +314,11 @@
                             " answers, which may hold acknowledged commits");
 }
 
-void DelegatedPrimaryChange::promoteBest(const GroupRecord &Group,
-                                         Progress &Change,
-                                         const LogPoint &Acknowledged,
-                                         Instant Now) {
-  const ServerRecord *Choice = bestCandidate(Group, Change, Acknowledged, Now);
-  if (Choice == nullptr)
-    return;
-  Change.m_PromotionTarget = Choice->m_Server;
-  Change.m_PromotionStartedAt = Now;
-  Change.m_IsPromotionAccepted = false;
-  m_Calls.start(BackendCallKind::Promote, Group.m_Group, *Choice, Group.m_Term,
-                Now);
-}
-
-void DelegatedPrimaryChange::awaitPromotion(const GroupRecord &Group,
-                                            Progress &Change, Instant Now) {
-  const auto Server = Group.m_Servers.find(*Change.m_PromotionTarget);
-  if (Server == Group.m_Servers.end() || hasPromotionFailed(Change, Now)) {
-    abandonPromotion(Change, Now);
-    return;
-  }
-  // Repeat a promotion without a definite answer, but only to the same server:
-  // two servers must never be promoted.
-  if (!Change.m_IsPromotionAccepted)
-    m_Calls.start(BackendCallKind::Promote, Group.m_Group, Server->second,
-                  Group.m_Term, Now);
-  const auto Answer = Change.m_Answers.find(*Change.m_PromotionTarget);
-  if (Answer != Change.m_Answers.end() &&
-      Answer->second.m_At >= Change.m_PromotionStartedAt &&
-      Answer->second.m_Role == BackendRole::Primary) {
-    m_Context.propose(
-        AppointPrimary{
-            Group.m_Group, Group.m_Term, *Change.m_PromotionTarget, {}},
-        Now);
-    return;
-  }
-  requestPosition(Group, Server->second, Change, Now);
-}
-
-bool DelegatedPrimaryChange::hasPromotionFailed(const Progress &Change,
-                                                Instant Now) const {
-  const ControlLeaderSettings &Settings = m_Context.settings();
-  if (!Change.m_IsPromotionAccepted)
-    return Now - Change.m_PromotionStartedAt >= Settings.m_PromoteTimeout;
-  if (Now - Change.m_PromotionAcceptedAt >= Settings.m_PromotionLimit)
-    return true;
-  Instant LastSign = Change.m_PromotionAcceptedAt;
-  const auto Answer = Change.m_Answers.find(*Change.m_PromotionTarget);
-  if (Answer != Change.m_Answers.end())
-    LastSign = std::max(LastSign, Answer->second.m_At);
-  return Now - LastSign >= Settings.m_PromoteTimeout;
-}
-
-void DelegatedPrimaryChange::abandonPromotion(Progress &Change,
-                                              Instant Now) const {
-  // The promote call may still arrive, but must not do so after that to another
-  // server.
-  Change.m_ExcludedUntil[*Change.m_PromotionTarget] =
-      Now + m_Context.settings().m_PromotionInFlight +
-      m_Context.settings().m_PromotionRefused;
-  Change.m_NextPromotionAt = Now + m_Context.settings().m_PromotionInFlight;
-  Change.m_PromotionTarget.reset();
-}
-
 bool DelegatedPrimaryChange::hasEnoughAnswers(const GroupRecord &Group,
                                               const Progress &Change,
                                               Instant Now) const {
   const ControlLeaderSettings &Settings = m_Context.settings();
-  const Duration Waited = Now - *Change.m_TermEndConfirmedAt;
+  const Duration Waited = Now - *Change.m_AnswersCountSince;
   std::size_t Servers = 0;
   std::size_t Answered = 0;
   std::size_t Failed = 0;
@@ -396,8 +372,8 @@
         isBefore(Answer->m_Point, Acknowledged))
       continue;
     // A promotion that was abandoned may have succeeded since.
-    const bool LeadsNewTerm =
-        Answer->m_Role == BackendRole::Primary && Group.m_Previous != Id;
+    const bool LeadsNewTerm = Answer->m_Role.m_Role == BackendRole::Primary &&
+                              Answer->m_Role.m_Term > Group.m_ServerTerm;
     const auto Refused = Change.m_ExcludedUntil.find(Id);
     if (!LeadsNewTerm && Refused != Change.m_ExcludedUntil.end() &&
         Now < Refused->second)
--- a/ragwortmux/Version/DelegatedPrimaryChange.h
+++ b/ragwortmux/Version/DelegatedPrimaryChange.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Version/BackendCalls.h"
 #include "ragwortmux/Version/LogPoint.h"
+#include "ragwortmux/Version/PromotionEvidence.h"
 
 #include <cstddef>
 #include <map>
@@ -23,9 +24,10 @@
 ///
 /// A change ends the group's term, waits until every participant has confirmed
 /// that or its lease has expired (see GroupParticipants), queries the servers'
-/// positions and promotes the most advanced one. That server is appointed only
-/// once it reports the primary role: before that it may still be applying its
-/// log and would serve incomplete data.
+/// positions, records which one is to be promoted and promotes it. That server
+/// is appointed only once its answers prove that the promotion has taken effect
+/// (see assessPromotion()): until then it may still be applying its log, or
+/// lead an earlier term that another server's promotion has ended.
 class DelegatedPrimaryChange final {
 public:
   DelegatedPrimaryChange(LeaderContext &Context,
@@ -48,10 +50,10 @@
 private:
   /// A server's answer to a position call.
   struct PositionAnswer final {
-    LogPoint m_Point; ///< The server's own term and position.
-    BackendRole m_Role = BackendRole::Replica; ///< The server's role.
-    std::uint64_t m_Call = 0;                  ///< Number of the answered call.
-    Instant m_At{};                            ///< When the answer arrived.
+    LogPoint m_Point;         ///< The server's own term and position.
+    RoleAnswer m_Role;        ///< The server's role and term.
+    std::uint64_t m_Call = 0; ///< Number of the answered call.
+    Instant m_At{};           ///< When the answer arrived.
   };
 
   /// The state of one group in this leader.
@@ -72,25 +74,38 @@
     std::optional<Instant>
         m_EndTermProposedAt; ///< When EndTerm was last proposed.
     std::optional<Instant>
-        m_TermEndConfirmedAt; ///< When all sessions had confirmed the end of
-                              ///< the term.
+        m_AnswersCountSince; ///< When earlier answers were last discarded; none
+                             ///< until all sessions have confirmed the end of
+                             ///< the term.
+    bool m_AwaitsOrders = false; ///< An earlier order may still take effect.
     std::uint64_t m_LastOutdatedCall =
         0; ///< Number of the last call before that; answers to calls up to it
            ///< do not count.
     std::optional<ServerId>
         m_PromotionTarget; ///< The server that is being promoted; no other one
                            ///< gets a promote call meanwhile.
-    Instant m_PromotionStartedAt{}; ///< When that promotion began.
-    bool m_IsPromotionAccepted =
-        false;                       ///< The server has accepted the promotion.
-    Instant m_PromotionAcceptedAt{}; ///< When it was accepted.
+    std::optional<Instant>
+        m_PromotionStartedAt; ///< When its first promote call was made; none
+                              ///< while the order is being recorded.
+    std::optional<Instant>
+        m_PromotionAcceptedAt;             ///< When its promotion was accepted.
+    std::optional<ServerId> m_LastOrdered; ///< The server that this leader last
+                                           ///< ordered to lead.
+    Term m_TermBeforeOrder; ///< See PromotionAttempt::m_TermBefore; of the
+                            ///< first of the last orders to the same server.
+    std::optional<Instant> m_FirstClaimAt; ///< First term: when a server first
+                                           ///< reported that it is the primary.
     Instant
         m_NextPromotionAt{}; ///< No promote call to another server before this.
     bool m_IsMissingReported = false; ///< See reportMissingAnswers().
   };
 
   Progress &progress(const GroupRecord &Group);
+  /// Appoints the server that leads when the group is met for the first time.
   void appointFirst(const GroupRecord &Group, Instant Now);
+  /// True if all servers have answered or failed to, or were waited for.
+  bool hasHeardAll(const GroupRecord &Group, const Progress &Change,
+                   Instant Now) const;
   void replaceIfNeeded(const GroupRecord &Group, Instant Now);
   std::string replacementReason(const GroupRecord &Group, Progress &Change,
                                 Instant Now);
@@ -101,11 +116,23 @@
                                const ServerRecord &Server) const;
   bool hasCandidate(const GroupRecord &Group, Instant Now) const;
   void electPrimary(const GroupRecord &Group, Instant Now);
+  /// Makes earlier answers count no more and asks all servers again.
+  void discardAnswers(Progress &Change, Instant Now) const;
   /// Promotes the best server that has everything up to \p Acknowledged, if
   /// there is one.
   void promoteBest(const GroupRecord &Group, Progress &Change,
                    const LogPoint &Acknowledged, Instant Now);
   void awaitPromotion(const GroupRecord &Group, Progress &Change, Instant Now);
+  /// Orders the promotion of \p Server, unless it has been accepted already.
+  void orderPromotion(const GroupRecord &Group, Progress &Change,
+                      const ServerRecord &Server, Instant Now);
+  /// The answer that proves that the ordered promotion has taken effect; null
+  /// while there is none.
+  const PositionAnswer *proofOfPromotion(const GroupRecord &Group,
+                                         const Progress &Change) const;
+  /// Newest term that a server of the group has shown.
+  static Term newestServerTerm(const GroupRecord &Group,
+                               const Progress &Change);
   /// True if the promoted server is not to be waited for any longer.
   bool hasPromotionFailed(const Progress &Change, Instant Now) const;
   void abandonPromotion(Progress &Change, Instant Now) const;
--- a/ragwortmux/Version/DescribeCommand.cpp
+++ b/ragwortmux/Version/DescribeCommand.cpp
@@ -74,9 +74,17 @@
          number(Command.m_NewTerm.value()) + " begins without a primary";
 }
 
+std::string describe(const OrderPromotion &Command) {
+  return place(Command.m_Group, Command.m_Server) +
+         " is to be promoted in term " + number(Command.m_Term.value());
+}
+
 std::string describe(const AppointPrimary &Command) {
   return place(Command.m_Group, Command.m_Server) + " is primary of term " +
-         number(Command.m_Term.value());
+         number(Command.m_Term.value()) +
+         (Command.m_ServerTerm == Term()
+              ? ""
+              : ", its own term " + number(Command.m_ServerTerm.value()));
 }
 
 std::string describe(const SetInSync &Command) {
--- a/ragwortmux/Version/GroupRecord.h
+++ b/ragwortmux/Version/GroupRecord.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace ragwortmux {
@@ -15,6 +16,10 @@
 /// groups with at least that many servers.
 inline constexpr std::size_t MinInSyncServers = 2;
 
+/// GroupRecord::m_Ordered holds no more servers than this, the last one among
+/// them: it only tells whether a server is the only one.
+inline constexpr std::size_t MaxOrderedServers = 2;
+
 /// The replicated record of a backend server.
 struct ServerRecord final {
   ServerId m_Server;         ///< Its id.
@@ -38,7 +43,7 @@
 struct GroupRecord final {
   GroupId m_Group;     ///< The group.
   Revision m_Revision; ///< Increases with each change of this record or of its
-                       ///< shares.
+                       ///< shares, except for m_Ordered, which is in no view.
   Term m_Term; ///< Current term; 0 until the first primary is appointed.
   std::optional<ServerId> m_Primary;  ///< None during a change of primary.
   std::optional<ServerId> m_Previous; ///< The primary of the previous term.
@@ -47,7 +52,12 @@
       m_LastSession; ///< Last session id assigned before the previous term
                      ///< ended; later sessions never acted in that term.
   ReplicationMode m_Replication =
-      ReplicationMode::InSyncSet;             ///< How the group replicates.
+      ReplicationMode::InSyncSet; ///< How the group replicates.
+  Term m_ServerTerm; ///< Delegated groups: the servers' own term that the last
+                     ///< appointed primary leads; 0: unknown.
+  std::set<ServerId> m_Ordered; ///< Delegated groups: servers that were ordered
+                                ///< to lead since that primary was appointed;
+                                ///< see MaxOrderedServers.
   std::map<ServerId, ServerRecord> m_Servers; ///< All registered servers.
 
   friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
--- a/ragwortmux/Version/GroupTable.cpp
+++ b/ragwortmux/Version/GroupTable.cpp
@@ -138,6 +138,21 @@
   return ControlResult::accepted(Group->m_Revision);
 }
 
+ControlResult GroupTable::orderPromotion(const OrderPromotion &Command) {
+  if (findServer(Command.m_Group, Command.m_Server) == nullptr)
+    return refusedServer(Command.m_Group, Command.m_Server);
+  GroupRecord &Group = *findMutable(Command.m_Group);
+  if (Command.m_Term != Group.m_Term || Group.m_Primary)
+    return refused("the term is not the group's, or it has a primary");
+  if (Group.m_Ordered.insert(Command.m_Server).second &&
+      Group.m_Ordered.size() > MaxOrderedServers)
+    Group.m_Ordered.erase(
+        std::ranges::find_if(Group.m_Ordered, [&](const ServerId &Each) {
+          return Each != Command.m_Server;
+        }));
+  return ControlResult::accepted(Group.m_Revision);
+}
+
 ControlResult GroupTable::appointPrimary(const AppointPrimary &Command) {
   if (findServer(Command.m_Group, Command.m_Server) == nullptr)
     return refusedServer(Command.m_Group, Command.m_Server);
@@ -159,6 +174,8 @@
   setSync(Group, Primary, SyncState::InSync);
   Group.m_Term = Command.m_Term;
   Group.m_Primary = Command.m_Server;
+  Group.m_ServerTerm = Command.m_ServerTerm;
+  Group.m_Ordered.clear();
   raiseRevision(Group);
   return ControlResult::accepted(Group.m_Revision);
 }
--- a/ragwortmux/Version/GroupTable.h
+++ b/ragwortmux/Version/GroupTable.h
@@ -13,6 +13,7 @@
 
 struct AppointPrimary;
 struct EndTerm;
+struct OrderPromotion;
 struct RegisterServer;
 struct SetInSync;
 struct SetServerState;
@@ -29,6 +30,7 @@
   ControlResult setServerState(const SetServerState &Command);
   /// Ends the term. \p LastSession is the last session id that was assigned.
   ControlResult endTerm(const EndTerm &Command, ControlSessionId LastSession);
+  ControlResult orderPromotion(const OrderPromotion &Command);
   ControlResult appointPrimary(const AppointPrimary &Command);
   ControlResult setInSync(const SetInSync &Command);
   /// Raises the revision of \p Group, because its shares change. The group must
--- a/tests/Platform/TextTest.cpp
+++ b/tests/Platform/TextTest.cpp
@@ -218,7 +218,10 @@
   BOOST_REQUIRE(Status.has_value());
   BOOST_TEST(!Status->m_IsPrimary);
   BOOST_TEST((Status->m_Received == LogPoint{Term(3), LogPosition(1209)}));
-  for (const char *Row : {"", "other 3 3.1", "primary 3 -", "primary"})
+  // A new primary has a log of the term before until its first commit.
+  BOOST_TEST((parseStatus("primary 4 3.1209 0 0 2 17")->m_Term == Term(4)));
+  for (const char *Row : {"", "other 3 3.1", "primary 3 -", "primary",
+                          "primary x 3.1", "primary - 3.1", "primary -1 3.1"})
     BOOST_TEST(!parseStatus(Row).has_value(), Row);
 }
 
--- a/tests/Version/CommandCodecTest.cpp
+++ b/tests/Version/CommandCodecTest.cpp
@@ -45,7 +45,8 @@
                      ReplicationMode::Delegated},
       SetServerState{Group, Server, true, false, true},
       EndTerm{Group, Term(8)},
-      AppointPrimary{Group, Term(9), Server, {ServerId("t"), ServerId("u")}},
+      AppointPrimary{
+          Group, Term(9), Server, {ServerId("t"), ServerId("u")}, Term(12)},
       SetInSync{Group, Term(10), Server, Revision(2), SyncState::Joining},
       SetShares{Group, Server, {{ControlSessionId(1), 2}}},
       ConfirmShares{Group, ControlSessionId(3), Revision(4)},
@@ -63,7 +64,8 @@
                        {{Group, 34, 1}},
                        {workspace("w1")}},
       PutWorkspace{Revision(12), ChangeId("c"), "olga", workspace("w2")},
-      DeleteWorkspace{Revision(13), ChangeId("d"), "olga", WorkspaceId("w")}};
+      DeleteWorkspace{Revision(13), ChangeId("d"), "olga", WorkspaceId("w")},
+      OrderPromotion{Group, Term(14), Server}};
 }
 
 /// A state with data in each of its parts.
@@ -79,6 +81,7 @@
   State.apply(SetVoters{{{HostId("h1"), {}, "id", "10.1.2.5", 9}}});
   State.apply(SetSessionHomes{Revision(), {HostId("h1")}, false});
   State.apply(EndTerm{TheGroup, Term(2)});
+  State.apply(OrderPromotion{TheGroup, Term(2), ServerId("s1")});
   State.apply(RegisterServer{GroupId("delegated"), ServerId("d1"),
                              FailureDomainId("Hobart"), "10.1.2.9", 5432, 3, 35,
                              ReplicationMode::Delegated});
--- a/tests/Version/DelegatedFixture.h
+++ b/tests/Version/DelegatedFixture.h
@@ -36,8 +36,9 @@
   bool m_RefusesPromotion = false; ///< It refuses promote calls.
   Duration m_PromotionTime =
       300ms; ///< Time from a promote call to the primary role.
-  BackendRole m_Role = BackendRole::Replica;   ///< Its role.
-  LogPoint m_Point{Term(7), LogPosition(100)}; ///< Its own term and position.
+  BackendRole m_Role = BackendRole::Replica; ///< Its role.
+  Term m_Term{7}; ///< Newest term that it knows or leads.
+  LogPoint m_Point{Term(7), LogPosition(100)}; ///< Its log's last position.
   std::optional<Instant>
       m_PromotionDoneAt; ///< When a running promotion completes.
 };
@@ -57,6 +58,8 @@
     run(3s);
   }
 
+  virtual ~DelegatedFixture() = default;
+
   static ControlLeaderSettings settings() {
     ControlLeaderSettings Settings;
     Settings.m_SilenceUnannounced = 4s;
@@ -138,11 +141,19 @@
     }
   }
 
-  void completePromotion(DelegatedServer &Server) {
+  Term newestTerm() const {
+    Term Newest;
+    for (const auto &[Id, Server] : m_Servers)
+      Newest = std::max(Newest, Server.m_Term);
+    return Newest;
+  }
+
+  virtual void completePromotion(DelegatedServer &Server) {
     for (auto &[Id, Other] : m_Servers)
       Other.m_Role = BackendRole::Replica;
     Server.m_Role = BackendRole::Primary;
-    Server.m_Point.m_Term = Term(Server.m_Point.m_Term.value() + 1);
+    Server.m_Term = Term(newestTerm().value() + 1);
+    Server.m_Point.m_Term = Server.m_Term;
     Server.m_PromotionDoneAt.reset();
   }
 
@@ -169,13 +180,15 @@
 
   void apply(const ControlCommand &Command) {
     const ControlResult Result = m_State.apply(Command);
-    if (const auto *Appointed = std::get_if<AppointPrimary>(&Command)) {
-      BOOST_TEST(
-          (m_Servers.at(Appointed->m_Server).m_Role == BackendRole::Primary));
-    }
+    if (const auto *Appointed = std::get_if<AppointPrimary>(&Command))
+      checkAppointment(Appointed->m_Server);
     m_Leader.applied(Command, Result, m_Now);
   }
 
+  virtual void checkAppointment(const ServerId &Server) {
+    BOOST_TEST((m_Servers.at(Server).m_Role == BackendRole::Primary));
+  }
+
   void takeActions() {
     for (auto Actions = m_Leader.takeActions(); !Actions.empty();
          Actions = m_Leader.takeActions()) {
@@ -198,7 +211,7 @@
                                m_Now);
   }
 
-  void answer(const CallBackend &Call) {
+  virtual void answer(const CallBackend &Call) {
     DelegatedServer &Server = m_Servers.at(Call.m_Server);
     if (Server.m_IsSlow) {
       m_DelayedCalls.push_back(Call);
@@ -208,6 +221,7 @@
     Result.m_Call = Call.m_Call;
     Result.m_Ok = Server.m_Answers;
     Result.m_Role = Server.m_Role;
+    Result.m_ServerTerm = Server.m_Term;
     Result.m_Point = Server.m_Point;
     if (Call.m_Kind == BackendCallKind::Position && Server.m_IsFull) {
       Result.m_Ok = false;
@@ -217,8 +231,9 @@
       m_Promoted.push_back(Call.m_Server);
       Result.m_Refused = Server.m_RefusesPromotion;
       Result.m_Ok = !Server.m_RefusesPromotion;
-      if (Result.m_Ok && Server.m_Role != BackendRole::Primary &&
-          !Server.m_PromotionDoneAt)
+      const bool IsPresentPrimary = Server.m_Role == BackendRole::Primary &&
+                                    Server.m_Term == newestTerm();
+      if (Result.m_Ok && !IsPresentPrimary && !Server.m_PromotionDoneAt)
         Server.m_PromotionDoneAt = m_Now + Server.m_PromotionTime;
       if (m_LosesPromotionAnswers)
         return;
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -220,6 +220,60 @@
   BOOST_TEST(!m_Promoted.empty());
 }
 
+// Guards against two primaries: the successor of a primary that is cut off
+// crashes, and the old primary, which still believes that it leads, was
+// appointed before the order had taken effect.
+BOOST_AUTO_TEST_CASE(OldPrimaryIsNotAppointedBeforeItsPromotion) {
+  m_Servers[S2].m_Point.m_Position = LogPosition(150);
+  apply(EndTerm{TheGroup, Term(2)});
+  runUntil([&] { return isPrimary(S2); });
+  // S1 has not learned of it.
+  m_Servers[S1].m_Role = BackendRole::Primary;
+  m_Servers[S1].m_Term = Term(7);
+  m_Servers[S2].m_Answers = false;
+  m_Servers[S2].m_Announces = false;
+  m_Servers[S3].m_Answers = false;
+  m_Servers[S3].m_Announces = false;
+  apply(EndTerm{TheGroup, Term(3)});
+  runUntil([&] { return m_Promoted.back() == S1; });
+  run(m_Servers[S1].m_PromotionTime - 50ms);
+  BOOST_TEST(!group().m_Primary.has_value());
+  BOOST_TEST((runUntil([&] { return isPrimary(S1); }) < 200ms));
+  BOOST_TEST((group().m_ServerTerm == Term(9)));
+}
+
+// A server whose promotion the previous leader has ordered is appointed at
+// once, although the order to it changes nothing any more.
+BOOST_AUTO_TEST_CASE(NewLeaderAppointsServerThatWasPromotedMeanwhile) {
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  m_Servers[S2].m_Point.m_Position = LogPosition(150);
+  apply(EndTerm{TheGroup, Term(2)});
+  runUntil([&] { return !m_Promoted.empty(); });
+  m_Leader.lostLeadership(m_Now);
+  run(400ms);
+  BOOST_TEST((m_Servers[S2].m_Role == BackendRole::Primary));
+  m_Leader.becameLeader(m_Now);
+  BOOST_TEST((runUntil([&] { return isPrimary(S2); }) <
+              settings().m_PromotionInFlight + 500ms));
+}
+
+// Guards against a first primary that another server has replaced before this
+// control log knew the group.
+BOOST_AUTO_TEST_CASE(FirstPrimaryIsThatOfNewestTerm) {
+  m_Leader.lostLeadership(m_Now);
+  m_State.importData(ControlState().exportData());
+  for (std::uint64_t Proxy = 1; Proxy <= m_Proxies; ++Proxy)
+    openProxy(Proxy);
+  apply(ReplaceCatalogue{
+      CatalogueVersion(1), "{}", {}, {{TheGroup, 30, m_SyncReplicas}}, {}});
+  m_Servers[S2].m_Role = BackendRole::Primary;
+  m_Servers[S2].m_Term = Term(8);
+  m_Leader.becameLeader(m_Now);
+  run(3s);
+  BOOST_TEST(isPrimary(S2));
+}
+
 BOOST_AUTO_TEST_CASE(IgnoresOutdatedAnnouncement) {
   ServerAnnouncement Late = announcementOf(S1);
   Late.m_Leaving = true;
--- a/tests/Version/GroupTableTest.cpp
+++ b/tests/Version/GroupTableTest.cpp
@@ -48,6 +48,11 @@
       {"joining", setSync("s2", 4, 0, SyncState::Joining), true},
       {"the same term", EndTerm{TheGroup, Term(4)}, false},
       {"next term", EndTerm{TheGroup, Term(5)}, true},
+      {"order of an unknown server",
+       OrderPromotion{TheGroup, Term(5), ServerId("s9")}, false},
+      {"order in an ended term", OrderPromotion{TheGroup, Term(4), Second},
+       false},
+      {"order", OrderPromotion{TheGroup, Term(5), Second}, true},
       {"in sync without a primary", setSync("s2", 5, 4, SyncState::InSync),
        false},
       {"joining is not electable",
@@ -55,6 +60,8 @@
       {"replaced term", AppointPrimary{TheGroup, Term(4), First, {}}, false},
       {"next primary", AppointPrimary{TheGroup, Term(5), First, {Second}},
        true},
+      {"order while there is a primary",
+       OrderPromotion{TheGroup, Term(5), Second}, false},
       {"in sync", setSync("s2", 5, 4, SyncState::InSync), true},
       {"in sync as of an old revision", setSync("s2", 5, 4, SyncState::Behind),
        false},
@@ -72,6 +79,27 @@
               SyncState::InSync));
 }
 
+// That a server is the only one that was ordered to lead is known to later
+// leaders, however many orders there were.
+BOOST_AUTO_TEST_CASE(OrdersCountUntilNextPrimary) {
+  ControlState State = makeState();
+  State.apply(EndTerm{TheGroup, Term(2)});
+  const auto Ordered = [&] { return State.groups().find(TheGroup)->m_Ordered; };
+  for (const char *Server : {"s1", "s2", "s3", "s3", "s1"}) {
+    const ServerId Id(Server);
+    BOOST_TEST(State.apply(OrderPromotion{TheGroup, Term(2), Id}).ok());
+    BOOST_TEST(Ordered().contains(Id));
+  }
+  BOOST_TEST(Ordered().size() == MaxOrderedServers);
+  State.apply(EndTerm{TheGroup, Term(3)});
+  BOOST_TEST(Ordered().size() == MaxOrderedServers);
+  const AppointPrimary Appointed{
+      TheGroup, Term(3), ServerId("s2"), {}, Term(9)};
+  BOOST_TEST(State.apply(Appointed).ok());
+  BOOST_TEST(Ordered().empty());
+  BOOST_TEST((State.groups().find(TheGroup)->m_ServerTerm == Term(9)));
+}
+
 BOOST_AUTO_TEST_CASE(ServerWithNewAddressBecomesBehind) {
   ControlState State = makeState();
   RegisterServer Moved = registerServer("s2");
