A session's write without a position is read at the primary

The server had answered the write with "-" as its position, as PROTOCOL.md allows.

Cause: SessionCore::forwardReply reported a write by its position only, so an answer without one counted as no write, and CallerSession kept the session as one that had written nothing since. readFloor() then took the floor of the route's age. Ruled out: a floor that replicas ignore (they refuse reads above their log in the unit tests and the script).

Change: LastWrite holds the last known position and whether a later write has none. Such a session's reads run at the primary; the first answer of the primary that names a position covers the write and ends that. The same holds after a commit of a transaction without a position, after a write or commit without a clear answer (it may have committed), and through relays, whose messages carry both. PostgreSQL callers: a write whose position is not known was answered as unknown before this, unchanged.

--- a/ragwortmux/Process/Generated/Cluster.capnp
+++ b/ragwortmux/Process/Generated/Cluster.capnp
@@ -233,6 +233,8 @@
   # Time since the statement arrived.
   workspace @15 :Text;
   # Workspace of the caller; empty if the entry is open to all.
+  isLastWriteUnplaced @16 :Bool;
+  # A write after lastWrite has no known position.
 }
 
 struct RelayedAnswer {
@@ -243,6 +245,10 @@
   status @3 :UInt8;
   point @4 :Point;
   written @5 :Point;
+  isWriteUnplaced @6 :Bool;
+  # Writes became durable, at a position that is not known.
+  primaryPoint @7 :Point;
+  # The point, if it covers every write that was acknowledged before.
 }
 
 struct PermitDemand {
--- a/ragwortmux/Process/Generated/Cluster.capnp.h
+++ b/ragwortmux/Process/Generated/Cluster.capnp.h
@@ -591,7 +591,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bfd5fb1dd2c46f64, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bfd5fb1dd2c46f64, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4220,6 +4220,8 @@
   inline bool hasWorkspace() const;
   inline  ::capnp::Text::Reader getWorkspace() const;
 
+  inline bool getIsLastWriteUnplaced() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4336,6 +4338,9 @@
   inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
 
+  inline bool getIsLastWriteUnplaced();
+  inline void setIsLastWriteUnplaced(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4397,6 +4402,11 @@
   inline bool hasWritten() const;
   inline  ::ragwortmux::rpc::Point::Reader getWritten() const;
 
+  inline bool getIsWriteUnplaced() const;
+
+  inline bool hasPrimaryPoint() const;
+  inline  ::ragwortmux::rpc::Point::Reader getPrimaryPoint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4455,6 +4465,16 @@
   inline void adoptWritten(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
   inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownWritten();
 
+  inline bool getIsWriteUnplaced();
+  inline void setIsWriteUnplaced(bool value);
+
+  inline bool hasPrimaryPoint();
+  inline  ::ragwortmux::rpc::Point::Builder getPrimaryPoint();
+  inline void setPrimaryPoint( ::ragwortmux::rpc::Point::Reader value);
+  inline  ::ragwortmux::rpc::Point::Builder initPrimaryPoint();
+  inline void adoptPrimaryPoint(::capnp::Orphan< ::ragwortmux::rpc::Point>&& value);
+  inline ::capnp::Orphan< ::ragwortmux::rpc::Point> disownPrimaryPoint();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4475,6 +4495,7 @@
 
   inline  ::ragwortmux::rpc::Point::Pipeline getPoint();
   inline  ::ragwortmux::rpc::Point::Pipeline getWritten();
+  inline  ::ragwortmux::rpc::Point::Pipeline getPrimaryPoint();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -10678,6 +10699,20 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool RelayedStatement::Reader::getIsLastWriteUnplaced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<138>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayedStatement::Builder::getIsLastWriteUnplaced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<138>() * ::capnp::ELEMENTS);
+}
+inline void RelayedStatement::Builder::setIsLastWriteUnplaced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<138>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t RelayedAnswer::Reader::getCode() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10832,6 +10867,59 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool RelayedAnswer::Reader::getIsWriteUnplaced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayedAnswer::Builder::getIsWriteUnplaced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void RelayedAnswer::Builder::setIsWriteUnplaced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedAnswer::Reader::hasPrimaryPoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedAnswer::Builder::hasPrimaryPoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ragwortmux::rpc::Point::Reader RelayedAnswer::Reader::getPrimaryPoint() const {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::getPrimaryPoint() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ragwortmux::rpc::Point::Pipeline RelayedAnswer::Pipeline::getPrimaryPoint() {
+  return  ::ragwortmux::rpc::Point::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedAnswer::Builder::setPrimaryPoint( ::ragwortmux::rpc::Point::Reader value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::ragwortmux::rpc::Point::Builder RelayedAnswer::Builder::initPrimaryPoint() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RelayedAnswer::Builder::adoptPrimaryPoint(
+    ::capnp::Orphan< ::ragwortmux::rpc::Point>&& value) {
+  ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ragwortmux::rpc::Point> RelayedAnswer::Builder::disownPrimaryPoint() {
+  return ::capnp::_::PointerHelpers< ::ragwortmux::rpc::Point>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool PermitDemand::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/ragwortmux/Process/Peers/RelayCodec.cpp
+++ b/ragwortmux/Process/Peers/RelayCodec.cpp
@@ -131,7 +131,8 @@
   if (Request.m_Prepared) {
     writeDefinition(Out.initExecuted(), *Request.m_Prepared);
   }
-  writeRpc(Out.initLastWrite(), Request.m_LastWrite);
+  writeRpc(Out.initLastWrite(), Request.m_LastWrite.m_Point);
+  Out.setIsLastWriteUnplaced(Request.m_LastWrite.m_IsUnplaced);
   Out.setAgeUs(
       std::clamp(Now - Request.m_Arrived, Duration(0), MaxDuration).count());
   Out.setWorkspace(toText(Request.m_Workspace.value()));
@@ -154,7 +155,8 @@
   if (In.getHasExecuted()) {
     Request.m_Prepared = readDefinition(In.getExecuted());
   }
-  Request.m_LastWrite = readRpc(In.getLastWrite());
+  Request.m_LastWrite = {readRpc(In.getLastWrite()),
+                         In.getIsLastWriteUnplaced()};
   Request.m_Arrived = Now - Age;
   Request.m_Workspace = WorkspaceId(toString(In.getWorkspace()));
   return Request;
@@ -172,6 +174,8 @@
   Out.setStatus(static_cast<std::uint8_t>(Answer.m_Status));
   writeRpc(Out.initPoint(), Answer.m_Point);
   writeRpc(Out.initWritten(), Answer.m_Written);
+  Out.setIsWriteUnplaced(Answer.m_IsWriteUnplaced);
+  writeRpc(Out.initPrimaryPoint(), Answer.m_PrimaryPoint);
 }
 
 std::optional<SessionAnswer> readRpc(rpc::RelayedAnswer::Reader In) {
@@ -188,6 +192,8 @@
   Answer.m_Status = *Status;
   Answer.m_Point = readRpc(In.getPoint());
   Answer.m_Written = readRpc(In.getWritten());
+  Answer.m_IsWriteUnplaced = In.getIsWriteUnplaced();
+  Answer.m_PrimaryPoint = readRpc(In.getPrimaryPoint());
   return Answer;
 }
 
--- a/ragwortmux/Request/CallerSession.cpp
+++ b/ragwortmux/Request/CallerSession.cpp
@@ -1,8 +1,18 @@
 #include "ragwortmux/Request/CallerSession.h"
 
+#include "ragwortmux/Request/SessionEvents.h"
+
 namespace ragwortmux {
 
 std::optional<ResultCode> CallerSession::answerLocally(Statement &Submitted) {
+  const std::optional<ResultCode> Result = localResult(Submitted);
+  if (!Result)
+    m_MayCommit =
+        Submitted.m_Writes || Submitted.m_Kind == StatementKind::Commit;
+  return Result;
+}
+
+std::optional<ResultCode> CallerSession::localResult(Statement &Submitted) {
   const bool Ends = Submitted.m_Kind == StatementKind::Commit ||
                     Submitted.m_Kind == StatementKind::Rollback;
   if (m_Status == TransactionStatus::Failed && !Ends)
@@ -53,11 +63,17 @@
   return std::nullopt;
 }
 
-void CallerSession::answered(TransactionStatus Status, const GroupId &Group,
-                             const std::optional<LogPoint> &Written) {
-  m_Status = Status;
-  if (Written)
-    m_LastWrites[Group] = *Written;
+void CallerSession::answered(const SessionAnswer &Answer) {
+  m_Status = Answer.m_Status;
+  // Without a clear answer the statement may have committed.
+  const bool IsUnclear =
+      Answer.m_Code != ResultCode::Ok && !isNotRun(Answer.m_Code);
+  if (Answer.m_Written)
+    m_LastWrites[Answer.m_Group] = {Answer.m_Written, false};
+  else if (Answer.m_IsWriteUnplaced || (m_MayCommit && IsUnclear))
+    m_LastWrites[Answer.m_Group].m_IsUnplaced = true;
+  else if (Answer.m_PrimaryPoint && lastWrite(Answer.m_Group).m_IsUnplaced)
+    m_LastWrites[Answer.m_Group] = {Answer.m_PrimaryPoint, false};
 }
 
 const PreparedStatement *
@@ -66,10 +82,9 @@
   return Found == m_State->m_Prepared.end() ? nullptr : &Found->second;
 }
 
-std::optional<LogPoint> CallerSession::lastWrite(const GroupId &Group) const {
+LastWrite CallerSession::lastWrite(const GroupId &Group) const {
   const auto Found = m_LastWrites.find(Group);
-  return Found == m_LastWrites.end() ? std::nullopt
-                                     : std::optional(Found->second);
+  return Found == m_LastWrites.end() ? LastWrite() : Found->second;
 }
 
 /// Removes a prepared statement; false if there is none of this name.
--- a/ragwortmux/Request/CallerSession.h
+++ b/ragwortmux/Request/CallerSession.h
@@ -3,9 +3,9 @@
 
 #include "ragwortmux/Connection/SessionState.h"
 #include "ragwortmux/Core/ResultCode.h"
+#include "ragwortmux/Request/GroupEvents.h"
+#include "ragwortmux/Request/LastWrite.h"
 #include "ragwortmux/Request/Statement.h"
-#include "ragwortmux/Request/StatementReply.h"
-#include "ragwortmux/Version/LogPoint.h"
 
 #include <cstddef>
 #include <map>
@@ -14,6 +14,8 @@
 
 namespace ragwortmux {
 
+struct SessionAnswer;
+
 /// A caller's stateful session: its state between statements, and the
 /// statements that need no backend server.
 class CallerSession final {
@@ -26,10 +28,10 @@
   /// is refused as not run.
   std::optional<ResultCode> answerLocally(Statement &Submitted);
 
-  /// Handles the answer to a forwarded statement; \p Written is the primary's
-  /// log position if the statement made writes durable.
-  void answered(TransactionStatus Status, const GroupId &Group,
-                const std::optional<LogPoint> &Written);
+  /// Handles the answer to the statement that answerLocally() did not answer.
+  void answered(const SessionAnswer &Answer);
+  /// The open transaction, if any, has been rolled back.
+  void rolledBack() { m_Status = TransactionStatus::Idle; }
 
   /// Status of the caller's transaction.
   TransactionStatus status() const { return m_Status; }
@@ -39,18 +41,21 @@
   std::size_t stateBytes() const { return m_StateBytes; }
   /// The definition of the prepared statement \p Name, or null.
   const PreparedStatement *prepared(const std::string &Name) const;
-  /// The position of the session's last acknowledged write to \p Group, if any;
-  /// kept for every group, because an entry may move to another group and back.
-  std::optional<LogPoint> lastWrite(const GroupId &Group) const;
+  /// The session's last write to \p Group; kept for every group, because an
+  /// entry may move to another group and back.
+  LastWrite lastWrite(const GroupId &Group) const;
 
 private:
+  std::optional<ResultCode> localResult(Statement &Submitted);
   SessionState &mutableState();
   bool forgetPrepared(const std::string &Name);
 
   std::shared_ptr<SessionState> m_State; ///< Shared with running statements.
   std::size_t m_StateBytes = 0;          ///< See stateBytes().
   TransactionStatus m_Status = TransactionStatus::Idle; ///< See status().
-  std::map<GroupId, LogPoint>
+  bool m_MayCommit =
+      false; ///< The statement under way may make writes durable.
+  std::map<GroupId, LastWrite>
       m_LastWrites; ///< See lastWrite(); one for each group written to.
 };
 
--- a/ragwortmux/Request/SessionCore.h
+++ b/ragwortmux/Request/SessionCore.h
@@ -198,6 +198,11 @@
   void handleTransactionReply(Request &State, const StatementReply &Reply);
   bool retryIfNotRun(Request &State, const StatementReply &Reply);
   Duration nextBusyPause(Request &State) const;
+  bool wasSentToPrimary(const Request &State) const;
+  /// The position in \p Reply if it covers every write that was acknowledged
+  /// before the statement was sent.
+  std::optional<LogPoint> primaryPoint(const Request &State,
+                                       const StatementReply &Reply) const;
   void recordPosition(const Request &State, const StatementReply &Reply);
   void forwardReply(Request &State, const StatementReply &Reply);
   void beginTransaction(Request &State, const StatementReply &Reply);
--- a/ragwortmux/Request/SessionCoreAnswers.cpp
+++ b/ragwortmux/Request/SessionCoreAnswers.cpp
@@ -68,13 +68,22 @@
 
 } // namespace
 
+bool SessionCore::wasSentToPrimary(const Request &State) const {
+  return m_View.m_Primary == State.m_Server && State.m_Term == m_View.m_Term;
+}
+
+std::optional<LogPoint>
+SessionCore::primaryPoint(const Request &State,
+                          const StatementReply &Reply) const {
+  return wasSentToPrimary(State) && State.m_UnderLease ? Reply.m_Point
+                                                       : std::nullopt;
+}
+
 void SessionCore::recordPosition(const Request &State,
                                  const StatementReply &Reply) {
-  const bool IsPrimary =
-      m_View.m_Primary == State.m_Server && State.m_Term == m_View.m_Term;
-  if (Reply.m_Point && IsPrimary && State.m_UnderLease)
-    m_History.add(State.m_SentAt, *Reply.m_Point);
-  if (IsPrimary)
+  if (const auto Point = primaryPoint(State, Reply))
+    m_History.add(State.m_SentAt, *Point);
+  if (wasSentToPrimary(State))
     return;
   ReplicaLag &Age = m_ReplicaLags[State.m_Server];
   if (Reply.m_Outcome == StatementOutcome::Behind && State.m_Floor) {
@@ -276,8 +285,11 @@
   const auto Open = m_Transactions.find(State.m_Request.m_Caller);
   if (Open != m_Transactions.end())
     Answer.m_Status = Open->second.m_Status;
-  if (State.makesDurable() && Code == ResultCode::Ok)
+  Answer.m_PrimaryPoint = primaryPoint(State, Reply);
+  if (State.makesDurable() && Code == ResultCode::Ok) {
     Answer.m_Written = Reply.m_Point;
+    Answer.m_IsWriteUnplaced = !Reply.m_Point;
+  }
   emit(std::move(Answer));
   recordDecision(State, SessionDecision::Answered, Code);
   erase(State);
--- a/ragwortmux/Request/SessionCoreDispatch.cpp
+++ b/ragwortmux/Request/SessionCoreDispatch.cpp
@@ -285,19 +285,21 @@
   if (Oldest == nullptr)
     return std::nullopt;
   PositionHistory::Sample Floor = *Oldest;
-  if (Submitted.m_Entry->m_Class != TrafficClass::OwnWritesSession ||
-      !Submitted.m_LastWrite)
+  if (Submitted.m_Entry->m_Class != TrafficClass::OwnWritesSession)
     return Floor;
+  // Only the primary is certain to have the session's own write.
+  if (Submitted.m_LastWrite.m_IsUnplaced)
+    return std::nullopt;
+  const std::optional<LogPoint> &Written = Submitted.m_LastWrite.m_Point;
   // A write of an earlier term that survived precedes the first position
   // reported by the current primary.
-  if (Submitted.m_LastWrite->m_Term < Floor.m_Point.m_Term ||
-      isBefore(*Submitted.m_LastWrite, Floor.m_Point))
+  if (!Written || Written->m_Term < Floor.m_Point.m_Term ||
+      isBefore(*Written, Floor.m_Point))
     return Floor;
-  const PositionHistory::Sample *Covered =
-      m_History.newestCovered(*Submitted.m_LastWrite);
+  const PositionHistory::Sample *Covered = m_History.newestCovered(*Written);
   if (Covered != nullptr)
     Floor.m_QuerySentAt = Covered->m_QuerySentAt;
-  Floor.m_Point = *Submitted.m_LastWrite;
+  Floor.m_Point = *Written;
   return Floor;
 }
 
--- a/ragwortmux/Request/SessionEvents.h
+++ b/ragwortmux/Request/SessionEvents.h
@@ -3,6 +3,7 @@
 
 #include "ragwortmux/Connection/BackendSession.h"
 #include "ragwortmux/Request/CrossDomainEvents.h"
+#include "ragwortmux/Request/LastWrite.h"
 #include "ragwortmux/Request/Statement.h"
 #include "ragwortmux/Request/StatementReply.h"
 #include "ragwortmux/Version/ControlEvents.h"
@@ -30,10 +31,9 @@
   std::shared_ptr<const SessionState>
       m_State; ///< Session state to run the statement with.
   std::optional<PreparedStatement>
-      m_Prepared; ///< For Execute: the prepared statement.
-  std::optional<LogPoint>
-      m_LastWrite;   ///< Position of the session's last write to this group.
-  Instant m_Arrived; ///< Arrival time; the deadline counts from here.
+      m_Prepared;        ///< For Execute: the prepared statement.
+  LastWrite m_LastWrite; ///< The session's last write to this group.
+  Instant m_Arrived;     ///< Arrival time; the deadline counts from here.
 };
 
 /// Opens a connection; completed by connectionOpened() or connectionFailed().
@@ -91,7 +91,13 @@
   std::optional<LogPoint>
       m_Point; ///< Position of the server's log after the statement.
   std::optional<LogPoint>
-      m_Written; ///< Position of the commit; set if writes became durable.
+      m_Written; ///< Position of the commit; set if writes became durable and
+                 ///< the server named it.
+  bool m_IsWriteUnplaced =
+      false; ///< Writes became durable, at a position that is not known.
+  std::optional<LogPoint>
+      m_PrimaryPoint; ///< m_Point, if it covers every write that was
+                      ///< acknowledged before the statement was sent.
 };
 
 /// Reports a suspected fault of a server to control.
--- a/tests/Process/RelayCodecTest.cpp
+++ b/tests/Process/RelayCodecTest.cpp
@@ -53,7 +53,9 @@
 bool isSame(const SessionAnswer &One, const SessionAnswer &Other) {
   return One.m_Code == Other.m_Code && isSameBody(One.m_Body, Other.m_Body) &&
          One.m_Status == Other.m_Status && One.m_Point == Other.m_Point &&
-         One.m_Written == Other.m_Written;
+         One.m_Written == Other.m_Written &&
+         One.m_IsWriteUnplaced == Other.m_IsWriteUnplaced &&
+         One.m_PrimaryPoint == Other.m_PrimaryPoint;
 }
 
 /// Returns a change of the catalogue entry.
@@ -169,10 +171,13 @@
                [](auto &Request) { Request.m_Prepared.emplace(); }},
     RequestRow{"last write",
                [](auto &Request) {
-                 Request.m_LastWrite = LogPoint{Term(3), LogPosition(~0ULL)};
+                 Request.m_LastWrite.m_Point =
+                     LogPoint{Term(3), LogPosition(~0ULL)};
                }},
     RequestRow{"last write at 0",
-               [](auto &Request) { Request.m_LastWrite.emplace(); }},
+               [](auto &Request) { Request.m_LastWrite.m_Point.emplace(); }},
+    RequestRow{"last write without a position",
+               [](auto &Request) { Request.m_LastWrite.m_IsUnplaced = true; }},
 };
 
 struct AnswerRow final {
@@ -212,6 +217,12 @@
               [](auto &Answer) {
                 Answer.m_Written = LogPoint{Term(4), LogPosition(~0ULL)};
               }},
+    AnswerRow{"written without a position",
+              [](auto &Answer) { Answer.m_IsWriteUnplaced = true; }},
+    AnswerRow{"point of the primary",
+              [](auto &Answer) {
+                Answer.m_PrimaryPoint = LogPoint{Term(5), LogPosition(6)};
+              }},
 };
 
 struct AgeRow final {
--- a/tests/Request/RelayTest.cpp
+++ b/tests/Request/RelayTest.cpp
@@ -324,6 +324,8 @@
   Reply.m_Caller = CallerConnectionId(999);
   Reply.m_Point = LogPoint{Term(1), LogPosition(5)};
   Reply.m_Written = Reply.m_Point;
+  Reply.m_IsWriteUnplaced = true;
+  Reply.m_PrimaryPoint = Reply.m_Point;
   m_Actions.clear();
   m_Core.answered(after(1), HostId("other"), Request, Reply, m_Actions);
   BOOST_TEST(m_Actions.empty());
@@ -333,6 +335,8 @@
   BOOST_TEST((answer()->m_Caller == Caller));
   BOOST_TEST((answer()->m_Group == Group));
   BOOST_TEST((answer()->m_Written == Reply.m_Written));
+  BOOST_TEST(answer()->m_IsWriteUnplaced);
+  BOOST_TEST((answer()->m_PrimaryPoint == Reply.m_PrimaryPoint));
   BOOST_TEST(m_Core.pending() == 0U);
   BOOST_TEST(!m_Core.isUsing(Host));
 }
--- a/tests/Request/SessionCoreTest.cpp
+++ b/tests/Request/SessionCoreTest.cpp
@@ -107,13 +107,79 @@
 BOOST_AUTO_TEST_CASE(SessionReadsItsOwnWriteAfterItsEntryHasMovedAndComeBack) {
   sample(10);
   CallerSession Session;
-  Session.answered(Idle, Group, point(15));
-  Session.answered(Idle, GroupId("other"), point(3));
+  SessionAnswer Answer;
+  Answer.m_Group = Group;
+  Answer.m_Written = point(15);
+  Session.answered(Answer);
+  Answer.m_Group = GroupId("other");
+  Answer.m_Written = point(3);
+  Session.answered(Answer);
   submit(StatementKind::Read, TrafficClass::OwnWritesSession, false, 1,
-         Session.lastWrite(Group));
+         Session.lastWrite(Group).m_Point);
   BOOST_TEST((nextRunning().m_Floor == point(15)));
 }
 
+// Guards against a read without the session's own write: the server answered
+// the write without a position, and the read went to a replica that lacked it.
+BOOST_AUTO_TEST_CASE(ReadAfterWriteWithoutPositionGoesToPrimary) {
+  const auto Read = [this](const CallerSession &Session) {
+    SessionRequest Request = makeRequest(
+        StatementKind::Read, TrafficClass::OwnWritesSession, false, 1);
+    Request.m_LastWrite = Session.lastWrite(Group);
+    submitRequest(std::move(Request));
+    return nextRunning();
+  };
+  for (const bool IsTransaction : {false, true}) {
+    CallerSession Session;
+    sample(10);
+    if (IsTransaction) {
+      submit(StatementKind::Begin, TrafficClass::OwnWritesSession);
+      replyDone(nextRunning(), 10, Open);
+    }
+    submit(StatementKind::Write, TrafficClass::OwnWritesSession, true);
+    reply(nextRunning(), StatementOutcome::Done, IsTransaction ? Open : Idle,
+          std::nullopt);
+    if (IsTransaction) {
+      submit(StatementKind::Commit, TrafficClass::OwnWritesSession);
+      reply(nextRunning(), StatementOutcome::Done, Idle, std::nullopt);
+    }
+    Session.answered(m_Answers.back());
+    m_Answers.clear();
+    for (int Count = 0; Count < 3; ++Count) {
+      const RunStatement Run = Read(Session);
+      BOOST_TEST((serverOf(Run) == S1));
+      // An answer without a position tells nothing.
+      reply(Run, StatementOutcome::Done, Idle, std::nullopt);
+      Session.answered(nextAnswer());
+    }
+    const RunStatement Run = Read(Session);
+    BOOST_TEST((serverOf(Run) == S1));
+    replyDone(Run, 20);
+    Session.answered(nextAnswer());
+    // From now on any server will do whose log has that position.
+    BOOST_TEST((Session.lastWrite(Group) == LastWrite{point(20)}));
+    const RunStatement Next = Read(Session);
+    BOOST_TEST((serverOf(Next) == S1 || Next.m_Floor == point(20)));
+    replyDone(Next, 20);
+    m_Answers.clear();
+  }
+}
+
+// Only the present primary's position covers all acknowledged writes.
+BOOST_AUTO_TEST_CASE(PointOfReplacedPrimaryPlacesNoWrite) {
+  for (const bool IsReplaced : {false, true}) {
+    submit(StatementKind::Read, TrafficClass::PrimarySession);
+    const RunStatement Run = nextRunning();
+    BOOST_TEST((serverOf(Run) == S1));
+    if (IsReplaced)
+      applyView(2, S3);
+    replyDone(Run, 20);
+    const SessionAnswer Answer = nextAnswer();
+    BOOST_TEST((Answer.m_Point == point(20)));
+    BOOST_TEST(Answer.m_PrimaryPoint.has_value() != IsReplaced);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReadRefusedAsBehindIsRetriedOnAnotherServer) {
   sample(10);
   submit(StatementKind::Read, TrafficClass::AgedSession);
--- a/tests/Request/SessionFixture.h
+++ b/tests/Request/SessionFixture.h
@@ -109,7 +109,7 @@
                    std::uint64_t Caller = 1,
                    std::optional<LogPoint> LastWrite = std::nullopt) {
     SessionRequest Request = makeRequest(Kind, Class, Writes, Caller);
-    Request.m_LastWrite = LastWrite;
+    Request.m_LastWrite.m_Point = LastWrite;
     return submitRequest(std::move(Request));
   }
 
--- a/tests/Request/SessionPartsTest.cpp
+++ b/tests/Request/SessionPartsTest.cpp
@@ -3,6 +3,7 @@
 #include "ragwortmux/Request/ChooseReadTarget.h"
 #include "ragwortmux/Request/PositionHistory.h"
 #include "ragwortmux/Request/ReplicaLag.h"
+#include "ragwortmux/Request/SessionEvents.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -137,7 +138,9 @@
   };
   for (const Row &Each : Rows) {
     CallerSession Session;
-    Session.answered(Each.m_Status, GroupId("g"), std::nullopt);
+    SessionAnswer Answer;
+    Answer.m_Status = Each.m_Status;
+    Session.answered(Answer);
     Statement Submitted = Each.m_Submitted;
     BOOST_TEST((Session.answerLocally(Submitted) == Each.m_Code));
   }
@@ -184,11 +187,100 @@
   };
   for (const Row &Each : Rows) {
     CallerSession Session;
-    for (const Write &Answered : Each.m_Writes)
-      Session.answered(TransactionStatus::Idle, GroupId(Answered.m_Group),
-                       Answered.m_Written);
-    BOOST_TEST((Session.lastWrite(GroupId("a")) == Each.m_OfA));
-    BOOST_TEST((Session.lastWrite(GroupId("b")) == Each.m_OfB));
+    for (const Write &Answered : Each.m_Writes) {
+      SessionAnswer Answer;
+      Answer.m_Group = GroupId(Answered.m_Group);
+      Answer.m_Written = Answered.m_Written;
+      Session.answered(Answer);
+    }
+    BOOST_TEST((Session.lastWrite(GroupId("a")) == LastWrite{Each.m_OfA}));
+    BOOST_TEST((Session.lastWrite(GroupId("b")) == LastWrite{Each.m_OfB}));
+  }
+}
+
+// Guards against a session that took a write of an unknown position for none,
+// and then read at a replica without that write.
+BOOST_AUTO_TEST_CASE(WriteWithoutPositionIsRemembered) {
+  const auto Written = [](std::optional<LogPoint> Point) {
+    SessionAnswer Answer;
+    Answer.m_Written = Point;
+    Answer.m_PrimaryPoint = Point;
+    Answer.m_IsWriteUnplaced = !Point;
+    return Answer;
+  };
+  const auto Read = [](std::optional<LogPoint> PrimaryPoint) {
+    SessionAnswer Answer;
+    Answer.m_Point = at(1, 90);
+    Answer.m_PrimaryPoint = PrimaryPoint;
+    return Answer;
+  };
+  const auto Ended = [](ResultCode Code) {
+    SessionAnswer Answer;
+    Answer.m_Code = Code;
+    return Answer;
+  };
+  using Kind = StatementKind;
+  struct Step final {
+    Kind m_Kind;            ///< The statement; a Write writes.
+    SessionAnswer m_Answer; ///< Its answer.
+  };
+  struct Row final {
+    const char *m_Name;        ///< Name in messages.
+    std::vector<Step> m_Steps; ///< In order.
+    LastWrite m_Last;          ///< Remembered afterwards.
+  };
+  const Step Unplaced{Kind::Write, Written({})};
+  const std::vector<Row> Rows = {
+      {"no position", {Unplaced}, {std::nullopt, true}},
+      {"no position, earlier write",
+       {{Kind::Write, Written(at(1, 5))}, Unplaced},
+       {at(1, 5), true}},
+      {"a later write",
+       {Unplaced, {Kind::Write, Written(at(1, 7))}},
+       {at(1, 7)}},
+      {"a read at a replica", {Unplaced, {Kind::Read, Read({})}}, {{}, true}},
+      {"a read at the primary",
+       {Unplaced, {Kind::Read, Read(at(1, 8))}},
+       {at(1, 8)}},
+      {"a read at the primary without a write",
+       {{Kind::Read, Read(at(1, 8))}},
+       {}},
+      {"a commit without a position",
+       {{Kind::Commit, Written({})}},
+       {std::nullopt, true}},
+      {"an unknown outcome",
+       {{Kind::Write, Ended(ResultCode::OutcomeUnknown)}},
+       {std::nullopt, true}},
+      {"a commit whose term has ended",
+       {{Kind::Commit, Ended(ResultCode::OutcomeUnknownTermEnded)}},
+       {std::nullopt, true}},
+      {"a write that ran into its time limit",
+       {{Kind::Write, Ended(ResultCode::RanTimedOut)}},
+       {std::nullopt, true}},
+      {"a write that was not run",
+       {{Kind::Write, Ended(ResultCode::NotRunQueueFull)}},
+       {}},
+      {"a read with an unknown outcome",
+       {{Kind::Read, Ended(ResultCode::OutcomeUnknown)}},
+       {}},
+      {"a read that is refused",
+       {Unplaced, {Kind::Read, Ended(ResultCode::NotRunTooOld)}},
+       {std::nullopt, true}},
+  };
+  for (const Row &Each : Rows) {
+    CallerSession Session;
+    for (const Step &Next : Each.m_Steps) {
+      Statement Submitted;
+      Submitted.m_Kind = Next.m_Kind;
+      Submitted.m_Writes = Next.m_Kind == Kind::Write;
+      SessionAnswer Begun;
+      Begun.m_Status = TransactionStatus::InTransaction;
+      if (Next.m_Kind == Kind::Commit)
+        Session.answered(Begun);
+      BOOST_TEST(!Session.answerLocally(Submitted).has_value());
+      Session.answered(Next.m_Answer);
+    }
+    BOOST_TEST((Session.lastWrite(GroupId()) == Each.m_Last), Each.m_Name);
   }
 }
 
--- a/tests/Version/DelegatedGroupTest.cpp
+++ b/tests/Version/DelegatedGroupTest.cpp
@@ -242,6 +242,30 @@
   BOOST_TEST((group().m_ServerTerm == Term(9)));
 }
 
+// Guards against a comparison with an answer from before an order that took
+// effect unnoticed: its server was then appointed although another one had been
+// promoted since.
+BOOST_AUTO_TEST_CASE(AnswerFromBeforeEarlierOrderIsNoBase) {
+  m_LosesPromotionAnswers = true;
+  m_Servers[S1].m_Answers = false;
+  m_Servers[S1].m_Announces = false;
+  m_Servers[S2].m_Point.m_Position = LogPosition(150);
+  apply(EndTerm{TheGroup, Term(2)});
+  runUntil([&] { return !m_Promoted.empty(); });
+  m_Servers[S2].m_Answers = false;
+  runUntil([&] { return m_Promoted.back() == S3; });
+  m_Servers[S3].m_Answers = false;
+  m_Servers[S3].m_Announces = false;
+  run(settings().m_PromoteTimeout + settings().m_PromotionInFlight + 100ms);
+  BOOST_TEST((m_Servers[S3].m_Term == Term(9)));
+  // S2 has led term 8 since the first order and has not learned of S3.
+  m_Servers[S2].m_Role = BackendRole::Primary;
+  m_Servers[S2].m_Term = Term(8);
+  m_Servers[S2].m_Answers = true;
+  runUntil([&] { return isPrimary(S2); });
+  BOOST_TEST((group().m_ServerTerm == Term(10)));
+}
+
 // A server whose promotion the previous leader has ordered is appointed at
 // once, although the order to it changes nothing any more.
 BOOST_AUTO_TEST_CASE(NewLeaderAppointsServerThatWasPromotedMeanwhile) {
