--- a/tests/Request/SessionPositionRunTest.cpp
+++ b/tests/Request/SessionPositionRunTest.cpp
@@ -40,11 +40,11 @@
     CallerSession &Session = m_Sessions[Caller];
     const bool IsOpen = Session.status() == Open;
     using Kind = StatementKind;
-    const Kind Idle[] = {Kind::Read, Kind::Read, Kind::Write, Kind::Begin,
-                         Kind::BeginRead};
+    const Kind Outside[] = {Kind::Read, Kind::Read, Kind::Write, Kind::Begin,
+                            Kind::BeginRead};
     const Kind Inside[] = {Kind::Read, Kind::Write, Kind::Commit,
                            Kind::Rollback};
-    Kind Next = IsOpen ? Inside[m_Random() % 4] : Idle[m_Random() % 5];
+    Kind Next = IsOpen ? Inside[m_Random() % 4] : Outside[m_Random() % 5];
     if (IsOpen && m_ReadOnly.contains(Caller) && Next == Kind::Write)
       Next = Kind::Read;
     if (!IsOpen)
@@ -88,7 +88,6 @@
     HasWritten = IsOpen && (HasWritten || IsWrite);
     if (Commits)
       ++Log;
-    // Names the server's log in the answer, to know which one a read has seen.
     m_Seen = Log;
     const bool HasPoint = !oneIn(2);
     reply(Run, StatementOutcome::Done, IsOpen ? Open : Idle,
@@ -97,7 +96,9 @@
       check(Answer, Commits);
   }
 
-  /// Checks that a read has seen the writes of its session.
+  /// Checks that a read has seen the writes of its session. Reads inside of a
+  /// transaction run on the connection of its BEGIN, whose floor holds for
+  /// them.
   void check(const SessionAnswer &Answer, bool Commits) {
     if (Answer.m_Code != ResultCode::Ok)
       return;
@@ -105,18 +106,12 @@
     const StatementKind Kind = m_Kinds.at(Answer.m_Request);
     if (Commits) {
       m_Acknowledged[Caller] = m_Seen;
-    } else if (Kind == StatementKind::Read && !m_IsReadInside(Answer)) {
+    } else if (Kind == StatementKind::Read && Answer.m_Status == Idle) {
       ++m_Reads;
       m_StaleReads += m_Seen < m_Acknowledged[Caller] ? 1 : 0;
     }
   }
 
-  /// Reads in a transaction see the log of its server at its beginning or
-  /// later; its BEGIN was checked by its floor.
-  static bool m_IsReadInside(const SessionAnswer &Answer) {
-    return Answer.m_Status != Idle;
-  }
-
   void takeAnswers() {
     for (const SessionAnswer &Answer : std::exchange(m_Answers, {})) {
       const std::uint64_t Caller = m_CallerOf.at(Answer.m_Request);
