--- a/tests/Version/PromotionRun.h
+++ b/tests/Version/PromotionRun.h
@@ -67,7 +67,7 @@
                 [this, Target] { m_CutFromControl.insert(Target); });
   }
 
-  void sendFault(Duration Delay, std::function<void()> Fault) {
+  void sendFault(Duration Delay, const std::function<void()> &Fault) {
     send(Delay, [this, Fault] {
       if (m_HasFaults)
         Fault();
