--- a/ragwortmux/Version/DelegatedPrimaryChangeOrders.cpp
+++ b/ragwortmux/Version/DelegatedPrimaryChangeOrders.cpp
@@ -6,8 +6,8 @@
 #include <algorithm>
 
 /// \file
-/// Orders of DelegatedPrimaryChange that a server lead, until it is appointed
-/// or given up.
+/// The part of DelegatedPrimaryChange that orders a promotion and waits for its
+/// effect, until the server is appointed or the promotion abandoned.
 
 namespace ragwortmux {
 
--- a/ragwortmux/Version/PromotionEvidence.h
+++ b/ragwortmux/Version/PromotionEvidence.h
@@ -9,8 +9,8 @@
 
 namespace ragwortmux {
 
-/// What a server's answer to a position call shows about the order that
-/// it leads. See docs/design/promotions.md.
+/// What a server's answer to a position call shows about the order to promote
+/// it. See docs/design/promotions.md.
 enum class PromotionState : std::uint8_t {
   Given,     ///< The order has not taken effect yet.
   InEffect,  ///< The server leads the group's newest term.
@@ -18,8 +18,8 @@
              ///< one; the order may still take effect.
 };
 
-/// An order that a server of a delegated group lead, and what was known when it
-/// was given.
+/// An order to promote a server of a delegated group, and what was known when
+/// it was given.
 struct PromotionAttempt final {
   Term m_TermBefore; ///< Newest term that any server of the group had shown
                      ///< before the order was sent.
